Add base and http libraries

Callers and upstreams are met by Boost.Beast's parsers over QTcpSocket instead of Qt's HTTP server and network access manager. Cause: Qt's manager resends a POST by itself and allows six connections a host; Qt's server accepts both length headers, two lengths and answers pipelined requests out of turn. Ruled out: guarding Qt's classes (no hook before the resend, no hook between pipelined requests).

--- /dev/null
+++ b/libs/base/include/base/supervisor.h
@@ -0,0 +1,67 @@
+#ifndef FIRMOOR_BASE_SUPERVISOR_H_
+#define FIRMOOR_BASE_SUPERVISOR_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace firmoor {
+
+/// Starts the parts of a program in order, restarts a part that fails and
+/// stops them in reverse order. A supervisor can be a part of another one,
+/// which makes a tree. Lives in the thread of the Qt event loop.
+///
+///     auto root = Supervisor::Builder("root")
+///         .Part({"peers", [&] { return peers.Start(); },
+///                [&] { peers.Stop(); }})
+///         .Build();
+///     if (!root->Start()) return 1;
+class Supervisor {
+ public:
+  /// One supervised part.
+  struct Part {
+    std::string name;
+    std::function<bool()> start;  ///< False when the part cannot start.
+    std::function<void()> stop;
+  };
+
+  /// Collects the parts of a supervisor.
+  class Builder {
+   public:
+    explicit Builder(std::string name);
+    ~Builder();
+    Builder& Part(Supervisor::Part part);
+    /// Restarts allowed to one part before the failure goes up.
+    Builder& RestartBudget(int restarts);
+    /// Called when a part has spent its restarts.
+    Builder& OnGiveUp(std::function<void(const std::string& part)> handler);
+    std::unique_ptr<Supervisor> Build();
+
+   private:
+    friend class Supervisor;
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+  };
+
+  ~Supervisor();
+
+  /// Starts all parts in order. On failure stops those already started.
+  bool Start();
+
+  /// Stops all parts in reverse order. Safe to call twice.
+  void Stop();
+
+  /// Reports that a running part failed: it is restarted after a backoff of
+  /// 100 ms that doubles with each restart.
+  void ReportFailure(const std::string& part);
+
+ private:
+  explicit Supervisor(std::unique_ptr<Builder::Impl> impl);
+  bool StartPart(std::size_t index);
+
+  std::unique_ptr<Builder::Impl> impl_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_BASE_SUPERVISOR_H_
--- /dev/null
+++ b/libs/base/src/supervisor.cc
@@ -0,0 +1,117 @@
+#include "base/supervisor.h"
+
+#include <QObject>
+#include <QTimer>
+#include <utility>
+#include <vector>
+
+#include "base/invariant.h"
+#include "base/log.h"
+
+namespace firmoor {
+namespace {
+
+constexpr Logger kLog("supervisor");
+constexpr int kFirstBackoffMs = 100;
+constexpr int kDefaultRestartBudget = 5;
+
+}  // namespace
+
+struct Supervisor::Builder::Impl {
+  struct Entry {
+    Supervisor::Part part;
+    bool running = false;
+    int restarts = 0;
+  };
+
+  std::string name;
+  std::vector<Entry> entries;
+  int restart_budget = kDefaultRestartBudget;
+  std::function<void(const std::string&)> on_give_up;
+  QObject timer_context;
+};
+
+Supervisor::Builder::Builder(std::string name)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->name = std::move(name);
+}
+
+Supervisor::Builder::~Builder() = default;
+
+Supervisor::Builder& Supervisor::Builder::Part(Supervisor::Part part) {
+  FIRMOOR_PRECONDITION(part.start && part.stop, "a part can start and stop");
+  impl_->entries.push_back({std::move(part)});
+  return *this;
+}
+
+Supervisor::Builder& Supervisor::Builder::RestartBudget(int restarts) {
+  impl_->restart_budget = restarts;
+  return *this;
+}
+
+Supervisor::Builder& Supervisor::Builder::OnGiveUp(
+    std::function<void(const std::string&)> handler) {
+  impl_->on_give_up = std::move(handler);
+  return *this;
+}
+
+std::unique_ptr<Supervisor> Supervisor::Builder::Build() {
+  return std::unique_ptr<Supervisor>(new Supervisor(std::move(impl_)));
+}
+
+Supervisor::Supervisor(std::unique_ptr<Builder::Impl> impl)
+    : impl_(std::move(impl)) {}
+
+Supervisor::~Supervisor() { Stop(); }
+
+bool Supervisor::Start() {
+  for (std::size_t i = 0; i < impl_->entries.size(); ++i) {
+    if (StartPart(i)) continue;
+    Stop();
+    return false;
+  }
+  return true;
+}
+
+bool Supervisor::StartPart(std::size_t index) {
+  auto& entry = impl_->entries[index];
+  entry.running = entry.part.start();
+  if (!entry.running) {
+    kLog.Error("Part {}/{} did not start.", impl_->name, entry.part.name);
+  }
+  return entry.running;
+}
+
+void Supervisor::Stop() {
+  for (auto it = impl_->entries.rbegin(); it != impl_->entries.rend(); ++it) {
+    if (!it->running) continue;
+    it->running = false;
+    it->part.stop();
+  }
+}
+
+void Supervisor::ReportFailure(const std::string& part) {
+  for (std::size_t i = 0; i < impl_->entries.size(); ++i) {
+    auto& entry = impl_->entries[i];
+    if (entry.part.name != part || !entry.running) continue;
+    entry.running = false;
+    entry.part.stop();
+    if (entry.restarts >= impl_->restart_budget) {
+      kLog.Error("Part {}/{} has spent its restarts.", impl_->name, part);
+      if (impl_->on_give_up) impl_->on_give_up(part);
+      return;
+    }
+    const int backoff_ms = kFirstBackoffMs << entry.restarts;
+    ++entry.restarts;
+    kLog.Warn("Part {}/{} failed. Restart in {} ms.", impl_->name, part,
+              backoff_ms);
+    QTimer::singleShot(backoff_ms, &impl_->timer_context, [this, i, part] {
+      auto& again = impl_->entries[i];
+      if (StartPart(i)) return;
+      again.running = true;  // Lets the next failure report pass.
+      ReportFailure(part);
+    });
+  }
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/http/include/http/http_call.h
@@ -0,0 +1,120 @@
+#ifndef FIRMOOR_HTTP_HTTP_CALL_H_
+#define FIRMOOR_HTTP_HTTP_CALL_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+#include "http/message.h"
+
+namespace firmoor {
+
+/// How an exchange with an upstream ended.
+enum class HttpCallEnd {
+  kComplete,      ///< The whole answer arrived.
+  kNotConnected,  ///< No connection; no byte of the request left.
+  kNoAnswer,      ///< The connection closed before the answer's head.
+  kTruncated,     ///< The connection closed inside the answer.
+  kMalformed,     ///< The answer is not valid HTTP.
+  kSilent,        ///< No byte arrived for the idle time.
+  kCancelled,     ///< `HttpCall::Cancel` was called.
+};
+
+/// Times after which a call is given up.
+struct HttpCallTimes {
+  Duration connect{1'000};
+  Duration first_byte{30'000};  ///< From the sent request to the head.
+  Duration idle{10'000};        ///< Between two parts of the answer.
+
+  bool operator==(const HttpCallTimes&) const = default;
+};
+
+/// Connections kept open between idempotent calls. Non-idempotent calls
+/// never use it, since an idle connection may have been dropped unseen.
+class HttpConnectionPool {
+ public:
+  HttpConnectionPool();
+  ~HttpConnectionPool();
+
+  /// Closes the idle connections to `endpoint`, for instance after a silent
+  /// one was found.
+  void Forget(const Endpoint& endpoint);
+
+  struct Impl;
+
+ private:
+  friend class HttpCall;
+  std::unique_ptr<Impl> impl_;
+};
+
+/// One request to one upstream, sent at most once: there is no resend, no
+/// redirect and no retry inside. The answer is handed over as it arrives.
+/// Deleting the call cancels it without further callbacks. Not thread-safe.
+///
+///     call_ = HttpCall::Builder(endpoint, request)
+///         .OnHead([](int status, const HttpHeaders&) { ... })
+///         .OnBody([](std::string_view bytes) { ... })
+///         .OnEnd([](HttpCallEnd end) { ... })
+///         .Start();
+class HttpCall {
+ public:
+  /// Collects the properties of a call.
+  class Builder {
+   public:
+    Builder(Endpoint endpoint, HttpRequest request);
+    ~Builder();
+    Builder& Times(HttpCallTimes times);
+    /// Takes a kept connection when there is one and keeps it afterwards.
+    /// Without a pool the connection is a fresh one and closes at the end.
+    Builder& Pool(HttpConnectionPool* pool);
+    Builder& OnHead(std::function<void(int, const HttpHeaders&)> handler);
+    Builder& OnBody(std::function<void(std::string_view)> handler);
+    /// Called once, last. The call may be deleted inside the handler.
+    Builder& OnEnd(std::function<void(HttpCallEnd)> handler);
+    std::unique_ptr<HttpCall> Start();
+
+   private:
+    friend class HttpCall;
+    struct Impl;
+    std::shared_ptr<Impl> impl_;
+  };
+
+  ~HttpCall();
+
+  /// Closes the connection; `OnEnd` gets `kCancelled`.
+  void Cancel();
+
+  /// Stops or resumes reading, for a caller that reads slowly.
+  void SetPaused(bool paused);
+
+  /// Whether a byte of the request may have left this process.
+  [[nodiscard]] bool MayHaveLeft() const;
+
+ private:
+  explicit HttpCall(std::shared_ptr<Builder::Impl> impl);
+
+  std::shared_ptr<Builder::Impl> impl_;
+};
+
+/// Runs a call and gathers the whole answer.
+///
+/// `done` gets the end of the call, whether the request may have left, and
+/// the answer, which is whole only with `HttpCallEnd::kComplete`. The result
+/// owns the call: deleting it cancels without callback.
+struct HttpFetchResult {
+  HttpCallEnd end = HttpCallEnd::kNotConnected;
+  bool may_have_left = false;
+  HttpAnswer answer;
+};
+
+std::unique_ptr<HttpCall> HttpFetch(const Endpoint& endpoint,
+                                    HttpRequest request, HttpCallTimes times,
+                                    HttpConnectionPool* pool,
+                                    std::function<void(HttpFetchResult)> done);
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_HTTP_HTTP_CALL_H_
--- /dev/null
+++ b/libs/http/src/details/server_connection.cc
@@ -0,0 +1,242 @@
+#include "details/server_connection.h"
+
+#include <fmt/format.h>
+
+#include <QHostAddress>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+#include <utility>
+
+namespace firmoor::details {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr qint64 kReadBytes = 64 * 1024;
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kPayloadTooLarge = 413;
+
+int StatusOf(const beast::error_code& error) {
+  const bool too_large =
+      error == http::error::body_limit || error == http::error::header_limit;
+  return too_large ? kPayloadTooLarge : kBadRequest;
+}
+
+HttpRequest ToRequest(http::request<http::string_body> message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(
+    QTcpSocket* socket, std::shared_ptr<const ServerConnectionContext> context,
+    std::function<void(ServerConnection*)> on_closed)
+    : socket_(socket),
+      context_(std::move(context)),
+      on_closed_(std::move(on_closed)) {
+  timer_.setSingleShot(true);
+}
+
+ServerConnection::~ServerConnection() {
+  socket_->disconnect();
+  socket_->deleteLater();
+}
+
+void ServerConnection::Start() {
+  socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  socket_->setReadBufferSize(kReadBytes);
+  QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
+                   [this] { ReadMore(); });
+  QObject::connect(socket_, &QTcpSocket::disconnected, socket_,
+                   [this] { OnDisconnected(); });
+  QObject::connect(&timer_, &QTimer::timeout, socket_, [this] {
+    if (parser_->got_some()) {
+      RejectInput(kRequestTimeout);
+    } else {
+      Abort();
+    }
+  });
+  ResetParser();
+  ReadMore();
+}
+
+void ServerConnection::ResetParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(context_->limits.header_bytes);
+  parser_->body_limit(context_->limits.body_bytes);
+  expect_answered_ = false;
+  phase_ = Phase::kReading;
+  timer_.start(context_->limits.idle_time);
+}
+
+void ServerConnection::ReadMore() {
+  if (phase_ != Phase::kReading || closed_) return;
+  const bool had_some = parser_->got_some();
+  const QByteArray bytes = socket_->read(kReadBytes);
+  const auto space = buffer_.prepare(bytes.size());
+  boost::asio::buffer_copy(space,
+                           boost::asio::buffer(bytes.data(), bytes.size()));
+  buffer_.commit(bytes.size());
+  if (!had_some && buffer_.size() > 0) {
+    timer_.start(context_->limits.request_time);
+  }
+  ParseBuffered();
+}
+
+void ServerConnection::ParseBuffered() {
+  beast::error_code error;
+  while (buffer_.size() > 0 && !parser_->is_done()) {
+    const auto used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == http::error::need_more) break;
+    if (error) return RejectInput(StatusOf(error));
+  }
+  if (parser_->is_done()) return HandOver();
+  if (parser_->is_header_done()) AnswerExpect();
+  if (socket_->bytesAvailable() > 0) {
+    QMetaObject::invokeMethod(
+        socket_, [this] { ReadMore(); }, Qt::QueuedConnection);
+  }
+}
+
+void ServerConnection::AnswerExpect() {
+  if (expect_answered_) return;
+  expect_answered_ = true;
+  const auto expect = parser_->get()[http::field::expect];
+  if (!beast::iequals(expect, "100-continue")) return;
+  socket_->write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void ServerConnection::HandOver() {
+  timer_.stop();
+  phase_ = Phase::kHandling;
+  auto message = parser_->release();
+  keep_alive_ = message.keep_alive();
+  chunked_ = message.version() >= 11;
+  head_request_ = message.method() == http::verb::head;
+  const auto self = shared_from_this();
+  context_->handler(ToRequest(std::move(message)),
+                    std::make_shared<HttpResponder>(self));
+}
+
+void ServerConnection::RejectInput(int status) {
+  timer_.stop();
+  phase_ = Phase::kHandling;
+  keep_alive_ = false;
+  head_request_ = false;
+  buffer_.clear();
+  Send(context_->error_answer ? context_->error_answer(status)
+                              : HttpAnswer{status, {}, {}});
+}
+
+void ServerConnection::WriteHead(int status, const HttpHeaders& headers,
+                                 std::string_view framing) {
+  if (context_->closing) keep_alive_ = false;
+  std::string head = fmt::format(
+      "HTTP/1.1 {} {}\r\n", status,
+      std::string(http::obsolete_reason(static_cast<http::status>(status))));
+  for (const auto& header : headers) {
+    if (IsConnectionHeader(header.name)) continue;
+    head += fmt::format("{}: {}\r\n", header.name, header.value);
+  }
+  head += framing;
+  head += keep_alive_ ? "\r\n" : "Connection: close\r\n\r\n";
+  socket_->write(head.data(), qint64(head.size()));
+}
+
+void ServerConnection::Send(const HttpAnswer& answer) {
+  if (phase_ != Phase::kHandling || closed_) return;
+  WriteHead(answer.status, answer.headers,
+            fmt::format("Content-Length: {}\r\n", answer.body.size()));
+  if (!head_request_) {
+    socket_->write(answer.body.data(), qint64(answer.body.size()));
+  }
+  EndAnswer();
+}
+
+void ServerConnection::StartStream(int status, const HttpHeaders& headers) {
+  if (phase_ != Phase::kHandling || closed_) return;
+  phase_ = Phase::kStreaming;
+  if (!chunked_) keep_alive_ = false;
+  WriteHead(status, headers, chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
+}
+
+void ServerConnection::Write(std::string_view bytes) {
+  if (phase_ != Phase::kStreaming || closed_ || bytes.empty()) return;
+  if (head_request_) return;
+  const std::string chunk =
+      chunked_ ? fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes)
+               : std::string(bytes);
+  socket_->write(chunk.data(), qint64(chunk.size()));
+}
+
+void ServerConnection::FinishStream() {
+  if (phase_ != Phase::kStreaming || closed_) return;
+  if (chunked_ && !head_request_) socket_->write("0\r\n\r\n");
+  EndAnswer();
+}
+
+void ServerConnection::EndAnswer() {
+  caller_left_ = nullptr;
+  if (!keep_alive_) {
+    // A later answer must not follow one that announced the end.
+    phase_ = Phase::kReading;
+    closed_ = true;
+    socket_->disconnectFromHost();
+    if (socket_->state() == QAbstractSocket::UnconnectedState) {
+      on_closed_(this);
+    }
+    return;
+  }
+  ResetParser();
+  // Queued, so that a pipelined request does not recurse into its handler.
+  QMetaObject::invokeMethod(
+      socket_, [this] { ReadMore(); }, Qt::QueuedConnection);
+}
+
+void ServerConnection::Abort() {
+  if (closed_) return;
+  socket_->abort();
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (phase_ == Phase::kReading && !parser_->got_some() && !closed_) Abort();
+}
+
+std::size_t ServerConnection::UnsentBytes() const {
+  return closed_ ? 0 : std::size_t(socket_->bytesToWrite());
+}
+
+void ServerConnection::SetCallerLeft(std::function<void()> handler) {
+  caller_left_ = std::move(handler);
+}
+
+std::string ServerConnection::CallerAddress() const {
+  return Endpoint{socket_->peerAddress().toString().toStdString(),
+                  socket_->peerPort()}
+      .ToString();
+}
+
+void ServerConnection::OnDisconnected() {
+  timer_.stop();
+  closed_ = true;
+  const auto self = shared_from_this();
+  const auto caller_left = std::exchange(caller_left_, nullptr);
+  if (caller_left) caller_left();
+  phase_ = Phase::kReading;
+  on_closed_(this);
+}
+
+}  // namespace firmoor::details
--- /dev/null
+++ b/libs/http/src/http_call.cc
@@ -0,0 +1,351 @@
+#include "http/http_call.h"
+
+#include <fmt/format.h>
+
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <QTimer>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "base/invariant.h"
+
+namespace firmoor {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr qint64 kReadBytes = 64 * 1024;
+constexpr std::size_t kIdlePerEndpoint = 16;
+constexpr Duration kGrace{20};
+constexpr std::uint32_t kAnswerHeaderBytes = 64 * 1024;
+
+std::string Serialize(const Endpoint& endpoint, const HttpRequest& request,
+                      bool keep) {
+  std::string text =
+      fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method,
+                  request.target, endpoint.ToString());
+  for (const auto& header : request.headers) {
+    if (IsConnectionHeader(header.name)) continue;
+    text += fmt::format("{}: {}\r\n", header.name, header.value);
+  }
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT" || request.method == "PATCH";
+  if (has_body) {
+    text += fmt::format("Content-Length: {}\r\n", request.body.size());
+  }
+  text += keep ? "\r\n" : "Connection: close\r\n\r\n";
+  text += request.body;
+  return text;
+}
+
+struct SocketDeleter {
+  void operator()(QTcpSocket* socket) const {
+    socket->disconnect();
+    socket->abort();
+    socket->deleteLater();
+  }
+};
+using SocketPtr = std::unique_ptr<QTcpSocket, SocketDeleter>;
+
+}  // namespace
+
+struct HttpConnectionPool::Impl {
+  std::map<Endpoint, std::vector<SocketPtr>> idle;
+
+  SocketPtr Take(const Endpoint& endpoint) {
+    auto& sockets = idle[endpoint];
+    while (!sockets.empty()) {
+      SocketPtr socket = std::move(sockets.back());
+      sockets.pop_back();
+      const bool usable = socket->state() == QAbstractSocket::ConnectedState &&
+                          socket->bytesAvailable() == 0;
+      if (usable) return socket;
+    }
+    return nullptr;
+  }
+
+  void Keep(const Endpoint& endpoint, SocketPtr socket) {
+    auto& sockets = idle[endpoint];
+    if (sockets.size() >= kIdlePerEndpoint) return;
+    socket->disconnect();
+    sockets.push_back(std::move(socket));
+  }
+};
+
+HttpConnectionPool::HttpConnectionPool() : impl_(std::make_unique<Impl>()) {}
+HttpConnectionPool::~HttpConnectionPool() = default;
+
+void HttpConnectionPool::Forget(const Endpoint& endpoint) {
+  impl_->idle.erase(endpoint);
+}
+
+struct HttpCall::Builder::Impl
+    : std::enable_shared_from_this<HttpCall::Builder::Impl> {
+  Endpoint endpoint;
+  HttpRequest request;
+  HttpCallTimes times;
+  HttpConnectionPool* pool = nullptr;
+  std::function<void(int, const HttpHeaders&)> on_head;
+  std::function<void(std::string_view)> on_body;
+  std::function<void(HttpCallEnd)> on_end;
+
+  SocketPtr socket;
+  QTimer timer;
+  beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::string_body>> parser;
+  bool may_have_left = false;
+  bool head_passed = false;
+  bool paused = false;
+  bool ended = false;
+  bool in_grace = false;
+
+  void Start();
+  void Connect();
+  void SendRequest();
+  void OnTimeout();
+  void Read();
+  void Parse();
+  void PassHead();
+  void PassBody();
+  void OnClosed();
+  void End(HttpCallEnd end);
+};
+
+void HttpCall::Builder::Impl::Start() {
+  parser.emplace();
+  parser->eager(true);
+  parser->header_limit(kAnswerHeaderBytes);
+  parser->body_limit(boost::none);
+  if (request.method == "HEAD") parser->skip(true);
+  timer.setSingleShot(true);
+  QObject::connect(&timer, &QTimer::timeout, &timer, [this] { OnTimeout(); });
+  if (pool != nullptr) socket = pool->impl_->Take(endpoint);
+  if (socket) {
+    SendRequest();
+  } else {
+    Connect();
+  }
+}
+
+void HttpCall::Builder::Impl::Connect() {
+  socket.reset(new QTcpSocket());
+  QObject::connect(socket.get(), &QTcpSocket::connected, &timer,
+                   [this] { SendRequest(); });
+  QObject::connect(socket.get(), &QTcpSocket::errorOccurred, &timer, [this] {
+    if (!may_have_left) End(HttpCallEnd::kNotConnected);
+  });
+  timer.start(times.connect);
+  socket->connectToHost(QHostAddress(QString::fromStdString(endpoint.address)),
+                        endpoint.port);
+}
+
+void HttpCall::Builder::Impl::SendRequest() {
+  QObject::connect(socket.get(), &QTcpSocket::readyRead, &timer,
+                   [this] { Read(); });
+  QObject::connect(socket.get(), &QTcpSocket::disconnected, &timer,
+                   [this] { OnClosed(); });
+  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  socket->setReadBufferSize(kReadBytes);
+  const std::string text = Serialize(endpoint, request, pool != nullptr);
+  may_have_left = true;
+  timer.start(times.first_byte);
+  socket->write(text.data(), qint64(text.size()));
+}
+
+void HttpCall::Builder::Impl::OnTimeout() {
+  // A process that was frozen finds all timers due before it has read what
+  // arrived meanwhile, so the network gets one more turn.
+  if (!in_grace) {
+    in_grace = true;
+    timer.start(kGrace);
+    return;
+  }
+  End(may_have_left ? HttpCallEnd::kSilent : HttpCallEnd::kNotConnected);
+}
+
+void HttpCall::Builder::Impl::Read() {
+  in_grace = false;
+  if (ended || paused) return;
+  const auto self = shared_from_this();
+  while (!ended && !paused && socket->bytesAvailable() > 0) {
+    const QByteArray bytes = socket->read(kReadBytes);
+    const auto space = buffer.prepare(bytes.size());
+    boost::asio::buffer_copy(space,
+                             boost::asio::buffer(bytes.data(), bytes.size()));
+    buffer.commit(bytes.size());
+    Parse();
+  }
+}
+
+void HttpCall::Builder::Impl::Parse() {
+  beast::error_code error;
+  while (!ended && buffer.size() > 0 && !parser->is_done()) {
+    const auto used = parser->put(buffer.data(), error);
+    buffer.consume(used);
+    if (error && error != http::error::need_more) {
+      return End(HttpCallEnd::kMalformed);
+    }
+    PassHead();
+    PassBody();
+    if (error == http::error::need_more) break;
+  }
+  if (ended) return;
+  if (parser->is_done()) return End(HttpCallEnd::kComplete);
+  timer.start(head_passed ? times.idle : times.first_byte);
+}
+
+void HttpCall::Builder::Impl::PassHead() {
+  if (ended || head_passed || !parser->is_header_done()) return;
+  head_passed = true;
+  HttpHeaders headers;
+  for (const auto& field : parser->get()) {
+    headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  if (on_head) on_head(parser->get().result_int(), headers);
+}
+
+void HttpCall::Builder::Impl::PassBody() {
+  if (ended || !head_passed) return;
+  std::string bytes;
+  bytes.swap(parser->get().body());
+  if (!bytes.empty() && on_body) on_body(bytes);
+}
+
+void HttpCall::Builder::Impl::OnClosed() {
+  if (ended) return;
+  const auto self = shared_from_this();
+  paused = false;
+  Read();
+  if (ended) return;
+  if (!head_passed) return End(HttpCallEnd::kNoAnswer);
+  beast::error_code error;
+  parser->put_eof(error);
+  End(error ? HttpCallEnd::kTruncated : HttpCallEnd::kComplete);
+}
+
+void HttpCall::Builder::Impl::End(HttpCallEnd end) {
+  if (ended) return;
+  ended = true;
+  const auto self = shared_from_this();
+  timer.stop();
+  timer.disconnect();
+  const bool keep = end == HttpCallEnd::kComplete && pool != nullptr &&
+                    parser->get().keep_alive() && !parser->need_eof() &&
+                    socket && buffer.size() == 0 &&
+                    socket->state() == QAbstractSocket::ConnectedState;
+  if (keep) {
+    pool->impl_->Keep(endpoint, std::move(socket));
+  } else {
+    socket.reset();
+  }
+  if (on_end) std::exchange(on_end, nullptr)(end);
+}
+
+HttpCall::Builder::Builder(Endpoint endpoint, HttpRequest request)
+    : impl_(std::make_shared<Impl>()) {
+  impl_->endpoint = std::move(endpoint);
+  impl_->request = std::move(request);
+}
+
+HttpCall::Builder::~Builder() = default;
+
+HttpCall::Builder& HttpCall::Builder::Times(HttpCallTimes times) {
+  impl_->times = times;
+  return *this;
+}
+
+HttpCall::Builder& HttpCall::Builder::Pool(HttpConnectionPool* pool) {
+  impl_->pool = pool;
+  return *this;
+}
+
+HttpCall::Builder& HttpCall::Builder::OnHead(
+    std::function<void(int, const HttpHeaders&)> handler) {
+  impl_->on_head = std::move(handler);
+  return *this;
+}
+
+HttpCall::Builder& HttpCall::Builder::OnBody(
+    std::function<void(std::string_view)> handler) {
+  impl_->on_body = std::move(handler);
+  return *this;
+}
+
+HttpCall::Builder& HttpCall::Builder::OnEnd(
+    std::function<void(HttpCallEnd)> handler) {
+  impl_->on_end = std::move(handler);
+  return *this;
+}
+
+std::unique_ptr<HttpCall> HttpCall::Builder::Start() {
+  FIRMOOR_PRECONDITION(impl_->on_end, "a call has an end handler");
+  auto* state = impl_.get();
+  // Queued, so that no handler runs before the caller holds the call.
+  QMetaObject::invokeMethod(
+      &state->timer,
+      [state] {
+        if (!state->ended) state->Start();
+      },
+      Qt::QueuedConnection);
+  return std::unique_ptr<HttpCall>(new HttpCall(std::move(impl_)));
+}
+
+HttpCall::HttpCall(std::shared_ptr<Builder::Impl> impl)
+    : impl_(std::move(impl)) {}
+
+HttpCall::~HttpCall() {
+  impl_->on_end = nullptr;
+  impl_->on_head = nullptr;
+  impl_->on_body = nullptr;
+  impl_->End(HttpCallEnd::kCancelled);
+}
+
+void HttpCall::Cancel() { impl_->End(HttpCallEnd::kCancelled); }
+
+void HttpCall::SetPaused(bool paused) {
+  if (impl_->paused == paused || impl_->ended) return;
+  impl_->paused = paused;
+  if (paused) {
+    impl_->timer.stop();
+    return;
+  }
+  impl_->timer.start(impl_->times.idle);
+  QMetaObject::invokeMethod(
+      &impl_->timer,
+      [state = impl_] {
+        if (!state->ended) state->Read();
+      },
+      Qt::QueuedConnection);
+}
+
+bool HttpCall::MayHaveLeft() const { return impl_->may_have_left; }
+
+std::unique_ptr<HttpCall> HttpFetch(const Endpoint& endpoint,
+                                    HttpRequest request, HttpCallTimes times,
+                                    HttpConnectionPool* pool,
+                                    std::function<void(HttpFetchResult)> done) {
+  const auto answer = std::make_shared<HttpAnswer>();
+  return HttpCall::Builder(endpoint, std::move(request))
+      .Times(times)
+      .Pool(pool)
+      .OnHead([answer](int status, const HttpHeaders& headers) {
+        answer->status = status;
+        answer->headers = headers;
+      })
+      .OnBody([answer](std::string_view bytes) { answer->body += bytes; })
+      .OnEnd([answer, done = std::move(done)](HttpCallEnd end) {
+        done({end, end != HttpCallEnd::kNotConnected, std::move(*answer)});
+      })
+      .Start();
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/http/src/http_server.cc
@@ -0,0 +1,177 @@
+#include "http/http_server.h"
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/invariant.h"
+#include "base/log.h"
+#include "details/server_connection.h"
+
+namespace firmoor {
+namespace {
+
+constexpr Logger kLog("http");
+constexpr int kListenBacklog = 1'024;
+
+}  // namespace
+
+HttpResponder::HttpResponder(
+    std::weak_ptr<details::ServerConnection> connection)
+    : connection_(std::move(connection)) {}
+
+void HttpResponder::Send(const HttpAnswer& answer) {
+  if (const auto connection = connection_.lock()) connection->Send(answer);
+}
+
+void HttpResponder::StartStream(int status, const HttpHeaders& headers) {
+  if (const auto connection = connection_.lock()) {
+    connection->StartStream(status, headers);
+  }
+}
+
+void HttpResponder::Write(std::string_view bytes) {
+  if (const auto connection = connection_.lock()) connection->Write(bytes);
+}
+
+void HttpResponder::FinishStream() {
+  if (const auto connection = connection_.lock()) connection->FinishStream();
+}
+
+void HttpResponder::Abort() {
+  if (const auto connection = connection_.lock()) connection->Abort();
+}
+
+bool HttpResponder::IsOpen() const {
+  const auto connection = connection_.lock();
+  return connection && connection->IsAnswering();
+}
+
+std::size_t HttpResponder::UnsentBytes() const {
+  const auto connection = connection_.lock();
+  return connection ? connection->UnsentBytes() : 0;
+}
+
+void HttpResponder::OnCallerLeft(std::function<void()> handler) {
+  if (const auto connection = connection_.lock()) {
+    connection->SetCallerLeft(std::move(handler));
+  }
+}
+
+std::string HttpResponder::CallerAddress() const {
+  const auto connection = connection_.lock();
+  return connection ? connection->CallerAddress() : std::string();
+}
+
+struct HttpServer::Builder::Impl {
+  Endpoint endpoint;
+  std::shared_ptr<details::ServerConnectionContext> context =
+      std::make_shared<details::ServerConnectionContext>();
+  QTcpServer listener;
+  std::unordered_map<details::ServerConnection*,
+                     std::shared_ptr<details::ServerConnection>>
+      connections;
+
+  void Accept();
+  void Forget(details::ServerConnection* connection);
+};
+
+void HttpServer::Builder::Impl::Accept() {
+  while (QTcpSocket* socket = listener.nextPendingConnection()) {
+    socket->setParent(nullptr);
+    if (connections.size() >= context->limits.connections) {
+      socket->abort();
+      socket->deleteLater();
+      continue;
+    }
+    const auto connection = std::make_shared<details::ServerConnection>(
+        socket, context,
+        [this](details::ServerConnection* closed) { Forget(closed); });
+    connections.emplace(connection.get(), connection);
+    connection->Start();
+  }
+}
+
+void HttpServer::Builder::Impl::Forget(details::ServerConnection* connection) {
+  const auto found = connections.find(connection);
+  if (found == connections.end()) return;
+  // Queued: the connection may be on the call stack.
+  QMetaObject::invokeMethod(
+      &listener, [keep = found->second] {}, Qt::QueuedConnection);
+  connections.erase(found);
+}
+
+HttpServer::Builder::Builder() : impl_(std::make_unique<Impl>()) {}
+HttpServer::Builder::~Builder() = default;
+
+HttpServer::Builder& HttpServer::Builder::Listen(Endpoint endpoint) {
+  impl_->endpoint = std::move(endpoint);
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::Limits(HttpServerLimits limits) {
+  impl_->context->limits = limits;
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::Handler(HttpServer::Handler handler) {
+  impl_->context->handler = std::move(handler);
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::ErrorAnswer(
+    HttpServer::ErrorAnswer make) {
+  impl_->context->error_answer = std::move(make);
+  return *this;
+}
+
+std::unique_ptr<HttpServer> HttpServer::Builder::Build() {
+  FIRMOOR_PRECONDITION(impl_->context->handler, "a server has a handler");
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl_)));
+}
+
+HttpServer::HttpServer(std::unique_ptr<Builder::Impl> impl)
+    : impl_(std::move(impl)) {
+  auto* state = impl_.get();
+  QObject::connect(&state->listener, &QTcpServer::newConnection,
+                   &state->listener, [state] { state->Accept(); });
+}
+
+HttpServer::~HttpServer() {
+  impl_->listener.close();
+  auto connections = std::move(impl_->connections);
+  impl_->connections.clear();
+  connections.clear();
+}
+
+bool HttpServer::Start() {
+  impl_->listener.setListenBacklogSize(kListenBacklog);
+  const QHostAddress address(QString::fromStdString(impl_->endpoint.address));
+  const bool listening = impl_->listener.listen(address, impl_->endpoint.port);
+  if (!listening) {
+    kLog.Error("Cannot listen on {}: {}.", impl_->endpoint.ToString(),
+               impl_->listener.errorString().toStdString());
+  }
+  return listening;
+}
+
+void HttpServer::StopListening() {
+  impl_->listener.close();
+  impl_->context->closing = true;
+  std::vector<std::shared_ptr<details::ServerConnection>> open;
+  for (const auto& [key, connection] : impl_->connections) {
+    open.push_back(connection);
+  }
+  for (const auto& connection : open) connection->CloseIfIdle();
+}
+
+std::size_t HttpServer::ConnectionCount() const {
+  return impl_->connections.size();
+}
+
+std::uint16_t HttpServer::Port() const { return impl_->listener.serverPort(); }
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/http/tests/http_server_test.cc
@@ -0,0 +1,150 @@
+#include "http/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include <QTimer>
+#include <string>
+#include <vector>
+
+#include "support/raw_socket.h"
+
+namespace firmoor {
+namespace {
+
+struct Fixture {
+  std::vector<HttpRequest> requests;
+  std::vector<std::shared_ptr<HttpResponder>> responders;
+  std::unique_ptr<HttpServer> server;
+
+  explicit Fixture(HttpServerLimits limits = {}) {
+    server = HttpServer::Builder()
+                 .Listen({"127.0.0.1", 0})
+                 .Limits(limits)
+                 .Handler([this](HttpRequest request, auto responder) {
+                   requests.push_back(std::move(request));
+                   responders.push_back(std::move(responder));
+                 })
+                 .Build();
+    REQUIRE(server->Start());
+  }
+  bool WaitRequests(std::size_t count) {
+    return WaitUntil([&] { return requests.size() >= count; });
+  }
+};
+
+constexpr std::string_view kGet = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+}  // namespace
+
+TEST_CASE("callers that follow the protocol") {
+  Fixture fixture;
+  RawClient client(fixture.server->Port());
+
+  SUBCASE("get pipelined answers in turn, each whole") {
+    client.Send(std::string(kGet) + "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(fixture.WaitRequests(1));
+    RunFor(50);
+    CHECK(fixture.requests.size() == 1);
+    fixture.responders[0]->StartStream(200, {});
+    fixture.responders[0]->Write("first");
+    RunFor(50);
+    CHECK(fixture.requests.size() == 1);
+    fixture.responders[0]->FinishStream();
+    REQUIRE(fixture.WaitRequests(2));
+    CHECK(fixture.requests[1].target == "/b");
+    fixture.responders[1]->Send({200, {}, "second"});
+    REQUIRE(client.WaitFor("second"));
+    CHECK(client.Received().find("5\r\nfirst\r\n0\r\n\r\nHTTP/1.1 200") !=
+          std::string::npos);
+  }
+  SUBCASE("get an answer to Expect before they send the body") {
+    client.Send(
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+        "Expect: 100-continue\r\n\r\n");
+    REQUIRE(client.WaitFor("100 Continue"));
+    client.Send("body");
+    REQUIRE(fixture.WaitRequests(1));
+    CHECK(fixture.requests[0].body == "body");
+  }
+  SUBCASE("may leave in mid-stream") {
+    client.Send(kGet);
+    REQUIRE(fixture.WaitRequests(1));
+    bool left = false;
+    fixture.responders[0]->OnCallerLeft([&] { left = true; });
+    fixture.responders[0]->StartStream(200, {});
+    client.Leave();
+    REQUIRE(WaitUntil([&] { return left; }));
+    fixture.responders[0]->Write("nobody reads this");
+    fixture.responders[0]->FinishStream();
+    CHECK_FALSE(fixture.responders[0]->IsOpen());
+  }
+  SUBCASE("see their answer end when the server stops listening") {
+    client.Send(kGet);
+    REQUIRE(fixture.WaitRequests(1));
+    fixture.server->StopListening();
+    fixture.responders[0]->Send({200, {}, "whole"});
+    REQUIRE(client.WaitClosed());
+    CHECK(client.Received().find("Connection: close\r\n\r\nwhole") !=
+          std::string::npos);
+  }
+}
+
+TEST_CASE("callers that break the framing get 400 and reach no handler") {
+  Fixture fixture;
+  RawClient client(fixture.server->Port());
+  SUBCASE("both length headers") {
+    client.Send(
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+  }
+  SUBCASE("both length headers, the other way round") {
+    client.Send(
+        "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+        "Content-Length: 4\r\n\r\n0\r\n\r\n");
+  }
+  SUBCASE("two lengths") {
+    client.Send(
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+        "Content-Length: 5\r\n\r\nbody");
+  }
+  SUBCASE("no HTTP at all") { client.Send("\x16\x03\x01 hello\r\n\r\n"); }
+  REQUIRE(client.WaitFor("HTTP/1.1 400"));
+  CHECK(client.WaitClosed());
+  CHECK(fixture.requests.empty());
+}
+
+TEST_CASE("callers that send too much or too slowly") {
+  HttpServerLimits limits;
+  limits.body_bytes = 1'000;
+  limits.request_time = Duration(150);
+  limits.idle_time = Duration(400);
+  Fixture fixture(limits);
+  RawClient client(fixture.server->Port());
+  SUBCASE("a huge length is refused before the body") {
+    client.Send(
+        "POST /a HTTP/1.1\r\nHost: x\r\n"
+        "Content-Length: 999999999999999\r\n\r\n");
+    REQUIRE(client.WaitFor("HTTP/1.1 413"));
+  }
+  SUBCASE("a chunked body is refused at the limit") {
+    client.Send("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked" +
+                std::string("\r\n\r\n800\r\n") + std::string(0x800, 'x'));
+    REQUIRE(client.WaitFor("HTTP/1.1 413"));
+  }
+  SUBCASE("long headers are refused") {
+    client.Send("GET /a HTTP/1.1\r\nX: " + std::string(20'000, 'x'));
+    REQUIRE(client.WaitFor("HTTP/1.1 413"));
+  }
+  SUBCASE("slow headers run into the request time") {
+    client.Send("GET /a HTTP/1.1\r\nHost:");
+    REQUIRE(client.WaitFor("HTTP/1.1 408"));
+  }
+  SUBCASE("an idle connection is closed without a word") {
+    REQUIRE(client.WaitClosed());
+    CHECK(client.Received().empty());
+  }
+  CHECK(client.WaitClosed());
+  CHECK(fixture.requests.empty());
+}
+
+}  // namespace firmoor
