--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -33,6 +33,7 @@
   kClaimStoreAway = 4001,
   kKeyInProgress = 4002,
   kOutcomeUnknown = 4003,
+  kAnswerNotKept = 4004,
   kStaleVersion = 5001,
   kInvalidPatch = 5002,
   kStoreUnavailable = 5003,
--- a/libs/base/src/result_code.cc
+++ b/libs/base/src/result_code.cc
@@ -56,6 +56,8 @@
      "A request with this idempotency key is still running."},
     {kOutcomeUnknown, "outcome-unknown", 409, 42,
      "An earlier request with this key ended with an unknown outcome."},
+    {kAnswerNotKept, "answer-not-kept", 409, 43,
+     "The request ran before and its answer was too large to be kept."},
     {kStaleVersion, "stale-version", 409, 50,
      "The patch names a version that is not the current one."},
     {kInvalidPatch, "invalid-patch", 422, 51,
--- /dev/null
+++ b/libs/config/src/settings.cc
@@ -0,0 +1,248 @@
+#include "config/settings.h"
+
+#include <fmt/format.h>
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <limits>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace firmoor {
+namespace {
+
+constexpr std::int64_t kMaxMs = 3'600'000;
+
+/// Reads the keys of one TOML table and remembers the first problem.
+class TableReader {
+ public:
+  TableReader(const toml::table* table, std::string path,
+              std::string_view file_name, std::optional<Error>* problem)
+      : table_(table),
+        path_(std::move(path)),
+        file_name_(file_name),
+        problem_(problem) {}
+
+  void Text(const char* key, std::string* out, bool required) {
+    const auto* node = Find(key, required);
+    if (node == nullptr) return;
+    const auto value = node->value_exact<std::string>();
+    if (!value) return Complain(*node, key, "must be a string");
+    if (required && value->empty()) {
+      return Complain(*node, key, "must not be empty");
+    }
+    *out = *value;
+  }
+
+  void Choice(const char* key, std::string* out,
+              const std::set<std::string>& allowed) {
+    Text(key, out, false);
+    if (allowed.contains(*out)) return;
+    std::string names;
+    for (const auto& name : allowed) names += " " + name;
+    Complain(*table_->get(key), key, "must be one of" + names);
+  }
+
+  void Address(const char* key, Endpoint* out, bool required) {
+    std::string text;
+    Text(key, &text, required);
+    if (text.empty()) return;
+    *out = Endpoint::Parse(text);
+    if (out->port == 0) {
+      Complain(*table_->get(key), key, "must be \"IP number:port\"");
+    }
+  }
+
+  void Addresses(const char* key, std::vector<Endpoint>* out) {
+    const auto* node = Find(key, false);
+    if (node == nullptr) return;
+    const auto* array = node->as_array();
+    if (array == nullptr) return Complain(*node, key, "must be an array");
+    for (const auto& element : *array) {
+      const auto text = element.value_exact<std::string>();
+      const auto endpoint = Endpoint::Parse(text.value_or(""));
+      if (endpoint.port == 0) {
+        return Complain(element, key, "must hold \"IP number:port\"");
+      }
+      out->push_back(endpoint);
+    }
+  }
+
+  void Number(const char* key, std::int64_t* out, std::int64_t low,
+              std::int64_t high) {
+    const auto* node = Find(key, false);
+    if (node == nullptr) return;
+    const auto value = node->value_exact<std::int64_t>();
+    if (!value) return Complain(*node, key, "must be an integer");
+    if (*value < low || *value > high) {
+      return Complain(*node, key,
+                      fmt::format("must be from {} to {}", low, high));
+    }
+    *out = *value;
+  }
+
+  void Milliseconds(const char* key, Duration* out, std::int64_t low) {
+    std::int64_t ms = out->count();
+    Number(key, &ms, low, kMaxMs);
+    *out = Duration(ms);
+  }
+
+  void Flag(const char* key, bool* out) {
+    const auto* node = Find(key, false);
+    if (node == nullptr) return;
+    const auto value = node->value_exact<bool>();
+    if (!value) return Complain(*node, key, "must be true or false");
+    *out = *value;
+  }
+
+  /// Refuses keys that no call above has asked for.
+  void RefuseOthers() {
+    if (table_ == nullptr) return;
+    for (const auto& [key, node] : *table_) {
+      const std::string name(key.str());
+      if (!known_.contains(name)) Complain(node, name, "is not known");
+    }
+  }
+
+  void Know(const char* key) { known_.insert(key); }
+
+ private:
+  const toml::node* Find(const char* key, bool required) {
+    known_.insert(key);
+    const auto* node = table_ == nullptr ? nullptr : table_->get(key);
+    if (node == nullptr && required && !*problem_) {
+      *problem_ =
+          Error{ResultCode::kInvalidSettings,
+                fmt::format("{}: {}{} is missing", file_name_, path_, key)};
+    }
+    return node;
+  }
+
+  void Complain(const toml::node& node, std::string_view key,
+                std::string_view what) {
+    if (*problem_) return;
+    *problem_ = Error{ResultCode::kInvalidSettings,
+                      fmt::format("{}:{}: {}{} {}", file_name_,
+                                  node.source().begin.line, path_, key, what)};
+  }
+
+  const toml::table* table_;
+  std::string path_;
+  std::string_view file_name_;
+  std::optional<Error>* problem_;
+  std::set<std::string> known_;
+};
+
+void ReadListen(TableReader* reader, Settings* out) {
+  reader->Address("callers", &out->callers, true);
+  reader->Address("observe", &out->observe, true);
+  reader->Address("operators", &out->operators, true);
+  reader->Address("peers", &out->peers, true);
+}
+
+void ReadPlatform(TableReader* reader, Settings* out) {
+  reader->Address("object_api", &out->object_api, true);
+  reader->Address("vm_list", &out->vm_list, true);
+  reader->Address("cloud_api", &out->cloud_api, false);
+  reader->Addresses("seeds", &out->seeds);
+}
+
+void ReadSecurity(TableReader* reader, Settings* out) {
+  reader->Text("operator_token_sha256", &out->operator_token_sha256, false);
+  reader->Text("peer_token", &out->peer_token, false);
+  reader->Flag("allow_anonymous", &out->allow_anonymous);
+}
+
+void ReadTimes(TableReader* reader, Settings* out) {
+  reader->Milliseconds("drain_ms", &out->drain_time, 0);
+  reader->Milliseconds("claim_wait_ms", &out->claim_wait, 1);
+  reader->Milliseconds("vm_list_period_ms", &out->vm_list_period, 10);
+  reader->Milliseconds("probe_period_ms", &out->probe_period, 10);
+  reader->Milliseconds("load_period_ms", &out->load_period, 10);
+}
+
+void ReadLimits(TableReader* reader, Settings* out) {
+  reader->Number("claim_slots", &out->claim_slots, 1, 4'096);
+  reader->Number("upstreams_per_service", &out->upstreams_per_service, 1,
+                 4'096);
+  reader->Number("region_link_bytes_per_s", &out->region_link_bytes_per_s, 0,
+                 std::numeric_limits<std::int32_t>::max());
+}
+
+void ReadServing(TableReader* reader, Settings* out) {
+  reader->Choice(
+      "routing_strategy", &out->routing_strategy,
+      {"expected-time", "round-robin", "least-in-flight", "prefix-affinity"});
+  reader->Text("trace_file", &out->trace_file, false);
+  reader->Choice("log_level", &out->log_level,
+                 {"debug", "info", "warn", "error"});
+}
+
+struct Section {
+  const char* name;
+  void (*read)(TableReader*, Settings*);
+};
+
+constexpr Section kSections[] = {
+    {"listen", ReadListen},     {"platform", ReadPlatform},
+    {"security", ReadSecurity}, {"times", ReadTimes},
+    {"limits", ReadLimits},     {"serving", ReadServing},
+};
+
+std::optional<Error> Check(const Settings& settings,
+                           std::string_view file_name) {
+  const bool open = settings.operator_token_sha256.empty();
+  if (open && !settings.allow_anonymous) {
+    return Error{ResultCode::kInvalidSettings,
+                 fmt::format("{}: security.operator_token_sha256 is missing; "
+                             "write allow_anonymous = true to run without",
+                             file_name)};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+Result<Settings> ParseSettings(std::string_view text,
+                               std::string_view file_name) {
+  const toml::parse_result parsed = toml::parse(text, std::string(file_name));
+  if (!parsed) {
+    const auto& error = parsed.error();
+    return Fail(ResultCode::kInvalidSettings,
+                fmt::format("{}:{}: {}", file_name, error.source().begin.line,
+                            error.description()));
+  }
+  const toml::table& root = parsed.table();
+  Settings settings;
+  std::optional<Error> problem;
+  TableReader top(&root, "", file_name, &problem);
+  top.Text("daemon", &settings.daemon, true);
+  top.Text("availability_zone", &settings.availability_zone, true);
+  top.Text("region", &settings.region, true);
+  for (const auto& section : kSections) {
+    top.Know(section.name);
+    TableReader reader(root[section.name].as_table(),
+                       std::string(section.name) + ".", file_name, &problem);
+    section.read(&reader, &settings);
+    reader.RefuseOthers();
+  }
+  top.RefuseOthers();
+  if (!problem) problem = Check(settings, file_name);
+  if (problem) return boost::leaf::new_error(*problem);
+  return settings;
+}
+
+Result<Settings> LoadSettings(const std::string& file_name) {
+  std::ifstream file(file_name, std::ios::binary);
+  if (!file) {
+    return Fail(ResultCode::kUnreadableFile,
+                fmt::format("{}: cannot be read", file_name));
+  }
+  const std::string text((std::istreambuf_iterator<char>(file)), {});
+  return ParseSettings(text, file_name);
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/peer/src/details/http2_connection.cc
@@ -0,0 +1,305 @@
+#include "details/http2_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+
+namespace firmoor::details {
+namespace {
+
+constexpr Logger kLog("peer");
+constexpr std::uint32_t kMaxStreams = 1'000;
+constexpr std::uint32_t kWindowBytes = 4 * 1024 * 1024;
+constexpr qsizetype kMaxMessageBytes = 16 * 1024 * 1024;
+constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
+constexpr std::string_view kPathPrefix = "/peer/";
+
+nghttp2_nv Header(std::string_view name, std::string_view value) {
+  // nghttp2 copies both; its structure is not const-correct.
+  return {reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
+          reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())),
+          name.size(), value.size(), NGHTTP2_NV_FLAG_NONE};
+}
+
+Http2Connection* Self(void* user) {
+  return static_cast<Http2Connection*>(user);
+}
+
+}  // namespace
+
+nghttp2_session_callbacks* Http2Connection::Callbacks() {
+  static nghttp2_session_callbacks* callbacks = [] {
+    nghttp2_session_callbacks* made = nullptr;
+    nghttp2_session_callbacks_new(&made);
+    nghttp2_session_callbacks_set_on_header_callback(made, OnHeader);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(made, OnData);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(made, OnFrame);
+    nghttp2_session_callbacks_set_on_stream_close_callback(made, OnStreamClose);
+    return made;
+  }();
+  return callbacks;
+}
+
+Http2Connection::Http2Connection(Role role, QTcpSocket* socket, Hooks hooks)
+    : role_(role), socket_(socket), hooks_(std::move(hooks)) {
+  if (role == Role::kClient) {
+    nghttp2_session_client_new(&session_, Callbacks(), this);
+  } else {
+    nghttp2_session_server_new(&session_, Callbacks(), this);
+  }
+}
+
+Http2Connection::~Http2Connection() {
+  nghttp2_session_del(session_);
+  socket_->disconnect();
+  socket_->abort();
+  socket_->deleteLater();
+}
+
+void Http2Connection::Start() {
+  QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
+                   [this] { Receive(); });
+  QObject::connect(socket_, &QTcpSocket::disconnected, socket_,
+                   [this] { OnDisconnected(); });
+  QObject::connect(socket_, &QTcpSocket::errorOccurred, socket_, [this] {
+    if (!connected_) OnDisconnected();
+  });
+  if (socket_->state() == QAbstractSocket::ConnectedState) {
+    OnConnected();
+  } else {
+    QObject::connect(socket_, &QTcpSocket::connected, socket_,
+                     [this] { OnConnected(); });
+  }
+}
+
+void Http2Connection::OnConnected() {
+  connected_ = true;
+  socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  const std::array<nghttp2_settings_entry, 2> settings = {
+      {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams},
+       {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kWindowBytes}}};
+  nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings.data(),
+                          settings.size());
+  nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0,
+                                        kWindowBytes);
+  auto waiting = std::exchange(waiting_, {});
+  for (auto& [call, entry] : waiting) Submit(std::move(entry));
+  Flush();
+  Receive();
+}
+
+std::uint64_t Http2Connection::Call(const std::string& kind,
+                                    const QByteArray& message,
+                                    PeerNode::Done done) {
+  const auto call = next_call_++;
+  Waiting entry{call, kind, message, std::move(done)};
+  if (connected_) {
+    Submit(std::move(entry));
+    Flush();
+  } else {
+    waiting_.emplace(call, std::move(entry));
+  }
+  return call;
+}
+
+void Http2Connection::Submit(Waiting waiting) {
+  const std::string path = std::string(kPathPrefix) + waiting.kind;
+  const std::array<nghttp2_nv, 5> headers = {
+      Header(":method", "POST"), Header(":scheme", "http"),
+      Header(":authority", "peer"), Header(":path", path),
+      Header("authorization", hooks_.token)};
+  nghttp2_data_provider body{};
+  body.read_callback = ReadBody;
+  const auto id = nghttp2_submit_request(session_, nullptr, headers.data(),
+                                         headers.size(), &body, nullptr);
+  if (id < 0) {
+    waiting.done(PeerStatus::kNotSent, {});
+    return;
+  }
+  auto& stream = streams_[id];
+  stream.call = waiting.call;
+  stream.to_send = std::move(waiting.message);
+  stream.done = std::move(waiting.done);
+}
+
+void Http2Connection::GiveUp(std::uint64_t call) {
+  if (const auto found = waiting_.find(call); found != waiting_.end()) {
+    const auto entry = std::move(found->second);
+    waiting_.erase(found);
+    return entry.done(PeerStatus::kNotSent, {});
+  }
+  for (auto& [id, stream] : streams_) {
+    if (stream.call != call || !stream.done) continue;
+    const auto done = std::exchange(stream.done, nullptr);
+    nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+    Flush();
+    return done(PeerStatus::kNoAnswer, {});
+  }
+}
+
+void Http2Connection::Receive() {
+  const auto self = shared_from_this();
+  const QByteArray bytes = socket_->readAll();
+  if (bytes.isEmpty()) return;
+  hooks_.traffic->received += std::uint64_t(bytes.size());
+  const auto taken = nghttp2_session_mem_recv(
+      session_, reinterpret_cast<const std::uint8_t*>(bytes.constData()),
+      std::size_t(bytes.size()));
+  if (taken < 0) {
+    kLog.Warn("Bad HTTP/2 from a peer: {}.", nghttp2_strerror(int(taken)));
+    return Close();
+  }
+  Flush();
+}
+
+void Http2Connection::Flush() {
+  if (closed_) return;
+  const std::uint8_t* data = nullptr;
+  while (true) {
+    const auto length = nghttp2_session_mem_send(session_, &data);
+    if (length <= 0) break;
+    hooks_.traffic->sent += std::uint64_t(length);
+    socket_->write(reinterpret_cast<const char*>(data), length);
+  }
+  const bool ended = nghttp2_session_want_read(session_) == 0 &&
+                     nghttp2_session_want_write(session_) == 0;
+  if (ended) Close();
+}
+
+int Http2Connection::OnHeader(nghttp2_session*, const nghttp2_frame* frame,
+                              const std::uint8_t* name, std::size_t name_length,
+                              const std::uint8_t* value,
+                              std::size_t value_length, std::uint8_t,
+                              void* user) {
+  const std::string_view key(reinterpret_cast<const char*>(name), name_length);
+  const std::string text(reinterpret_cast<const char*>(value), value_length);
+  auto& stream = Self(user)->streams_[frame->hd.stream_id];
+  if (key == ":path" && text.starts_with(kPathPrefix)) {
+    stream.kind = text.substr(kPathPrefix.size());
+  } else if (key == ":status") {
+    stream.status = std::atoi(text.c_str());
+  } else if (key == "authorization") {
+    stream.token = text;
+  }
+  return 0;
+}
+
+int Http2Connection::OnData(nghttp2_session*, std::uint8_t,
+                            std::int32_t stream_id, const std::uint8_t* data,
+                            std::size_t length, void* user) {
+  const auto found = Self(user)->streams_.find(stream_id);
+  if (found == Self(user)->streams_.end()) return 0;
+  auto& received = found->second.received;
+  if (received.size() + qsizetype(length) > kMaxMessageBytes) {
+    return NGHTTP2_ERR_CALLBACK_FAILURE;
+  }
+  received.append(reinterpret_cast<const char*>(data), qsizetype(length));
+  return 0;
+}
+
+int Http2Connection::OnFrame(nghttp2_session*, const nghttp2_frame* frame,
+                             void* user) {
+  auto* self = Self(user);
+  if (frame->hd.type == NGHTTP2_RST_STREAM &&
+      frame->rst_stream.error_code == NGHTTP2_REFUSED_STREAM) {
+    const auto found = self->streams_.find(frame->hd.stream_id);
+    if (found != self->streams_.end()) found->second.refused = true;
+  }
+  const bool ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+  const bool carries =
+      frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+  if (self->role_ == Role::kServer && ends && carries) {
+    self->Serve(frame->hd.stream_id);
+  }
+  return 0;
+}
+
+int Http2Connection::OnStreamClose(nghttp2_session*, std::int32_t stream_id,
+                                   std::uint32_t error, void* user) {
+  auto* self = Self(user);
+  const auto found = self->streams_.find(stream_id);
+  if (found == self->streams_.end()) return 0;
+  auto stream = std::move(found->second);
+  self->streams_.erase(found);
+  if (!stream.done) return 0;
+  const bool whole = error == NGHTTP2_NO_ERROR && stream.status == kOk;
+  const auto failure = stream.refused || error == NGHTTP2_REFUSED_STREAM
+                           ? PeerStatus::kNotSent
+                           : PeerStatus::kNoAnswer;
+  stream.done(whole ? PeerStatus::kOk : failure, stream.received);
+  return 0;
+}
+
+ssize_t Http2Connection::ReadBody(nghttp2_session*, std::int32_t stream_id,
+                                  std::uint8_t* buffer, std::size_t length,
+                                  std::uint32_t* flags, nghttp2_data_source*,
+                                  void* user) {
+  const auto found = Self(user)->streams_.find(stream_id);
+  if (found == Self(user)->streams_.end()) {
+    *flags |= NGHTTP2_DATA_FLAG_EOF;
+    return 0;
+  }
+  auto& stream = found->second;
+  const auto left = std::size_t(stream.to_send.size() - stream.sent);
+  const auto count = std::min(left, length);
+  std::memcpy(buffer, stream.to_send.constData() + stream.sent, count);
+  stream.sent += qsizetype(count);
+  if (count == left) *flags |= NGHTTP2_DATA_FLAG_EOF;
+  return ssize_t(count);
+}
+
+void Http2Connection::Serve(std::int32_t stream_id) {
+  auto& stream = streams_[stream_id];
+  if (stream.token != hooks_.token) {
+    return Answer(stream_id, kUnauthorized, {});
+  }
+  ++hooks_.traffic->served;
+  const auto kind = stream.kind;
+  const auto message = std::exchange(stream.received, {});
+  hooks_.handler(kind, message,
+                 [weak = weak_from_this(), stream_id](const QByteArray& body) {
+                   const auto self = weak.lock();
+                   if (!self || self->closed_) return;
+                   self->Answer(stream_id, kOk, body);
+                   self->Flush();
+                 });
+}
+
+void Http2Connection::Answer(std::int32_t stream_id, int status,
+                             const QByteArray& message) {
+  const auto found = streams_.find(stream_id);
+  if (found == streams_.end()) return;
+  found->second.to_send = message;
+  const std::string text = std::to_string(status);
+  const std::array<nghttp2_nv, 1> headers = {Header(":status", text)};
+  nghttp2_data_provider body{};
+  body.read_callback = ReadBody;
+  nghttp2_submit_response(session_, stream_id, headers.data(), headers.size(),
+                          &body);
+}
+
+void Http2Connection::Close() {
+  if (closed_) return;
+  socket_->abort();
+  OnDisconnected();
+}
+
+void Http2Connection::OnDisconnected() {
+  if (closed_) return;
+  closed_ = true;
+  const auto self = shared_from_this();
+  auto waiting = std::exchange(waiting_, {});
+  auto streams = std::exchange(streams_, {});
+  for (auto& [call, entry] : waiting) entry.done(PeerStatus::kNotSent, {});
+  for (auto& [id, stream] : streams) {
+    if (stream.done) stream.done(PeerStatus::kNoAnswer, {});
+  }
+  hooks_.on_closed(this);
+}
+
+}  // namespace firmoor::details
--- /dev/null
+++ b/libs/peer/src/details/http2_connection.h
@@ -0,0 +1,105 @@
+#ifndef FIRMOOR_PEER_DETAILS_HTTP2_CONNECTION_H_
+#define FIRMOOR_PEER_DETAILS_HTTP2_CONNECTION_H_
+
+#include <nghttp2/nghttp2.h>
+
+#include <QByteArray>
+#include <QTcpSocket>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "peer/peer_node.h"
+
+namespace firmoor::details {
+
+/// One HTTP/2 connection between two daemons, at either end. A call is one
+/// stream: a POST with a CBOR body, answered by a CBOR body.
+class Http2Connection : public std::enable_shared_from_this<Http2Connection> {
+ public:
+  enum class Role { kClient, kServer };
+
+  /// What the owner of a connection provides.
+  struct Hooks {
+    PeerNode::Handler handler;  ///< Server: serves calls.
+    std::string token;          ///< Shared secret.
+    PeerNode::Traffic* traffic = nullptr;
+    std::function<void(Http2Connection*)> on_closed;
+  };
+
+  Http2Connection(Role role, QTcpSocket* socket, Hooks hooks);
+  ~Http2Connection();
+
+  /// Takes a socket that connects or is connected.
+  void Start();
+
+  /// Client: starts a call. Returns its number for `GiveUp`.
+  std::uint64_t Call(const std::string& kind, const QByteArray& message,
+                     PeerNode::Done done);
+
+  /// Client: ends a call that took too long.
+  void GiveUp(std::uint64_t call);
+
+  [[nodiscard]] bool IsIdle() const { return streams_.empty(); }
+  void Close();
+
+ private:
+  struct Stream {
+    std::uint64_t call = 0;
+    std::string kind;
+    std::string token;
+    int status = 0;
+    QByteArray received;
+    QByteArray to_send;
+    qsizetype sent = 0;
+    bool refused = false;
+    PeerNode::Done done;
+  };
+  struct Waiting {
+    std::uint64_t call;
+    std::string kind;
+    QByteArray message;
+    PeerNode::Done done;
+  };
+
+  static nghttp2_session_callbacks* Callbacks();
+  static int OnHeader(nghttp2_session* session, const nghttp2_frame* frame,
+                      const std::uint8_t* name, std::size_t name_length,
+                      const std::uint8_t* value, std::size_t value_length,
+                      std::uint8_t flags, void* user);
+  static int OnData(nghttp2_session* session, std::uint8_t flags,
+                    std::int32_t stream_id, const std::uint8_t* data,
+                    std::size_t length, void* user);
+  static int OnFrame(nghttp2_session* session, const nghttp2_frame* frame,
+                     void* user);
+  static int OnStreamClose(nghttp2_session* session, std::int32_t stream_id,
+                           std::uint32_t error, void* user);
+  static ssize_t ReadBody(nghttp2_session* session, std::int32_t stream_id,
+                          std::uint8_t* buffer, std::size_t length,
+                          std::uint32_t* flags, nghttp2_data_source* source,
+                          void* user);
+
+  void OnConnected();
+  void Submit(Waiting waiting);
+  void Receive();
+  void Flush();
+  void Serve(std::int32_t stream_id);
+  void Answer(std::int32_t stream_id, int status, const QByteArray& message);
+  void OnDisconnected();
+
+  Role role_;
+  QTcpSocket* socket_;
+  Hooks hooks_;
+  nghttp2_session* session_ = nullptr;
+  std::map<std::int32_t, Stream> streams_;
+  std::map<std::uint64_t, Waiting> waiting_;  ///< Until connected.
+  std::uint64_t next_call_ = 1;
+  bool connected_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_PEER_DETAILS_HTTP2_CONNECTION_H_
--- /dev/null
+++ b/libs/peer/src/membership.cc
@@ -0,0 +1,295 @@
+#include "peer/membership.h"
+
+#include <QCborArray>
+#include <QCborValue>
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/invariant.h"
+#include "base/log.h"
+
+namespace firmoor {
+namespace {
+
+constexpr Logger kLog("membership");
+constexpr int kTransmissionsPerDoubling = 3;
+// Gone members are remembered this long, so that late gossip about them is
+// recognised as old.
+constexpr Duration kForgetAfter{120'000};
+constexpr qsizetype kMemberFields = 7;
+
+QCborArray EncodeMember(const Member& member) {
+  return {QString::fromStdString(member.name),
+          QString::fromStdString(member.availability_zone),
+          QString::fromStdString(member.region),
+          QString::fromStdString(member.peers.ToString()),
+          QString::fromStdString(member.callers.ToString()),
+          qint64(member.incarnation),
+          static_cast<int>(member.state)};
+}
+
+Member DecodeMember(const QCborArray& array) {
+  const auto text = [&](qsizetype i) {
+    return array.at(i).toString().toStdString();
+  };
+  return {text(0),
+          text(1),
+          text(2),
+          Endpoint::Parse(text(3)),
+          Endpoint::Parse(text(4)),
+          std::uint64_t(array.at(5).toInteger()),
+          static_cast<MemberState>(std::clamp<qint64>(
+              array.at(6).toInteger(), 0, qint64(MemberState::kLeft)))};
+}
+
+bool IsGone(MemberState state) {
+  return state == MemberState::kDead || state == MemberState::kLeft;
+}
+
+}  // namespace
+
+QByteArray Gossip::Encode() const {
+  QCborArray array{QString::fromStdString(from)};
+  for (const auto& member : members) array.append(EncodeMember(member));
+  return QCborValue(array).toCbor();
+}
+
+Result<Gossip> Gossip::Decode(const QByteArray& bytes) {
+  const auto value = QCborValue::fromCbor(bytes);
+  if (!value.isArray() || value.toArray().isEmpty()) {
+    return Fail(ResultCode::kBadMessage, "gossip is no array");
+  }
+  const auto array = value.toArray();
+  Gossip gossip;
+  gossip.from = array.at(0).toString().toStdString();
+  for (qsizetype i = 1; i < array.size(); ++i) {
+    const auto fields = array.at(i).toArray();
+    if (fields.size() != kMemberFields) {
+      return Fail(ResultCode::kBadMessage, "a member has missing fields");
+    }
+    gossip.members.push_back(DecodeMember(fields));
+  }
+  return gossip;
+}
+
+Membership::Membership(Member self, MembershipTiming timing, std::uint64_t seed)
+    : self_(std::move(self)), timing_(timing), seed_(seed) {
+  FIRMOOR_PRECONDITION(!self_.name.empty(), "a member has a name");
+  Announce(self_);
+}
+
+std::vector<Membership::Probe> Membership::Tick(TimePoint now) {
+  ForgiveStarvation(now);
+  CondemnSuspects(now);
+  const bool waiting = !pending_.target.empty() && !pending_.acked;
+  if (waiting && !pending_.indirect_sent &&
+      now - pending_.sent >= timing_.probe_timeout) {
+    pending_.indirect_sent = true;
+    return IndirectProbes();
+  }
+  if (now < next_probe_) return {};
+  EndProbe(now);
+  next_probe_ = now + timing_.probe_period;
+  const auto target = NextTarget();
+  if (target.empty()) return {};
+  pending_ = {target, now};
+  return {{target, ""}};
+}
+
+void Membership::ForgiveStarvation(TimePoint now) {
+  const auto gap = ticked_ ? now - last_tick_ : Duration(0);
+  last_tick_ = now;
+  ticked_ = true;
+  if (gap < timing_.probe_period) return;
+  kLog.Warn("This daemon stood still for {} ms. Its timers are extended.",
+            gap.count());
+  pending_ = {};
+  for (auto& [name, other] : others_) {
+    if (other.member.state == MemberState::kSuspect) {
+      other.suspect_since += gap;
+    }
+  }
+}
+
+void Membership::CondemnSuspects(TimePoint now) {
+  const auto limit = timing_.probe_period * timing_.suspicion_periods;
+  for (auto it = others_.begin(); it != others_.end();) {
+    auto& other = it->second;
+    const bool suspect = other.member.state == MemberState::kSuspect;
+    if (suspect && now - other.suspect_since >= limit) {
+      SetState(other, MemberState::kDead, now);
+    }
+    const bool forget =
+        IsGone(other.member.state) && now - other.gone_since >= kForgetAfter;
+    if (forget) transmissions_left_.erase(it->first);
+    it = forget ? others_.erase(it) : std::next(it);
+  }
+}
+
+void Membership::EndProbe(TimePoint now) {
+  const auto ended = std::exchange(pending_, {});
+  if (ended.target.empty() || ended.acked) return;
+  const auto found = others_.find(ended.target);
+  if (found == others_.end()) return;
+  if (found->second.member.state == MemberState::kAlive) {
+    SetState(found->second, MemberState::kSuspect, now);
+  }
+}
+
+std::string Membership::NextTarget() {
+  while (true) {
+    if (round_.empty()) {
+      for (const auto& [name, other] : others_) {
+        if (!IsGone(other.member.state)) round_.push_back(name);
+      }
+      if (round_.empty()) return {};
+      ++rounds_;
+      std::sort(round_.begin(), round_.end(),
+                [seed = seed_ + rounds_](const auto& a, const auto& b) {
+                  return Hash64(a, seed) < Hash64(b, seed);
+                });
+    }
+    auto name = std::move(round_.back());
+    round_.pop_back();
+    const auto* member = Find(name);
+    if (member != nullptr && !IsGone(member->state)) return name;
+  }
+}
+
+std::vector<Membership::Probe> Membership::IndirectProbes() {
+  std::vector<std::string> helpers;
+  for (const auto& [name, other] : others_) {
+    if (other.member.state == MemberState::kAlive && name != pending_.target) {
+      helpers.push_back(name);
+    }
+  }
+  helpers = RendezvousOrder(pending_.target + std::to_string(rounds_),
+                            std::move(helpers));
+  std::vector<Probe> probes;
+  for (const auto& helper : helpers) {
+    if (int(probes.size()) == timing_.indirect_probes) break;
+    probes.push_back({pending_.target, helper});
+  }
+  return probes;
+}
+
+void Membership::OnAck(const std::string& target, TimePoint now) {
+  if (pending_.target == target) pending_.acked = true;
+  const auto found = others_.find(target);
+  if (found == others_.end()) return;
+  if (found->second.member.state == MemberState::kSuspect) {
+    SetState(found->second, MemberState::kAlive, now);
+  }
+}
+
+void Membership::SetState(Other& other, MemberState state, TimePoint now) {
+  if (other.member.state == state) return;
+  other.member.state = state;
+  if (state == MemberState::kSuspect) other.suspect_since = now;
+  if (IsGone(state)) {
+    other.gone_since = now;
+    kLog.Info("Daemon {} is {}.", other.member.name,
+              state == MemberState::kDead ? "dead" : "gone");
+  }
+  Announce(other.member);
+}
+
+void Membership::Announce(const Member& member) {
+  const auto doublings = std::bit_width(others_.size() + 1);
+  transmissions_left_[member.name] = kTransmissionsPerDoubling * int(doublings);
+}
+
+Gossip Membership::MakeGossip() {
+  Gossip gossip{self_.name, {self_}};
+  std::vector<std::pair<int, std::string>> order;
+  for (const auto& [name, left] : transmissions_left_) {
+    if (name != self_.name) order.emplace_back(-left, name);
+  }
+  std::sort(order.begin(), order.end());
+  for (const auto& [left, name] : order) {
+    if (gossip.members.size() >= timing_.gossip_members) break;
+    if (const auto* member = Find(name)) gossip.members.push_back(*member);
+    if (--transmissions_left_[name] <= 0) transmissions_left_.erase(name);
+  }
+  return gossip;
+}
+
+Gossip Membership::FullState() const {
+  Gossip gossip{self_.name, {self_}};
+  for (const auto& [name, other] : others_) {
+    gossip.members.push_back(other.member);
+  }
+  return gossip;
+}
+
+void Membership::Merge(const Gossip& gossip, TimePoint now) {
+  for (const auto& member : gossip.members) {
+    if (member.name == self_.name) {
+      Refute(member);
+    } else {
+      MergeMember(member, now);
+    }
+  }
+  // A sender that is held for gone must hear of it, so that it can refute.
+  const auto* sender = Find(gossip.from);
+  if (sender != nullptr && IsGone(sender->state)) Announce(*sender);
+}
+
+void Membership::Refute(const Member& claim) {
+  const bool is_old = claim.incarnation < self_.incarnation;
+  if (is_old || claim.state == self_.state) {
+    // A restarted daemon must outrank what is told of its earlier life.
+    if (claim.incarnation > self_.incarnation) {
+      self_.incarnation = claim.incarnation + 1;
+      Announce(self_);
+    }
+    return;
+  }
+  if (self_.state == MemberState::kLeft) return;
+  self_.incarnation = claim.incarnation + 1;
+  Announce(self_);
+}
+
+void Membership::MergeMember(const Member& update, TimePoint now) {
+  const auto found = others_.find(update.name);
+  if (found == others_.end()) {
+    if (IsGone(update.state)) return;
+    others_[update.name] = {update, now, {}};
+    Announce(update);
+    return;
+  }
+  auto& other = found->second;
+  const bool newer = update.incarnation > other.member.incarnation;
+  const bool stronger = update.incarnation == other.member.incarnation &&
+                        update.state > other.member.state;
+  if (!newer && !stronger) return;
+  const auto state = update.state;
+  const auto before = other.member.state;
+  other.member = update;
+  other.member.state = before;
+  SetState(other, state, now);
+  if (newer) Announce(other.member);
+}
+
+void Membership::Leave() {
+  self_.state = MemberState::kLeft;
+  ++self_.incarnation;
+  Announce(self_);
+}
+
+std::vector<Member> Membership::Live() const {
+  std::vector<Member> live;
+  for (const auto& [name, other] : others_) {
+    if (!IsGone(other.member.state)) live.push_back(other.member);
+  }
+  return live;
+}
+
+const Member* Membership::Find(const std::string& name) const {
+  const auto found = others_.find(name);
+  return found == others_.end() ? nullptr : &found->second.member;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/peer/src/peer_node.cc
@@ -0,0 +1,214 @@
+#include "peer/peer_node.h"
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+#include "base/invariant.h"
+#include "base/log.h"
+#include "details/http2_connection.h"
+
+namespace firmoor {
+namespace {
+
+constexpr Logger kLog("peer");
+constexpr Duration kIdleClose{30'000};
+// A connection on which this many calls in a row got no answer is taken for
+// one that went silent, and the next call opens a fresh one.
+constexpr int kSilentCalls = 2;
+
+using details::Http2Connection;
+using ConnectionPtr = std::shared_ptr<Http2Connection>;
+
+struct Client {
+  ConnectionPtr connection;
+  TimePoint used;
+  int unanswered = 0;
+};
+
+}  // namespace
+
+struct PeerNode::Builder::Impl {
+  Endpoint endpoint;
+  std::string token;
+  PeerNode::Handler handler;
+  QTcpServer listener;
+  QTimer idle_timer;
+  Traffic traffic;
+  std::map<Endpoint, Client> clients;
+  std::unordered_map<Http2Connection*, ConnectionPtr> servers;
+  bool stopped = true;
+
+  Http2Connection::Hooks Hooks();
+  void Accept();
+  void Closed(Http2Connection* connection);
+  ConnectionPtr Connect(const Endpoint& peer);
+  void CloseIdle();
+  void KeepUntilLater(ConnectionPtr connection);
+};
+
+Http2Connection::Hooks PeerNode::Builder::Impl::Hooks() {
+  return {handler, token, &traffic,
+          [this](Http2Connection* closed) { Closed(closed); }};
+}
+
+void PeerNode::Builder::Impl::Accept() {
+  while (auto* socket = listener.nextPendingConnection()) {
+    socket->setParent(nullptr);
+    const auto connection = std::make_shared<Http2Connection>(
+        Http2Connection::Role::kServer, socket, Hooks());
+    servers.emplace(connection.get(), connection);
+    connection->Start();
+  }
+}
+
+void PeerNode::Builder::Impl::KeepUntilLater(ConnectionPtr connection) {
+  // The connection may be on the call stack, inside nghttp2.
+  QMetaObject::invokeMethod(
+      &idle_timer, [keep = std::move(connection)] {}, Qt::QueuedConnection);
+}
+
+void PeerNode::Builder::Impl::Closed(Http2Connection* connection) {
+  if (const auto found = servers.find(connection); found != servers.end()) {
+    KeepUntilLater(std::move(found->second));
+    servers.erase(found);
+  }
+  std::erase_if(clients, [&](auto& entry) {
+    if (entry.second.connection.get() != connection) return false;
+    KeepUntilLater(std::move(entry.second.connection));
+    return true;
+  });
+}
+
+ConnectionPtr PeerNode::Builder::Impl::Connect(const Endpoint& peer) {
+  auto& client = clients[peer];
+  client.used = MonotonicNow();
+  if (client.connection) return client.connection;
+  auto* socket = new QTcpSocket();
+  socket->bind(QHostAddress(QString::fromStdString(endpoint.address)));
+  socket->connectToHost(QHostAddress(QString::fromStdString(peer.address)),
+                        peer.port);
+  const auto connection = std::make_shared<Http2Connection>(
+      Http2Connection::Role::kClient, socket, Hooks());
+  client.connection = connection;
+  connection->Start();
+  return connection;
+}
+
+void PeerNode::Builder::Impl::CloseIdle() {
+  const auto now = MonotonicNow();
+  std::vector<ConnectionPtr> idle;
+  for (const auto& [peer, client] : clients) {
+    if (client.connection && client.connection->IsIdle() &&
+        now - client.used > kIdleClose) {
+      idle.push_back(client.connection);
+    }
+  }
+  for (const auto& connection : idle) connection->Close();
+}
+
+PeerNode::Builder::Builder() : impl_(std::make_unique<Impl>()) {}
+PeerNode::Builder::~Builder() = default;
+
+PeerNode::Builder& PeerNode::Builder::Listen(Endpoint endpoint) {
+  impl_->endpoint = std::move(endpoint);
+  return *this;
+}
+
+PeerNode::Builder& PeerNode::Builder::Token(std::string token) {
+  impl_->token = std::move(token);
+  return *this;
+}
+
+PeerNode::Builder& PeerNode::Builder::Handler(PeerNode::Handler handler) {
+  impl_->handler = std::move(handler);
+  return *this;
+}
+
+std::unique_ptr<PeerNode> PeerNode::Builder::Build() {
+  FIRMOOR_PRECONDITION(impl_->handler, "a peer node has a handler");
+  return std::unique_ptr<PeerNode>(new PeerNode(std::move(impl_)));
+}
+
+PeerNode::PeerNode(std::unique_ptr<Builder::Impl> impl)
+    : impl_(std::move(impl)) {
+  auto* state = impl_.get();
+  QObject::connect(&state->listener, &QTcpServer::newConnection,
+                   &state->listener, [state] { state->Accept(); });
+  QObject::connect(&state->idle_timer, &QTimer::timeout, &state->idle_timer,
+                   [state] { state->CloseIdle(); });
+}
+
+PeerNode::~PeerNode() { Stop(); }
+
+bool PeerNode::Start() {
+  const QHostAddress address(QString::fromStdString(impl_->endpoint.address));
+  if (!impl_->listener.listen(address, impl_->endpoint.port)) {
+    kLog.Error("Cannot listen on {}: {}.", impl_->endpoint.ToString(),
+               impl_->listener.errorString().toStdString());
+    return false;
+  }
+  impl_->stopped = false;
+  impl_->idle_timer.start(kIdleClose / 3);
+  return true;
+}
+
+void PeerNode::Stop() {
+  if (std::exchange(impl_->stopped, true)) return;
+  impl_->listener.close();
+  impl_->idle_timer.stop();
+  std::vector<ConnectionPtr> all;
+  for (const auto& [key, connection] : impl_->servers) {
+    all.push_back(connection);
+  }
+  for (const auto& [peer, client] : impl_->clients) {
+    if (client.connection) all.push_back(client.connection);
+  }
+  for (const auto& connection : all) connection->Close();
+}
+
+void PeerNode::Call(const Endpoint& peer, const std::string& kind,
+                    const QByteArray& message, Duration timeout, Done done) {
+  if (impl_->stopped) return done(PeerStatus::kNotSent, {});
+  ++impl_->traffic.calls;
+  const auto connection = impl_->Connect(peer);
+  auto* state = impl_.get();
+  const auto timer = std::make_shared<QTimer>();
+  timer->setSingleShot(true);
+  const auto call = connection->Call(
+      kind, message,
+      [state, peer, timer, done = std::move(done)](PeerStatus status,
+                                                   const QByteArray& body) {
+        timer->stop();
+        timer->disconnect();
+        const auto found = state->clients.find(peer);
+        if (found != state->clients.end()) {
+          auto& count = found->second.unanswered;
+          count = status == PeerStatus::kNoAnswer ? count + 1 : 0;
+        }
+        done(status, body);
+      });
+  QObject::connect(timer.get(), &QTimer::timeout, timer.get(),
+                   [state, peer, call, weak = std::weak_ptr(connection)] {
+                     const auto held = weak.lock();
+                     if (!held) return;
+                     held->GiveUp(call);
+                     const auto found = state->clients.find(peer);
+                     if (found == state->clients.end()) return;
+                     if (found->second.connection == held &&
+                         found->second.unanswered >= kSilentCalls) {
+                       held->Close();
+                     }
+                   });
+  timer->start(timeout);
+}
+
+PeerNode::Traffic PeerNode::traffic() const { return impl_->traffic; }
+
+std::uint16_t PeerNode::Port() const { return impl_->listener.serverPort(); }
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/platform/include/platform/http_object_store.h
@@ -0,0 +1,39 @@
+#ifndef FIRMOOR_PLATFORM_HTTP_OBJECT_STORE_H_
+#define FIRMOOR_PLATFORM_HTTP_OBJECT_STORE_H_
+
+#include <memory>
+
+#include "http/message.h"
+#include "platform/object_store.h"
+
+namespace firmoor {
+
+/// The object API over HTTP by Qt's network access manager.
+///
+/// The manager may send a request again when a kept connection closes. That
+/// is harmless here: every write names the version it replaces, and a caller
+/// that meets `kConflict` reads back. Callbacks run in the event loop; none
+/// runs after the store is deleted.
+///
+/// Protocol: `GET /objects/NAME`, `PUT /objects/NAME?if-version=V` and
+/// `GET /watch/NAME?after=V`; the header `Object-Version` carries the
+/// version, 404 and 409 stand for `kNotFound` and `kConflict`.
+class HttpObjectStore : public ObjectStore {
+ public:
+  explicit HttpObjectStore(const Endpoint& endpoint);
+  ~HttpObjectStore() override;
+
+  void Read(const std::string& name, ReadDone done) override;
+  void Write(const std::string& name, std::int64_t expected,
+             const QByteArray& value, WriteDone done) override;
+  void Watch(const std::string& name, std::int64_t after,
+             ReadDone done) override;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_PLATFORM_HTTP_OBJECT_STORE_H_
--- /dev/null
+++ b/libs/platform/src/http_object_store.cc
@@ -0,0 +1,105 @@
+#include "platform/http_object_store.h"
+
+#include <fmt/format.h>
+
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QNetworkRequest>
+#include <QUrl>
+#include <utility>
+
+namespace firmoor {
+namespace {
+
+constexpr int kCallTimeoutMs = 1'000;
+constexpr int kWatchTimeoutMs = 8'000;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+
+StoreStatus StatusOf(const QNetworkReply& reply) {
+  const int status =
+      reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  if (status == kOk) {
+    // A cut answer has the status but not all of the value.
+    return reply.error() == QNetworkReply::NoError ? StoreStatus::kOk
+                                                   : StoreStatus::kUnavailable;
+  }
+  if (status == kNotFound) return StoreStatus::kNotFound;
+  if (status == kConflict) return StoreStatus::kConflict;
+  return StoreStatus::kUnavailable;
+}
+
+std::int64_t VersionOf(const QNetworkReply& reply) {
+  return reply.rawHeader("Object-Version").toLongLong();
+}
+
+}  // namespace
+
+struct HttpObjectStore::Impl {
+  Endpoint endpoint;
+  QNetworkAccessManager calls;
+  QNetworkAccessManager watches;  // Own connections: a watch blocks one.
+
+  [[nodiscard]] QNetworkRequest Request(const std::string& path,
+                                        int timeout_ms) const {
+    QNetworkRequest request(QUrl(QString::fromStdString(
+        fmt::format("http://{}{}", endpoint.ToString(), path))));
+    request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
+                         QNetworkRequest::ManualRedirectPolicy);
+    request.setTransferTimeout(timeout_ms);
+    return request;
+  }
+
+  static void WhenRead(QNetworkReply* reply, ReadDone done) {
+    QObject::connect(
+        reply, &QNetworkReply::finished, reply,
+        [reply, done = std::move(done)] {
+          reply->deleteLater();
+          done(StatusOf(*reply), {VersionOf(*reply), reply->readAll()});
+        });
+  }
+};
+
+HttpObjectStore::HttpObjectStore(const Endpoint& endpoint)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->endpoint = endpoint;
+}
+
+HttpObjectStore::~HttpObjectStore() {
+  const auto drop = [](QNetworkAccessManager& manager) {
+    for (auto* reply : manager.findChildren<QNetworkReply*>()) {
+      reply->disconnect();
+    }
+  };
+  drop(impl_->calls);
+  drop(impl_->watches);
+}
+
+void HttpObjectStore::Read(const std::string& name, ReadDone done) {
+  auto request = impl_->Request("/objects/" + name, kCallTimeoutMs);
+  Impl::WhenRead(impl_->calls.get(request), std::move(done));
+}
+
+void HttpObjectStore::Write(const std::string& name, std::int64_t expected,
+                            const QByteArray& value, WriteDone done) {
+  auto request = impl_->Request(
+      fmt::format("/objects/{}?if-version={}", name, expected), kCallTimeoutMs);
+  request.setHeader(QNetworkRequest::ContentTypeHeader,
+                    "application/octet-stream");
+  auto* reply = impl_->calls.put(request, value);
+  QObject::connect(reply, &QNetworkReply::finished, reply,
+                   [reply, done = std::move(done)] {
+                     reply->deleteLater();
+                     done(StatusOf(*reply), VersionOf(*reply));
+                   });
+}
+
+void HttpObjectStore::Watch(const std::string& name, std::int64_t after,
+                            ReadDone done) {
+  auto request = impl_->Request(fmt::format("/watch/{}?after={}", name, after),
+                                kWatchTimeoutMs);
+  Impl::WhenRead(impl_->watches.get(request), std::move(done));
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/platform/src/vm_list.cc
@@ -0,0 +1,108 @@
+#include "platform/vm_list.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QTimer>
+#include <utility>
+
+#include "base/log.h"
+#include "http/http_call.h"
+
+namespace firmoor {
+namespace {
+
+constexpr Logger kLog("vm-list");
+constexpr int kOk = 200;
+constexpr HttpCallTimes kTimes{Duration(500), Duration(1'000), Duration(1'000)};
+
+std::string Text(const QJsonObject& object, const char* key) {
+  return object.value(QLatin1String(key)).toString().toStdString();
+}
+
+}  // namespace
+
+Result<std::vector<Vm>> ParseVmList(const std::string& json) {
+  const auto document =
+      QJsonDocument::fromJson(QByteArray::fromStdString(json));
+  if (!document.isArray()) {
+    return Fail(ResultCode::kBadMessage, "the VM list is no JSON array");
+  }
+  std::vector<Vm> vms;
+  for (const auto& value : document.array()) {
+    const auto object = value.toObject();
+    Vm vm{Text(object, "id"),
+          Text(object, "service"),
+          Text(object, "availability_zone"),
+          Text(object, "region"),
+          Endpoint::Parse(Text(object, "endpoint")),
+          object.value(QLatin1String("reclaimable")).toBool(),
+          object.value(QLatin1String("leaving")).toBool()};
+    if (vm.id.empty() || vm.endpoint.port == 0) {
+      return Fail(ResultCode::kBadMessage, "a VM has no id or no endpoint");
+    }
+    vms.push_back(std::move(vm));
+  }
+  return vms;
+}
+
+struct VmListFollower::Impl {
+  Endpoint endpoint;
+  OnList on_list;
+  QTimer timer;
+  HttpConnectionPool pool;
+  std::unique_ptr<HttpCall> call;
+  bool reachable = true;
+
+  void Poll() {
+    if (call) return;
+    call = HttpFetch(endpoint, {"GET", "/vms", {}, {}}, kTimes, &pool,
+                     [this](const HttpFetchResult& result) { Take(result); });
+  }
+
+  void Take(const HttpFetchResult& result) {
+    const auto done = std::move(call);
+    const bool answered =
+        result.end == HttpCallEnd::kComplete && result.answer.status == kOk;
+    if (answered != reachable) {
+      reachable = answered;
+      if (answered) {
+        kLog.Info("The VM list can be read again.");
+      } else {
+        kLog.Warn("The VM list cannot be read. The last one stands.");
+      }
+    }
+    if (!answered) return;
+    const auto parsed =
+        Capture([&] { return ParseVmList(result.answer.body); });
+    if (const auto* error = std::get_if<Error>(&parsed)) {
+      kLog.Warn("Bad VM list: {}.", error->message);
+      return;
+    }
+    on_list(std::get<std::vector<Vm>>(parsed));
+  }
+};
+
+VmListFollower::VmListFollower(const Endpoint& endpoint, Duration period,
+                               OnList on_list)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->endpoint = endpoint;
+  impl_->on_list = std::move(on_list);
+  impl_->timer.setInterval(period);
+  QObject::connect(&impl_->timer, &QTimer::timeout, &impl_->timer,
+                   [state = impl_.get()] { state->Poll(); });
+}
+
+VmListFollower::~VmListFollower() = default;
+
+void VmListFollower::Start() {
+  impl_->Poll();
+  impl_->timer.start();
+}
+
+void VmListFollower::Stop() {
+  impl_->timer.stop();
+  impl_->call.reset();
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/include/serving/claim_batcher.h
@@ -0,0 +1,90 @@
+#ifndef FIRMOOR_SERVING_CLAIM_BATCHER_H_
+#define FIRMOOR_SERVING_CLAIM_BATCHER_H_
+
+#include <QByteArray>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "platform/object_store.h"
+#include "serving/claim_slot.h"
+
+namespace firmoor {
+
+/// Claims and records outcomes in one slot by conditional updates. One
+/// update is in flight at a time and what comes meanwhile goes with the
+/// next one (group commit), so writes do not grow with the load. The
+/// conditional update is the only fence: no lease and no clock is trusted.
+/// An update whose answer was lost is resolved by reading the slot back and
+/// finding the attempt's own id there. Pure.
+class ClaimBatcher {
+ public:
+  /// A store call to make; answer with `OnRead` or `OnWrite`.
+  struct StoreCall {
+    bool is_write = false;
+    std::int64_t expected = 0;  ///< Version to replace.
+    QByteArray value;
+  };
+
+  /// Fate of one claim.
+  struct Decided {
+    std::uint64_t id = 0;
+    ClaimVerdict verdict = ClaimVerdict::kStoreAway;
+    Claim claim;  ///< The one that holds the key.
+  };
+
+  /// Asks for a claim; given up with `kStoreAway` at `deadline`, after which
+  /// the claim is released in case a lost write still lands.
+  void Claim(std::uint64_t id, const firmoor::Claim& wanted,
+             TimePoint deadline);
+
+  /// Records how a granted claim ended. Kept until stored.
+  void Record(const firmoor::Claim& ended);
+
+  /// The next store call, when none is in flight and there is work.
+  std::optional<StoreCall> NextCall(TimePoint now, std::int64_t wall_ms);
+
+  void OnRead(StoreStatus status, const StoredObject& object, TimePoint now);
+  void OnWrite(StoreStatus status, std::int64_t version, TimePoint now);
+
+  /// Claims that are decided, each once. Also gives up those past deadline.
+  std::vector<Decided> TakeDecided(TimePoint now);
+
+  /// When `NextCall` may have work again without a new event.
+  [[nodiscard]] TimePoint retry_at() const { return retry_at_; }
+  /// Outcomes that are not stored yet.
+  [[nodiscard]] std::size_t unrecorded() const { return records_.size(); }
+  [[nodiscard]] bool HasWork() const;
+
+ private:
+  struct Pending {
+    std::uint64_t id;
+    firmoor::Claim claim;
+    TimePoint deadline;
+    bool read_since = false;  ///< The slot was read after it was asked for.
+    bool written = false;     ///< Was part of an update that was sent.
+  };
+
+  void Decide(const Pending& pending, ClaimVerdict verdict);
+  void AfterFailure(TimePoint now);
+
+  std::optional<ClaimSlot> slot_;  ///< As last read or written.
+  std::int64_t version_ = 0;
+  qsizetype encoded_bytes_ = 0;
+  std::optional<ClaimSlot> writing_;
+  bool in_flight_ = false;
+  std::deque<Pending> pending_;
+  std::vector<std::uint64_t> in_write_;
+  std::deque<firmoor::Claim> records_;
+  std::size_t records_in_write_ = 0;
+  std::vector<Decided> decided_;
+  TimePoint retry_at_;
+  Duration backoff_{0};
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_SERVING_CLAIM_BATCHER_H_
--- /dev/null
+++ b/libs/serving/include/serving/claim_slot.h
@@ -0,0 +1,83 @@
+#ifndef FIRMOOR_SERVING_CLAIM_SLOT_H_
+#define FIRMOOR_SERVING_CLAIM_SLOT_H_
+
+#include <QByteArray>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/error.h"
+
+namespace firmoor {
+
+/// State of the claim of one idempotency key.
+enum class ClaimState {
+  kClaimed = 0,  ///< Its owner may send it, or has sent it.
+  kDone = 1,     ///< It ran; the answer is recorded.
+  kNotRun = 2,   ///< It certainly did not run; the key may be claimed again.
+  kUnknown = 3,  ///< It was sent and its outcome is not known.
+};
+
+/// The claim of one idempotency key.
+struct Claim {
+  std::string key;      ///< Hash of workspace, service and key.
+  std::string body;     ///< Hash of method, path and body.
+  std::string attempt;  ///< Unique id of the request that claims it.
+  std::string owner;    ///< Incarnation of the daemon that sends it.
+  ClaimState state = ClaimState::kClaimed;
+  int status = 0;            ///< HTTP status of the recorded answer.
+  std::string content_type;  ///< Of the recorded answer.
+  std::string answer;        ///< Its body, when it was small enough.
+  bool answer_kept = false;
+  std::int64_t changed_ms = 0;  ///< Wall clock of the last change.
+
+  bool operator==(const Claim&) const = default;
+};
+
+/// Largest answer body that is recorded.
+constexpr std::size_t kMaxRecordedAnswerBytes = 4'096;
+/// Claims older than this are dropped.
+constexpr std::int64_t kClaimRetentionMs = 24LL * 3'600 * 1'000;
+/// A slot of this size takes no new claims, below the store's limit of 1 MB.
+constexpr qsizetype kMaxSlotBytes = 900'000;
+
+/// What became of an attempt to claim.
+enum class ClaimVerdict {
+  kGranted,     ///< The claim is this attempt's.
+  kReplay,      ///< It ran before: `claim` has the answer.
+  kInProgress,  ///< Another attempt holds it.
+  kUnknown,     ///< Another attempt was sent; its outcome is not known.
+  kKeyReused,   ///< The key was used with another body.
+  kStoreAway,   ///< The claim could not be stored: not run.
+};
+
+/// One object of the store: the claims of all keys that hash to it. Pure.
+class ClaimSlot {
+ public:
+  /// Claims `wanted.key`, or tells who has it. Granting changes the slot,
+  /// unless the same attempt has it already.
+  ClaimVerdict TryClaim(const Claim& wanted);
+
+  /// Records how the attempt ended; false when the attempt does not hold the
+  /// claim, which leaves the slot as it is.
+  bool Record(const Claim& ended);
+
+  /// Drops claims that are past retention.
+  void Expire(std::int64_t now_ms);
+
+  [[nodiscard]] const Claim* Find(const std::string& key) const;
+  [[nodiscard]] std::size_t size() const { return claims_.size(); }
+
+  [[nodiscard]] QByteArray Encode() const;
+  /// Fails with `kBadMessage`.
+  static Result<ClaimSlot> Decode(const QByteArray& bytes);
+
+  bool operator==(const ClaimSlot&) const = default;
+
+ private:
+  std::map<std::string, Claim> claims_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_SERVING_CLAIM_SLOT_H_
--- /dev/null
+++ b/libs/serving/include/serving/prefix_chunks.h
@@ -0,0 +1,27 @@
+#ifndef FIRMOOR_SERVING_PREFIX_CHUNKS_H_
+#define FIRMOOR_SERVING_PREFIX_CHUNKS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace firmoor {
+
+/// Bytes of prompt text in one chunk.
+constexpr std::size_t kChunkBytes = 256;
+/// Bytes of text that make one token on average.
+constexpr std::size_t kBytesPerToken = 4;
+/// Tokens in one chunk.
+constexpr std::size_t kChunkTokens = kChunkBytes / kBytesPerToken;
+
+/// Hashes of the whole chunks of a prompt. Each hash covers the text from the
+/// start, so equal hashes mean equal prefixes.
+std::vector<std::uint64_t> PrefixChunks(std::string_view prompt);
+
+/// Tokens in `text`, estimated from its length.
+std::size_t EstimateTokens(std::string_view text);
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_SERVING_PREFIX_CHUNKS_H_
--- /dev/null
+++ b/libs/serving/include/serving/retry_budget.h
@@ -0,0 +1,30 @@
+#ifndef FIRMOOR_SERVING_RETRY_BUDGET_H_
+#define FIRMOOR_SERVING_RETRY_BUDGET_H_
+
+namespace firmoor {
+
+/// Bounds retries to a share of fresh requests, so that the loss of a zone
+/// causes no storm: each fresh request adds a fraction of a retry, up to a
+/// reserve for quiet times. Pure.
+class RetryBudget {
+ public:
+  /// `share` is retries per fresh request, `reserve` the most that is saved.
+  RetryBudget(double share, double reserve);
+
+  /// A fresh request was accepted.
+  void OnRequest();
+
+  /// Takes one retry; false when the budget is spent.
+  bool TryTake();
+
+  [[nodiscard]] double available() const { return available_; }
+
+ private:
+  double share_;
+  double reserve_;
+  double available_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_SERVING_RETRY_BUDGET_H_
--- /dev/null
+++ b/libs/serving/include/serving/router.h
@@ -0,0 +1,154 @@
+#ifndef FIRMOOR_SERVING_ROUTER_H_
+#define FIRMOOR_SERVING_ROUTER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "serving/concurrency_limit.h"
+#include "serving/prefix_index.h"
+
+namespace firmoor {
+
+/// What the router must know of a request.
+struct RouteRequest {
+  std::vector<std::uint64_t> chunks;  ///< Of the prompt; empty when plain.
+  std::size_t prompt_tokens = 0;
+  std::set<std::string> exclude;  ///< Replicas that were tried before.
+  bool may_cross_region = true;
+
+  bool operator==(const RouteRequest&) const = default;
+};
+
+/// Load that a replica reported of itself, with a lag.
+struct ReplicaLoad {
+  std::int64_t running = 0;
+  std::int64_t queued_tokens = 0;  ///< Prompt tokens waiting for prefill.
+
+  bool operator==(const ReplicaLoad&) const = default;
+};
+
+/// A replica as strategies see it.
+struct ReplicaView {
+  std::string_view id;
+  std::int64_t in_flight = 0;       ///< Sent by this daemon, not ended.
+  std::int64_t running = 0;         ///< Own and reported, without counting
+                                    ///< the same request twice.
+  double queued_tokens = 0;         ///< Prompt tokens ahead of a new request.
+  std::size_t matched_chunks = 0;   ///< Of the request, probably cached.
+  double prefill_tokens_per_s = 0;  ///< Learned from first tokens.
+  std::uint64_t turn = 0;           ///< Rises with each choice.
+  std::uint64_t rank = 0;           ///< Rendezvous rank for the prefix.
+};
+
+/// Orders replicas: the lowest cost is chosen, ties by rendezvous rank.
+/// Strategies have no state.
+class RoutingStrategy {
+ public:
+  virtual ~RoutingStrategy() = default;
+  /// Seconds, or any scale of its own.
+  [[nodiscard]] virtual double Cost(const ReplicaView& replica,
+                                    const RouteRequest& request) const = 0;
+};
+
+/// "expected-time", "round-robin", "least-in-flight" or "prefix-affinity";
+/// null for another name.
+std::unique_ptr<RoutingStrategy> MakeRoutingStrategy(std::string_view name);
+
+/// Chooses the replica of one service for each request. Own dispatches count
+/// at once, since load reports lag; cache contents are hints. Replicas of
+/// the own zone go first, then those of the own region, and other regions
+/// only when all nearer ones are full. Pure.
+class Router {
+ public:
+  /// How far away a replica is.
+  enum class Distance { kZone, kRegion, kRemote };
+
+  struct Choice {
+    std::string id;
+    Distance distance = Distance::kZone;
+    std::size_t matched_chunks = 0;
+
+    bool operator==(const Choice&) const = default;
+  };
+
+  explicit Router(std::unique_ptr<RoutingStrategy> strategy);
+
+  void AddReplica(const std::string& id, Distance distance,
+                  std::int64_t concurrency);
+  void RemoveReplica(const std::string& id);
+  void SetConcurrency(std::int64_t concurrency);
+  /// A leaving replica gets no new requests; those it has go on.
+  void SetLeaving(const std::string& id);
+
+  /// The replica for `request`, or nothing when all are full or away.
+  std::optional<Choice> Pick(const RouteRequest& request, TimePoint now);
+
+  /// The request was sent to the replica.
+  void OnDispatch(const std::string& id, const RouteRequest& request,
+                  TimePoint now);
+  /// The first token, or the head of a plain answer, arrived.
+  void OnFirstToken(const std::string& id, const RouteRequest& request,
+                    Duration after, Duration target, TimePoint now);
+  /// The request left the replica. `first_token_seen` as told before.
+  void OnEnd(const std::string& id, const RouteRequest& request,
+             bool first_token_seen);
+  /// The replica failed a request or a load read: it is left alone for a
+  /// time that doubles with each failure in a row.
+  void OnFailure(const std::string& id, TimePoint now);
+  void OnSuccess(const std::string& id);
+
+  void OnLoad(const std::string& id, const ReplicaLoad& load, TimePoint now);
+  void OnCacheStored(const std::string& id,
+                     std::span<const std::uint64_t> chunks);
+  void OnCacheRemoved(const std::string& id,
+                      std::span<const std::uint64_t> chunks);
+
+  /// Requests that the usable replicas can take in all.
+  [[nodiscard]] std::int64_t Capacity(TimePoint now) const;
+  [[nodiscard]] std::size_t ReplicaCount() const { return replicas_.size(); }
+  [[nodiscard]] std::int64_t InFlight(const std::string& id) const;
+
+ private:
+  struct Replica {
+    Distance distance;
+    ConcurrencyLimit limit;
+    PrefixIndex index;
+    bool leaving = false;
+    std::int64_t in_flight = 0;
+    double own_queued_tokens = 0;
+    ReplicaLoad reported;
+    TimePoint reported_at;
+    std::int64_t in_flight_at_report = 0;
+    double own_queued_at_report = 0;
+    double prefill_tokens_per_s;
+    int failures = 0;
+    TimePoint ejected_until;
+  };
+
+  [[nodiscard]] bool IsUsable(const Replica& replica, TimePoint now) const;
+  [[nodiscard]] ReplicaView ViewOf(const std::string& id,
+                                   const Replica& replica,
+                                   const RouteRequest& request,
+                                   TimePoint now) const;
+  [[nodiscard]] std::optional<Choice> PickAt(Distance distance,
+                                             const RouteRequest& request,
+                                             TimePoint now) const;
+  static double UncachedTokens(const Replica& replica,
+                               const RouteRequest& request);
+
+  std::unique_ptr<RoutingStrategy> strategy_;
+  std::map<std::string, Replica> replicas_;
+  std::uint64_t turn_ = 0;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_SERVING_ROUTER_H_
--- /dev/null
+++ b/libs/serving/src/admission.cc
@@ -0,0 +1,197 @@
+#include "serving/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/invariant.h"
+
+namespace firmoor {
+namespace {
+
+constexpr double kRateTimeConstantS = 2.0;
+constexpr double kMsPerSecond = 1'000.0;
+constexpr double kMinFinishesPerS = 0.2;
+constexpr Duration kMinRetryAfter{1'000};
+constexpr Duration kMaxRetryAfter{60'000};
+
+Duration ClampRetryAfter(Duration wait) {
+  return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+}
+
+}  // namespace
+
+Admission::Admission(std::int64_t capacity, std::int64_t queue_limit)
+    : capacity_(capacity), queue_limit_(queue_limit) {}
+
+Duration Admission::ExpectedWait(int priority) const {
+  if (waiting_ == 0 && running() < capacity_) return Duration(0);
+  std::int64_t ahead = 1;
+  for (const auto& [level, queues] : classes_) {
+    if (level < priority) break;
+    for (const auto& [name, queue] : queues) {
+      ahead += std::int64_t(queue.requests.size());
+    }
+  }
+  const double rate = std::max(finishes_per_s_, kMinFinishesPerS);
+  return Duration(std::int64_t(double(ahead) * kMsPerSecond / rate));
+}
+
+void Admission::Refuse(std::uint64_t id, Refusal refusal) {
+  refusal.retry_after = ClampRetryAfter(refusal.retry_after);
+  refused_.emplace_back(id, refusal);
+}
+
+void Admission::Submit(const AdmissionRequest& request, TimePoint now) {
+  auto& use = use_[request.workspace];
+  use.weight = request.weight;
+  if (use.in_flight + use.waiting >= request.max_in_flight) {
+    return Refuse(request.id, {ResultCode::kWorkspaceLimit,
+                               ExpectedWait(request.priority)});
+  }
+  const auto wait = ExpectedWait(request.priority);
+  const bool rate_known = finishes_per_s_ > 0;
+  if (rate_known && now + wait > request.deadline) {
+    return Refuse(request.id, {ResultCode::kDeadlineUnreachable, wait});
+  }
+  Enqueue(request);
+  DropOverShare();
+}
+
+void Admission::Enqueue(const AdmissionRequest& request) {
+  auto& queue = classes_[request.priority][request.workspace];
+  if (queue.requests.empty()) {
+    queue.virtual_time = std::max(queue.virtual_time, virtual_now_);
+  }
+  queue.requests.push_back(request);
+  ++use_[request.workspace].waiting;
+  ++waiting_;
+}
+
+void Admission::DropOverShare() {
+  // Requests that can start at once do not count as waiting.
+  const auto startable = std::max<std::int64_t>(0, capacity_ - running());
+  while (waiting_ > queue_limit_ + startable) {
+    std::string worst;
+    double worst_share = -1;
+    for (const auto& [name, use] : use_) {
+      const double share = double(use.waiting) / use.weight;
+      if (share <= worst_share) continue;
+      worst = name;
+      worst_share = share;
+    }
+    for (auto it = classes_.rbegin(); it != classes_.rend(); ++it) {
+      const auto found = it->second.find(worst);
+      if (found == it->second.end() || found->second.requests.empty()) continue;
+      const auto& victim = found->second.requests.back();
+      Refuse(victim.id,
+             {ResultCode::kOverloaded, ExpectedWait(victim.priority)});
+      Remove(it->second, worst, found->second.requests.size() - 1);
+      break;
+    }
+  }
+}
+
+void Admission::Remove(PriorityClass& queues, const std::string& workspace,
+                       std::size_t index) {
+  auto& requests = queues[workspace].requests;
+  requests.erase(requests.begin() + std::ptrdiff_t(index));
+  --use_[workspace].waiting;
+  --waiting_;
+  FIRMOOR_INVARIANT(waiting_ >= 0, "the count of waiting requests is exact");
+}
+
+bool Admission::Withdraw(std::uint64_t id) {
+  for (auto& [level, queues] : classes_) {
+    for (auto& [name, queue] : queues) {
+      for (std::size_t i = 0; i < queue.requests.size(); ++i) {
+        if (queue.requests[i].id != id) continue;
+        Remove(queues, name, i);
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void Admission::Finish(std::uint64_t id, TimePoint now) {
+  const auto found = running_.find(id);
+  if (found == running_.end()) {
+    Withdraw(id);
+    return;
+  }
+  --use_[found->second.workspace].in_flight;
+  running_.erase(found);
+  const double gap_s =
+      std::max(1.0, double((now - last_finish_).count())) / kMsPerSecond;
+  last_finish_ = now;
+  const double keep = std::exp(-gap_s / kRateTimeConstantS);
+  finishes_per_s_ = finishes_per_s_ * keep + (1 - keep) / gap_s;
+}
+
+void Admission::Requeue(std::uint64_t id) {
+  const auto found = running_.find(id);
+  FIRMOOR_PRECONDITION(found != running_.end(), "a running request goes back");
+  const AdmissionRequest request = found->second;
+  running_.erase(found);
+  auto& use = use_[request.workspace];
+  --use.in_flight;
+  ++use.waiting;
+  ++waiting_;
+  auto& queue = classes_[request.priority][request.workspace];
+  queue.virtual_time -= request.cost / request.weight;
+  queue.requests.push_front(request);
+}
+
+void Admission::DropExpired(TimePoint now) {
+  for (auto& [level, queues] : classes_) {
+    for (auto& [name, queue] : queues) {
+      for (std::size_t i = queue.requests.size(); i-- > 0;) {
+        const auto& request = queue.requests[i];
+        if (request.deadline > now) continue;
+        Refuse(request.id, {ResultCode::kDeadlineUnreachable,
+                            ExpectedWait(request.priority)});
+        Remove(queues, name, i);
+      }
+    }
+  }
+}
+
+std::optional<AdmissionRequest> Admission::TakeNext() {
+  for (auto& [level, queues] : classes_) {
+    WorkspaceQueue* best = nullptr;
+    for (auto& [name, queue] : queues) {
+      if (queue.requests.empty()) continue;
+      if (best == nullptr || queue.virtual_time < best->virtual_time) {
+        best = &queue;
+      }
+    }
+    if (best == nullptr) continue;
+    const AdmissionRequest request = best->requests.front();
+    best->requests.pop_front();
+    virtual_now_ = std::max(virtual_now_, best->virtual_time);
+    best->virtual_time += request.cost / request.weight;
+    --waiting_;
+    auto& use = use_[request.workspace];
+    --use.waiting;
+    ++use.in_flight;
+    return request;
+  }
+  return std::nullopt;
+}
+
+Admission::Changes Admission::TakeChanges(TimePoint now) {
+  Changes changes;
+  DropExpired(now);
+  while (running() < capacity_) {
+    const auto next = TakeNext();
+    if (!next) break;
+    running_.emplace(next->id, *next);
+    changes.run.push_back(next->id);
+  }
+  FIRMOOR_INVARIANT(waiting_ <= queue_limit_ + capacity_,
+                    "the queue of a service is bounded");
+  changes.refused = std::exchange(refused_, {});
+  return changes;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/src/attempt_policy.cc
@@ -0,0 +1,76 @@
+#include "serving/attempt_policy.h"
+
+#include "base/invariant.h"
+
+namespace firmoor {
+namespace {
+
+ResultCode CodeOf(const AttemptEnd& end) {
+  if (end.declared_not_run || end.overloaded) {
+    return ResultCode::kUpstreamRefused;
+  }
+  switch (end.end) {
+    case HttpCallEnd::kComplete:
+    case HttpCallEnd::kTruncated:
+    case HttpCallEnd::kMalformed:
+      return ResultCode::kUpstreamIncomplete;
+    case HttpCallEnd::kNotConnected:
+      return ResultCode::kNoUpstream;
+    case HttpCallEnd::kNoAnswer:
+      return ResultCode::kUpstreamUnknown;
+    case HttpCallEnd::kSilent:
+      return ResultCode::kUpstreamTimeout;
+    case HttpCallEnd::kCancelled:
+      return ResultCode::kDeadlineExceeded;
+  }
+  return ResultCode::kInternal;
+}
+
+bool MayTryAgain(const AttemptContext& context) {
+  return context.attempts < kMaxAttempts &&
+         context.time_left >= kLeastTimeForAttempt && context.retry_allowed;
+}
+
+ResultCode CodeWhenSpent(const AttemptEnd& end, const AttemptContext& context) {
+  const bool only_budget = context.attempts < kMaxAttempts &&
+                           context.time_left >= kLeastTimeForAttempt &&
+                           !context.retry_allowed;
+  return only_budget ? ResultCode::kRetryBudgetSpent : CodeOf(end);
+}
+
+}  // namespace
+
+std::string_view NameOf(RequestOutcome outcome) {
+  constexpr std::string_view kNames[] = {"not-run", "ran", "unknown"};
+  return kNames[static_cast<int>(outcome)];
+}
+
+RequestOutcome OutcomeOf(const AttemptEnd& end) {
+  if (!end.may_have_left || end.declared_not_run) {
+    return RequestOutcome::kNotRun;
+  }
+  return end.end == HttpCallEnd::kComplete ? RequestOutcome::kRan
+                                           : RequestOutcome::kUnknown;
+}
+
+AttemptVerdict DecideAttempt(const AttemptEnd& end,
+                             const AttemptContext& context) {
+  const auto ran = OutcomeOf(end);
+  const bool whole = end.end == HttpCallEnd::kComplete && end.stream_complete &&
+                     !end.declared_not_run && !end.overloaded;
+  if (whole) return {NextStep::kPassAnswer, ResultCode::kOk, ran};
+  const auto outcome = context.earlier_unknown ? RequestOutcome::kUnknown : ran;
+  AttemptVerdict verdict{NextStep::kFail, CodeWhenSpent(end, context), outcome};
+  if (!MayTryAgain(context)) return verdict;
+  const bool safe = context.idempotent || outcome == RequestOutcome::kNotRun;
+  if (!safe) return verdict;
+  if (context.answer_started && !context.resumable) return verdict;
+  verdict.step = context.answer_started ? NextStep::kResumeElsewhere
+                                        : NextStep::kRetryElsewhere;
+  FIRMOOR_INVARIANT(context.idempotent || outcome == RequestOutcome::kNotRun,
+                    "a non-idempotent request is never sent again after it "
+                    "may have run");
+  return verdict;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/src/claim_batcher.cc
@@ -0,0 +1,182 @@
+#include "serving/claim_batcher.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace firmoor {
+namespace {
+
+constexpr Duration kFirstBackoff{20};
+constexpr Duration kMaxBackoff{500};
+constexpr std::size_t kMaxRecords = 20'000;
+
+}  // namespace
+
+void ClaimBatcher::Claim(std::uint64_t id, const firmoor::Claim& wanted,
+                         TimePoint deadline) {
+  pending_.push_back({id, wanted, deadline});
+}
+
+void ClaimBatcher::Record(const firmoor::Claim& ended) {
+  FIRMOOR_PRECONDITION(ended.state != ClaimState::kClaimed,
+                       "an ended claim is not open");
+  if (records_.size() < kMaxRecords) records_.push_back(ended);
+}
+
+bool ClaimBatcher::HasWork() const {
+  return !pending_.empty() || !records_.empty();
+}
+
+std::optional<ClaimBatcher::StoreCall> ClaimBatcher::NextCall(
+    TimePoint now, std::int64_t wall_ms) {
+  if (in_flight_ || !HasWork() || now < retry_at_) return std::nullopt;
+  if (!slot_) {
+    in_flight_ = true;
+    return StoreCall{};
+  }
+  ClaimSlot next = *slot_;
+  next.Expire(wall_ms);
+  const bool has_room = encoded_bytes_ < kMaxSlotBytes;
+  in_write_.clear();
+  records_in_write_ = 0;
+  bool changed = false;
+  for (const auto& record : records_) {
+    // A release whose claim is not there yet is written all the same: the
+    // new version fences off the lost update that may still arrive.
+    const bool fences =
+        record.state == ClaimState::kNotRun && next.Find(record.key) == nullptr;
+    changed |= next.Record(record) || fences;
+    ++records_in_write_;
+  }
+  std::deque<Pending> waiting;
+  bool must_read = false;
+  for (auto& pending : pending_) {
+    if (!has_room && slot_->Find(pending.claim.key) == nullptr) {
+      Decide(pending, ClaimVerdict::kStoreAway);
+      continue;
+    }
+    const bool held_before = slot_->Find(pending.claim.key) != nullptr;
+    const auto verdict = next.TryClaim(pending.claim);
+    const auto* holder = slot_->Find(pending.claim.key);
+    const bool own = held_before && holder->attempt == pending.claim.attempt;
+    if (verdict == ClaimVerdict::kGranted && !own) {
+      changed = true;
+      pending.written = true;
+      in_write_.push_back(pending.id);
+      waiting.push_back(pending);
+    } else if (verdict == ClaimVerdict::kInProgress && !pending.read_since &&
+               holder != nullptr) {
+      // What is cached may be old; another daemon may have ended it.
+      must_read = true;
+      waiting.push_back(pending);
+    } else {
+      Decide(pending, verdict);
+    }
+  }
+  pending_ = std::move(waiting);
+  if (!changed) {
+    records_.erase(records_.begin(),
+                   records_.begin() + std::ptrdiff_t(records_in_write_));
+    records_in_write_ = 0;
+    if (!must_read) return std::nullopt;
+    slot_.reset();
+    in_flight_ = true;
+    return StoreCall{};
+  }
+  in_flight_ = true;
+  writing_ = std::move(next);
+  StoreCall call{true, version_, writing_->Encode()};
+  encoded_bytes_ = call.value.size();
+  return call;
+}
+
+void ClaimBatcher::Decide(const Pending& pending, ClaimVerdict verdict) {
+  Decided decided{pending.id, verdict, pending.claim};
+  const bool held_by_other =
+      verdict != ClaimVerdict::kGranted && verdict != ClaimVerdict::kStoreAway;
+  if (held_by_other && slot_) {
+    if (const auto* holder = slot_->Find(pending.claim.key)) {
+      decided.claim = *holder;
+    }
+  }
+  decided_.push_back(std::move(decided));
+}
+
+void ClaimBatcher::OnRead(StoreStatus status, const StoredObject& object,
+                          TimePoint now) {
+  in_flight_ = false;
+  const bool found = status == StoreStatus::kOk;
+  if (!found && status != StoreStatus::kNotFound) return AfterFailure(now);
+  const auto decoded = Capture([&] { return ClaimSlot::Decode(object.value); });
+  const auto* slot = std::get_if<ClaimSlot>(&decoded);
+  // An object that cannot be read must not be replaced: it may hold claims.
+  if (slot == nullptr) return AfterFailure(now);
+  slot_ = *slot;
+  version_ = found ? object.version : 0;
+  encoded_bytes_ = object.value.size();
+  backoff_ = Duration(0);
+  for (auto& pending : pending_) pending.read_since = true;
+}
+
+void ClaimBatcher::OnWrite(StoreStatus status, std::int64_t version,
+                           TimePoint now) {
+  in_flight_ = false;
+  if (status != StoreStatus::kOk) {
+    slot_.reset();
+    writing_.reset();
+    if (status != StoreStatus::kConflict) AfterFailure(now);
+    return;
+  }
+  FIRMOOR_INVARIANT(version > version_, "the version of a slot only rises");
+  slot_ = std::move(writing_);
+  writing_.reset();
+  version_ = version;
+  backoff_ = Duration(0);
+  records_.erase(records_.begin(),
+                 records_.begin() + std::ptrdiff_t(records_in_write_));
+  records_in_write_ = 0;
+  std::deque<Pending> waiting;
+  for (const auto& pending : pending_) {
+    const bool granted = std::find(in_write_.begin(), in_write_.end(),
+                                   pending.id) != in_write_.end();
+    if (granted) {
+      const auto* holder = slot_->Find(pending.claim.key);
+      FIRMOOR_INVARIANT(
+          holder != nullptr && holder->attempt == pending.claim.attempt,
+          "a granted claim is in the stored slot");
+      Decide(pending, ClaimVerdict::kGranted);
+    } else {
+      waiting.push_back(pending);
+    }
+  }
+  pending_ = std::move(waiting);
+}
+
+void ClaimBatcher::AfterFailure(TimePoint now) {
+  slot_.reset();
+  backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMaxBackoff);
+  retry_at_ = now + backoff_;
+}
+
+std::vector<ClaimBatcher::Decided> ClaimBatcher::TakeDecided(TimePoint now) {
+  std::deque<Pending> waiting;
+  for (const auto& pending : pending_) {
+    const bool in_write =
+        writing_ && std::find(in_write_.begin(), in_write_.end(), pending.id) !=
+                        in_write_.end();
+    if (pending.deadline > now) {
+      waiting.push_back(pending);
+      continue;
+    }
+    Decide(pending, ClaimVerdict::kStoreAway);
+    if (!pending.written && !in_write) continue;
+    auto released = pending.claim;
+    released.state = ClaimState::kNotRun;
+    Record(released);
+  }
+  pending_ = std::move(waiting);
+  return std::exchange(decided_, {});
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/src/claim_slot.cc
@@ -0,0 +1,113 @@
+#include "serving/claim_slot.h"
+
+#include <QCborArray>
+#include <QCborValue>
+#include <utility>
+
+namespace firmoor {
+namespace {
+
+constexpr qsizetype kFields = 10;
+
+QByteArray Bytes(const std::string& text) {
+  return QByteArray::fromStdString(text);
+}
+
+QCborArray EncodeClaim(const Claim& claim) {
+  return {Bytes(claim.key),
+          Bytes(claim.body),
+          Bytes(claim.attempt),
+          Bytes(claim.owner),
+          static_cast<int>(claim.state),
+          claim.status,
+          Bytes(claim.content_type),
+          Bytes(claim.answer),
+          claim.answer_kept,
+          qint64(claim.changed_ms)};
+}
+
+Claim DecodeClaim(const QCborArray& array) {
+  const auto text = [&](qsizetype i) {
+    return array.at(i).toByteArray().toStdString();
+  };
+  return {text(0),
+          text(1),
+          text(2),
+          text(3),
+          static_cast<ClaimState>(array.at(4).toInteger()),
+          static_cast<int>(array.at(5).toInteger()),
+          text(6),
+          text(7),
+          array.at(8).toBool(),
+          array.at(9).toInteger()};
+}
+
+}  // namespace
+
+ClaimVerdict ClaimSlot::TryClaim(const Claim& wanted) {
+  const auto found = claims_.find(wanted.key);
+  const bool free =
+      found == claims_.end() || found->second.state == ClaimState::kNotRun;
+  if (free) {
+    claims_.insert_or_assign(wanted.key, wanted);
+    return ClaimVerdict::kGranted;
+  }
+  const Claim& held = found->second;
+  if (held.attempt == wanted.attempt) return ClaimVerdict::kGranted;
+  if (held.body != wanted.body) return ClaimVerdict::kKeyReused;
+  switch (held.state) {
+    case ClaimState::kDone:
+      return ClaimVerdict::kReplay;
+    case ClaimState::kUnknown:
+      return ClaimVerdict::kUnknown;
+    default:
+      return ClaimVerdict::kInProgress;
+  }
+}
+
+bool ClaimSlot::Record(const Claim& ended) {
+  const auto found = claims_.find(ended.key);
+  if (found == claims_.end() || found->second.attempt != ended.attempt) {
+    return false;
+  }
+  if (found->second.state != ClaimState::kClaimed) return false;
+  found->second = ended;
+  return true;
+}
+
+void ClaimSlot::Expire(std::int64_t now_ms) {
+  std::erase_if(claims_, [now_ms](const auto& entry) {
+    return now_ms - entry.second.changed_ms > kClaimRetentionMs;
+  });
+}
+
+const Claim* ClaimSlot::Find(const std::string& key) const {
+  const auto found = claims_.find(key);
+  return found == claims_.end() ? nullptr : &found->second;
+}
+
+QByteArray ClaimSlot::Encode() const {
+  QCborArray array;
+  for (const auto& [key, claim] : claims_) array.append(EncodeClaim(claim));
+  return QCborValue(array).toCbor();
+}
+
+Result<ClaimSlot> ClaimSlot::Decode(const QByteArray& bytes) {
+  ClaimSlot slot;
+  if (bytes.isEmpty()) return slot;
+  const auto value = QCborValue::fromCbor(bytes);
+  if (!value.isArray()) {
+    return Fail(ResultCode::kBadMessage, "the claim slot is no array");
+  }
+  for (const auto& item : value.toArray()) {
+    const auto fields = item.toArray();
+    if (fields.size() != kFields) {
+      return Fail(ResultCode::kBadMessage, "a claim has missing fields");
+    }
+    auto claim = DecodeClaim(fields);
+    slot.claims_.insert_or_assign(claim.key, std::move(claim));
+  }
+  return slot;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/src/concurrency_limit.cc
@@ -0,0 +1,39 @@
+#include "serving/concurrency_limit.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace firmoor {
+namespace {
+
+constexpr double kDecreaseFactor = 0.8;
+// One slow batch is seen by many requests; it counts once.
+constexpr Duration kDecreaseInterval{200};
+
+}  // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(std::int64_t ceiling)
+    : ceiling_(double(ceiling)), value_(double(ceiling)) {
+  FIRMOOR_PRECONDITION(ceiling >= 1, "a limit allows one request");
+}
+
+void ConcurrencyLimit::OnSample(Duration first_byte, Duration target,
+                                bool was_full, TimePoint now) {
+  if (first_byte > target) {
+    if (now - last_decrease_ < kDecreaseInterval) return;
+    last_decrease_ = now;
+    value_ = std::max(1.0, value_ * kDecreaseFactor);
+  } else if (was_full) {
+    value_ = std::min(ceiling_, value_ + 1.0 / value_);
+  }
+}
+
+void ConcurrencyLimit::SetCeiling(std::int64_t ceiling) {
+  FIRMOOR_PRECONDITION(ceiling >= 1, "a limit allows one request");
+  if (double(ceiling) == ceiling_) return;
+  ceiling_ = double(ceiling);
+  value_ = ceiling_;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/src/link_budget.cc
@@ -0,0 +1,34 @@
+#include "serving/link_budget.h"
+
+#include <algorithm>
+
+namespace firmoor {
+namespace {
+
+constexpr double kSavedSeconds = 2.0;
+constexpr double kMsPerSecond = 1'000.0;
+
+}  // namespace
+
+LinkBudget::LinkBudget(std::int64_t bytes_per_s)
+    : bytes_per_s_(double(bytes_per_s)),
+      balance_(double(bytes_per_s) * kSavedSeconds) {}
+
+void LinkBudget::Refill(TimePoint now) {
+  const double gap_s = double((now - refilled_at_).count()) / kMsPerSecond;
+  refilled_at_ = now;
+  balance_ =
+      std::min(bytes_per_s_ * kSavedSeconds, balance_ + gap_s * bytes_per_s_);
+}
+
+bool LinkBudget::IsOpen(TimePoint now) {
+  Refill(now);
+  return balance_ > 0;
+}
+
+void LinkBudget::Spend(std::int64_t bytes, TimePoint now) {
+  Refill(now);
+  balance_ -= double(bytes);
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/src/router.cc
@@ -0,0 +1,222 @@
+#include "serving/router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/invariant.h"
+#include "serving/prefix_chunks.h"
+
+namespace firmoor {
+namespace {
+
+constexpr std::size_t kIndexChunks = 16'384;
+constexpr double kFirstPrefillTokensPerS = 8'000;
+constexpr double kRateWeight = 0.05;  // Of a new sample in the mean.
+constexpr double kMinPrefillTokensPerS = 200;
+constexpr double kMaxPrefillTokensPerS = 200'000;
+constexpr Duration kFirstEjection{500};
+constexpr int kMaxEjectionDoublings = 6;
+
+}  // namespace
+
+Router::Router(std::unique_ptr<RoutingStrategy> strategy)
+    : strategy_(std::move(strategy)) {
+  FIRMOOR_PRECONDITION(strategy_, "a router has a strategy");
+}
+
+void Router::AddReplica(const std::string& id, Distance distance,
+                        std::int64_t concurrency) {
+  replicas_.try_emplace(id,
+                        Replica{.distance = distance,
+                                .limit = ConcurrencyLimit(concurrency),
+                                .index = PrefixIndex(kIndexChunks),
+                                .reported = {},
+                                .reported_at = {},
+                                .prefill_tokens_per_s = kFirstPrefillTokensPerS,
+                                .ejected_until = {}});
+}
+
+void Router::RemoveReplica(const std::string& id) { replicas_.erase(id); }
+
+void Router::SetConcurrency(std::int64_t concurrency) {
+  for (auto& [id, replica] : replicas_) replica.limit.SetCeiling(concurrency);
+}
+
+void Router::SetLeaving(const std::string& id) {
+  const auto found = replicas_.find(id);
+  if (found != replicas_.end()) found->second.leaving = true;
+}
+
+bool Router::IsUsable(const Replica& replica, TimePoint now) const {
+  return !replica.leaving && now >= replica.ejected_until;
+}
+
+double Router::UncachedTokens(const Replica& replica,
+                              const RouteRequest& request) {
+  const auto matched = replica.index.MatchedChunks(request.chunks);
+  return std::max(
+      0.0, double(request.prompt_tokens) - double(matched * kChunkTokens));
+}
+
+ReplicaView Router::ViewOf(const std::string& id, const Replica& replica,
+                           const RouteRequest& request, TimePoint now) const {
+  ReplicaView view;
+  view.id = id;
+  view.in_flight = replica.in_flight;
+  // The report holds what this daemon had there when it was made; only the
+  // rest is other daemons' work.
+  const auto others = std::max<std::int64_t>(
+      0, replica.reported.running - replica.in_flight_at_report);
+  view.running = others + replica.in_flight;
+  const double age_s = double((now - replica.reported_at).count()) / 1'000.0;
+  const double drained = age_s * replica.prefill_tokens_per_s;
+  const double others_queued =
+      std::max(0.0, double(replica.reported.queued_tokens) -
+                        replica.own_queued_at_report - drained);
+  view.queued_tokens = others_queued + replica.own_queued_tokens;
+  view.matched_chunks = replica.index.MatchedChunks(request.chunks);
+  view.prefill_tokens_per_s = replica.prefill_tokens_per_s;
+  const std::uint64_t seed =
+      request.chunks.empty() ? 0 : request.chunks.front();
+  view.rank = Hash64(id, seed);
+  return view;
+}
+
+std::optional<Router::Choice> Router::PickAt(Distance distance,
+                                             const RouteRequest& request,
+                                             TimePoint now) const {
+  std::vector<ReplicaView> views;
+  for (const auto& [id, replica] : replicas_) {
+    const bool fits = replica.distance == distance && IsUsable(replica, now) &&
+                      replica.in_flight < replica.limit.value() &&
+                      !request.exclude.contains(id);
+    if (!fits) continue;
+    views.push_back(ViewOf(id, replica, request, now));
+  }
+  if (views.empty()) return std::nullopt;
+  const ReplicaView* best = nullptr;
+  double best_cost = 0;
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    auto& view = views[i];
+    view.turn = (i + views.size() - turn_ % views.size()) % views.size();
+    const double cost = strategy_->Cost(view, request);
+    const bool better = best == nullptr || cost < best_cost ||
+                        (cost == best_cost && view.rank > best->rank);
+    if (!better) continue;
+    best = &view;
+    best_cost = cost;
+  }
+  return Choice{std::string(best->id), distance, best->matched_chunks};
+}
+
+std::optional<Router::Choice> Router::Pick(const RouteRequest& request,
+                                           TimePoint now) {
+  ++turn_;
+  for (const auto distance :
+       {Distance::kZone, Distance::kRegion, Distance::kRemote}) {
+    if (distance == Distance::kRemote && !request.may_cross_region) break;
+    if (auto choice = PickAt(distance, request, now)) return choice;
+  }
+  return std::nullopt;
+}
+
+void Router::OnDispatch(const std::string& id, const RouteRequest& request,
+                        TimePoint now) {
+  const auto found = replicas_.find(id);
+  if (found == replicas_.end()) return;
+  auto& replica = found->second;
+  FIRMOOR_INVARIANT(IsUsable(replica, now),
+                    "a request goes to a usable replica only");
+  ++replica.in_flight;
+  replica.own_queued_tokens += UncachedTokens(replica, request);
+  replica.index.Touch(request.chunks);
+}
+
+void Router::OnFirstToken(const std::string& id, const RouteRequest& request,
+                          Duration after, Duration target, TimePoint now) {
+  const auto found = replicas_.find(id);
+  if (found == replicas_.end()) return;
+  auto& replica = found->second;
+  const bool was_full = replica.in_flight >= replica.limit.value();
+  replica.limit.OnSample(after, target, was_full, now);
+  const double work =
+      std::max(replica.own_queued_tokens, double(request.prompt_tokens));
+  if (after > Duration(0) && request.prompt_tokens > kChunkTokens) {
+    const double rate = work * 1'000.0 / double(after.count());
+    const double mean =
+        replica.prefill_tokens_per_s * (1 - kRateWeight) + rate * kRateWeight;
+    replica.prefill_tokens_per_s =
+        std::clamp(mean, kMinPrefillTokensPerS, kMaxPrefillTokensPerS);
+  }
+  replica.own_queued_tokens =
+      std::max(0.0, replica.own_queued_tokens - double(request.prompt_tokens));
+}
+
+void Router::OnEnd(const std::string& id, const RouteRequest& request,
+                   bool first_token_seen) {
+  const auto found = replicas_.find(id);
+  if (found == replicas_.end()) return;
+  auto& replica = found->second;
+  FIRMOOR_INVARIANT(replica.in_flight > 0, "an ended request was in flight");
+  replica.in_flight = std::max<std::int64_t>(0, replica.in_flight - 1);
+  if (!first_token_seen || replica.in_flight == 0) {
+    replica.own_queued_tokens = std::max(
+        0.0, replica.own_queued_tokens - double(request.prompt_tokens));
+  }
+  if (replica.in_flight == 0) replica.own_queued_tokens = 0;
+}
+
+void Router::OnFailure(const std::string& id, TimePoint now) {
+  const auto found = replicas_.find(id);
+  if (found == replicas_.end()) return;
+  auto& replica = found->second;
+  const int doublings = std::min(replica.failures, kMaxEjectionDoublings);
+  ++replica.failures;
+  replica.ejected_until = now + kFirstEjection * (1 << doublings);
+}
+
+void Router::OnSuccess(const std::string& id) {
+  const auto found = replicas_.find(id);
+  if (found == replicas_.end()) return;
+  found->second.failures = 0;
+  found->second.ejected_until = {};
+}
+
+void Router::OnLoad(const std::string& id, const ReplicaLoad& load,
+                    TimePoint now) {
+  const auto found = replicas_.find(id);
+  if (found == replicas_.end()) return;
+  auto& replica = found->second;
+  replica.reported = load;
+  replica.reported_at = now;
+  replica.in_flight_at_report = replica.in_flight;
+  replica.own_queued_at_report = replica.own_queued_tokens;
+}
+
+void Router::OnCacheStored(const std::string& id,
+                           std::span<const std::uint64_t> chunks) {
+  const auto found = replicas_.find(id);
+  if (found != replicas_.end()) found->second.index.Touch(chunks);
+}
+
+void Router::OnCacheRemoved(const std::string& id,
+                            std::span<const std::uint64_t> chunks) {
+  const auto found = replicas_.find(id);
+  if (found != replicas_.end()) found->second.index.Remove(chunks);
+}
+
+std::int64_t Router::Capacity(TimePoint now) const {
+  std::int64_t total = 0;
+  for (const auto& [id, replica] : replicas_) {
+    if (IsUsable(replica, now)) total += replica.limit.value();
+  }
+  return total;
+}
+
+std::int64_t Router::InFlight(const std::string& id) const {
+  const auto found = replicas_.find(id);
+  return found == replicas_.end() ? 0 : found->second.in_flight;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/src/routing_strategy.cc
@@ -0,0 +1,78 @@
+#include <algorithm>
+
+#include "serving/prefix_chunks.h"
+#include "serving/router.h"
+
+namespace firmoor {
+namespace {
+
+// A decoding request slows the prefill of a new one by about this much.
+constexpr double kDecodeInterferenceS = 0.002;
+
+/// Expected time to the first token: work ahead, plus prefill that the cache
+/// does not save, plus the slowdown by running requests.
+class ExpectedTime : public RoutingStrategy {
+ public:
+  [[nodiscard]] double Cost(const ReplicaView& replica,
+                            const RouteRequest& request) const override {
+    const double cached = double(replica.matched_chunks * kChunkTokens);
+    const double own = std::max(0.0, double(request.prompt_tokens) - cached);
+    return (replica.queued_tokens + own) / replica.prefill_tokens_per_s +
+           kDecodeInterferenceS * double(replica.running);
+  }
+};
+
+/// Baseline: each replica in turn.
+class RoundRobin : public RoutingStrategy {
+ public:
+  [[nodiscard]] double Cost(const ReplicaView& replica,
+                            const RouteRequest&) const override {
+    return double(replica.turn);
+  }
+};
+
+/// Baseline: the replica with the fewest own requests.
+class LeastInFlight : public RoutingStrategy {
+ public:
+  [[nodiscard]] double Cost(const ReplicaView& replica,
+                            const RouteRequest&) const override {
+    return double(replica.in_flight);
+  }
+};
+
+/// Baseline: the longest cached prefix, whatever the load.
+class PrefixAffinity : public RoutingStrategy {
+ public:
+  [[nodiscard]] double Cost(const ReplicaView& replica,
+                            const RouteRequest&) const override {
+    return -double(replica.matched_chunks);
+  }
+};
+
+template <typename Strategy>
+std::unique_ptr<RoutingStrategy> Make() {
+  return std::make_unique<Strategy>();
+}
+
+struct Entry {
+  std::string_view name;
+  std::unique_ptr<RoutingStrategy> (*make)();
+};
+
+constexpr Entry kStrategies[] = {
+    {"expected-time", Make<ExpectedTime>},
+    {"round-robin", Make<RoundRobin>},
+    {"least-in-flight", Make<LeastInFlight>},
+    {"prefix-affinity", Make<PrefixAffinity>},
+};
+
+}  // namespace
+
+std::unique_ptr<RoutingStrategy> MakeRoutingStrategy(std::string_view name) {
+  for (const auto& entry : kStrategies) {
+    if (entry.name == name) return entry.make();
+  }
+  return nullptr;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/tests/standins/platform_standin.cc
@@ -0,0 +1,234 @@
+// Stand-in for the platform: object API, VM list and cloud API.
+//
+// Faults are switched by POST /control with a JSON object:
+//   outage_ms      nothing is answered for this long
+//   slow_ms        every answer is this much late
+//   lose_answers   the next N writes take effect and are not answered
+//   stale_reads    the next N reads show the version before the last write
+//   vms            replaces the VM list
+//   list_lag_ms    the VM list shows changes this much late
+//   refuse_starts  the cloud API refuses starts in this zone
+// GET /stats counts calls and the writes of each second.
+
+#include <CLI/CLI.hpp>
+#include <QJsonArray>
+#include <QTimer>
+#include <QUrl>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "base/log.h"
+#include "base/time.h"
+#include "command_line.h"
+
+namespace firmoor {
+namespace {
+
+constexpr Logger kLog("platform-standin");
+constexpr int kWatchWaitMs = 5'000;
+constexpr std::int64_t kMsPerSecond = 1'000;
+
+struct Object {
+  std::int64_t version = 0;
+  std::string value;
+  std::string previous;
+};
+
+struct Watcher {
+  std::string name;
+  std::int64_t after;
+  std::shared_ptr<HttpResponder> responder;
+};
+
+class Platform {
+ public:
+  explicit Platform(const Endpoint& endpoint) {
+    server_ = HttpServer::Builder()
+                  .Listen(endpoint)
+                  .Handler([this](const HttpRequest& request,
+                                  std::shared_ptr<HttpResponder> responder) {
+                    Handle(request, std::move(responder));
+                  })
+                  .Build();
+  }
+  bool Start() { return server_->Start(); }
+
+ private:
+  using Responder = std::shared_ptr<HttpResponder>;
+
+  void Handle(const HttpRequest& request, Responder responder) {
+    if (request.Path() == "/control") return Control(request, *responder);
+    if (request.Path() == "/stats") return Stats(*responder);
+    if (MonotonicNow() < outage_until_) return held_.push_back(responder);
+    if (slow_ms_ == 0) return Serve(request, responder);
+    QTimer::singleShot(slow_ms_, &context_, [this, request, responder] {
+      Serve(request, responder);
+    });
+  }
+
+  void Serve(const HttpRequest& request, const Responder& responder) {
+    const std::string path(request.Path());
+    if (path == "/vms") return VmList(*responder);
+    if (path.starts_with("/objects/")) {
+      const auto name = path.substr(std::string("/objects/").size());
+      if (request.method == "GET") return Read(name, *responder);
+      if (request.method == "PUT") return Write(name, request, *responder);
+    }
+    if (path.starts_with("/watch/")) {
+      return Watch(path.substr(std::string("/watch/").size()), request,
+                   responder);
+    }
+    responder->Send({404, {}, {}});
+  }
+
+  static HttpAnswer ObjectAnswer(const Object& object,
+                                 const std::string& value) {
+    return {200, {{"Object-Version", std::to_string(object.version)}}, value};
+  }
+
+  void Read(const std::string& name, HttpResponder& responder) {
+    ++reads_;
+    const auto found = objects_.find(name);
+    const bool stale = stale_reads_ > 0 && found != objects_.end();
+    if (stale) --stale_reads_;
+    if (found == objects_.end() || (stale && found->second.version == 1)) {
+      return responder.Send({404, {}, {}});
+    }
+    if (!stale) {
+      return responder.Send(ObjectAnswer(found->second, found->second.value));
+    }
+    Object older = found->second;
+    --older.version;
+    responder.Send(ObjectAnswer(older, older.previous));
+  }
+
+  void Write(const std::string& name, const HttpRequest& request,
+             HttpResponder& responder) {
+    ++writes_;
+    ++writes_by_second_[WallClockMs() / kMsPerSecond];
+    auto& object = objects_[name];
+    const auto expected = std::stoll(request.QueryValue("if-version"));
+    if (expected != object.version) {
+      ++conflicts_;
+      return responder.Send(
+          {409, {{"Object-Version", std::to_string(object.version)}}, {}});
+    }
+    object.previous = std::move(object.value);
+    object.value = request.body;
+    ++object.version;
+    Notify(name);
+    if (lose_answers_ > 0) {
+      --lose_answers_;
+      return responder.Abort();
+    }
+    responder.Send(
+        {200, {{"Object-Version", std::to_string(object.version)}}, {}});
+  }
+
+  void Watch(const std::string& name, const HttpRequest& request,
+             const Responder& responder) {
+    ++reads_;
+    const auto after = std::stoll(request.QueryValue("after"));
+    const auto& object = objects_[name];
+    if (object.version > after) {
+      return responder->Send(ObjectAnswer(object, object.value));
+    }
+    watchers_.push_back({name, after, responder});
+    QTimer::singleShot(kWatchWaitMs, &context_, [responder] {
+      responder->Send({404, {}, {}});
+    });
+  }
+
+  void Notify(const std::string& name) {
+    std::vector<Watcher> rest;
+    for (auto& watcher : watchers_) {
+      const auto& object = objects_[watcher.name];
+      if (watcher.name == name && object.version > watcher.after) {
+        if (MonotonicNow() >= outage_until_) {
+          watcher.responder->Send(ObjectAnswer(object, object.value));
+        }
+      } else if (watcher.responder->IsOpen()) {
+        rest.push_back(watcher);
+      }
+    }
+    watchers_ = std::move(rest);
+  }
+
+  void VmList(HttpResponder& responder) {
+    ++reads_;
+    responder.Send({200,
+                    {{"Content-Type", "application/json"}},
+                    QJsonDocument(vms_).toJson().toStdString()});
+  }
+
+  void Control(const HttpRequest& request, HttpResponder& responder) {
+    const auto body = JsonBody(request);
+    const auto number = [&](const char* key, int fallback) {
+      return body.value(QLatin1String(key)).toInt(fallback);
+    };
+    if (const int ms = number("outage_ms", -1); ms >= 0) Outage(ms);
+    slow_ms_ = number("slow_ms", slow_ms_);
+    lose_answers_ = number("lose_answers", lose_answers_);
+    stale_reads_ = number("stale_reads", stale_reads_);
+    list_lag_ms_ = number("list_lag_ms", list_lag_ms_);
+    if (const auto vms = body.value(QLatin1String("vms")); vms.isArray()) {
+      QTimer::singleShot(list_lag_ms_, &context_,
+                         [this, list = vms.toArray()] { vms_ = list; });
+    }
+    responder.Send({200, {}, "ok"});
+  }
+
+  void Outage(int ms) {
+    outage_until_ = MonotonicNow() + Duration(ms);
+    QTimer::singleShot(ms, &context_, [this] {
+      for (const auto& responder : held_) responder->Abort();
+      held_.clear();
+    });
+  }
+
+  void Stats(HttpResponder& responder) {
+    std::int64_t peak = 0;
+    for (const auto& [second, count] : writes_by_second_) {
+      peak = std::max(peak, count);
+    }
+    responder.Send(JsonAnswer(200, {{"reads", qint64(reads_)},
+                                    {"writes", qint64(writes_)},
+                                    {"conflicts", qint64(conflicts_)},
+                                    {"peak_writes_per_s", qint64(peak)},
+                                    {"objects", qint64(objects_.size())}}));
+  }
+
+  std::unique_ptr<HttpServer> server_;
+  QObject context_;
+  std::map<std::string, Object> objects_;
+  std::vector<Watcher> watchers_;
+  std::vector<Responder> held_;
+  QJsonArray vms_;
+  TimePoint outage_until_;
+  int slow_ms_ = 0;
+  int lose_answers_ = 0;
+  int stale_reads_ = 0;
+  int list_lag_ms_ = 0;
+  std::int64_t reads_ = 0;
+  std::int64_t writes_ = 0;
+  std::int64_t conflicts_ = 0;
+  std::map<std::int64_t, std::int64_t> writes_by_second_;
+};
+
+}  // namespace
+}  // namespace firmoor
+
+/// Runs the stand-in until SIGTERM.
+int main(int argc, char** argv) {
+  CLI::App app("platform stand-in");
+  std::string listen;
+  app.add_option("--listen", listen, "IP number:port")->required();
+  CLI11_PARSE(app, argc, argv);
+  const QCoreApplication application(argc, argv);
+  firmoor::QuitOnSignals();
+  firmoor::Platform platform(firmoor::Endpoint::Parse(listen));
+  if (!platform.Start()) return 1;
+  firmoor::kLog.Info("Listening on {}.", listen);
+  return QCoreApplication::exec();
+}
