--- /dev/null
+++ b/apps/firmoord/src/daemon.cc
@@ -0,0 +1,307 @@
+#include "daemon.h"
+
+#include <fmt/format.h>
+
+#include <QCborArray>
+#include <QCborValue>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <utility>
+
+#include "base/invariant.h"
+#include "base/log.h"
+#include "base/random_id.h"
+#include "serving/error_answer.h"
+
+namespace firmoor {
+namespace {
+
+constexpr Logger kLog("daemon");
+constexpr Duration kTailTimeout{500};
+constexpr std::size_t kTailCandidates = 6;
+
+Supervisor::Part StartStop(std::string name, std::function<bool()> start,
+                           std::function<void()> stop) {
+  return {std::move(name), std::move(start), std::move(stop)};
+}
+
+}  // namespace
+
+Daemon::Daemon(const Settings& settings, std::function<void()> on_stopped)
+    : settings_(settings),
+      life_(settings.daemon + "/" + NewRandomId()),
+      on_stopped_(std::move(on_stopped)),
+      store_(settings.object_api) {
+  BuildParts();
+  BuildTree();
+}
+
+Daemon::~Daemon() = default;
+
+DispatcherEnvironment Daemon::MakeEnvironment() {
+  DispatcherEnvironment environment;
+  environment.daemon = settings_.daemon;
+  environment.incarnation = life_;
+  environment.availability_zone = settings_.availability_zone;
+  environment.region = settings_.region;
+  environment.routing_strategy = settings_.routing_strategy;
+  environment.upstreams_per_service =
+      std::size_t(settings_.upstreams_per_service);
+  environment.region_link_bytes_per_s = settings_.region_link_bytes_per_s;
+  environment.load_period = settings_.load_period;
+  environment.claims = claims_.get();
+  environment.metrics = &metrics_;
+  environment.is_live = [this](const std::string& life) {
+    return fleet_->IsLive(life);
+  };
+  environment.find_elsewhere = [this](const std::string& id, std::size_t from,
+                                      const auto& done) {
+    FindElsewhere(id, from, done);
+  };
+  if (trace_) {
+    environment.trace = [this](const QJsonObject& decision) {
+      QJsonObject line = decision;
+      line["ms"] = qint64(MonotonicNow().time_since_epoch().count());
+      trace_->write(QJsonDocument(line).toJson(QJsonDocument::Compact) + "\n");
+    };
+  }
+  return environment;
+}
+
+void Daemon::BuildParts() {
+  if (!settings_.trace_file.empty()) {
+    trace_ =
+        std::make_unique<QFile>(QString::fromStdString(settings_.trace_file));
+    if (!trace_->open(QIODevice::WriteOnly | QIODevice::Truncate)) {
+      kLog.Warn("Cannot write the trace {}.", settings_.trace_file);
+      trace_.reset();
+    }
+  }
+  claims_ = std::make_unique<ClaimStore>(&store_, settings_.claim_slots,
+                                         settings_.claim_wait);
+  dispatcher_ = std::make_unique<Dispatcher>(MakeEnvironment());
+  config_ = std::make_unique<ConfigService>(
+      settings_, &store_, [this](const Configuration& configuration) {
+        dispatcher_->SetConfiguration(configuration);
+      });
+  Fleet::Hooks fleet_hooks;
+  fleet_hooks.config_version = [this] { return config_->current().version(); };
+  fleet_hooks.on_version_seen = [this](const Member& peer,
+                                       std::int64_t version) {
+    config_->OnVersionSeen(peer, version);
+  };
+  fleet_hooks.leaving = [this] { return dispatcher_->Leaving(); };
+  fleet_hooks.on_leaving = [this](const std::vector<std::string>& ids) {
+    dispatcher_->MarkLeaving(ids);
+  };
+  fleet_ = std::make_unique<Fleet>(settings_, life_, std::move(fleet_hooks));
+  fleet_->SetHandler("handover",
+                     [this](const auto& message, const auto& reply) {
+                       ServeHandover(message, reply);
+                     });
+  fleet_->SetHandler("tail", [this](const auto& message, const auto& reply) {
+    ServeTail(message, reply);
+  });
+  config_->SetFleet(fleet_.get());
+  vm_list_ = std::make_unique<VmListFollower>(
+      settings_.vm_list, settings_.vm_list_period,
+      [this](const std::vector<Vm>& vms) {
+        vm_list_seen_ = true;
+        dispatcher_->ApplyVms(vms);
+      });
+  callers_ =
+      HttpServer::Builder()
+          .Listen(settings_.callers)
+          .ErrorAnswer(MakeInputErrorAnswer)
+          .Handler([this](HttpRequest request, auto responder) {
+            dispatcher_->Handle(std::move(request), std::move(responder));
+          })
+          .Build();
+  drain_ =
+      std::make_unique<Drain>(settings_,
+                              Drain::Parts{callers_.get(), dispatcher_.get(),
+                                           claims_.get(), fleet_.get()},
+                              [this] {
+                                root_->Stop();
+                                on_stopped_();
+                              });
+  operators_ = std::make_unique<OperatorEndpoint>(
+      settings_, OperatorEndpoint::Hooks{
+                     config_.get(), [this] { return Status(); },
+                     [this] { return Report(); }, [this] { RequestStop(); }});
+  observe_ = std::make_unique<ObserveEndpoint>(
+      settings_.observe,
+      ObserveEndpoint::Hooks{[this] { return IsReady(); },
+                             [this] { return MetricsText(); }});
+}
+
+void Daemon::BuildTree() {
+  platform_tree_ = Supervisor::Builder("platform")
+                       .Part(StartStop(
+                           "configuration",
+                           [this] {
+                             config_->Start();
+                             return true;
+                           },
+                           [this] { config_->Stop(); }))
+                       .Part(StartStop(
+                           "vm-list",
+                           [this] {
+                             vm_list_->Start();
+                             return true;
+                           },
+                           [this] { vm_list_->Stop(); }))
+                       .Build();
+  serving_tree_ = Supervisor::Builder("serving")
+                      .Part(StartStop(
+                          "callers", [this] { return callers_->Start(); },
+                          [this] { callers_->StopListening(); }))
+                      .Part(StartStop(
+                          "operators", [this] { return operators_->Start(); },
+                          [this] { operators_->Stop(); }))
+                      .Part(StartStop(
+                          "observe", [this] { return observe_->Start(); },
+                          [this] { observe_->Stop(); }))
+                      .Build();
+  root_ = Supervisor::Builder("root")
+              .Part(StartStop(
+                  "fleet", [this] { return fleet_->Start(); },
+                  [this] { fleet_->Stop(); }))
+              .Part(StartStop(
+                  "platform", [this] { return platform_tree_->Start(); },
+                  [this] { platform_tree_->Stop(); }))
+              .Part(StartStop(
+                  "serving", [this] { return serving_tree_->Start(); },
+                  [this] { serving_tree_->Stop(); }))
+              .Build();
+}
+
+bool Daemon::Start() {
+  started_at_ = MonotonicNow();
+  if (!root_->Start()) return false;
+  kLog.Info("Daemon {} serves {} in zone {}.", settings_.daemon,
+            settings_.callers.ToString(), settings_.availability_zone);
+  return true;
+}
+
+void Daemon::RequestStop() { drain_->Start(); }
+
+void Daemon::ServeHandover(const QByteArray& message,
+                           const PeerNode::Reply& reply) {
+  const auto record = Capture([&] { return RequestRecord::Decode(message); });
+  const auto* request = std::get_if<RequestRecord>(&record);
+  const bool taken = request != nullptr && dispatcher_->Adopt(*request);
+  reply(taken ? "taken" : "refused");
+}
+
+void Daemon::ServeTail(const QByteArray& message,
+                       const PeerNode::Reply& reply) {
+  const auto array = QCborValue::fromCbor(message).toArray();
+  reply(dispatcher_
+            ->Tail(array.at(0).toByteArray().toStdString(),
+                   std::size_t(array.at(1).toInteger()))
+            .Encode());
+}
+
+void Daemon::FindElsewhere(
+    const std::string& id, std::size_t from,
+    const std::function<void(const RequestTail&)>& done) {
+  const auto home = HomeOf(id);
+  // The home daemon first, then those it would hand the request to, nearest
+  // to the home and in the same rendezvous order that it uses.
+  auto members = fleet_->NearestFor(id);
+  const auto* home_member = fleet_->membership().Find(home.daemon);
+  const std::string home_region =
+      home_member == nullptr ? settings_.region : home_member->region;
+  std::stable_sort(members.begin(), members.end(),
+                   [&](const Member& a, const Member& b) {
+                     const auto rank = [&](const Member& member) {
+                       if (member.name == home.daemon) return 0;
+                       if (member.availability_zone == home.availability_zone) {
+                         return 1;
+                       }
+                       return member.region == home_region ? 2 : 3;
+                     };
+                     return rank(a) < rank(b);
+                   });
+  if (members.size() > kTailCandidates) members.resize(kTailCandidates);
+  const auto question =
+      QCborValue(QCborArray{QByteArray::fromStdString(id), qint64(from)})
+          .toCbor();
+  AskForTail(std::make_shared<std::vector<Member>>(std::move(members)),
+             question, done);
+}
+
+void Daemon::AskForTail(const std::shared_ptr<std::vector<Member>>& candidates,
+                        const QByteArray& question,
+                        const std::function<void(const RequestTail&)>& done) {
+  if (candidates->empty()) return done({});
+  const Member member = candidates->front();
+  candidates->erase(candidates->begin());
+  fleet_->Call(
+      member, "tail", question, kTailTimeout,
+      [this, candidates, question, done](PeerStatus status,
+                                         const QByteArray& body) {
+        const auto tail = Capture([&] { return RequestTail::Decode(body); });
+        const auto* held = std::get_if<RequestTail>(&tail);
+        if (status == PeerStatus::kOk && held != nullptr && held->found) {
+          return done(*held);
+        }
+        AskForTail(candidates, question, done);
+      });
+}
+
+bool Daemon::IsReady() const {
+  return config_->IsKnown() && vm_list_seen_ && !drain_->IsDraining();
+}
+
+QJsonObject Daemon::Status() const {
+  QJsonArray members;
+  for (const auto& member : fleet_->membership().Live()) {
+    members.append(QJsonObject{
+        {"name", QString::fromStdString(member.name)},
+        {"availability_zone", QString::fromStdString(member.availability_zone)},
+        {"state", member.state == MemberState::kAlive ? "alive" : "suspect"}});
+  }
+  const auto traffic = fleet_->traffic();
+  auto status = dispatcher_->Status();
+  status["daemon"] = QString::fromStdString(settings_.daemon);
+  status["availability_zone"] =
+      QString::fromStdString(settings_.availability_zone);
+  status["version"] = qint64(config_->current().version());
+  status["ready"] = IsReady();
+  status["members"] = members;
+  status["unrecorded_outcomes"] = qint64(claims_->Unrecorded());
+  status["broken_invariants"] = qint64(InvariantMonitor::ViolationCount());
+  status["peer_bytes_sent"] = qint64(traffic.sent);
+  status["peer_bytes_received"] = qint64(traffic.received);
+  return status;
+}
+
+QJsonObject Daemon::Report() const {
+  const auto& current = config_->current();
+  auto report = metrics_.ToJson(
+      [&current](const std::string& name) {
+        const auto* service = current.FindService(name);
+        return service == nullptr ? Service().availability_objective
+                                  : service->availability_objective;
+      },
+      MonotonicNow());
+  report["uptime_s"] = double((MonotonicNow() - started_at_).count()) / 1'000.0;
+  return report;
+}
+
+std::string Daemon::MetricsText() const {
+  const auto traffic = fleet_->traffic();
+  return metrics_.PrometheusText() +
+         fmt::format(
+             "firmoor_config_version {}\nfirmoor_members {}\n"
+             "firmoor_requests_in_work {}\nfirmoor_broken_invariants_total {}\n"
+             "firmoor_peer_sent_bytes_total {}\n"
+             "firmoor_peer_received_bytes_total {}\n",
+             config_->current().version(), fleet_->membership().Live().size(),
+             dispatcher_->InWork(), InvariantMonitor::ViolationCount(),
+             traffic.sent, traffic.received);
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/apps/firmoord/src/daemon.h
@@ -0,0 +1,75 @@
+#ifndef FIRMOOR_FIRMOORD_DAEMON_H_
+#define FIRMOOR_FIRMOORD_DAEMON_H_
+
+#include <QFile>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/supervisor.h"
+#include "config/settings.h"
+#include "config_service.h"
+#include "drain.h"
+#include "fleet.h"
+#include "http/http_server.h"
+#include "metrics/service_metrics.h"
+#include "observe_endpoint.h"
+#include "operator_endpoint.h"
+#include "platform/http_object_store.h"
+#include "platform/vm_list.h"
+#include "serving/claim_store.h"
+#include "serving/dispatcher.h"
+
+namespace firmoor {
+
+/// One daemon: builds the parts and starts them under a supervisor tree.
+class Daemon {
+ public:
+  Daemon(const Settings& settings, std::function<void()> on_stopped);
+  ~Daemon();
+
+  bool Start();
+  /// Starts the graceful stop; a second call hurries it.
+  void RequestStop();
+
+ private:
+  void BuildParts();
+  void BuildTree();
+  DispatcherEnvironment MakeEnvironment();
+  void ServeHandover(const QByteArray& message, const PeerNode::Reply& reply);
+  void ServeTail(const QByteArray& message, const PeerNode::Reply& reply);
+  void FindElsewhere(const std::string& id, std::size_t from,
+                     const std::function<void(const RequestTail&)>& done);
+  void AskForTail(const std::shared_ptr<std::vector<Member>>& candidates,
+                  const QByteArray& question,
+                  const std::function<void(const RequestTail&)>& done);
+  [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] QJsonObject Status() const;
+  [[nodiscard]] QJsonObject Report() const;
+  [[nodiscard]] std::string MetricsText() const;
+
+  Settings settings_;
+  std::string life_;
+  std::function<void()> on_stopped_;
+  ServiceMetrics metrics_;
+  HttpObjectStore store_;
+  std::unique_ptr<ClaimStore> claims_;
+  std::unique_ptr<Dispatcher> dispatcher_;
+  std::unique_ptr<ConfigService> config_;
+  std::unique_ptr<Fleet> fleet_;
+  std::unique_ptr<VmListFollower> vm_list_;
+  std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<OperatorEndpoint> operators_;
+  std::unique_ptr<ObserveEndpoint> observe_;
+  std::unique_ptr<Drain> drain_;
+  std::unique_ptr<QFile> trace_;
+  std::unique_ptr<Supervisor> platform_tree_;
+  std::unique_ptr<Supervisor> serving_tree_;
+  std::unique_ptr<Supervisor> root_;
+  bool vm_list_seen_ = false;
+  TimePoint started_at_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_FIRMOORD_DAEMON_H_
--- /dev/null
+++ b/apps/firmoord/src/drain.h
@@ -0,0 +1,60 @@
+#ifndef FIRMOOR_FIRMOORD_DRAIN_H_
+#define FIRMOOR_FIRMOORD_DRAIN_H_
+
+#include <QTimer>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "config/settings.h"
+#include "fleet.h"
+#include "http/http_server.h"
+#include "serving/claim_store.h"
+#include "serving/dispatcher.h"
+
+namespace firmoor {
+
+/// The graceful stop of a daemon: readiness fails, the listener closes, short
+/// work ends here and the rest is handed to a peer, the nearest first. A
+/// second request to stop, as when the reclaim comes earlier than announced,
+/// hands over at once.
+class Drain {
+ public:
+  struct Parts {
+    HttpServer* callers = nullptr;
+    Dispatcher* dispatcher = nullptr;
+    ClaimStore* claims = nullptr;
+    Fleet* fleet = nullptr;
+  };
+
+  Drain(const Settings& settings, Parts parts,
+        std::function<void()> on_finished);
+
+  /// Starts the stop; a second call hurries it.
+  void Start();
+  [[nodiscard]] bool IsDraining() const { return started_; }
+
+ private:
+  void CloseListener();
+  void Step();
+  void HandOver(bool with_callers);
+  void Offer(const std::shared_ptr<const RequestRecord>& record,
+             std::vector<Member> candidates);
+  void Finish();
+
+  Settings settings_;
+  Parts parts_;
+  std::function<void()> on_finished_;
+  QTimer timer_;
+  TimePoint end_;
+  TimePoint hand_over_at_;
+  bool started_ = false;
+  bool closed_ = false;
+  bool hurried_ = false;
+  bool finished_ = false;
+  int offers_ = 0;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_FIRMOORD_DRAIN_H_
--- /dev/null
+++ b/apps/firmoord/src/fleet.h
@@ -0,0 +1,81 @@
+#ifndef FIRMOOR_FIRMOORD_FLEET_H_
+#define FIRMOOR_FIRMOORD_FLEET_H_
+
+#include <QTimer>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "peer/membership.h"
+#include "peer/peer_node.h"
+
+namespace firmoor {
+
+/// The other daemons: carries out what `Membership` decides, over
+/// `PeerNode`, and spreads configuration versions and leaving upstreams with
+/// the probes.
+class Fleet {
+ public:
+  struct Hooks {
+    std::function<std::int64_t()> config_version;
+    std::function<void(const Member& peer, std::int64_t version)>
+        on_version_seen;
+    std::function<std::vector<std::string>()> leaving;
+    std::function<void(const std::vector<std::string>&)> on_leaving;
+  };
+  using Serve = std::function<void(const QByteArray&, PeerNode::Reply)>;
+
+  Fleet(const Settings& settings, std::string life, Hooks hooks);
+
+  /// Serves calls of one kind. Set before `Start`.
+  void SetHandler(const std::string& kind, Serve serve);
+
+  bool Start();
+  void Stop();
+  /// Tells some members that this daemon leaves.
+  void Leave();
+
+  void Call(const Member& member, const std::string& kind,
+            const QByteArray& message, Duration timeout, PeerNode::Done done);
+
+  /// Live members, those of the own zone first, then the own region's, each
+  /// group in rendezvous order for `key`.
+  [[nodiscard]] std::vector<Member> NearestFor(const std::string& key) const;
+
+  [[nodiscard]] const Membership& membership() const { return membership_; }
+  /// Whether the daemon with this life is live as far as is known.
+  [[nodiscard]] bool IsLive(const std::string& life) const;
+  /// Whether every seed was asked at least once since the start.
+  [[nodiscard]] bool HasAskedSeeds() const { return seeds_asked_; }
+  [[nodiscard]] PeerNode::Traffic traffic() const { return node_->traffic(); }
+
+ private:
+  void Serve_(const std::string& kind, const QByteArray& message,
+              const PeerNode::Reply& reply);
+  QByteArray MakeProbe();
+  void TakeProbe(const QByteArray& message);
+  void Tick();
+  void Probe(const Membership::Probe& probe);
+  void ProbeDirectly(const Member& target,
+                     const std::function<void(bool acked)>& done);
+  void ServeProbeVia(const QByteArray& message, const PeerNode::Reply& reply);
+  void JoinSeeds();
+
+  Settings settings_;
+  Hooks hooks_;
+  Membership membership_;
+  std::unique_ptr<PeerNode> node_;
+  std::map<std::string, Serve> handlers_;
+  QTimer tick_timer_;
+  QTimer join_timer_;
+  std::size_t seed_answers_ = 0;
+  bool seeds_asked_ = false;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_FIRMOORD_FLEET_H_
--- /dev/null
+++ b/apps/firmoord/src/main.cc
@@ -0,0 +1,93 @@
+#include <signal.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <QCoreApplication>
+#include <QSocketNotifier>
+#include <map>
+#include <string>
+
+#include "base/invariant.h"
+#include "base/log.h"
+#include "config/settings.h"
+#include "daemon.h"
+
+namespace firmoor {
+namespace {
+
+constexpr Logger kLog("firmoord");
+constexpr const char* kVersion = "firmoord 0.1.0";
+
+LogLevel LevelOf(const std::string& name) {
+  static const std::map<std::string, LogLevel> kLevels = {
+      {"debug", LogLevel::kDebug},
+      {"info", LogLevel::kInfo},
+      {"warn", LogLevel::kWarn},
+      {"error", LogLevel::kError}};
+  return kLevels.at(name);
+}
+
+/// Descriptor that becomes readable on SIGTERM and SIGINT.
+int StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
+}
+
+void DrainSignal(int descriptor) {
+  signalfd_siginfo info;
+  while (read(descriptor, &info, sizeof(info)) == sizeof(info)) {
+  }
+}
+
+int RunDaemon(const Settings& settings, int argc, char** argv) {
+  const QCoreApplication application(argc, argv);
+  const int descriptor = StopSignals();
+  Daemon daemon(settings, [] { QCoreApplication::quit(); });
+  QSocketNotifier notifier(descriptor, QSocketNotifier::Read);
+  QObject::connect(&notifier, &QSocketNotifier::activated, &notifier, [&] {
+    DrainSignal(descriptor);
+    daemon.RequestStop();
+  });
+  if (!daemon.Start()) return InfoOf(ResultCode::kInternal).exit_code;
+  const int code = QCoreApplication::exec();
+  close(descriptor);
+  return code;
+}
+
+int Main(int argc, char** argv) {
+  CLI::App app("Serves language models and plain services on reclaimable VMs.",
+               "firmoord");
+  std::string file;
+  bool check = false;
+  bool strict = false;
+  app.add_option("--settings", file, "TOML settings file")->required();
+  app.add_flag("--check", check, "Check the settings and end");
+  app.add_flag("--fatal-invariants", strict,
+               "End the process when an invariant is broken");
+  app.set_version_flag("--version", kVersion);
+  CLI11_PARSE(app, argc, argv);
+  const auto outcome = Capture([&] { return LoadSettings(file); });
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    kLog.Error("{}.", error->message);
+    return InfoOf(error->code).exit_code;
+  }
+  const auto& settings = std::get<Settings>(outcome);
+  if (check) {
+    fmt::print("{}: good\n", file);
+    return 0;
+  }
+  Logger::SetLevel(LevelOf(settings.log_level));
+  InvariantMonitor::SetFatal(strict);
+  return RunDaemon(settings, argc, argv);
+}
+
+}  // namespace
+}  // namespace firmoor
+
+/// Entry point of the daemon.
+int main(int argc, char** argv) { return firmoor::Main(argc, argv); }
--- a/libs/config/include/config/configuration.h
+++ b/libs/config/include/config/configuration.h
@@ -31,11 +31,12 @@
   std::string name;
   ServiceKind kind = ServiceKind::kPlain;
   std::vector<Operation> operations;
-  int priority = 0;                  ///< Of requests no operation names.
-  bool deduplicates_keys = false;    ///< The upstream drops repeated keys.
-  Duration deadline{30'000};         ///< Longest time of a request.
-  Duration first_token_target{400};  ///< At the 95th percentile.
-  Duration token_gap_target{27};     ///< At the 95th percentile.
+  int priority = 0;                ///< Of requests no operation names.
+  bool deduplicates_keys = false;  ///< The upstream drops repeated keys.
+  Duration deadline{30'000};       ///< Longest time of a request.
+  Duration stall_time{5'000};      ///< Longest silence of an idempotent answer.
+  Duration first_token_target{400};        ///< At the 95th percentile.
+  Duration token_gap_target{27};           ///< At the 95th percentile.
   std::int64_t upstream_concurrency = 16;  ///< Requests in one upstream.
   std::int64_t queue_limit = 256;          ///< Requests waiting here.
   double availability_objective = 0.999;   ///< Share of good answers.
--- a/libs/config/include/config/settings.h
+++ b/libs/config/include/config/settings.h
@@ -33,6 +33,7 @@
   bool allow_anonymous = false;       ///< Accepts operators without a token.
 
   Duration drain_time{20'000};     ///< Longest graceful stop.
+  Duration balancer_wait{1'000};   ///< From failing readiness to closing.
   Duration claim_wait{2'000};      ///< Longest wait for the claim store.
   Duration vm_list_period{1'000};  ///< Between two reads of the VM list.
   Duration probe_period{1'000};    ///< Between two membership probes.
--- a/libs/config/src/configuration.cc
+++ b/libs/config/src/configuration.cc
@@ -142,6 +142,7 @@
   reader.Number("priority", &service.priority, -100, 100);
   reader.Flag("deduplicates_keys", &service.deduplicates_keys);
   reader.Milliseconds("deadline_ms", &service.deadline);
+  reader.Milliseconds("stall_ms", &service.stall_time);
   reader.Milliseconds("first_token_target_ms", &service.first_token_target);
   reader.Milliseconds("token_gap_target_ms", &service.token_gap_target);
   reader.Number("upstream_concurrency", &service.upstream_concurrency, 1,
--- a/libs/config/src/settings.cc
+++ b/libs/config/src/settings.cc
@@ -158,6 +158,7 @@
 
 void ReadTimes(TableReader* reader, Settings* out) {
   reader->Milliseconds("drain_ms", &out->drain_time, 0);
+  reader->Milliseconds("balancer_wait_ms", &out->balancer_wait, 0);
   reader->Milliseconds("claim_wait_ms", &out->claim_wait, 1);
   reader->Milliseconds("vm_list_period_ms", &out->vm_list_period, 10);
   reader->Milliseconds("probe_period_ms", &out->probe_period, 10);
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -105,6 +105,10 @@
   /// Starts to listen; false when the endpoint cannot be had.
   bool Start();
 
+  /// Connections close with their next answer from now on, so that callers
+  /// move elsewhere; new ones are still accepted.
+  void StartClosing();
+
   /// Closes the listener and idle connections. Requests in work go on, and
   /// their connections close with the answer.
   void StopListening();
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -158,9 +158,11 @@
   return listening;
 }
 
+void HttpServer::StartClosing() { impl_->context->closing = true; }
+
 void HttpServer::StopListening() {
   impl_->listener.close();
-  impl_->context->closing = true;
+  StartClosing();
   std::vector<std::shared_ptr<details::ServerConnection>> open;
   for (const auto& [key, connection] : impl_->connections) {
     open.push_back(connection);
--- /dev/null
+++ b/libs/metrics/include/metrics/service_metrics.h
@@ -0,0 +1,56 @@
+#ifndef FIRMOOR_METRICS_SERVICE_METRICS_H_
+#define FIRMOOR_METRICS_SERVICE_METRICS_H_
+
+#include <QJsonObject>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/result_code.h"
+#include "base/time.h"
+
+namespace firmoor {
+
+/// One finished request.
+struct RequestSample {
+  std::string service;
+  std::string workspace;
+  ResultCode code = ResultCode::kOk;
+  std::optional<Duration> first_token;  ///< Or first byte; none on failure.
+  Duration total{0};
+  std::uint64_t tokens = 0;             ///< Generated.
+  std::uint64_t recomputed_tokens = 0;  ///< Sent to a prefill again.
+  int attempts = 0;
+  bool good = true;  ///< Counts for the objective as a good answer.
+};
+
+/// Latency histograms (Boost.Histogram), counters and good and bad answers
+/// over time, by service and workspace. Not thread-safe.
+class ServiceMetrics {
+ public:
+  ServiceMetrics();
+  ~ServiceMetrics();
+
+  void Record(const RequestSample& sample, TimePoint now);
+  void RecordTokenGap(const std::string& service, const std::string& workspace,
+                      Duration gap);
+
+  /// Everything in the Prometheus text format.
+  [[nodiscard]] std::string PrometheusText() const;
+
+  /// Everything as JSON, for reports; see `BurnReport`.
+  /// `objective` gives the availability objective of a service.
+  [[nodiscard]] QJsonObject ToJson(
+      const std::function<double(const std::string& service)>& objective,
+      TimePoint now) const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_METRICS_SERVICE_METRICS_H_
--- /dev/null
+++ b/libs/metrics/src/burn_report.cc
@@ -0,0 +1,193 @@
+#include "metrics/burn_report.h"
+
+#include <fmt/format.h>
+
+#include <QJsonArray>
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace firmoor {
+namespace {
+
+/// Sums of one service and workspace over all daemons.
+struct Sums {
+  double objective = 0;
+  std::map<std::string, double> numbers;
+  std::map<std::string, std::vector<double>> histograms;
+  double lowest_ms = 1;
+  double highest_ms = 1;
+};
+
+constexpr const char* kNumbers[] = {"good",      "bad",        "short_good",
+                                    "short_bad", "long_good",  "long_bad",
+                                    "tokens",    "recomputed", "attempts"};
+constexpr const char* kHistograms[] = {"first_token", "gap"};
+
+void Add(Sums* sums, const QJsonObject& row) {
+  sums->objective = row.value("objective").toDouble();
+  for (const char* name : kNumbers) {
+    sums->numbers[name] += row.value(QLatin1String(name)).toDouble();
+  }
+  for (const char* name : kHistograms) {
+    const auto counts = row.value(QLatin1String(name)).toArray();
+    auto& bins = sums->histograms[name];
+    bins.resize(std::max(bins.size(), std::size_t(counts.size())));
+    for (qsizetype i = 0; i < counts.size(); ++i) {
+      bins[std::size_t(i)] += counts.at(i).toDouble();
+    }
+  }
+}
+
+/// Upper edge of the bin that holds the quantile. The first and last bins are
+/// below and above the axis.
+double Quantile(const Sums& sums, const std::string& name, double quantile) {
+  const auto& bins = sums.histograms.at(name);
+  double total = 0;
+  for (const double count : bins) total += count;
+  if (total == 0 || bins.size() < 3) return 0;
+  const double edges = double(bins.size() - 2);
+  double seen = 0;
+  for (std::size_t i = 0; i < bins.size(); ++i) {
+    seen += bins[i];
+    if (seen < quantile * total) continue;
+    const double share = std::min(double(i), edges) / edges;
+    return sums.lowest_ms * std::pow(sums.highest_ms / sums.lowest_ms, share);
+  }
+  return sums.highest_ms;
+}
+
+double BurnRate(double good, double bad, double objective) {
+  const double total = good + bad;
+  if (total == 0) return 0;
+  return bad / total / (1 - objective);
+}
+
+BurnRow ToRow(const std::pair<std::string, std::string>& key,
+              const Sums& sums) {
+  const auto number = [&](const char* name) { return sums.numbers.at(name); };
+  const double requests = number("good") + number("bad");
+  BurnRow row;
+  row.service = key.first;
+  row.workspace = key.second;
+  row.objective = sums.objective;
+  row.requests = std::int64_t(requests);
+  row.bad = std::int64_t(number("bad"));
+  row.budget_spent = BurnRate(number("good"), number("bad"), sums.objective);
+  row.burn_short =
+      BurnRate(number("short_good"), number("short_bad"), sums.objective);
+  row.burn_long =
+      BurnRate(number("long_good"), number("long_bad"), sums.objective);
+  row.first_token_p50_ms = Quantile(sums, "first_token", 0.50);
+  row.first_token_p95_ms = Quantile(sums, "first_token", 0.95);
+  row.token_gap_p95_ms = Quantile(sums, "gap", 0.95);
+  row.tokens = std::int64_t(number("tokens"));
+  row.recomputed_tokens = std::int64_t(number("recomputed"));
+  row.attempts_per_request = requests > 0 ? number("attempts") / requests : 0;
+  return row;
+}
+
+std::string Escape(const std::string& text) {
+  return QString::fromStdString(text).toHtmlEscaped().toStdString();
+}
+
+}  // namespace
+
+std::vector<BurnRow> MergeBurn(const std::vector<QJsonObject>& metrics) {
+  std::map<std::pair<std::string, std::string>, Sums> all;
+  for (const auto& daemon : metrics) {
+    for (const auto& value : daemon.value("rows").toArray()) {
+      const auto row = value.toObject();
+      auto& sums = all[{row.value("service").toString().toStdString(),
+                        row.value("workspace").toString().toStdString()}];
+      sums.lowest_ms = daemon.value("lowest_ms").toDouble(1);
+      sums.highest_ms = daemon.value("highest_ms").toDouble(1);
+      Add(&sums, row);
+    }
+  }
+  std::vector<BurnRow> rows;
+  for (const auto& [key, sums] : all) rows.push_back(ToRow(key, sums));
+  return rows;
+}
+
+std::string BurnTable(const std::vector<BurnRow>& rows) {
+  std::string out = fmt::format(
+      "{:<16} {:<14} {:>9} {:>8} {:>6} {:>7} {:>7} {:>7} {:>8} {:>8} {:>7} "
+      "{:>9} {:>9}\n",
+      "SERVICE", "WORKSPACE", "OBJECTIVE", "REQUESTS", "BAD", "SPENT", "BURN5M",
+      "BURN1H", "FIRST50", "FIRST95", "GAP95", "TOKENS", "RECOMPUTED");
+  for (const auto& row : rows) {
+    out += fmt::format(
+        "{:<16} {:<14} {:>8.3f}% {:>8} {:>6} {:>6.0f}% {:>7.2f} {:>7.2f} "
+        "{:>6.0f}ms {:>6.0f}ms {:>5.0f}ms {:>9} {:>9}\n",
+        row.service, row.workspace, row.objective * 100, row.requests, row.bad,
+        row.budget_spent * 100, row.burn_short, row.burn_long,
+        row.first_token_p50_ms, row.first_token_p95_ms, row.token_gap_p95_ms,
+        row.tokens, row.recomputed_tokens);
+  }
+  return out;
+}
+
+std::string BurnPage(const std::vector<BurnRow>& rows,
+                     double cost_per_thousand_answers) {
+  constexpr double kBarWidth = 200;
+  std::string out =
+      "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
+      "<title>Service-level burn</title><style>"
+      "body{font-family:sans-serif;margin:2em}"
+      "table{border-collapse:collapse}"
+      "td,th{padding:.3em .8em;border-bottom:1px solid #ccc;"
+      "text-align:right}td:nth-child(-n+2),th:nth-child(-n+2){text-align:left}"
+      "</style></head><body><h1>Service-level burn</h1>\n<table><tr>"
+      "<th>Service</th><th>Workspace</th><th>Objective</th><th>Requests</th>"
+      "<th>Bad</th><th>Error budget spent</th><th>Burn, 5 min</th>"
+      "<th>Burn, 1 h</th><th>First token p95</th><th>Token gap p95</th>"
+      "<th>Tokens</th><th>Recomputed</th></tr>\n";
+  for (const auto& row : rows) {
+    const double width = std::min(1.0, row.budget_spent) * kBarWidth;
+    const char* color = row.budget_spent < 1 ? "#2a7" : "#c33";
+    out += fmt::format(
+        "<tr><td>{}</td><td>{}</td><td>{:.3f}%</td><td>{}</td><td>{}</td>"
+        "<td><svg width=\"{}\" height=\"12\"><rect width=\"{}\" height=\"12\" "
+        "fill=\"#ddd\"/><rect width=\"{:.0f}\" height=\"12\" fill=\"{}\"/>"
+        "</svg> {:.0f}%</td><td>{:.2f}</td><td>{:.2f}</td><td>{:.0f} ms</td>"
+        "<td>{:.0f} ms</td><td>{}</td><td>{}</td></tr>\n",
+        Escape(row.service), Escape(row.workspace), row.objective * 100,
+        row.requests, row.bad, kBarWidth, kBarWidth, width, color,
+        row.budget_spent * 100, row.burn_short, row.burn_long,
+        row.first_token_p95_ms, row.token_gap_p95_ms, row.tokens,
+        row.recomputed_tokens);
+  }
+  out += "</table>\n";
+  if (cost_per_thousand_answers > 0) {
+    out += fmt::format("<p>Cost per 1,000 answers: {:.4f}</p>\n",
+                       cost_per_thousand_answers);
+  }
+  return out + "</body></html>\n";
+}
+
+QJsonObject BurnJson(const std::vector<BurnRow>& rows) {
+  QJsonArray array;
+  for (const auto& row : rows) {
+    array.append(QJsonObject{
+        {"service", QString::fromStdString(row.service)},
+        {"workspace", QString::fromStdString(row.workspace)},
+        {"objective", row.objective},
+        {"requests", qint64(row.requests)},
+        {"bad", qint64(row.bad)},
+        {"budget_spent", row.budget_spent},
+        {"burn_5m", row.burn_short},
+        {"burn_1h", row.burn_long},
+        {"first_token_p50_ms", row.first_token_p50_ms},
+        {"first_token_p95_ms", row.first_token_p95_ms},
+        {"token_gap_p95_ms", row.token_gap_p95_ms},
+        {"tokens", qint64(row.tokens)},
+        {"recomputed_tokens", qint64(row.recomputed_tokens)},
+        {"attempts_per_request", row.attempts_per_request},
+    });
+  }
+  return {{"rows", array}};
+}
+
+}  // namespace firmoor
--- a/libs/peer/include/peer/membership.h
+++ b/libs/peer/include/peer/membership.h
@@ -25,6 +25,7 @@
   Endpoint callers;               ///< Where it listens for callers.
   std::uint64_t incarnation = 0;  ///< Raised by the daemon itself only.
   MemberState state = MemberState::kAlive;
+  std::string life;  ///< Unique for each start of the daemon.
 
   bool operator==(const Member&) const = default;
 };
--- a/libs/peer/src/membership.cc
+++ b/libs/peer/src/membership.cc
@@ -18,7 +18,7 @@
 // Gone members are remembered this long, so that late gossip about them is
 // recognised as old.
 constexpr Duration kForgetAfter{120'000};
-constexpr qsizetype kMemberFields = 7;
+constexpr qsizetype kMemberFields = 8;
 
 QCborArray EncodeMember(const Member& member) {
   return {QString::fromStdString(member.name),
@@ -27,7 +27,8 @@
           QString::fromStdString(member.peers.ToString()),
           QString::fromStdString(member.callers.ToString()),
           qint64(member.incarnation),
-          static_cast<int>(member.state)};
+          static_cast<int>(member.state),
+          QString::fromStdString(member.life)};
 }
 
 Member DecodeMember(const QCborArray& array) {
@@ -41,7 +42,8 @@
           Endpoint::Parse(text(4)),
           std::uint64_t(array.at(5).toInteger()),
           static_cast<MemberState>(std::clamp<qint64>(
-              array.at(6).toInteger(), 0, qint64(MemberState::kLeft)))};
+              array.at(6).toInteger(), 0, qint64(MemberState::kLeft))),
+          text(7)};
 }
 
 bool IsGone(MemberState state) {
--- a/libs/peer/tests/membership_test.cc
+++ b/libs/peer/tests/membership_test.cc
@@ -20,7 +20,7 @@
 
   explicit Fleet(std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
-      Member self{Name(i), "zone", "region", {"127.0.0.1", 1}, {}, 1, {}};
+      Member self{Name(i), "zone", "region", {"127.0.0.1", 1}, {}, 1, {}, {}};
       nodes.push_back(std::make_unique<Membership>(self, MembershipTiming{},
                                                    std::uint64_t(i)));
     }
@@ -112,7 +112,8 @@
   SUBCASE("takes back a daemon that restarts under its name") {
     fleet.down.insert(1);
     fleet.Run(15);
-    Member self{Fleet::Name(1), "zone", "region", {"127.0.0.1", 2}, {}, 0, {}};
+    Member self{
+        Fleet::Name(1), "zone", "region", {"127.0.0.1", 2}, {}, 0, {}, {}};
     fleet.nodes[1] = std::make_unique<Membership>(self, MembershipTiming{}, 9);
     fleet.down.clear();
     fleet.Join(1);
--- /dev/null
+++ b/libs/serving/include/serving/error_answer.h
@@ -0,0 +1,36 @@
+#ifndef FIRMOOR_SERVING_ERROR_ANSWER_H_
+#define FIRMOOR_SERVING_ERROR_ANSWER_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "http/message.h"
+#include "serving/attempt_policy.h"
+
+namespace firmoor {
+
+/// A failure as a caller gets it.
+struct Failure {
+  Error error;
+  RequestOutcome outcome = RequestOutcome::kNotRun;
+  std::optional<Duration> retry_after;
+
+  bool operator==(const Failure&) const = default;
+};
+
+/// JSON object of a failure, as in answers and in error events of streams.
+std::string FailureJson(const Failure& failure, std::string_view request_id);
+
+/// The whole answer: status and body of the result code, the outcome, and
+/// `Retry-After` in whole seconds, rounded up.
+HttpAnswer MakeErrorAnswer(const Failure& failure, std::string_view request_id);
+
+/// The answer to input that is no valid request.
+HttpAnswer MakeInputErrorAnswer(int status);
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_SERVING_ERROR_ANSWER_H_
--- /dev/null
+++ b/libs/serving/src/details/job.h
@@ -0,0 +1,151 @@
+#ifndef FIRMOOR_SERVING_DETAILS_JOB_H_
+#define FIRMOOR_SERVING_DETAILS_JOB_H_
+
+#include <QTimer>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "details/service_runtime.h"
+#include "details/serving_context.h"
+#include "serving/error_answer.h"
+#include "serving/model_request.h"
+#include "serving/sse_parser.h"
+
+namespace firmoor::details {
+
+/// A checked request, ready to be admitted.
+struct JobSpec {
+  std::uint64_t number = 0;  ///< Unique inside this process.
+  std::string id;            ///< Unique everywhere.
+  Workspace workspace;
+  OperationTraits traits;
+  HttpRequest request;  ///< As the caller sent it.
+  std::string upstream_target;
+  std::optional<ModelRequest> model;
+  std::optional<Claim> claim;  ///< When the request has a key to claim.
+  bool async = false;
+  TimePoint accepted_at;
+  TimePoint deadline;
+};
+
+/// One accepted request on its way to its final answer. Owns the attempt in
+/// flight; callers wait at it.
+class Job : public std::enable_shared_from_this<Job> {
+ public:
+  Job(JobSpec spec, ServiceRuntime* runtime, ServingContext* context);
+  ~Job();
+
+  /// The request that admission decides on.
+  [[nodiscard]] AdmissionRequest AskAdmission() const;
+
+  /// Admission lets the job run.
+  void Run();
+  /// Admission refuses it.
+  void Refuse(const Refusal& refusal);
+  /// Gives up when the deadline has passed.
+  void CheckDeadline(TimePoint now);
+
+  /// Adds a caller. Streaming callers get the tokens from `from` on.
+  void Attach(std::shared_ptr<HttpResponder> responder, bool stream,
+              std::size_t from);
+
+  /// Prepares the hand-over to another daemon: stops the attempt. Nothing
+  /// when the request was sent and may not be sent again.
+  std::optional<RequestRecord> Detach();
+  /// No other daemon took it: it goes back to admission here.
+  void TakeBack();
+  /// Tells the callers where the request goes on. Not `certain`: the other
+  /// daemon may have taken it.
+  void Moved(bool certain);
+  /// Continues what another daemon began.
+  void Restore(const RequestRecord& record);
+
+  [[nodiscard]] const JobSpec& spec() const { return spec_; }
+  [[nodiscard]] bool IsDone() const { return phase_ == Phase::kDone; }
+  [[nodiscard]] bool WasDetached() const { return phase_ == Phase::kMoved; }
+  [[nodiscard]] bool IsRunning() const {
+    return phase_ == Phase::kClaiming || phase_ == Phase::kSending;
+  }
+  [[nodiscard]] bool WasSent() const { return phase_ == Phase::kSending; }
+  [[nodiscard]] TimePoint ended_at() const { return ended_at_; }
+  [[nodiscard]] RequestTail Tail(std::size_t from) const;
+
+ private:
+  enum class Phase { kQueued, kClaiming, kSending, kDone, kMoved };
+  struct Waiter {
+    std::shared_ptr<HttpResponder> responder;
+    bool stream = false;
+    bool started = false;
+    std::size_t next = 0;  ///< Index of the next token to send.
+  };
+
+  void AskClaim();
+  void OnClaim(const ClaimBatcher::Decided& decided);
+  void OnClaimHeld(const Claim& holder);
+  void Send();
+  void SendPlain(const Vm& vm);
+  void SendModel(const Vm& vm);
+  HttpRequest UpstreamRequest() const;
+  HttpCallTimes Times() const;
+  void OnModelHead(int status, const HttpHeaders& headers);
+  void OnModelBody(std::string_view bytes);
+  void OnToken(std::string text);
+  void OnFirstByte();
+  void OnAttemptEnd(HttpCallEnd end);
+  void EndAttempt(const AttemptEnd& end);
+  AttemptVerdict DecideWithBudget(const AttemptEnd& end);
+  AttemptContext ContextFor(bool retry_allowed) const;
+  void TryAgain(bool resume);
+  void StopAttempt();
+  void Feed(Waiter* waiter);
+  void FeedAll();
+  void PauseForSlowCallers();
+  void Fail(ResultCode code, RequestOutcome outcome,
+            std::optional<Duration> retry_after = std::nullopt,
+            std::string message = "");
+  void Finish(HttpAnswer answer, ResultCode code, RequestOutcome outcome);
+  void FinishWaiter(Waiter* waiter);
+  void RecordClaim(RequestOutcome outcome);
+  void RecordMetrics(ResultCode code);
+  void OnCallerLeft();
+  void Trace(const char* event, const QJsonObject& details) const;
+  Duration TimeLeft() const;
+
+  JobSpec spec_;
+  ServiceRuntime* runtime_;
+  ServingContext* context_;
+  RouteRequest route_;
+  Phase phase_ = Phase::kQueued;
+  std::vector<Waiter> waiters_;
+  QTimer timer_;
+  bool claim_held_ = false;
+  TimePoint claim_waits_until_;
+
+  std::unique_ptr<HttpCall> call_;
+  std::string upstream_;
+  Router::Distance distance_ = Router::Distance::kZone;
+  TimePoint sent_at_;
+  int attempts_ = 0;
+  bool first_byte_seen_ = false;
+  bool paused_ = false;
+  bool earlier_unknown_ = false;
+  HttpAnswer plain_answer_;
+  AttemptEnd attempt_;
+  SseParser sse_;
+
+  std::vector<std::string> tokens_;
+  std::string kv_source_;
+  std::uint64_t recomputed_tokens_ = 0;
+  std::optional<Duration> first_token_;
+  TimePoint last_token_at_;
+  HttpAnswer answer_;
+  std::string failure_event_;
+  TimePoint ended_at_;
+};
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_SERVING_DETAILS_JOB_H_
--- /dev/null
+++ b/libs/serving/src/details/remote_follower.h
@@ -0,0 +1,46 @@
+#ifndef FIRMOOR_SERVING_DETAILS_REMOTE_FOLLOWER_H_
+#define FIRMOOR_SERVING_DETAILS_REMOTE_FOLLOWER_H_
+
+#include <QTimer>
+#include <memory>
+#include <string>
+
+#include "http/http_server.h"
+#include "serving/dispatcher.h"
+
+namespace firmoor::details {
+
+/// Answers a question for a request that another daemon holds: once when the
+/// caller wants its state, until the end when it wants the stream.
+class RemoteFollower : public std::enable_shared_from_this<RemoteFollower> {
+ public:
+  struct Question {
+    std::string id;
+    std::string workspace;  ///< Of the asking caller.
+    bool stream = false;
+    std::size_t from = 0;
+  };
+
+  RemoteFollower(Question question, std::shared_ptr<HttpResponder> responder,
+                 const DispatcherEnvironment* environment);
+
+  void Ask();
+
+ private:
+  void Take(const RequestTail& tail);
+  void TakeStream(const RequestTail& tail);
+  void NotFound();
+
+  Question question_;
+  std::shared_ptr<HttpResponder> responder_;
+  const DispatcherEnvironment* environment_;
+  bool started_ = false;
+  int misses_ = 0;
+};
+
+/// The answer while a request is in work.
+HttpAnswer MakeRunningAnswer(const std::string& id, int status);
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_SERVING_DETAILS_REMOTE_FOLLOWER_H_
--- /dev/null
+++ b/libs/serving/src/details/service_runtime.h
@@ -0,0 +1,40 @@
+#ifndef FIRMOOR_SERVING_DETAILS_SERVICE_RUNTIME_H_
+#define FIRMOOR_SERVING_DETAILS_SERVICE_RUNTIME_H_
+
+#include <memory>
+#include <string_view>
+
+#include "config/configuration.h"
+#include "serving/admission.h"
+#include "serving/retry_budget.h"
+#include "serving/router.h"
+
+namespace firmoor::details {
+
+/// Retries per fresh request, and the most that quiet times save.
+constexpr double kRetryShare = 0.2;
+constexpr double kRetryReserve = 50;
+
+/// The decision modules of one service at one daemon.
+struct ServiceRuntime {
+  ServiceRuntime(const Service& config, std::string_view strategy)
+      : service(config),
+        router(MakeRoutingStrategy(strategy)),
+        admission(0, config.queue_limit),
+        retries(kRetryShare, kRetryReserve) {}
+
+  void Update(const Service& config) {
+    service = config;
+    router.SetConcurrency(config.upstream_concurrency);
+    admission.SetQueueLimit(config.queue_limit);
+  }
+
+  Service service;
+  Router router;
+  Admission admission;
+  RetryBudget retries;
+};
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_SERVING_DETAILS_SERVICE_RUNTIME_H_
--- /dev/null
+++ b/libs/serving/src/details/upstream_poller.h
@@ -0,0 +1,59 @@
+#ifndef FIRMOOR_SERVING_DETAILS_UPSTREAM_POLLER_H_
+#define FIRMOOR_SERVING_DETAILS_UPSTREAM_POLLER_H_
+
+#include <QTimer>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/http_call.h"
+#include "platform/vm_list.h"
+#include "serving/router.h"
+
+namespace firmoor::details {
+
+/// Reads load and cache events of the upstreams that this daemon uses.
+class UpstreamPoller {
+ public:
+  /// What a read found.
+  struct Hooks {
+    std::function<void(const Vm&, const ReplicaLoad&)> on_load;
+    std::function<void(const Vm&)> on_unreachable;
+    std::function<void(const Vm&)> on_leaving;
+    std::function<void(const Vm&, const std::vector<std::uint64_t>& stored,
+                       const std::vector<std::uint64_t>& removed)>
+        on_cache;
+  };
+
+  UpstreamPoller(Duration period, Hooks hooks);
+
+  void Watch(const Vm& vm, bool has_cache);
+  void Forget(const std::string& id);
+  [[nodiscard]] std::size_t size() const { return watched_.size(); }
+
+ private:
+  struct Watched {
+    Vm vm;
+    bool has_cache = false;
+    std::int64_t cache_seen = 0;
+    bool cache_turn = false;
+    std::unique_ptr<HttpCall> call;
+  };
+
+  void Poll();
+  void Ask(Watched* watched);
+  void TakeLoad(const std::string& id, const HttpFetchResult& result);
+  void TakeCache(const std::string& id, const HttpFetchResult& result);
+
+  Hooks hooks_;
+  QTimer timer_;
+  HttpConnectionPool pool_;
+  std::map<std::string, Watched> watched_;
+};
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_SERVING_DETAILS_UPSTREAM_POLLER_H_
--- /dev/null
+++ b/libs/serving/src/dispatcher.cc
@@ -0,0 +1,477 @@
+#include "serving/dispatcher.h"
+
+#include <fmt/format.h>
+
+#include <QJsonArray>
+#include <QTimer>
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/invariant.h"
+#include "base/log.h"
+#include "base/random_id.h"
+#include "details/job.h"
+#include "details/remote_follower.h"
+#include "details/request_intake.h"
+#include "details/service_runtime.h"
+#include "details/serving_context.h"
+#include "details/upstream_poller.h"
+
+namespace firmoor {
+namespace {
+
+using details::Job;
+using details::ServiceRuntime;
+using JobPtr = std::shared_ptr<Job>;
+
+constexpr Logger kLog("serving");
+constexpr int kTickMs = 20;
+constexpr int kAccepted = 202;
+constexpr Duration kKeepAnswers{600'000};
+constexpr std::size_t kMaxKeptAnswers = 10'000;
+constexpr Duration kDrainRetryAfter{1'000};
+constexpr Duration kNotReadyRetryAfter{1'000};
+constexpr std::string_view kRequestsPrefix = "/v1/requests/";
+
+Router::Distance DistanceOf(const DispatcherEnvironment& from, const Vm& to) {
+  if (to.availability_zone == from.availability_zone) {
+    return Router::Distance::kZone;
+  }
+  return to.region == from.region ? Router::Distance::kRegion
+                                  : Router::Distance::kRemote;
+}
+
+void SendFailure(HttpResponder* responder, const Error& error,
+                 std::optional<Duration> retry_after = std::nullopt) {
+  responder->Send(
+      MakeErrorAnswer({error, RequestOutcome::kNotRun, retry_after}, ""));
+}
+
+}  // namespace
+
+RequestHome HomeOf(const std::string& request_id) {
+  const auto zone_end = request_id.find('~');
+  const auto daemon_end = request_id.rfind('~');
+  if (zone_end == std::string::npos || zone_end == daemon_end) return {};
+  return {request_id.substr(0, zone_end),
+          request_id.substr(zone_end + 1, daemon_end - zone_end - 1)};
+}
+
+struct Dispatcher::Impl {
+  explicit Impl(DispatcherEnvironment environment)
+      : context(std::move(environment)),
+        poller(context.environment.load_period, PollerHooks()) {
+    context.on_ended = [this](Job* job) { OnEnded(job); };
+    context.is_owner_live = [this](const Claim& claim) {
+      return IsOwnerLive(claim);
+    };
+    timer.setInterval(kTickMs);
+    QObject::connect(&timer, &QTimer::timeout, &timer, [this] { Tick(); });
+    timer.start();
+  }
+
+  details::UpstreamPoller::Hooks PollerHooks();
+  ServiceRuntime* RuntimeOf(const std::string& service);
+  void AddReplica(const Vm& vm);
+  void DropReplica(const std::string& id);
+  bool InSubset(const Vm& vm) const;
+  void MarkLeaving(const std::string& id);
+
+  void Accept(const HttpRequest& request,
+              const std::shared_ptr<HttpResponder>& responder);
+  void AnswerQuestion(const HttpRequest& request,
+                      const std::shared_ptr<HttpResponder>& responder,
+                      const Workspace& workspace);
+  void Submit(const JobPtr& job, ServiceRuntime* runtime);
+  void Advance(ServiceRuntime* runtime);
+  void Tick();
+  void DropOldAnswers(TimePoint now);
+  void OnEnded(Job* job);
+  bool IsOwnerLive(const Claim& claim) const;
+  details::JobSpec NewSpec(const Workspace& workspace) const;
+
+  details::ServingContext context;
+  Configuration configuration;
+  std::map<std::string, std::unique_ptr<ServiceRuntime>> runtimes;
+  std::map<std::string, JobPtr> jobs;  ///< By id; ended ones that are kept too.
+  std::unordered_map<std::uint64_t, JobPtr> by_number;  ///< Without an end.
+  std::unordered_map<std::uint64_t, ServiceRuntime*> runtime_of;
+  mutable std::uint64_t next_number = 1;
+  bool draining = false;
+  details::UpstreamPoller poller;
+  QTimer timer;
+};
+
+details::UpstreamPoller::Hooks Dispatcher::Impl::PollerHooks() {
+  details::UpstreamPoller::Hooks hooks;
+  hooks.on_load = [this](const Vm& vm, const ReplicaLoad& load) {
+    auto* runtime = RuntimeOf(vm.service);
+    if (runtime == nullptr) return;
+    runtime->router.OnLoad(vm.id, load, MonotonicNow());
+    runtime->router.OnSuccess(vm.id);
+  };
+  hooks.on_unreachable = [this](const Vm& vm) {
+    if (auto* runtime = RuntimeOf(vm.service)) {
+      runtime->router.OnFailure(vm.id, MonotonicNow());
+    }
+  };
+  hooks.on_leaving = [this](const Vm& vm) { MarkLeaving(vm.id); };
+  hooks.on_cache = [this](const Vm& vm, const auto& stored,
+                          const auto& removed) {
+    if (auto* runtime = RuntimeOf(vm.service)) {
+      runtime->router.OnCacheStored(vm.id, stored);
+      runtime->router.OnCacheRemoved(vm.id, removed);
+    }
+  };
+  return hooks;
+}
+
+ServiceRuntime* Dispatcher::Impl::RuntimeOf(const std::string& service) {
+  const auto found = runtimes.find(service);
+  return found == runtimes.end() ? nullptr : found->second.get();
+}
+
+bool Dispatcher::Impl::InSubset(const Vm& vm) const {
+  std::vector<std::string> same;
+  const auto distance = DistanceOf(context.environment, vm);
+  for (const auto& [id, other] : context.upstreams.all()) {
+    if (other.service == vm.service &&
+        DistanceOf(context.environment, other) == distance) {
+      same.push_back(id);
+    }
+  }
+  const auto limit = context.environment.upstreams_per_service;
+  if (same.size() <= limit) return true;
+  const auto order =
+      RendezvousOrder(context.environment.daemon, std::move(same));
+  const auto end = order.begin() + std::ptrdiff_t(limit);
+  return std::find(order.begin(), end, vm.id) != end;
+}
+
+void Dispatcher::Impl::AddReplica(const Vm& vm) {
+  auto* runtime = RuntimeOf(vm.service);
+  if (runtime == nullptr || !InSubset(vm)) return;
+  runtime->router.AddReplica(vm.id, DistanceOf(context.environment, vm),
+                             runtime->service.upstream_concurrency);
+  if (context.upstreams.IsLeaving(vm.id)) runtime->router.SetLeaving(vm.id);
+  poller.Watch(vm, runtime->service.kind == ServiceKind::kModel);
+}
+
+void Dispatcher::Impl::DropReplica(const std::string& id) {
+  for (auto& [name, runtime] : runtimes) runtime->router.RemoveReplica(id);
+  poller.Forget(id);
+}
+
+void Dispatcher::Impl::MarkLeaving(const std::string& id) {
+  if (!context.upstreams.MarkLeaving(id, MonotonicNow())) return;
+  kLog.Info("Upstream {} is leaving.", id);
+  for (auto& [name, runtime] : runtimes) runtime->router.SetLeaving(id);
+  if (context.environment.on_leaving) context.environment.on_leaving(id);
+}
+
+details::JobSpec Dispatcher::Impl::NewSpec(const Workspace& workspace) const {
+  details::JobSpec spec;
+  spec.number = next_number++;
+  spec.id = fmt::format("{}~{}~{}", context.environment.availability_zone,
+                        context.environment.daemon, NewRandomId());
+  spec.workspace = workspace;
+  spec.accepted_at = MonotonicNow();
+  return spec;
+}
+
+void Dispatcher::Impl::Accept(const HttpRequest& request,
+                              const std::shared_ptr<HttpResponder>& responder) {
+  if (configuration.version() == 0) {
+    return SendFailure(responder.get(), {ResultCode::kNotReady, ""},
+                       kNotReadyRetryAfter);
+  }
+  const auto* workspace =
+      configuration.FindWorkspace(details::BearerToken(request));
+  if (workspace == nullptr) {
+    return SendFailure(responder.get(), {ResultCode::kUnauthorized, ""});
+  }
+  if (request.Path().starts_with(kRequestsPrefix)) {
+    return AnswerQuestion(request, responder, *workspace);
+  }
+  if (draining) {
+    return SendFailure(responder.get(), {ResultCode::kDraining, ""},
+                       kDrainRetryAfter);
+  }
+  auto checked = Capture([&] {
+    return details::CheckRequest(configuration, request, NewSpec(*workspace));
+  });
+  if (const auto* error = std::get_if<Error>(&checked)) {
+    return SendFailure(responder.get(), *error);
+  }
+  auto& spec = std::get<details::JobSpec>(checked);
+  if (spec.claim) spec.claim->owner = context.environment.incarnation;
+  auto* runtime = RuntimeOf(*details::ServiceOf(spec));
+  FIRMOOR_PRECONDITION(runtime != nullptr, "a service has a runtime");
+  const bool stream = spec.model && spec.model->stream;
+  const bool async = spec.async;
+  const auto id = spec.id;
+  const auto job = std::make_shared<Job>(std::move(spec), runtime, &context);
+  runtime->retries.OnRequest();
+  if (!async) job->Attach(responder, stream, 0);
+  Submit(job, runtime);
+  if (!async) return;
+  // Refused at once: the caller gets the refusal and nothing was accepted.
+  if (job->IsDone()) return job->Attach(responder, false, 0);
+  responder->Send(details::MakeRunningAnswer(id, kAccepted));
+}
+
+void Dispatcher::Impl::Submit(const JobPtr& job, ServiceRuntime* runtime) {
+  const auto number = job->spec().number;
+  jobs[job->spec().id] = job;
+  by_number[number] = job;
+  runtime_of[number] = runtime;
+  runtime->admission.SetCapacity(runtime->router.Capacity(MonotonicNow()));
+  if (runtime->router.ReplicaCount() == 0) {
+    return job->Refuse({ResultCode::kNoUpstream, Duration(1'000)});
+  }
+  runtime->admission.Submit(job->AskAdmission(), MonotonicNow());
+  Advance(runtime);
+}
+
+void Dispatcher::Impl::Advance(ServiceRuntime* runtime) {
+  const auto now = MonotonicNow();
+  runtime->admission.SetCapacity(runtime->router.Capacity(now));
+  const auto changes = runtime->admission.TakeChanges(now);
+  for (const auto& [number, refusal] : changes.refused) {
+    const auto found = by_number.find(number);
+    if (found == by_number.end()) continue;
+    const auto job = found->second;
+    job->Refuse(refusal);
+  }
+  for (const auto number : changes.run) {
+    const auto found = by_number.find(number);
+    if (found == by_number.end()) {
+      runtime->admission.Finish(number, now);
+      continue;
+    }
+    const auto job = found->second;
+    job->Run();
+  }
+}
+
+void Dispatcher::Impl::OnEnded(Job* job) {
+  const auto number = job->spec().number;
+  const auto found = by_number.find(number);
+  if (found == by_number.end()) return;
+  const JobPtr keep = found->second;
+  auto* runtime = runtime_of.at(number);
+  by_number.erase(found);
+  runtime_of.erase(number);
+  runtime->admission.Finish(number, MonotonicNow());
+  if (!job->spec().async || job->WasDetached()) jobs.erase(job->spec().id);
+  // Queued: the job is on the call stack and others may start now.
+  QMetaObject::invokeMethod(
+      &context.event_loop, [this, keep, runtime] { Advance(runtime); },
+      Qt::QueuedConnection);
+}
+
+void Dispatcher::Impl::Tick() {
+  const auto now = MonotonicNow();
+  std::vector<JobPtr> open;
+  for (const auto& [number, job] : by_number) open.push_back(job);
+  for (const auto& job : open) job->CheckDeadline(now);
+  for (auto& [name, runtime] : runtimes) Advance(runtime.get());
+  DropOldAnswers(now);
+}
+
+void Dispatcher::Impl::DropOldAnswers(TimePoint now) {
+  std::erase_if(jobs, [now](const auto& entry) {
+    return entry.second->IsDone() &&
+           now - entry.second->ended_at() > kKeepAnswers;
+  });
+  while (jobs.size() > kMaxKeptAnswers + by_number.size()) {
+    const auto oldest = std::min_element(
+        jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
+          return a.second->ended_at() < b.second->ended_at();
+        });
+    jobs.erase(oldest);
+  }
+}
+
+bool Dispatcher::Impl::IsOwnerLive(const Claim& claim) const {
+  if (claim.owner != context.environment.incarnation) {
+    return context.environment.is_live(claim.owner);
+  }
+  const auto found = jobs.find(claim.attempt);
+  return found != jobs.end();
+}
+
+void Dispatcher::Impl::AnswerQuestion(
+    const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder,
+    const Workspace& workspace) {
+  details::RemoteFollower::Question question;
+  question.id = request.Path().substr(kRequestsPrefix.size());
+  question.workspace = workspace.name;
+  question.stream =
+      HeaderValue(request.headers, "Accept").find("event-stream") !=
+      std::string_view::npos;
+  const std::string last(HeaderValue(request.headers, "Last-Event-ID"));
+  question.from = std::size_t(std::max(0LL, std::atoll(last.c_str())));
+  const auto found = jobs.find(question.id);
+  const bool here = found != jobs.end() &&
+                    found->second->spec().workspace.name == workspace.name &&
+                    !found->second->WasDetached();
+  if (!here) {
+    std::make_shared<details::RemoteFollower>(question, responder,
+                                              &context.environment)
+        ->Ask();
+    return;
+  }
+  const auto job = found->second;
+  if (question.stream || job->IsDone()) {
+    return job->Attach(responder, question.stream, question.from);
+  }
+  responder->Send(details::MakeRunningAnswer(question.id, kAccepted));
+}
+
+Dispatcher::Dispatcher(DispatcherEnvironment environment)
+    : impl_(std::make_unique<Impl>(std::move(environment))) {}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::SetConfiguration(const Configuration& configuration) {
+  FIRMOOR_INVARIANT(configuration.version() >= impl_->configuration.version(),
+                    "the served configuration never goes back");
+  impl_->configuration = configuration;
+  for (const auto& [name, service] : configuration.services()) {
+    if (auto* runtime = impl_->RuntimeOf(name)) {
+      runtime->Update(service);
+      continue;
+    }
+    impl_->runtimes[name] = std::make_unique<ServiceRuntime>(
+        service, impl_->context.environment.routing_strategy);
+    for (const auto& [id, vm] : impl_->context.upstreams.all()) {
+      if (vm.service == name) impl_->AddReplica(vm);
+    }
+  }
+  // A removed service keeps its runtime while it has work in flight; new
+  // requests for it are refused by the configuration.
+}
+
+void Dispatcher::ApplyVms(const std::vector<Vm>& vms) {
+  const auto change = impl_->context.upstreams.ApplyList(vms, MonotonicNow());
+  for (const auto& vm : change.added) impl_->AddReplica(vm);
+  for (const auto& id : change.removed) impl_->DropReplica(id);
+  for (const auto& id : change.now_leaving) {
+    kLog.Info("Upstream {} is leaving.", id);
+    for (auto& [name, runtime] : impl_->runtimes) {
+      runtime->router.SetLeaving(id);
+    }
+    if (impl_->context.environment.on_leaving) {
+      impl_->context.environment.on_leaving(id);
+    }
+  }
+}
+
+void Dispatcher::MarkLeaving(const std::vector<std::string>& ids) {
+  for (const auto& id : ids) impl_->MarkLeaving(id);
+}
+
+std::vector<std::string> Dispatcher::Leaving() const {
+  return impl_->context.upstreams.Leaving();
+}
+
+void Dispatcher::Handle(HttpRequest request,
+                        std::shared_ptr<HttpResponder> responder) {
+  impl_->Accept(request, responder);
+}
+
+void Dispatcher::StartDrain() { impl_->draining = true; }
+
+std::size_t Dispatcher::InWork() const { return impl_->by_number.size(); }
+
+std::vector<RequestRecord> Dispatcher::TakeForHandover(bool with_callers) {
+  std::vector<RequestRecord> records;
+  for (const auto& [id, job] : impl_->jobs) {
+    if (!with_callers && !job->spec().async) continue;
+    if (auto record = job->Detach()) records.push_back(std::move(*record));
+  }
+  return records;
+}
+
+void Dispatcher::FinishHandover(const std::string& id, HandoverEnd end) {
+  const auto found = impl_->jobs.find(id);
+  if (found == impl_->jobs.end()) return;
+  const auto job = found->second;
+  if (job->IsDone()) {
+    if (end == HandoverEnd::kTaken) impl_->jobs.erase(found);
+    return;
+  }
+  const bool may_run_twice = !job->spec().traits.idempotent;
+  if (end == HandoverEnd::kTaken) return job->Moved(true);
+  if (end == HandoverEnd::kUnconfirmed && may_run_twice) {
+    return job->Moved(false);
+  }
+  const auto number = job->spec().number;
+  job->TakeBack();
+  auto* runtime = impl_->runtime_of.at(number);
+  runtime->admission.Finish(number, MonotonicNow());
+  impl_->Submit(job, runtime);
+}
+
+bool Dispatcher::Adopt(const RequestRecord& record) {
+  if (impl_->draining) return false;
+  if (impl_->jobs.contains(record.id)) return true;
+  const auto& workspaces = impl_->configuration.workspaces();
+  const auto workspace = workspaces.find(record.workspace);
+  if (workspace == workspaces.end()) return false;
+  auto spec = impl_->NewSpec(workspace->second);
+  spec.id = record.id;
+  auto checked = Capture([&] {
+    return details::CheckRequest(impl_->configuration, record.request,
+                                 std::move(spec));
+  });
+  if (std::holds_alternative<Error>(checked)) return false;
+  auto& adopted = std::get<details::JobSpec>(checked);
+  adopted.async = true;  // Its callers come back for the answer.
+  adopted.deadline = adopted.accepted_at + record.time_left;
+  if (adopted.claim) {
+    adopted.claim->owner = impl_->context.environment.incarnation;
+  }
+  auto* runtime = impl_->RuntimeOf(*details::ServiceOf(adopted));
+  const auto job =
+      std::make_shared<Job>(std::move(adopted), runtime, &impl_->context);
+  job->Restore(record);
+  if (job->IsDone()) {
+    impl_->jobs[record.id] = job;
+  } else {
+    impl_->Submit(job, runtime);
+  }
+  return true;
+}
+
+RequestTail Dispatcher::Tail(const std::string& id, std::size_t from) const {
+  const auto found = impl_->jobs.find(id);
+  if (found == impl_->jobs.end() || found->second->WasDetached()) return {};
+  return found->second->Tail(from);
+}
+
+QJsonObject Dispatcher::Status() const {
+  QJsonObject services;
+  const auto now = MonotonicNow();
+  for (const auto& [name, runtime] : impl_->runtimes) {
+    services[QString::fromStdString(name)] =
+        QJsonObject{{"replicas", qint64(runtime->router.ReplicaCount())},
+                    {"capacity", qint64(runtime->router.Capacity(now))},
+                    {"running", qint64(runtime->admission.running())},
+                    {"waiting", qint64(runtime->admission.waiting())},
+                    {"retry_budget", runtime->retries.available()}};
+  }
+  QJsonArray leaving;
+  for (const auto& id : Leaving()) leaving.append(QString::fromStdString(id));
+  return {{"services", services},
+          {"in_work", qint64(InWork())},
+          {"kept", qint64(impl_->jobs.size())},
+          {"leaving", leaving},
+          {"draining", impl_->draining}};
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/src/request_record.cc
@@ -0,0 +1,116 @@
+#include "serving/request_record.h"
+
+#include <QCborArray>
+#include <QCborValue>
+
+namespace firmoor {
+namespace {
+
+constexpr qsizetype kRecordFields = 12;
+constexpr qsizetype kTailFields = 5;
+
+QByteArray Bytes(const std::string& text) {
+  return QByteArray::fromStdString(text);
+}
+
+QCborArray EncodeStrings(const std::vector<std::string>& strings) {
+  QCborArray array;
+  for (const auto& text : strings) array.append(Bytes(text));
+  return array;
+}
+
+std::vector<std::string> DecodeStrings(const QCborArray& array) {
+  std::vector<std::string> strings;
+  for (const auto& item : array) {
+    strings.push_back(item.toByteArray().toStdString());
+  }
+  return strings;
+}
+
+QCborArray EncodeHeaders(const HttpHeaders& headers) {
+  QCborArray array;
+  for (const auto& header : headers) {
+    array.append(Bytes(header.name));
+    array.append(Bytes(header.value));
+  }
+  return array;
+}
+
+HttpHeaders DecodeHeaders(const QCborArray& array) {
+  HttpHeaders headers;
+  const auto strings = DecodeStrings(array);
+  for (std::size_t i = 0; i + 1 < strings.size(); i += 2) {
+    headers.push_back({strings[i], strings[i + 1]});
+  }
+  return headers;
+}
+
+QCborArray EncodeAnswer(const HttpAnswer& answer) {
+  return {answer.status, EncodeHeaders(answer.headers), Bytes(answer.body)};
+}
+
+HttpAnswer DecodeAnswer(const QCborArray& array) {
+  return {static_cast<int>(array.at(0).toInteger()),
+          DecodeHeaders(array.at(1).toArray()),
+          array.at(2).toByteArray().toStdString()};
+}
+
+std::string TextAt(const QCborArray& array, qsizetype i) {
+  return array.at(i).toByteArray().toStdString();
+}
+
+}  // namespace
+
+QByteArray RequestRecord::Encode() const {
+  const QCborArray array{Bytes(id),
+                         Bytes(workspace),
+                         Bytes(request.method),
+                         Bytes(request.target),
+                         EncodeHeaders(request.headers),
+                         Bytes(request.body),
+                         async,
+                         static_cast<int>(phase),
+                         EncodeStrings(tokens),
+                         qint64(time_left.count()),
+                         QCborArray{claim_held, earlier_unknown},
+                         EncodeAnswer(answer)};
+  return QCborValue(array).toCbor();
+}
+
+Result<RequestRecord> RequestRecord::Decode(const QByteArray& bytes) {
+  const auto array = QCborValue::fromCbor(bytes).toArray();
+  if (array.size() != kRecordFields) {
+    return Fail(ResultCode::kBadMessage, "a request record has no 12 fields");
+  }
+  RequestRecord record;
+  record.id = TextAt(array, 0);
+  record.workspace = TextAt(array, 1);
+  record.request = {TextAt(array, 2), TextAt(array, 3),
+                    DecodeHeaders(array.at(4).toArray()), TextAt(array, 5)};
+  record.async = array.at(6).toBool();
+  record.phase = static_cast<RequestPhase>(array.at(7).toInteger());
+  record.tokens = DecodeStrings(array.at(8).toArray());
+  record.time_left = Duration(array.at(9).toInteger());
+  record.claim_held = array.at(10).toArray().at(0).toBool();
+  record.earlier_unknown = array.at(10).toArray().at(1).toBool();
+  record.answer = DecodeAnswer(array.at(11).toArray());
+  return record;
+}
+
+QByteArray RequestTail::Encode() const {
+  const QCborArray array{found, Bytes(workspace), EncodeStrings(tokens), done,
+                         EncodeAnswer(answer)};
+  return QCborValue(array).toCbor();
+}
+
+Result<RequestTail> RequestTail::Decode(const QByteArray& bytes) {
+  const auto array = QCborValue::fromCbor(bytes).toArray();
+  if (array.size() != kTailFields) {
+    return Fail(ResultCode::kBadMessage, "a request tail has no 5 fields");
+  }
+  return RequestTail{array.at(0).toBool(), TextAt(array, 1),
+                     DecodeStrings(array.at(2).toArray()), array.at(3).toBool(),
+                     DecodeAnswer(array.at(4).toArray())};
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/tests/standins/engine_model.h
@@ -0,0 +1,99 @@
+#ifndef FIRMOOR_STANDINS_ENGINE_MODEL_H_
+#define FIRMOOR_STANDINS_ENGINE_MODEL_H_
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace firmoor {
+
+/// Speed and size of a model engine.
+struct EngineShape {
+  double prefill_tokens_per_s = 20'000;
+  double step_ms = 8;  ///< Of a decode step with one sequence.
+  double step_ms_per_sequence = 0.25;
+  std::size_t batch = 32;  ///< Sequences that decode together.
+  std::size_t prefill_tokens_per_step = 1'024;
+  std::size_t cache_chunks = 2'000;  ///< Prefix cache.
+};
+
+/// A sequence that an engine is asked to generate.
+struct EngineSequence {
+  std::uint64_t id = 0;
+  std::vector<std::uint64_t> chunks;  ///< Of the prompt.
+  std::size_t prompt_tokens = 0;
+  std::size_t emitted_tokens = 0;  ///< Before, elsewhere.
+  std::size_t max_tokens = 0;
+  int priority = 0;
+  bool kv_imported = false;  ///< The emitted tokens need no prefill.
+};
+
+/// Continuous batching with chunked prefill and a bounded prefix cache, in
+/// virtual time: each `Step` is one forward pass.
+class EngineModel {
+ public:
+  struct Event {
+    std::uint64_t id = 0;
+    std::size_t token = 0;  ///< Index of the token that was generated.
+    bool last = false;
+  };
+  struct CacheChange {
+    std::vector<std::uint64_t> stored;
+    std::vector<std::uint64_t> removed;
+  };
+  struct StepResult {
+    double ms = 0;  ///< Length of the step; 0 when there was no work.
+    std::vector<Event> events;
+  };
+
+  explicit EngineModel(EngineShape shape) : shape_(shape) {}
+
+  void Add(const EngineSequence& sequence);
+  void Cancel(std::uint64_t id);
+  StepResult Step();
+
+  [[nodiscard]] std::size_t running() const {
+    return active_.size() + waiting_.size();
+  }
+  [[nodiscard]] std::size_t queued_tokens() const;
+  [[nodiscard]] std::uint64_t prefilled_tokens() const { return prefilled_; }
+  /// Tokens prefilled whose chunk some engine that shares `computed` had
+  /// computed before, and emitted tokens prefilled again.
+  [[nodiscard]] std::uint64_t recomputed_tokens() const { return recomputed_; }
+  /// Shares the set of chunks ever computed with other engines.
+  void ShareComputed(std::unordered_set<std::uint64_t>* computed) {
+    computed_ = computed;
+  }
+  CacheChange TakeCacheChange();
+
+ private:
+  struct Active {
+    EngineSequence sequence;
+    std::size_t prefill_left = 0;
+    std::size_t next_token = 0;
+  };
+
+  void Admit();
+  void StoreChunks(const Active& active);
+  std::size_t CachedChunks(const EngineSequence& sequence);
+
+  EngineShape shape_;
+  std::deque<EngineSequence> waiting_;
+  std::vector<Active> active_;
+  std::list<std::uint64_t> cache_order_;
+  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> cache_;
+  std::unordered_set<std::uint64_t> own_computed_;
+  std::unordered_set<std::uint64_t>* computed_ = &own_computed_;
+  CacheChange change_;
+  std::uint64_t prefilled_ = 0;
+  std::uint64_t recomputed_ = 0;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_STANDINS_ENGINE_MODEL_H_
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -92,7 +92,8 @@
     const auto found = objects_.find(name);
     const bool stale = stale_reads_ > 0 && found != objects_.end();
     if (stale) --stale_reads_;
-    if (found == objects_.end() || (stale && found->second.version == 1)) {
+    const bool absent = found == objects_.end() || found->second.version == 0;
+    if (absent || (stale && found->second.version == 1)) {
       return responder.Send({404, {}, {}});
     }
     if (!stale) {
