Stop the generation of a caller that left

Cause: while a connection reported its caller gone it still called itself open, so the job kept the caller and the upstream stream went on. Ruled out: the upstream call not closing (a direct cancel closes it) and the poller. Before: upstream_test 'a caller that leaves' left the engine generating 5,000 tokens and the request in work (2 checks failed). After: both pass. Conclusion: a connection is open only until it is known to be closed.

--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -41,7 +41,9 @@
   void Write(std::string_view bytes);
   void FinishStream();
   void Abort();
-  [[nodiscard]] bool IsAnswering() const { return phase_ != Phase::kReading; }
+  [[nodiscard]] bool IsAnswering() const {
+    return !closed_ && phase_ != Phase::kReading;
+  }
   [[nodiscard]] std::size_t UnsentBytes() const;
   void SetCallerLeft(std::function<void()> handler);
   [[nodiscard]] std::string CallerAddress() const;
