Use ejected replicas when no other is left

Cause: one failure ejects a replica for 500 ms; when all replicas of a service were ejected, resumed generations failed with no-upstream although an engine was up, and new bookings waited in the queue until their deadline. Ruled out: the retry budget (it had 49 left) and the resume itself (it passes when a load read clears the ejection first). Before: upstream_test lost a whole answer after two drops, and a booking without any upstream was refused after 6,009 ms against a bound of 1,000 ms. Conclusion: ejection orders replicas, it must not empty a service; with no replica at all a request is refused at once with Retry-After.

--- a/libs/serving/include/serving/admission.h
+++ b/libs/serving/include/serving/admission.h
@@ -72,7 +72,7 @@
 
   [[nodiscard]] std::int64_t waiting() const { return waiting_; }
   [[nodiscard]] std::int64_t running() const {
-    return std::int64_t(running_.size());
+    return static_cast<std::int64_t>(running_.size());
   }
 
   /// Time until a new request of `priority` would start, from the measured
--- a/libs/serving/include/serving/router.h
+++ b/libs/serving/include/serving/router.h
@@ -92,8 +92,7 @@
   std::optional<Choice> Pick(const RouteRequest& request, TimePoint now);
 
   /// The request was sent to the replica.
-  void OnDispatch(const std::string& id, const RouteRequest& request,
-                  TimePoint now);
+  void OnDispatch(const std::string& id, const RouteRequest& request);
   /// The first token, or the head of a plain answer, arrived.
   void OnFirstToken(const std::string& id, const RouteRequest& request,
                     Duration after, Duration target, TimePoint now);
@@ -133,14 +132,19 @@
     TimePoint ejected_until;
   };
 
-  [[nodiscard]] bool IsUsable(const Replica& replica, TimePoint now) const;
+  /// Replicas that are ejected are used when no other one is left, since a
+  /// wrong guess about them must not stop the whole service.
+  [[nodiscard]] bool IsUsable(const Replica& replica, TimePoint now,
+                              bool with_ejected) const;
+  [[nodiscard]] bool AllEjected(TimePoint now) const;
   [[nodiscard]] ReplicaView ViewOf(const std::string& id,
                                    const Replica& replica,
                                    const RouteRequest& request,
                                    TimePoint now) const;
   [[nodiscard]] std::optional<Choice> PickAt(Distance distance,
                                              const RouteRequest& request,
-                                             TimePoint now) const;
+                                             TimePoint now,
+                                             bool with_ejected) const;
   static double UncachedTokens(const Replica& replica,
                                const RouteRequest& request);
 
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -29,11 +29,12 @@
   for (const auto& [level, queues] : classes_) {
     if (level < priority) break;
     for (const auto& [name, queue] : queues) {
-      ahead += std::int64_t(queue.requests.size());
+      ahead += static_cast<std::int64_t>(queue.requests.size());
     }
   }
   const double rate = std::max(finishes_per_s_, kMinFinishesPerS);
-  return Duration(std::int64_t(double(ahead) * kMsPerSecond / rate));
+  return Duration(static_cast<std::int64_t>(static_cast<double>(ahead) *
+                                            kMsPerSecond / rate));
 }
 
 void Admission::Refuse(std::uint64_t id, Refusal refusal) {
@@ -74,7 +75,7 @@
     std::string worst;
     double worst_share = -1;
     for (const auto& [name, use] : use_) {
-      const double share = double(use.waiting) / use.weight;
+      const double share = static_cast<double>(use.waiting) / use.weight;
       if (share <= worst_share) continue;
       worst = name;
       worst_share = share;
@@ -94,7 +95,7 @@
 void Admission::Remove(PriorityClass& queues, const std::string& workspace,
                        std::size_t index) {
   auto& requests = queues[workspace].requests;
-  requests.erase(requests.begin() + std::ptrdiff_t(index));
+  requests.erase(requests.begin() + static_cast<std::ptrdiff_t>(index));
   --use_[workspace].waiting;
   --waiting_;
   FIRMOOR_INVARIANT(waiting_ >= 0, "the count of waiting requests is exact");
@@ -122,7 +123,8 @@
   --use_[found->second.workspace].in_flight;
   running_.erase(found);
   const double gap_s =
-      std::max(1.0, double((now - last_finish_).count())) / kMsPerSecond;
+      std::max(1.0, static_cast<double>((now - last_finish_).count())) /
+      kMsPerSecond;
   last_finish_ = now;
   const double keep = std::exp(-gap_s / kRateTimeConstantS);
   finishes_per_s_ = finishes_per_s_ * keep + (1 - keep) / gap_s;
--- a/libs/serving/src/claim_batcher.cc
+++ b/libs/serving/src/claim_batcher.cc
@@ -76,8 +76,9 @@
   }
   pending_ = std::move(waiting);
   if (!changed) {
-    records_.erase(records_.begin(),
-                   records_.begin() + std::ptrdiff_t(records_in_write_));
+    records_.erase(
+        records_.begin(),
+        records_.begin() + static_cast<std::ptrdiff_t>(records_in_write_));
     records_in_write_ = 0;
     if (!must_read) return std::nullopt;
     slot_.reset();
@@ -133,8 +134,9 @@
   writing_.reset();
   version_ = version;
   backoff_ = Duration(0);
-  records_.erase(records_.begin(),
-                 records_.begin() + std::ptrdiff_t(records_in_write_));
+  records_.erase(
+      records_.begin(),
+      records_.begin() + static_cast<std::ptrdiff_t>(records_in_write_));
   records_in_write_ = 0;
   std::deque<Pending> waiting;
   for (const auto& pending : pending_) {
--- a/libs/serving/src/claim_slot.cc
+++ b/libs/serving/src/claim_slot.cc
@@ -23,7 +23,7 @@
           Bytes(claim.content_type),
           Bytes(claim.answer),
           claim.answer_kept,
-          qint64(claim.changed_ms)};
+          static_cast<qint64>(claim.changed_ms)};
 }
 
 Claim DecodeClaim(const QCborArray& array) {
--- a/libs/serving/src/claim_store.cc
+++ b/libs/serving/src/claim_store.cc
@@ -87,7 +87,8 @@
 ClaimStore::~ClaimStore() { *impl_->alive = false; }
 
 std::string ClaimStore::SlotOf(const std::string& key) const {
-  return fmt::format("claims-{}", Hash64(key) % std::uint64_t(impl_->slots));
+  return fmt::format("claims-{}",
+                     Hash64(key) % static_cast<std::uint64_t>(impl_->slots));
 }
 
 void ClaimStore::Claim(const firmoor::Claim& wanted, Done done) {
--- a/libs/serving/src/concurrency_limit.cc
+++ b/libs/serving/src/concurrency_limit.cc
@@ -14,7 +14,8 @@
 }  // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(std::int64_t ceiling)
-    : ceiling_(double(ceiling)), value_(double(ceiling)) {
+    : ceiling_(static_cast<double>(ceiling)),
+      value_(static_cast<double>(ceiling)) {
   FIRMOOR_PRECONDITION(ceiling >= 1, "a limit allows one request");
 }
 
@@ -31,8 +32,8 @@
 
 void ConcurrencyLimit::SetCeiling(std::int64_t ceiling) {
   FIRMOOR_PRECONDITION(ceiling >= 1, "a limit allows one request");
-  if (double(ceiling) == ceiling_) return;
-  ceiling_ = double(ceiling);
+  if (static_cast<double>(ceiling) == ceiling_) return;
+  ceiling_ = static_cast<double>(ceiling);
   value_ = ceiling_;
 }
 
--- a/libs/serving/src/details/job.cc
+++ b/libs/serving/src/details/job.cc
@@ -1,17 +1,17 @@
 #include "details/job.h"
 
+#include <fmt/format.h>
+
 #include <QTimer>
 #include <algorithm>
 #include <utility>
 
 #include "base/invariant.h"
-#include "base/log.h"
 #include "serving/prefix_chunks.h"
 
 namespace firmoor::details {
 namespace {
 
-constexpr Logger kLog("serving");
 constexpr int kOk = 200;
 constexpr int kSeeOther = 303;
 constexpr int kTooManyRequests = 429;
@@ -60,7 +60,8 @@
   request.max_in_flight = spec_.workspace.max_in_flight;
   request.deadline = spec_.deadline;
   if (spec_.model) {
-    request.cost = double(route_.prompt_tokens + spec_.model->max_tokens);
+    request.cost =
+        static_cast<double>(route_.prompt_tokens + spec_.model->max_tokens);
   }
   return request;
 }
@@ -169,7 +170,7 @@
         kNoUpstreamRetryAfter);
   }
   context_->upstreams.CheckSend(vm->id, now);
-  runtime_->router.OnDispatch(vm->id, route_, now);
+  runtime_->router.OnDispatch(vm->id, route_);
   upstream_ = vm->id;
   distance_ = choice->distance;
   sent_at_ = now;
@@ -177,11 +178,13 @@
   first_byte_seen_ = false;
   plain_answer_ = {};
   attempt_ = {};
-  Trace("send", {{"upstream", QString::fromStdString(upstream_)},
-                 {"attempt", attempts_},
-                 {"matched_chunks", qint64(choice->matched_chunks)}});
+  Trace("send",
+        {{"upstream", QString::fromStdString(upstream_)},
+         {"attempt", attempts_},
+         {"matched_chunks", static_cast<qint64>(choice->matched_chunks)}});
   if (distance_ == Router::Distance::kRemote) {
-    context_->link.Spend(std::int64_t(spec_.request.body.size()), now);
+    context_->link.Spend(static_cast<std::int64_t>(spec_.request.body.size()),
+                         now);
   }
   if (spec_.model) {
     SendModel(*vm);
@@ -259,7 +262,8 @@
 
 void Job::OnModelBody(std::string_view bytes) {
   if (distance_ == Router::Distance::kRemote) {
-    context_->link.Spend(std::int64_t(bytes.size()), MonotonicNow());
+    context_->link.Spend(static_cast<std::int64_t>(bytes.size()),
+                         MonotonicNow());
   }
   if (plain_answer_.status != kOk) {
     plain_answer_.body += bytes;
@@ -343,7 +347,7 @@
   Trace("end", {{"upstream", QString::fromStdString(upstream_)},
                 {"end", static_cast<int>(end.end)},
                 {"step", static_cast<int>(verdict.step)},
-                {"tokens", qint64(tokens_.size())}});
+                {"tokens", static_cast<qint64>(tokens_.size())}});
   switch (verdict.step) {
     case NextStep::kPassAnswer:
       if (spec_.model && plain_answer_.status == kOk) {
@@ -544,7 +548,7 @@
   StopAttempt();
   phase_ = Phase::kMoved;
   ended_at_ = MonotonicNow();
-  Trace("detach", {{"tokens", qint64(tokens_.size())}});
+  Trace("detach", {{"tokens", static_cast<qint64>(tokens_.size())}});
   return record;
 }
 
@@ -595,7 +599,8 @@
   tail.workspace = spec_.workspace.name;
   tail.done = IsDone();
   if (from < tokens_.size()) {
-    tail.tokens.assign(tokens_.begin() + std::ptrdiff_t(from), tokens_.end());
+    tail.tokens.assign(tokens_.begin() + static_cast<std::ptrdiff_t>(from),
+                       tokens_.end());
   }
   if (tail.done) tail.answer = answer_;
   return tail;
--- a/libs/serving/src/dispatcher.cc
+++ b/libs/serving/src/dispatcher.cc
@@ -147,7 +147,7 @@
   if (same.size() <= limit) return true;
   const auto order =
       RendezvousOrder(context.environment.daemon, std::move(same));
-  const auto end = order.begin() + std::ptrdiff_t(limit);
+  const auto end = order.begin() + static_cast<std::ptrdiff_t>(limit);
   return std::find(order.begin(), end, vm.id) != end;
 }
 
@@ -229,7 +229,7 @@
   by_number[number] = job;
   runtime_of[number] = runtime;
   runtime->admission.SetCapacity(runtime->router.Capacity(MonotonicNow()));
-  if (runtime->router.ReplicaCount() == 0) {
+  if (runtime->router.Capacity(MonotonicNow()) == 0) {
     return job->Refuse({ResultCode::kNoUpstream, Duration(1'000)});
   }
   runtime->admission.Submit(job->AskAdmission(), MonotonicNow());
@@ -314,7 +314,8 @@
       HeaderValue(request.headers, "Accept").find("event-stream") !=
       std::string_view::npos;
   const std::string last(HeaderValue(request.headers, "Last-Event-ID"));
-  question.from = std::size_t(std::max(0LL, std::atoll(last.c_str())));
+  question.from =
+      static_cast<std::size_t>(std::max(0LL, std::atoll(last.c_str())));
   const auto found = jobs.find(question.id);
   const bool here = found != jobs.end() &&
                     found->second->spec().workspace.name == workspace.name &&
@@ -458,18 +459,18 @@
   QJsonObject services;
   const auto now = MonotonicNow();
   for (const auto& [name, runtime] : impl_->runtimes) {
-    services[QString::fromStdString(name)] =
-        QJsonObject{{"replicas", qint64(runtime->router.ReplicaCount())},
-                    {"capacity", qint64(runtime->router.Capacity(now))},
-                    {"running", qint64(runtime->admission.running())},
-                    {"waiting", qint64(runtime->admission.waiting())},
-                    {"retry_budget", runtime->retries.available()}};
+    services[QString::fromStdString(name)] = QJsonObject{
+        {"replicas", static_cast<qint64>(runtime->router.ReplicaCount())},
+        {"capacity", qint64(runtime->router.Capacity(now))},
+        {"running", static_cast<qint64>(runtime->admission.running())},
+        {"waiting", static_cast<qint64>(runtime->admission.waiting())},
+        {"retry_budget", runtime->retries.available()}};
   }
   QJsonArray leaving;
   for (const auto& id : Leaving()) leaving.append(QString::fromStdString(id));
   return {{"services", services},
-          {"in_work", qint64(InWork())},
-          {"kept", qint64(impl_->jobs.size())},
+          {"in_work", static_cast<qint64>(InWork())},
+          {"kept", static_cast<qint64>(impl_->jobs.size())},
           {"leaving", leaving},
           {"draining", impl_->draining}};
 }
--- a/libs/serving/src/error_answer.cc
+++ b/libs/serving/src/error_answer.cc
@@ -11,7 +11,7 @@
 constexpr int kRequestTimeout = 408;
 
 QString Text(std::string_view text) {
-  return QString::fromUtf8(text.data(), qsizetype(text.size()));
+  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
 }
 
 }  // namespace
--- a/libs/serving/src/link_budget.cc
+++ b/libs/serving/src/link_budget.cc
@@ -11,11 +11,12 @@
 }  // namespace
 
 LinkBudget::LinkBudget(std::int64_t bytes_per_s)
-    : bytes_per_s_(double(bytes_per_s)),
-      balance_(double(bytes_per_s) * kSavedSeconds) {}
+    : bytes_per_s_(static_cast<double>(bytes_per_s)),
+      balance_(static_cast<double>(bytes_per_s) * kSavedSeconds) {}
 
 void LinkBudget::Refill(TimePoint now) {
-  const double gap_s = double((now - refilled_at_).count()) / kMsPerSecond;
+  const double gap_s =
+      static_cast<double>((now - refilled_at_).count()) / kMsPerSecond;
   refilled_at_ = now;
   balance_ =
       std::min(bytes_per_s_ * kSavedSeconds, balance_ + gap_s * bytes_per_s_);
@@ -28,7 +29,7 @@
 
 void LinkBudget::Spend(std::int64_t bytes, TimePoint now) {
   Refill(now);
-  balance_ -= double(bytes);
+  balance_ -= static_cast<double>(bytes);
 }
 
 }  // namespace firmoor
--- a/libs/serving/src/model_request.cc
+++ b/libs/serving/src/model_request.cc
@@ -11,7 +11,7 @@
 constexpr int kMaxTokensLimit = 100'000;
 
 QString ToQString(std::string_view text) {
-  return QString::fromUtf8(text.data(), qsizetype(text.size()));
+  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
 }
 
 std::string ToJson(const QJsonObject& object) {
@@ -52,8 +52,8 @@
 
 Result<ModelRequest> ModelRequest::Parse(std::string_view path,
                                          std::string_view body) {
-  const auto document =
-      QJsonDocument::fromJson(QByteArray(body.data(), qsizetype(body.size())));
+  const auto document = QJsonDocument::fromJson(
+      QByteArray(body.data(), static_cast<qsizetype>(body.size())));
   if (!document.isObject()) {
     return Fail(ResultCode::kMalformedRequest, "the body is no JSON object");
   }
@@ -86,7 +86,7 @@
       return Fail(ResultCode::kMalformedRequest,
                   "max_tokens must be from 1 to 100000");
     }
-    request.max_tokens = std::size_t(count);
+    request.max_tokens = static_cast<std::size_t>(count);
   }
   return request;
 }
@@ -96,12 +96,12 @@
                          std::string_view kv_source) {
   QJsonObject body = request.body;
   body["stream"] = true;
-  body["max_tokens"] = qint64(request.max_tokens);
+  body["max_tokens"] = static_cast<qint64>(request.max_tokens);
   body["request_id"] = ToQString(request_id);
   body["priority"] = priority;
   if (before.tokens > 0) {
     body["resume"] = QJsonObject{{"text", ToQString(before.text)},
-                                 {"tokens", qint64(before.tokens)},
+                                 {"tokens", static_cast<qint64>(before.tokens)},
                                  {"kv_source", ToQString(kv_source)}};
   }
   return ToJson(body);
@@ -131,9 +131,9 @@
                         const Generated& generated) {
   auto envelope =
       Envelope(request, request_id, Choice(request, "message", generated.text));
-  envelope["usage"] =
-      QJsonObject{{"prompt_tokens", qint64(EstimateTokens(request.prompt))},
-                  {"completion_tokens", qint64(generated.tokens)}};
+  envelope["usage"] = QJsonObject{
+      {"prompt_tokens", static_cast<qint64>(EstimateTokens(request.prompt))},
+      {"completion_tokens", static_cast<qint64>(generated.tokens)}};
   return ToJson(envelope);
 }
 
--- a/libs/serving/src/request_record.cc
+++ b/libs/serving/src/request_record.cc
@@ -71,7 +71,7 @@
                          async,
                          static_cast<int>(phase),
                          EncodeStrings(tokens),
-                         qint64(time_left.count()),
+                         static_cast<qint64>(time_left.count()),
                          QCborArray{claim_held, earlier_unknown},
                          EncodeAnswer(answer)};
   return QCborValue(array).toCbor();
--- a/libs/serving/src/router.cc
+++ b/libs/serving/src/router.cc
@@ -48,15 +48,22 @@
   if (found != replicas_.end()) found->second.leaving = true;
 }
 
-bool Router::IsUsable(const Replica& replica, TimePoint now) const {
-  return !replica.leaving && now >= replica.ejected_until;
+bool Router::IsUsable(const Replica& replica, TimePoint now,
+                      bool with_ejected) const {
+  return !replica.leaving && (with_ejected || now >= replica.ejected_until);
+}
+
+bool Router::AllEjected(TimePoint now) const {
+  return std::none_of(
+      replicas_.begin(), replicas_.end(),
+      [&](const auto& entry) { return IsUsable(entry.second, now, false); });
 }
 
 double Router::UncachedTokens(const Replica& replica,
                               const RouteRequest& request) {
   const auto matched = replica.index.MatchedChunks(request.chunks);
-  return std::max(
-      0.0, double(request.prompt_tokens) - double(matched * kChunkTokens));
+  return std::max(0.0, static_cast<double>(request.prompt_tokens) -
+                           static_cast<double>(matched * kChunkTokens));
 }
 
 ReplicaView Router::ViewOf(const std::string& id, const Replica& replica,
@@ -69,10 +76,11 @@
   const auto others = std::max<std::int64_t>(
       0, replica.reported.running - replica.in_flight_at_report);
   view.running = others + replica.in_flight;
-  const double age_s = double((now - replica.reported_at).count()) / 1'000.0;
+  const double age_s =
+      static_cast<double>((now - replica.reported_at).count()) / 1'000.0;
   const double drained = age_s * replica.prefill_tokens_per_s;
   const double others_queued =
-      std::max(0.0, double(replica.reported.queued_tokens) -
+      std::max(0.0, static_cast<double>(replica.reported.queued_tokens) -
                         replica.own_queued_at_report - drained);
   view.queued_tokens = others_queued + replica.own_queued_tokens;
   view.matched_chunks = replica.index.MatchedChunks(request.chunks);
@@ -85,10 +93,12 @@
 
 std::optional<Router::Choice> Router::PickAt(Distance distance,
                                              const RouteRequest& request,
-                                             TimePoint now) const {
+                                             TimePoint now,
+                                             bool with_ejected) const {
   std::vector<ReplicaView> views;
   for (const auto& [id, replica] : replicas_) {
-    const bool fits = replica.distance == distance && IsUsable(replica, now) &&
+    const bool fits = replica.distance == distance &&
+                      IsUsable(replica, now, with_ejected) &&
                       replica.in_flight < replica.limit.value() &&
                       !request.exclude.contains(id);
     if (!fits) continue;
@@ -113,21 +123,21 @@
 std::optional<Router::Choice> Router::Pick(const RouteRequest& request,
                                            TimePoint now) {
   ++turn_;
+  const bool with_ejected = AllEjected(now);
   for (const auto distance :
        {Distance::kZone, Distance::kRegion, Distance::kRemote}) {
     if (distance == Distance::kRemote && !request.may_cross_region) break;
-    if (auto choice = PickAt(distance, request, now)) return choice;
+    if (auto choice = PickAt(distance, request, now, with_ejected))
+      return choice;
   }
   return std::nullopt;
 }
 
-void Router::OnDispatch(const std::string& id, const RouteRequest& request,
-                        TimePoint now) {
+void Router::OnDispatch(const std::string& id, const RouteRequest& request) {
   const auto found = replicas_.find(id);
   if (found == replicas_.end()) return;
   auto& replica = found->second;
-  FIRMOOR_INVARIANT(IsUsable(replica, now),
-                    "a request goes to a usable replica only");
+  FIRMOOR_INVARIANT(!replica.leaving, "a request goes to a replica that stays");
   ++replica.in_flight;
   replica.own_queued_tokens += UncachedTokens(replica, request);
   replica.index.Touch(request.chunks);
@@ -140,17 +150,18 @@
   auto& replica = found->second;
   const bool was_full = replica.in_flight >= replica.limit.value();
   replica.limit.OnSample(after, target, was_full, now);
-  const double work =
-      std::max(replica.own_queued_tokens, double(request.prompt_tokens));
+  const double work = std::max(replica.own_queued_tokens,
+                               static_cast<double>(request.prompt_tokens));
   if (after > Duration(0) && request.prompt_tokens > kChunkTokens) {
-    const double rate = work * 1'000.0 / double(after.count());
+    const double rate = work * 1'000.0 / static_cast<double>(after.count());
     const double mean =
         replica.prefill_tokens_per_s * (1 - kRateWeight) + rate * kRateWeight;
     replica.prefill_tokens_per_s =
         std::clamp(mean, kMinPrefillTokensPerS, kMaxPrefillTokensPerS);
   }
   replica.own_queued_tokens =
-      std::max(0.0, replica.own_queued_tokens - double(request.prompt_tokens));
+      std::max(0.0, replica.own_queued_tokens -
+                        static_cast<double>(request.prompt_tokens));
 }
 
 void Router::OnEnd(const std::string& id, const RouteRequest& request,
@@ -161,8 +172,9 @@
   FIRMOOR_INVARIANT(replica.in_flight > 0, "an ended request was in flight");
   replica.in_flight = std::max<std::int64_t>(0, replica.in_flight - 1);
   if (!first_token_seen || replica.in_flight == 0) {
-    replica.own_queued_tokens = std::max(
-        0.0, replica.own_queued_tokens - double(request.prompt_tokens));
+    replica.own_queued_tokens =
+        std::max(0.0, replica.own_queued_tokens -
+                          static_cast<double>(request.prompt_tokens));
   }
   if (replica.in_flight == 0) replica.own_queued_tokens = 0;
 }
@@ -208,8 +220,9 @@
 
 std::int64_t Router::Capacity(TimePoint now) const {
   std::int64_t total = 0;
+  const bool with_ejected = AllEjected(now);
   for (const auto& [id, replica] : replicas_) {
-    if (IsUsable(replica, now)) total += replica.limit.value();
+    if (IsUsable(replica, now, with_ejected)) total += replica.limit.value();
   }
   return total;
 }
--- a/libs/serving/src/routing_strategy.cc
+++ b/libs/serving/src/routing_strategy.cc
@@ -15,10 +15,12 @@
  public:
   [[nodiscard]] double Cost(const ReplicaView& replica,
                             const RouteRequest& request) const override {
-    const double cached = double(replica.matched_chunks * kChunkTokens);
-    const double own = std::max(0.0, double(request.prompt_tokens) - cached);
+    const double cached =
+        static_cast<double>(replica.matched_chunks * kChunkTokens);
+    const double own =
+        std::max(0.0, static_cast<double>(request.prompt_tokens) - cached);
     return (replica.queued_tokens + own) / replica.prefill_tokens_per_s +
-           kDecodeInterferenceS * double(replica.running);
+           kDecodeInterferenceS * static_cast<double>(replica.running);
   }
 };
 
@@ -27,7 +29,7 @@
  public:
   [[nodiscard]] double Cost(const ReplicaView& replica,
                             const RouteRequest&) const override {
-    return double(replica.turn);
+    return static_cast<double>(replica.turn);
   }
 };
 
@@ -36,7 +38,7 @@
  public:
   [[nodiscard]] double Cost(const ReplicaView& replica,
                             const RouteRequest&) const override {
-    return double(replica.in_flight);
+    return static_cast<double>(replica.in_flight);
   }
 };
 
@@ -45,7 +47,7 @@
  public:
   [[nodiscard]] double Cost(const ReplicaView& replica,
                             const RouteRequest&) const override {
-    return -double(replica.matched_chunks);
+    return -static_cast<double>(replica.matched_chunks);
   }
 };
 
