--- a/apps/firmoorctl/src/commands.cc
+++ b/apps/firmoorctl/src/commands.cc
@@ -133,7 +133,7 @@
   const auto result =
       Call(options, daemon, "/config/patch",
            QJsonObject{{"id", QString::fromStdString(id)},
-                       {"base_version", qint64(base)},
+                       {"base_version", static_cast<qint64>(base)},
                        {"merge", std::get<QJsonObject>(merge)}});
   if (result.status != kOk) {
     fmt::print(stderr, "firmoorctl: patch {} against version {}\n", id, base);
@@ -202,7 +202,8 @@
   const auto rows = MergeBurn(metrics);
   double answers = 0;
   double seconds = 0;
-  for (const auto& row : rows) answers += double(row.requests - row.bad);
+  for (const auto& row : rows)
+    answers += static_cast<double>(row.requests - row.bad);
   for (const auto& daemon : metrics) {
     seconds = std::max(seconds, daemon.value("uptime_s").toDouble());
   }
--- a/apps/firmoord/src/config_service.cc
+++ b/apps/firmoord/src/config_service.cc
@@ -85,7 +85,8 @@
   const auto order = RendezvousOrder("config-watch", std::move(names));
   const auto end =
       order.begin() +
-      std::min<std::ptrdiff_t>(kWatchersPerZone, std::ptrdiff_t(order.size()));
+      std::min<std::ptrdiff_t>(kWatchersPerZone,
+                               static_cast<std::ptrdiff_t>(order.size()));
   return std::find(order.begin(), end, settings_.daemon) != end;
 }
 
@@ -159,7 +160,7 @@
   on_change_(current());
   const auto message =
       QCborValue(QCborArray{QString::fromStdString(settings_.daemon),
-                            qint64(current().version())})
+                            static_cast<qint64>(current().version())})
           .toCbor();
   // A few peers hear of it at once and tell others; probes do the rest. One
   // of another zone is among them, for zones without a watch.
@@ -183,7 +184,8 @@
   if (pulling_ || stopped_) return;
   pulling_ = true;
   fleet_->Call(
-      peer, "config", QByteArray::number(qint64(current().version())),
+      peer, "config",
+      QByteArray::number(static_cast<qint64>(current().version())),
       kPullTimeout, [this](PeerStatus status, const QByteArray& body) {
         pulling_ = false;
         if (status != PeerStatus::kOk || stopped_) return;
--- a/apps/firmoord/src/daemon.cc
+++ b/apps/firmoord/src/daemon.cc
@@ -46,7 +46,7 @@
   environment.region = settings_.region;
   environment.routing_strategy = settings_.routing_strategy;
   environment.upstreams_per_service =
-      std::size_t(settings_.upstreams_per_service);
+      static_cast<std::size_t>(settings_.upstreams_per_service);
   environment.region_link_bytes_per_s = settings_.region_link_bytes_per_s;
   environment.load_period = settings_.load_period;
   environment.claims = claims_.get();
@@ -61,7 +61,8 @@
   if (trace_) {
     environment.trace = [this](const QJsonObject& decision) {
       QJsonObject line = decision;
-      line["ms"] = qint64(MonotonicNow().time_since_epoch().count());
+      line["ms"] =
+          static_cast<qint64>(MonotonicNow().time_since_epoch().count());
       trace_->write(QJsonDocument(line).toJson(QJsonDocument::Compact) + "\n");
     };
   }
@@ -199,7 +200,7 @@
   const auto array = QCborValue::fromCbor(message).toArray();
   reply(dispatcher_
             ->Tail(array.at(0).toByteArray().toStdString(),
-                   std::size_t(array.at(1).toInteger()))
+                   static_cast<std::size_t>(array.at(1).toInteger()))
             .Encode());
 }
 
@@ -225,9 +226,9 @@
                      return rank(a) < rank(b);
                    });
   if (members.size() > kTailCandidates) members.resize(kTailCandidates);
-  const auto question =
-      QCborValue(QCborArray{QByteArray::fromStdString(id), qint64(from)})
-          .toCbor();
+  const auto question = QCborValue(QCborArray{QByteArray::fromStdString(id),
+                                              static_cast<qint64>(from)})
+                            .toCbor();
   AskForTail(std::make_shared<std::vector<Member>>(std::move(members)),
              question, done);
 }
@@ -268,13 +269,14 @@
   status["daemon"] = QString::fromStdString(settings_.daemon);
   status["availability_zone"] =
       QString::fromStdString(settings_.availability_zone);
-  status["version"] = qint64(config_->current().version());
+  status["version"] = static_cast<qint64>(config_->current().version());
   status["ready"] = IsReady();
   status["members"] = members;
-  status["unrecorded_outcomes"] = qint64(claims_->Unrecorded());
-  status["broken_invariants"] = qint64(InvariantMonitor::ViolationCount());
-  status["peer_bytes_sent"] = qint64(traffic.sent);
-  status["peer_bytes_received"] = qint64(traffic.received);
+  status["unrecorded_outcomes"] = static_cast<qint64>(claims_->Unrecorded());
+  status["broken_invariants"] =
+      static_cast<qint64>(InvariantMonitor::ViolationCount());
+  status["peer_bytes_sent"] = static_cast<qint64>(traffic.sent);
+  status["peer_bytes_received"] = static_cast<qint64>(traffic.received);
   return status;
 }
 
@@ -287,7 +289,8 @@
                                   : service->availability_objective;
       },
       MonotonicNow());
-  report["uptime_s"] = double((MonotonicNow() - started_at_).count()) / 1'000.0;
+  report["uptime_s"] =
+      static_cast<double>((MonotonicNow() - started_at_).count()) / 1'000.0;
   return report;
 }
 
--- a/apps/firmoord/src/fleet.cc
+++ b/apps/firmoord/src/fleet.cc
@@ -31,16 +31,16 @@
   self.name = settings.daemon;
   self.availability_zone = settings.availability_zone;
   self.region = settings.region;
-  self.peers = settings.peers;
+  self.peers = settings.peers_advertised;
   self.callers = settings.callers;
-  self.incarnation = std::uint64_t(WallClockMs());
+  self.incarnation = static_cast<std::uint64_t>(WallClockMs());
   self.life = life;
   return self;
 }
 
 }  // namespace
 
-Fleet::Fleet(const Settings& settings, std::string life, Hooks hooks)
+Fleet::Fleet(const Settings& settings, const std::string& life, Hooks hooks)
     : settings_(settings),
       hooks_(std::move(hooks)),
       membership_(SelfOf(settings, life), TimingOf(settings),
@@ -51,7 +51,7 @@
           .Token(settings.peer_token)
           .Handler([this](const std::string& kind, const QByteArray& message,
                           const PeerNode::Reply& reply) {
-            Serve_(kind, message, reply);
+            ServeCall(kind, message, reply);
           })
           .Build();
   QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_,
@@ -117,8 +117,8 @@
                      [&](const Member& m) { return m.life == life; });
 }
 
-void Fleet::Serve_(const std::string& kind, const QByteArray& message,
-                   const PeerNode::Reply& reply) {
+void Fleet::ServeCall(const std::string& kind, const QByteArray& message,
+                      const PeerNode::Reply& reply) {
   if (kind == "gossip") {
     TakeProbe(message);
     return reply(MakeProbe());
@@ -144,7 +144,8 @@
     leaving.append(QString::fromStdString(ids[i]));
   }
   return QCborValue(QCborArray{membership_.MakeGossip().Encode(),
-                               qint64(hooks_.config_version()), leaving})
+                               static_cast<qint64>(hooks_.config_version()),
+                               leaving})
       .toCbor();
 }
 
@@ -207,14 +208,15 @@
   std::size_t asked = 0;
   for (const auto& seed : settings_.seeds) {
     const bool known =
-        seed == settings_.peers ||
+        seed == settings_.peers_advertised ||
         std::any_of(live.begin(), live.end(),
                     [&](const Member& m) { return m.peers == seed; });
     if (known) continue;
     ++asked;
     const QByteArray message =
         QCborValue(QCborArray{membership_.FullState().Encode(),
-                              qint64(hooks_.config_version()), QCborArray{}})
+                              static_cast<qint64>(hooks_.config_version()),
+                              QCborArray{}})
             .toCbor();
     node_->Call(seed, "join", message, kJoinTimeout,
                 [this](PeerStatus status, const QByteArray& body) {
--- a/apps/firmoord/src/fleet.h
+++ b/apps/firmoord/src/fleet.h
@@ -29,7 +29,7 @@
   };
   using Serve = std::function<void(const QByteArray&, PeerNode::Reply)>;
 
-  Fleet(const Settings& settings, std::string life, Hooks hooks);
+  Fleet(const Settings& settings, const std::string& life, Hooks hooks);
 
   /// Serves calls of one kind. Set before `Start`.
   void SetHandler(const std::string& kind, Serve serve);
@@ -54,8 +54,8 @@
   [[nodiscard]] PeerNode::Traffic traffic() const { return node_->traffic(); }
 
  private:
-  void Serve_(const std::string& kind, const QByteArray& message,
-              const PeerNode::Reply& reply);
+  void ServeCall(const std::string& kind, const QByteArray& message,
+                 const PeerNode::Reply& reply);
   QByteArray MakeProbe();
   void TakeProbe(const QByteArray& message);
   void Tick();
--- a/apps/firmoord/src/main.cc
+++ b/apps/firmoord/src/main.cc
@@ -20,12 +20,12 @@
 constexpr const char* kVersion = "firmoord 0.1.0";
 
 LogLevel LevelOf(const std::string& name) {
-  static const std::map<std::string, LogLevel> kLevels = {
+  static const std::map<std::string, LogLevel> levels = {
       {"debug", LogLevel::kDebug},
       {"info", LogLevel::kInfo},
       {"warn", LogLevel::kWarn},
       {"error", LogLevel::kError}};
-  return kLevels.at(name);
+  return levels.at(name);
 }
 
 /// Descriptor that becomes readable on SIGTERM and SIGINT.
--- a/apps/firmoord/src/operator_endpoint.cc
+++ b/apps/firmoord/src/operator_endpoint.cc
@@ -95,8 +95,9 @@
 void OperatorEndpoint::GetConfig(const HttpRequest&,
                                  const Responder& responder) {
   const auto& current = hooks_.config->current();
-  responder->Send(JsonAnswer({{"version", qint64(current.version())},
-                              {"document", current.document()}}));
+  responder->Send(
+      JsonAnswer({{"version", static_cast<qint64>(current.version())},
+                  {"document", current.document()}}));
 }
 
 void OperatorEndpoint::PostPatch(const HttpRequest& request,
@@ -111,7 +112,8 @@
         if (result.error.code != ResultCode::kOk) {
           return SendError(responder.get(), result.error, result.version);
         }
-        responder->Send(JsonAnswer({{"version", qint64(result.version)}}));
+        responder->Send(
+            JsonAnswer({{"version", static_cast<qint64>(result.version)}}));
       });
 }
 
@@ -130,7 +132,8 @@
   if (const auto* error = std::get_if<Error>(&parsed)) {
     return SendError(responder.get(), *error, current.version());
   }
-  responder->Send(JsonAnswer({{"version", qint64(current.version())}}));
+  responder->Send(
+      JsonAnswer({{"version", static_cast<qint64>(current.version())}}));
 }
 
 void OperatorEndpoint::GetStatus(const HttpRequest&,
--- a/libs/config/include/config/settings.h
+++ b/libs/config/include/config/settings.h
@@ -18,10 +18,12 @@
   std::string availability_zone;  ///< Where this daemon runs.
   std::string region;             ///< Region of the zone.
 
-  Endpoint callers;    ///< Listens for callers.
-  Endpoint observe;    ///< Listens for probes, metrics and status.
-  Endpoint operators;  ///< Listens for firmoorctl.
-  Endpoint peers;      ///< Listens for other daemons.
+  Endpoint callers;           ///< Listens for callers.
+  Endpoint observe;           ///< Listens for probes, metrics and status.
+  Endpoint operators;         ///< Listens for firmoorctl.
+  Endpoint peers;             ///< Listens for other daemons.
+  Endpoint peers_advertised;  ///< Where others reach `peers`; the same
+                              ///< unless set.
 
   Endpoint object_api;  ///< The platform's object API.
   Endpoint vm_list;     ///< The platform's VM list.
--- a/libs/config/src/config_log.cc
+++ b/libs/config/src/config_log.cc
@@ -16,7 +16,7 @@
 
 QCborMap EncodePatch(const ConfigPatch& patch) {
   return {{QStringLiteral("id"), QString::fromStdString(patch.id)},
-          {QStringLiteral("base"), qint64(patch.base_version)},
+          {QStringLiteral("base"), static_cast<qint64>(patch.base_version)},
           {QStringLiteral("merge"), QCborMap::fromJsonObject(patch.merge)}};
 }
 
@@ -56,7 +56,7 @@
 }
 
 std::int64_t ConfigHead::Version() const {
-  return snapshot_version + std::int64_t(patches.size());
+  return snapshot_version + static_cast<std::int64_t>(patches.size());
 }
 
 std::int64_t ConfigHead::VersionOf(const std::string& id) const {
@@ -68,7 +68,8 @@
 
 QByteArray ConfigHead::Encode() const {
   return QCborValue(
-             QCborMap{{QStringLiteral("snapshot"), qint64(snapshot_version)},
+             QCborMap{{QStringLiteral("snapshot"),
+                       static_cast<qint64>(snapshot_version)},
                       {QStringLiteral("patches"), EncodePatches(patches)}})
       .toCbor();
 }
@@ -126,10 +127,12 @@
   for (std::size_t i = 0; i < keep_from; ++i) {
     out.snapshot = MergePatch(out.snapshot, head.patches[i].merge);
   }
-  out.snapshot_version = head.snapshot_version + std::int64_t(keep_from);
+  out.snapshot_version =
+      head.snapshot_version + static_cast<std::int64_t>(keep_from);
   out.head.snapshot_version = out.snapshot_version;
-  out.head.patches.assign(head.patches.begin() + std::ptrdiff_t(keep_from),
-                          head.patches.end());
+  out.head.patches.assign(
+      head.patches.begin() + static_cast<std::ptrdiff_t>(keep_from),
+      head.patches.end());
   FIRMOOR_INVARIANT(out.head.Version() == head.Version(),
                     "compaction keeps the version");
   return out;
@@ -145,7 +148,7 @@
 }
 
 QByteArray ConfigFollower::Update::Encode() const {
-  QCborMap map{{QStringLiteral("version"), qint64(version)},
+  QCborMap map{{QStringLiteral("version"), static_cast<qint64>(version)},
                {QStringLiteral("whole"), whole}};
   if (whole) {
     map[QStringLiteral("document")] = QCborMap::fromJsonObject(document);
--- a/libs/config/src/configuration.cc
+++ b/libs/config/src/configuration.cc
@@ -37,7 +37,8 @@
     const auto value = Find(key);
     if (value.isUndefined()) return;
     const double number = value.toDouble(NAN);
-    const bool fits = number >= double(low) && number <= double(high);
+    const bool fits = number >= static_cast<double>(low) &&
+                      number <= static_cast<double>(high);
     if (!fits || number != std::floor(number)) {
       return Complain(key,
                       fmt::format("must be an integer {} to {}", low, high));
@@ -238,7 +239,7 @@
 
 std::string Sha256Hex(std::string_view text) {
   return QCryptographicHash::hash(
-             QByteArray(text.data(), qsizetype(text.size())),
+             QByteArray(text.data(), static_cast<qsizetype>(text.size())),
              QCryptographicHash::Sha256)
       .toHex()
       .toStdString();
--- a/libs/config/src/settings.cc
+++ b/libs/config/src/settings.cc
@@ -141,6 +141,8 @@
   reader->Address("observe", &out->observe, true);
   reader->Address("operators", &out->operators, true);
   reader->Address("peers", &out->peers, true);
+  out->peers_advertised = out->peers;
+  reader->Address("peers_advertised", &out->peers_advertised, false);
 }
 
 void ReadPlatform(TableReader* reader, Settings* out) {
--- a/libs/config/tests/config_log_test.cc
+++ b/libs/config/tests/config_log_test.cc
@@ -63,7 +63,7 @@
 TEST_CASE("a full head is folded into a snapshot and keeps its meaning") {
   ConfigHead head;
   QJsonObject snapshot;
-  for (int i = 0; i < int(kPatchesPerSnapshot); ++i) {
+  for (int i = 0; i < static_cast<int>(kPatchesPerSnapshot); ++i) {
     const auto decision = DecidePatch(head, Build(head, snapshot),
                                       MakePatch(i, std::to_string(i), i + 1));
     head = decision.head;
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -153,7 +153,7 @@
   }
   head += framing;
   head += keep_alive_ ? "\r\n" : "Connection: close\r\n\r\n";
-  socket_->write(head.data(), qint64(head.size()));
+  socket_->write(head.data(), static_cast<qint64>(head.size()));
 }
 
 void ServerConnection::Send(const HttpAnswer& answer) {
@@ -161,7 +161,7 @@
   WriteHead(answer.status, answer.headers,
             fmt::format("Content-Length: {}\r\n", answer.body.size()));
   if (!head_request_) {
-    socket_->write(answer.body.data(), qint64(answer.body.size()));
+    socket_->write(answer.body.data(), static_cast<qint64>(answer.body.size()));
   }
   EndAnswer();
 }
@@ -179,7 +179,7 @@
   const std::string chunk =
       chunked_ ? fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes)
                : std::string(bytes);
-  socket_->write(chunk.data(), qint64(chunk.size()));
+  socket_->write(chunk.data(), static_cast<qint64>(chunk.size()));
 }
 
 void ServerConnection::FinishStream() {
@@ -216,7 +216,7 @@
 }
 
 std::size_t ServerConnection::UnsentBytes() const {
-  return closed_ ? 0 : std::size_t(socket_->bytesToWrite());
+  return closed_ ? 0 : static_cast<std::size_t>(socket_->bytesToWrite());
 }
 
 void ServerConnection::SetCallerLeft(std::function<void()> handler) {
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -157,7 +157,7 @@
   const std::string text = Serialize(endpoint, request, pool != nullptr);
   may_have_left = true;
   timer.start(times.first_byte);
-  socket->write(text.data(), qint64(text.size()));
+  socket->write(text.data(), static_cast<qint64>(text.size()));
 }
 
 void HttpCall::Builder::Impl::OnTimeout() {
--- a/libs/http/src/message.cc
+++ b/libs/http/src/message.cc
@@ -35,8 +35,9 @@
   const QUrl url = QUrl::fromEncoded(QByteArray::fromStdString(target));
   const QUrlQuery query(url);
   return query
-      .queryItemValue(QString::fromUtf8(name.data(), qsizetype(name.size())),
-                      QUrl::FullyDecoded)
+      .queryItemValue(
+          QString::fromUtf8(name.data(), static_cast<qsizetype>(name.size())),
+          QUrl::FullyDecoded)
       .toStdString();
 }
 
--- a/libs/http/tests/http_call_test.cc
+++ b/libs/http/tests/http_call_test.cc
@@ -31,9 +31,10 @@
 }
 
 void Answer(RawUpstream::Connection& connection, const char* body) {
-  connection.socket->write(QByteArray("HTTP/1.1 200 OK\r\nContent-Length: ") +
-                           QByteArray::number(qsizetype(std::strlen(body))) +
-                           "\r\n\r\n" + body);
+  connection.socket->write(
+      QByteArray("HTTP/1.1 200 OK\r\nContent-Length: ") +
+      QByteArray::number(static_cast<qsizetype>(std::strlen(body))) +
+      "\r\n\r\n" + body);
 }
 
 }  // namespace
@@ -105,6 +106,7 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
   });
   std::vector<std::unique_ptr<Exchange>> streams;
+  streams.reserve(20);
   for (int i = 0; i < 20; ++i) {
     streams.push_back(
         std::make_unique<Exchange>(upstream.Address(), Make("POST", "x")));
--- a/libs/metrics/src/burn_report.cc
+++ b/libs/metrics/src/burn_report.cc
@@ -33,9 +33,9 @@
   for (const char* name : kHistograms) {
     const auto counts = row.value(QLatin1String(name)).toArray();
     auto& bins = sums->histograms[name];
-    bins.resize(std::max(bins.size(), std::size_t(counts.size())));
+    bins.resize(std::max(bins.size(), static_cast<std::size_t>(counts.size())));
     for (qsizetype i = 0; i < counts.size(); ++i) {
-      bins[std::size_t(i)] += counts.at(i).toDouble();
+      bins[static_cast<std::size_t>(i)] += counts.at(i).toDouble();
     }
   }
 }
@@ -47,12 +47,12 @@
   double total = 0;
   for (const double count : bins) total += count;
   if (total == 0 || bins.size() < 3) return 0;
-  const double edges = double(bins.size() - 2);
+  const double edges = static_cast<double>(bins.size() - 2);
   double seen = 0;
   for (std::size_t i = 0; i < bins.size(); ++i) {
     seen += bins[i];
     if (seen < quantile * total) continue;
-    const double share = std::min(double(i), edges) / edges;
+    const double share = std::min(static_cast<double>(i), edges) / edges;
     return sums.lowest_ms * std::pow(sums.highest_ms / sums.lowest_ms, share);
   }
   return sums.highest_ms;
@@ -72,8 +72,8 @@
   row.service = key.first;
   row.workspace = key.second;
   row.objective = sums.objective;
-  row.requests = std::int64_t(requests);
-  row.bad = std::int64_t(number("bad"));
+  row.requests = static_cast<std::int64_t>(requests);
+  row.bad = static_cast<std::int64_t>(number("bad"));
   row.budget_spent = BurnRate(number("good"), number("bad"), sums.objective);
   row.burn_short =
       BurnRate(number("short_good"), number("short_bad"), sums.objective);
@@ -82,8 +82,8 @@
   row.first_token_p50_ms = Quantile(sums, "first_token", 0.50);
   row.first_token_p95_ms = Quantile(sums, "first_token", 0.95);
   row.token_gap_p95_ms = Quantile(sums, "gap", 0.95);
-  row.tokens = std::int64_t(number("tokens"));
-  row.recomputed_tokens = std::int64_t(number("recomputed"));
+  row.tokens = static_cast<std::int64_t>(number("tokens"));
+  row.recomputed_tokens = static_cast<std::int64_t>(number("recomputed"));
   row.attempts_per_request = requests > 0 ? number("attempts") / requests : 0;
   return row;
 }
@@ -107,6 +107,7 @@
     }
   }
   std::vector<BurnRow> rows;
+  rows.reserve(all.size());
   for (const auto& [key, sums] : all) rows.push_back(ToRow(key, sums));
   return rows;
 }
@@ -174,16 +175,16 @@
         {"service", QString::fromStdString(row.service)},
         {"workspace", QString::fromStdString(row.workspace)},
         {"objective", row.objective},
-        {"requests", qint64(row.requests)},
-        {"bad", qint64(row.bad)},
+        {"requests", static_cast<qint64>(row.requests)},
+        {"bad", static_cast<qint64>(row.bad)},
         {"budget_spent", row.budget_spent},
         {"burn_5m", row.burn_short},
         {"burn_1h", row.burn_long},
         {"first_token_p50_ms", row.first_token_p50_ms},
         {"first_token_p95_ms", row.first_token_p95_ms},
         {"token_gap_p95_ms", row.token_gap_p95_ms},
-        {"tokens", qint64(row.tokens)},
-        {"recomputed_tokens", qint64(row.recomputed_tokens)},
+        {"tokens", static_cast<qint64>(row.tokens)},
+        {"recomputed_tokens", static_cast<qint64>(row.recomputed_tokens)},
         {"attempts_per_request", row.attempts_per_request},
     });
   }
--- a/libs/metrics/src/service_metrics.cc
+++ b/libs/metrics/src/service_metrics.cc
@@ -101,18 +101,18 @@
   ++(sample.good ? series.good : series.bad);
   ++series.codes[sample.code];
   if (sample.first_token) {
-    series.first_token(double(sample.first_token->count()));
+    series.first_token(static_cast<double>(sample.first_token->count()));
   }
-  series.total(double(sample.total.count()));
-  series.tokens += std::int64_t(sample.tokens);
-  series.recomputed += std::int64_t(sample.recomputed_tokens);
+  series.total(static_cast<double>(sample.total.count()));
+  series.tokens += static_cast<std::int64_t>(sample.tokens);
+  series.recomputed += static_cast<std::int64_t>(sample.recomputed_tokens);
   series.attempts += sample.attempts;
 }
 
 void ServiceMetrics::RecordTokenGap(const std::string& service,
                                     const std::string& workspace,
                                     Duration gap) {
-  impl_->series[{service, workspace}].gap(double(gap.count()));
+  impl_->series[{service, workspace}].gap(static_cast<double>(gap.count()));
 }
 
 std::string ServiceMetrics::PrometheusText() const {
@@ -141,27 +141,29 @@
     TimePoint now) const {
   QJsonArray rows;
   for (const auto& [key, series] : impl_->series) {
-    const auto window = [&](std::size_t buckets, bool bad) {
+    const auto window = [now, &buckets_of = series.buckets](std::size_t buckets,
+                                                            bool bad) {
       std::int64_t count = 0;
-      for (const auto& bucket : series.buckets) {
-        const bool inside = now - bucket.start < kBucket * int(buckets);
+      for (const auto& bucket : buckets_of) {
+        const bool inside =
+            now - bucket.start < kBucket * static_cast<int>(buckets);
         if (inside) count += bad ? bucket.bad : bucket.good;
       }
-      return qint64(count);
+      return static_cast<qint64>(count);
     };
     rows.append(QJsonObject{
         {"service", QString::fromStdString(key.first)},
         {"workspace", QString::fromStdString(key.second)},
         {"objective", objective(key.first)},
-        {"good", qint64(series.good)},
-        {"bad", qint64(series.bad)},
+        {"good", static_cast<qint64>(series.good)},
+        {"bad", static_cast<qint64>(series.bad)},
         {"short_good", window(kShortBuckets, false)},
         {"short_bad", window(kShortBuckets, true)},
         {"long_good", window(kBucketsKept, false)},
         {"long_bad", window(kBucketsKept, true)},
-        {"tokens", qint64(series.tokens)},
-        {"recomputed", qint64(series.recomputed)},
-        {"attempts", qint64(series.attempts)},
+        {"tokens", static_cast<qint64>(series.tokens)},
+        {"recomputed", static_cast<qint64>(series.recomputed)},
+        {"attempts", static_cast<qint64>(series.attempts)},
         {"first_token", Counts(series.first_token)},
         {"gap", Counts(series.gap)},
         {"total", Counts(series.total)},
--- a/libs/peer/src/details/http2_connection.cc
+++ b/libs/peer/src/details/http2_connection.cc
@@ -146,12 +146,13 @@
   const auto self = shared_from_this();
   const QByteArray bytes = socket_->readAll();
   if (bytes.isEmpty()) return;
-  hooks_.traffic->received += std::uint64_t(bytes.size());
+  hooks_.traffic->received += static_cast<std::uint64_t>(bytes.size());
   const auto taken = nghttp2_session_mem_recv(
       session_, reinterpret_cast<const std::uint8_t*>(bytes.constData()),
-      std::size_t(bytes.size()));
+      static_cast<std::size_t>(bytes.size()));
   if (taken < 0) {
-    kLog.Warn("Bad HTTP/2 from a peer: {}.", nghttp2_strerror(int(taken)));
+    kLog.Warn("Bad HTTP/2 from a peer: {}.",
+              nghttp2_strerror(static_cast<int>(taken)));
     return Close();
   }
   Flush();
@@ -163,7 +164,7 @@
   while (true) {
     const auto length = nghttp2_session_mem_send(session_, &data);
     if (length <= 0) break;
-    hooks_.traffic->sent += std::uint64_t(length);
+    hooks_.traffic->sent += static_cast<std::uint64_t>(length);
     socket_->write(reinterpret_cast<const char*>(data), length);
   }
   const bool ended = nghttp2_session_want_read(session_) == 0 &&
@@ -195,10 +196,11 @@
   const auto found = Self(user)->streams_.find(stream_id);
   if (found == Self(user)->streams_.end()) return 0;
   auto& received = found->second.received;
-  if (received.size() + qsizetype(length) > kMaxMessageBytes) {
+  if (received.size() + static_cast<qsizetype>(length) > kMaxMessageBytes) {
     return NGHTTP2_ERR_CALLBACK_FAILURE;
   }
-  received.append(reinterpret_cast<const char*>(data), qsizetype(length));
+  received.append(reinterpret_cast<const char*>(data),
+                  static_cast<qsizetype>(length));
   return 0;
 }
 
@@ -245,12 +247,13 @@
     return 0;
   }
   auto& stream = found->second;
-  const auto left = std::size_t(stream.to_send.size() - stream.sent);
+  const auto left =
+      static_cast<std::size_t>(stream.to_send.size() - stream.sent);
   const auto count = std::min(left, length);
   std::memcpy(buffer, stream.to_send.constData() + stream.sent, count);
-  stream.sent += qsizetype(count);
+  stream.sent += static_cast<qsizetype>(count);
   if (count == left) *flags |= NGHTTP2_DATA_FLAG_EOF;
-  return ssize_t(count);
+  return static_cast<ssize_t>(count);
 }
 
 void Http2Connection::Serve(std::int32_t stream_id) {
--- a/libs/peer/src/membership.cc
+++ b/libs/peer/src/membership.cc
@@ -26,7 +26,7 @@
           QString::fromStdString(member.region),
           QString::fromStdString(member.peers.ToString()),
           QString::fromStdString(member.callers.ToString()),
-          qint64(member.incarnation),
+          static_cast<qint64>(member.incarnation),
           static_cast<int>(member.state),
           QString::fromStdString(member.life)};
 }
@@ -35,15 +35,16 @@
   const auto text = [&](qsizetype i) {
     return array.at(i).toString().toStdString();
   };
-  return {text(0),
-          text(1),
-          text(2),
-          Endpoint::Parse(text(3)),
-          Endpoint::Parse(text(4)),
-          std::uint64_t(array.at(5).toInteger()),
-          static_cast<MemberState>(std::clamp<qint64>(
-              array.at(6).toInteger(), 0, qint64(MemberState::kLeft))),
-          text(7)};
+  return {
+      text(0),
+      text(1),
+      text(2),
+      Endpoint::Parse(text(3)),
+      Endpoint::Parse(text(4)),
+      static_cast<std::uint64_t>(array.at(5).toInteger()),
+      static_cast<MemberState>(std::clamp<qint64>(
+          array.at(6).toInteger(), 0, static_cast<qint64>(MemberState::kLeft))),
+      text(7)};
 }
 
 bool IsGone(MemberState state) {
@@ -171,7 +172,7 @@
                             std::move(helpers));
   std::vector<Probe> probes;
   for (const auto& helper : helpers) {
-    if (int(probes.size()) == timing_.indirect_probes) break;
+    if (static_cast<int>(probes.size()) == timing_.indirect_probes) break;
     probes.push_back({pending_.target, helper});
   }
   return probes;
@@ -200,7 +201,8 @@
 
 void Membership::Announce(const Member& member) {
   const auto doublings = std::bit_width(others_.size() + 1);
-  transmissions_left_[member.name] = kTransmissionsPerDoubling * int(doublings);
+  transmissions_left_[member.name] =
+      kTransmissionsPerDoubling * static_cast<int>(doublings);
 }
 
 Gossip Membership::MakeGossip() {
--- a/libs/peer/src/peer_node.cc
+++ b/libs/peer/src/peer_node.cc
@@ -92,7 +92,7 @@
   socket->bind(QHostAddress(QString::fromStdString(endpoint.address)));
   socket->connectToHost(QHostAddress(QString::fromStdString(peer.address)),
                         peer.port);
-  const auto connection = std::make_shared<Http2Connection>(
+  auto connection = std::make_shared<Http2Connection>(
       Http2Connection::Role::kClient, socket, Hooks());
   client.connection = connection;
   connection->Start();
--- a/libs/peer/tests/membership_test.cc
+++ b/libs/peer/tests/membership_test.cc
@@ -21,14 +21,14 @@
   explicit Fleet(std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
       Member self{Name(i), "zone", "region", {"127.0.0.1", 1}, {}, 1, {}, {}};
-      nodes.push_back(std::make_unique<Membership>(self, MembershipTiming{},
-                                                   std::uint64_t(i)));
+      nodes.push_back(std::make_unique<Membership>(
+          self, MembershipTiming{}, static_cast<std::uint64_t>(i)));
     }
     for (std::size_t i = 1; i < count; ++i) Join(i);
   }
   static std::string Name(std::size_t i) { return fmt::format("d{:03}", i); }
   std::size_t Index(const std::string& name) const {
-    return std::size_t(std::stoi(name.substr(1)));
+    return static_cast<std::size_t>(std::stoi(name.substr(1)));
   }
   void Join(std::size_t i) {
     nodes[0]->Merge(nodes[i]->FullState(), now);
@@ -99,8 +99,9 @@
     fleet.Run(1);
     CHECK(fleet.nodes[4]->Live().size() == 7);
     fleet.Run(20);
-    for (std::size_t i = 0; i < 8; ++i)
+    for (std::size_t i = 0; i < 8; ++i) {
       CHECK(fleet.nodes[i]->Live().size() == 7);
+    }
   }
   SUBCASE("drops a daemon that leaves, without suspicion") {
     fleet.nodes[6]->Leave();
@@ -135,12 +136,14 @@
 
 TEST_CASE("random crashes and cuts") {
   const bool holds = rc::check("end in agreement once they heal", [] {
-    const auto count = std::size_t(*rc::gen::inRange(3, 12));
+    const auto count = static_cast<std::size_t>(*rc::gen::inRange(3, 12));
     Fleet fleet(count);
     fleet.Run(5);
     for (int round = 0; round < 6; ++round) {
-      const auto a = std::size_t(*rc::gen::inRange(0, int(count)));
-      const auto b = std::size_t(*rc::gen::inRange(0, int(count)));
+      const auto a = static_cast<std::size_t>(
+          *rc::gen::inRange(0, static_cast<int>(count)));
+      const auto b = static_cast<std::size_t>(
+          *rc::gen::inRange(0, static_cast<int>(count)));
       if (*rc::gen::arbitrary<bool>()) {
         if (fleet.down.size() + 2 < count) fleet.down.insert(a);
       } else if (a != b) {
--- a/tests/standins/engine_model.cc
+++ b/tests/standins/engine_model.cc
@@ -99,8 +99,10 @@
     return active.prefill_left == 0 &&
            active.next_token >= active.sequence.max_tokens;
   });
-  result.ms = shape_.step_ms + shape_.step_ms_per_sequence * double(decoding) +
-              1'000.0 * double(prefilled) / shape_.prefill_tokens_per_s;
+  result.ms =
+      shape_.step_ms +
+      shape_.step_ms_per_sequence * static_cast<double>(decoding) +
+      1'000.0 * static_cast<double>(prefilled) / shape_.prefill_tokens_per_s;
   return result;
 }
 
--- a/tests/standins/engine_standin.cc
+++ b/tests/standins/engine_standin.cc
@@ -155,7 +155,7 @@
   void StartStep() {
     if (step_timer_.isActive() || silent_) return;
     step_ = model_.Step();
-    if (step_.ms > 0) step_timer_.start(int(step_.ms + 0.5));
+    if (step_.ms > 0) step_timer_.start(static_cast<int>(step_.ms + 0.5));
   }
 
   void FinishStep() {
@@ -180,7 +180,8 @@
         QJsonDocument(data).toJson(QJsonDocument::Compact).toStdString()));
     ++generated_;
     ++stream.sent;
-    if (drop_after_ > 0 && stream.sent >= std::size_t(drop_after_)) {
+    if (drop_after_ > 0 &&
+        stream.sent >= static_cast<std::size_t>(drop_after_)) {
       const auto responder = stream.responder;
       return responder->Abort();
     }
@@ -199,7 +200,7 @@
     if (change.stored.empty() && change.removed.empty()) return;
     const auto number = ++cache_events_made_;
     const int gap = options_.drop_every_cache_event;
-    if (gap > 0 && number % std::uint64_t(gap) == 0) return;
+    if (gap > 0 && number % static_cast<std::uint64_t>(gap) == 0) return;
     QTimer::singleShot(options_.cache_event_lag_ms, &step_timer_,
                        [this, number, change = std::move(change)] {
                          cache_events_[number] = change;
@@ -222,7 +223,7 @@
     QJsonArray events;
     for (auto it = cache_events_.upper_bound(after); it != cache_events_.end();
          ++it) {
-      events.append(QJsonObject{{"number", qint64(it->first)},
+      events.append(QJsonObject{{"number", static_cast<qint64>(it->first)},
                                 {"stored", hex(it->second.stored)},
                                 {"removed", hex(it->second.removed)}});
     }
@@ -231,10 +232,10 @@
 
   void Load(HttpResponder& responder) {
     if (silent_) return;
-    responder.Send(
-        JsonAnswer(200, {{"running", qint64(model_.running())},
-                         {"queued_tokens", qint64(model_.queued_tokens())},
-                         {"leaving", leaving_}}));
+    responder.Send(JsonAnswer(
+        200, {{"running", static_cast<qint64>(model_.running())},
+              {"queued_tokens", static_cast<qint64>(model_.queued_tokens())},
+              {"leaving", leaving_}}));
   }
 
   void Kv(const std::string& path, HttpResponder& responder) {
@@ -246,11 +247,13 @@
     const auto body = JsonBody(request);
     const auto number = body.value(QLatin1String("fencing")).toInteger();
     if (options_.check_fencing && number < fencing_) {
-      return responder.Send(JsonAnswer(412, {{"fencing", qint64(fencing_)}}));
+      return responder.Send(
+          JsonAnswer(412, {{"fencing", static_cast<qint64>(fencing_)}}));
     }
     fencing_ = std::max<std::int64_t>(fencing_, number);
     ++orders_;
-    responder.Send(JsonAnswer(200, {{"fencing", qint64(fencing_)}}));
+    responder.Send(
+        JsonAnswer(200, {{"fencing", static_cast<qint64>(fencing_)}}));
   }
 
   void Control(const HttpRequest& request, HttpResponder& responder) {
@@ -269,15 +272,15 @@
     for (const auto& [id, count] : runs_) {
       most_runs = std::max(most_runs, count);
     }
-    responder.Send(
-        JsonAnswer(200, {{"requests", qint64(runs_.size())},
-                         {"most_runs", most_runs},
-                         {"generated", qint64(generated_)},
-                         {"prefilled", qint64(model_.prefilled_tokens())},
-                         {"recomputed", qint64(model_.recomputed_tokens())},
-                         {"cancelled", qint64(cancelled_)},
-                         {"running", qint64(model_.running())},
-                         {"orders", qint64(orders_)}}));
+    responder.Send(JsonAnswer(
+        200, {{"requests", static_cast<qint64>(runs_.size())},
+              {"most_runs", most_runs},
+              {"generated", static_cast<qint64>(generated_)},
+              {"prefilled", static_cast<qint64>(model_.prefilled_tokens())},
+              {"recomputed", static_cast<qint64>(model_.recomputed_tokens())},
+              {"cancelled", static_cast<qint64>(cancelled_)},
+              {"running", static_cast<qint64>(model_.running())},
+              {"orders", static_cast<qint64>(orders_)}}));
   }
 
   Options options_;
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -193,11 +193,12 @@
     for (const auto& [second, count] : writes_by_second_) {
       peak = std::max(peak, count);
     }
-    responder.Send(JsonAnswer(200, {{"reads", qint64(reads_)},
-                                    {"writes", qint64(writes_)},
-                                    {"conflicts", qint64(conflicts_)},
-                                    {"peak_writes_per_s", qint64(peak)},
-                                    {"objects", qint64(objects_.size())}}));
+    responder.Send(
+        JsonAnswer(200, {{"reads", static_cast<qint64>(reads_)},
+                         {"writes", static_cast<qint64>(writes_)},
+                         {"conflicts", static_cast<qint64>(conflicts_)},
+                         {"peak_writes_per_s", static_cast<qint64>(peak)},
+                         {"objects", static_cast<qint64>(objects_.size())}}));
   }
 
   std::unique_ptr<HttpServer> server_;
--- a/tests/support/include/support/raw_socket.h
+++ b/tests/support/include/support/raw_socket.h
@@ -40,7 +40,7 @@
     socket_.waitForConnected(1'000);
   }
   void Send(std::string_view bytes) {
-    socket_.write(bytes.data(), qint64(bytes.size()));
+    socket_.write(bytes.data(), static_cast<qint64>(bytes.size()));
     socket_.flush();
   }
   /// Everything received so far.
