Add unit tests of the serving decisions and the soak

Cause: the verdict came from the slot with the unsaved record, the answer from the slot as last stored. Change: a verdict and its claim come from the same slot; an attempt is granted its own claim only while that is open.

--- a/libs/serving/include/serving/claim_batcher.h
+++ b/libs/serving/include/serving/claim_batcher.h
@@ -68,7 +68,9 @@
     bool written = false;     ///< Was part of an update that was sent.
   };
 
-  void Decide(const Pending& pending, ClaimVerdict verdict);
+  /// `seen` is the slot that the verdict was read from, if any.
+  void Decide(const Pending& pending, ClaimVerdict verdict,
+              const ClaimSlot* seen);
   void AfterFailure(TimePoint now);
 
   std::optional<ClaimSlot> slot_;  ///< As last read or written.
--- a/libs/serving/src/claim_batcher.cc
+++ b/libs/serving/src/claim_batcher.cc
@@ -53,7 +53,7 @@
   bool must_read = false;
   for (auto& pending : pending_) {
     if (!has_room && slot_->Find(pending.claim.key) == nullptr) {
-      Decide(pending, ClaimVerdict::kStoreAway);
+      Decide(pending, ClaimVerdict::kStoreAway, nullptr);
       continue;
     }
     const bool held_before = slot_->Find(pending.claim.key) != nullptr;
@@ -71,7 +71,7 @@
       must_read = true;
       waiting.push_back(pending);
     } else {
-      Decide(pending, verdict);
+      Decide(pending, verdict, &next);
     }
   }
   pending_ = std::move(waiting);
@@ -92,15 +92,12 @@
   return call;
 }
 
-void ClaimBatcher::Decide(const Pending& pending, ClaimVerdict verdict) {
+void ClaimBatcher::Decide(const Pending& pending, ClaimVerdict verdict,
+                          const ClaimSlot* seen) {
   Decided decided{pending.id, verdict, pending.claim};
-  const bool held_by_other =
-      verdict != ClaimVerdict::kGranted && verdict != ClaimVerdict::kStoreAway;
-  if (held_by_other && slot_) {
-    if (const auto* holder = slot_->Find(pending.claim.key)) {
-      decided.claim = *holder;
-    }
-  }
+  const auto* holder =
+      seen == nullptr ? nullptr : seen->Find(pending.claim.key);
+  if (holder != nullptr) decided.claim = *holder;
   decided_.push_back(std::move(decided));
 }
 
@@ -147,7 +144,7 @@
       FIRMOOR_INVARIANT(
           holder != nullptr && holder->attempt == pending.claim.attempt,
           "a granted claim is in the stored slot");
-      Decide(pending, ClaimVerdict::kGranted);
+      Decide(pending, ClaimVerdict::kGranted, nullptr);
     } else {
       waiting.push_back(pending);
     }
@@ -171,7 +168,7 @@
       waiting.push_back(pending);
       continue;
     }
-    Decide(pending, ClaimVerdict::kStoreAway);
+    Decide(pending, ClaimVerdict::kStoreAway, nullptr);
     if (!pending.written && !in_write) continue;
     auto released = pending.claim;
     released.state = ClaimState::kNotRun;
--- a/libs/serving/src/claim_slot.cc
+++ b/libs/serving/src/claim_slot.cc
@@ -53,7 +53,8 @@
     return ClaimVerdict::kGranted;
   }
   const Claim& held = found->second;
-  if (held.attempt == wanted.attempt) return ClaimVerdict::kGranted;
+  const bool own = held.attempt == wanted.attempt;
+  if (own && held.state == ClaimState::kClaimed) return ClaimVerdict::kGranted;
   if (held.body != wanted.body) return ClaimVerdict::kKeyReused;
   switch (held.state) {
     case ClaimState::kDone:
--- /dev/null
+++ b/libs/serving/tests/admission_test.cc
@@ -0,0 +1,151 @@
+#include "serving/admission.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace firmoor {
+namespace {
+
+constexpr TimePoint kStart{Duration(1'000'000)};
+
+AdmissionRequest Make(std::uint64_t id, const std::string& workspace,
+                      int priority = 0) {
+  AdmissionRequest request;
+  request.id = id;
+  request.workspace = workspace;
+  request.priority = priority;
+  request.deadline = kStart + Duration(60'000);
+  return request;
+}
+
+}  // namespace
+
+TEST_CASE("requests of one service") {
+  Admission admission(2, 4);
+  TimePoint now = kStart;
+  SUBCASE("run up to the capacity and then wait") {
+    for (std::uint64_t i = 0; i < 4; ++i) admission.Submit(Make(i, "a"), now);
+    CHECK(admission.TakeChanges(now).run == std::vector<std::uint64_t>{0, 1});
+    CHECK(admission.waiting() == 2);
+    admission.Finish(0, now);
+    CHECK(admission.TakeChanges(now).run == std::vector<std::uint64_t>{2});
+  }
+  SUBCASE("of a small workspace pass the queue of a large one") {
+    for (std::uint64_t i = 0; i < 6; ++i) {
+      admission.Submit(Make(i, "large"), now);
+    }
+    admission.TakeChanges(now);
+    admission.Submit(Make(100, "small"), now);
+    const auto refused = admission.TakeChanges(now).refused;
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].first == 5);
+    CHECK(refused[0].second.code == ResultCode::kOverloaded);
+    admission.Finish(0, now);
+    admission.Finish(1, now);
+    const auto run = admission.TakeChanges(now).run;
+    CHECK(std::find(run.begin(), run.end(), 100) != run.end());
+  }
+  SUBCASE("of a higher priority go first") {
+    for (std::uint64_t i = 0; i < 4; ++i) admission.Submit(Make(i, "a"), now);
+    admission.TakeChanges(now);
+    admission.Submit(Make(9, "a", 5), now);
+    admission.Finish(0, now);
+    CHECK(admission.TakeChanges(now).run == std::vector<std::uint64_t>{9});
+  }
+  SUBCASE("over the limit of their workspace are refused") {
+    auto request = Make(1, "a");
+    request.max_in_flight = 1;
+    admission.Submit(request, now);
+    request.id = 2;
+    admission.Submit(request, now);
+    const auto changes = admission.TakeChanges(now);
+    REQUIRE(changes.refused.size() == 1);
+    CHECK(changes.refused[0].second.code == ResultCode::kWorkspaceLimit);
+  }
+  SUBCASE("that the queue cannot serve in time are refused at once") {
+    for (std::uint64_t i = 0; i < 6; ++i) {
+      admission.Submit(Make(i, "a"), now);
+      admission.TakeChanges(now);
+    }
+    for (std::uint64_t i = 0; i < 2; ++i) {
+      now += Duration(1'000);
+      admission.Finish(i, now);
+      admission.TakeChanges(now);
+    }
+    auto hasty = Make(50, "b");
+    hasty.deadline = now + Duration(200);
+    admission.Submit(hasty, now);
+    const auto refused = admission.TakeChanges(now).refused;
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].second.code == ResultCode::kDeadlineUnreachable);
+    CHECK(refused[0].second.retry_after >= Duration(1'000));
+  }
+}
+
+TEST_CASE("two workspaces under contention share by weight") {
+  Admission admission(1, 1'000);
+  TimePoint now = kStart;
+  std::map<std::uint64_t, std::string> owner;
+  for (std::uint64_t i = 0; i < 400; ++i) {
+    auto request = Make(i, i % 2 == 0 ? "heavy" : "light");
+    request.weight = i % 2 == 0 ? 3 : 1;
+    owner[i] = request.workspace;
+    admission.Submit(request, now);
+  }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 100; ++i) {
+    const auto run = admission.TakeChanges(now).run;
+    REQUIRE(run.size() == 1);
+    ++served[owner[run[0]]];
+    now += Duration(10);
+    admission.Finish(run[0], now);
+  }
+  CHECK(served["heavy"] >= 70);
+  CHECK(served["light"] >= 22);
+}
+
+TEST_CASE("random requests") {
+  const bool holds = rc::check("are each run or refused once, in bounds", [] {
+    const int capacity = *rc::gen::inRange(1, 6);
+    const int limit = *rc::gen::inRange(0, 10);
+    Admission admission(capacity, limit);
+    TimePoint now = kStart;
+    std::set<std::uint64_t> open;
+    std::set<std::uint64_t> running;
+    std::uint64_t next = 1;
+    for (int step = 0; step < 200; ++step) {
+      now += Duration(*rc::gen::inRange(0, 100));
+      if (*rc::gen::inRange(0, 3) < 2) {
+        auto request =
+            Make(next, std::string(1, char('a' + *rc::gen::inRange(0, 4))),
+                 *rc::gen::inRange(0, 3));
+        request.max_in_flight = *rc::gen::inRange(1, 8);
+        request.deadline = now + Duration(*rc::gen::inRange(1, 3'000));
+        open.insert(next++);
+        admission.Submit(request, now);
+      } else if (!running.empty()) {
+        admission.Finish(*running.begin(), now);
+        running.erase(running.begin());
+      }
+      const auto changes = admission.TakeChanges(now);
+      for (const auto id : changes.run) {
+        RC_ASSERT(open.erase(id) == 1);
+        running.insert(id);
+      }
+      for (const auto& [id, refusal] : changes.refused) {
+        RC_ASSERT(open.erase(id) == 1);
+        RC_ASSERT(refusal.retry_after >= Duration(1'000));
+      }
+      RC_ASSERT(int(running.size()) <= capacity);
+      RC_ASSERT(admission.waiting() <= limit + capacity);
+      RC_ASSERT(admission.waiting() == std::int64_t(open.size()));
+    }
+  });
+  CHECK(holds);
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/tests/attempt_policy_test.cc
@@ -0,0 +1,122 @@
+#include "serving/attempt_policy.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "serving/link_budget.h"
+#include "serving/retry_budget.h"
+
+namespace firmoor {
+namespace {
+
+AttemptEnd RandomEnd() {
+  AttemptEnd end;
+  end.end = static_cast<HttpCallEnd>(*rc::gen::inRange(0, 7));
+  end.may_have_left = end.end != HttpCallEnd::kNotConnected;
+  if (end.end == HttpCallEnd::kCancelled) {
+    end.may_have_left = *rc::gen::arbitrary<bool>();
+  }
+  const bool answered = end.end == HttpCallEnd::kComplete;
+  end.declared_not_run = answered && *rc::gen::arbitrary<bool>();
+  end.stream_complete = *rc::gen::arbitrary<bool>();
+  end.overloaded = answered && *rc::gen::arbitrary<bool>();
+  return end;
+}
+
+}  // namespace
+
+TEST_CASE("what follows an attempt") {
+  AttemptContext context;
+  context.time_left = Duration(1'000);
+  SUBCASE("a refused connection is tried elsewhere, also a booking") {
+    const auto verdict = DecideAttempt({}, context);
+    CHECK(verdict.step == NextStep::kRetryElsewhere);
+    CHECK(verdict.outcome == RequestOutcome::kNotRun);
+  }
+  SUBCASE("a booking that was sent is not, and its outcome is unknown") {
+    const auto verdict = DecideAttempt({HttpCallEnd::kNoAnswer, true}, context);
+    CHECK(verdict.step == NextStep::kFail);
+    CHECK(verdict.code == ResultCode::kUpstreamUnknown);
+    CHECK(verdict.outcome == RequestOutcome::kUnknown);
+  }
+  SUBCASE("a declared refusal is tried elsewhere") {
+    AttemptEnd end{HttpCallEnd::kComplete, true, true};
+    CHECK(DecideAttempt(end, context).step == NextStep::kRetryElsewhere);
+  }
+  SUBCASE("a refusal after an unknown attempt stays unknown") {
+    AttemptEnd end{HttpCallEnd::kComplete, true, true};
+    context.earlier_unknown = true;
+    CHECK(DecideAttempt(end, context).outcome == RequestOutcome::kUnknown);
+  }
+  SUBCASE("a generation goes on from its tokens") {
+    context.idempotent = true;
+    context.answer_started = true;
+    context.resumable = true;
+    CHECK(DecideAttempt({HttpCallEnd::kTruncated, true}, context).step ==
+          NextStep::kResumeElsewhere);
+  }
+  SUBCASE("a stream without its end marker is not whole") {
+    context.idempotent = true;
+    AttemptEnd end{HttpCallEnd::kComplete, true, false, false};
+    CHECK(DecideAttempt(end, context).step == NextStep::kRetryElsewhere);
+  }
+  SUBCASE("a spent budget is named") {
+    context.idempotent = true;
+    context.retry_allowed = false;
+    CHECK(DecideAttempt({HttpCallEnd::kSilent, true}, context).code ==
+          ResultCode::kRetryBudgetSpent);
+  }
+}
+
+TEST_CASE("any attempt of any request") {
+  const bool holds = rc::check("keeps the promises", [] {
+    AttemptContext context;
+    context.idempotent = *rc::gen::arbitrary<bool>();
+    context.answer_started = *rc::gen::arbitrary<bool>();
+    context.resumable = *rc::gen::arbitrary<bool>();
+    context.attempts = *rc::gen::inRange(1, 6);
+    context.time_left = Duration(*rc::gen::inRange(-100, 1'000));
+    context.retry_allowed = *rc::gen::arbitrary<bool>();
+    context.earlier_unknown = *rc::gen::arbitrary<bool>();
+    const auto end = RandomEnd();
+    const auto verdict = DecideAttempt(end, context);
+    const bool again = verdict.step == NextStep::kRetryElsewhere ||
+                       verdict.step == NextStep::kResumeElsewhere;
+    const bool may_have_run =
+        (end.may_have_left && !end.declared_not_run) || context.earlier_unknown;
+    if (again) RC_ASSERT(context.idempotent || !may_have_run);
+    if (again) RC_ASSERT(context.attempts < kMaxAttempts);
+    if (again) RC_ASSERT(context.retry_allowed);
+    if (verdict.step == NextStep::kFail &&
+        verdict.outcome == RequestOutcome::kNotRun) {
+      RC_ASSERT(!may_have_run);
+    }
+    if (verdict.step == NextStep::kPassAnswer) {
+      RC_ASSERT(end.end == HttpCallEnd::kComplete && end.stream_complete);
+    }
+  });
+  CHECK(holds);
+}
+
+TEST_CASE("a retry budget bounds attempts over requests") {
+  RetryBudget budget(0.2, 10);
+  int retries = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    budget.OnRequest();
+    for (int tries = 0; tries < 3; ++tries) retries += budget.TryTake() ? 1 : 0;
+  }
+  CHECK(retries <= 1'000 * 0.2 + 10);
+  CHECK(retries >= 1'000 * 0.2);
+}
+
+TEST_CASE("a link budget is paid back before the link opens again") {
+  LinkBudget link(1'000);
+  TimePoint now{Duration(10'000)};
+  CHECK(link.IsOpen(now));
+  link.Spend(4'000, now);
+  CHECK_FALSE(link.IsOpen(now));
+  CHECK_FALSE(link.IsOpen(now + Duration(1'900)));
+  CHECK(link.IsOpen(now + Duration(2'100)));
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/serving/tests/router_test.cc
@@ -0,0 +1,170 @@
+#include "serving/router.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+#include "serving/concurrency_limit.h"
+#include "serving/prefix_chunks.h"
+#include "serving/upstream_table.h"
+
+namespace firmoor {
+namespace {
+
+constexpr TimePoint kNow{Duration(1'000'000)};
+
+RouteRequest Prompt(const std::string& text) {
+  RouteRequest request;
+  request.chunks = PrefixChunks(text);
+  request.prompt_tokens = EstimateTokens(text);
+  return request;
+}
+
+std::string Text(char letter) { return std::string(8 * kChunkBytes, letter); }
+
+Vm MakeVm(const std::string& id, bool leaving = false) {
+  return {id, "service", "zone", "region", {"127.0.0.1", 1}, true, leaving};
+}
+
+}  // namespace
+
+TEST_CASE("a router with the expected-time strategy") {
+  Router router(MakeRoutingStrategy("expected-time"));
+  for (const char* id : {"a", "b", "c"}) {
+    router.AddReplica(id, Router::Distance::kZone, 4);
+  }
+  const auto prompt = Prompt(Text('x'));
+  const auto first = router.Pick(prompt, kNow);
+  REQUIRE(first.has_value());
+
+  SUBCASE("comes back to the replica that has the prefix") {
+    router.OnDispatch(first->id, prompt);
+    router.OnEnd(first->id, prompt, true);
+    const auto again = router.Pick(prompt, kNow);
+    CHECK(again->id == first->id);
+    CHECK(again->matched_chunks == 8);
+  }
+  SUBCASE("gives a new prefix the same home at every daemon") {
+    Router other(MakeRoutingStrategy("expected-time"));
+    for (const char* id : {"c", "b", "a"}) {
+      other.AddReplica(id, Router::Distance::kZone, 4);
+    }
+    CHECK(other.Pick(prompt, kNow)->id == first->id);
+  }
+  SUBCASE("leaves a hot prefix's replica before it drowns") {
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 12; ++i) {
+      const auto choice = router.Pick(prompt, kNow);
+      REQUIRE(choice.has_value());
+      router.OnDispatch(choice->id, prompt);
+      ++chosen[choice->id];
+    }
+    CHECK(chosen.size() == 3);
+    CHECK_FALSE(router.Pick(prompt, kNow).has_value());
+  }
+  SUBCASE("counts its own dispatches before any load report") {
+    router.OnDispatch(first->id, prompt);
+    CHECK(router.Pick(Prompt(Text('y')), kNow)->id != first->id);
+  }
+  SUBCASE("forgets a chunk that the replica dropped") {
+    router.OnDispatch(first->id, prompt);
+    router.OnEnd(first->id, prompt, true);
+    router.OnCacheRemoved(first->id, prompt.chunks);
+    CHECK(router.Pick(prompt, kNow)->matched_chunks == 0);
+  }
+  SUBCASE("never picks a leaving replica") {
+    for (const char* id : {"a", "b", "c"}) router.SetLeaving(id);
+    CHECK_FALSE(router.Pick(prompt, kNow).has_value());
+    CHECK(router.Capacity(kNow) == 0);
+  }
+  SUBCASE("leaves a failed replica alone, unless all have failed") {
+    router.OnFailure(first->id, kNow);
+    CHECK(router.Pick(prompt, kNow)->id != first->id);
+    for (const char* id : {"a", "b", "c"}) router.OnFailure(id, kNow);
+    CHECK(router.Pick(prompt, kNow).has_value());
+  }
+}
+
+TEST_CASE("a router prefers what is near") {
+  Router router(MakeRoutingStrategy("expected-time"));
+  router.AddReplica("far", Router::Distance::kRemote, 4);
+  router.AddReplica("near", Router::Distance::kZone, 1);
+  const auto prompt = Prompt(Text('x'));
+  CHECK(router.Pick(prompt, kNow)->id == "near");
+  router.OnDispatch("near", prompt);
+  CHECK(router.Pick(prompt, kNow)->id == "far");
+  auto at_home = prompt;
+  at_home.may_cross_region = false;
+  CHECK_FALSE(router.Pick(at_home, kNow).has_value());
+}
+
+TEST_CASE("the baselines") {
+  const auto prompt = Prompt(Text('x'));
+  SUBCASE("round robin takes turns") {
+    Router router(MakeRoutingStrategy("round-robin"));
+    for (const char* id : {"a", "b"}) {
+      router.AddReplica(id, Router::Distance::kZone, 4);
+    }
+    const auto first = router.Pick(prompt, kNow)->id;
+    CHECK(router.Pick(prompt, kNow)->id != first);
+    CHECK(router.Pick(prompt, kNow)->id == first);
+  }
+  SUBCASE("an unknown name is no strategy") {
+    CHECK(MakeRoutingStrategy("magic") == nullptr);
+  }
+}
+
+TEST_CASE("the concurrency limit of an upstream") {
+  ConcurrencyLimit limit(16);
+  TimePoint now = kNow;
+  for (int i = 0; i < 5; ++i) {
+    now += Duration(300);
+    limit.OnSample(Duration(900), Duration(400), true, now);
+  }
+  const auto low = limit.value();
+  CHECK(low < 8);
+  SUBCASE("counts one slow batch once") {
+    limit.OnSample(Duration(900), Duration(400), true, now);
+    CHECK(limit.value() == low);
+  }
+  SUBCASE("rises again when answers are in time and it is full") {
+    for (int i = 0; i < 200; ++i) {
+      limit.OnSample(Duration(100), Duration(400), true, now);
+    }
+    CHECK(limit.value() == 16);
+  }
+}
+
+TEST_CASE("the table of upstreams") {
+  UpstreamTable table;
+  table.ApplyList({MakeVm("a"), MakeVm("b")}, kNow);
+  SUBCASE("keeps a leaving mark whatever the list shows later") {
+    table.ApplyList({MakeVm("a", true), MakeVm("b")}, kNow);
+    table.ApplyList({MakeVm("a"), MakeVm("b")}, kNow);
+    CHECK(table.IsLeaving("a"));
+  }
+  SUBCASE("keeps it for a VM that vanishes and comes back in an old list") {
+    table.ApplyList({MakeVm("b")}, kNow);
+    table.ApplyList({MakeVm("a"), MakeVm("b")}, kNow);
+    CHECK(table.IsLeaving("a"));
+  }
+  SUBCASE("takes a mark before the list shows the VM") {
+    CHECK(table.MarkLeaving("c", kNow));
+    CHECK_FALSE(table.MarkLeaving("c", kNow));
+    table.ApplyList({MakeVm("a"), MakeVm("b"), MakeVm("c")}, kNow);
+    CHECK(table.IsLeaving("c"));
+  }
+  SUBCASE("does not believe an empty list") {
+    table.ApplyList({}, kNow);
+    CHECK(table.Find("a") != nullptr);
+  }
+  SUBCASE("tells what changed") {
+    const auto change = table.ApplyList({MakeVm("b", true), MakeVm("c")}, kNow);
+    CHECK(change.added == std::vector<Vm>{MakeVm("c")});
+    CHECK(change.removed == std::vector<std::string>{"a"});
+    CHECK(change.now_leaving == std::vector<std::string>{"b"});
+  }
+}
+
+}  // namespace firmoor
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -112,8 +112,10 @@
       Start(node);
     }
     for (int i = 0; i < zone.plains; ++i) {
-      Start(AddNode(&plains_, fmt::format("plain-{}-{}", zone.name, i),
-                    zone.name, zone.region, "tests/plain_standin"));
+      auto* node = AddNode(&plains_, fmt::format("plain-{}-{}", zone.name, i),
+                           zone.name, zone.region, "tests/plain_standin");
+      node->arguments << "--journal" << directory_.filePath("journal");
+      Start(node);
     }
     for (int i = 0; i < zone.daemons; ++i) AddDaemon(zone, z, i);
   }
@@ -445,6 +447,14 @@
   return runs;
 }
 
+std::map<std::string, int> Cluster::JournalledRuns() const {
+  std::map<std::string, int> runs;
+  std::ifstream file(directory_.filePath("journal").toStdString());
+  std::string line;
+  while (std::getline(file, line)) ++runs[line];
+  return runs;
+}
+
 int Cluster::MostRuns() {
   std::map<QString, int> totals;
   int most = 0;
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -128,6 +128,8 @@
 
   /// Runs of one piece of work over all plain services.
   int RunsOf(const std::string& work);
+  /// Runs of all pieces of work, also those of upstreams that were killed.
+  [[nodiscard]] std::map<std::string, int> JournalledRuns() const;
   /// The most runs of any piece of work.
   int MostRuns();
   /// Sum of a counter over all engines.
--- a/tests/standins/plain_standin.cc
+++ b/tests/standins/plain_standin.cc
@@ -9,9 +9,11 @@
 //   crash      does the work and ends the process
 //   late:MS    does the work and answers after MS milliseconds
 //   cut        does the work and sends half of the answer
-// GET /runs shows the counts as a JSON object.
+// With --journal FILE each run is also appended to a file, which outlives
+// the process. GET /runs shows the counts as a JSON object.
 
 #include <CLI/CLI.hpp>
+#include <QFile>
 #include <QTimer>
 #include <cstdlib>
 #include <map>
@@ -27,7 +29,11 @@
 
 class PlainService {
  public:
-  explicit PlainService(const Endpoint& endpoint) {
+  PlainService(const Endpoint& endpoint, const std::string& journal)
+      : journal_(QString::fromStdString(journal)) {
+    if (!journal.empty()) {
+      journal_.open(QIODevice::Append | QIODevice::Unbuffered);
+    }
     server_ = HttpServer::Builder()
                   .Listen(endpoint)
                   .Handler([this](const HttpRequest& request,
@@ -58,6 +64,9 @@
     }
     const std::string id(HeaderValue(request.headers, "Work-Id"));
     const int run = ++runs_[id];
+    if (journal_.isOpen() && !id.empty()) {
+      journal_.write(QByteArray::fromStdString(id + "\n"));
+    }
     Misbehave(act, responder,
               {200,
                {{"Content-Type", "text/plain"}},
@@ -105,6 +114,7 @@
 
   std::unique_ptr<HttpServer> server_;
   QObject context_;
+  QFile journal_;
   std::map<std::string, int> runs_;
   std::vector<Responder> silent_;
   std::string act_;
@@ -122,10 +132,12 @@
   CLI::App app("plain service stand-in");
   std::string listen;
   app.add_option("--listen", listen, "IP number:port")->required();
+  std::string journal;
+  app.add_option("--journal", journal, "File that lists the runs");
   CLI11_PARSE(app, argc, argv);
   const QCoreApplication application(argc, argv);
   firmoor::QuitOnSignals();
-  firmoor::PlainService service(firmoor::Endpoint::Parse(listen));
+  firmoor::PlainService service(firmoor::Endpoint::Parse(listen), journal);
   if (!service.Start()) return 1;
   firmoor::kLog.Info("Listening on {}.", listen);
   return QCoreApplication::exec();
