Route over the whole region instead of the own zone first

Cause: with the own zone first, each zone computed and kept every popular prefix for itself, so the caches of a region held the same chunks two or three times.

--- a/libs/serving/include/serving/router.h
+++ b/libs/serving/include/serving/router.h
@@ -46,6 +46,7 @@
   double prefill_tokens_per_s = 0;  ///< Learned from first tokens.
   std::uint64_t turn = 0;           ///< Rises with each choice.
   std::uint64_t rank = 0;           ///< Rendezvous rank for the prefix.
+  bool own_zone = true;
 };
 
 /// Orders replicas: the lowest cost is chosen, ties by rendezvous rank.
@@ -63,9 +64,9 @@
 std::unique_ptr<RoutingStrategy> MakeRoutingStrategy(std::string_view name);
 
 /// Chooses the replica of one service for each request. Own dispatches count
-/// at once, since load reports lag; cache contents are hints. Replicas of
-/// the own zone go first, then those of the own region, and other regions
-/// only when all nearer ones are full. Pure.
+/// at once, since load reports lag; cache contents are hints. The replicas of
+/// the own region are one pool, in which those of the own zone win ties; other
+/// regions are used only when the own one is full. Pure.
 class Router {
  public:
   /// How far away a replica is.
@@ -141,7 +142,7 @@
                                    const Replica& replica,
                                    const RouteRequest& request,
                                    TimePoint now) const;
-  [[nodiscard]] std::optional<Choice> PickAt(Distance distance,
+  [[nodiscard]] std::optional<Choice> PickAt(bool remote,
                                              const RouteRequest& request,
                                              TimePoint now,
                                              bool with_ejected) const;
--- a/libs/serving/src/router.cc
+++ b/libs/serving/src/router.cc
@@ -88,16 +88,17 @@
   const std::uint64_t seed =
       request.chunks.empty() ? 0 : request.chunks.front();
   view.rank = Hash64(id, seed);
+  view.own_zone = replica.distance == Distance::kZone;
   return view;
 }
 
-std::optional<Router::Choice> Router::PickAt(Distance distance,
+std::optional<Router::Choice> Router::PickAt(bool remote,
                                              const RouteRequest& request,
                                              TimePoint now,
                                              bool with_ejected) const {
   std::vector<ReplicaView> views;
   for (const auto& [id, replica] : replicas_) {
-    const bool fits = replica.distance == distance &&
+    const bool fits = (replica.distance == Distance::kRemote) == remote &&
                       IsUsable(replica, now, with_ejected) &&
                       replica.in_flight < replica.limit.value() &&
                       !request.exclude.contains(id);
@@ -117,6 +118,7 @@
     best = &view;
     best_cost = cost;
   }
+  const auto distance = replicas_.at(std::string(best->id)).distance;
   return Choice{std::string(best->id), distance, best->matched_chunks};
 }
 
@@ -124,13 +126,9 @@
                                            TimePoint now) {
   ++turn_;
   const bool with_ejected = AllEjected(now);
-  for (const auto distance :
-       {Distance::kZone, Distance::kRegion, Distance::kRemote}) {
-    if (distance == Distance::kRemote && !request.may_cross_region) break;
-    if (auto choice = PickAt(distance, request, now, with_ejected))
-      return choice;
-  }
-  return std::nullopt;
+  auto choice = PickAt(false, request, now, with_ejected);
+  if (choice || !request.may_cross_region) return choice;
+  return PickAt(true, request, now, with_ejected);
 }
 
 void Router::OnDispatch(const std::string& id, const RouteRequest& request) {
--- a/libs/serving/src/routing_strategy.cc
+++ b/libs/serving/src/routing_strategy.cc
@@ -8,6 +8,8 @@
 
 // A decoding request slows the prefill of a new one by about this much.
 constexpr double kDecodeInterferenceS = 0.002;
+// What a request must gain to cross to another zone of the region.
+constexpr double kOtherZoneS = 0.002;
 
 /// Expected time to the first token: work ahead, plus prefill that the cache
 /// does not save, plus the slowdown by running requests.
@@ -20,7 +22,8 @@
     const double own =
         std::max(0.0, static_cast<double>(request.prompt_tokens) - cached);
     return (replica.queued_tokens + own) / replica.prefill_tokens_per_s +
-           kDecodeInterferenceS * static_cast<double>(replica.running);
+           kDecodeInterferenceS * static_cast<double>(replica.running) +
+           (replica.own_zone ? 0.0 : kOtherZoneS);
   }
 };
 
