Take the prefix's holder or home among nearly equal replicas

Cause: two daemons that meet a new prefix at the same time put it on different idle replicas, since tiny cost differences decide; both then compute and keep it.

--- a/libs/serving/include/serving/router.h
+++ b/libs/serving/include/serving/router.h
@@ -49,7 +49,7 @@
   bool own_zone = true;
 };
 
-/// Orders replicas: the lowest cost is chosen, ties by rendezvous rank.
+/// Orders replicas: the lowest cost is chosen.
 /// Strategies have no state.
 class RoutingStrategy {
  public:
@@ -57,6 +57,9 @@
   /// Seconds, or any scale of its own.
   [[nodiscard]] virtual double Cost(const ReplicaView& replica,
                                     const RouteRequest& request) const = 0;
+  /// Costs this close to the lowest count as equal: the replica with the
+  /// longest cached prefix is then taken, and the first in rendezvous order.
+  [[nodiscard]] virtual double Tolerance() const { return 0; }
 };
 
 /// "expected-time", "round-robin", "least-in-flight" or "prefix-affinity";
--- a/libs/serving/src/router.cc
+++ b/libs/serving/src/router.cc
@@ -1,6 +1,7 @@
 #include "serving/router.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "base/hash.h"
@@ -106,17 +107,23 @@
     views.push_back(ViewOf(id, replica, request, now));
   }
   if (views.empty()) return std::nullopt;
-  const ReplicaView* best = nullptr;
-  double best_cost = 0;
+  std::vector<double> costs;
+  costs.reserve(views.size());
   for (std::size_t i = 0; i < views.size(); ++i) {
     auto& view = views[i];
     view.turn = (i + views.size() - turn_ % views.size()) % views.size();
-    const double cost = strategy_->Cost(view, request);
-    const bool better = best == nullptr || cost < best_cost ||
-                        (cost == best_cost && view.rank > best->rank);
-    if (!better) continue;
-    best = &view;
-    best_cost = cost;
+    costs.push_back(strategy_->Cost(view, request));
+  }
+  const double bound =
+      *std::min_element(costs.begin(), costs.end()) + strategy_->Tolerance();
+  const ReplicaView* best = nullptr;
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    if (costs[i] > bound) continue;
+    const auto& view = views[i];
+    const bool better =
+        best == nullptr || std::tie(view.matched_chunks, view.rank) >
+                               std::tie(best->matched_chunks, best->rank);
+    if (better) best = &view;
   }
   const auto distance = replicas_.at(std::string(best->id)).distance;
   return Choice{std::string(best->id), distance, best->matched_chunks};
--- a/libs/serving/src/routing_strategy.cc
+++ b/libs/serving/src/routing_strategy.cc
@@ -10,6 +10,9 @@
 constexpr double kDecodeInterferenceS = 0.002;
 // What a request must gain to cross to another zone of the region.
 constexpr double kOtherZoneS = 0.002;
+// Estimates are not better than this, so a nearly equal replica that has the
+// prefix, or is its home, is taken.
+constexpr double kToleranceS = 0.03;
 
 /// Expected time to the first token: work ahead, plus prefill that the cache
 /// does not save, plus the slowdown by running requests.
@@ -25,6 +28,7 @@
            kDecodeInterferenceS * static_cast<double>(replica.running) +
            (replica.own_zone ? 0.0 : kOtherZoneS);
   }
+  [[nodiscard]] double Tolerance() const override { return kToleranceS; }
 };
 
 /// Baseline: each replica in turn.
