Keep a tenth of the capacity for workspaces below their share

Cause: under a tenfold load of one workspace every slot was taken, so a request of a small workspace waited for an answer of the large one to end. Ruled out: the order of the queue (the small one was next each time; its wait was for a slot).

--- a/libs/serving/include/serving/admission.h
+++ b/libs/serving/include/serving/admission.h
@@ -39,6 +39,8 @@
 ///
 /// Higher priorities go first. Inside a priority, workspaces share by weight
 /// (start-time fair queueing), so that a large one cannot starve a small one.
+/// The last part of the capacity is kept for workspaces below their share, so
+/// that a small one need not wait until a request of a large one ends.
 /// A full queue drops the newest request of the workspace that is furthest
 /// over its share. A request whose deadline the queue cannot make is refused
 /// at once. Pure.
@@ -95,7 +97,11 @@
   void Enqueue(const AdmissionRequest& request);
   void DropOverShare();
   void DropExpired(TimePoint now);
-  std::optional<AdmissionRequest> TakeNext();
+  /// The next request in order; with `below_share` only of workspaces that
+  /// run less than their share of the capacity.
+  std::optional<AdmissionRequest> TakeNext(bool below_share);
+  [[nodiscard]] bool IsBelowShare(const std::string& workspace) const;
+  [[nodiscard]] std::int64_t OpenCapacity() const;
   void Remove(PriorityClass& queues, const std::string& workspace,
               std::size_t index);
   bool Withdraw(std::uint64_t id);
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kRateTimeConstantS = 2.0;
+constexpr double kKeptShare = 0.1;
 constexpr double kMsPerSecond = 1'000.0;
 constexpr double kMinFinishesPerS = 0.2;
 constexpr Duration kMinRetryAfter{1'000};
@@ -158,11 +159,31 @@
   }
 }
 
-std::optional<AdmissionRequest> Admission::TakeNext() {
+std::int64_t Admission::OpenCapacity() const {
+  const auto kept = static_cast<std::int64_t>(
+      std::ceil(static_cast<double>(capacity_) * kKeptShare));
+  // A capacity of one cannot be shared out.
+  return std::max<std::int64_t>(std::min<std::int64_t>(capacity_, 1),
+                                capacity_ - kept);
+}
+
+bool Admission::IsBelowShare(const std::string& workspace) const {
+  double weights = 0;
+  for (const auto& [name, use] : use_) {
+    if (use.in_flight + use.waiting > 0) weights += use.weight;
+  }
+  const auto& own = use_.at(workspace);
+  const double share = static_cast<double>(capacity_) * own.weight /
+                       std::max(weights, own.weight);
+  return static_cast<double>(own.in_flight + 1) <= share;
+}
+
+std::optional<AdmissionRequest> Admission::TakeNext(bool below_share) {
   for (auto& [level, queues] : classes_) {
     WorkspaceQueue* best = nullptr;
     for (auto& [name, queue] : queues) {
       if (queue.requests.empty()) continue;
+      if (below_share && !IsBelowShare(name)) continue;
       if (best == nullptr || queue.virtual_time < best->virtual_time) {
         best = &queue;
       }
@@ -185,7 +206,7 @@
   Changes changes;
   DropExpired(now);
   while (running() < capacity_) {
-    const auto next = TakeNext();
+    const auto next = TakeNext(running() >= OpenCapacity());
     if (!next) break;
     running_.emplace(next->id, *next);
     changes.run.push_back(next->id);
