Count a request's own work exactly and limit upstreams by their queue

Cause: a dispatch added the uncached tokens to a replica's queue and its first token took the whole prompt off, so queues looked shorter than they were; and the concurrency limit took a long own prefill for congestion.

--- a/libs/serving/include/serving/router.h
+++ b/libs/serving/include/serving/router.h
@@ -66,6 +66,16 @@
 /// null for another name.
 std::unique_ptr<RoutingStrategy> MakeRoutingStrategy(std::string_view name);
 
+/// One request at one replica, from its dispatch to its end.
+struct RouteTicket {
+  std::string replica;     ///< Empty when the request is nowhere.
+  double own_tokens = 0;   ///< Prompt tokens that it adds to the queue.
+  double work_tokens = 0;  ///< With those that were ahead of it.
+  bool first_token_seen = false;
+
+  bool operator==(const RouteTicket&) const = default;
+};
+
 /// Chooses the replica of one service for each request. Own dispatches count
 /// at once, since load reports lag; cache contents are hints. The replicas of
 /// the own region are one pool, in which those of the own zone win ties; other
@@ -95,14 +105,14 @@
   /// The replica for `request`, or nothing when all are full or away.
   std::optional<Choice> Pick(const RouteRequest& request, TimePoint now);
 
-  /// The request was sent to the replica.
-  void OnDispatch(const std::string& id, const RouteRequest& request);
+  /// The request was sent to the replica. Keep the ticket until its end.
+  RouteTicket OnDispatch(const std::string& id, const RouteRequest& request,
+                         TimePoint now);
   /// The first token, or the head of a plain answer, arrived.
-  void OnFirstToken(const std::string& id, const RouteRequest& request,
-                    Duration after, Duration target, TimePoint now);
-  /// The request left the replica. `first_token_seen` as told before.
-  void OnEnd(const std::string& id, const RouteRequest& request,
-             bool first_token_seen);
+  void OnFirstToken(RouteTicket* ticket, Duration after, Duration target,
+                    TimePoint now);
+  /// The request left the replica; the ticket is empty then.
+  void OnEnd(RouteTicket* ticket);
   /// The replica failed a request or a load read: it is left alone for a
   /// time that doubles with each failure in a row.
   void OnFailure(const std::string& id, TimePoint now);
@@ -149,6 +159,7 @@
                                              const RouteRequest& request,
                                              TimePoint now,
                                              bool with_ejected) const;
+  static void Unqueue(Replica* replica, const RouteTicket& ticket);
   static double UncachedTokens(const Replica& replica,
                                const RouteRequest& request);
 
--- a/libs/serving/src/concurrency_limit.cc
+++ b/libs/serving/src/concurrency_limit.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double kDecreaseFactor = 0.8;
+// The rest of the target is left for the queue in front of the upstream.
+constexpr double kUpstreamShareOfTarget = 0.35;
 // One slow batch is seen by many requests; it counts once.
 constexpr Duration kDecreaseInterval{200};
 
@@ -21,7 +23,9 @@
 
 void ConcurrencyLimit::OnSample(Duration first_byte, Duration target,
                                 bool was_full, TimePoint now) {
-  if (first_byte > target) {
+  const auto bound = Duration(static_cast<std::int64_t>(
+      static_cast<double>(target.count()) * kUpstreamShareOfTarget));
+  if (first_byte > bound) {
     if (now - last_decrease_ < kDecreaseInterval) return;
     last_decrease_ = now;
     value_ = std::max(1.0, value_ * kDecreaseFactor);
--- a/libs/serving/src/details/job.cc
+++ b/libs/serving/src/details/job.cc
@@ -170,7 +170,7 @@
         kNoUpstreamRetryAfter);
   }
   context_->upstreams.CheckSend(vm->id, now);
-  runtime_->router.OnDispatch(vm->id, route_);
+  ticket_ = runtime_->router.OnDispatch(vm->id, route_, now);
   upstream_ = vm->id;
   distance_ = choice->distance;
   sent_at_ = now;
@@ -290,7 +290,7 @@
   const auto now = MonotonicNow();
   const auto after = now - sent_at_;
   if (!first_token_) first_token_ = now - spec_.accepted_at;
-  runtime_->router.OnFirstToken(upstream_, route_, after,
+  runtime_->router.OnFirstToken(&ticket_, after,
                                 runtime_->service.first_token_target, now);
 }
 
@@ -331,7 +331,7 @@
 
 void Job::EndAttempt(const AttemptEnd& end) {
   const auto now = MonotonicNow();
-  runtime_->router.OnEnd(upstream_, route_, first_byte_seen_);
+  runtime_->router.OnEnd(&ticket_);
   const auto verdict = DecideWithBudget(end);
   const bool answered = verdict.step == NextStep::kPassAnswer;
   if (answered) {
@@ -465,7 +465,7 @@
 
 void Job::StopAttempt() {
   if (!call_) return;
-  runtime_->router.OnEnd(upstream_, route_, first_byte_seen_);
+  runtime_->router.OnEnd(&ticket_);
   call_.reset();
 }
 
--- a/libs/serving/src/details/job.h
+++ b/libs/serving/src/details/job.h
@@ -126,6 +126,7 @@
 
   std::unique_ptr<HttpCall> call_;
   std::string upstream_;
+  RouteTicket ticket_;
   Router::Distance distance_ = Router::Distance::kZone;
   TimePoint sent_at_;
   int attempts_ = 0;
--- a/libs/serving/src/router.cc
+++ b/libs/serving/src/router.cc
@@ -16,6 +16,9 @@
 constexpr double kRateWeight = 0.05;  // Of a new sample in the mean.
 constexpr double kMinPrefillTokensPerS = 200;
 constexpr double kMaxPrefillTokensPerS = 200'000;
+// Shorter work says more about the network than about the prefill.
+constexpr double kLeastSampleTokens = 256;
+constexpr double kMsPerSecond = 1'000;
 constexpr Duration kFirstEjection{500};
 constexpr int kMaxEjectionDoublings = 6;
 
@@ -138,50 +141,59 @@
   return PickAt(true, request, now, with_ejected);
 }
 
-void Router::OnDispatch(const std::string& id, const RouteRequest& request) {
+RouteTicket Router::OnDispatch(const std::string& id,
+                               const RouteRequest& request, TimePoint now) {
   const auto found = replicas_.find(id);
-  if (found == replicas_.end()) return;
+  if (found == replicas_.end()) return {};
   auto& replica = found->second;
   FIRMOOR_INVARIANT(!replica.leaving, "a request goes to a replica that stays");
+  RouteTicket ticket;
+  ticket.replica = id;
+  ticket.own_tokens = UncachedTokens(replica, request);
+  ticket.work_tokens =
+      ViewOf(id, replica, request, now).queued_tokens + ticket.own_tokens;
   ++replica.in_flight;
-  replica.own_queued_tokens += UncachedTokens(replica, request);
+  replica.own_queued_tokens += ticket.own_tokens;
   replica.index.Touch(request.chunks);
+  return ticket;
 }
 
-void Router::OnFirstToken(const std::string& id, const RouteRequest& request,
-                          Duration after, Duration target, TimePoint now) {
-  const auto found = replicas_.find(id);
-  if (found == replicas_.end()) return;
+void Router::OnFirstToken(RouteTicket* ticket, Duration after, Duration target,
+                          TimePoint now) {
+  const auto found = replicas_.find(ticket->replica);
+  if (found == replicas_.end() || ticket->first_token_seen) return;
   auto& replica = found->second;
+  ticket->first_token_seen = true;
+  Unqueue(&replica, *ticket);
   const bool was_full = replica.in_flight >= replica.limit.value();
-  replica.limit.OnSample(after, target, was_full, now);
-  const double work = std::max(replica.own_queued_tokens,
-                               static_cast<double>(request.prompt_tokens));
-  if (after > Duration(0) && request.prompt_tokens > kChunkTokens) {
-    const double rate = work * 1'000.0 / static_cast<double>(after.count());
-    const double mean =
-        replica.prefill_tokens_per_s * (1 - kRateWeight) + rate * kRateWeight;
-    replica.prefill_tokens_per_s =
-        std::clamp(mean, kMinPrefillTokensPerS, kMaxPrefillTokensPerS);
-  }
-  replica.own_queued_tokens =
-      std::max(0.0, replica.own_queued_tokens -
-                        static_cast<double>(request.prompt_tokens));
-}
-
-void Router::OnEnd(const std::string& id, const RouteRequest& request,
-                   bool first_token_seen) {
-  const auto found = replicas_.find(id);
+  // The request's own prefill says nothing about the queue.
+  const Duration own(static_cast<std::int64_t>(
+      ticket->own_tokens * kMsPerSecond / replica.prefill_tokens_per_s));
+  replica.limit.OnSample(std::max(after - own, Duration(0)), target, was_full,
+                         now);
+  if (after <= Duration(0) || ticket->work_tokens < kLeastSampleTokens) return;
+  const double rate =
+      ticket->work_tokens * kMsPerSecond / static_cast<double>(after.count());
+  const double mean =
+      replica.prefill_tokens_per_s * (1 - kRateWeight) + rate * kRateWeight;
+  replica.prefill_tokens_per_s =
+      std::clamp(mean, kMinPrefillTokensPerS, kMaxPrefillTokensPerS);
+}
+
+void Router::OnEnd(RouteTicket* ticket) {
+  const auto ended = std::exchange(*ticket, {});
+  const auto found = replicas_.find(ended.replica);
   if (found == replicas_.end()) return;
   auto& replica = found->second;
   FIRMOOR_INVARIANT(replica.in_flight > 0, "an ended request was in flight");
   replica.in_flight = std::max<std::int64_t>(0, replica.in_flight - 1);
-  if (!first_token_seen || replica.in_flight == 0) {
-    replica.own_queued_tokens =
-        std::max(0.0, replica.own_queued_tokens -
-                          static_cast<double>(request.prompt_tokens));
-  }
-  if (replica.in_flight == 0) replica.own_queued_tokens = 0;
+  if (!ended.first_token_seen) Unqueue(&replica, ended);
+}
+
+void Router::Unqueue(Replica* replica, const RouteTicket& ticket) {
+  replica->own_queued_tokens =
+      std::max(0.0, replica->own_queued_tokens - ticket.own_tokens);
+  if (replica->in_flight == 0) replica->own_queued_tokens = 0;
 }
 
 void Router::OnFailure(const std::string& id, TimePoint now) {
--- a/libs/serving/tests/router_test.cc
+++ b/libs/serving/tests/router_test.cc
@@ -39,8 +39,8 @@
   REQUIRE(first.has_value());
 
   SUBCASE("comes back to the replica that has the prefix") {
-    router.OnDispatch(first->id, prompt);
-    router.OnEnd(first->id, prompt, true);
+    auto ticket = router.OnDispatch(first->id, prompt, kNow);
+    router.OnEnd(&ticket);
     const auto again = router.Pick(prompt, kNow);
     CHECK(again->id == first->id);
     CHECK(again->matched_chunks == 8);
@@ -57,19 +57,19 @@
     for (int i = 0; i < 12; ++i) {
       const auto choice = router.Pick(prompt, kNow);
       REQUIRE(choice.has_value());
-      router.OnDispatch(choice->id, prompt);
+      router.OnDispatch(choice->id, prompt, kNow);
       ++chosen[choice->id];
     }
     CHECK(chosen.size() == 3);
     CHECK_FALSE(router.Pick(prompt, kNow).has_value());
   }
   SUBCASE("counts its own dispatches before any load report") {
-    router.OnDispatch(first->id, prompt);
+    router.OnDispatch(first->id, prompt, kNow);
     CHECK(router.Pick(Prompt(Text('y')), kNow)->id != first->id);
   }
   SUBCASE("forgets a chunk that the replica dropped") {
-    router.OnDispatch(first->id, prompt);
-    router.OnEnd(first->id, prompt, true);
+    auto ticket = router.OnDispatch(first->id, prompt, kNow);
+    router.OnEnd(&ticket);
     router.OnCacheRemoved(first->id, prompt.chunks);
     CHECK(router.Pick(prompt, kNow)->matched_chunks == 0);
   }
@@ -92,7 +92,7 @@
   router.AddReplica("near", Router::Distance::kZone, 1);
   const auto prompt = Prompt(Text('x'));
   CHECK(router.Pick(prompt, kNow)->id == "near");
-  router.OnDispatch("near", prompt);
+  router.OnDispatch("near", prompt, kNow);
   CHECK(router.Pick(prompt, kNow)->id == "far");
   auto at_home = prompt;
   at_home.may_cross_region = false;
--- a/tools/compare_strategies/fleet_model.cc
+++ b/tools/compare_strategies/fleet_model.cc
@@ -68,6 +68,7 @@
   double sent_ms = 0;
   double last_token_ms = 0;
   std::size_t tokens = 0;
+  RouteTicket ticket;
   bool first_seen = false;
 };
 
@@ -190,7 +191,7 @@
     });
     return;
   }
-  daemon->router.OnDispatch(choice->id, request.route);
+  request.ticket = daemon->router.OnDispatch(choice->id, request.route, Now());
   const auto found = std::find_if(
       engines_.begin(), engines_.end(),
       [&](const auto& engine) { return engine->id == choice->id; });
@@ -218,12 +219,12 @@
                             const EngineModel::StepResult& step) {
   engine->busy = false;
   if (engine->gone) return;
-  for (const auto& event : step.events) TakeToken(engine, event);
+  for (const auto& event : step.events) TakeToken(event);
   PublishCache(engine);
   StartStep(engine);
 }
 
-void FleetModel::TakeToken(Engine* engine, const EngineModel::Event& event) {
+void FleetModel::TakeToken(const EngineModel::Event& event) {
   const auto found = requests_.find(event.id);
   if (found == requests_.end()) return;
   auto& request = *found->second;
@@ -232,7 +233,7 @@
   if (!request.first_seen) {
     request.first_seen = true;
     const Duration after(std::int64_t(now_ms_ - request.sent_ms));
-    router.OnFirstToken(engine->id, request.route, after, kTarget, Now());
+    router.OnFirstToken(&request.ticket, after, kTarget, Now());
     if (request.tokens == 0 && measured) {
       const double ms = now_ms_ - request.arrived_ms;
       first_tokens_.push_back(ms);
@@ -246,7 +247,7 @@
   request.last_token_ms = now_ms_;
   request.tokens = event.token + 1;
   if (!event.last) return;
-  router.OnEnd(engine->id, request.route, true);
+  router.OnEnd(&request.ticket);
   auto* daemon = request.daemon;
   daemon->admission.Finish(event.id, Now());
   requests_.erase(found);
@@ -313,8 +314,7 @@
 
 void FleetModel::Resume(std::uint64_t id) {
   auto& request = *requests_.at(id);
-  request.daemon->router.OnEnd(request.engine->id, request.route,
-                               request.first_seen);
+  request.daemon->router.OnEnd(&request.ticket);
   request.engine = nullptr;
   request.first_seen = false;
   Dispatch(request.daemon, id);
--- a/tools/compare_strategies/fleet_model.h
+++ b/tools/compare_strategies/fleet_model.h
@@ -82,7 +82,7 @@
   void Dispatch(Daemon* daemon, std::uint64_t id);
   void StartStep(Engine* engine);
   void FinishStep(Engine* engine, const EngineModel::StepResult& step);
-  void TakeToken(Engine* engine, const EngineModel::Event& event);
+  void TakeToken(const EngineModel::Event& event);
   void PublishCache(Engine* engine);
   void ReportLoads();
   void StartWave();
