Let requests below their workspace's share go first at the upstream

Cause: under overload a small workspace's request stood behind the prefills of the large one inside the engine.

--- a/libs/serving/include/serving/admission.h
+++ b/libs/serving/include/serving/admission.h
@@ -46,9 +46,16 @@
 /// at once. Pure.
 class Admission {
  public:
+  /// A request that may run now.
+  struct Admitted {
+    std::uint64_t id = 0;
+    bool below_share = false;  ///< Its workspace runs less than its share.
+
+    bool operator==(const Admitted&) const = default;
+  };
   /// What changed since the last call.
   struct Changes {
-    std::vector<std::uint64_t> run;
+    std::vector<Admitted> run;
     std::vector<std::pair<std::uint64_t, Refusal>> refused;
 
     bool operator==(const Changes&) const = default;
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -209,7 +209,9 @@
     const auto next = TakeNext(running() >= OpenCapacity());
     if (!next) break;
     running_.emplace(next->id, *next);
-    changes.run.push_back(next->id);
+    // Without contention nobody needs to go before anybody.
+    const bool below_share = waiting_ > 0 && IsBelowShare(next->workspace);
+    changes.run.push_back({next->id, below_share});
   }
   FIRMOOR_INVARIANT(waiting_ <= queue_limit_ + capacity_,
                     "the queue of a service is bounded");
--- a/libs/serving/src/details/job.cc
+++ b/libs/serving/src/details/job.cc
@@ -23,6 +23,8 @@
 constexpr Duration kUnknownRetryAfter{5'000};
 constexpr int kSlowCallerPollMs = 20;
 constexpr std::size_t kSlowCallerBytes = 256 * 1024;
+// Added to the priority that an upstream sees.
+constexpr int kBelowShareBoost = 1;
 constexpr const char* kNotRunHeader = "Not-Run";
 
 /// Headers that belong to the exchange between caller and firmoor.
@@ -68,7 +70,8 @@
 
 Duration Job::TimeLeft() const { return spec_.deadline - MonotonicNow(); }
 
-void Job::Run() {
+void Job::Run(bool boost) {
+  boost_ = boost ? kBelowShareBoost : 0;
   if (spec_.claim && !claim_held_) return AskClaim();
   Send();
 }
@@ -239,7 +242,7 @@
   });
   request.body = UpstreamBody(
       *spec_.model, {Join(tokens_), tokens_.size()}, spec_.id,
-      spec_.traits.priority + spec_.workspace.priority, kv_source_);
+      spec_.traits.priority + spec_.workspace.priority + boost_, kv_source_);
   sse_ = SseParser();
   attempt_.stream_complete = false;
   call_ = HttpCall::Builder(vm.endpoint, std::move(request))
--- a/libs/serving/src/details/job.h
+++ b/libs/serving/src/details/job.h
@@ -41,8 +41,8 @@
   /// The request that admission decides on.
   [[nodiscard]] AdmissionRequest AskAdmission() const;
 
-  /// Admission lets the job run.
-  void Run();
+  /// Admission lets the job run; `boost` puts it first at the upstream.
+  void Run(bool boost);
   /// Admission refuses it.
   void Refuse(const Refusal& refusal);
   /// Gives up when the deadline has passed.
@@ -130,6 +130,7 @@
   Router::Distance distance_ = Router::Distance::kZone;
   TimePoint sent_at_;
   int attempts_ = 0;
+  int boost_ = 0;
   bool first_byte_seen_ = false;
   bool paused_ = false;
   bool earlier_unknown_ = false;
--- a/libs/serving/src/dispatcher.cc
+++ b/libs/serving/src/dispatcher.cc
@@ -246,14 +246,14 @@
     const auto job = found->second;
     job->Refuse(refusal);
   }
-  for (const auto number : changes.run) {
-    const auto found = by_number.find(number);
+  for (const auto& admitted : changes.run) {
+    const auto found = by_number.find(admitted.id);
     if (found == by_number.end()) {
-      runtime->admission.Finish(number, now);
+      runtime->admission.Finish(admitted.id, now);
       continue;
     }
     const auto job = found->second;
-    job->Run();
+    job->Run(admitted.below_share);
   }
 }
 
--- a/libs/serving/tests/admission_test.cc
+++ b/libs/serving/tests/admission_test.cc
@@ -10,6 +10,15 @@
 namespace firmoor {
 namespace {
 
+using Ids = std::vector<std::uint64_t>;
+
+Ids IdsOf(const std::vector<Admission::Admitted>& admitted) {
+  Ids ids;
+  ids.reserve(admitted.size());
+  for (const auto& one : admitted) ids.push_back(one.id);
+  return ids;
+}
+
 constexpr TimePoint kStart{Duration(1'000'000)};
 
 AdmissionRequest Make(std::uint64_t id, const std::string& workspace,
@@ -29,10 +38,10 @@
   TimePoint now = kStart;
   SUBCASE("run up to the capacity and then wait") {
     for (std::uint64_t i = 0; i < 4; ++i) admission.Submit(Make(i, "a"), now);
-    CHECK(admission.TakeChanges(now).run == std::vector<std::uint64_t>{0, 1});
+    CHECK(IdsOf(admission.TakeChanges(now).run) == Ids{0, 1});
     CHECK(admission.waiting() == 2);
     admission.Finish(0, now);
-    CHECK(admission.TakeChanges(now).run == std::vector<std::uint64_t>{2});
+    CHECK(IdsOf(admission.TakeChanges(now).run) == Ids{2});
   }
   SUBCASE("of a small workspace pass the queue of a large one") {
     for (std::uint64_t i = 0; i < 6; ++i) {
@@ -46,7 +55,7 @@
     CHECK(refused[0].second.code == ResultCode::kOverloaded);
     admission.Finish(0, now);
     admission.Finish(1, now);
-    const auto run = admission.TakeChanges(now).run;
+    const auto run = IdsOf(admission.TakeChanges(now).run);
     CHECK(std::find(run.begin(), run.end(), 100) != run.end());
   }
   SUBCASE("of a higher priority go first") {
@@ -54,7 +63,7 @@
     admission.TakeChanges(now);
     admission.Submit(Make(9, "a", 5), now);
     admission.Finish(0, now);
-    CHECK(admission.TakeChanges(now).run == std::vector<std::uint64_t>{9});
+    CHECK(IdsOf(admission.TakeChanges(now).run) == Ids{9});
   }
   SUBCASE("over the limit of their workspace are refused") {
     auto request = Make(1, "a");
@@ -98,7 +107,7 @@
   }
   std::map<std::string, int> served;
   for (int i = 0; i < 100; ++i) {
-    const auto run = admission.TakeChanges(now).run;
+    const auto run = IdsOf(admission.TakeChanges(now).run);
     REQUIRE(run.size() == 1);
     ++served[owner[run[0]]];
     now += Duration(10);
@@ -132,7 +141,7 @@
         running.erase(running.begin());
       }
       const auto changes = admission.TakeChanges(now);
-      for (const auto id : changes.run) {
+      for (const auto id : IdsOf(changes.run)) {
         RC_ASSERT(open.erase(id) == 1);
         running.insert(id);
       }
--- a/tests/standins/engine_model.cc
+++ b/tests/standins/engine_model.cc
@@ -77,6 +77,11 @@
   Admit();
   StepResult result;
   if (active_.empty()) return result;
+  // Prefill follows priority too, not only admission to the batch.
+  std::stable_sort(active_.begin(), active_.end(),
+                   [](const Active& a, const Active& b) {
+                     return a.sequence.priority > b.sequence.priority;
+                   });
   std::size_t prefill_room = shape_.prefill_tokens_per_step;
   std::size_t prefilled = 0;
   std::size_t decoding = 0;
--- a/tools/compare_strategies/fleet_model.cc
+++ b/tools/compare_strategies/fleet_model.cc
@@ -69,6 +69,7 @@
   double last_token_ms = 0;
   std::size_t tokens = 0;
   RouteTicket ticket;
+  int boost = 0;
   bool first_seen = false;
 };
 
@@ -179,7 +180,10 @@
     ++refused_;
     requests_.erase(id);
   }
-  for (const auto id : changes.run) Dispatch(daemon, id);
+  for (const auto& admitted : changes.run) {
+    requests_.at(admitted.id)->boost = admitted.below_share ? 1 : 0;
+    Dispatch(daemon, admitted.id);
+  }
 }
 
 void FleetModel::Dispatch(Daemon* daemon, std::uint64_t id) {
@@ -202,6 +206,7 @@
   sequence.chunks = request.route.chunks;
   sequence.prompt_tokens = request.route.prompt_tokens;
   sequence.emitted_tokens = request.tokens;
+  sequence.priority = request.boost;
   sequence.max_tokens = shape_.deployment.answer_tokens;
   request.engine->model.Add(sequence);
   StartStep(request.engine);
