Pass claims to the home of their slot and pace its writes

Change: each slot has a home by rendezvous among the region's live daemons, which gets the claims of the others by a peer call; no answer within 600 ms and the claim is made from here under the same attempt id, so safety rests on the conditional update as before. The idea that batched commits amortise the cost of a guarantee is also the paper's (Chain Services with Exactly-Once Guarantees).

--- a/apps/firmoord/src/daemon.cc
+++ b/apps/firmoord/src/daemon.cc
@@ -8,6 +8,7 @@
 #include <QJsonDocument>
 #include <utility>
 
+#include "base/hash.h"
 #include "base/invariant.h"
 #include "base/log.h"
 #include "base/random_id.h"
@@ -19,6 +20,8 @@
 constexpr Logger kLog("daemon");
 constexpr Duration kTailTimeout{500};
 constexpr std::size_t kTailCandidates = 6;
+// A home that does not answer in this time is passed over.
+constexpr Duration kHomeTimeout{600};
 
 Supervisor::Part StartStop(std::string name, std::function<bool()> start,
                            std::function<void()> stop) {
@@ -103,6 +106,7 @@
   fleet_->SetHandler("tail", [this](const auto& message, const auto& reply) {
     ServeTail(message, reply);
   });
+  ConnectClaims();
   config_->SetFleet(fleet_.get());
   vm_list_ = std::make_unique<VmListFollower>(
       settings_.vm_list, settings_.vm_list_period,
@@ -252,6 +256,77 @@
       });
 }
 
+std::optional<Member> Daemon::HomeOfSlot(const std::string& slot) const {
+  // Only the own region: a claim must not wait for the link between regions
+  // twice.
+  std::vector<std::string> names = {settings_.daemon};
+  for (const auto& member : fleet_->membership().Live()) {
+    if (member.region == settings_.region) names.push_back(member.name);
+  }
+  const auto home = RendezvousOrder(slot, std::move(names)).front();
+  const auto* member = fleet_->membership().Find(home);
+  return member == nullptr ? std::nullopt : std::optional(*member);
+}
+
+void Daemon::ConnectClaims() {
+  fleet_->SetHandler("claim", [this](const auto& message, const auto& reply) {
+    ServeClaim(message, reply);
+  });
+  fleet_->SetHandler("record", [this](const auto& message, const auto& reply) {
+    ServeRecord(message, reply);
+  });
+  ClaimStore::HomeCalls calls;
+  calls.claim = [this](const std::string& slot, const Claim& wanted,
+                       const auto& done) {
+    const auto home = HomeOfSlot(slot);
+    if (!home) return false;
+    fleet_->Call(
+        *home, "claim", EncodeClaim(wanted), kHomeTimeout,
+        [done](PeerStatus status, const QByteArray& body) {
+          const auto array = QCborValue::fromCbor(body).toArray();
+          const auto claim =
+              Capture([&] { return DecodeClaim(array.at(1).toByteArray()); });
+          const auto* held = std::get_if<Claim>(&claim);
+          if (status != PeerStatus::kOk || held == nullptr) {
+            return done(std::nullopt);
+          }
+          done(ClaimBatcher::Decided{
+              0, static_cast<ClaimVerdict>(array.at(0).toInteger()), *held});
+        });
+    return true;
+  };
+  calls.record = [this](const std::string& slot, const Claim& ended,
+                        const auto& done) {
+    const auto home = HomeOfSlot(slot);
+    if (!home) return false;
+    fleet_->Call(*home, "record", EncodeClaim(ended), kHomeTimeout,
+                 [done](PeerStatus status, const QByteArray& body) {
+                   done(status == PeerStatus::kOk && body == "stored");
+                 });
+    return true;
+  };
+  claims_->SetHomeCalls(std::move(calls));
+}
+
+void Daemon::ServeClaim(const QByteArray& message,
+                        const PeerNode::Reply& reply) {
+  const auto claim = Capture([&] { return DecodeClaim(message); });
+  if (std::holds_alternative<Error>(claim)) return reply({});
+  claims_->ClaimHere(
+      std::get<Claim>(claim), [reply](const ClaimBatcher::Decided& decided) {
+        reply(QCborValue(QCborArray{static_cast<int>(decided.verdict),
+                                    EncodeClaim(decided.claim)})
+                  .toCbor());
+      });
+}
+
+void Daemon::ServeRecord(const QByteArray& message,
+                         const PeerNode::Reply& reply) {
+  const auto claim = Capture([&] { return DecodeClaim(message); });
+  if (std::holds_alternative<Error>(claim)) return reply({});
+  claims_->RecordHere(std::get<Claim>(claim), [reply] { reply("stored"); });
+}
+
 bool Daemon::IsReady() const {
   return config_->IsKnown() && vm_list_seen_ && !drain_->IsDraining();
 }
--- a/apps/firmoord/src/daemon.h
+++ b/apps/firmoord/src/daemon.h
@@ -4,6 +4,7 @@
 #include <QFile>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/supervisor.h"
@@ -38,6 +39,11 @@
   DispatcherEnvironment MakeEnvironment();
   void ServeHandover(const QByteArray& message, const PeerNode::Reply& reply);
   void ServeTail(const QByteArray& message, const PeerNode::Reply& reply);
+  void ConnectClaims();
+  /// The live daemon that a slot belongs to; empty when it is this one.
+  [[nodiscard]] std::optional<Member> HomeOfSlot(const std::string& slot) const;
+  void ServeClaim(const QByteArray& message, const PeerNode::Reply& reply);
+  void ServeRecord(const QByteArray& message, const PeerNode::Reply& reply);
   void FindElsewhere(const std::string& id, std::size_t from,
                      const std::function<void(const RequestTail&)>& done);
   void AskForTail(const std::shared_ptr<std::vector<Member>>& candidates,
--- a/libs/serving/include/serving/claim_batcher.h
+++ b/libs/serving/include/serving/claim_batcher.h
@@ -16,7 +16,8 @@
 
 /// Claims and records outcomes in one slot by conditional updates. One
 /// update is in flight at a time and what comes meanwhile goes with the
-/// next one (group commit), so writes do not grow with the load. The
+/// next one (group commit); writes keep a least distance and outcomes wait
+/// a little for a claim to go with, so writes do not grow with the load. The
 /// conditional update is the only fence: no lease and no clock is trusted.
 /// An update whose answer was lost is resolved by reading the slot back and
 /// finding the attempt's own id there. Pure.
@@ -41,8 +42,9 @@
   void Claim(std::uint64_t id, const firmoor::Claim& wanted,
              TimePoint deadline);
 
-  /// Records how a granted claim ended. Kept until stored.
-  void Record(const firmoor::Claim& ended);
+  /// Records how a granted claim ended. Kept until stored; `id` then shows
+  /// in `TakeRecorded`.
+  void Record(std::uint64_t id, const firmoor::Claim& ended, TimePoint now);
 
   /// The next store call, when none is in flight and there is work.
   std::optional<StoreCall> NextCall(TimePoint now, std::int64_t wall_ms);
@@ -53,8 +55,9 @@
   /// Claims that are decided, each once. Also gives up those past deadline.
   std::vector<Decided> TakeDecided(TimePoint now);
 
-  /// When `NextCall` may have work again without a new event.
-  [[nodiscard]] TimePoint retry_at() const { return retry_at_; }
+  /// Ids of outcomes that were stored, each once.
+  std::vector<std::uint64_t> TakeRecorded();
+
   /// Outcomes that are not stored yet.
   [[nodiscard]] std::size_t unrecorded() const { return records_.size(); }
   [[nodiscard]] bool HasWork() const;
@@ -72,6 +75,14 @@
   void Decide(const Pending& pending, ClaimVerdict verdict,
               const ClaimSlot* seen);
   void AfterFailure(TimePoint now);
+  [[nodiscard]] bool MayWrite(TimePoint now) const;
+  void DropRecords();
+
+  struct Ended {
+    std::uint64_t id;  ///< 0: nobody asks.
+    firmoor::Claim claim;
+    TimePoint since;
+  };
 
   std::optional<ClaimSlot> slot_;  ///< As last read or written.
   std::int64_t version_ = 0;
@@ -80,10 +91,12 @@
   bool in_flight_ = false;
   std::deque<Pending> pending_;
   std::vector<std::uint64_t> in_write_;
-  std::deque<firmoor::Claim> records_;
+  std::deque<Ended> records_;
+  std::vector<std::uint64_t> recorded_;
   std::size_t records_in_write_ = 0;
   std::vector<Decided> decided_;
   TimePoint retry_at_;
+  TimePoint last_write_;
   Duration backoff_{0};
 };
 
--- a/libs/serving/include/serving/claim_slot.h
+++ b/libs/serving/include/serving/claim_slot.h
@@ -34,6 +34,11 @@
   bool operator==(const Claim&) const = default;
 };
 
+/// One claim as CBOR, for calls between daemons.
+QByteArray EncodeClaim(const Claim& claim);
+/// Fails with `kBadMessage`.
+Result<Claim> DecodeClaim(const QByteArray& bytes);
+
 /// Largest answer body that is recorded.
 constexpr std::size_t kMaxRecordedAnswerBytes = 4'096;
 /// Claims older than this are dropped.
--- a/libs/serving/src/claim_batcher.cc
+++ b/libs/serving/src/claim_batcher.cc
@@ -9,7 +9,10 @@
 
 constexpr Duration kFirstBackoff{20};
 constexpr Duration kMaxBackoff{500};
-constexpr std::size_t kMaxRecords = 20'000;
+// Least distance of two writes of a slot.
+constexpr Duration kWriteDistance{25};
+// Outcomes wait this long for a claim whose write they can share.
+constexpr Duration kRecordPatience{150};
 
 }  // namespace
 
@@ -18,10 +21,28 @@
   pending_.push_back({id, wanted, deadline});
 }
 
-void ClaimBatcher::Record(const firmoor::Claim& ended) {
+void ClaimBatcher::Record(std::uint64_t id, const firmoor::Claim& ended,
+                          TimePoint now) {
   FIRMOOR_PRECONDITION(ended.state != ClaimState::kClaimed,
                        "an ended claim is not open");
-  if (records_.size() < kMaxRecords) records_.push_back(ended);
+  records_.push_back({id, ended, now});
+}
+
+bool ClaimBatcher::MayWrite(TimePoint now) const {
+  if (now - last_write_ < kWriteDistance) return false;
+  return !pending_.empty() || now - records_.front().since >= kRecordPatience;
+}
+
+void ClaimBatcher::DropRecords() {
+  for (std::size_t i = 0; i < records_in_write_; ++i) {
+    recorded_.push_back(records_.front().id);
+    records_.pop_front();
+  }
+  records_in_write_ = 0;
+}
+
+std::vector<std::uint64_t> ClaimBatcher::TakeRecorded() {
+  return std::exchange(recorded_, {});
 }
 
 bool ClaimBatcher::HasWork() const {
@@ -31,6 +52,7 @@
 std::optional<ClaimBatcher::StoreCall> ClaimBatcher::NextCall(
     TimePoint now, std::int64_t wall_ms) {
   if (in_flight_ || !HasWork() || now < retry_at_) return std::nullopt;
+  if (!MayWrite(now)) return std::nullopt;
   if (!slot_) {
     in_flight_ = true;
     return StoreCall{};
@@ -44,9 +66,9 @@
   for (const auto& record : records_) {
     // A release whose claim is not there yet is written all the same: the
     // new version fences off the lost update that may still arrive.
-    const bool fences =
-        record.state == ClaimState::kNotRun && next.Find(record.key) == nullptr;
-    changed |= next.Record(record) || fences;
+    const bool fences = record.claim.state == ClaimState::kNotRun &&
+                        next.Find(record.claim.key) == nullptr;
+    changed |= next.Record(record.claim) || fences;
     ++records_in_write_;
   }
   std::deque<Pending> waiting;
@@ -76,10 +98,7 @@
   }
   pending_ = std::move(waiting);
   if (!changed) {
-    records_.erase(
-        records_.begin(),
-        records_.begin() + static_cast<std::ptrdiff_t>(records_in_write_));
-    records_in_write_ = 0;
+    DropRecords();
     if (!must_read) return std::nullopt;
     slot_.reset();
     in_flight_ = true;
@@ -87,6 +106,7 @@
   }
   in_flight_ = true;
   writing_ = std::move(next);
+  last_write_ = now;
   StoreCall call{true, version_, writing_->Encode()};
   encoded_bytes_ = call.value.size();
   return call;
@@ -131,10 +151,7 @@
   writing_.reset();
   version_ = version;
   backoff_ = Duration(0);
-  records_.erase(
-      records_.begin(),
-      records_.begin() + static_cast<std::ptrdiff_t>(records_in_write_));
-  records_in_write_ = 0;
+  DropRecords();
   std::deque<Pending> waiting;
   for (const auto& pending : pending_) {
     const bool granted = std::find(in_write_.begin(), in_write_.end(),
@@ -172,7 +189,7 @@
     if (!pending.written && !in_write) continue;
     auto released = pending.claim;
     released.state = ClaimState::kNotRun;
-    Record(released);
+    records_.push_back({0, released, now});
   }
   pending_ = std::move(waiting);
   return std::exchange(decided_, {});
--- a/libs/serving/src/claim_slot.cc
+++ b/libs/serving/src/claim_slot.cc
@@ -13,7 +13,7 @@
   return QByteArray::fromStdString(text);
 }
 
-QCborArray EncodeClaim(const Claim& claim) {
+QCborArray ToArray(const Claim& claim) {
   return {Bytes(claim.key),
           Bytes(claim.body),
           Bytes(claim.attempt),
@@ -26,7 +26,7 @@
           static_cast<qint64>(claim.changed_ms)};
 }
 
-Claim DecodeClaim(const QCborArray& array) {
+Claim FromArray(const QCborArray& array) {
   const auto text = [&](qsizetype i) {
     return array.at(i).toByteArray().toStdString();
   };
@@ -44,6 +44,18 @@
 
 }  // namespace
 
+QByteArray EncodeClaim(const Claim& claim) {
+  return QCborValue(ToArray(claim)).toCbor();
+}
+
+Result<Claim> DecodeClaim(const QByteArray& bytes) {
+  const auto fields = QCborValue::fromCbor(bytes).toArray();
+  if (fields.size() != kFields) {
+    return Fail(ResultCode::kBadMessage, "a claim has missing fields");
+  }
+  return FromArray(fields);
+}
+
 ClaimVerdict ClaimSlot::TryClaim(const Claim& wanted) {
   const auto found = claims_.find(wanted.key);
   const bool free =
@@ -89,7 +101,7 @@
 
 QByteArray ClaimSlot::Encode() const {
   QCborArray array;
-  for (const auto& [key, claim] : claims_) array.append(EncodeClaim(claim));
+  for (const auto& [key, claim] : claims_) array.append(ToArray(claim));
   return QCborValue(array).toCbor();
 }
 
@@ -105,7 +117,7 @@
     if (fields.size() != kFields) {
       return Fail(ResultCode::kBadMessage, "a claim has missing fields");
     }
-    auto claim = DecodeClaim(fields);
+    auto claim = FromArray(fields);
     slot.claims_.insert_or_assign(claim.key, std::move(claim));
   }
   return slot;
--- a/libs/serving/src/claim_store.cc
+++ b/libs/serving/src/claim_store.cc
@@ -4,6 +4,7 @@
 
 #include <QTimer>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "base/hash.h"
@@ -22,6 +23,9 @@
   Duration wait;
   std::map<std::string, ClaimBatcher> batchers;
   std::map<std::uint64_t, Done> waiting;
+  std::map<std::uint64_t, RecordDone> recording;
+  std::set<std::string> attempts;  ///< Whose outcomes are not stored yet.
+  HomeCalls home;
   std::uint64_t next_id = 1;
   QTimer timer;
   // Answers that arrive after this object is gone find it false.
@@ -71,6 +75,13 @@
     waiting.erase(found);
     done(decided);
   }
+  for (const auto id : batcher->TakeRecorded()) {
+    const auto found = recording.find(id);
+    if (found == recording.end()) continue;
+    const auto done = std::move(found->second);
+    recording.erase(found);
+    done();
+  }
 }
 
 ClaimStore::ClaimStore(ObjectStore* store, std::int64_t slots, Duration wait)
@@ -91,7 +102,26 @@
                      Hash64(key) % static_cast<std::uint64_t>(impl_->slots));
 }
 
+void ClaimStore::SetHomeCalls(HomeCalls calls) {
+  impl_->home = std::move(calls);
+}
+
 void ClaimStore::Claim(const firmoor::Claim& wanted, Done done) {
+  const auto here = [this, wanted, done, guard = impl_->alive] {
+    if (*guard) ClaimHere(wanted, done);
+  };
+  if (!impl_->home.claim) return here();
+  const bool sent = impl_->home.claim(
+      SlotOf(wanted.key), wanted,
+      [here, done](const std::optional<ClaimBatcher::Decided>& decided) {
+        const bool decisive =
+            decided && decided->verdict != ClaimVerdict::kStoreAway;
+        return decisive ? done(*decided) : here();
+      });
+  if (!sent) here();
+}
+
+void ClaimStore::ClaimHere(const firmoor::Claim& wanted, Done done) {
   const auto name = SlotOf(wanted.key);
   auto& batcher = impl_->batchers[name];
   const auto id = impl_->next_id++;
@@ -102,19 +132,36 @@
 }
 
 void ClaimStore::Record(const firmoor::Claim& ended) {
+  impl_->attempts.insert(ended.attempt);
+  const auto stored = [this, attempt = ended.attempt, guard = impl_->alive] {
+    if (*guard) impl_->attempts.erase(attempt);
+  };
+  const auto here = [this, ended, stored, guard = impl_->alive] {
+    if (*guard) RecordHere(ended, stored);
+  };
+  if (!impl_->home.record) return here();
+  const bool sent = impl_->home.record(
+      SlotOf(ended.key), ended,
+      [here, stored](bool at_home) { return at_home ? stored() : here(); });
+  if (!sent) here();
+}
+
+void ClaimStore::RecordHere(const firmoor::Claim& ended, RecordDone done) {
   const auto name = SlotOf(ended.key);
   auto& batcher = impl_->batchers[name];
-  batcher.Record(ended);
+  const auto id = impl_->next_id++;
+  impl_->recording.emplace(id, std::move(done));
+  batcher.Record(id, ended, MonotonicNow());
   impl_->timer.start();
   impl_->Advance(name, &batcher);
 }
 
+bool ClaimStore::IsRecording(const std::string& attempt) const {
+  return impl_->attempts.contains(attempt);
+}
+
 std::size_t ClaimStore::Unrecorded() const {
-  std::size_t count = 0;
-  for (const auto& [name, batcher] : impl_->batchers) {
-    count += batcher.unrecorded();
-  }
-  return count;
+  return impl_->attempts.size() + impl_->recording.size();
 }
 
 }  // namespace firmoor
--- a/libs/serving/src/dispatcher.cc
+++ b/libs/serving/src/dispatcher.cc
@@ -301,7 +301,8 @@
     return context.environment.is_live(claim.owner);
   }
   const auto found = jobs.find(claim.attempt);
-  return found != jobs.end();
+  return found != jobs.end() ||
+         context.environment.claims->IsRecording(claim.attempt);
 }
 
 void Dispatcher::Impl::AnswerQuestion(
