--- /dev/null
+++ b/libs/placement/include/placement/planner.h
@@ -0,0 +1,90 @@
+#ifndef FIRMOOR_PLACEMENT_PLANNER_H_
+#define FIRMOOR_PLACEMENT_PLANNER_H_
+
+#include <compare>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace firmoor {
+
+/// How a VM is bought.
+enum class Market { kReclaimable, kOnDemand };
+
+/// Where VMs of a service can be bought.
+struct MarketOffer {
+  std::string availability_zone;
+  Market market = Market::kReclaimable;
+  double price_per_hour = 0;
+  double reclaims_per_hour = 0;  ///< Of one VM, from history.
+
+  bool operator==(const MarketOffer&) const = default;
+};
+
+/// A place in a plan.
+struct PlacementSlot {
+  std::string availability_zone;
+  Market market = Market::kReclaimable;
+
+  auto operator<=>(const PlacementSlot&) const = default;
+};
+
+/// VM counts by place.
+using PlacementCounts = std::map<PlacementSlot, int>;
+
+/// What a plan must reach for one service.
+struct PlacementNeed {
+  double demand = 0;       ///< Requests in work, over all daemons.
+  double per_replica = 1;  ///< Requests in work that one replica bears.
+  int min_replicas = 1;
+  int max_replicas = 1;
+
+  bool operator==(const PlacementNeed&) const = default;
+};
+
+/// Turns demand, prices and history into VM counts.
+///
+/// The counts survive the loss of any one zone: what is left bears the
+/// demand. A fifth is bought on demand. Growth follows at once, shrinking
+/// only when it was possible for a while, so that lagging reports do not make
+/// it oscillate. A place that refused a start is left out for a while. Pure.
+class PlacementPlanner {
+ public:
+  explicit PlacementPlanner(std::vector<MarketOffer> offers);
+
+  void SetOffers(std::vector<MarketOffer> offers);
+
+  /// A start was refused there.
+  void OnRefused(const PlacementSlot& slot, TimePoint now);
+
+  /// Counts for the need; `starting` VMs fetch weights already.
+  PlacementCounts Plan(const PlacementNeed& need, TimePoint now);
+
+  /// The next step from `current` to `wanted`: at most `starts` more VMs, so
+  /// that the weight store's rate is kept; all decreases.
+  static PlacementCounts Step(const PlacementCounts& current,
+                              const PlacementCounts& wanted, int starts);
+
+ private:
+  [[nodiscard]] int WantedTotal(const PlacementNeed& need,
+                                std::size_t zones) const;
+  [[nodiscard]] std::vector<MarketOffer> UsableOffers(TimePoint now) const;
+  int Damped(int wanted, TimePoint now);
+
+  std::vector<MarketOffer> offers_;
+  std::map<PlacementSlot, TimePoint> refused_until_;
+  std::map<PlacementSlot, int> refusals_;
+  int total_ = 0;
+  int shrink_to_ = 0;
+  TimePoint shrink_since_;
+  bool shrinking_ = false;
+};
+
+/// Price of an hour of work there, with the work lost to reclaims.
+double EffectivePrice(const MarketOffer& offer);
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_PLACEMENT_PLANNER_H_
--- /dev/null
+++ b/libs/placement/src/lease.cc
@@ -0,0 +1,118 @@
+#include "placement/lease.h"
+
+#include <QCborArray>
+#include <QCborValue>
+#include <utility>
+
+#include "base/invariant.h"
+
+namespace firmoor {
+namespace {
+
+constexpr Duration kRetry{500};
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(std::string daemon, LeaseTiming timing)
+    : daemon_(std::move(daemon)), timing_(timing) {
+  FIRMOOR_PRECONDITION(timing.renew_every * 2 < timing.lifetime,
+                       "a lease can be renewed in its lifetime");
+}
+
+QByteArray LeaseKeeper::Encode(std::int64_t fencing) const {
+  // The renewal changes the object's version, which is what others watch.
+  return QCborValue(
+             QCborArray{QString::fromStdString(daemon_), qint64(fencing)})
+      .toCbor();
+}
+
+std::optional<LeaseKeeper::Call> LeaseKeeper::NextCall(TimePoint now) {
+  if (in_flight_ || now < next_call_) return std::nullopt;
+  in_flight_ = true;
+  sent_at_ = now;
+  if (!known_) return Call{};
+  if (holder_) {
+    asked_fencing_ = fencing_;
+    return Call{true, version_, Encode(fencing_)};
+  }
+  if (version_ != 0 && now - unchanged_since_ < timing_.lifetime) {
+    return Call{};
+  }
+  asked_fencing_ = seen_fencing_ + 1;
+  return Call{true, version_, Encode(asked_fencing_)};
+}
+
+void LeaseKeeper::OnRead(StoreStatus status, const StoredObject& object,
+                         TimePoint now) {
+  in_flight_ = false;
+  next_call_ = now + kRetry;
+  if (status == StoreStatus::kNotFound) {
+    known_ = true;
+    version_ = 0;
+    next_call_ = now;
+    return;
+  }
+  if (status != StoreStatus::kOk) return;
+  const auto array = QCborValue::fromCbor(object.value).toArray();
+  if (!known_ || object.version > version_) {
+    version_ = object.version;
+    unchanged_since_ = now;
+    seen_holder_ = array.at(0).toString().toStdString();
+    seen_fencing_ = array.at(1).toInteger();
+  }
+  known_ = true;
+  // An own write whose answer was lost took effect.
+  const bool own = seen_holder_ == daemon_ && seen_fencing_ == asked_fencing_ &&
+                   asked_fencing_ > 0;
+  if (own && !holder_) {
+    holder_ = true;
+    fencing_ = seen_fencing_;
+    taken_at_ = now;
+    // Counted from the write that is known to have been sent last.
+    valid_from_ = sent_at_ - timing_.lifetime;
+    next_call_ = now;
+  }
+}
+
+void LeaseKeeper::OnWrite(StoreStatus status, std::int64_t version,
+                          TimePoint now) {
+  in_flight_ = false;
+  if (status == StoreStatus::kOk) {
+    if (!holder_) taken_at_ = now;
+    FIRMOOR_INVARIANT(asked_fencing_ >= fencing_,
+                      "the fencing number of a daemon only rises");
+    holder_ = true;
+    fencing_ = asked_fencing_;
+    seen_fencing_ = fencing_;
+    seen_holder_ = daemon_;
+    version_ = version;
+    unchanged_since_ = now;
+    valid_from_ = sent_at_;
+    next_call_ = sent_at_ + timing_.renew_every;
+    return;
+  }
+  if (status == StoreStatus::kConflict) {
+    holder_ = false;
+    known_ = false;
+    version_ = 0;
+  } else {
+    // Unknown: reads back. Until then the old lifetime counts.
+    known_ = false;
+    holder_ = false;
+    version_ = 0;
+  }
+  next_call_ = now + (status == StoreStatus::kConflict ? Duration(0) : kRetry);
+}
+
+bool LeaseKeeper::MayOrderFenced(TimePoint now) const {
+  return holder_ && now - valid_from_ < timing_.lifetime;
+}
+
+bool LeaseKeeper::MayOrderUnfenced(TimePoint now) const {
+  const bool first = fencing_ == 1;
+  const bool waited =
+      first || now - taken_at_ >= timing_.lifetime + timing_.order_time;
+  return MayOrderFenced(now) && waited;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/placement/tests/placement_test.cc
@@ -0,0 +1,251 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "placement/lease.h"
+#include "placement/planner.h"
+
+namespace firmoor {
+namespace {
+
+constexpr TimePoint kStart{Duration(1'000'000)};
+
+std::vector<MarketOffer> ThreeZones() {
+  std::vector<MarketOffer> offers;
+  for (const char* zone : {"a", "b", "c"}) {
+    offers.push_back({zone, Market::kReclaimable, 1.0, 0.5});
+    offers.push_back({zone, Market::kOnDemand, 3.0, 0.0});
+  }
+  return offers;
+}
+
+std::map<std::string, int> ByZone(const PlacementCounts& counts) {
+  std::map<std::string, int> zones;
+  for (const auto& [slot, count] : counts) {
+    zones[slot.availability_zone] += count;
+  }
+  return zones;
+}
+
+int Total(const PlacementCounts& counts) {
+  int total = 0;
+  for (const auto& [slot, count] : counts) total += count;
+  return total;
+}
+
+}  // namespace
+
+TEST_CASE("a placement plan") {
+  PlacementPlanner planner(ThreeZones());
+  PlacementNeed need{80, 10, 1, 100};
+  SUBCASE("survives the loss of any zone") {
+    const auto counts = planner.Plan(need, kStart);
+    for (const auto& [zone, count] : ByZone(counts)) {
+      CHECK(Total(counts) - count >= 8);
+    }
+  }
+  SUBCASE("keeps a floor on demand and buys the rest cheaply") {
+    const auto counts = planner.Plan(need, kStart);
+    int on_demand = 0;
+    for (const auto& [slot, count] : counts) {
+      if (slot.market == Market::kOnDemand) on_demand += count;
+    }
+    CHECK(on_demand == 3);
+    CHECK(Total(counts) == 12);
+  }
+  SUBCASE("goes elsewhere when starts are refused, and comes back") {
+    const PlacementSlot refused{"a", Market::kReclaimable};
+    planner.OnRefused(refused, kStart);
+    CHECK_FALSE(planner.Plan(need, kStart).contains(refused));
+    CHECK(Total(planner.Plan(need, kStart)) == 12);
+    CHECK(planner.Plan(need, kStart + Duration(31'000)).contains(refused));
+  }
+  SUBCASE("grows at once and shrinks only after a while") {
+    CHECK(Total(planner.Plan(need, kStart)) == 12);
+    need.demand = 20;
+    CHECK(Total(planner.Plan(need, kStart + Duration(1'000))) == 12);
+    CHECK(Total(planner.Plan(need, kStart + Duration(122'000))) == 3);
+    need.demand = 80;
+    CHECK(Total(planner.Plan(need, kStart + Duration(123'000))) == 12);
+  }
+  SUBCASE("does not follow a report that swings") {
+    planner.Plan(need, kStart);
+    for (int i = 0; i < 60; ++i) {
+      need.demand = i % 2 == 0 ? 20 : 80;
+      CHECK(Total(planner.Plan(need, kStart + Duration(5'000 * i))) == 12);
+    }
+  }
+  SUBCASE("starts no more at once than the weight store bears") {
+    const auto wanted = planner.Plan(need, kStart);
+    auto current = PlacementPlanner::Step({}, wanted, 4);
+    CHECK(Total(current) == 4);
+    current = PlacementPlanner::Step(current, wanted, 4);
+    CHECK(Total(current) == 8);
+  }
+}
+
+TEST_CASE("any plan") {
+  const bool holds = rc::check("spreads over its zones and keeps bounds", [] {
+    std::vector<MarketOffer> offers;
+    const int zones = *rc::gen::inRange(1, 8);
+    for (int z = 0; z < zones; ++z) {
+      const auto name = std::string(1, char('a' + z));
+      offers.push_back({name, Market::kReclaimable,
+                        *rc::gen::inRange(1, 100) / 10.0,
+                        *rc::gen::inRange(0, 40) / 10.0});
+      offers.push_back(
+          {name, Market::kOnDemand, *rc::gen::inRange(1, 100) / 10.0, 0});
+    }
+    PlacementPlanner planner(offers);
+    PlacementNeed need;
+    need.demand = *rc::gen::inRange(0, 5'000);
+    need.per_replica = *rc::gen::inRange(1, 50);
+    need.min_replicas = *rc::gen::inRange(0, 5);
+    need.max_replicas = 5'000;
+    const auto counts = planner.Plan(need, kStart);
+    const double bare = std::ceil(need.demand / need.per_replica);
+    RC_ASSERT(Total(counts) >= need.min_replicas);
+    if (zones > 1) {
+      for (const auto& [zone, count] : ByZone(counts)) {
+        RC_ASSERT(Total(counts) - count >= int(bare) ||
+                  Total(counts) == need.max_replicas);
+      }
+    }
+  });
+  CHECK(holds);
+}
+
+namespace {
+
+/// Daemons that compete for a lease over a store that loses answers, and an
+/// upstream that ignores fencing numbers.
+struct LeaseWorld {
+  struct Daemon {
+    std::unique_ptr<LeaseKeeper> keeper;
+    bool frozen = false;
+    std::optional<LeaseKeeper::Call> call;
+  };
+  struct Order {
+    std::int64_t fencing;
+    TimePoint arrives;
+  };
+
+  TimePoint now = kStart;
+  std::vector<Daemon> daemons;
+  StoredObject object;
+  std::vector<Order> under_way;
+  std::int64_t highest_sent = 0;
+
+  explicit LeaseWorld(int count) {
+    for (int i = 0; i < count; ++i) {
+      daemons.push_back(
+          {std::make_unique<LeaseKeeper>(std::to_string(i), LeaseTiming{}),
+           false, std::nullopt});
+    }
+  }
+
+  void Step() {
+    now += Duration(*rc::gen::inRange(20, 400));
+    for (auto& daemon : daemons) {
+      if (*rc::gen::inRange(0, 60) == 0) daemon.frozen = !daemon.frozen;
+      if (daemon.frozen) continue;
+      Serve(&daemon);
+      if (!daemon.call) daemon.call = daemon.keeper->NextCall(now);
+      SendOrder(*daemon.keeper);
+    }
+    CheckOverlap();
+  }
+
+  void Serve(Daemon* daemon) {
+    if (!daemon->call || *rc::gen::inRange(0, 3) == 0) return;
+    const auto call = *daemon->call;
+    daemon->call.reset();
+    const int luck = *rc::gen::inRange(0, 12);
+    if (!call.is_write) {
+      if (luck == 0) {
+        return daemon->keeper->OnRead(StoreStatus::kUnavailable, {}, now);
+      }
+      return daemon->keeper->OnRead(
+          object.version == 0 ? StoreStatus::kNotFound : StoreStatus::kOk,
+          object, now);
+    }
+    if (call.expected != object.version) {
+      return daemon->keeper->OnWrite(StoreStatus::kConflict, object.version,
+                                     now);
+    }
+    if (luck == 1) {
+      return daemon->keeper->OnWrite(StoreStatus::kUnavailable, 0, now);
+    }
+    object = {object.version + 1, call.value};
+    daemon->keeper->OnWrite(
+        luck == 0 ? StoreStatus::kUnavailable : StoreStatus::kOk,
+        object.version, now);
+  }
+
+  void SendOrder(const LeaseKeeper& keeper) {
+    if (!keeper.MayOrderUnfenced(now)) return;
+    const Duration travel(*rc::gen::inRange(1, 3'000));
+    under_way.push_back({keeper.fencing(), now + travel});
+  }
+
+  /// An upstream that ignores the number must never take an order of an old
+  /// holder after one of a new holder.
+  void CheckOverlap() {
+    std::int64_t newest = highest_sent;
+    for (const auto& order : under_way) {
+      if (order.arrives > now) continue;
+      RC_ASSERT(order.fencing >= highest_sent);
+      newest = std::max(newest, order.fencing);
+    }
+    highest_sent = newest;
+    std::erase_if(under_way,
+                  [&](const Order& order) { return order.arrives <= now; });
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a lease among random freezes and lost answers") {
+  const bool holds = rc::check(
+      "never lets an old order pass a new one, also without fencing", [] {
+        LeaseWorld world(*rc::gen::inRange(1, 5));
+        for (int i = 0; i < 400; ++i) world.Step();
+      });
+  CHECK(holds);
+}
+
+TEST_CASE("a lease") {
+  LeaseKeeper first("first", {});
+  TimePoint now = kStart;
+  REQUIRE_FALSE(first.NextCall(now)->is_write);
+  first.OnRead(StoreStatus::kNotFound, {}, now);
+  const auto take = first.NextCall(now);
+  REQUIRE(take->is_write);
+  first.OnWrite(StoreStatus::kOk, 1, now);
+  REQUIRE(first.MayOrderFenced(now));
+  SUBCASE("is lost by a holder that was frozen past its lifetime") {
+    CHECK_FALSE(first.MayOrderFenced(now + Duration(6'000)));
+  }
+  SUBCASE("is taken when it stood unchanged for its lifetime") {
+    LeaseKeeper second("second", {});
+    second.NextCall(now);
+    second.OnRead(StoreStatus::kOk, {1, take->value}, now);
+    now += Duration(5'900);
+    CHECK_FALSE(second.NextCall(now)->is_write);
+    second.OnRead(StoreStatus::kOk, {1, take->value}, now);
+    now += Duration(600);
+    const auto steal = second.NextCall(now);
+    REQUIRE(steal->is_write);
+    CHECK(steal->expected == 1);
+    second.OnWrite(StoreStatus::kOk, 2, now);
+    CHECK(second.fencing() == 2);
+    CHECK(second.MayOrderFenced(now));
+    CHECK_FALSE(second.MayOrderUnfenced(now));
+  }
+}
+
+}  // namespace firmoor
