Seal old claims, place VMs, keep accepted work, record traces

Claims: a slot above 64 KB moves its ended claims to a segment; before, a slot was full after some 2,700 claims of 24 hours and then refused new ones. Accepted asynchronous work: in the 12 minute soak 8 of 2,003 ended with 503 after four attempts; repeatable ones are now tried until their deadline, and the soak counts any other end as lost.

--- a/apps/firmoord/src/daemon.cc
+++ b/apps/firmoord/src/daemon.cc
@@ -64,6 +64,7 @@
   if (trace_) {
     environment.trace = [this](const QJsonObject& decision) {
       QJsonObject line = decision;
+      line["daemon"] = QString::fromStdString(settings_.daemon);
       line["ms"] =
           static_cast<qint64>(MonotonicNow().time_since_epoch().count());
       trace_->write(QJsonDocument(line).toJson(QJsonDocument::Compact) + "\n");
@@ -114,6 +115,11 @@
         vm_list_seen_ = true;
         dispatcher_->ApplyVms(vms);
       });
+  placement_ = std::make_unique<PlacementService>(
+      settings_, &store_, fleet_.get(),
+      PlacementService::Hooks{
+          [this]() -> const Configuration& { return config_->current(); },
+          [this] { return dispatcher_->Demand(); }});
   callers_ =
       HttpServer::Builder()
           .Listen(settings_.callers)
@@ -156,6 +162,13 @@
                              return true;
                            },
                            [this] { vm_list_->Stop(); }))
+                       .Part(StartStop(
+                           "placement",
+                           [this] {
+                             placement_->Start();
+                             return true;
+                           },
+                           [this] { placement_->Stop(); }))
                        .Build();
   serving_tree_ = Supervisor::Builder("serving")
                       .Part(StartStop(
@@ -347,6 +360,7 @@
   status["version"] = static_cast<qint64>(config_->current().version());
   status["ready"] = IsReady();
   status["members"] = members;
+  status["placement"] = placement_->Status();
   status["unrecorded_outcomes"] = static_cast<qint64>(claims_->Unrecorded());
   status["broken_invariants"] =
       static_cast<qint64>(InvariantMonitor::ViolationCount());
--- a/apps/firmoord/src/daemon.h
+++ b/apps/firmoord/src/daemon.h
@@ -16,6 +16,7 @@
 #include "metrics/service_metrics.h"
 #include "observe_endpoint.h"
 #include "operator_endpoint.h"
+#include "placement_service.h"
 #include "platform/http_object_store.h"
 #include "platform/vm_list.h"
 #include "serving/claim_store.h"
@@ -67,6 +68,7 @@
   std::unique_ptr<HttpServer> callers_;
   std::unique_ptr<OperatorEndpoint> operators_;
   std::unique_ptr<ObserveEndpoint> observe_;
+  std::unique_ptr<PlacementService> placement_;
   std::unique_ptr<Drain> drain_;
   std::unique_ptr<QFile> trace_;
   std::unique_ptr<Supervisor> platform_tree_;
--- /dev/null
+++ b/apps/firmoord/src/placement_service.h
@@ -0,0 +1,79 @@
+#ifndef FIRMOOR_FIRMOORD_PLACEMENT_SERVICE_H_
+#define FIRMOOR_FIRMOORD_PLACEMENT_SERVICE_H_
+
+#include <QJsonObject>
+#include <QTimer>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/configuration.h"
+#include "config/settings.h"
+#include "fleet.h"
+#include "http/http_call.h"
+#include "placement/lease.h"
+#include "placement/planner.h"
+#include "platform/object_store.h"
+
+namespace firmoor {
+
+/// Requests in work by service at one daemon.
+using ServiceDemand = std::map<std::string, double>;
+
+/// Orders VM counts from the cloud API while this daemon holds the lease.
+///
+/// Orders are level-triggered: each names the counts wanted now, so a lost or
+/// repeated one does no harm, and each carries the fencing number. The lease
+/// is asked right before each send. What remains possible: a holder that is
+/// frozen between that question and the send, towards a cloud API that ignores
+/// the number; the next order of the new holder puts it right.
+class PlacementService {
+ public:
+  struct Hooks {
+    std::function<const Configuration&()> configuration;
+    std::function<ServiceDemand()> own_demand;
+  };
+
+  PlacementService(const Settings& settings, ObjectStore* store, Fleet* fleet,
+                   Hooks hooks);
+
+  void Start();
+  void Stop();
+
+  /// Holder, fencing number and counts of orders, for operators.
+  [[nodiscard]] QJsonObject Status() const;
+
+ private:
+  void Tick();
+  void KeepLease();
+  void ReadOffers();
+  void GatherDemand();
+  void PlanAll();
+  void SendOrder(const Service& service, const PlacementCounts& counts);
+  void TakeOrderAnswer(const std::string& service,
+                       const HttpFetchResult& result);
+
+  Settings settings_;
+  ObjectStore* store_;
+  Fleet* fleet_;
+  Hooks hooks_;
+  LeaseKeeper lease_;
+  QTimer timer_;
+  std::vector<MarketOffer> offers_;
+  std::map<std::string, PlacementPlanner> planners_;
+  std::map<std::string, PlacementCounts> ordered_;
+  std::map<std::string, ServiceDemand> demand_;  ///< By daemon.
+  std::map<std::string, std::unique_ptr<HttpCall>> calls_;
+  std::unique_ptr<HttpCall> offers_call_;
+  TimePoint next_plan_;
+  std::uint64_t orders_sent_ = 0;
+  std::uint64_t orders_withheld_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_FIRMOORD_PLACEMENT_SERVICE_H_
--- a/libs/serving/include/serving/claim_batcher.h
+++ b/libs/serving/include/serving/claim_batcher.h
@@ -4,7 +4,9 @@
 #include <QByteArray>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -20,12 +22,15 @@
 /// a little for a claim to go with, so writes do not grow with the load. The
 /// conditional update is the only fence: no lease and no clock is trusted.
 /// An update whose answer was lost is resolved by reading the slot back and
-/// finding the attempt's own id there. Pure.
+/// finding the attempt's own id there. When the slot grows large its ended
+/// claims move to a segment, an object that is written once before the slot
+/// names it; segments are read once. Pure.
 class ClaimBatcher {
  public:
   /// A store call to make; answer with `OnRead` or `OnWrite`.
   struct StoreCall {
     bool is_write = false;
+    std::string segment;        ///< Empty: the slot itself.
     std::int64_t expected = 0;  ///< Version to replace.
     QByteArray value;
   };
@@ -37,6 +42,10 @@
     Claim claim;  ///< The one that holds the key.
   };
 
+  /// Seals a slot that is larger than `seal_bytes`.
+  explicit ClaimBatcher(qsizetype seal_bytes = kSealBytes)
+      : seal_bytes_(seal_bytes) {}
+
   /// Asks for a claim; given up with `kStoreAway` at `deadline`, after which
   /// the claim is released in case a lost write still lands.
   void Claim(std::uint64_t id, const firmoor::Claim& wanted,
@@ -49,6 +58,7 @@
   /// The next store call, when none is in flight and there is work.
   std::optional<StoreCall> NextCall(TimePoint now, std::int64_t wall_ms);
 
+  /// Answers to the call that is in flight.
   void OnRead(StoreStatus status, const StoredObject& object, TimePoint now);
   void OnWrite(StoreStatus status, std::int64_t version, TimePoint now);
 
@@ -75,6 +85,15 @@
   void Decide(const Pending& pending, ClaimVerdict verdict,
               const ClaimSlot* seen);
   void AfterFailure(TimePoint now);
+  StoreCall Send(StoreCall call);
+  [[nodiscard]] std::optional<std::string> MissingSegment() const;
+  [[nodiscard]] bool MustSeal() const;
+  /// The claim of `key` in a segment that `slot` names.
+  [[nodiscard]] const firmoor::Claim* FindSealed(const ClaimSlot& slot,
+                                                 const std::string& key) const;
+  void OnSegmentRead(StoreStatus status, const StoredObject& object,
+                     TimePoint now);
+  void OnSegmentWritten(StoreStatus status, TimePoint now);
   [[nodiscard]] bool MayWrite(TimePoint now) const;
   void DropRecords();
 
@@ -84,6 +103,10 @@
     TimePoint since;
   };
 
+  qsizetype seal_bytes_;
+  std::map<std::string, ClaimSlot> segments_;  ///< Those that were read.
+  std::string segment_in_flight_;
+  std::string segment_written_;    ///< Holds the ended claims of `slot_`.
   std::optional<ClaimSlot> slot_;  ///< As last read or written.
   std::int64_t version_ = 0;
   qsizetype encoded_bytes_ = 0;
--- a/libs/serving/include/serving/claim_slot.h
+++ b/libs/serving/include/serving/claim_slot.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/error.h"
 
@@ -43,9 +44,20 @@
 constexpr std::size_t kMaxRecordedAnswerBytes = 4'096;
 /// Claims older than this are dropped.
 constexpr std::int64_t kClaimRetentionMs = 24LL * 3'600 * 1'000;
+/// A slot of this size has its ended claims split off.
+constexpr qsizetype kSealBytes = 64 * 1'024;
 /// A slot of this size takes no new claims, below the store's limit of 1 MB.
 constexpr qsizetype kMaxSlotBytes = 900'000;
 
+/// A part of a slot that was split off into an object of its own, which never
+/// changes.
+struct SealedSegment {
+  std::string name;
+  std::int64_t sealed_ms = 0;  ///< Not before the last change of its claims.
+
+  bool operator==(const SealedSegment&) const = default;
+};
+
 /// What became of an attempt to claim.
 enum class ClaimVerdict {
   kGranted,     ///< The claim is this attempt's.
@@ -56,7 +68,9 @@
   kStoreAway,   ///< The claim could not be stored: not run.
 };
 
-/// One object of the store: the claims of all keys that hash to it. Pure.
+/// One object of the store: the claims of all keys that hash to it, with the
+/// names of the segments that hold its older ended claims. Claims that are
+/// open are always in the object itself. Pure.
 class ClaimSlot {
  public:
   /// Claims `wanted.key`, or tells who has it. Granting changes the slot,
@@ -67,7 +81,16 @@
   /// claim, which leaves the slot as it is.
   bool Record(const Claim& ended);
 
-  /// Drops claims that are past retention.
+  /// The claims that can be sealed: those that ended.
+  [[nodiscard]] ClaimSlot Ended() const;
+  /// Removes the ended claims, which the segment `name` holds now, and those
+  /// that did not run.
+  void Seal(const std::string& name, std::int64_t now_ms);
+  [[nodiscard]] const std::vector<SealedSegment>& sealed() const {
+    return sealed_;
+  }
+
+  /// Drops claims and segments that are past retention.
   void Expire(std::int64_t now_ms);
 
   [[nodiscard]] const Claim* Find(const std::string& key) const;
@@ -81,8 +104,12 @@
 
  private:
   std::map<std::string, Claim> claims_;
+  std::vector<SealedSegment> sealed_;
 };
 
+/// Verdict on `wanted` when `held` has its key.
+ClaimVerdict VerdictOf(const Claim& held, const Claim& wanted);
+
 }  // namespace firmoor
 
 #endif  // FIRMOOR_SERVING_CLAIM_SLOT_H_
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -4,6 +4,7 @@
 #include <QJsonObject>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -77,6 +78,9 @@
   /// What this daemon knows of a request.
   [[nodiscard]] RequestTail Tail(const std::string& id, std::size_t from) const;
 
+  /// Requests running and waiting, by service.
+  [[nodiscard]] std::map<std::string, double> Demand() const;
+
   /// Services, upstreams and counts, for operators.
   [[nodiscard]] QJsonObject Status() const;
 
--- a/libs/serving/src/claim_batcher.cc
+++ b/libs/serving/src/claim_batcher.cc
@@ -53,16 +53,21 @@
     TimePoint now, std::int64_t wall_ms) {
   if (in_flight_ || !HasWork() || now < retry_at_) return std::nullopt;
   if (!MayWrite(now)) return std::nullopt;
-  if (!slot_) {
-    in_flight_ = true;
-    return StoreCall{};
+  if (!slot_) return Send({});
+  if (const auto missing = MissingSegment()) {
+    return Send({false, *missing, 0, {}});
+  }
+  if (MustSeal()) {
+    // The name follows from the version, and so does the content.
+    return Send({true, std::to_string(version_), 0, slot_->Ended().Encode()});
   }
   ClaimSlot next = *slot_;
+  if (!segment_written_.empty()) next.Seal(segment_written_, wall_ms);
   next.Expire(wall_ms);
   const bool has_room = encoded_bytes_ < kMaxSlotBytes;
   in_write_.clear();
   records_in_write_ = 0;
-  bool changed = false;
+  bool changed = !segment_written_.empty();
   for (const auto& record : records_) {
     // A release whose claim is not there yet is written all the same: the
     // new version fences off the lost update that may still arrive.
@@ -78,6 +83,11 @@
       Decide(pending, ClaimVerdict::kStoreAway, nullptr);
       continue;
     }
+    if (const auto* sealed = FindSealed(next, pending.claim.key)) {
+      decided_.push_back(
+          {pending.id, VerdictOf(*sealed, pending.claim), *sealed});
+      continue;
+    }
     const bool held_before = slot_->Find(pending.claim.key) != nullptr;
     const auto verdict = next.TryClaim(pending.claim);
     const auto* holder = slot_->Find(pending.claim.key);
@@ -101,17 +111,62 @@
     DropRecords();
     if (!must_read) return std::nullopt;
     slot_.reset();
-    in_flight_ = true;
-    return StoreCall{};
+    return Send({});
   }
-  in_flight_ = true;
   writing_ = std::move(next);
   last_write_ = now;
-  StoreCall call{true, version_, writing_->Encode()};
+  StoreCall call{true, "", version_, writing_->Encode()};
   encoded_bytes_ = call.value.size();
+  return Send(std::move(call));
+}
+
+ClaimBatcher::StoreCall ClaimBatcher::Send(StoreCall call) {
+  in_flight_ = true;
+  segment_in_flight_ = call.segment;
   return call;
 }
 
+std::optional<std::string> ClaimBatcher::MissingSegment() const {
+  for (const auto& segment : slot_->sealed()) {
+    if (!segments_.contains(segment.name)) return segment.name;
+  }
+  return std::nullopt;
+}
+
+bool ClaimBatcher::MustSeal() const {
+  return encoded_bytes_ > seal_bytes_ && segment_written_.empty() &&
+         slot_->Ended().size() > 0;
+}
+
+const Claim* ClaimBatcher::FindSealed(const ClaimSlot& slot,
+                                      const std::string& key) const {
+  for (const auto& segment : slot.sealed()) {
+    const auto* claim = segments_.at(segment.name).Find(key);
+    if (claim != nullptr) return claim;
+  }
+  return nullptr;
+}
+
+void ClaimBatcher::OnSegmentRead(StoreStatus status, const StoredObject& object,
+                                 TimePoint now) {
+  // A segment was written before the slot named it, so a reader that does not
+  // find it has an old view.
+  if (status != StoreStatus::kOk) return AfterFailure(now);
+  const auto decoded = Capture([&] { return ClaimSlot::Decode(object.value); });
+  const auto* segment = std::get_if<ClaimSlot>(&decoded);
+  if (segment == nullptr) return AfterFailure(now);
+  segments_[segment_in_flight_] = *segment;
+}
+
+void ClaimBatcher::OnSegmentWritten(StoreStatus status, TimePoint now) {
+  // A conflict means that the same segment of the same version is there.
+  const bool there =
+      status == StoreStatus::kOk || status == StoreStatus::kConflict;
+  if (!there) return AfterFailure(now);
+  segment_written_ = segment_in_flight_;
+  segments_[segment_written_] = slot_->Ended();
+}
+
 void ClaimBatcher::Decide(const Pending& pending, ClaimVerdict verdict,
                           const ClaimSlot* seen) {
   Decided decided{pending.id, verdict, pending.claim};
@@ -124,6 +179,8 @@
 void ClaimBatcher::OnRead(StoreStatus status, const StoredObject& object,
                           TimePoint now) {
   in_flight_ = false;
+  if (!segment_in_flight_.empty()) return OnSegmentRead(status, object, now);
+  segment_written_.clear();
   const bool found = status == StoreStatus::kOk;
   if (!found && status != StoreStatus::kNotFound) return AfterFailure(now);
   const auto decoded = Capture([&] { return ClaimSlot::Decode(object.value); });
@@ -131,6 +188,12 @@
   // An object that cannot be read must not be replaced: it may hold claims.
   if (slot == nullptr) return AfterFailure(now);
   slot_ = *slot;
+  std::erase_if(segments_, [this](const auto& entry) {
+    const auto& sealed = slot_->sealed();
+    return std::none_of(sealed.begin(), sealed.end(), [&](const auto& segment) {
+      return segment.name == entry.first;
+    });
+  });
   version_ = found ? object.version : 0;
   encoded_bytes_ = object.value.size();
   backoff_ = Duration(0);
@@ -140,6 +203,8 @@
 void ClaimBatcher::OnWrite(StoreStatus status, std::int64_t version,
                            TimePoint now) {
   in_flight_ = false;
+  if (!segment_in_flight_.empty()) return OnSegmentWritten(status, now);
+  segment_written_.clear();
   if (status != StoreStatus::kOk) {
     slot_.reset();
     writing_.reset();
@@ -171,6 +236,7 @@
 
 void ClaimBatcher::AfterFailure(TimePoint now) {
   slot_.reset();
+  segment_written_.clear();
   backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMaxBackoff);
   retry_at_ = now + backoff_;
 }
--- a/libs/serving/src/claim_slot.cc
+++ b/libs/serving/src/claim_slot.cc
@@ -56,15 +56,7 @@
   return FromArray(fields);
 }
 
-ClaimVerdict ClaimSlot::TryClaim(const Claim& wanted) {
-  const auto found = claims_.find(wanted.key);
-  const bool free =
-      found == claims_.end() || found->second.state == ClaimState::kNotRun;
-  if (free) {
-    claims_.insert_or_assign(wanted.key, wanted);
-    return ClaimVerdict::kGranted;
-  }
-  const Claim& held = found->second;
+ClaimVerdict VerdictOf(const Claim& held, const Claim& wanted) {
   const bool own = held.attempt == wanted.attempt;
   if (own && held.state == ClaimState::kClaimed) return ClaimVerdict::kGranted;
   if (held.body != wanted.body) return ClaimVerdict::kKeyReused;
@@ -78,6 +70,32 @@
   }
 }
 
+ClaimVerdict ClaimSlot::TryClaim(const Claim& wanted) {
+  const auto found = claims_.find(wanted.key);
+  const bool free =
+      found == claims_.end() || found->second.state == ClaimState::kNotRun;
+  if (!free) return VerdictOf(found->second, wanted);
+  claims_.insert_or_assign(wanted.key, wanted);
+  return ClaimVerdict::kGranted;
+}
+
+ClaimSlot ClaimSlot::Ended() const {
+  ClaimSlot ended;
+  for (const auto& [key, claim] : claims_) {
+    const bool keeps =
+        claim.state == ClaimState::kDone || claim.state == ClaimState::kUnknown;
+    if (keeps) ended.claims_.emplace(key, claim);
+  }
+  return ended;
+}
+
+void ClaimSlot::Seal(const std::string& name, std::int64_t now_ms) {
+  std::erase_if(claims_, [](const auto& entry) {
+    return entry.second.state != ClaimState::kClaimed;
+  });
+  sealed_.push_back({name, now_ms});
+}
+
 bool ClaimSlot::Record(const Claim& ended) {
   const auto found = claims_.find(ended.key);
   if (found == claims_.end() || found->second.attempt != ended.attempt) {
@@ -92,6 +110,9 @@
   std::erase_if(claims_, [now_ms](const auto& entry) {
     return now_ms - entry.second.changed_ms > kClaimRetentionMs;
   });
+  std::erase_if(sealed_, [now_ms](const SealedSegment& segment) {
+    return now_ms - segment.sealed_ms > kClaimRetentionMs;
+  });
 }
 
 const Claim* ClaimSlot::Find(const std::string& key) const {
@@ -100,19 +121,24 @@
 }
 
 QByteArray ClaimSlot::Encode() const {
-  QCborArray array;
-  for (const auto& [key, claim] : claims_) array.append(ToArray(claim));
-  return QCborValue(array).toCbor();
+  QCborArray claims;
+  for (const auto& [key, claim] : claims_) claims.append(ToArray(claim));
+  QCborArray sealed;
+  for (const auto& segment : sealed_) {
+    sealed.append(QCborArray{QString::fromStdString(segment.name),
+                             qint64(segment.sealed_ms)});
+  }
+  return QCborValue(QCborArray{claims, sealed}).toCbor();
 }
 
 Result<ClaimSlot> ClaimSlot::Decode(const QByteArray& bytes) {
   ClaimSlot slot;
   if (bytes.isEmpty()) return slot;
-  const auto value = QCborValue::fromCbor(bytes);
-  if (!value.isArray()) {
-    return Fail(ResultCode::kBadMessage, "the claim slot is no array");
+  const auto array = QCborValue::fromCbor(bytes).toArray();
+  if (array.size() != 2) {
+    return Fail(ResultCode::kBadMessage, "the claim slot has no two parts");
   }
-  for (const auto& item : value.toArray()) {
+  for (const auto& item : array.at(0).toArray()) {
     const auto fields = item.toArray();
     if (fields.size() != kFields) {
       return Fail(ResultCode::kBadMessage, "a claim has missing fields");
@@ -120,6 +146,11 @@
     auto claim = FromArray(fields);
     slot.claims_.insert_or_assign(claim.key, std::move(claim));
   }
+  for (const auto& item : array.at(1).toArray()) {
+    const auto fields = item.toArray();
+    slot.sealed_.push_back(
+        {fields.at(0).toString().toStdString(), fields.at(1).toInteger()});
+  }
   return slot;
 }
 
--- a/libs/serving/src/claim_store.cc
+++ b/libs/serving/src/claim_store.cc
@@ -48,8 +48,10 @@
 
 void ClaimStore::Impl::Advance(const std::string& name, ClaimBatcher* batcher) {
   const auto call = batcher->NextCall(MonotonicNow(), WallClockMs());
+  const auto object =
+      call && !call->segment.empty() ? name + "-" + call->segment : name;
   if (call && call->is_write) {
-    store->Write(name, call->expected, call->value,
+    store->Write(object, call->expected, call->value,
                  [this, name, batcher, guard = alive](StoreStatus status,
                                                       std::int64_t version) {
                    if (!*guard) return;
@@ -57,10 +59,10 @@
                    Advance(name, batcher);
                  });
   } else if (call) {
-    store->Read(name, [this, name, batcher, guard = alive](
-                          StoreStatus status, const StoredObject& object) {
+    store->Read(object, [this, name, batcher, guard = alive](
+                            StoreStatus status, const StoredObject& read) {
       if (!*guard) return;
-      batcher->OnRead(status, object, MonotonicNow());
+      batcher->OnRead(status, read, MonotonicNow());
       Advance(name, batcher);
     });
   }
--- a/libs/serving/src/details/job.cc
+++ b/libs/serving/src/details/job.cc
@@ -21,6 +21,10 @@
 constexpr Duration kNoUpstreamRetryAfter{1'000};
 constexpr Duration kStoreAwayRetryAfter{2'000};
 constexpr Duration kUnknownRetryAfter{5'000};
+// Between the tries of an accepted asynchronous request.
+constexpr Duration kFirstPause{500};
+constexpr Duration kMaxPause{10'000};
+constexpr int kMaxPauseDoublings = 5;
 constexpr int kSlowCallerPollMs = 20;
 constexpr std::size_t kSlowCallerBytes = 256 * 1024;
 // Added to the priority that an upstream sees.
@@ -167,6 +171,7 @@
   }
   const Vm* vm = choice ? context_->upstreams.Find(choice->id) : nullptr;
   if (vm == nullptr) {
+    if (TryAgainLater()) return;
     return Fail(
         ResultCode::kNoUpstream,
         earlier_unknown_ ? RequestOutcome::kUnknown : RequestOutcome::kNotRun,
@@ -346,11 +351,8 @@
       kv_source_ = vm->endpoint.ToString();
     }
   }
+  TraceEnd(end, verdict);
   if (OutcomeOf(end) != RequestOutcome::kNotRun) earlier_unknown_ = !answered;
-  Trace("end", {{"upstream", QString::fromStdString(upstream_)},
-                {"end", static_cast<int>(end.end)},
-                {"step", static_cast<int>(verdict.step)},
-                {"tokens", static_cast<qint64>(tokens_.size())}});
   switch (verdict.step) {
     case NextStep::kPassAnswer:
       if (spec_.model && plain_answer_.status == kOk) {
@@ -366,6 +368,7 @@
     case NextStep::kResumeElsewhere:
       return TryAgain(true);
     case NextStep::kFail:
+      if (TryAgainLater()) return;
       return Fail(verdict.code, verdict.outcome,
                   verdict.outcome == RequestOutcome::kNotRun
                       ? std::optional(kNoUpstreamRetryAfter)
@@ -373,6 +376,28 @@
   }
 }
 
+void Job::TraceEnd(const AttemptEnd& end, const AttemptVerdict& verdict) const {
+  if (!context_->environment.trace) return;
+  const auto context =
+      ContextFor(verdict.code != ResultCode::kRetryBudgetSpent);
+  Trace("end", {{"upstream", QString::fromStdString(upstream_)},
+                {"end", static_cast<int>(end.end)},
+                {"may_have_left", end.may_have_left},
+                {"declared_not_run", end.declared_not_run},
+                {"stream_complete", end.stream_complete},
+                {"overloaded", end.overloaded},
+                {"idempotent", context.idempotent},
+                {"answer_started", context.answer_started},
+                {"resumable", context.resumable},
+                {"attempts", context.attempts},
+                {"time_left", qint64(context.time_left.count())},
+                {"retry_allowed", context.retry_allowed},
+                {"earlier_unknown", context.earlier_unknown},
+                {"step", static_cast<int>(verdict.step)},
+                {"code", static_cast<int>(verdict.code)},
+                {"outcome", static_cast<int>(verdict.outcome)}});
+}
+
 AttemptContext Job::ContextFor(bool retry_allowed) const {
   AttemptContext context;
   context.idempotent = spec_.traits.idempotent;
@@ -466,6 +491,20 @@
   context_->on_ended(this);
 }
 
+bool Job::TryAgainLater() {
+  const auto pause = std::min(
+      kFirstPause * (1 << std::min(pauses_, kMaxPauseDoublings)), kMaxPause);
+  const bool may_repeat = spec_.async && spec_.traits.idempotent;
+  if (!may_repeat || TimeLeft() < pause + kLeastTimeForAttempt) return false;
+  ++pauses_;
+  attempts_ = 0;
+  route_.exclude.clear();
+  QTimer::singleShot(pause, &timer_, [this] {
+    if (phase_ == Phase::kSending) Send();
+  });
+  return true;
+}
+
 void Job::StopAttempt() {
   if (!call_) return;
   runtime_->router.OnEnd(&ticket_);
@@ -491,8 +530,12 @@
   }
   RecordClaim(outcome);
   RecordMetrics(code);
-  Trace("done", {{"code", static_cast<int>(code)},
-                 {"outcome", static_cast<int>(outcome)}});
+  Trace("done",
+        {{"code", static_cast<int>(code)},
+         {"outcome", static_cast<int>(outcome)},
+         {"attempts", attempts_},
+         {"tokens", qint64(tokens_.size())},
+         {"total_ms", qint64((ended_at_ - spec_.accepted_at).count())}});
   for (auto& waiter : std::exchange(waiters_, {})) FinishWaiter(&waiter);
   context_->on_ended(this);
 }
--- a/libs/serving/src/details/job.h
+++ b/libs/serving/src/details/job.h
@@ -100,6 +100,9 @@
   AttemptContext ContextFor(bool retry_allowed) const;
   void TryAgain(bool resume);
   void StopAttempt();
+  /// Tries an accepted asynchronous request again after a pause, however
+  /// often it failed; false when it may not be or its time is up.
+  bool TryAgainLater();
   void Feed(Waiter* waiter);
   void FeedAll();
   void PauseForSlowCallers();
@@ -111,6 +114,7 @@
   void RecordClaim(RequestOutcome outcome);
   void RecordMetrics(ResultCode code);
   void OnCallerLeft();
+  void TraceEnd(const AttemptEnd& end, const AttemptVerdict& verdict) const;
   void Trace(const char* event, const QJsonObject& details) const;
   Duration TimeLeft() const;
 
@@ -131,6 +135,7 @@
   TimePoint sent_at_;
   int attempts_ = 0;
   int boost_ = 0;
+  int pauses_ = 0;
   bool first_byte_seen_ = false;
   bool paused_ = false;
   bool earlier_unknown_ = false;
--- a/libs/serving/src/dispatcher.cc
+++ b/libs/serving/src/dispatcher.cc
@@ -79,6 +79,7 @@
   void DropReplica(const std::string& id);
   bool InSubset(const Vm& vm) const;
   void MarkLeaving(const std::string& id);
+  void TraceLeaving(const std::string& id) const;
 
   void Accept(const HttpRequest& request,
               const std::shared_ptr<HttpResponder>& responder);
@@ -168,10 +169,17 @@
 void Dispatcher::Impl::MarkLeaving(const std::string& id) {
   if (!context.upstreams.MarkLeaving(id, MonotonicNow())) return;
   kLog.Info("Upstream {} is leaving.", id);
+  TraceLeaving(id);
   for (auto& [name, runtime] : runtimes) runtime->router.SetLeaving(id);
   if (context.environment.on_leaving) context.environment.on_leaving(id);
 }
 
+void Dispatcher::Impl::TraceLeaving(const std::string& id) const {
+  const auto& trace = context.environment.trace;
+  if (!trace) return;
+  trace({{"event", "leaving"}, {"upstream", QString::fromStdString(id)}});
+}
+
 details::JobSpec Dispatcher::Impl::NewSpec(const Workspace& workspace) const {
   details::JobSpec spec;
   spec.number = next_number++;
@@ -364,6 +372,7 @@
   for (const auto& id : change.removed) impl_->DropReplica(id);
   for (const auto& id : change.now_leaving) {
     kLog.Info("Upstream {} is leaving.", id);
+    impl_->TraceLeaving(id);
     for (auto& [name, runtime] : impl_->runtimes) {
       runtime->router.SetLeaving(id);
     }
@@ -456,6 +465,15 @@
   return found->second->Tail(from);
 }
 
+std::map<std::string, double> Dispatcher::Demand() const {
+  std::map<std::string, double> demand;
+  for (const auto& [name, runtime] : impl_->runtimes) {
+    demand[name] = static_cast<double>(runtime->admission.running() +
+                                       runtime->admission.waiting());
+  }
+  return demand;
+}
+
 QJsonObject Dispatcher::Status() const {
   QJsonObject services;
   const auto now = MonotonicNow();
--- a/libs/serving/tests/claim_test.cc
+++ b/libs/serving/tests/claim_test.cc
@@ -87,7 +87,9 @@
 
  private:
   struct Daemon {
-    std::unique_ptr<ClaimBatcher> batcher = std::make_unique<ClaimBatcher>();
+    std::unique_ptr<ClaimBatcher> batcher =
+        // Seals often, so that segments take part.
+        std::make_unique<ClaimBatcher>(300);
     std::map<std::uint64_t, Claim> asked;
     std::deque<Claim> granted;
     int life = 0;
@@ -180,6 +182,7 @@
       flights_.push_back(late);
       return;
     }
+    if (!flight.call.segment.empty()) return DeliverSegment(flight, luck);
     if (!flight.call.is_write) {
       if (!hears) return;
       const bool stale = luck <= 2 && history_.size() > 1;
@@ -202,6 +205,28 @@
            lost ? StoreStatus::kUnavailable : StoreStatus::kOk, current + 1);
   }
 
+  void DeliverSegment(const InFlight& flight, int luck) {
+    auto& daemon = daemons_[flight.daemon];
+    const bool hears = daemon.life == flight.life;
+    const auto found = segments_.find(flight.call.segment);
+    if (!flight.call.is_write) {
+      if (!hears) return;
+      const bool there = found != segments_.end() && luck > 2;
+      return daemon.batcher->OnRead(
+          there ? StoreStatus::kOk : StoreStatus::kNotFound,
+          there ? StoredObject{1, found->second} : StoredObject(), now_);
+    }
+    if (found != segments_.end()) {
+      RC_ASSERT(found->second == flight.call.value);
+      if (hears) daemon.batcher->OnWrite(StoreStatus::kConflict, 1, now_);
+      return;
+    }
+    segments_[flight.call.segment] = flight.call.value;
+    if (!hears) return;
+    daemon.batcher->OnWrite(
+        luck == 3 ? StoreStatus::kUnavailable : StoreStatus::kOk, 1, now_);
+  }
+
   void Answer(Daemon* daemon, const ClaimBatcher::StoreCall& call,
               StoreStatus status, std::int64_t version) {
     if (call.is_write) {
@@ -215,6 +240,7 @@
   std::vector<Daemon> daemons_;
   std::vector<InFlight> flights_;
   std::vector<QByteArray> history_;
+  std::map<std::string, QByteArray> segments_;
   std::map<std::string, int> runs_;
   std::map<std::string, std::string> ran_key_;
   std::set<std::string> ran_;
@@ -332,6 +358,56 @@
   CHECK(batcher.TakeRecorded() == std::vector<std::uint64_t>{7});
 }
 
+TEST_CASE("a large slot moves its ended claims to a segment") {
+  ClaimBatcher batcher(200);
+  TimePoint now{Duration(1'000)};
+  StoredObject object;
+  std::map<std::string, QByteArray> segments;
+  const auto settle = [&] {
+    for (int i = 0; i < 20; ++i) {
+      now += Duration(200);
+      const auto call = batcher.NextCall(now, 0);
+      if (!call) continue;
+      if (!call->segment.empty() && call->is_write) {
+        segments[call->segment] = call->value;
+        batcher.OnWrite(StoreStatus::kOk, 1, now);
+      } else if (call->is_write) {
+        object = {object.version + 1, call->value};
+        batcher.OnWrite(StoreStatus::kOk, object.version, now);
+      } else if (!call->segment.empty()) {
+        batcher.OnRead(StoreStatus::kOk, {1, segments.at(call->segment)}, now);
+      } else {
+        batcher.OnRead(
+            object.version == 0 ? StoreStatus::kNotFound : StoreStatus::kOk,
+            object, now);
+      }
+    }
+  };
+  for (std::uint64_t i = 0; i < 10; ++i) {
+    const auto claim = MakeClaim("key" + std::to_string(i), std::to_string(i));
+    batcher.Claim(i, claim, now + Duration(100'000));
+    settle();
+    REQUIRE(batcher.TakeDecided(now).at(0).verdict == ClaimVerdict::kGranted);
+    batcher.Record(0, Ended(claim, ClaimState::kDone), now);
+    settle();
+  }
+  REQUIRE(segments.size() >= 2);
+  CHECK(object.value.size() < 600);
+  SUBCASE("and still knows them") {
+    batcher.Claim(99, MakeClaim("key0", "again"), now + Duration(100'000));
+    settle();
+    const auto decided = batcher.TakeDecided(now);
+    CHECK(decided.at(0).verdict == ClaimVerdict::kReplay);
+    CHECK(decided.at(0).claim.answer == "answer of 0");
+  }
+  SUBCASE("and a new daemon reads them before it decides") {
+    batcher = ClaimBatcher(200);
+    batcher.Claim(99, MakeClaim("key0", "again"), now + Duration(100'000));
+    settle();
+    CHECK(batcher.TakeDecided(now).at(0).verdict == ClaimVerdict::kReplay);
+  }
+}
+
 TEST_CASE("a claim that was given up on is released by a write that fences") {
   ClaimBatcher batcher;
   TimePoint now{Duration(1'000)};
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -223,7 +223,8 @@
                         {"peers_advertised", quoted(node.peers_advertised)}};
   sections["platform"] = {{"object_api", quoted(PlatformFor(node.zone))},
                           {"vm_list", quoted(PlatformFor(node.zone))},
-                          {"seeds", "[" + seeds + "]"}};
+                          {"seeds", "[" + seeds + "]"},
+                          {"cloud_api", quoted(platform_->endpoint)}};
   sections["security"] = {{"allow_anonymous", "true"},
                           {"peer_token", "\"test\""}};
   auto& times = sections["times"];
@@ -232,6 +233,9 @@
   times.try_emplace("vm_list_period_ms", "200");
   times.try_emplace("probe_period_ms", "300");
   times.try_emplace("load_period_ms", "200");
+  if (shape_.traces) {
+    sections["serving"]["trace_file"] = "\"" + TraceFileOf(node) + "\"";
+  }
   std::ofstream file(node.arguments.at(1).toStdString());
   file << fmt::format(
       "daemon = \"{}\"\navailability_zone = \"{}\"\nregion = \"{}\"\n",
@@ -244,6 +248,15 @@
   }
 }
 
+std::string Cluster::TraceFileOf(const Node& node) const {
+  return directory_.filePath(QString::fromStdString(node.name + ".jsonl"))
+      .toStdString();
+}
+
+std::string Cluster::TraceFile(std::size_t daemon) const {
+  return TraceFileOf(*daemons_.at(daemon));
+}
+
 void Cluster::Start(Node* node) {
   node->process = std::make_unique<QProcess>();
   if (std::getenv("FIRMOOR_TEST_LOGS") != nullptr) {
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -34,6 +34,7 @@
   std::map<std::string, std::string> settings;  ///< "section.key" to value.
   QJsonObject configuration;  ///< Merged into the default one.
   bool relay = false;         ///< Lets zones be cut.
+  bool traces = false;        ///< Daemons record their decisions.
 };
 
 /// One exchange with a daemon or a stand-in, in the background.
@@ -126,6 +127,9 @@
                    const QJsonObject& merge, const std::string& id);
   std::int64_t VersionAt(std::size_t daemon);
 
+  /// Where a daemon records its decisions.
+  [[nodiscard]] std::string TraceFile(std::size_t daemon) const;
+
   /// Runs of one piece of work over all plain services.
   int RunsOf(const std::string& work);
   /// Runs of all pieces of work, also those of upstreams that were killed.
@@ -142,6 +146,7 @@
                 std::string zone, std::string region, std::string program);
   void AddDaemon(const TestZone& zone, std::size_t zone_index, int index);
   void WriteSettings(const Node& node);
+  [[nodiscard]] std::string TraceFileOf(const Node& node) const;
   void StartRelay();
   void SendCuts();
   Endpoint PlatformFor(const std::string& zone) const;
--- a/tests/process/soak.cc
+++ b/tests/process/soak.cc
@@ -260,7 +260,9 @@
     } else if (answer.status == 0) {
       Complain(&counts_.lost_accepted, "accepted " + accepted->prompt);
     } else {
-      ++counts_.outcomes[fmt::format("accepted {}", answer.status)];
+      Complain(&counts_.lost_accepted,
+               fmt::format("accepted {} ended with {} {}", accepted->prompt,
+                           answer.status, answer.body));
     }
     accepted->location.clear();
   }
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -8,6 +8,9 @@
 //   vms            replaces the VM list
 //   list_lag_ms    the VM list shows changes this much late
 //   refuse_starts  the cloud API refuses starts in this zone
+//   check_fencing  the cloud API refuses orders with an old fencing number
+// GET /cloud/offers lists prices; POST /cloud/desired takes the counts wanted
+// of a service; GET /cloud shows what was ordered.
 // GET /stats counts calls and the writes of each second.
 
 #include <CLI/CLI.hpp>
@@ -70,6 +73,9 @@
   void Serve(const HttpRequest& request, const Responder& responder) {
     const std::string path(request.Path());
     if (path == "/vms") return VmList(*responder);
+    if (path == "/cloud") return CloudState(*responder);
+    if (path == "/cloud/offers") return Offers(*responder);
+    if (path == "/cloud/desired") return Desired(request, *responder);
     if (path.starts_with("/objects/")) {
       const auto name = path.substr(std::string("/objects/").size());
       if (request.method == "GET") return Read(name, *responder);
@@ -163,6 +169,49 @@
                     QJsonDocument(vms_).toJson().toStdString()});
   }
 
+  void Offers(HttpResponder& responder) {
+    QJsonArray offers;
+    for (const char* zone : {"east", "west", "north"}) {
+      offers.append(QJsonObject{{"availability_zone", zone},
+                                {"market", "reclaimable"},
+                                {"price_per_hour", 1.0},
+                                {"reclaims_per_hour", 0.5}});
+      offers.append(QJsonObject{{"availability_zone", zone},
+                                {"market", "on-demand"},
+                                {"price_per_hour", 3.0}});
+    }
+    responder.Send({200, {}, QJsonDocument(offers).toJson().toStdString()});
+  }
+
+  void Desired(const HttpRequest& request, HttpResponder& responder) {
+    const auto order = JsonBody(request);
+    const auto fencing = order.value("fencing").toInteger();
+    const bool old = fencing < cloud_fencing_;
+    if (old) ++old_orders_;
+    if (old && check_fencing_) {
+      return responder.Send(JsonAnswer(409, {{"fencing", cloud_fencing_}}));
+    }
+    cloud_fencing_ = fencing;
+    ++orders_;
+    QJsonArray refused;
+    for (const auto& value : order.value("counts").toArray()) {
+      const auto count = value.toObject();
+      if (count.value("availability_zone").toString() == refuse_starts_ &&
+          count.value("count").toInt() > 0) {
+        refused.append(count);
+      }
+    }
+    desired_[order.value("service").toString()] = order.value("counts");
+    responder.Send(JsonAnswer(200, {{"refused", refused}}));
+  }
+
+  void CloudState(HttpResponder& responder) {
+    responder.Send(JsonAnswer(200, {{"orders", orders_},
+                                    {"old_orders", old_orders_},
+                                    {"fencing", cloud_fencing_},
+                                    {"desired", desired_}}));
+  }
+
   void Control(const HttpRequest& request, HttpResponder& responder) {
     const auto body = JsonBody(request);
     const auto number = [&](const char* key, int fallback) {
@@ -173,6 +222,8 @@
     lose_answers_ = number("lose_answers", lose_answers_);
     stale_reads_ = number("stale_reads", stale_reads_);
     list_lag_ms_ = number("list_lag_ms", list_lag_ms_);
+    check_fencing_ = body.value("check_fencing").toBool(check_fencing_);
+    refuse_starts_ = body.value("refuse_starts").toString(refuse_starts_);
     if (const auto vms = body.value(QLatin1String("vms")); vms.isArray()) {
       QTimer::singleShot(list_lag_ms_, &context_,
                          [this, list = vms.toArray()] { vms_ = list; });
@@ -216,6 +267,12 @@
   std::int64_t writes_ = 0;
   std::int64_t conflicts_ = 0;
   std::map<std::int64_t, std::int64_t> writes_by_second_;
+  QJsonObject desired_;
+  QString refuse_starts_;
+  qint64 cloud_fencing_ = 0;
+  qint64 orders_ = 0;
+  qint64 old_orders_ = 0;
+  bool check_fencing_ = true;
 };
 
 }  // namespace
