--- a/apps/firmoorctl/src/commands.cc
+++ b/apps/firmoorctl/src/commands.cc
@@ -202,8 +202,9 @@
   const auto rows = MergeBurn(metrics);
   double answers = 0;
   double seconds = 0;
-  for (const auto& row : rows)
+  for (const auto& row : rows) {
     answers += static_cast<double>(row.requests - row.bad);
+  }
   for (const auto& daemon : metrics) {
     seconds = std::max(seconds, daemon.value("uptime_s").toDouble());
   }
--- a/apps/firmoord/src/daemon.cc
+++ b/apps/firmoord/src/daemon.cc
@@ -124,8 +124,8 @@
       HttpServer::Builder()
           .Listen(settings_.callers)
           .ErrorAnswer(MakeInputErrorAnswer)
-          .Handler([this](HttpRequest request, auto responder) {
-            dispatcher_->Handle(std::move(request), std::move(responder));
+          .Handler([this](const HttpRequest& request, const auto& responder) {
+            dispatcher_->Handle(request, responder);
           })
           .Build();
   drain_ =
--- a/apps/firmoord/src/placement_service.cc
+++ b/apps/firmoord/src/placement_service.cc
@@ -189,7 +189,7 @@
         {"market", NameOf(slot.market)},
         {"count", count}});
   }
-  const QJsonObject order{{"fencing", qint64(lease_.fencing())},
+  const QJsonObject order{{"fencing", static_cast<qint64>(lease_.fencing())},
                           {"service", QString::fromStdString(service.name)},
                           {"counts", list}};
   const auto now = MonotonicNow();
@@ -234,9 +234,9 @@
 
 QJsonObject PlacementService::Status() const {
   return {{"holder", lease_.IsHolder()},
-          {"fencing", qint64(lease_.fencing())},
-          {"orders_sent", qint64(orders_sent_)},
-          {"orders_withheld", qint64(orders_withheld_)}};
+          {"fencing", static_cast<qint64>(lease_.fencing())},
+          {"orders_sent", static_cast<qint64>(orders_sent_)},
+          {"orders_withheld", static_cast<qint64>(orders_withheld_)}};
 }
 
 }  // namespace firmoor
--- a/libs/http/src/message.cc
+++ b/libs/http/src/message.cc
@@ -28,7 +28,8 @@
 }
 
 std::string_view HttpRequest::Path() const {
-  return std::string_view(target).substr(0, target.find('?'));
+  const std::string_view whole = target;
+  return whole.substr(0, whole.find('?'));
 }
 
 std::string HttpRequest::QueryValue(std::string_view name) const {
--- a/libs/metrics/src/service_metrics.cc
+++ b/libs/metrics/src/service_metrics.cc
@@ -63,7 +63,7 @@
 QJsonArray Counts(const Latency& histogram) {
   QJsonArray counts;
   for (auto&& bin : bh::indexed(histogram, bh::coverage::all)) {
-    counts.append(double(*bin));
+    counts.append(static_cast<double>(*bin));
   }
   return counts;
 }
@@ -76,7 +76,7 @@
                      const Latency& histogram) {
   double total = 0;
   for (auto&& bin : bh::indexed(histogram, bh::coverage::all)) {
-    total += double(*bin);
+    total += static_cast<double>(*bin);
     if (*bin == 0) continue;
     *out += fmt::format("{}_bucket{{{},le=\"{:.4g}\"}} {}\n", name, Labels(key),
                         bin.bin().upper() / 1'000.0, total);
--- a/libs/placement/src/lease.cc
+++ b/libs/placement/src/lease.cc
@@ -21,8 +21,8 @@
 
 QByteArray LeaseKeeper::Encode(std::int64_t fencing) const {
   // The renewal changes the object's version, which is what others watch.
-  return QCborValue(
-             QCborArray{QString::fromStdString(daemon_), qint64(fencing)})
+  return QCborValue(QCborArray{QString::fromStdString(daemon_),
+                               static_cast<qint64>(fencing)})
       .toCbor();
 }
 
--- a/libs/placement/src/planner.cc
+++ b/libs/placement/src/planner.cc
@@ -68,8 +68,10 @@
   FIRMOOR_PRECONDITION(need.per_replica > 0, "a replica bears some demand");
   const double bare = std::ceil(need.demand / need.per_replica);
   // Without any one zone the bare need must be met.
-  const double spread =
-      zones > 1 ? std::ceil(bare * double(zones) / double(zones - 1)) : bare;
+  const double spread = zones > 1
+                            ? std::ceil(bare * static_cast<double>(zones) /
+                                        static_cast<double>(zones - 1))
+                            : bare;
   const int wanted =
       static_cast<int>(std::max(spread, std::ceil(bare * kHeadroom)));
   return std::clamp(wanted, need.min_replicas, need.max_replicas);
@@ -101,8 +103,8 @@
   const auto zones = ZonesOf(offers);
   if (zones.empty()) return counts;
   const int total = Damped(WantedTotal(need, zones.size()), now);
-  const int zone_limit =
-      static_cast<int>(std::ceil(double(total) / double(zones.size())));
+  const int zone_limit = static_cast<int>(std::ceil(
+      static_cast<double>(total) / static_cast<double>(zones.size())));
   std::map<std::string, int> in_zone;
   const auto buy = [&](Market market, int wanted) {
     int bought = 0;
--- a/libs/placement/tests/placement_test.cc
+++ b/libs/placement/tests/placement_test.cc
@@ -93,7 +93,7 @@
     std::vector<MarketOffer> offers;
     const int zones = *rc::gen::inRange(1, 8);
     for (int z = 0; z < zones; ++z) {
-      const auto name = std::string(1, char('a' + z));
+      const auto name = std::string(1, static_cast<char>('a' + z));
       offers.push_back({name, Market::kReclaimable,
                         *rc::gen::inRange(1, 100) / 10.0,
                         *rc::gen::inRange(0, 40) / 10.0});
--- a/libs/serving/include/serving/claim_store.h
+++ b/libs/serving/include/serving/claim_store.h
@@ -43,7 +43,7 @@
   void SetHomeCalls(HomeCalls calls);
 
   /// Claims a key, at its home if that answers; `done` runs once.
-  void Claim(const firmoor::Claim& wanted, Done done);
+  void Claim(const firmoor::Claim& wanted, const Done& done);
 
   /// Records how a granted claim ended.
   void Record(const firmoor::Claim& ended);
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -57,7 +57,8 @@
   [[nodiscard]] std::vector<std::string> Leaving() const;
 
   /// Serves one request of a caller.
-  void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  void Handle(const HttpRequest& request,
+              const std::shared_ptr<HttpResponder>& responder);
 
   /// Refuses new requests from now on.
   void StartDrain();
--- a/libs/serving/src/claim_slot.cc
+++ b/libs/serving/src/claim_slot.cc
@@ -126,7 +126,7 @@
   QCborArray sealed;
   for (const auto& segment : sealed_) {
     sealed.append(QCborArray{QString::fromStdString(segment.name),
-                             qint64(segment.sealed_ms)});
+                             static_cast<qint64>(segment.sealed_ms)});
   }
   return QCborValue(QCborArray{claims, sealed}).toCbor();
 }
--- a/libs/serving/src/claim_store.cc
+++ b/libs/serving/src/claim_store.cc
@@ -108,7 +108,7 @@
   impl_->home = std::move(calls);
 }
 
-void ClaimStore::Claim(const firmoor::Claim& wanted, Done done) {
+void ClaimStore::Claim(const firmoor::Claim& wanted, const Done& done) {
   const auto here = [this, wanted, done, guard = impl_->alive] {
     if (*guard) ClaimHere(wanted, done);
   };
--- a/libs/serving/src/details/job.cc
+++ b/libs/serving/src/details/job.cc
@@ -390,7 +390,7 @@
                 {"answer_started", context.answer_started},
                 {"resumable", context.resumable},
                 {"attempts", context.attempts},
-                {"time_left", qint64(context.time_left.count())},
+                {"time_left", static_cast<qint64>(context.time_left.count())},
                 {"retry_allowed", context.retry_allowed},
                 {"earlier_unknown", context.earlier_unknown},
                 {"step", static_cast<int>(verdict.step)},
@@ -530,12 +530,12 @@
   }
   RecordClaim(outcome);
   RecordMetrics(code);
-  Trace("done",
-        {{"code", static_cast<int>(code)},
-         {"outcome", static_cast<int>(outcome)},
-         {"attempts", attempts_},
-         {"tokens", qint64(tokens_.size())},
-         {"total_ms", qint64((ended_at_ - spec_.accepted_at).count())}});
+  Trace("done", {{"code", static_cast<int>(code)},
+                 {"outcome", static_cast<int>(outcome)},
+                 {"attempts", attempts_},
+                 {"tokens", static_cast<qint64>(tokens_.size())},
+                 {"total_ms", static_cast<qint64>(
+                                  (ended_at_ - spec_.accepted_at).count())}});
   for (auto& waiter : std::exchange(waiters_, {})) FinishWaiter(&waiter);
   context_->on_ended(this);
 }
--- a/libs/serving/src/details/job.h
+++ b/libs/serving/src/details/job.h
@@ -137,7 +137,6 @@
   int boost_ = 0;
   int pauses_ = 0;
   bool first_byte_seen_ = false;
-  bool paused_ = false;
   bool earlier_unknown_ = false;
   HttpAnswer plain_answer_;
   AttemptEnd attempt_;
--- a/libs/serving/src/details/request_intake.cc
+++ b/libs/serving/src/details/request_intake.cc
@@ -82,7 +82,8 @@
                 "Idempotency-Key is longer than 255 bytes");
   }
   spec.upstream_target = target;
-  const auto path = std::string_view(target).substr(0, target.find('?'));
+  const std::string_view whole = target;
+  const auto path = whole.substr(0, whole.find('?'));
   spec.traits = TraitsOf(*service, spec.request.method, path);
   spec.deadline = spec.accepted_at + DeadlineOf(*service, spec);
   AddClaim(name, &spec);
--- a/libs/serving/src/dispatcher.cc
+++ b/libs/serving/src/dispatcher.cc
@@ -390,8 +390,8 @@
   return impl_->context.upstreams.Leaving();
 }
 
-void Dispatcher::Handle(HttpRequest request,
-                        std::shared_ptr<HttpResponder> responder) {
+void Dispatcher::Handle(const HttpRequest& request,
+                        const std::shared_ptr<HttpResponder>& responder) {
   impl_->Accept(request, responder);
 }
 
--- a/libs/serving/tests/admission_test.cc
+++ b/libs/serving/tests/admission_test.cc
@@ -129,9 +129,10 @@
     for (int step = 0; step < 200; ++step) {
       now += Duration(*rc::gen::inRange(0, 100));
       if (*rc::gen::inRange(0, 3) < 2) {
-        auto request =
-            Make(next, std::string(1, char('a' + *rc::gen::inRange(0, 4))),
-                 *rc::gen::inRange(0, 3));
+        auto request = Make(
+            next,
+            std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4))),
+            *rc::gen::inRange(0, 3));
         request.max_in_flight = *rc::gen::inRange(1, 8);
         request.deadline = now + Duration(*rc::gen::inRange(1, 3'000));
         open.insert(next++);
--- a/libs/serving/tests/claim_test.cc
+++ b/libs/serving/tests/claim_test.cc
@@ -38,7 +38,8 @@
 /// old versions, all in virtual time.
 class ClaimWorld {
  public:
-  explicit ClaimWorld(int daemons) : daemons_(std::size_t(daemons)) {
+  explicit ClaimWorld(int daemons)
+      : daemons_(static_cast<std::size_t>(daemons)) {
     history_.push_back({});
   }
 
@@ -46,7 +47,8 @@
   void Step() {
     now_ += Duration(*rc::gen::inRange(1, 60));
     const int what = *rc::gen::inRange(0, 100);
-    const auto at = std::size_t(*rc::gen::inRange(0, int(daemons_.size())));
+    const auto at = static_cast<std::size_t>(
+        *rc::gen::inRange(0, static_cast<int>(daemons_.size())));
     if (what < 30) {
       StartAttempt(at);
     } else if (what < 65) {
@@ -117,8 +119,8 @@
       Take(daemon, decided);
     }
     if (const auto call = daemon->batcher->NextCall(now_, 0)) {
-      flights_.push_back(
-          {std::size_t(daemon - daemons_.data()), daemon->life, *call});
+      flights_.push_back({static_cast<std::size_t>(daemon - daemons_.data()),
+                          daemon->life, *call});
     }
     for (const auto& decided : daemon->batcher->TakeDecided(now_)) {
       Take(daemon, decided);
@@ -167,10 +169,11 @@
   /// lost, before or after the effect.
   void DeliverOne() {
     if (flights_.empty()) return;
-    const auto index =
-        faults_ ? std::size_t(*rc::gen::inRange(0, int(flights_.size()))) : 0;
+    const auto index = faults_ ? static_cast<std::size_t>(*rc::gen::inRange(
+                                     0, static_cast<int>(flights_.size())))
+                               : 0;
     const auto flight = flights_[index];
-    flights_.erase(flights_.begin() + std::ptrdiff_t(index));
+    flights_.erase(flights_.begin() + static_cast<std::ptrdiff_t>(index));
     const int luck = faults_ ? *rc::gen::inRange(0, 10) : 9;
     auto& daemon = daemons_[flight.daemon];
     const bool hears = daemon.life == flight.life;
@@ -189,9 +192,9 @@
       const auto version = history_.size() - (stale ? 2 : 1);
       return daemon.batcher->OnRead(
           version == 0 ? StoreStatus::kNotFound : StoreStatus::kOk,
-          {std::int64_t(version), history_[version]}, now_);
+          {static_cast<std::int64_t>(version), history_[version]}, now_);
     }
-    const auto current = std::int64_t(history_.size()) - 1;
+    const auto current = static_cast<std::int64_t>(history_.size()) - 1;
     if (flight.call.expected != current) {
       if (hears) {
         Answer(&daemon, flight.call, StoreStatus::kConflict, current);
--- a/libs/serving/tests/messages_test.cc
+++ b/libs/serving/tests/messages_test.cc
@@ -21,7 +21,7 @@
     std::vector<std::string> events;
     std::size_t at = 0;
     while (at < text.size()) {
-      const auto length = std::size_t(*rc::gen::inRange(1, 9));
+      const auto length = static_cast<std::size_t>(*rc::gen::inRange(1, 9));
       for (auto& event : parser.Feed(text.substr(at, length))) {
         events.push_back(event);
       }
--- a/tests/process/configuration_process_test.cc
+++ b/tests/process/configuration_process_test.cc
@@ -58,9 +58,10 @@
       const auto base = 1 + round;
       std::vector<std::unique_ptr<Exchange>> operators;
       for (std::size_t i = 0; i < 5; ++i) {
-        const QJsonObject patch{{"id", QString("r%1-%2").arg(round).arg(i)},
-                                {"base_version", base},
-                                {"merge", Concurrency(int(i) + 1)}};
+        const QJsonObject patch{
+            {"id", QString("r%1-%2").arg(round).arg(i)},
+            {"base_version", base},
+            {"merge", Concurrency(static_cast<int>(i) + 1)}};
         operators.push_back(std::make_unique<Exchange>(
             cluster.daemon(i).operators,
             HttpRequest{"POST",
--- a/tests/process/graceful_test.cc
+++ b/tests/process/graceful_test.cc
@@ -218,8 +218,8 @@
     auto words = StreamedWords(body);
     const auto at = body.find("/v1/requests/");
     const auto location = body.substr(at, body.find('"', at) - at);
-    const auto rest =
-        cluster.Ask(2, cluster.Question(location, true, int(words.size())));
+    const auto rest = cluster.Ask(
+        2, cluster.Question(location, true, static_cast<int>(words.size())));
     const auto more = StreamedWords(rest.answer.body);
     words.insert(words.end(), more.begin(), more.end());
     CHECK(words == ExpectedWords(prompt, 1'500));
--- a/tests/process/overload_test.cc
+++ b/tests/process/overload_test.cc
@@ -48,6 +48,7 @@
   Cluster cluster(OneZone(2, 2));
   REQUIRE(cluster.WaitReady());
   std::vector<std::unique_ptr<Exchange>> drafts;
+  drafts.reserve(300);
   for (int i = 0; i < 300; ++i) {
     drafts.push_back(std::make_unique<Exchange>(
         cluster.daemon(0).endpoint,
@@ -109,7 +110,7 @@
   }
   text += "Content-Length: " + std::to_string(request.body.size()) +
           "\r\n\r\n" + request.body;
-  caller.write(text.data(), qint64(text.size()));
+  caller.write(text.data(), static_cast<qint64>(text.size()));
   RunFor(6'000);
   CHECK(ResidentMb(cluster.daemon(0)) - before < 16);
   // Others are served meanwhile.
--- a/tests/process/placement_process_test.cc
+++ b/tests/process/placement_process_test.cc
@@ -23,7 +23,7 @@
 int HolderOf(Cluster* cluster) {
   for (std::size_t i = 0; i < cluster->daemon_count(); ++i) {
     const auto placement = cluster->Status(i).value("placement").toObject();
-    if (placement.value("holder").toBool()) return int(i);
+    if (placement.value("holder").toBool()) return static_cast<int>(i);
   }
   return -1;
 }
@@ -83,8 +83,8 @@
         return holder >= 0 && TotalDesired(&cluster, "desk") == 3;
       },
       20'000));
-  cluster.Freeze(&cluster.daemon(std::size_t(holder)));
-  const auto other = std::size_t(1 - holder);
+  cluster.Freeze(&cluster.daemon(static_cast<std::size_t>(holder)));
+  const auto other = static_cast<std::size_t>(1 - holder);
   REQUIRE(WaitUntil(
       [&] {
         return cluster.Status(other)
@@ -101,7 +101,7 @@
         .toInteger();
   };
   REQUIRE(WaitUntil([&] { return fencing() >= 2; }, 20'000));
-  cluster.Thaw(&cluster.daemon(std::size_t(holder)));
+  cluster.Thaw(&cluster.daemon(static_cast<std::size_t>(holder)));
   RunFor(4'000);
   const auto cloud = cluster.GetJson(cluster.platform(), "/cloud");
   CHECK(cloud.value("old_orders").toInteger() == 0);
--- a/tests/process/soak.cc
+++ b/tests/process/soak.cc
@@ -120,7 +120,8 @@
     return std::uniform_int_distribution<int>(low, high)(random_);
   }
   std::size_t AnyDaemon() {
-    return std::size_t(Pick(0, int(cluster_->daemon_count()) - 1));
+    return static_cast<std::size_t>(
+        Pick(0, static_cast<int>(cluster_->daemon_count()) - 1));
   }
 
   void Complain(int* count, const std::string& what) {
@@ -136,7 +137,8 @@
       Send("keyed", id, to, cluster_->Booking("key-" + id, id, RandomAct()));
       if (Pick(0, 2) == 0) recent_.push_back(id);
     } else if (what < 45 && !recent_.empty()) {
-      const auto again = recent_[std::size_t(Pick(0, int(recent_.size()) - 1))];
+      const auto again = recent_[static_cast<std::size_t>(
+          Pick(0, static_cast<int>(recent_.size()) - 1))];
       Send("retry", again, to, cluster_->Booking("key-" + again, again));
       if (recent_.size() > 50) recent_.erase(recent_.begin());
     } else if (what < 60) {
@@ -315,8 +317,8 @@
         {"zone cut from platform", &Soak::CutPlatform},
         {"operators race", &Soak::RaceOperators},
     };
-    const auto& fault =
-        kFaults[std::size_t(Pick(0, int(std::size(kFaults)) - 1))];
+    const auto& fault = kFaults[static_cast<std::size_t>(
+        Pick(0, static_cast<int>(std::size(kFaults)) - 1))];
     ++fault_count_;
     ++counts_.faults[fault.name];
     (this->*fault.start)();
@@ -383,12 +385,12 @@
   }
 
   Cluster::Node* TakeEngine() {
-    return Take(&cluster_->engine(
-        std::size_t(Pick(0, int(cluster_->engine_count()) - 1))));
+    return Take(&cluster_->engine(static_cast<std::size_t>(
+        Pick(0, static_cast<int>(cluster_->engine_count()) - 1))));
   }
   Cluster::Node* TakePlain() {
-    return Take(&cluster_->plain(
-        std::size_t(Pick(0, int(cluster_->plain_count()) - 1))));
+    return Take(&cluster_->plain(static_cast<std::size_t>(
+        Pick(0, static_cast<int>(cluster_->plain_count()) - 1))));
   }
 
   void KillAndRestart(Cluster::Node* node) {
@@ -522,7 +524,7 @@
     return 2;
   }
   Soak soak(&cluster, seed);
-  soak.Run(Duration(std::int64_t(minutes * 60'000)));
+  soak.Run(Duration(static_cast<std::int64_t>(minutes * 60'000)));
   const auto counts = soak.Verify();
   Print("requests", counts.requests);
   Print("answers", counts.outcomes);
--- a/tests/process/upstream_test.cc
+++ b/tests/process/upstream_test.cc
@@ -113,7 +113,7 @@
         cluster.daemon(0).endpoint, cluster.Booking(name, name, act)));
   }
   for (int i = 0; i < 30; ++i) {
-    const auto at = std::size_t(i);
+    const auto at = static_cast<std::size_t>(i);
     const auto name = "caller-" + std::to_string(i);
     REQUIRE(streams[at]->Wait());
     REQUIRE(bookings[at]->Wait());
@@ -165,6 +165,7 @@
   REQUIRE(cluster.WaitReady());
   SUBCASE("a full queue refuses, with a time to come back") {
     std::vector<std::unique_ptr<Exchange>> held;
+    held.reserve(6);
     for (int i = 0; i < 6; ++i) {
       held.push_back(std::make_unique<Exchange>(
           cluster.daemon(0).endpoint,
--- a/tests/standins/engine_standin.cc
+++ b/tests/standins/engine_standin.cc
@@ -11,6 +11,7 @@
 #include <CLI/CLI.hpp>
 #include <QJsonArray>
 #include <QTimer>
+#include <cmath>
 #include <map>
 #include <memory>
 #include <set>
@@ -58,13 +59,14 @@
  public:
   explicit Engine(const Options& options)
       : options_(options), model_(options.shape) {
-    server_ = HttpServer::Builder()
-                  .Listen(Endpoint::Parse(options.listen))
-                  .Handler([this](const HttpRequest& request,
-                                  std::shared_ptr<HttpResponder> responder) {
-                    Handle(request, responder);
-                  })
-                  .Build();
+    server_ =
+        HttpServer::Builder()
+            .Listen(Endpoint::Parse(options.listen))
+            .Handler([this](const HttpRequest& request,
+                            const std::shared_ptr<HttpResponder>& responder) {
+              Handle(request, responder);
+            })
+            .Build();
     step_timer_.setSingleShot(true);
     step_timer_.setTimerType(Qt::PreciseTimer);
     QObject::connect(&step_timer_, &QTimer::timeout, &step_timer_,
@@ -155,7 +157,8 @@
   void StartStep() {
     if (step_timer_.isActive() || silent_) return;
     step_ = model_.Step();
-    if (step_.ms > 0) step_timer_.start(static_cast<int>(step_.ms + 0.5));
+    if (step_.ms > 0)
+      step_timer_.start(static_cast<int>(std::lround(step_.ms)));
   }
 
   void FinishStep() {
--- a/tests/standins/plain_standin.cc
+++ b/tests/standins/plain_standin.cc
@@ -34,13 +34,14 @@
     if (!journal.empty()) {
       journal_.open(QIODevice::Append | QIODevice::Unbuffered);
     }
-    server_ = HttpServer::Builder()
-                  .Listen(endpoint)
-                  .Handler([this](const HttpRequest& request,
-                                  std::shared_ptr<HttpResponder> responder) {
-                    Handle(request, std::move(responder));
-                  })
-                  .Build();
+    server_ =
+        HttpServer::Builder()
+            .Listen(endpoint)
+            .Handler([this](const HttpRequest& request,
+                            const std::shared_ptr<HttpResponder>& responder) {
+              Handle(request, responder);
+            })
+            .Build();
   }
   bool Start() { return server_->Start(); }
 
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -47,20 +47,21 @@
 class Platform {
  public:
   explicit Platform(const Endpoint& endpoint) {
-    server_ = HttpServer::Builder()
-                  .Listen(endpoint)
-                  .Handler([this](const HttpRequest& request,
-                                  std::shared_ptr<HttpResponder> responder) {
-                    Handle(request, std::move(responder));
-                  })
-                  .Build();
+    server_ =
+        HttpServer::Builder()
+            .Listen(endpoint)
+            .Handler([this](const HttpRequest& request,
+                            const std::shared_ptr<HttpResponder>& responder) {
+              Handle(request, responder);
+            })
+            .Build();
   }
   bool Start() { return server_->Start(); }
 
  private:
   using Responder = std::shared_ptr<HttpResponder>;
 
-  void Handle(const HttpRequest& request, Responder responder) {
+  void Handle(const HttpRequest& request, const Responder& responder) {
     if (request.Path() == "/control") return Control(request, *responder);
     if (request.Path() == "/stats") return Stats(*responder);
     if (MonotonicNow() < outage_until_) return held_.push_back(responder);
--- a/tests/standins/relay_standin.cc
+++ b/tests/standins/relay_standin.cc
@@ -174,6 +174,7 @@
   const QCoreApplication application(argc, argv);
   firmoor::QuitOnSignals();
   std::vector<firmoor::Route> routes;
+  routes.reserve(texts.size());
   for (const auto& text : texts) routes.push_back(firmoor::ParseRoute(text));
   firmoor::Relay relay(firmoor::Endpoint::Parse(control), routes);
   if (!relay.Start()) return 1;
--- a/tests/traces/record_trace.cc
+++ b/tests/traces/record_trace.cc
@@ -45,7 +45,8 @@
     bool reclaimed = false;
     bool outage = false;
     for (;;) {
-      const double at = double((MonotonicNow() - start).count()) / 1'000;
+      const double at =
+          static_cast<double>((MonotonicNow() - start).count()) / 1'000;
       if (at > kSeconds) break;
       if (!reclaimed && at > kSeconds * 0.5) {
         reclaimed = true;
@@ -58,7 +59,7 @@
       // A working day: quiet, busy at noon, quiet.
       const double rate = kPeakPerS * std::sin(kPi * at / kSeconds) + 2;
       Send(at > kSeconds * 0.3 && at < kSeconds * 0.4);
-      RunFor(int(1'000 / rate));
+      RunFor(static_cast<int>(1'000 / rate));
     }
     WaitUntil(
         [this] {
@@ -98,9 +99,10 @@
     for (int i = 0; i < count; ++i) {
       const auto id = fmt::format("r{}", next_++);
       const int what = Pick(0, 9);
-      const auto& to = cluster_->daemon(
-          std::size_t(Pick(0, int(cluster_->daemon_count()) - 1)));
-      const std::string document(std::size_t(512), char('a' + Pick(0, 20)));
+      const auto& to = cluster_->daemon(static_cast<std::size_t>(
+          Pick(0, static_cast<int>(cluster_->daemon_count()) - 1)));
+      const std::string document(static_cast<std::size_t>(512),
+                                 static_cast<char>('a' + Pick(0, 20)));
       HttpRequest request =
           what < 5   ? cluster_->Completion(document + id, 25, true)
           : what < 7 ? cluster_->Booking("key-" + id, id, "late:30")
--- a/tools/compare_strategies/fleet_model.cc
+++ b/tools/compare_strategies/fleet_model.cc
@@ -29,8 +29,10 @@
 
 double Percentile(std::vector<double> values, double share) {
   if (values.empty()) return 0;
-  const auto at = std::size_t(share * static_cast<double>(values.size() - 1));
-  std::nth_element(values.begin(), values.begin() + std::ptrdiff_t(at),
+  const auto at =
+      static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(at),
                    values.end());
   return values[at];
 }
@@ -78,7 +80,7 @@
   end_ms_ = now_ms_ + shape_.seconds * 1'000;
   double total = 0;
   for (std::size_t i = 0; i < shape_.deployment.documents; ++i) {
-    total += 1 / std::pow(double(i + 1), shape_.deployment.zipf);
+    total += 1 / std::pow(static_cast<double>(i + 1), shape_.deployment.zipf);
     popularity_.push_back(total);
   }
   AddDaemons();
@@ -94,7 +96,7 @@
 }
 
 TimePoint FleetModel::Now() const {
-  return TimePoint(Duration(std::int64_t(now_ms_)));
+  return TimePoint(Duration(static_cast<std::int64_t>(now_ms_)));
 }
 
 Router::Distance FleetModel::DistanceOf(std::size_t from,
@@ -129,7 +131,7 @@
 std::size_t FleetModel::PickDocument() {
   const double at =
       std::uniform_real_distribution<double>(0, popularity_.back())(random_);
-  return std::size_t(
+  return static_cast<std::size_t>(
       std::lower_bound(popularity_.begin(), popularity_.end(), at) -
       popularity_.begin());
 }
@@ -163,7 +165,8 @@
   AdmissionRequest ask;
   ask.id = id;
   ask.workspace = workspace;
-  ask.cost = double(request->route.prompt_tokens + deployment.answer_tokens);
+  ask.cost = static_cast<double>(request->route.prompt_tokens +
+                                 deployment.answer_tokens);
   ask.max_in_flight = 10'000;
   ask.deadline = Now() + kDeadline;
   auto* daemon = request->daemon;
@@ -237,13 +240,13 @@
   const bool measured = request.arrived_ms > 1'000'000 + kWarmUpMs;
   if (!request.first_seen) {
     request.first_seen = true;
-    const Duration after(std::int64_t(now_ms_ - request.sent_ms));
+    const Duration after(static_cast<std::int64_t>(now_ms_ - request.sent_ms));
     router.OnFirstToken(&request.ticket, after, kTarget, Now());
     if (request.tokens == 0 && measured) {
       const double ms = now_ms_ - request.arrived_ms;
       first_tokens_.push_back(ms);
       if (request.workspace == kSmall) small_first_tokens_.push_back(ms);
-      good_answers_ += ms <= double(kTarget.count()) ? 1 : 0;
+      good_answers_ += ms <= static_cast<double>(kTarget.count()) ? 1 : 0;
     }
   }
   if (request.tokens > 0 && measured) {
@@ -274,8 +277,9 @@
 void FleetModel::ReportLoads() {
   for (const auto& engine : engines_) {
     if (engine->gone) continue;
-    const ReplicaLoad load{std::int64_t(engine->model.running()),
-                           std::int64_t(engine->model.queued_tokens())};
+    const ReplicaLoad load{
+        static_cast<std::int64_t>(engine->model.running()),
+        static_cast<std::int64_t>(engine->model.queued_tokens())};
     At(now_ms_ + kLoadLagMs, [this, load, id = engine->id] {
       for (const auto& daemon : daemons_) {
         daemon->router.OnLoad(id, load, Now());
@@ -347,7 +351,8 @@
   RunFigures figures;
   for (const auto& engine : engines_) {
     if (!engine->gone) vm_ms_ += end_ms_ - engine->since_ms;
-    figures.recomputed_tokens += double(engine->model.recomputed_tokens());
+    figures.recomputed_tokens +=
+        static_cast<double>(engine->model.recomputed_tokens());
   }
   const double cost = vm_ms_ / kMsPerHour * shape_.deployment.price_per_vm_hour;
   figures.cost_per_thousand =
@@ -357,7 +362,7 @@
   figures.small_p95_ms = Percentile(small_first_tokens_, 0.95);
   figures.gap_p95_ms = Percentile(gaps_, 0.95);
   figures.refused = refused_;
-  figures.answers = double(first_tokens_.size());
+  figures.answers = static_cast<double>(first_tokens_.size());
   return figures;
 }
 
--- a/tools/compare_strategies/main.cc
+++ b/tools/compare_strategies/main.cc
@@ -56,7 +56,7 @@
 std::vector<RunFigures> RunSeeds(RunShape shape, int seeds) {
   std::vector<std::future<RunFigures>> futures;
   for (int seed = 1; seed <= seeds; ++seed) {
-    shape.seed = std::uint64_t(seed);
+    shape.seed = static_cast<std::uint64_t>(seed);
     futures.push_back(std::async(std::launch::async,
                                  [shape] { return FleetModel(shape).Run(); }));
   }
--- a/tools/measure/main.cc
+++ b/tools/measure/main.cc
@@ -129,7 +129,7 @@
     const double seconds = (NowMs() - started) / kMsPerSecond;
     const auto after = Usage(cluster.daemon(0));
     const auto tokens =
-        double(cluster.EngineTotal("generated") - tokens_before);
+        static_cast<double>(cluster.EngineTotal("generated") - tokens_before);
     const double cpu = after.cpu_s - before.cpu_s;
     fmt::print("{:>8} {:>10.1f} {:>10.1f} {:>12.0f} {:>14.1f} {:>8}\n", count,
                after.rss_mb, cpu / seconds * 100, tokens / seconds,
@@ -164,11 +164,11 @@
       const auto name = QLatin1String(key);
       return double(now.value(name).toInteger() -
                     status[i].value(name).toInteger()) /
-             seconds / double(count);
+             seconds / static_cast<double>(count);
     };
-    sample.cpu_percent +=
-        (after.cpu_s - before[i].cpu_s) / seconds * 100 / double(count);
-    sample.rss_mb += after.rss_mb / double(count);
+    sample.cpu_percent += (after.cpu_s - before[i].cpu_s) / seconds * 100 /
+                          static_cast<double>(count);
+    sample.rss_mb += after.rss_mb / static_cast<double>(count);
     sample.sent_per_s += rate("peer_bytes_sent");
     sample.received_per_s += rate("peer_bytes_received");
   }
@@ -274,7 +274,8 @@
       const double started = NowMs();
       const QJsonObject merge{
           {"services",
-           QJsonObject{{"desk", QJsonObject{{"queue_limit", int(version)}}}}}};
+           QJsonObject{{"desk", QJsonObject{{"queue_limit",
+                                             static_cast<int>(version)}}}}}};
       if (cluster.Patch(0, version, merge, std::to_string(version)).status !=
           200) {
         return;
@@ -296,7 +297,7 @@
     const double seconds = (NowMs() - started) / kMsPerSecond;
     ControlSample sample;
     for (std::size_t i = 0; i < cluster.daemon_count(); ++i) {
-      const auto count = double(cluster.daemon_count());
+      const auto count = static_cast<double>(cluster.daemon_count());
       const auto now = Usage(cluster.daemon(i));
       const auto status_now = cluster.Status(i);
       sample.cpu_percent +=
@@ -315,9 +316,9 @@
                  fmt::format("{:.0f}, {:.0f}; {:.1f} patches/s, {:.0f} ms CPU "
                              "a patch",
                              Percentile(times, 0.5), Percentile(times, 1.0),
-                             double(times.size()) / seconds,
+                             static_cast<double>(times.size()) / seconds,
                              sample.cpu_percent / 100 * seconds * kMsPerSecond /
-                                 double(times.size())));
+                                 static_cast<double>(times.size())));
   }
   return 0;
 }
@@ -406,12 +407,12 @@
   std::vector<double> times;
   int sent = 0;
   int failed = 0;
-  const int total = int(rate * kSeconds);
+  const int total = static_cast<int>(rate * kSeconds);
   const double started = NowMs();
-  while (int(times.size()) + failed < total &&
+  while (static_cast<int>(times.size()) + failed < total &&
          NowMs() - started < kSeconds * 4 * kMsPerSecond) {
-    const int due =
-        std::min(total, int((NowMs() - started) * rate / kMsPerSecond) + 1);
+    const int due = std::min(
+        total, static_cast<int>((NowMs() - started) * rate / kMsPerSecond) + 1);
     for (; sent < due; ++sent) {
       const auto key = fmt::format("{}-{}-{}", name, rate, sent);
       mechanism->Claim(key, [&, asked = NowMs()](bool granted) {
