--- a/apps/firmoord/src/placement_service.cc
+++ b/apps/firmoord/src/placement_service.cc
@@ -4,8 +4,10 @@
 #include <QCborValue>
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
 #include "base/log.h"
 
 namespace firmoor {
@@ -14,6 +16,8 @@
 constexpr Logger kLog("placement");
 constexpr const char* kLeaseObject = "placement-lease";
 constexpr int kTickMs = 100;
+// Daemons that read the lease, whatever the size of the fleet.
+constexpr std::size_t kCandidates = 3;
 constexpr Duration kPlanPeriod{2'000};
 constexpr Duration kDemandTimeout{1'000};
 constexpr HttpCallTimes kTimes{Duration(500), Duration(2'000), Duration(2'000)};
@@ -95,7 +99,18 @@
   PlanAll();
 }
 
+bool PlacementService::IsCandidate() const {
+  std::vector<std::string> names = {settings_.daemon};
+  for (const auto& member : fleet_->membership().Live()) {
+    names.push_back(member.name);
+  }
+  auto order = RendezvousOrder("placement", std::move(names));
+  if (order.size() > kCandidates) order.resize(kCandidates);
+  return std::find(order.begin(), order.end(), settings_.daemon) != order.end();
+}
+
 void PlacementService::KeepLease() {
+  if (!lease_.IsHolder() && !IsCandidate()) return;
   const auto call = lease_.NextCall(MonotonicNow());
   if (!call) return;
   const bool held = lease_.IsHolder();
--- a/apps/firmoord/src/placement_service.h
+++ b/apps/firmoord/src/placement_service.h
@@ -49,6 +49,8 @@
  private:
   void Tick();
   void KeepLease();
+  /// Whether this daemon is one of the few that compete for the lease.
+  [[nodiscard]] bool IsCandidate() const;
   void ReadOffers();
   void GatherDemand();
   void PlanAll();
--- a/tests/standins/engine_standin.cc
+++ b/tests/standins/engine_standin.cc
@@ -157,8 +157,8 @@
   void StartStep() {
     if (step_timer_.isActive() || silent_) return;
     step_ = model_.Step();
-    if (step_.ms > 0)
-      step_timer_.start(static_cast<int>(std::lround(step_.ms)));
+    if (step_.ms <= 0) return;
+    step_timer_.start(static_cast<int>(std::lround(step_.ms)));
   }
 
   void FinishStep() {
--- a/tools/measure/main.cc
+++ b/tools/measure/main.cc
@@ -195,7 +195,7 @@
           {"times.load_period_ms", "500"}};
 }
 
-int MeasureDaemons(const std::vector<int>& counts) {
+int MeasureDaemons(const std::vector<int>& counts, int settle_s) {
   PrintControlHead("daemons", "store calls/s");
   for (const int count : counts) {
     ClusterShape shape;
@@ -204,7 +204,8 @@
     shape.settings = ProductionPeriods();
     Cluster cluster(shape);
     if (!cluster.WaitReady()) return 2;
-    RunFor(kSettleMs);
+    // The news of the joins must have run out.
+    RunFor(settle_s * 1'000);
     const auto calls = [&] {
       const auto stats = cluster.GetJson(cluster.platform(), "/stats");
       return double(stats.value("reads").toInteger() +
@@ -462,6 +463,7 @@
   app.require_subcommand(1);
   std::vector<int> counts;
   int slow_ms = 5;
+  int settle_s = 25;
   int code = 0;
   app.add_subcommand("overhead")->callback([&] { code = MeasureOverhead(); });
   auto* streams = app.add_subcommand("streams");
@@ -469,7 +471,8 @@
   streams->callback([&] { code = MeasureStreams(counts); });
   auto* daemons = app.add_subcommand("daemons");
   daemons->add_option("counts", counts)->required();
-  daemons->callback([&] { code = MeasureDaemons(counts); });
+  daemons->add_option("--settle-s", settle_s, "Rest before the sample");
+  daemons->callback([&] { code = MeasureDaemons(counts, settle_s); });
   auto* upstreams = app.add_subcommand("upstreams");
   upstreams->add_option("counts", counts)->required();
   upstreams->callback([&] { code = MeasureUpstreams(counts); });
