Count costs within half the first-token target as equal

Cause: with 60 ms a busy home replica lost its prefix to an idle one for a gain that the target does not need. Taken: 200 ms.

--- a/libs/serving/src/routing_strategy.cc
+++ b/libs/serving/src/routing_strategy.cc
@@ -12,7 +12,7 @@
 constexpr double kOtherZoneS = 0.002;
 // Estimates are not better than this, so a nearly equal replica that has the
 // prefix, or is its home, is taken.
-constexpr double kToleranceS = 0.06;
+constexpr double kToleranceS = 0.2;
 
 /// Expected time to the first token: work ahead, plus prefill that the cache
 /// does not save, plus the slowdown by running requests.
