--- a/tools/compare_strategies/main.cc
+++ b/tools/compare_strategies/main.cc
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "fleet_model.h"
+#include "deployments.h"
 
 namespace firmoor {
 namespace {
@@ -25,23 +25,6 @@
 constexpr const char* kStrategies[] = {"expected-time", "round-robin",
                                        "least-in-flight", "prefix-affinity"};
 
-std::vector<DeploymentShape> Deployments() {
-  DeploymentShape tsagaan;
-  tsagaan.name = "tsagaan-sam";
-  tsagaan.replicas = 9;
-  tsagaan.daemons = 7;
-  tsagaan.requests_per_s = 36;
-  DeploymentShape gitapass;
-  gitapass.name = "gitapass";
-  gitapass.replicas = 18;
-  gitapass.daemons = 8;
-  gitapass.requests_per_s = 60;
-  gitapass.documents = 600;
-  gitapass.document_tokens = 3'000;
-  gitapass.answer_tokens = 150;
-  return {tsagaan, gitapass};
-}
-
 /// Median and spread (lowest to highest) of one figure over the seeds.
 std::string Show(const std::vector<RunFigures>& runs,
                  double RunFigures::*member) {
