Let only the daemon that asked release a claim

Cause: the home of a slot that gave up a forwarded claim (store away) released it, while the daemon that asked had claimed it by itself under the same attempt id and sent it; the key was then free and a retry ran it again. Ruled out: sealing (no slot passed 64 KB). Change: a claim asked for by another daemon is left when it is given up; the asking daemon releases it. serving_test has the case; the randomised run does not model homes and could not find it.

--- a/apps/firmoord/src/daemon.cc
+++ b/apps/firmoord/src/daemon.cc
@@ -326,7 +326,8 @@
   const auto claim = Capture([&] { return DecodeClaim(message); });
   if (std::holds_alternative<Error>(claim)) return reply({});
   claims_->ClaimHere(
-      std::get<Claim>(claim), [reply](const ClaimBatcher::Decided& decided) {
+      std::get<Claim>(claim), ClaimOrigin::kElsewhere,
+      [reply](const ClaimBatcher::Decided& decided) {
         reply(QCborValue(QCborArray{static_cast<int>(decided.verdict),
                                     EncodeClaim(decided.claim)})
                   .toCbor());
--- a/libs/serving/include/serving/claim_batcher.h
+++ b/libs/serving/include/serving/claim_batcher.h
@@ -16,6 +16,14 @@
 
 namespace firmoor {
 
+/// Who asked for a claim, which decides who may release it.
+enum class ClaimOrigin {
+  kHere,       ///< Asked for by this daemon alone.
+  kHomeFirst,  ///< By this daemon, after the home did not answer.
+  kElsewhere,  ///< By another daemon, which alone may release the claim: it
+               ///< may have got it by itself meanwhile.
+};
+
 /// Claims and records outcomes in one slot by conditional updates. One
 /// update is in flight at a time and what comes meanwhile goes with the
 /// next one (group commit); writes keep a least distance and outcomes wait
@@ -48,8 +56,8 @@
 
   /// Asks for a claim; given up with `kStoreAway` at `deadline`, after which
   /// the claim is released in case a lost write still lands.
-  void Claim(std::uint64_t id, const firmoor::Claim& wanted,
-             TimePoint deadline);
+  void Claim(std::uint64_t id, const firmoor::Claim& wanted, TimePoint deadline,
+             ClaimOrigin origin = ClaimOrigin::kHere);
 
   /// Records how a granted claim ended. Kept until stored; `id` then shows
   /// in `TakeRecorded`.
@@ -79,6 +87,7 @@
     TimePoint deadline;
     bool read_since = false;  ///< The slot was read after it was asked for.
     bool written = false;     ///< Was part of an update that was sent.
+    ClaimOrigin origin = ClaimOrigin::kHere;
   };
 
   /// `seen` is the slot that the verdict was read from, if any.
--- a/libs/serving/include/serving/claim_store.h
+++ b/libs/serving/include/serving/claim_store.h
@@ -49,7 +49,7 @@
   void Record(const firmoor::Claim& ended);
 
   /// The same at this daemon, for those whose home it is.
-  void ClaimHere(const firmoor::Claim& wanted, Done done);
+  void ClaimHere(const firmoor::Claim& wanted, ClaimOrigin origin, Done done);
   void RecordHere(const firmoor::Claim& ended, RecordDone done);
 
   /// Whether the outcome of this attempt is on its way to the store.
--- a/libs/serving/src/claim_batcher.cc
+++ b/libs/serving/src/claim_batcher.cc
@@ -17,8 +17,12 @@
 }  // namespace
 
 void ClaimBatcher::Claim(std::uint64_t id, const firmoor::Claim& wanted,
-                         TimePoint deadline) {
-  pending_.push_back({id, wanted, deadline});
+                         TimePoint deadline, ClaimOrigin origin) {
+  Pending pending{id, wanted, deadline};
+  // The home may have written it.
+  pending.written = origin == ClaimOrigin::kHomeFirst;
+  pending.origin = origin;
+  pending_.push_back(std::move(pending));
 }
 
 void ClaimBatcher::Record(std::uint64_t id, const firmoor::Claim& ended,
@@ -253,6 +257,7 @@
     }
     Decide(pending, ClaimVerdict::kStoreAway, nullptr);
     if (!pending.written && !in_write) continue;
+    if (pending.origin == ClaimOrigin::kElsewhere) continue;
     auto released = pending.claim;
     released.state = ClaimState::kNotRun;
     records_.push_back({0, released, now});
--- a/libs/serving/src/claim_store.cc
+++ b/libs/serving/src/claim_store.cc
@@ -110,7 +110,7 @@
 
 void ClaimStore::Claim(const firmoor::Claim& wanted, const Done& done) {
   const auto here = [this, wanted, done, guard = impl_->alive] {
-    if (*guard) ClaimHere(wanted, done);
+    if (*guard) ClaimHere(wanted, ClaimOrigin::kHomeFirst, done);
   };
   if (!impl_->home.claim) return here();
   const bool sent = impl_->home.claim(
@@ -123,12 +123,13 @@
   if (!sent) here();
 }
 
-void ClaimStore::ClaimHere(const firmoor::Claim& wanted, Done done) {
+void ClaimStore::ClaimHere(const firmoor::Claim& wanted, ClaimOrigin origin,
+                           Done done) {
   const auto name = SlotOf(wanted.key);
   auto& batcher = impl_->batchers[name];
   const auto id = impl_->next_id++;
   impl_->waiting.emplace(id, std::move(done));
-  batcher.Claim(id, wanted, MonotonicNow() + impl_->wait);
+  batcher.Claim(id, wanted, MonotonicNow() + impl_->wait, origin);
   impl_->timer.start();
   impl_->Advance(name, &batcher);
 }
--- a/libs/serving/tests/claim_test.cc
+++ b/libs/serving/tests/claim_test.cc
@@ -433,6 +433,21 @@
   CHECK(fence->expected == lost->expected);
 }
 
+TEST_CASE("a home that gives up does not release another daemon's claim") {
+  ClaimBatcher home;
+  TimePoint now{Duration(1'000)};
+  home.Claim(1, MakeClaim("key", "a"), now + Duration(100),
+             ClaimOrigin::kElsewhere);
+  home.NextCall(now, 0);
+  home.OnRead(StoreStatus::kNotFound, {}, now);
+  REQUIRE(home.NextCall(now, 0)->is_write);
+  home.OnWrite(StoreStatus::kUnavailable, 0, now);
+  now += Duration(200);
+  CHECK(home.TakeDecided(now).at(0).verdict == ClaimVerdict::kStoreAway);
+  // The daemon that asked may have claimed it by itself and have sent it.
+  CHECK_FALSE(home.HasWork());
+}
+
 TEST_CASE("random daemons, crashes, freezes and a lying store") {
   const bool holds = rc::check(
       "run each key at most once, and never what was called not run", [] {
