Do not count an attempt against a generation that got on

Cause: a dropped connection loses the tokens that were under way, so a generation of 50 tokens over upstreams that drop after 20 may need more than four attempts; it then failed although each attempt made progress. Ruled out: the retry budget, which bounds it still. Change: only attempts in a row without a new token count.

--- a/libs/serving/src/details/job.h
+++ b/libs/serving/src/details/job.h
@@ -125,6 +125,8 @@
   Router::Distance distance_ = Router::Distance::kZone;
   TimePoint sent_at_;
   int attempts_ = 0;
+  int fruitless_attempts_ = 0;  ///< In a row.
+  std::size_t tokens_when_sent_ = 0;
   int boost_ = 0;
   int pauses_ = 0;
   bool first_byte_seen_ = false;
--- a/libs/serving/src/details/job_attempt.cc
+++ b/libs/serving/src/details/job_attempt.cc
@@ -59,6 +59,8 @@
   distance_ = choice->distance;
   sent_at_ = now;
   ++attempts_;
+  ++fruitless_attempts_;
+  tokens_when_sent_ = tokens_.size();
   first_byte_seen_ = false;
   plain_answer_ = {};
   attempt_ = {};
@@ -211,6 +213,8 @@
 }
 
 void Job::EndAttempt(const AttemptEnd& end) {
+  // A generation that gets on may be resumed as long as the budget allows.
+  if (tokens_.size() > tokens_when_sent_) fruitless_attempts_ = 1;
   const auto now = MonotonicNow();
   runtime_->router.OnEnd(&ticket_);
   const auto verdict = DecideWithBudget(end);
@@ -276,7 +280,7 @@
   context.idempotent = spec_.traits.idempotent;
   context.answer_started = !tokens_.empty();
   context.resumable = spec_.model.has_value();
-  context.attempts = attempts_;
+  context.attempts = fruitless_attempts_;
   context.time_left = TimeLeft();
   context.retry_allowed = retry_allowed;
   context.earlier_unknown = earlier_unknown_;
@@ -305,7 +309,7 @@
   const bool may_repeat = spec_.async && spec_.traits.idempotent;
   if (!may_repeat || TimeLeft() < pause + kLeastTimeForAttempt) return false;
   ++pauses_;
-  attempts_ = 0;
+  fruitless_attempts_ = 0;
   route_.exclude.clear();
   QTimer::singleShot(pause, &timer_, [this] {
     if (phase_ == Phase::kSending) Send();
