Be ready only after a VM list with an upstream was read

Cause: a daemon called itself ready after any VM list, also the empty one it read before the first upstream was published; for up to one list period it refused requests with 3001 no-upstream.

Ruled out: starvation (load average 2.3 when it was seen) and the restart itself (the traces of the restarted daemons hold no 3001).

New test: a daemon that knows no upstream yet is not ready; it fails without the change.

Conclusion: readiness must mean that a request can be served. A list that gets empty later does not end readiness, so that callers get the true refusal.

--- a/apps/firmoord/src/daemon.cc
+++ b/apps/firmoord/src/daemon.cc
@@ -112,7 +112,7 @@
   vm_list_ = std::make_unique<VmListFollower>(
       settings_.vm_list, settings_.vm_list_period,
       [this](const std::vector<Vm>& vms) {
-        vm_list_seen_ = true;
+        has_seen_vms_ = has_seen_vms_ || !vms.empty();
         dispatcher_->ApplyVms(vms);
       });
   placement_ = std::make_unique<PlacementService>(
@@ -342,7 +342,7 @@
 }
 
 bool Daemon::IsReady() const {
-  return config_->IsKnown() && vm_list_seen_ && !drain_->IsDraining();
+  return config_->IsKnown() && has_seen_vms_ && !drain_->IsDraining();
 }
 
 QJsonObject Daemon::Status() const {
--- a/apps/firmoord/src/daemon.h
+++ b/apps/firmoord/src/daemon.h
@@ -74,7 +74,7 @@
   std::unique_ptr<Supervisor> platform_tree_;
   std::unique_ptr<Supervisor> serving_tree_;
   std::unique_ptr<Supervisor> root_;
-  bool vm_list_seen_ = false;
+  bool has_seen_vms_ = false;
   TimePoint started_at_;
 };
 
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -358,10 +358,7 @@
   ControlPlatform({{"vms", vms}});
 }
 
-bool Cluster::WaitReady() {
-  const bool platform_up = WaitUntil(
-      [this] { return !GetJson(platform_->endpoint, "/stats").isEmpty(); });
-  if (!platform_up) return false;
+bool Cluster::WaitUpstreams() {
   for (const auto* list : {&engines_, &plains_}) {
     for (const auto& node : *list) {
       const bool node_up =
@@ -370,13 +367,24 @@
       if (!node_up) return false;
     }
   }
+  return true;
+}
+
+bool Cluster::PatchFirst() {
+  const auto merge = MergePatch(DefaultConfiguration(), shape_.configuration);
+  return Patch(0, 0, merge, "first").status == 200;
+}
+
+bool Cluster::WaitReady() {
+  const bool platform_up = WaitUntil(
+      [this] { return !GetJson(platform_->endpoint, "/stats").isEmpty(); });
+  if (!platform_up || !WaitUpstreams()) return false;
   PublishVms();
   const auto up = [this](std::size_t i) { return !Status(i).isEmpty(); };
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     if (!WaitUntil([&] { return up(i); }, kReadyTimeoutMs)) return false;
   }
-  const auto merge = MergePatch(DefaultConfiguration(), shape_.configuration);
-  if (Patch(0, 0, merge, "first").status != 200) return false;
+  if (!PatchFirst()) return false;
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     const bool ready = WaitUntil(
         [&] {
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -83,6 +83,10 @@
   /// Waits until all daemons are ready, in force of the configuration and
   /// aware of each other.
   bool WaitReady();
+  /// The steps of it that a test may want by themselves: all upstreams answer,
+  /// and the first configuration is stored.
+  bool WaitUpstreams();
+  bool PatchFirst();
 
   [[nodiscard]] Node& daemon(std::size_t i) { return *daemons_.at(i); }
   [[nodiscard]] Node& engine(std::size_t i) { return *engines_.at(i); }
--- a/tests/process/configuration_process_test.cc
+++ b/tests/process/configuration_process_test.cc
@@ -112,6 +112,24 @@
   }
 }
 
+TEST_CASE("a daemon that knows no upstream yet is not ready") {
+  ClusterShape shape;
+  shape.zones = {{"east", "home", 1, 0, 1}};
+  shape.settings["times.vm_list_period_ms"] = "1000";
+  Cluster cluster(shape);
+  REQUIRE(WaitUntil([&] { return !cluster.Status(0).isEmpty(); }, 20'000));
+  REQUIRE(cluster.WaitUpstreams());
+  REQUIRE(cluster.PatchFirst());
+  RunFor(300);
+  const auto is_ready = [&] {
+    return cluster.Status(0).value("ready").toBool();
+  };
+  CHECK_FALSE(is_ready());
+  cluster.PublishVms();
+  REQUIRE(WaitUntil(is_ready, 5'000));
+  CHECK(cluster.Ask(0, cluster.Lookup()).answer.status == 200);
+}
+
 TEST_CASE("the version in force never goes back") {
   Cluster cluster(ThreeZones());
   REQUIRE(cluster.WaitReady());
