Judge no deadline in the first turn after a freeze

Cause: a daemon frozen inside a turn of its event loop finds its 20 ms timer due before it polls its sockets again; the deadline check then cancelled an exchange whose answer was waiting, and a booking that had ended well was answered 504 unknown.

Ruled out: the call's own time-outs, which already give the network one turn.

at_most_once_test "frozen past all timeouts" now freezes a busy daemon.

--- a/libs/serving/src/dispatcher.cc
+++ b/libs/serving/src/dispatcher.cc
@@ -13,6 +13,7 @@
 #include "base/invariant.h"
 #include "base/log.h"
 #include "base/random_id.h"
+#include "details/freeze_guard.h"
 #include "details/job.h"
 #include "details/remote_follower.h"
 #include "details/request_intake.h"
@@ -103,6 +104,7 @@
   mutable std::uint64_t next_number = 1;
   bool draining = false;
   details::UpstreamPoller poller;
+  details::FreezeGuard freeze_guard;
   QTimer timer;
 };
 
@@ -283,6 +285,7 @@
 
 void Dispatcher::Impl::Tick() {
   const auto now = MonotonicNow();
+  if (!freeze_guard.MayJudge(now)) return;
   std::vector<JobPtr> open;
   for (const auto& [number, job] : by_number) open.push_back(job);
   for (const auto& job : open) job->CheckDeadline(now);
--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -125,6 +125,14 @@
     CHECK(OutcomeOf(later) == "unknown");
   }
   SUBCASE("frozen past all timeouts and woken") {
+    // Busy, so that the freeze hits it inside a turn of its event loop, when
+    // it does not look at its sockets before its timers.
+    std::vector<std::unique_ptr<Exchange>> lookups;
+    for (int i = 0; i < 300; ++i) {
+      lookups.push_back(std::make_unique<Exchange>(cluster.daemon(0).endpoint,
+                                                   cluster.Lookup()));
+    }
+    RunFor(25);
     cluster.Freeze(&cluster.daemon(0));
     const auto again = cluster.Ask(1, cluster.Booking("k", "w"));
     CHECK(OutcomeOf(again) == "unknown");
