Say not run of a keyed request only when the key did not run

Cause: refusals before the claim (no upstream, full, store away, starting or stopping daemon) were answered not-run without asking how the key stands. A caller whose first answer was lost with its daemon was told that its booking did not run although it had.

Ruled out: calling it not-run of the repetition alone (a salon told so books anew); a plain read of the slot (old reads are among the platform's faults).

Change: ClaimBatcher::Look asks about a key and takes a successful update of the slot as the proof that it is free; a recorded answer is replayed instead of the refusal. Store away, 300 ms without proof, or a daemon that starts or stops: unknown, with when to come back.

Conclusion: during an outage of the store keyed refusals are unknown instead of not-run; nothing else changes for callers that repeat with their key.

--- a/libs/serving/include/serving/claim_batcher.h
+++ b/libs/serving/include/serving/claim_batcher.h
@@ -59,6 +59,11 @@
   void Claim(std::uint64_t id, const firmoor::Claim& wanted, TimePoint deadline,
              ClaimOrigin origin = ClaimOrigin::kHere);
 
+  /// Asks how a key stands without claiming it: `kGranted` when no earlier
+  /// attempt ran or runs with it, which an update of the slot has proved;
+  /// else what a claim would get; `kStoreAway` at `deadline`.
+  void Look(std::uint64_t id, const firmoor::Claim& wanted, TimePoint deadline);
+
   /// Records how a granted claim ended. Kept until stored; `id` then shows
   /// in `TakeRecorded`.
   void Record(std::uint64_t id, const firmoor::Claim& ended, TimePoint now);
@@ -88,6 +93,14 @@
     bool read_since = false;  ///< The slot was read after it was asked for.
     bool written = false;     ///< Was part of an update that was sent.
     ClaimOrigin origin = ClaimOrigin::kHere;
+    bool look = false;  ///< Only asks, claims nothing.
+  };
+
+  /// The update that is being put together.
+  struct Plan {
+    ClaimSlot next;
+    bool changed = false;    ///< It differs from what is stored.
+    bool must_read = false;  ///< Somebody needs a newer view.
   };
 
   /// `seen` is the slot that the verdict was read from, if any.
@@ -95,6 +108,12 @@
               const ClaimSlot* seen);
   void AfterFailure(TimePoint now);
   StoreCall Send(StoreCall call);
+  StoreCall SendWrite(ClaimSlot next, TimePoint now);
+  void AddRecords(Plan* plan);
+  void AddPending(Plan* plan);
+  /// Each answers the pending request when it can; false when it waits.
+  bool TryLook(const Pending& pending, Plan* plan);
+  bool TryDecide(Pending* pending, Plan* plan);
   [[nodiscard]] std::optional<std::string> MissingSegment() const;
   [[nodiscard]] bool MustSeal() const;
   /// The claim of `key` in a segment that `slot` names.
--- a/libs/serving/include/serving/claim_store.h
+++ b/libs/serving/include/serving/claim_store.h
@@ -45,6 +45,10 @@
   /// Claims a key, at its home if that answers; `done` runs once.
   void Claim(const firmoor::Claim& wanted, const Done& done);
 
+  /// Asks how a key stands, see `ClaimBatcher::Look`; `done` runs once, within
+  /// 300 ms.
+  void Look(const firmoor::Claim& wanted, Done done);
+
   /// Records how a granted claim ended.
   void Record(const firmoor::Claim& ended);
 
--- a/libs/serving/src/claim_batcher.cc
+++ b/libs/serving/src/claim_batcher.cc
@@ -25,6 +25,13 @@
   pending_.push_back(std::move(pending));
 }
 
+void ClaimBatcher::Look(std::uint64_t id, const firmoor::Claim& wanted,
+                        TimePoint deadline) {
+  Pending pending{id, wanted, deadline};
+  pending.look = true;
+  pending_.push_back(std::move(pending));
+}
+
 void ClaimBatcher::Record(std::uint64_t id, const firmoor::Claim& ended,
                           TimePoint now) {
   FIRMOOR_PRECONDITION(ended.state != ClaimState::kClaimed,
@@ -65,58 +72,89 @@
     // The name follows from the version, and so does the content.
     return Send({true, std::to_string(version_), 0, slot_->Ended().Encode()});
   }
-  ClaimSlot next = *slot_;
-  if (!segment_written_.empty()) next.Seal(segment_written_, wall_ms);
-  next.Expire(wall_ms);
-  const bool has_room = encoded_bytes_ < kMaxSlotBytes;
-  in_write_.clear();
-  records_in_write_ = 0;
-  bool changed = !segment_written_.empty();
+  Plan plan{*slot_};
+  if (!segment_written_.empty()) {
+    plan.next.Seal(segment_written_, wall_ms);
+    plan.changed = true;
+  }
+  plan.next.Expire(wall_ms);
+  AddRecords(&plan);
+  AddPending(&plan);
+  if (plan.changed) return SendWrite(std::move(plan.next), now);
+  DropRecords();
+  if (!plan.must_read) return std::nullopt;
+  slot_.reset();
+  return Send({});
+}
+
+void ClaimBatcher::AddRecords(Plan* plan) {
   for (const auto& record : records_) {
     // A release whose claim is not there yet is written all the same: the
     // new version fences off the lost update that may still arrive.
     const bool fences = record.claim.state == ClaimState::kNotRun &&
-                        next.Find(record.claim.key) == nullptr;
-    changed |= next.Record(record.claim) || fences;
-    ++records_in_write_;
+                        plan->next.Find(record.claim.key) == nullptr;
+    plan->changed |= plan->next.Record(record.claim) || fences;
   }
+  records_in_write_ = records_.size();
+}
+
+void ClaimBatcher::AddPending(Plan* plan) {
+  in_write_.clear();
   std::deque<Pending> waiting;
-  bool must_read = false;
   for (auto& pending : pending_) {
-    if (!has_room && slot_->Find(pending.claim.key) == nullptr) {
-      Decide(pending, ClaimVerdict::kStoreAway, nullptr);
-      continue;
-    }
-    if (const auto* sealed = FindSealed(next, pending.claim.key)) {
-      decided_.push_back(
-          {pending.id, VerdictOf(*sealed, pending.claim), *sealed});
-      continue;
-    }
-    const bool held_before = slot_->Find(pending.claim.key) != nullptr;
-    const auto verdict = next.TryClaim(pending.claim);
-    const auto* holder = slot_->Find(pending.claim.key);
-    const bool own = held_before && holder->attempt == pending.claim.attempt;
-    if (verdict == ClaimVerdict::kGranted && !own) {
-      changed = true;
-      pending.written = true;
-      in_write_.push_back(pending.id);
-      waiting.push_back(pending);
-    } else if (verdict == ClaimVerdict::kInProgress && !pending.read_since &&
-               holder != nullptr) {
-      // What is cached may be old; another daemon may have ended it.
-      must_read = true;
-      waiting.push_back(pending);
-    } else {
-      Decide(pending, verdict, &next);
-    }
+    const bool decided =
+        pending.look ? TryLook(pending, plan) : TryDecide(&pending, plan);
+    if (!decided) waiting.push_back(pending);
   }
   pending_ = std::move(waiting);
-  if (!changed) {
-    DropRecords();
-    if (!must_read) return std::nullopt;
-    slot_.reset();
-    return Send({});
+}
+
+bool ClaimBatcher::TryLook(const Pending& pending, Plan* plan) {
+  const auto& key = pending.claim.key;
+  const auto* held = FindSealed(plan->next, key);
+  if (held == nullptr) held = plan->next.Find(key);
+  const bool free = held == nullptr || held->state == ClaimState::kNotRun;
+  if (free) {
+    // Reads may be old, so that only an update proves a key to be free.
+    plan->changed = true;
+    in_write_.push_back(pending.id);
+    return false;
   }
+  decided_.push_back({pending.id, VerdictOf(*held, pending.claim), *held});
+  return true;
+}
+
+bool ClaimBatcher::TryDecide(Pending* pending, Plan* plan) {
+  const auto& claim = pending->claim;
+  const auto* holder = slot_->Find(claim.key);
+  if (encoded_bytes_ >= kMaxSlotBytes && holder == nullptr) {
+    Decide(*pending, ClaimVerdict::kStoreAway, nullptr);
+    return true;
+  }
+  if (const auto* sealed = FindSealed(plan->next, claim.key)) {
+    decided_.push_back({pending->id, VerdictOf(*sealed, claim), *sealed});
+    return true;
+  }
+  const auto verdict = plan->next.TryClaim(claim);
+  const bool own = holder != nullptr && holder->attempt == claim.attempt;
+  if (verdict == ClaimVerdict::kGranted && !own) {
+    plan->changed = true;
+    pending->written = true;
+    in_write_.push_back(pending->id);
+    return false;
+  }
+  const bool may_be_old = verdict == ClaimVerdict::kInProgress &&
+                          !pending->read_since && holder != nullptr;
+  if (may_be_old) {
+    // What is cached may be old; another daemon may have ended it.
+    plan->must_read = true;
+    return false;
+  }
+  Decide(*pending, verdict, &plan->next);
+  return true;
+}
+
+ClaimBatcher::StoreCall ClaimBatcher::SendWrite(ClaimSlot next, TimePoint now) {
   writing_ = std::move(next);
   last_write_ = now;
   StoreCall call{true, "", version_, writing_->Encode()};
@@ -228,7 +266,8 @@
     if (granted) {
       const auto* holder = slot_->Find(pending.claim.key);
       FIRMOOR_INVARIANT(
-          holder != nullptr && holder->attempt == pending.claim.attempt,
+          pending.look ||
+              (holder != nullptr && holder->attempt == pending.claim.attempt),
           "a granted claim is in the stored slot");
       Decide(pending, ClaimVerdict::kGranted, nullptr);
     } else {
@@ -256,7 +295,7 @@
       continue;
     }
     Decide(pending, ClaimVerdict::kStoreAway, nullptr);
-    if (!pending.written && !in_write) continue;
+    if (pending.look || (!pending.written && !in_write)) continue;
     if (pending.origin == ClaimOrigin::kElsewhere) continue;
     auto released = pending.claim;
     released.state = ClaimState::kNotRun;
--- a/libs/serving/src/claim_store.cc
+++ b/libs/serving/src/claim_store.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int kTickMs = 10;
+constexpr Duration kLookWait{300};
 
 }  // namespace
 
@@ -134,6 +135,16 @@
   impl_->Advance(name, &batcher);
 }
 
+void ClaimStore::Look(const firmoor::Claim& wanted, Done done) {
+  const auto name = SlotOf(wanted.key);
+  auto& batcher = impl_->batchers[name];
+  const auto id = impl_->next_id++;
+  impl_->waiting.emplace(id, std::move(done));
+  batcher.Look(id, wanted, MonotonicNow() + kLookWait);
+  impl_->timer.start();
+  impl_->Advance(name, &batcher);
+}
+
 void ClaimStore::Record(const firmoor::Claim& ended) {
   impl_->attempts.insert(ended.attempt);
   const auto stored = [this, attempt = ended.attempt, guard = impl_->alive] {
--- a/libs/serving/src/details/job.cc
+++ b/libs/serving/src/details/job.cc
@@ -18,6 +18,9 @@
 constexpr Duration kNoUpstreamRetryAfter{1'000};
 constexpr Duration kStoreAwayRetryAfter{2'000};
 constexpr Duration kUnknownRetryAfter{5'000};
+constexpr const char* kEarlierMayHaveRun =
+    "Nothing was sent for this request, but whether an earlier request with "
+    "its Idempotency-Key ran cannot be told now.";
 // Added to the priority that an upstream sees.
 constexpr int kBelowShareBoost = 1;
 
@@ -60,9 +63,34 @@
 }
 
 void Job::Refuse(const Refusal& refusal) {
-  Fail(refusal.code,
-       earlier_unknown_ ? RequestOutcome::kUnknown : RequestOutcome::kNotRun,
-       refusal.retry_after);
+  if (!spec_.claim || claim_held_) {
+    return Fail(
+        refusal.code,
+        earlier_unknown_ ? RequestOutcome::kUnknown : RequestOutcome::kNotRun,
+        refusal.retry_after);
+  }
+  phase_ = Phase::kRefused;
+  context_->environment.claims->Look(
+      *spec_.claim,
+      [weak = weak_from_this(), refusal](const ClaimBatcher::Decided& decided) {
+        if (const auto self = weak.lock()) self->OnLooked(refusal, decided);
+      });
+}
+
+void Job::OnLooked(const Refusal& refusal,
+                   const ClaimBatcher::Decided& decided) {
+  if (!IsRefused()) return;
+  switch (decided.verdict) {
+    case ClaimVerdict::kGranted:
+      return Fail(refusal.code, RequestOutcome::kNotRun, refusal.retry_after);
+    case ClaimVerdict::kReplay:
+      return Replay(decided.claim);
+    case ClaimVerdict::kKeyReused:
+      return Fail(ResultCode::kKeyReused, RequestOutcome::kNotRun);
+    default:
+      return Fail(refusal.code, RequestOutcome::kUnknown, refusal.retry_after,
+                  kEarlierMayHaveRun);
+  }
 }
 
 void Job::CheckDeadline(TimePoint now) {
@@ -70,7 +98,8 @@
   if (phase_ == Phase::kSending && call_) {
     call_->Cancel();
   } else if (phase_ == Phase::kClaiming) {
-    Fail(ResultCode::kDeadlineExceeded, RequestOutcome::kNotRun);
+    Fail(ResultCode::kDeadlineExceeded, RequestOutcome::kUnknown, std::nullopt,
+         kEarlierMayHaveRun);
   }
 }
 
@@ -104,14 +133,7 @@
       }
       return Send();
     case ClaimVerdict::kReplay:
-      if (!decided.claim.answer_kept) {
-        return Fail(ResultCode::kAnswerNotKept, RequestOutcome::kRan);
-      }
-      return Finish({decided.claim.status,
-                     {{"Content-Type", decided.claim.content_type},
-                      {"Firmoor-Replayed", "true"}},
-                     decided.claim.answer},
-                    ResultCode::kOk, RequestOutcome::kRan);
+      return Replay(decided.claim);
     case ClaimVerdict::kInProgress:
       return OnClaimHeld(decided.claim);
     case ClaimVerdict::kUnknown:
@@ -120,9 +142,19 @@
       return Fail(ResultCode::kKeyReused, RequestOutcome::kNotRun);
     case ClaimVerdict::kStoreAway:
       if (runtime_->service.deduplicates_keys) return Send();
-      return Fail(ResultCode::kClaimStoreAway, RequestOutcome::kNotRun,
-                  kStoreAwayRetryAfter);
+      return Fail(ResultCode::kClaimStoreAway, RequestOutcome::kUnknown,
+                  kStoreAwayRetryAfter, kEarlierMayHaveRun);
+  }
+}
+
+void Job::Replay(const Claim& ended) {
+  if (!ended.answer_kept) {
+    return Fail(ResultCode::kAnswerNotKept, RequestOutcome::kRan);
   }
+  Finish({ended.status,
+          {{"Content-Type", ended.content_type}, {"Firmoor-Replayed", "true"}},
+          ended.answer},
+         ResultCode::kOk, RequestOutcome::kRan);
 }
 
 void Job::OnClaimHeld(const Claim& holder) {
@@ -237,7 +269,7 @@
     record.answer = answer_.whole;
     return record;
   }
-  if (phase_ == Phase::kClaiming) return std::nullopt;
+  if (phase_ == Phase::kClaiming || IsRefused()) return std::nullopt;
   if (phase_ == Phase::kSending && !spec_.traits.idempotent) {
     return std::nullopt;
   }
--- a/libs/serving/src/details/job.h
+++ b/libs/serving/src/details/job.h
@@ -44,7 +44,8 @@
 
   /// Admission lets the job run; `boost` puts it first at the upstream.
   void Run(bool boost);
-  /// Admission refuses it.
+  /// Admission refuses it. A keyed request first learns how its key stands,
+  /// since "not run" must also be true of an earlier request with it.
   void Refuse(const Refusal& refusal);
   /// Gives up when the deadline has passed.
   void CheckDeadline(TimePoint now);
@@ -67,18 +68,18 @@
   [[nodiscard]] const JobSpec& spec() const { return spec_; }
   [[nodiscard]] bool IsDone() const { return phase_ == Phase::kDone; }
   [[nodiscard]] bool WasDetached() const { return phase_ == Phase::kMoved; }
-  [[nodiscard]] bool IsRunning() const {
-    return phase_ == Phase::kClaiming || phase_ == Phase::kSending;
-  }
-  [[nodiscard]] bool WasSent() const { return phase_ == Phase::kSending; }
+  /// Refused, or about to be.
+  [[nodiscard]] bool IsRefused() const { return phase_ == Phase::kRefused; }
   [[nodiscard]] TimePoint ended_at() const { return ended_at_; }
   [[nodiscard]] RequestTail Tail(std::size_t from) const;
 
  private:
-  enum class Phase { kQueued, kClaiming, kSending, kDone, kMoved };
+  enum class Phase { kQueued, kRefused, kClaiming, kSending, kDone, kMoved };
   void AskClaim();
   void OnClaim(const ClaimBatcher::Decided& decided);
   void OnClaimHeld(const Claim& holder);
+  void OnLooked(const Refusal& refusal, const ClaimBatcher::Decided& decided);
+  void Replay(const Claim& ended);
   void Send();
   void SendPlain(const Vm& vm);
   void SendModel(const Vm& vm);
--- a/libs/serving/src/dispatcher.cc
+++ b/libs/serving/src/dispatcher.cc
@@ -33,8 +33,7 @@
 constexpr int kAccepted = 202;
 constexpr Duration kKeepAnswers{600'000};
 constexpr std::size_t kMaxKeptAnswers = 10'000;
-constexpr Duration kDrainRetryAfter{1'000};
-constexpr Duration kNotReadyRetryAfter{1'000};
+constexpr Duration kNotNowRetryAfter{1'000};
 constexpr std::string_view kRequestsPrefix = "/v1/requests/";
 
 Router::Distance DistanceOf(const DispatcherEnvironment& from, const Vm& to) {
@@ -45,10 +44,22 @@
                                   : Router::Distance::kRemote;
 }
 
-void SendFailure(HttpResponder* responder, const Error& error,
-                 std::optional<Duration> retry_after = std::nullopt) {
+void SendFailure(HttpResponder* responder, const Error& error) {
   responder->Send(
-      MakeErrorAnswer({error, RequestOutcome::kNotRun, retry_after}, ""));
+      MakeErrorAnswer({error, RequestOutcome::kNotRun, std::nullopt}, ""));
+}
+
+/// Refuses a request that came at the wrong time. One with a key may be the
+/// repetition of one that ran, of which nothing is known here.
+void SendNotNow(HttpResponder* responder, const HttpRequest& request,
+                ResultCode code) {
+  const bool reads = request.method == "GET" || request.method == "HEAD";
+  const bool keyed =
+      !reads && !HeaderValue(request.headers, "Idempotency-Key").empty();
+  const auto outcome =
+      keyed ? RequestOutcome::kUnknown : RequestOutcome::kNotRun;
+  responder->Send(
+      MakeErrorAnswer({{code, ""}, outcome, kNotNowRetryAfter}, ""));
 }
 
 }  // namespace
@@ -195,8 +206,7 @@
 void Dispatcher::Impl::Accept(const HttpRequest& request,
                               const std::shared_ptr<HttpResponder>& responder) {
   if (configuration.version() == 0) {
-    return SendFailure(responder.get(), {ResultCode::kNotReady, ""},
-                       kNotReadyRetryAfter);
+    return SendNotNow(responder.get(), request, ResultCode::kNotReady);
   }
   const auto* workspace =
       configuration.FindWorkspace(details::BearerToken(request));
@@ -207,8 +217,7 @@
     return AnswerQuestion(request, responder, *workspace);
   }
   if (draining) {
-    return SendFailure(responder.get(), {ResultCode::kDraining, ""},
-                       kDrainRetryAfter);
+    return SendNotNow(responder.get(), request, ResultCode::kDraining);
   }
   auto checked = Capture([&] {
     return details::CheckRequest(configuration, request, NewSpec(*workspace));
@@ -229,7 +238,9 @@
   Submit(job, runtime);
   if (!async) return;
   // Refused at once: the caller gets the refusal and nothing was accepted.
-  if (job->IsDone()) return job->Attach(responder, false, 0);
+  if (job->IsDone() || job->IsRefused()) {
+    return job->Attach(responder, false, 0);
+  }
   responder->Send(details::MakeRunningAnswer(id, kAccepted));
 }
 
--- a/libs/serving/tests/claim_test.cc
+++ b/libs/serving/tests/claim_test.cc
@@ -448,6 +448,46 @@
   CHECK_FALSE(home.HasWork());
 }
 
+TEST_CASE("a key that is only looked at") {
+  ClaimBatcher batcher;
+  TimePoint now{Duration(1'000)};
+  ClaimSlot stored;
+  const auto first = MakeClaim("key", "a");
+  SUBCASE("is called free when an update has proved it, and stays free") {
+    batcher.Look(1, first, now + Duration(300));
+    batcher.NextCall(now, 0);
+    batcher.OnRead(StoreStatus::kNotFound, {}, now);
+    REQUIRE(batcher.NextCall(now, 0)->is_write);
+    CHECK(batcher.TakeDecided(now).empty());
+    batcher.OnWrite(StoreStatus::kOk, 1, now);
+    CHECK(batcher.TakeDecided(now).at(0).verdict == ClaimVerdict::kGranted);
+    batcher.Claim(2, MakeClaim("key", "b"), now + Duration(300));
+    now += Duration(50);
+    batcher.NextCall(now, 0);
+    batcher.OnWrite(StoreStatus::kOk, 2, now);
+    CHECK(batcher.TakeDecided(now).at(0).verdict == ClaimVerdict::kGranted);
+  }
+  SUBCASE("is not called free after an old read") {
+    stored.TryClaim(first);
+    batcher.Look(1, MakeClaim("key", "b"), now + Duration(300));
+    batcher.NextCall(now, 0);
+    batcher.OnRead(StoreStatus::kNotFound, {}, now);
+    batcher.NextCall(now, 0);
+    batcher.OnWrite(StoreStatus::kConflict, 1, now);
+    now += Duration(50);
+    batcher.NextCall(now, 0);
+    batcher.OnRead(StoreStatus::kOk, {1, stored.Encode()}, now);
+    batcher.NextCall(now, 0);
+    CHECK(batcher.TakeDecided(now).at(0).verdict == ClaimVerdict::kInProgress);
+  }
+  SUBCASE("is not released when the store is away") {
+    batcher.Look(1, first, now + Duration(300));
+    now += Duration(400);
+    CHECK(batcher.TakeDecided(now).at(0).verdict == ClaimVerdict::kStoreAway);
+    CHECK_FALSE(batcher.HasWork());
+  }
+}
+
 TEST_CASE("random daemons, crashes, freezes and a lying store") {
   const bool holds = rc::check(
       "run each key at most once, and never what was called not run", [] {
