--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -433,12 +433,20 @@
   return runs;
 }
 
-std::map<std::string, int> Cluster::JournalledRuns() const {
-  std::map<std::string, int> runs;
+const std::map<std::string, int>& Cluster::JournalledRuns() {
   std::ifstream file(directory_.filePath("journal").toStdString());
+  file.seekg(journal_read_);
   std::string line;
-  while (std::getline(file, line)) ++runs[line];
-  return runs;
+  // A last line without its end is still being written.
+  while (std::getline(file, line) && !file.eof()) {
+    ++journal_[line];
+    journal_read_ = file.tellg();
+  }
+  return journal_;
+}
+
+bool Cluster::HasRun(const std::string& work) {
+  return JournalledRuns().contains(work);
 }
 
 int Cluster::MostRuns() {
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -5,6 +5,7 @@
 #include <QProcess>
 #include <QTemporaryDir>
 #include <functional>
+#include <ios>
 #include <map>
 #include <memory>
 #include <optional>
@@ -140,7 +141,9 @@
   /// Runs of one piece of work over all plain services.
   int RunsOf(const std::string& work);
   /// Runs of all pieces of work, also those of upstreams that were killed.
-  [[nodiscard]] std::map<std::string, int> JournalledRuns() const;
+  const std::map<std::string, int>& JournalledRuns();
+  /// Whether this piece of work has run.
+  bool HasRun(const std::string& work);
   /// The most runs of any piece of work.
   int MostRuns();
   /// Sum of a counter over all engines.
@@ -161,6 +164,8 @@
 
   ClusterShape shape_;
   QTemporaryDir directory_;
+  std::map<std::string, int> journal_;  ///< Runs by work, as far as read.
+  std::streamoff journal_read_ = 0;
   std::unique_ptr<Node> platform_;
   std::unique_ptr<Node> relay_;
   std::vector<std::unique_ptr<Node>> daemons_;
