Prove that accepted work survives a whole zone, and then its region's rest

A new process test reclaims a zone's entry VMs and upstreams at the same moment (notice 4 s, drain 3.5 s), in its second part also the last zone of the region, so that the work goes to the other region. It needed no change of the code; check_proofs 20 shows that it can fail.

--- a/scripts/check_proofs.sh
+++ b/scripts/check_proofs.sh
@@ -30,6 +30,7 @@
 "17@a refusal does not ask how the key stands@libs/serving/src/details/job.cc@s/if (!spec_.claim || claim_held_) {/if (phase_ == phase_) {/@not_run_test@*"
 "18@a home releases the claim of another daemon@libs/serving/src/claim_batcher.cc@s/if (pending.origin == ClaimOrigin::kElsewhere) continue;//@serving_test@random daemons*"
 "19@a key is called free after a read alone@libs/serving/src/claim_batcher.cc@s/in_write_.push_back(pending.id);/return Decide(pending, ClaimVerdict::kGranted, nullptr), true;/@serving_test@random daemons*"
+"20@a zone's work is not handed over@apps/firmoord/src/drain.cc@s/if (peers.empty()) return;/return;/@zone_reclaim_test@*"
 )
 failed=0
 for row in "${mutations[@]}"; do
