Let a prompt wait a little for the full replica that has its prefix

Change: when a full replica has at least half of the prompt's chunks more than the choice, the request waits up to 2 s (Router::IsWorthWaiting, pure); requests below their share do not wait.

--- a/libs/serving/include/serving/router.h
+++ b/libs/serving/include/serving/router.h
@@ -77,6 +77,9 @@
   bool operator==(const RouteTicket&) const = default;
 };
 
+/// Longest time that a request waits for a full replica with its prefix.
+constexpr Duration kPrefixPatience{2'000};
+
 /// Chooses the replica of one service for each request. Own dispatches count
 /// at once, since load reports lag; cache contents are hints. The replicas of
 /// the own region are one pool, in which those of the own zone win ties; other
@@ -106,6 +109,11 @@
   /// The replica for `request`, or nothing when all are full or away.
   std::optional<Choice> Pick(const RouteRequest& request, TimePoint now);
 
+  /// Whether a replica that is full now has so much more of the prefix than
+  /// `choice` that the request had better wait for it a little.
+  [[nodiscard]] bool IsWorthWaiting(const RouteRequest& request,
+                                    const Choice& choice, TimePoint now) const;
+
   /// The request was sent to the replica. Keep the ticket until its end.
   RouteTicket OnDispatch(const std::string& id, const RouteRequest& request,
                          TimePoint now);
--- a/libs/serving/src/details/job.h
+++ b/libs/serving/src/details/job.h
@@ -93,6 +93,8 @@
   void EndAttempt(const AttemptEnd& end);
   AttemptVerdict DecideWithBudget(const AttemptEnd& end);
   AttemptContext ContextFor(bool retry_allowed) const;
+  /// Whether to wait for a full replica that has the prefix of the prompt.
+  bool WaitsForPrefix(const Router::Choice& choice, TimePoint now);
   void TryAgain(bool resume);
   void StopAttempt();
   /// Tries an accepted asynchronous request again after a pause, however
@@ -129,6 +131,7 @@
   int fruitless_attempts_ = 0;  ///< In a row.
   std::size_t tokens_when_sent_ = 0;
   int boost_ = 0;
+  std::optional<TimePoint> prefix_waits_until_;
   int pauses_ = 0;
   bool first_byte_seen_ = false;
   bool earlier_unknown_ = false;
--- a/libs/serving/src/details/job_attempt.cc
+++ b/libs/serving/src/details/job_attempt.cc
@@ -18,6 +18,7 @@
 constexpr Duration kMaxPause{10'000};
 constexpr int kMaxPauseDoublings = 5;
 constexpr int kSlowCallerPollMs = 20;
+constexpr int kPrefixPollMs = 20;
 constexpr const char* kNotRunHeader = "Not-Run";
 
 /// Headers that belong to the exchange between caller and firmoor.
@@ -53,6 +54,7 @@
         earlier_unknown_ ? RequestOutcome::kUnknown : RequestOutcome::kNotRun,
         kNoUpstreamRetryAfter);
   }
+  if (WaitsForPrefix(*choice, now)) return;
   context_->upstreams.CheckSend(vm->id, now);
   ticket_ = runtime_->router.OnDispatch(vm->id, route_, now);
   upstream_ = vm->id;
@@ -79,6 +81,20 @@
   }
 }
 
+bool Job::WaitsForPrefix(const Router::Choice& choice, TimePoint now) {
+  if (!spec_.model || boost_ > 0) return false;
+  if (!prefix_waits_until_) {
+    prefix_waits_until_ =
+        std::min(now + kPrefixPatience, spec_.deadline - kLeastTimeForAttempt);
+  }
+  if (now >= *prefix_waits_until_) return false;
+  if (!runtime_->router.IsWorthWaiting(route_, choice, now)) return false;
+  QTimer::singleShot(kPrefixPollMs, &timer_, [this] {
+    if (phase_ == Phase::kSending) Send();
+  });
+  return true;
+}
+
 HttpRequest Job::UpstreamRequest() const {
   HttpRequest request{spec_.request.method, spec_.upstream_target, {}, {}};
   for (const auto& header : spec_.request.headers) {
--- a/libs/serving/src/router.cc
+++ b/libs/serving/src/router.cc
@@ -21,6 +21,8 @@
 constexpr double kMsPerSecond = 1'000;
 constexpr Duration kFirstEjection{500};
 constexpr int kMaxEjectionDoublings = 6;
+// A request waits when it saves this part of its prefill.
+constexpr std::size_t kWorthWaitingParts = 2;
 
 }  // namespace
 
@@ -141,6 +143,21 @@
   return PickAt(true, request, now, with_ejected);
 }
 
+bool Router::IsWorthWaiting(const RouteRequest& request, const Choice& choice,
+                            TimePoint now) const {
+  const auto least =
+      choice.matched_chunks +
+      std::max<std::size_t>(request.chunks.size() / kWorthWaitingParts, 1);
+  return std::any_of(
+      replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+        const auto& [id, replica] = entry;
+        return replica.distance != Distance::kRemote &&
+               IsUsable(replica, now, false) && !request.exclude.contains(id) &&
+               replica.in_flight >= replica.limit.value() &&
+               replica.index.MatchedChunks(request.chunks) >= least;
+      });
+}
+
 RouteTicket Router::OnDispatch(const std::string& id,
                                const RouteRequest& request, TimePoint now) {
   const auto found = replicas_.find(id);
--- a/libs/serving/tests/router_test.cc
+++ b/libs/serving/tests/router_test.cc
@@ -45,6 +45,31 @@
     CHECK(again->id == first->id);
     CHECK(again->matched_chunks == 8);
   }
+  SUBCASE("finds it worth to wait for that replica when it is full") {
+    for (int i = 0; i < 4; ++i) router.OnDispatch(first->id, prompt, kNow);
+    const auto other = router.Pick(prompt, kNow);
+    REQUIRE(other.has_value());
+    CHECK(other->id != first->id);
+    CHECK(router.IsWorthWaiting(prompt, *other, kNow));
+    SUBCASE("but not when another one has the prefix too") {
+      router.OnCacheStored(other->id, prompt.chunks);
+      CHECK_FALSE(
+          router.IsWorthWaiting(prompt, *router.Pick(prompt, kNow), kNow));
+    }
+    SUBCASE("nor when it leaves") {
+      router.SetLeaving(first->id);
+      CHECK_FALSE(router.IsWorthWaiting(prompt, *other, kNow));
+    }
+    SUBCASE("nor when it has failed") {
+      router.OnFailure(first->id, kNow);
+      CHECK_FALSE(router.IsWorthWaiting(prompt, *other, kNow));
+    }
+    SUBCASE("nor for a prompt that nobody has") {
+      const auto fresh = Prompt(Text('y'));
+      CHECK_FALSE(
+          router.IsWorthWaiting(fresh, *router.Pick(fresh, kNow), kNow));
+    }
+  }
   SUBCASE("gives a new prefix the same home at every daemon") {
     Router other(MakeRoutingStrategy("expected-time"));
     for (const char* id : {"c", "b", "a"}) {
--- a/scripts/check_proofs.sh
+++ b/scripts/check_proofs.sh
@@ -31,6 +31,7 @@
 "18@a home releases the claim of another daemon@libs/serving/src/claim_batcher.cc@s/if (pending.origin == ClaimOrigin::kElsewhere) continue;//@serving_test@random daemons*"
 "19@a key is called free after a read alone@libs/serving/src/claim_batcher.cc@s/in_write_.push_back(pending.id);/return Decide(pending, ClaimVerdict::kGranted, nullptr), true;/@serving_test@random daemons*"
 "20@a zone's work is not handed over@apps/firmoord/src/drain.cc@s/if (peers.empty()) return;/return;/@zone_reclaim_test@*"
+"21@a prompt does not wait for the replica that has its prefix@libs/serving/src/details/job_attempt.cc@s/if (WaitsForPrefix(.choice, now)) return;//@overload_test@*letter*"
 )
 failed=0
 for row in "${mutations[@]}"; do
--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -127,8 +127,10 @@
   SUBCASE("frozen past all timeouts and woken") {
     // Busy, so that the freeze hits it inside a turn of its event loop, when
     // it does not look at its sockets before its timers.
+    constexpr int kLookups = 300;
     std::vector<std::unique_ptr<Exchange>> lookups;
-    for (int i = 0; i < 300; ++i) {
+    lookups.reserve(kLookups);
+    for (int i = 0; i < kLookups; ++i) {
       lookups.push_back(std::make_unique<Exchange>(cluster.daemon(0).endpoint,
                                                    cluster.Lookup()));
     }
--- a/tests/process/overload_test.cc
+++ b/tests/process/overload_test.cc
@@ -171,4 +171,43 @@
   CHECK(ResidentMb(cluster.daemon(0)) - before < 32);
 }
 
+TEST_CASE("a letter whose engine is full") {
+  auto shape = OneZone(2, 0);
+  shape.configuration = {
+      {"services",
+       QJsonObject{{"assist", QJsonObject{{"upstream_concurrency", 1}}}}}};
+  Cluster cluster(shape);
+  REQUIRE(cluster.WaitReady());
+  const std::string dossier(6'000, 'd');
+  REQUIRE(cluster.Ask(0, cluster.Completion(dossier, 2, true)).answer.status ==
+          200);
+  const auto prefilled = cluster.EngineTotal("prefilled");
+  const auto start = [&](int tokens) {
+    return std::make_unique<Exchange>(
+        cluster.daemon(0).endpoint, cluster.Completion(dossier, tokens, true));
+  };
+  const auto has_token = [](const Exchange& exchange) {
+    return !StreamedWords(exchange.body()).empty();
+  };
+  SUBCASE("waits a little for the prefix that is cached there") {
+    const auto first = start(40);
+    REQUIRE(WaitUntil([&] { return has_token(*first); }));
+    const auto second = start(2);
+    REQUIRE(second->Wait());
+    REQUIRE(first->Wait());
+    // One token of each is always computed; the dossier is not.
+    CHECK(cluster.EngineTotal("prefilled") - prefilled < 200);
+  }
+  SUBCASE("does not wait long: another engine takes it") {
+    const auto first = start(900);
+    REQUIRE(WaitUntil([&] { return has_token(*first); }));
+    const auto second = start(2);
+    REQUIRE(second->Wait(6'000));
+    CHECK(second->result().answer.status == 200);
+    CHECK_FALSE(first->done());
+    CHECK(cluster.EngineTotal("prefilled") - prefilled > 200);
+  }
+  CHECK(cluster.BrokenInvariants() == 0);
+}
+
 }  // namespace firmoor
--- a/tools/compare_strategies/fleet_model.cc
+++ b/tools/compare_strategies/fleet_model.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <utility>
 
 #include "serving/prefix_chunks.h"
@@ -73,6 +74,7 @@
   RouteTicket ticket;
   int boost = 0;
   bool first_seen = false;
+  std::optional<TimePoint> waits_until;
 };
 
 FleetModel::FleetModel(RunShape shape)
@@ -189,10 +191,18 @@
   }
 }
 
+bool FleetModel::WaitsForPrefix(const Daemon& daemon, Request* request,
+                                const Router::Choice& choice) const {
+  if (request->boost > 0) return false;
+  if (!request->waits_until) request->waits_until = Now() + kPrefixPatience;
+  return Now() < *request->waits_until &&
+         daemon.router.IsWorthWaiting(request->route, choice, Now());
+}
+
 void FleetModel::Dispatch(Daemon* daemon, std::uint64_t id) {
   auto& request = *requests_.at(id);
   const auto choice = daemon->router.Pick(request.route, Now());
-  if (!choice) {
+  if (!choice || WaitsForPrefix(*daemon, &request, *choice)) {
     At(now_ms_ + 20, [this, daemon, id] {
       if (requests_.contains(id)) Dispatch(daemon, id);
     });
--- a/tools/compare_strategies/fleet_model.h
+++ b/tools/compare_strategies/fleet_model.h
@@ -79,6 +79,9 @@
   void ScheduleArrival(const std::string& workspace, double rate);
   void Arrive(const std::string& workspace);
   void Advance(Daemon* daemon);
+  /// The same decision as the daemon's `Job` makes.
+  [[nodiscard]] bool WaitsForPrefix(const Daemon& daemon, Request* request,
+                                    const Router::Choice& choice) const;
   void Dispatch(Daemon* daemon, std::uint64_t id);
   void StartStep(Engine* engine);
   void FinishStep(Engine* engine, const EngineModel::StepResult& step);
