Give claim homes, peer requests and hand-over their own files

daemon.cc wired, encoded and served what peers ask about claims and requests; that is now ClaimHomes and PeerRequests. The dispatcher's hand-over moved to dispatcher_handover.cc.

The patience for a full replica belongs to the strategy: the baselines of compare_strategies had waited too, which no round robin does.

--- /dev/null
+++ b/apps/firmoord/src/claim_homes.cc
@@ -0,0 +1,101 @@
+#include "claim_homes.h"
+
+#include <QCborArray>
+#include <QCborValue>
+#include <utility>
+#include <vector>
+
+#include "base/hash.h"
+
+namespace firmoor {
+namespace {
+
+// A home that does not answer in this time is passed over.
+constexpr Duration kHomeTimeout{600};
+
+QByteArray EncodeDecided(const ClaimBatcher::Decided& decided) {
+  return QCborValue(QCborArray{static_cast<int>(decided.verdict),
+                               EncodeClaim(decided.claim)})
+      .toCbor();
+}
+
+std::optional<ClaimBatcher::Decided> DecodeDecided(const QByteArray& body) {
+  const auto array = QCborValue::fromCbor(body).toArray();
+  const auto claim =
+      Capture([&] { return DecodeClaim(array.at(1).toByteArray()); });
+  const auto* held = std::get_if<Claim>(&claim);
+  if (held == nullptr) return std::nullopt;
+  return ClaimBatcher::Decided{
+      0, static_cast<ClaimVerdict>(array.at(0).toInteger()), *held};
+}
+
+}  // namespace
+
+ClaimHomes::ClaimHomes(const Settings& settings, Fleet* fleet,
+                       ClaimStore* claims)
+    : settings_(settings), fleet_(fleet), claims_(claims) {
+  fleet_->SetHandler("claim", [this](const auto& message, const auto& reply) {
+    ServeClaim(message, reply);
+  });
+  fleet_->SetHandler("record", [this](const auto& message, const auto& reply) {
+    ServeRecord(message, reply);
+  });
+  claims_->SetHomeCalls(MakeCalls());
+}
+
+std::optional<Member> ClaimHomes::HomeOf(const std::string& slot) const {
+  // Only the own region: a claim must not wait for the link between regions
+  // twice.
+  std::vector<std::string> names = {settings_.daemon};
+  for (const auto& member : fleet_->membership().Live()) {
+    if (member.region == settings_.region) names.push_back(member.name);
+  }
+  const auto home = RendezvousOrder(slot, std::move(names)).front();
+  const auto* member = fleet_->membership().Find(home);
+  return member == nullptr ? std::nullopt : std::optional(*member);
+}
+
+ClaimStore::HomeCalls ClaimHomes::MakeCalls() {
+  ClaimStore::HomeCalls calls;
+  calls.claim = [this](const std::string& slot, const Claim& wanted,
+                       const auto& done) {
+    const auto home = HomeOf(slot);
+    if (!home) return false;
+    fleet_->Call(
+        *home, "claim", EncodeClaim(wanted), kHomeTimeout,
+        [done](PeerStatus status, const QByteArray& body) {
+          done(status == PeerStatus::kOk ? DecodeDecided(body) : std::nullopt);
+        });
+    return true;
+  };
+  calls.record = [this](const std::string& slot, const Claim& ended,
+                        const auto& done) {
+    const auto home = HomeOf(slot);
+    if (!home) return false;
+    fleet_->Call(*home, "record", EncodeClaim(ended), kHomeTimeout,
+                 [done](PeerStatus status, const QByteArray& body) {
+                   done(status == PeerStatus::kOk && body == "stored");
+                 });
+    return true;
+  };
+  return calls;
+}
+
+void ClaimHomes::ServeClaim(const QByteArray& message,
+                            const PeerNode::Reply& reply) {
+  const auto claim = Capture([&] { return DecodeClaim(message); });
+  if (std::holds_alternative<Error>(claim)) return reply({});
+  claims_->ClaimHere(std::get<Claim>(claim), ClaimOrigin::kElsewhere,
+                     [reply](const ClaimBatcher::Decided& decided) {
+                       reply(EncodeDecided(decided));
+                     });
+}
+
+void ClaimHomes::ServeRecord(const QByteArray& message,
+                             const PeerNode::Reply& reply) {
+  const auto claim = Capture([&] { return DecodeClaim(message); });
+  if (std::holds_alternative<Error>(claim)) return reply({});
+  claims_->RecordHere(std::get<Claim>(claim), [reply] { reply("stored"); });
+}
+
+}  // namespace firmoor
--- a/apps/firmoord/src/daemon.cc
+++ b/apps/firmoord/src/daemon.cc
@@ -18,10 +18,6 @@
 namespace {
 
 constexpr Logger kLog("daemon");
-constexpr Duration kTailTimeout{500};
-constexpr std::size_t kTailCandidates = 6;
-// A home that does not answer in this time is passed over.
-constexpr Duration kHomeTimeout{600};
 
 Supervisor::Part StartStop(std::string name, std::function<bool()> start,
                            std::function<void()> stop) {
@@ -59,7 +55,7 @@
   };
   environment.find_elsewhere = [this](const std::string& id, std::size_t from,
                                       const auto& done) {
-    FindElsewhere(id, from, done);
+    peer_requests_->Find(id, from, done);
   };
   if (trace_) {
     environment.trace = [this](const QJsonObject& decision) {
@@ -73,15 +69,17 @@
   return environment;
 }
 
+void Daemon::OpenTrace() {
+  if (settings_.trace_file.empty()) return;
+  trace_ =
+      std::make_unique<QFile>(QString::fromStdString(settings_.trace_file));
+  if (trace_->open(QIODevice::WriteOnly | QIODevice::Truncate)) return;
+  kLog.Warn("Cannot write the trace {}.", settings_.trace_file);
+  trace_.reset();
+}
+
 void Daemon::BuildParts() {
-  if (!settings_.trace_file.empty()) {
-    trace_ =
-        std::make_unique<QFile>(QString::fromStdString(settings_.trace_file));
-    if (!trace_->open(QIODevice::WriteOnly | QIODevice::Truncate)) {
-      kLog.Warn("Cannot write the trace {}.", settings_.trace_file);
-      trace_.reset();
-    }
-  }
+  OpenTrace();
   claims_ = std::make_unique<ClaimStore>(&store_, settings_.claim_slots,
                                          settings_.claim_wait);
   dispatcher_ = std::make_unique<Dispatcher>(MakeEnvironment());
@@ -89,6 +87,22 @@
       settings_, &store_, [this](const Configuration& configuration) {
         dispatcher_->SetConfiguration(configuration);
       });
+  BuildFleet();
+  vm_list_ = std::make_unique<VmListFollower>(
+      settings_.vm_list, settings_.vm_list_period,
+      [this](const std::vector<Vm>& vms) {
+        has_seen_vms_ = has_seen_vms_ || !vms.empty();
+        dispatcher_->ApplyVms(vms);
+      });
+  placement_ = std::make_unique<PlacementService>(
+      settings_, &store_, fleet_.get(),
+      PlacementService::Hooks{
+          [this]() -> const Configuration& { return config_->current(); },
+          [this] { return dispatcher_->Demand(); }});
+  BuildEndpoints();
+}
+
+void Daemon::BuildFleet() {
   Fleet::Hooks fleet_hooks;
   fleet_hooks.config_version = [this] { return config_->current().version(); };
   fleet_hooks.on_version_seen = [this](const Member& peer,
@@ -100,26 +114,14 @@
     dispatcher_->MarkLeaving(ids);
   };
   fleet_ = std::make_unique<Fleet>(settings_, life_, std::move(fleet_hooks));
-  fleet_->SetHandler("handover",
-                     [this](const auto& message, const auto& reply) {
-                       ServeHandover(message, reply);
-                     });
-  fleet_->SetHandler("tail", [this](const auto& message, const auto& reply) {
-    ServeTail(message, reply);
-  });
-  ConnectClaims();
+  peer_requests_ = std::make_unique<PeerRequests>(settings_, fleet_.get(),
+                                                  dispatcher_.get());
+  claim_homes_ =
+      std::make_unique<ClaimHomes>(settings_, fleet_.get(), claims_.get());
   config_->SetFleet(fleet_.get());
-  vm_list_ = std::make_unique<VmListFollower>(
-      settings_.vm_list, settings_.vm_list_period,
-      [this](const std::vector<Vm>& vms) {
-        has_seen_vms_ = has_seen_vms_ || !vms.empty();
-        dispatcher_->ApplyVms(vms);
-      });
-  placement_ = std::make_unique<PlacementService>(
-      settings_, &store_, fleet_.get(),
-      PlacementService::Hooks{
-          [this]() -> const Configuration& { return config_->current(); },
-          [this] { return dispatcher_->Demand(); }});
+}
+
+void Daemon::BuildEndpoints() {
   callers_ =
       HttpServer::Builder()
           .Listen(settings_.callers)
@@ -204,143 +206,6 @@
 
 void Daemon::RequestStop() { drain_->Start(); }
 
-void Daemon::ServeHandover(const QByteArray& message,
-                           const PeerNode::Reply& reply) {
-  const auto record = Capture([&] { return RequestRecord::Decode(message); });
-  const auto* request = std::get_if<RequestRecord>(&record);
-  const bool taken = request != nullptr && dispatcher_->Adopt(*request);
-  reply(taken ? "taken" : "refused");
-}
-
-void Daemon::ServeTail(const QByteArray& message,
-                       const PeerNode::Reply& reply) {
-  const auto array = QCborValue::fromCbor(message).toArray();
-  reply(dispatcher_
-            ->Tail(array.at(0).toByteArray().toStdString(),
-                   static_cast<std::size_t>(array.at(1).toInteger()))
-            .Encode());
-}
-
-void Daemon::FindElsewhere(
-    const std::string& id, std::size_t from,
-    const std::function<void(const RequestTail&)>& done) {
-  const auto home = HomeOf(id);
-  // The home daemon first, then those it would hand the request to, nearest
-  // to the home and in the same rendezvous order that it uses.
-  auto members = fleet_->NearestFor(id);
-  const auto* home_member = fleet_->membership().Find(home.daemon);
-  const std::string home_region =
-      home_member == nullptr ? settings_.region : home_member->region;
-  std::stable_sort(members.begin(), members.end(),
-                   [&](const Member& a, const Member& b) {
-                     const auto rank = [&](const Member& member) {
-                       if (member.name == home.daemon) return 0;
-                       if (member.availability_zone == home.availability_zone) {
-                         return 1;
-                       }
-                       return member.region == home_region ? 2 : 3;
-                     };
-                     return rank(a) < rank(b);
-                   });
-  if (members.size() > kTailCandidates) members.resize(kTailCandidates);
-  const auto question = QCborValue(QCborArray{QByteArray::fromStdString(id),
-                                              static_cast<qint64>(from)})
-                            .toCbor();
-  AskForTail(std::make_shared<std::vector<Member>>(std::move(members)),
-             question, done);
-}
-
-void Daemon::AskForTail(const std::shared_ptr<std::vector<Member>>& candidates,
-                        const QByteArray& question,
-                        const std::function<void(const RequestTail&)>& done) {
-  if (candidates->empty()) return done({});
-  const Member member = candidates->front();
-  candidates->erase(candidates->begin());
-  fleet_->Call(
-      member, "tail", question, kTailTimeout,
-      [this, candidates, question, done](PeerStatus status,
-                                         const QByteArray& body) {
-        const auto tail = Capture([&] { return RequestTail::Decode(body); });
-        const auto* held = std::get_if<RequestTail>(&tail);
-        if (status == PeerStatus::kOk && held != nullptr && held->found) {
-          return done(*held);
-        }
-        AskForTail(candidates, question, done);
-      });
-}
-
-std::optional<Member> Daemon::HomeOfSlot(const std::string& slot) const {
-  // Only the own region: a claim must not wait for the link between regions
-  // twice.
-  std::vector<std::string> names = {settings_.daemon};
-  for (const auto& member : fleet_->membership().Live()) {
-    if (member.region == settings_.region) names.push_back(member.name);
-  }
-  const auto home = RendezvousOrder(slot, std::move(names)).front();
-  const auto* member = fleet_->membership().Find(home);
-  return member == nullptr ? std::nullopt : std::optional(*member);
-}
-
-void Daemon::ConnectClaims() {
-  fleet_->SetHandler("claim", [this](const auto& message, const auto& reply) {
-    ServeClaim(message, reply);
-  });
-  fleet_->SetHandler("record", [this](const auto& message, const auto& reply) {
-    ServeRecord(message, reply);
-  });
-  ClaimStore::HomeCalls calls;
-  calls.claim = [this](const std::string& slot, const Claim& wanted,
-                       const auto& done) {
-    const auto home = HomeOfSlot(slot);
-    if (!home) return false;
-    fleet_->Call(
-        *home, "claim", EncodeClaim(wanted), kHomeTimeout,
-        [done](PeerStatus status, const QByteArray& body) {
-          const auto array = QCborValue::fromCbor(body).toArray();
-          const auto claim =
-              Capture([&] { return DecodeClaim(array.at(1).toByteArray()); });
-          const auto* held = std::get_if<Claim>(&claim);
-          if (status != PeerStatus::kOk || held == nullptr) {
-            return done(std::nullopt);
-          }
-          done(ClaimBatcher::Decided{
-              0, static_cast<ClaimVerdict>(array.at(0).toInteger()), *held});
-        });
-    return true;
-  };
-  calls.record = [this](const std::string& slot, const Claim& ended,
-                        const auto& done) {
-    const auto home = HomeOfSlot(slot);
-    if (!home) return false;
-    fleet_->Call(*home, "record", EncodeClaim(ended), kHomeTimeout,
-                 [done](PeerStatus status, const QByteArray& body) {
-                   done(status == PeerStatus::kOk && body == "stored");
-                 });
-    return true;
-  };
-  claims_->SetHomeCalls(std::move(calls));
-}
-
-void Daemon::ServeClaim(const QByteArray& message,
-                        const PeerNode::Reply& reply) {
-  const auto claim = Capture([&] { return DecodeClaim(message); });
-  if (std::holds_alternative<Error>(claim)) return reply({});
-  claims_->ClaimHere(
-      std::get<Claim>(claim), ClaimOrigin::kElsewhere,
-      [reply](const ClaimBatcher::Decided& decided) {
-        reply(QCborValue(QCborArray{static_cast<int>(decided.verdict),
-                                    EncodeClaim(decided.claim)})
-                  .toCbor());
-      });
-}
-
-void Daemon::ServeRecord(const QByteArray& message,
-                         const PeerNode::Reply& reply) {
-  const auto claim = Capture([&] { return DecodeClaim(message); });
-  if (std::holds_alternative<Error>(claim)) return reply({});
-  claims_->RecordHere(std::get<Claim>(claim), [reply] { reply("stored"); });
-}
-
 bool Daemon::IsReady() const {
   return config_->IsKnown() && has_seen_vms_ && !drain_->IsDraining();
 }
--- a/apps/firmoord/src/daemon.h
+++ b/apps/firmoord/src/daemon.h
@@ -4,10 +4,10 @@
 #include <QFile>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "base/supervisor.h"
+#include "claim_homes.h"
 #include "config/settings.h"
 #include "config_service.h"
 #include "drain.h"
@@ -16,6 +16,7 @@
 #include "metrics/service_metrics.h"
 #include "observe_endpoint.h"
 #include "operator_endpoint.h"
+#include "peer_requests.h"
 #include "placement_service.h"
 #include "platform/http_object_store.h"
 #include "platform/vm_list.h"
@@ -35,21 +36,12 @@
   void RequestStop();
 
  private:
+  void OpenTrace();
   void BuildParts();
+  void BuildFleet();
+  void BuildEndpoints();
   void BuildTree();
   DispatcherEnvironment MakeEnvironment();
-  void ServeHandover(const QByteArray& message, const PeerNode::Reply& reply);
-  void ServeTail(const QByteArray& message, const PeerNode::Reply& reply);
-  void ConnectClaims();
-  /// The live daemon that a slot belongs to; empty when it is this one.
-  [[nodiscard]] std::optional<Member> HomeOfSlot(const std::string& slot) const;
-  void ServeClaim(const QByteArray& message, const PeerNode::Reply& reply);
-  void ServeRecord(const QByteArray& message, const PeerNode::Reply& reply);
-  void FindElsewhere(const std::string& id, std::size_t from,
-                     const std::function<void(const RequestTail&)>& done);
-  void AskForTail(const std::shared_ptr<std::vector<Member>>& candidates,
-                  const QByteArray& question,
-                  const std::function<void(const RequestTail&)>& done);
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] QJsonObject Status() const;
   [[nodiscard]] QJsonObject Report() const;
@@ -63,6 +55,9 @@
   std::unique_ptr<ClaimStore> claims_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::unique_ptr<ConfigService> config_;
+  // Before the fleet, whose handlers use them.
+  std::unique_ptr<ClaimHomes> claim_homes_;
+  std::unique_ptr<PeerRequests> peer_requests_;
   std::unique_ptr<Fleet> fleet_;
   std::unique_ptr<VmListFollower> vm_list_;
   std::unique_ptr<HttpServer> callers_;
--- a/libs/serving/include/serving/router.h
+++ b/libs/serving/include/serving/router.h
@@ -61,6 +61,9 @@
   /// longest cached prefix is then taken, and the first in rendezvous order.
   /// A request without a prefix goes to the lowest cost.
   [[nodiscard]] virtual double Tolerance() const { return 0; }
+
+  /// Longest time that a request waits for a full replica with its prefix.
+  [[nodiscard]] virtual Duration Patience() const { return Duration(0); }
 };
 
 /// "expected-time", "round-robin", "least-in-flight" or "prefix-affinity";
@@ -77,9 +80,6 @@
   bool operator==(const RouteTicket&) const = default;
 };
 
-/// Longest time that a request waits for a full replica with its prefix.
-constexpr Duration kPrefixPatience{2'000};
-
 /// Chooses the replica of one service for each request. Own dispatches count
 /// at once, since load reports lag; cache contents are hints. The replicas of
 /// the own region are one pool, in which those of the own zone win ties; other
@@ -110,7 +110,7 @@
   std::optional<Choice> Pick(const RouteRequest& request, TimePoint now);
 
   /// Whether a replica that is full now has so much more of the prefix than
-  /// `choice` that the request had better wait for it a little.
+  /// `choice` that the request had better wait for it, up to `Patience`.
   [[nodiscard]] bool IsWorthWaiting(const RouteRequest& request,
                                     const Choice& choice, TimePoint now) const;
 
@@ -133,6 +133,8 @@
   void OnCacheRemoved(const std::string& id,
                       std::span<const std::uint64_t> chunks);
 
+  [[nodiscard]] Duration Patience() const { return strategy_->Patience(); }
+
   /// Requests that the usable replicas can take in all.
   [[nodiscard]] std::int64_t Capacity(TimePoint now) const;
   [[nodiscard]] std::size_t ReplicaCount() const { return replicas_.size(); }
--- /dev/null
+++ b/libs/serving/src/details/dispatcher_impl.h
@@ -0,0 +1,63 @@
+#ifndef FIRMOOR_SERVING_DETAILS_DISPATCHER_IMPL_H_
+#define FIRMOOR_SERVING_DETAILS_DISPATCHER_IMPL_H_
+
+#include <QTimer>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "details/freeze_guard.h"
+#include "details/job.h"
+#include "details/service_runtime.h"
+#include "details/serving_context.h"
+#include "details/upstream_poller.h"
+#include "serving/dispatcher.h"
+
+namespace firmoor {
+
+/// State of a dispatcher: the requests in work and the services they belong
+/// to.
+struct Dispatcher::Impl {
+  using JobPtr = std::shared_ptr<details::Job>;
+
+  explicit Impl(DispatcherEnvironment given);
+
+  details::UpstreamPoller::Hooks PollerHooks();
+  details::ServiceRuntime* RuntimeOf(const std::string& service);
+  void AddReplica(const Vm& vm);
+  void DropReplica(const std::string& id);
+  bool InSubset(const Vm& vm) const;
+  void MarkLeaving(const std::string& id);
+  void TraceLeaving(const std::string& id) const;
+
+  void Accept(const HttpRequest& request,
+              const std::shared_ptr<HttpResponder>& responder);
+  void AnswerQuestion(const HttpRequest& request,
+                      const std::shared_ptr<HttpResponder>& responder,
+                      const Workspace& workspace);
+  void Submit(const JobPtr& job, details::ServiceRuntime* runtime);
+  void Advance(details::ServiceRuntime* runtime);
+  void Tick();
+  void DropOldAnswers(TimePoint now);
+  void OnEnded(details::Job* job);
+  bool IsOwnerLive(const Claim& claim) const;
+  details::JobSpec NewSpec(const Workspace& workspace) const;
+
+  details::ServingContext context;
+  Configuration configuration;
+  std::map<std::string, std::unique_ptr<details::ServiceRuntime>> runtimes;
+  std::map<std::string, JobPtr> jobs;  ///< By id; ended ones that are kept too.
+  std::unordered_map<std::uint64_t, JobPtr> by_number;  ///< Without an end.
+  std::unordered_map<std::uint64_t, details::ServiceRuntime*> runtime_of;
+  mutable std::uint64_t next_number = 1;
+  bool draining = false;
+  details::UpstreamPoller poller;
+  details::FreezeGuard freeze_guard;
+  QTimer timer;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_SERVING_DETAILS_DISPATCHER_IMPL_H_
--- a/libs/serving/src/details/job_attempt.cc
+++ b/libs/serving/src/details/job_attempt.cc
@@ -84,8 +84,8 @@
 bool Job::WaitsForPrefix(const Router::Choice& choice, TimePoint now) {
   if (!spec_.model || boost_ > 0) return false;
   if (!prefix_waits_until_) {
-    prefix_waits_until_ =
-        std::min(now + kPrefixPatience, spec_.deadline - kLeastTimeForAttempt);
+    prefix_waits_until_ = std::min(now + runtime_->router.Patience(),
+                                   spec_.deadline - kLeastTimeForAttempt);
   }
   if (now >= *prefix_waits_until_) return false;
   if (!runtime_->router.IsWorthWaiting(route_, choice, now)) return false;
--- a/libs/serving/src/dispatcher.cc
+++ b/libs/serving/src/dispatcher.cc
@@ -3,23 +3,16 @@
 #include <fmt/format.h>
 
 #include <QJsonArray>
-#include <QTimer>
 #include <algorithm>
-#include <map>
-#include <unordered_map>
 #include <utility>
 
 #include "base/hash.h"
 #include "base/invariant.h"
 #include "base/log.h"
 #include "base/random_id.h"
-#include "details/freeze_guard.h"
-#include "details/job.h"
+#include "details/dispatcher_impl.h"
 #include "details/remote_follower.h"
 #include "details/request_intake.h"
-#include "details/service_runtime.h"
-#include "details/serving_context.h"
-#include "details/upstream_poller.h"
 
 namespace firmoor {
 namespace {
@@ -72,52 +65,17 @@
           request_id.substr(zone_end + 1, daemon_end - zone_end - 1)};
 }
 
-struct Dispatcher::Impl {
-  explicit Impl(DispatcherEnvironment environment)
-      : context(std::move(environment)),
-        poller(context.environment.load_period, PollerHooks()) {
-    context.on_ended = [this](Job* job) { OnEnded(job); };
-    context.is_owner_live = [this](const Claim& claim) {
-      return IsOwnerLive(claim);
-    };
-    timer.setInterval(kTickMs);
-    QObject::connect(&timer, &QTimer::timeout, &timer, [this] { Tick(); });
-    timer.start();
-  }
-
-  details::UpstreamPoller::Hooks PollerHooks();
-  ServiceRuntime* RuntimeOf(const std::string& service);
-  void AddReplica(const Vm& vm);
-  void DropReplica(const std::string& id);
-  bool InSubset(const Vm& vm) const;
-  void MarkLeaving(const std::string& id);
-  void TraceLeaving(const std::string& id) const;
-
-  void Accept(const HttpRequest& request,
-              const std::shared_ptr<HttpResponder>& responder);
-  void AnswerQuestion(const HttpRequest& request,
-                      const std::shared_ptr<HttpResponder>& responder,
-                      const Workspace& workspace);
-  void Submit(const JobPtr& job, ServiceRuntime* runtime);
-  void Advance(ServiceRuntime* runtime);
-  void Tick();
-  void DropOldAnswers(TimePoint now);
-  void OnEnded(Job* job);
-  bool IsOwnerLive(const Claim& claim) const;
-  details::JobSpec NewSpec(const Workspace& workspace) const;
-
-  details::ServingContext context;
-  Configuration configuration;
-  std::map<std::string, std::unique_ptr<ServiceRuntime>> runtimes;
-  std::map<std::string, JobPtr> jobs;  ///< By id; ended ones that are kept too.
-  std::unordered_map<std::uint64_t, JobPtr> by_number;  ///< Without an end.
-  std::unordered_map<std::uint64_t, ServiceRuntime*> runtime_of;
-  mutable std::uint64_t next_number = 1;
-  bool draining = false;
-  details::UpstreamPoller poller;
-  details::FreezeGuard freeze_guard;
-  QTimer timer;
-};
+Dispatcher::Impl::Impl(DispatcherEnvironment given)
+    : context(std::move(given)),
+      poller(context.environment.load_period, PollerHooks()) {
+  context.on_ended = [this](Job* job) { OnEnded(job); };
+  context.is_owner_live = [this](const Claim& claim) {
+    return IsOwnerLive(claim);
+  };
+  timer.setInterval(kTickMs);
+  QObject::connect(&timer, &QTimer::timeout, &timer, [this] { Tick(); });
+  timer.start();
+}
 
 details::UpstreamPoller::Hooks Dispatcher::Impl::PollerHooks() {
   details::UpstreamPoller::Hooks hooks;
@@ -413,72 +371,6 @@
 
 std::size_t Dispatcher::InWork() const { return impl_->by_number.size(); }
 
-std::vector<RequestRecord> Dispatcher::TakeForHandover(bool with_callers) {
-  std::vector<RequestRecord> records;
-  for (const auto& [id, job] : impl_->jobs) {
-    if (!with_callers && !job->spec().async) continue;
-    if (auto record = job->Detach()) records.push_back(std::move(*record));
-  }
-  return records;
-}
-
-void Dispatcher::FinishHandover(const std::string& id, HandoverEnd end) {
-  const auto found = impl_->jobs.find(id);
-  if (found == impl_->jobs.end()) return;
-  const auto job = found->second;
-  if (job->IsDone()) {
-    if (end == HandoverEnd::kTaken) impl_->jobs.erase(found);
-    return;
-  }
-  const bool may_run_twice = !job->spec().traits.idempotent;
-  if (end == HandoverEnd::kTaken) return job->Moved(true);
-  if (end == HandoverEnd::kUnconfirmed && may_run_twice) {
-    return job->Moved(false);
-  }
-  const auto number = job->spec().number;
-  job->TakeBack();
-  auto* runtime = impl_->runtime_of.at(number);
-  runtime->admission.Finish(number, MonotonicNow());
-  impl_->Submit(job, runtime);
-}
-
-bool Dispatcher::Adopt(const RequestRecord& record) {
-  if (impl_->draining) return false;
-  if (impl_->jobs.contains(record.id)) return true;
-  const auto& workspaces = impl_->configuration.workspaces();
-  const auto workspace = workspaces.find(record.workspace);
-  if (workspace == workspaces.end()) return false;
-  auto spec = impl_->NewSpec(workspace->second);
-  spec.id = record.id;
-  auto checked = Capture([&] {
-    return details::CheckRequest(impl_->configuration, record.request,
-                                 std::move(spec));
-  });
-  if (std::holds_alternative<Error>(checked)) return false;
-  auto& adopted = std::get<details::JobSpec>(checked);
-  adopted.async = true;  // Its callers come back for the answer.
-  adopted.deadline = adopted.accepted_at + record.time_left;
-  if (adopted.claim) {
-    adopted.claim->owner = impl_->context.environment.incarnation;
-  }
-  auto* runtime = impl_->RuntimeOf(*details::ServiceOf(adopted));
-  const auto job =
-      std::make_shared<Job>(std::move(adopted), runtime, &impl_->context);
-  job->Restore(record);
-  if (job->IsDone()) {
-    impl_->jobs[record.id] = job;
-  } else {
-    impl_->Submit(job, runtime);
-  }
-  return true;
-}
-
-RequestTail Dispatcher::Tail(const std::string& id, std::size_t from) const {
-  const auto found = impl_->jobs.find(id);
-  if (found == impl_->jobs.end() || found->second->WasDetached()) return {};
-  return found->second->Tail(from);
-}
-
 std::map<std::string, double> Dispatcher::Demand() const {
   std::map<std::string, double> demand;
   for (const auto& [name, runtime] : impl_->runtimes) {
--- /dev/null
+++ b/libs/serving/src/dispatcher_handover.cc
@@ -0,0 +1,76 @@
+// The part of Dispatcher that gives requests to other daemons and takes theirs.
+
+#include <utility>
+
+#include "details/dispatcher_impl.h"
+#include "details/request_intake.h"
+
+namespace firmoor {
+
+std::vector<RequestRecord> Dispatcher::TakeForHandover(bool with_callers) {
+  std::vector<RequestRecord> records;
+  for (const auto& [id, job] : impl_->jobs) {
+    if (!with_callers && !job->spec().async) continue;
+    if (auto record = job->Detach()) records.push_back(std::move(*record));
+  }
+  return records;
+}
+
+void Dispatcher::FinishHandover(const std::string& id, HandoverEnd end) {
+  const auto found = impl_->jobs.find(id);
+  if (found == impl_->jobs.end()) return;
+  const auto job = found->second;
+  if (job->IsDone()) {
+    if (end == HandoverEnd::kTaken) impl_->jobs.erase(found);
+    return;
+  }
+  const bool may_run_twice = !job->spec().traits.idempotent;
+  if (end == HandoverEnd::kTaken) return job->Moved(true);
+  if (end == HandoverEnd::kUnconfirmed && may_run_twice) {
+    return job->Moved(false);
+  }
+  const auto number = job->spec().number;
+  job->TakeBack();
+  auto* runtime = impl_->runtime_of.at(number);
+  runtime->admission.Finish(number, MonotonicNow());
+  impl_->Submit(job, runtime);
+}
+
+bool Dispatcher::Adopt(const RequestRecord& record) {
+  if (impl_->draining) return false;
+  if (impl_->jobs.contains(record.id)) return true;
+  const auto& workspaces = impl_->configuration.workspaces();
+  const auto workspace = workspaces.find(record.workspace);
+  if (workspace == workspaces.end()) return false;
+  auto spec = impl_->NewSpec(workspace->second);
+  spec.id = record.id;
+  auto checked = Capture([&] {
+    return details::CheckRequest(impl_->configuration, record.request,
+                                 std::move(spec));
+  });
+  if (std::holds_alternative<Error>(checked)) return false;
+  auto& adopted = std::get<details::JobSpec>(checked);
+  adopted.async = true;  // Its callers come back for the answer.
+  adopted.deadline = adopted.accepted_at + record.time_left;
+  if (adopted.claim) {
+    adopted.claim->owner = impl_->context.environment.incarnation;
+  }
+  auto* runtime = impl_->RuntimeOf(*details::ServiceOf(adopted));
+  const auto job = std::make_shared<details::Job>(std::move(adopted), runtime,
+                                                  &impl_->context);
+  job->Restore(record);
+  if (job->IsDone()) {
+    impl_->jobs[record.id] = job;
+  } else {
+    impl_->Submit(job, runtime);
+  }
+  return true;
+}
+
+RequestTail Dispatcher::Tail(const std::string& id, std::size_t from) const {
+  const auto found = impl_->jobs.find(id);
+  if (found == impl_->jobs.end() || found->second->WasDetached()) return {};
+  return found->second->Tail(from);
+}
+
+}  // namespace firmoor
--- a/libs/serving/src/routing_strategy.cc
+++ b/libs/serving/src/routing_strategy.cc
@@ -13,6 +13,8 @@
 // Estimates are not better than this, so a nearly equal replica that has the
 // prefix, or is its home, is taken.
 constexpr double kToleranceS = 0.2;
+// Waiting longer saves hardly more prefill.
+constexpr Duration kPatience{2'000};
 
 /// Expected time to the first token: work ahead, plus prefill that the cache
 /// does not save, plus the slowdown by running requests.
@@ -29,6 +31,7 @@
            (replica.own_zone ? 0.0 : kOtherZoneS);
   }
   [[nodiscard]] double Tolerance() const override { return kToleranceS; }
+  [[nodiscard]] Duration Patience() const override { return kPatience; }
 };
 
 /// Baseline: each replica in turn.
