Share what the stand-ins and three tests repeated

duplicates named the server set-up of the stand-ins and the same openings of claim, upstream and graceful tests. graceful_test, upstream_test and serving_test passed with it.

--- a/libs/serving/tests/claim_test.cc
+++ b/libs/serving/tests/claim_test.cc
@@ -8,6 +8,18 @@
 #include "serving/claim_slot.h"
 
 namespace firmoor {
+namespace {
+
+/// Lets a new batcher store its first claim in an empty slot.
+void GrantFirst(ClaimBatcher* batcher, const Claim& claim, TimePoint now) {
+  batcher->Claim(1, claim, now + Duration(1'000));
+  batcher->NextCall(now, 0);
+  batcher->OnRead(StoreStatus::kNotFound, {}, now);
+  batcher->NextCall(now, 0);
+  batcher->OnWrite(StoreStatus::kOk, 1, now);
+}
+
+}  // namespace
 
 TEST_CASE("a claim slot") {
   ClaimSlot slot;
@@ -75,11 +87,7 @@
   ClaimBatcher batcher;
   TimePoint now{Duration(1'000)};
   const auto first = MakeClaim("key", "a");
-  batcher.Claim(1, first, now + Duration(1'000));
-  batcher.NextCall(now, 0);
-  batcher.OnRead(StoreStatus::kNotFound, {}, now);
-  batcher.NextCall(now, 0);
-  batcher.OnWrite(StoreStatus::kOk, 1, now);
+  GrantFirst(&batcher, first, now);
   batcher.TakeDecided(now);
   // The outcome is recorded and asked for before it is stored.
   now += Duration(100);
@@ -96,11 +104,7 @@
   ClaimBatcher batcher;
   TimePoint now{Duration(1'000)};
   const auto first = MakeClaim("key", "a");
-  batcher.Claim(1, first, now + Duration(1'000));
-  batcher.NextCall(now, 0);
-  batcher.OnRead(StoreStatus::kNotFound, {}, now);
-  batcher.NextCall(now, 0);
-  batcher.OnWrite(StoreStatus::kOk, 1, now);
+  GrantFirst(&batcher, first, now);
   now += Duration(50);
   batcher.Record(7, Ended(first, ClaimState::kDone), now);
   CHECK_FALSE(batcher.NextCall(now + Duration(100), 0).has_value());
--- a/tests/process/graceful_test.cc
+++ b/tests/process/graceful_test.cc
@@ -123,6 +123,13 @@
   return shape;
 }
 
+/// Tells the first daemon to stop when the stream has its first tokens.
+void StopInStream(Cluster* cluster, const Exchange& stream) {
+  CAPTURE(stream.body());
+  REQUIRE(WaitUntil([&] { return StreamedWords(stream.body()).size() > 20; }));
+  cluster->Terminate(&cluster->daemon(0));
+}
+
 }  // namespace
 
 TEST_CASE("a rolling restart of all daemons under load fails no request") {
@@ -207,10 +214,7 @@
   SUBCASE("streaming and long: the caller is pointed to where it goes on") {
     Exchange stream(cluster.daemon(0).endpoint,
                     cluster.Completion(prompt, 1'500, true));
-    CAPTURE(stream.body());
-    REQUIRE(
-        WaitUntil([&] { return StreamedWords(stream.body()).size() > 20; }));
-    cluster.Terminate(&cluster.daemon(0));
+    StopInStream(&cluster, stream);
     REQUIRE(cluster.WaitEnded(&cluster.daemon(0), 10'000));
     REQUIRE(stream.Wait());
     CHECK(stream.result().end == HttpCallEnd::kComplete);
@@ -229,10 +233,7 @@
   SUBCASE("a second notice in the middle of the drain hands over at once") {
     Exchange stream(cluster.daemon(0).endpoint,
                     cluster.Completion(prompt, 1'500, true));
-    CAPTURE(stream.body());
-    REQUIRE(
-        WaitUntil([&] { return StreamedWords(stream.body()).size() > 20; }));
-    cluster.Terminate(&cluster.daemon(0));
+    StopInStream(&cluster, stream);
     RunFor(300);
     cluster.Terminate(&cluster.daemon(0));
     REQUIRE(cluster.WaitEnded(&cluster.daemon(0), 3'500));
--- a/tests/process/upstream_test.cc
+++ b/tests/process/upstream_test.cc
@@ -17,6 +17,12 @@
   return cluster->GetJson(engine, "/stats").value("requests").toInteger();
 }
 
+/// The one of two engines that generates.
+Cluster::Node& BusyEngine(Cluster* cluster) {
+  const auto stats = cluster->GetJson(cluster->engine(0).endpoint, "/stats");
+  return cluster->engine(stats.value("running").toInteger() > 0 ? 0 : 1);
+}
+
 }  // namespace
 
 TEST_CASE("an upstream that is leaving gets no new work") {
@@ -85,10 +91,7 @@
     Exchange stream(cluster.daemon(0).endpoint,
                     cluster.Completion(prompt, 200, true));
     REQUIRE(WaitUntil([&] { return stream.body().size() > 2'000; }));
-    const bool first = cluster.GetJson(cluster.engine(0).endpoint, "/stats")
-                           .value("running")
-                           .toInteger() > 0;
-    cluster.Kill(&cluster.engine(first ? 0 : 1));
+    cluster.Kill(&BusyEngine(&cluster));
     REQUIRE(stream.Wait());
     CHECK(StreamedWords(stream.body()) == ExpectedWords(prompt, 200));
   }
@@ -96,10 +99,7 @@
     Exchange stream(cluster.daemon(0).endpoint,
                     cluster.Completion(prompt, 200, true));
     REQUIRE(WaitUntil([&] { return stream.body().size() > 2'000; }));
-    const bool first = cluster.GetJson(cluster.engine(0).endpoint, "/stats")
-                           .value("running")
-                           .toInteger() > 0;
-    cluster.Control(cluster.engine(first ? 0 : 1).endpoint, {{"silent", true}});
+    cluster.Control(BusyEngine(&cluster).endpoint, {{"silent", true}});
     REQUIRE(stream.Wait(10'000));
     CHECK(StreamedWords(stream.body()) == ExpectedWords(prompt, 200));
   }
--- a/tests/standins/command_line.h
+++ b/tests/standins/command_line.h
@@ -9,6 +9,7 @@
 #include <QJsonObject>
 #include <QSocketNotifier>
 #include <csignal>
+#include <memory>
 #include <string>
 
 #include "http/http_server.h"
@@ -30,6 +31,18 @@
                    [] { QCoreApplication::quit(); });
 }
 
+/// A server at `endpoint` whose requests go to `standin->Handle`.
+template <typename Standin>
+std::unique_ptr<HttpServer> ServeFor(Standin* standin,
+                                     const Endpoint& endpoint) {
+  return HttpServer::Builder()
+      .Listen(endpoint)
+      .Handler([standin](const HttpRequest& request, const auto& responder) {
+        standin->Handle(request, responder);
+      })
+      .Build();
+}
+
 /// An answer with a JSON body.
 inline HttpAnswer JsonAnswer(int status, const QJsonObject& object) {
   return {status,
--- a/tests/standins/engine_standin.cc
+++ b/tests/standins/engine_standin.cc
@@ -60,14 +60,7 @@
  public:
   explicit Engine(const Options& options)
       : options_(options), model_(options.shape) {
-    server_ =
-        HttpServer::Builder()
-            .Listen(Endpoint::Parse(options.listen))
-            .Handler([this](const HttpRequest& request,
-                            const std::shared_ptr<HttpResponder>& responder) {
-              Handle(request, responder);
-            })
-            .Build();
+    server_ = ServeFor(this, Endpoint::Parse(options.listen));
     step_timer_.setSingleShot(true);
     step_timer_.setTimerType(Qt::PreciseTimer);
     QObject::connect(&step_timer_, &QTimer::timeout, &step_timer_,
@@ -75,7 +68,6 @@
   }
   bool Start() { return server_->Start(); }
 
- private:
   using Responder = std::shared_ptr<HttpResponder>;
 
   void Handle(const HttpRequest& request, const Responder& responder) {
@@ -90,6 +82,7 @@
     responder->Send({404, {}, {}});
   }
 
+ private:
   void Generate(const HttpRequest& request, const Responder& responder) {
     const auto body = JsonBody(request);
     const auto id = Text(body, "request_id");
--- a/tests/standins/plain_standin.cc
+++ b/tests/standins/plain_standin.cc
@@ -34,18 +34,10 @@
     if (!journal.empty()) {
       journal_.open(QIODevice::Append | QIODevice::Unbuffered);
     }
-    server_ =
-        HttpServer::Builder()
-            .Listen(endpoint)
-            .Handler([this](const HttpRequest& request,
-                            const std::shared_ptr<HttpResponder>& responder) {
-              Handle(request, responder);
-            })
-            .Build();
+    server_ = ServeFor(this, endpoint);
   }
   bool Start() { return server_->Start(); }
 
- private:
   using Responder = std::shared_ptr<HttpResponder>;
 
   void Handle(const HttpRequest& request, const Responder& responder) {
@@ -75,6 +67,7 @@
                            run, id)});
   }
 
+ private:
   void Misbehave(const std::string& act, const Responder& responder,
                  const HttpAnswer& answer) {
     if (act == "die") return responder->Abort();
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -47,18 +47,10 @@
 class Platform {
  public:
   explicit Platform(const Endpoint& endpoint) {
-    server_ =
-        HttpServer::Builder()
-            .Listen(endpoint)
-            .Handler([this](const HttpRequest& request,
-                            const std::shared_ptr<HttpResponder>& responder) {
-              Handle(request, responder);
-            })
-            .Build();
+    server_ = ServeFor(this, endpoint);
   }
   bool Start() { return server_->Start(); }
 
- private:
   using Responder = std::shared_ptr<HttpResponder>;
 
   void Handle(const HttpRequest& request, const Responder& responder) {
@@ -71,6 +63,7 @@
     });
   }
 
+ private:
   void Serve(const HttpRequest& request, const Responder& responder) {
     const std::string path(request.Path());
     if (path == "/vms") return VmList(*responder);
