--- a/tools/compare_strategies/fleet_model.cc
+++ b/tools/compare_strategies/fleet_model.cc
@@ -194,8 +194,9 @@
 bool FleetModel::WaitsForPrefix(const Daemon& daemon, Request* request,
                                 const Router::Choice& choice) const {
   if (request->boost > 0) return false;
-  if (!request->waits_until)
+  if (!request->waits_until) {
     request->waits_until = Now() + daemon.router.Patience();
+  }
   return Now() < *request->waits_until &&
          daemon.router.IsWorthWaiting(request->route, choice, Now());
 }
