Let a test cluster wait for its platform before tests control it

Cause: placement_process_test controlled the platform stand-in before it listened; its connection was refused (one failure in one ctest run with six tests at once; passed in all runs with three). Ruled out: the daemons, none had started its work.

placement_process_test 59 checks passed with the reorder; its refusal case and not_run_test passed with the wait in Cluster.

--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -95,6 +95,9 @@
   AddNode(&single, "platform", "", "", "tests/platform_standin");
   platform_ = std::move(single.front());
   Start(platform_.get());
+  // Tests may control it before they wait for the rest.
+  REQUIRE(WaitUntil(
+      [this] { return !GetJson(platform_->endpoint, "/stats").isEmpty(); }));
   for (std::size_t z = 0; z < shape_.zones.size(); ++z) {
     const auto& zone = shape_.zones[z];
     for (int i = 0; i < zone.engines; ++i) {
--- a/tests/process/placement_process_test.cc
+++ b/tests/process/placement_process_test.cc
@@ -74,8 +74,8 @@
   SUBCASE("towards a cloud API that checks the number") { fenced = true; }
   SUBCASE("towards one that ignores it") { fenced = false; }
   Cluster cluster(Placed(fenced));
-  cluster.ControlPlatform({{"check_fencing", fenced}});
   REQUIRE(cluster.WaitReady());
+  cluster.ControlPlatform({{"check_fencing", fenced}});
   int holder = -1;
   REQUIRE(WaitUntil(
       [&] {
