Make the engine model a library of its own, and share bursts in tests

Cause: compare_strategies, a tool, was built from a file under tests/standins; the model is the emulator of what firmoor serves and belongs beside the other libraries. Two process tests repeated a burst of equal requests; Cluster::Send serves both. No check changed.

--- a/tests/standins/engine_model.h
+++ b/libs/emulator/include/emulator/engine_model.h
@@ -1,5 +1,5 @@
-#ifndef FIRMOOR_STANDINS_ENGINE_MODEL_H_
-#define FIRMOOR_STANDINS_ENGINE_MODEL_H_
+#ifndef FIRMOOR_EMULATOR_ENGINE_MODEL_H_
+#define FIRMOOR_EMULATOR_ENGINE_MODEL_H_
 
 #include <cstdint>
 #include <deque>
@@ -96,4 +96,4 @@
 
 }  // namespace firmoor
 
-#endif  // FIRMOOR_STANDINS_ENGINE_MODEL_H_
+#endif  // FIRMOOR_EMULATOR_ENGINE_MODEL_H_
--- a/tests/standins/engine_model.cc
+++ b/libs/emulator/src/engine_model.cc
@@ -1,4 +1,4 @@
-#include "engine_model.h"
+#include "emulator/engine_model.h"
 
 #include <algorithm>
 #include <utility>
--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -127,13 +127,7 @@
   SUBCASE("frozen past all timeouts and woken") {
     // Busy, so that the freeze hits it inside a turn of its event loop, when
     // it does not look at its sockets before its timers.
-    constexpr int kLookups = 300;
-    std::vector<std::unique_ptr<Exchange>> lookups;
-    lookups.reserve(kLookups);
-    for (int i = 0; i < kLookups; ++i) {
-      lookups.push_back(std::make_unique<Exchange>(cluster.daemon(0).endpoint,
-                                                   cluster.Lookup()));
-    }
+    const auto lookups = cluster.Send(0, 300, cluster.Lookup());
     RunFor(25);
     cluster.Freeze(&cluster.daemon(0));
     const auto again = cluster.Ask(1, cluster.Booking("k", "w"));
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -403,6 +403,17 @@
   return true;
 }
 
+std::vector<std::unique_ptr<Exchange>> Cluster::Send(
+    std::size_t daemon, int count, const HttpRequest& request) {
+  std::vector<std::unique_ptr<Exchange>> exchanges;
+  exchanges.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    exchanges.push_back(
+        std::make_unique<Exchange>(daemons_.at(daemon)->endpoint, request));
+  }
+  return exchanges;
+}
+
 HttpFetchResult Cluster::Ask(std::size_t daemon, const HttpRequest& request) {
   Exchange exchange(daemons_.at(daemon)->endpoint, request);
   exchange.Wait();
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -128,6 +128,9 @@
                          bool async = false) const;
   HttpRequest Question(const std::string& location, bool stream = false,
                        int last_event = 0) const;
+  /// `count` requests at once.
+  std::vector<std::unique_ptr<Exchange>> Send(std::size_t daemon, int count,
+                                              const HttpRequest& request);
   HttpFetchResult Ask(std::size_t daemon, const HttpRequest& request);
 
   /// Applies a merge patch; the status and the body of the answer.
--- a/tests/process/not_run_test.cc
+++ b/tests/process/not_run_test.cc
@@ -42,13 +42,7 @@
     }
   }
   SUBCASE("is not called not run by a daemon that is full") {
-    constexpr int kLimit = 4;
-    std::vector<std::unique_ptr<Exchange>> full;
-    full.reserve(kLimit);
-    for (int i = 0; i < kLimit; ++i) {
-      full.push_back(std::make_unique<Exchange>(cluster.daemon(1).endpoint,
-                                                cluster.Lookup("late:700")));
-    }
+    const auto full = cluster.Send(1, 4, cluster.Lookup("late:700"));
     RunFor(200);
     const auto refused = again();
     CHECK(refused.answer.status == 429);
--- a/tests/standins/engine_standin.cc
+++ b/tests/standins/engine_standin.cc
@@ -20,7 +20,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "command_line.h"
-#include "engine_model.h"
+#include "emulator/engine_model.h"
 #include "http/http_call.h"
 #include "serving/prefix_chunks.h"
 
--- a/tools/compare_strategies/fleet_model.h
+++ b/tools/compare_strategies/fleet_model.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "engine_model.h"
+#include "emulator/engine_model.h"
 #include "serving/admission.h"
 #include "serving/router.h"
 
