--- /dev/null
+++ b/libs/base/tests/event_log_test.cc
@@ -0,0 +1,96 @@
+#include "base/event_log.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <QJsonDocument>
+#include <array>
+#include <string>
+#include <vector>
+
+namespace firmoor {
+namespace {
+
+/// A pipe of which the test reads when it wants to.
+class Pipe {
+ public:
+  Pipe() { REQUIRE(pipe(ends_.data()) == 0); }
+  ~Pipe() {
+    close(ends_[0]);
+    close(ends_[1]);
+  }
+  [[nodiscard]] int writer() const { return ends_[1]; }
+
+  std::string ReadSome() {
+    std::string bytes(1 << 16, '\0');
+    const auto got = read(ends_[0], bytes.data(), bytes.size());
+    bytes.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+    return bytes;
+  }
+
+ private:
+  std::array<int, 2> ends_{};
+};
+
+std::vector<QJsonObject> Lines(const std::string& bytes) {
+  std::vector<QJsonObject> lines;
+  for (const auto& line : QByteArray::fromStdString(bytes).split('\n')) {
+    if (line.isEmpty()) continue;
+    const auto document = QJsonDocument::fromJson(line);
+    REQUIRE(document.isObject());
+    lines.push_back(document.object());
+  }
+  return lines;
+}
+
+}  // namespace
+
+TEST_CASE("a structured log") {
+  Pipe pipe;
+  EventLog log(pipe.writer());
+
+  SUBCASE("writes one object a line, with the common fields") {
+    log.SetCommonFields({{"daemon", "d1"}});
+    log.Write("start", {{"zone", "z\"1"}});
+    const auto lines = Lines(pipe.ReadSome());
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["event"].toString() == "start");
+    CHECK(lines[0]["daemon"].toString() == "d1");
+    CHECK(lines[0]["zone"].toString() == "z\"1");
+    CHECK(lines[0]["t_ms"].toInteger() > 0);
+  }
+
+  SUBCASE("bounds the lines of one kind in a second") {
+    for (int i = 0; i < EventLog::kLinesPerSecond + 50; ++i) {
+      log.Write("request", {{"i", i}});
+    }
+    log.Write("start", {});
+    CHECK(log.dropped() == 50);
+    const auto lines = Lines(pipe.ReadSome());
+    REQUIRE(lines.size() == EventLog::kLinesPerSecond + 2);
+    SUBCASE("and tells how many it left out with the next line") {
+      CHECK(lines[EventLog::kLinesPerSecond]["event"] == "log-dropped");
+      CHECK(lines[EventLog::kLinesPerSecond]["lines"].toInteger() == 50);
+    }
+  }
+
+  SUBCASE("never blocks on a reader that stops") {
+    const QString filler(8'000, 'x');
+    int written = 0;
+    // Over the size of a pipe, in kinds of their own.
+    for (; written < 40; ++written) {
+      log.Write("kind-" + std::to_string(written), {{"text", filler}});
+    }
+    CHECK(log.dropped() > 0);
+    SUBCASE("and goes on with whole lines when the reader returns") {
+      std::string bytes = pipe.ReadSome();
+      log.Write("later", {});
+      bytes += pipe.ReadSome();
+      const auto lines = Lines(bytes);
+      CHECK(lines.back()["event"] == "later");
+      CHECK(lines[lines.size() - 2]["event"] == "log-dropped");
+    }
+  }
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/config/include/config/table_reader.h
@@ -0,0 +1,58 @@
+#ifndef FIRMOOR_CONFIG_TABLE_READER_H_
+#define FIRMOOR_CONFIG_TABLE_READER_H_
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "http/message.h"
+
+namespace firmoor {
+
+/// Reads the keys of one TOML table and remembers the first problem, with the
+/// file and the line. Values keep their defaults where a key is missing.
+class TableReader {
+ public:
+  /// `table` may be null, then nothing is found. `problem` is shared by the
+  /// readers of one file.
+  TableReader(const toml::table* table, std::string path,
+              std::string_view file_name, std::optional<Error>* problem);
+
+  void Text(const char* key, std::string* out, bool required);
+  void Choice(const char* key, std::string* out,
+              const std::set<std::string>& allowed);
+  void Address(const char* key, Endpoint* out, bool required);
+  void Addresses(const char* key, std::vector<Endpoint>* out);
+  void Number(const char* key, std::int64_t* out, std::int64_t low,
+              std::int64_t high);
+  void Decimal(const char* key, double* out, double low, double high);
+  void Milliseconds(const char* key, Duration* out, std::int64_t low);
+  void Flag(const char* key, bool* out);
+
+  /// Refuses keys that no call above has asked for.
+  void RefuseOthers();
+
+  void Know(const char* key) { known_.insert(key); }
+
+ private:
+  const toml::node* Find(const char* key, bool required);
+  void Complain(const toml::node& node, std::string_view key,
+                std::string_view what);
+
+  const toml::table* table_;
+  std::string path_;
+  std::string_view file_name_;
+  std::optional<Error>* problem_;
+  std::set<std::string> known_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_CONFIG_TABLE_READER_H_
--- /dev/null
+++ b/libs/gateway/include/gateway/coordination.h
@@ -0,0 +1,87 @@
+#ifndef FIRMOOR_GATEWAY_COORDINATION_H_
+#define FIRMOOR_GATEWAY_COORDINATION_H_
+
+#include <QByteArray>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "gateway/gateway.h"
+#include "limits/quota_pool.h"
+#include "limits/usage_ledger.h"
+
+namespace firmoor {
+
+/// What each daemon tells the coordinator once a second.
+struct DaemonReport {
+  std::string daemon;
+  std::string life;          ///< Unique for each start of the daemon.
+  std::int64_t wall_ms = 0;  ///< Its clock, when the report was sent.
+  UsageByWindow usage;       ///< Of this life, the last windows.
+  std::map<std::string, QuotaUse> quotas;    ///< By workspace.
+  std::map<std::string, ServiceLoad> loads;  ///< By service.
+
+  [[nodiscard]] QByteArray Encode() const;
+  /// Fails with `kBadMessage`.
+  static Result<DaemonReport> Decode(const QByteArray& bytes);
+
+  bool operator==(const DaemonReport&) const = default;
+};
+
+/// What the coordinator answers.
+struct CoordinatorGrant {
+  std::int64_t true_ms = 0;  ///< Its estimate of the time of day.
+  /// Set when the coordinator has heard of the daemons long enough to divide.
+  bool divides = false;
+  SharedLimits limits;
+
+  [[nodiscard]] QByteArray Encode() const;
+  /// Fails with `kBadMessage`.
+  static Result<CoordinatorGrant> Decode(const QByteArray& bytes);
+
+  bool operator==(const CoordinatorGrant&) const = default;
+};
+
+/// The side of the daemon that holds the lease: adds up what the daemons
+/// report and divides the limits that they share. Starts empty; its first
+/// division waits until all daemons had time to report. Pure.
+class Coordinator {
+ public:
+  explicit Coordinator(TimePoint started_at);
+
+  /// `limit_of` gives a workspace's quota.
+  CoordinatorGrant OnReport(
+      const DaemonReport& report,
+      const std::function<QuotaLimit(const std::string&)>& limit_of,
+      std::int64_t true_ms, TimePoint now);
+
+  [[nodiscard]] UsageCounts Usage(std::int64_t window) const {
+    return usage_.Sum(window);
+  }
+  /// Whether every daemon that is heard of has reported since `true_ms`.
+  [[nodiscard]] bool AllReportedSince(std::int64_t true_ms,
+                                      TimePoint now) const;
+  /// Sums over the daemons that are heard of.
+  [[nodiscard]] std::map<std::string, ServiceLoad> Loads(TimePoint now) const;
+
+  void DropUsageBefore(std::int64_t window) { usage_.DropBefore(window); }
+
+ private:
+  struct Heard {
+    std::int64_t true_ms = 0;
+    TimePoint at;
+    std::map<std::string, ServiceLoad> loads;
+  };
+
+  TimePoint started_at_;
+  std::map<std::string, QuotaPool> quotas_;  ///< By workspace.
+  UsageTotals usage_;
+  std::map<std::string, Heard> heard_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_GATEWAY_COORDINATION_H_
--- /dev/null
+++ b/libs/gateway/include/gateway/dialect.h
@@ -0,0 +1,87 @@
+#ifndef FIRMOOR_GATEWAY_DIALECT_H_
+#define FIRMOOR_GATEWAY_DIALECT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "http/message.h"
+#include "routing/upstream_picker.h"
+
+namespace firmoor {
+
+/// A caller's request, decoded from the wire.
+struct ForwardRequest {
+  std::string id;  ///< Of this request of the caller; unique.
+  std::string method;
+  std::string target;   ///< Path and query, as sent.
+  std::string host;     ///< Value of the Host header, as sent.
+  HttpHeaders headers;  ///< Those that upstreams get unchanged.
+  std::string body;
+  std::string key;                       ///< Empty when there is none.
+  std::optional<Duration> time_allowed;  ///< How long the caller waits.
+  std::vector<PromptPart> prompt_parts;
+  std::optional<double> prompt_tokens;
+  double max_output_tokens = 0;
+  std::string last_event_id;  ///< Where a resumed stream goes on.
+
+  /// Path of the target without its query.
+  [[nodiscard]] std::string_view Path() const {
+    return std::string_view(target).substr(0, target.find('?'));
+  }
+  /// Prompt and output tokens; none when the request does not tell them.
+  [[nodiscard]] std::optional<double> Tokens() const {
+    if (!prompt_tokens) return std::nullopt;
+    return *prompt_tokens + max_output_tokens;
+  }
+
+  bool operator==(const ForwardRequest&) const = default;
+};
+
+/// What the daemon adds when it sends a request to an upstream.
+struct UpstreamCall {
+  std::string upstream;   ///< The only upstream that may run it.
+  std::string workspace;  ///< Empty on public routes.
+  Duration time_left{0};
+  int urgency = 0;  ///< Rank of the request; 0 is the most urgent.
+  bool to_engine = false;
+  std::string last_event_id;
+
+  bool operator==(const UpstreamCall&) const = default;
+};
+
+/// Head of an upstream's answer, decoded from the wire.
+struct UpstreamHead {
+  int status = 0;
+  HttpHeaders headers;            ///< Those that the caller gets.
+  std::string request_id;         ///< Empty when the answer names none.
+  bool declared_not_run = false;  ///< It did not run and never will.
+  bool wrong_upstream = false;    ///< Another upstream has the address.
+
+  [[nodiscard]] bool IsSuccess() const { return status / 100 == 2; }
+  [[nodiscard]] bool IsFailure() const { return status >= 500; }
+
+  bool operator==(const UpstreamHead&) const = default;
+};
+
+/// How requests and answers are written on the wire: header names and value
+/// formats of a platform. Decides nothing and holds no state.
+class Dialect {
+ public:
+  virtual ~Dialect() = default;
+
+  /// Fails with `kMalformedRequest`.
+  [[nodiscard]] virtual Outcome<ForwardRequest> ReadRequest(
+      HttpRequest request) const = 0;
+  [[nodiscard]] virtual HttpRequest WriteRequest(
+      const ForwardRequest& request, const UpstreamCall& call) const = 0;
+  [[nodiscard]] virtual UpstreamHead ReadHead(
+      int status, const HttpHeaders& headers) const = 0;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_GATEWAY_DIALECT_H_
--- /dev/null
+++ b/libs/gateway/include/gateway/duty_service.h
@@ -0,0 +1,57 @@
+#ifndef FIRMOOR_GATEWAY_DUTY_SERVICE_H_
+#define FIRMOOR_GATEWAY_DUTY_SERVICE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gateway/cloud_api.h"
+#include "gateway/coordination.h"
+#include "gateway/gateway.h"
+#include "platform/object_store.h"
+
+namespace firmoor {
+
+/// What one daemon does for all: the holder of a lease in the store collects
+/// the daemons' reports, divides shared limits, reports usage and orders
+/// upstreams. The others report to it once a second, and look at the lease
+/// only when it does not answer, so that the store hears of one daemon alone
+/// while all is well. Lives in the event loop.
+class DutyService {
+ public:
+  struct Settings {
+    std::string daemon;
+    std::string life;
+    Endpoint peers;  ///< Where this daemon listens for the others.
+    Duration lease{3'000};
+    std::int64_t usage_window_ms = 5'000;
+    bool reports_usage = true;
+    bool orders_upstreams = true;
+
+    bool operator==(const Settings&) const = default;
+  };
+  /// All of them outlive the service.
+  struct Environment {
+    Gateway* gateway = nullptr;
+    ObjectStore* store = nullptr;
+    CloudApi* cloud = nullptr;
+    TrueTime* true_time = nullptr;
+    EventLog* log = nullptr;
+  };
+
+  DutyService(Settings settings, Environment environment);
+  ~DutyService();
+
+  bool Start();
+  void Stop();
+
+  [[nodiscard]] bool IsHolder() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_GATEWAY_DUTY_SERVICE_H_
--- /dev/null
+++ b/libs/gateway/include/gateway/intake.h
@@ -0,0 +1,39 @@
+#ifndef FIRMOOR_GATEWAY_INTAKE_H_
+#define FIRMOOR_GATEWAY_INTAKE_H_
+
+#include <variant>
+
+#include "base/time.h"
+#include "gateway/dialect.h"
+#include "routing/freshness.h"
+#include "routing/route_table.h"
+#include "serving/error_answer.h"
+
+namespace firmoor {
+
+/// What the configuration says of a request that may go on.
+struct IntakePass {
+  const Route* route = nullptr;
+  const WorkspaceProfile* workspace = nullptr;  ///< Null on public routes.
+
+  /// Rank of the request; 0 is the most urgent.
+  [[nodiscard]] int Urgency() const {
+    return workspace != nullptr && workspace->priority ? *workspace->priority
+                                                       : route->priority;
+  }
+
+  bool operator==(const IntakePass&) const = default;
+};
+
+/// Checks a request against the configuration: its route, its key, and that
+/// the configuration is proved recent enough to believe the key. A daemon
+/// that may have missed a change says that it is not ready instead of calling
+/// a route or key unknown. `table` may be null. Pure.
+std::variant<IntakePass, Failure> DecideIntake(const ForwardRequest& request,
+                                               const RouteTable* table,
+                                               const Freshness& freshness,
+                                               TimePoint now);
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_GATEWAY_INTAKE_H_
--- /dev/null
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -0,0 +1,82 @@
+#ifndef FIRMOOR_GATEWAY_SCALING_DUTY_H_
+#define FIRMOOR_GATEWAY_SCALING_DUTY_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "gateway/cloud_api.h"
+#include "gateway/gateway.h"
+#include "routing/route_table.h"
+#include "routing/upstream_catalog.h"
+
+namespace firmoor {
+
+/// Where upstreams of a service are ordered, and at which price.
+struct ScalingSubject {
+  std::string service;
+  std::string availability_zone;
+  bool reclaimable = false;
+
+  auto operator<=>(const ScalingSubject&) const = default;
+};
+
+using ScalingCounts = std::map<ScalingSubject, int>;
+
+/// Decides how many engines to order in two markets. The smallest allowed
+/// number is bought on demand in each zone, since it survives every reclaim;
+/// what demand needs beyond it is reclaimable, with so much to spare that the
+/// loss of the reclaimable engines of any one zone leaves enough. Engines on
+/// demand are given up only when reclaimable ones serve in their place, and
+/// bought where reclaimable ones cannot be had and too few serve. Growth
+/// follows at once, shrinking after a while. Pure.
+class ScalingDuty {
+ public:
+  struct Input {
+    std::vector<ServiceProfile> services;
+    std::map<std::string, UpstreamEntry> upstreams;
+    std::map<std::string, ServiceLoad> loads;  ///< Over all daemons.
+  };
+
+  explicit ScalingDuty(TimePoint started_at);
+
+  /// The next order to send; one at a time.
+  std::optional<UpstreamOrder> Next(const Input& input, TimePoint now);
+  void OnOrdered(const UpstreamOrder& order, CloudStatus status, TimePoint now);
+
+  /// Engines that serve and stay.
+  [[nodiscard]] static ScalingCounts Serving(const Input& input);
+
+ private:
+  struct Ordered {
+    int count = -1;  ///< -1: not known.
+    TimePoint at;
+    bool refused = false;
+  };
+  struct Peak {
+    double need = 0;
+    TimePoint at;
+  };
+
+  [[nodiscard]] double Need(const ServiceProfile& service, double serving,
+                            const Input& input, TimePoint now);
+  [[nodiscard]] ScalingCounts Wanted(const ServiceProfile& service,
+                                     const Input& input,
+                                     const ScalingCounts& serving,
+                                     TimePoint now);
+  [[nodiscard]] bool IsDry(const ScalingSubject& subject, TimePoint now) const;
+  [[nodiscard]] bool IsDue(const ScalingSubject& subject, int wanted,
+                           int serving, const ScalingProfile& scaling,
+                           TimePoint now) const;
+
+  TimePoint started_at_;
+  bool in_flight_ = false;
+  std::map<ScalingSubject, Ordered> ordered_;
+  std::map<std::string, Peak> peaks_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_GATEWAY_SCALING_DUTY_H_
--- /dev/null
+++ b/libs/gateway/include/gateway/usage_duty.h
@@ -0,0 +1,81 @@
+#ifndef FIRMOOR_GATEWAY_USAGE_DUTY_H_
+#define FIRMOOR_GATEWAY_USAGE_DUTY_H_
+
+#include <QByteArray>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <variant>
+
+#include "base/time.h"
+#include "gateway/cloud_api.h"
+#include "platform/object_store.h"
+
+namespace firmoor {
+
+/// Reports the usage of each window exactly once. The counts are written to
+/// the store before they are sent, so a daemon that takes over repeats the
+/// same figures when it cannot know whether they arrived. Pure.
+class UsageDuty {
+ public:
+  struct Timing {
+    std::int64_t window_ms = 5'000;
+    /// From the end of a window to the first look at its counts.
+    std::int64_t settle_ms = 700;
+    /// Longest wait for daemons that have not reported.
+    std::int64_t patience_ms = 4'000;
+    /// Reports that are later than this are not worth a call.
+    std::int64_t late_ms = 20'000;
+
+    bool operator==(const Timing&) const = default;
+  };
+  struct ReadState {
+    bool operator==(const ReadState&) const = default;
+  };
+  struct WriteState {
+    std::int64_t expected = 0;
+    QByteArray value;
+    bool operator==(const WriteState&) const = default;
+  };
+  struct SendReport {
+    UsageReport report;
+    bool operator==(const SendReport&) const = default;
+  };
+  using Step = std::variant<ReadState, WriteState, SendReport>;
+  /// What the daemons have counted.
+  struct Counts {
+    std::function<UsageCounts(std::int64_t window)> sum;
+    /// Whether all daemons have reported since that true time.
+    std::function<bool(std::int64_t true_ms)> is_complete;
+  };
+
+  UsageDuty(Timing timing, Counts counts);
+
+  /// The next call to make; one at a time. `true_ms`: the time of day.
+  std::optional<Step> Next(std::int64_t true_ms);
+  void OnRead(StoreStatus status, const StoredObject& object);
+  void OnWrite(StoreStatus status, std::int64_t version);
+  void OnSent(CloudStatus status);
+
+  /// First window that is not settled yet; older counts may be dropped.
+  [[nodiscard]] std::int64_t NextWindow() const { return last_.window + 1; }
+
+ private:
+  [[nodiscard]] std::optional<Step> NextReport(std::int64_t true_ms);
+  [[nodiscard]] std::int64_t EndOf(std::int64_t window) const {
+    return (window + 1) * timing_.window_ms;
+  }
+
+  Timing timing_;
+  Counts counts_;
+  bool in_flight_ = false;
+  bool known_ = false;
+  std::int64_t version_ = 0;
+  UsageReport last_;       ///< As in the store.
+  UsageReport written_;    ///< On its way to the store.
+  bool delivered_ = true;  ///< Whether `last_` arrived at the cloud API.
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_GATEWAY_USAGE_DUTY_H_
--- /dev/null
+++ b/libs/gateway/src/coordination_messages.cc
@@ -0,0 +1,137 @@
+#include <QCborArray>
+#include <QCborMap>
+#include <QCborValue>
+
+#include "gateway/coordination.h"
+
+namespace firmoor {
+namespace {
+
+QString Text(const std::string& text) { return QString::fromStdString(text); }
+
+QCborMap Amounts(const std::map<std::string, double>& amounts) {
+  QCborMap map;
+  for (const auto& [name, amount] : amounts) map[Text(name)] = amount;
+  return map;
+}
+
+std::map<std::string, double> AmountsOf(const QCborValue& value) {
+  std::map<std::string, double> amounts;
+  for (const auto& entry : value.toMap()) {
+    amounts[entry.first.toString().toStdString()] = entry.second.toDouble();
+  }
+  return amounts;
+}
+
+QCborMap QuotaMap(const std::map<std::string, QuotaUse>& quotas) {
+  QCborMap map;
+  for (const auto& [workspace, use] : quotas) {
+    map[Text(workspace)] = QCborArray{use.passed, use.asked, use.needed};
+  }
+  return map;
+}
+
+std::map<std::string, QuotaUse> QuotasOf(const QCborValue& value) {
+  std::map<std::string, QuotaUse> quotas;
+  for (const auto& entry : value.toMap()) {
+    const auto use = entry.second.toArray();
+    quotas[entry.first.toString().toStdString()] = {
+        use.at(0).toDouble(), use.at(1).toDouble(), use.at(2).toDouble()};
+  }
+  return quotas;
+}
+
+QCborMap UsageMap(const UsageByWindow& usage) {
+  QCborMap windows;
+  for (const auto& [window, counts] : usage) {
+    QCborMap map;
+    for (const auto& [workspace, count] : counts) {
+      map[Text(workspace)] = static_cast<qint64>(count);
+    }
+    windows[static_cast<qint64>(window)] = map;
+  }
+  return windows;
+}
+
+UsageByWindow UsageOf(const QCborValue& value) {
+  UsageByWindow usage;
+  for (const auto& window : value.toMap()) {
+    auto& counts = usage[window.first.toInteger()];
+    for (const auto& entry : window.second.toMap()) {
+      counts[entry.first.toString().toStdString()] = entry.second.toInteger();
+    }
+  }
+  return usage;
+}
+
+/// The map of a message, or nothing when `bytes` are no map.
+Result<QCborMap> MapOf(const QByteArray& bytes) {
+  const auto value = QCborValue::fromCbor(bytes);
+  if (!value.isMap()) {
+    return Fail(ResultCode::kBadMessage, "A daemon's message is no map");
+  }
+  return value.toMap();
+}
+
+}  // namespace
+
+QByteArray DaemonReport::Encode() const {
+  QCborMap load_map;
+  for (const auto& [service, load] : loads) {
+    load_map[Text(service)] =
+        QCborMap{{"in_flight", load.in_flight}, {"tokens", load.tokens_per_s}};
+  }
+  return QCborValue(QCborMap{{"daemon", Text(daemon)},
+                             {"life", Text(life)},
+                             {"wall_ms", static_cast<qint64>(wall_ms)},
+                             {"usage", UsageMap(usage)},
+                             {"quotas", QuotaMap(quotas)},
+                             {"loads", load_map}})
+      .toCbor();
+}
+
+Result<DaemonReport> DaemonReport::Decode(const QByteArray& bytes) {
+  BOOST_LEAF_AUTO(decoded, MapOf(bytes));
+  const QCborMap& map = decoded;
+  DaemonReport report;
+  report.daemon = map[QLatin1String("daemon")].toString().toStdString();
+  report.life = map[QLatin1String("life")].toString().toStdString();
+  report.wall_ms = map[QLatin1String("wall_ms")].toInteger();
+  report.usage = UsageOf(map[QLatin1String("usage")]);
+  report.quotas = QuotasOf(map[QLatin1String("quotas")]);
+  for (const auto& entry : map[QLatin1String("loads")].toMap()) {
+    const auto load = entry.second.toMap();
+    report.loads[entry.first.toString().toStdString()] = {
+        load[QLatin1String("in_flight")].toDouble(),
+        load[QLatin1String("tokens")].toDouble()};
+  }
+  if (report.daemon.empty() || report.life.empty()) {
+    return Fail(ResultCode::kBadMessage, "A daemon's report names no daemon");
+  }
+  return report;
+}
+
+QByteArray CoordinatorGrant::Encode() const {
+  return QCborValue(QCborMap{{"true_ms", static_cast<qint64>(true_ms)},
+                             {"divides", divides},
+                             {"grants", Amounts(limits.quota_grants)},
+                             {"daemons", static_cast<qint64>(limits.daemons)}})
+      .toCbor();
+}
+
+Result<CoordinatorGrant> CoordinatorGrant::Decode(const QByteArray& bytes) {
+  BOOST_LEAF_AUTO(decoded, MapOf(bytes));
+  const QCborMap& map = decoded;
+  CoordinatorGrant grant;
+  grant.true_ms = map[QLatin1String("true_ms")].toInteger();
+  grant.divides = map[QLatin1String("divides")].toBool();
+  grant.limits.quota_grants = AmountsOf(map[QLatin1String("grants")]);
+  grant.limits.daemons =
+      static_cast<std::size_t>(map[QLatin1String("daemons")].toInteger(1));
+  if (grant.true_ms <= 0) {
+    return Fail(ResultCode::kBadMessage, "A coordinator's answer has no time");
+  }
+  return grant;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/src/daemon_settings.cc
@@ -0,0 +1,110 @@
+#include "gateway/daemon_settings.h"
+
+#include <fmt/format.h>
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <iterator>
+#include <optional>
+
+#include "config/table_reader.h"
+
+namespace firmoor {
+namespace {
+
+constexpr double kMostRetries = 1e6;
+constexpr double kMostTokens = 1e12;
+
+void ReadListen(TableReader* reader, GatewayDaemonSettings* out) {
+  reader->Address("callers", &out->callers, true);
+  reader->Address("ready", &out->ready, true);
+  reader->Address("peers", &out->peers, true);
+  reader->Address("metrics", &out->metrics, true);
+}
+
+void ReadPlatform(TableReader* reader, GatewayDaemonSettings* out) {
+  reader->Address("object_api", &out->object_api, true);
+  reader->Address("cloud_api", &out->cloud_api, false);
+  reader->Flag("reports_usage", &out->reports_usage);
+  reader->Flag("orders_upstreams", &out->orders_upstreams);
+}
+
+void ReadTimes(TableReader* reader, GatewayDaemonSettings* out) {
+  reader->Milliseconds("key_revocation_ms", &out->key_revocation, 500);
+  reader->Milliseconds("drain_ms", &out->drain_time, 0);
+  reader->Milliseconds("lease_ms", &out->lease, 100);
+  reader->Milliseconds("usage_window_ms", &out->usage_window, 100);
+}
+
+void ReadRetries(TableReader* reader, GatewayDaemonSettings* out) {
+  reader->Decimal("ratio", &out->retry_ratio, 0, 1);
+  reader->Decimal("burst", &out->retry_burst, 0, kMostRetries);
+}
+
+void ReadQuotas(TableReader* reader, GatewayDaemonSettings* out) {
+  reader->Milliseconds("window_ms", &out->quota_window, 100);
+  reader->Decimal("slack", &out->quota_slack, 0, kMostTokens);
+}
+
+struct Section {
+  const char* name;
+  void (*read)(TableReader*, GatewayDaemonSettings*);
+};
+
+constexpr Section kSections[] = {{"listen", ReadListen},
+                                 {"platform", ReadPlatform},
+                                 {"times", ReadTimes},
+                                 {"retries", ReadRetries},
+                                 {"quotas", ReadQuotas}};
+
+void ReadRegions(const toml::table* table, GatewayDaemonSettings* out) {
+  if (table == nullptr) return;
+  for (const auto& [zone, region] : *table) {
+    out->regions[std::string(zone.str())] =
+        region.value_or(std::string(zone.str()));
+  }
+}
+
+}  // namespace
+
+Result<GatewayDaemonSettings> ParseGatewayDaemonSettings(
+    std::string_view text, std::string_view file_name) {
+  const toml::parse_result parsed = toml::parse(text, std::string(file_name));
+  if (!parsed) {
+    const auto& error = parsed.error();
+    return Fail(ResultCode::kInvalidSettings,
+                fmt::format("{}:{}: {}", file_name, error.source().begin.line,
+                            error.description()));
+  }
+  const toml::table& root = parsed.table();
+  GatewayDaemonSettings settings;
+  std::optional<Error> problem;
+  TableReader top(&root, "", file_name, &problem);
+  top.Text("daemon", &settings.daemon, true);
+  top.Text("availability_zone", &settings.availability_zone, true);
+  top.Know("regions");
+  ReadRegions(root["regions"].as_table(), &settings);
+  for (const auto& section : kSections) {
+    top.Know(section.name);
+    TableReader reader(root[section.name].as_table(),
+                       std::string(section.name) + ".", file_name, &problem);
+    section.read(&reader, &settings);
+    reader.RefuseOthers();
+  }
+  top.RefuseOthers();
+  if (problem) return boost::leaf::new_error(*problem);
+  return settings;
+}
+
+Result<GatewayDaemonSettings> LoadGatewayDaemonSettings(
+    const std::string& file_name) {
+  std::ifstream file(file_name, std::ios::binary);
+  if (!file) {
+    return Fail(ResultCode::kUnreadableFile,
+                fmt::format("{}: cannot be read", file_name));
+  }
+  const std::string text((std::istreambuf_iterator<char>(file)), {});
+  return ParseGatewayDaemonSettings(text, file_name);
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/src/details/demand_meter.h
@@ -0,0 +1,32 @@
+#ifndef FIRMOOR_GATEWAY_DETAILS_DEMAND_METER_H_
+#define FIRMOOR_GATEWAY_DETAILS_DEMAND_METER_H_
+
+#include <map>
+#include <string>
+
+#include "base/time.h"
+
+namespace firmoor::details {
+
+/// Amounts a second by name, as a mean that forgets older seconds. Pure.
+class DemandMeter {
+ public:
+  explicit DemandMeter(Duration memory) : memory_(memory) {}
+
+  void Add(const std::string& name, double amount, TimePoint now);
+  [[nodiscard]] std::map<std::string, double> Rates(TimePoint now) const;
+
+ private:
+  struct Mean {
+    double sum = 0;  ///< Decays with `memory_`.
+    TimePoint at;
+  };
+  [[nodiscard]] double Decayed(const Mean& mean, TimePoint now) const;
+
+  Duration memory_;
+  std::map<std::string, Mean> means_;
+};
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_GATEWAY_DETAILS_DEMAND_METER_H_
--- /dev/null
+++ b/libs/gateway/src/details/exchange.cc
@@ -0,0 +1,414 @@
+#include "details/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/refusal.h"
+
+namespace firmoor::details {
+namespace {
+
+// Another try after this time finds other upstreams or freed slots.
+constexpr Duration kRetryWhenFull{300};
+// Longest wait for the coordinator to grant more of a quota: a round trip
+// between regions and the pause between two reports.
+constexpr Duration kGrantPatience{300};
+
+QString Text(std::string_view text) {
+  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+Duration TimeAllowed(const ForwardRequest& request, const Route& route) {
+  return request.time_allowed ? std::min(*request.time_allowed, route.timeout)
+                              : route.timeout;
+}
+
+}  // namespace
+
+Exchange::Exchange(GatewayContext* context, ForwardRequest request,
+                   IntakePass pass, std::shared_ptr<HttpResponder> responder)
+    : context_(context),
+      request_(std::move(request)),
+      table_(context->table),
+      pass_(pass),
+      service_(ChooseService(*pass.route, request_.id)),
+      responder_(std::move(responder)),
+      started_at_(MonotonicNow()),
+      ends_at_(started_at_ + TimeAllowed(request_, *pass.route)),
+      relay_(request_.last_event_id) {
+  timer_.setSingleShot(true);
+  QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { OnTimeUp(); });
+}
+
+void Exchange::Start() {
+  timer_.start(ends_at_ - started_at_);
+  responder_->OnCallerLeft([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->OnCallerLeft();
+  });
+  context_->BudgetOf(service_).OnRequest();
+  TakeQuota(true);
+}
+
+void Exchange::TakeQuota(bool may_wait) {
+  if (pass_.workspace == nullptr || pass_.workspace->rate_per_s <= 0) {
+    return Admit();
+  }
+  const auto now = MonotonicNow();
+  const auto& workspace = *pass_.workspace;
+  const double cost = workspace.quota_in_tokens
+                          ? request_.Tokens().value_or(workspace.plain_tokens)
+                          : 1.0;
+  auto& quota = context_->QuotaOf(workspace, now);
+  const auto wait = quota.TakeOrWait(cost, now);
+  const bool waits = wait && may_wait && quota.MayGetMore(now);
+  if (waits) {
+    waits_for_quota_ = true;
+    context_->quota_waiters.push_back(weak_from_this());
+    QTimer::singleShot(kGrantPatience, &timer_, [this] { OnQuotaGrant(); });
+  }
+  if (quota.IsShort() && context_->on_quota_short) context_->on_quota_short();
+  if (waits) return;
+  if (!wait) return Admit();
+  Refuse(ResultCode::kWorkspaceLimit, "The workspace is over its quota",
+         RequestOutcome::kNotRun, wait);
+}
+
+void Exchange::OnQuotaGrant() {
+  if (finished_ || !std::exchange(waits_for_quota_, false)) return;
+  const auto self = shared_from_this();
+  TakeQuota(false);
+}
+
+void Exchange::Admit() {
+  if (request_.prompt_tokens) {
+    context_->prompt_demand.Add(service_, *request_.prompt_tokens,
+                                MonotonicNow());
+  }
+  TryNext();
+}
+
+PickRequest Exchange::MakePickRequest() const {
+  PickRequest pick;
+  pick.service = service_;
+  pick.parts = request_.prompt_parts;
+  pick.prompt_tokens = request_.prompt_tokens.value_or(0);
+  pick.exclude = tried_;
+  return pick;
+}
+
+bool Exchange::MayBelieveKey() const {
+  return pass_.workspace == nullptr ||
+         context_->freshness.IsFresh(MonotonicNow());
+}
+
+void Exchange::TryNext() {
+  const auto outcome =
+      may_have_run_ ? RequestOutcome::kUnknown : RequestOutcome::kNotRun;
+  if (!MayBelieveKey()) {
+    return Refuse(ResultCode::kNotReady, "Keys cannot be checked now", outcome,
+                  kRetryWhenFull);
+  }
+  context_->SyncPicker(MonotonicNow());
+  const auto upstream =
+      context_->picker.Pick(MakePickRequest(), MonotonicNow());
+  if (!upstream) {
+    return Refuse(ResultCode::kNoUpstream, "", outcome, kRetryWhenFull);
+  }
+  Send(*upstream);
+}
+
+HttpCallTimes Exchange::Times(TimePoint now) const {
+  // A connection in one region takes a few ms and 40 ms between regions;
+  // longer means a lost packet or a dead upstream.
+  constexpr Duration kConnect{400};
+  // Silence after which a repeatable request goes on elsewhere: well over
+  // what a busy engine needs, and below the time after which callers give up.
+  constexpr int kObjectivesToFirstByte = 3;
+  constexpr Duration kPause{1'500};
+  const auto left = std::max(ends_at_ - now, Duration(1));
+  HttpCallTimes times{std::min(kConnect, left), left, left};
+  if (!pass_.route->MayRepeat()) return times;
+  times.first_byte =
+      std::min(left, pass_.route->objective * kObjectivesToFirstByte);
+  if (pass_.route->kind == RequestKind::kStream) {
+    times.idle = std::min(left, kPause);
+  }
+  return times;
+}
+
+void Exchange::Send(const UpstreamEntry& upstream) {
+  const auto now = MonotonicNow();
+  attempt_ = {};
+  attempt_.upstream = upstream;
+  attempt_.sent_at = now;
+  attempt_.ticket = context_->picker.OnSend(upstream.id, MakePickRequest());
+  tried_.insert(upstream.id);
+  UpstreamCall call;
+  call.upstream = upstream.id;
+  call.workspace = pass_.workspace == nullptr ? "" : pass_.workspace->name;
+  call.time_left = std::max(ends_at_ - now, Duration(1));
+  call.urgency = pass_.Urgency();
+  const auto* profile = table_->FindService(service_);
+  call.to_engine = profile != nullptr && profile->engine.has_value();
+  call.last_event_id = relay_.last_event_id();
+  auto builder = HttpCall::Builder(
+      upstream.endpoint,
+      context_->environment.dialect->WriteRequest(request_, call));
+  builder.Host(request_.host)
+      .Times(Times(now))
+      .SendIf([this] { return MayBelieveKey(); })
+      .OnHead([this](int status, const HttpHeaders& headers) {
+        OnHead(status, headers);
+      })
+      .OnBody([this](std::string_view bytes) { OnBody(bytes); })
+      .OnEnd([this](HttpCallEnd end) { OnEnd(end); });
+  if (pass_.route->MayRepeat()) builder.Pool(&context_->pool);
+  attempt_.call = builder.Start();
+}
+
+void Exchange::OnHead(int status, const HttpHeaders& headers) {
+  attempt_.head = context_->environment.dialect->ReadHead(status, headers);
+  const auto& answered = attempt_.head->request_id;
+  attempt_.foreign = !answered.empty() && answered != request_.id;
+  if (attempt_.foreign) attempt_.call->DropConnection();
+  attempt_.relays = !attempt_.foreign &&
+                    pass_.route->kind == RequestKind::kStream &&
+                    attempt_.head->IsSuccess();
+}
+
+void Exchange::OnBody(std::string_view bytes) {
+  if (!attempt_.relays) {
+    attempt_.body += bytes;
+    return;
+  }
+  const auto events = relay_.Feed(bytes);
+  if (!events.empty()) OnEvents(events);
+}
+
+void Exchange::OnEvents(const std::string& events) {
+  context_->picker.OnFirstEvent(&attempt_.ticket);
+  CountRun();
+  if (!answer_started_) {
+    answer_started_ = true;
+    first_event_ = MonotonicNow();
+    responder_->StartStream(attempt_.head->status, attempt_.head->headers);
+  }
+  responder_->Write(events);
+}
+
+void Exchange::CountRun() {
+  if (std::exchange(counted_run_, true) || pass_.workspace == nullptr) return;
+  const auto now = MonotonicNow();
+  context_->ledger.Count(pass_.workspace->name,
+                         context_->environment.true_time->At(now));
+}
+
+AttemptEnd Exchange::DescribeEnd(HttpCallEnd end) const {
+  AttemptEnd described;
+  described.end = attempt_.foreign ? HttpCallEnd::kMalformed : end;
+  described.may_have_left = attempt_.call->MayHaveLeft();
+  if (end == HttpCallEnd::kComplete && attempt_.head && !attempt_.foreign) {
+    described.declared_not_run = attempt_.head->declared_not_run;
+    described.failed = attempt_.head->IsFailure();
+  }
+  described.stream_complete = !attempt_.relays || !relay_.IsInsideEvent();
+  return described;
+}
+
+AttemptContext Exchange::DescribeContext(TimePoint now) const {
+  AttemptContext described;
+  described.idempotent = pass_.route->MayRepeat();
+  described.answer_started = answer_started_;
+  described.resumable = pass_.route->is_resumable;
+  described.attempts = counted_sends_;
+  described.max_attempts = std::max(1, pass_.route->max_upstreams);
+  described.time_left = ends_at_ - now;
+  described.retry_allowed = context_->BudgetOf(service_).available() >= 1.0;
+  described.earlier_unknown = may_have_run_;
+  return described;
+}
+
+UpstreamVerdict Exchange::Blame(const AttemptEnd& end) const {
+  if (attempt_.head && attempt_.head->wrong_upstream) {
+    return UpstreamVerdict::kNeutral;
+  }
+  if (end.declared_not_run) return UpstreamVerdict::kRefused;
+  switch (end.end) {
+    case HttpCallEnd::kComplete:
+      return end.failed ? UpstreamVerdict::kFailed : UpstreamVerdict::kGood;
+    case HttpCallEnd::kNotConnected:
+      return end.may_have_left ? UpstreamVerdict::kNeutral
+                               : UpstreamVerdict::kUnreachable;
+    case HttpCallEnd::kNoAnswer:
+    case HttpCallEnd::kTruncated:
+    case HttpCallEnd::kMalformed:
+    case HttpCallEnd::kSilent:
+      return UpstreamVerdict::kFailed;
+    case HttpCallEnd::kCancelled:
+      return UpstreamVerdict::kNeutral;
+  }
+  return UpstreamVerdict::kNeutral;
+}
+
+void Exchange::OnEnd(HttpCallEnd end) {
+  if (finished_) return;
+  const auto self = shared_from_this();
+  const auto now = MonotonicNow();
+  const auto described = DescribeEnd(end);
+  if (described.may_have_left) {
+    ++sends_;
+    const auto* entry = context_->catalog.Find(attempt_.upstream.id);
+    if (entry != nullptr && !entry->leaving) ++counted_sends_;
+  }
+  if (attempt_.head && attempt_.head->wrong_upstream) {
+    context_->catalog.MarkLeaving(attempt_.upstream.id);
+  }
+  context_->picker.OnEnd(&attempt_.ticket, Blame(described), now);
+  const auto verdict = DecideAttempt(described, DescribeContext(now));
+  const bool ran = OutcomeOf(described) != RequestOutcome::kNotRun;
+  may_have_run_ = may_have_run_ || ran;
+  if (ran && pass_.route->kind != RequestKind::kStream) CountRun();
+  if (verdict.step != NextStep::kPassAnswer) LogAttempt(described, verdict);
+  if (caller_left_) return Finish(verdict.code, "caller-left");
+  switch (verdict.step) {
+    case NextStep::kPassAnswer:
+      return PassAnswer(verdict);
+    case NextStep::kRetryElsewhere:
+    case NextStep::kResumeElsewhere:
+      if (described.may_have_left) context_->BudgetOf(service_).TryTake();
+      relay_.Restart();
+      return TryNext();
+    case NextStep::kFail:
+      return FailAttempt(verdict);
+  }
+}
+
+void Exchange::PassAnswer(const AttemptVerdict&) {
+  const auto& head = *attempt_.head;
+  if (attempt_.relays) {
+    if (!answer_started_) responder_->StartStream(head.status, head.headers);
+    responder_->FinishStream();
+  } else {
+    responder_->Send({head.status, head.headers, attempt_.body});
+  }
+  Finish(ResultCode::kOk, head.IsSuccess() ? "answered" : "failure-passed");
+}
+
+void Exchange::FailAttempt(const AttemptVerdict& verdict) {
+  if (answer_started_) {
+    responder_->Abort();
+    return Finish(verdict.code, "broken-off");
+  }
+  const bool not_run = verdict.outcome == RequestOutcome::kNotRun;
+  // Statuses that promise "not run" must not be used for anything else.
+  const auto code = not_run ? ResultCode::kUpstreamRefused
+                    : InfoOf(verdict.code).http_status == 503
+                        ? ResultCode::kUpstreamUnknown
+                        : verdict.code;
+  Refuse(code, "", verdict.outcome,
+         not_run ? std::optional(kRetryWhenFull) : std::nullopt);
+}
+
+void Exchange::Refuse(ResultCode code, std::string message,
+                      RequestOutcome outcome,
+                      std::optional<Duration> retry_after) {
+  if (answer_started_) {
+    responder_->Abort();
+    return Finish(code, "broken-off");
+  }
+  if (outcome != RequestOutcome::kNotRun) {
+    const bool promises = InfoOf(code).http_status == 503;
+    if (promises) code = ResultCode::kUpstreamUnknown;
+    retry_after = std::nullopt;
+  }
+  responder_->Send(MakeGatewayRefusal(
+      {{code, std::move(message)}, outcome, retry_after}, request_.id));
+  Finish(code, NameOf(outcome));
+}
+
+void Exchange::OnTimeUp() {
+  const auto self = shared_from_this();
+  if (finished_) return;
+  const bool sent = attempt_.call && attempt_.call->MayHaveLeft();
+  const bool unknown = may_have_run_ || sent;
+  context_->picker.OnEnd(&attempt_.ticket, UpstreamVerdict::kNeutral,
+                         MonotonicNow());
+  if (sent && pass_.route->kind != RequestKind::kStream) CountRun();
+  Refuse(unknown ? ResultCode::kUpstreamTimeout : ResultCode::kNoUpstream,
+         "The time of the request is over",
+         unknown ? RequestOutcome::kUnknown : RequestOutcome::kNotRun,
+         unknown ? std::nullopt : std::optional(kRetryWhenFull));
+}
+
+void Exchange::OnCallerLeft() {
+  const auto self = shared_from_this();
+  if (finished_) return;
+  caller_left_ = true;
+  const bool may_stop = pass_.route->kind != RequestKind::kNonIdempotent;
+  const bool sent = attempt_.call && attempt_.call->MayHaveLeft();
+  // Work that may run only once is let to its end.
+  if (!may_stop && sent) return;
+  context_->picker.OnEnd(&attempt_.ticket, UpstreamVerdict::kNeutral,
+                         MonotonicNow());
+  Finish(ResultCode::kOk, "caller-left");
+}
+
+void Exchange::LogAttempt(const AttemptEnd& end,
+                          const AttemptVerdict& verdict) const {
+  context_->environment.log->Write(
+      "attempt-failed",
+      {{"request", Text(request_.id)},
+       {"upstream", Text(attempt_.upstream.id)},
+       {"end", static_cast<int>(end.end)},
+       {"status", attempt_.head ? attempt_.head->status : 0},
+       {"may_have_left", end.may_have_left},
+       {"declared_not_run", end.declared_not_run},
+       {"attempt_ms",
+        static_cast<qint64>((MonotonicNow() - attempt_.sent_at).count())},
+       {"budget", context_->BudgetOf(service_).available()},
+       {"next", static_cast<int>(verdict.step)},
+       {"outcome", Text(NameOf(verdict.outcome))}});
+}
+
+void Exchange::Finish(ResultCode code, std::string_view outcome) {
+  if (std::exchange(finished_, true)) return;
+  const auto now = MonotonicNow();
+  timer_.stop();
+  const auto age = context_->freshness.Age(now);
+  context_->environment.log->Write(
+      "request",
+      {{"request", Text(request_.id)},
+       {"route", Text(pass_.route->name)},
+       {"workspace",
+        Text(pass_.workspace == nullptr ? "" : pass_.workspace->name)},
+       {"service", Text(service_)},
+       {"upstream", Text(attempt_.upstream.id)},
+       {"sends", sends_},
+       {"status", attempt_.head ? attempt_.head->status : 0},
+       {"code", Text(InfoOf(code).name)},
+       {"outcome", Text(outcome)},
+       {"first_ms", first_event_ ? static_cast<qint64>(
+                                       (*first_event_ - started_at_).count())
+                                 : -1},
+       {"total_ms", static_cast<qint64>((now - started_at_).count())},
+       {"events", static_cast<qint64>(relay_.events())},
+       {"config", static_cast<qint64>(table_->version())},
+       {"config_age_ms", age ? static_cast<qint64>(age->count()) : -1}});
+  RequestSample sample;
+  sample.service = service_;
+  sample.workspace = pass_.workspace == nullptr ? "" : pass_.workspace->name;
+  sample.code = code;
+  if (first_event_) sample.first_token = *first_event_ - started_at_;
+  sample.total = now - started_at_;
+  sample.attempts = sends_;
+  sample.good = code == ResultCode::kOk;
+  context_->environment.metrics->Record(sample, now);
+  // Deleted later: a call or a connection may be on the stack.
+  const auto held = context_->exchanges.find(this);
+  if (held == context_->exchanges.end()) return;
+  QMetaObject::invokeMethod(
+      &context_->janitor, [keep = held->second] {}, Qt::QueuedConnection);
+  context_->exchanges.erase(held);
+}
+
+}  // namespace firmoor::details
--- /dev/null
+++ b/libs/gateway/src/details/exchange.h
@@ -0,0 +1,96 @@
+#ifndef FIRMOOR_GATEWAY_DETAILS_EXCHANGE_H_
+#define FIRMOOR_GATEWAY_DETAILS_EXCHANGE_H_
+
+#include <QTimer>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "details/gateway_context.h"
+#include "gateway/event_relay.h"
+#include "gateway/intake.h"
+#include "serving/attempt_policy.h"
+
+namespace firmoor::details {
+
+/// One request of a caller, from its admission to its final answer: sends it
+/// to upstreams one after the other, as far as the attempt policy allows, and
+/// passes the answer on. Kept alive by the context until it ends.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(GatewayContext* context, ForwardRequest request, IntakePass pass,
+           std::shared_ptr<HttpResponder> responder);
+
+  void Start();
+
+  /// The coordinator has granted more of the quotas.
+  void OnQuotaGrant();
+
+  /// Ends the request with a failure of the daemon's own.
+  void Refuse(ResultCode code, std::string message, RequestOutcome outcome,
+              std::optional<Duration> retry_after);
+
+ private:
+  /// One sending to one upstream.
+  struct Attempt {
+    UpstreamEntry upstream;
+    PickTicket ticket;
+    std::unique_ptr<HttpCall> call;
+    TimePoint sent_at;
+    std::optional<UpstreamHead> head;
+    std::string body;      ///< Of an answer that is passed on as a whole.
+    bool relays = false;   ///< The answer is a stream of events.
+    bool foreign = false;  ///< The answer belongs to another request.
+  };
+
+  void TakeQuota(bool may_wait);
+  void Admit();
+  [[nodiscard]] PickRequest MakePickRequest() const;
+  [[nodiscard]] bool MayBelieveKey() const;
+  void TryNext();
+  void Send(const UpstreamEntry& upstream);
+  [[nodiscard]] HttpCallTimes Times(TimePoint now) const;
+  void OnHead(int status, const HttpHeaders& headers);
+  void OnBody(std::string_view bytes);
+  void OnEvents(const std::string& events);
+  void OnEnd(HttpCallEnd end);
+  void PassAnswer(const AttemptVerdict& verdict);
+  void FailAttempt(const AttemptVerdict& verdict);
+  void OnTimeUp();
+  void OnCallerLeft();
+  [[nodiscard]] AttemptEnd DescribeEnd(HttpCallEnd end) const;
+  [[nodiscard]] AttemptContext DescribeContext(TimePoint now) const;
+  [[nodiscard]] UpstreamVerdict Blame(const AttemptEnd& end) const;
+  void CountRun();
+  void Finish(ResultCode code, std::string_view outcome);
+  void LogAttempt(const AttemptEnd& end, const AttemptVerdict& verdict) const;
+
+  GatewayContext* context_;
+  ForwardRequest request_;
+  // The configuration may be replaced while the request is in work.
+  std::shared_ptr<const RouteTable> table_;
+  IntakePass pass_;
+  std::string service_;
+  std::shared_ptr<HttpResponder> responder_;
+  TimePoint started_at_;
+  TimePoint ends_at_;
+  QTimer timer_;
+  Attempt attempt_;
+  std::set<std::string> tried_;
+  EventRelay relay_;
+  std::optional<TimePoint> first_event_;
+  int sends_ = 0;          ///< Times that bytes may have left.
+  int counted_sends_ = 0;  ///< Without upstreams that ended meanwhile.
+  bool may_have_run_ = false;
+  bool counted_run_ = false;
+  bool answer_started_ = false;
+  bool caller_left_ = false;
+  bool waits_for_quota_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_GATEWAY_DETAILS_EXCHANGE_H_
--- /dev/null
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -0,0 +1,82 @@
+#include "details/gateway_context.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "details/exchange.h"
+
+namespace firmoor::details {
+namespace {
+
+// Memory of the measured load: smooths single prompts, follows a burst.
+constexpr Duration kLoadMemory{4'000};
+// Part of the allowed repeats that is used, since daemons count the requests
+// of a window a little apart.
+constexpr double kBudgetPart = 0.8;
+// Part of the slack of quotas that is lent for large prompts; the rest covers
+// daemons that go on with an old division.
+constexpr double kSlackPart = 0.7;
+
+}  // namespace
+
+GatewayContext::GatewayContext(GatewaySettings gateway_settings,
+                               Gateway::Environment gateway_environment)
+    : settings(std::move(gateway_settings)),
+      environment(gateway_environment),
+      freshness(settings.freshness_bound),
+      catalog(settings.return_time),
+      picker(settings.location),
+      prompt_demand(kLoadMemory),
+      ledger(settings.usage_window_ms) {}
+
+RetryBudget& GatewayContext::BudgetOf(const std::string& service) {
+  const auto found = budgets.find(service);
+  if (found != budgets.end()) return found->second;
+  return budgets
+      .emplace(service,
+               RetryBudget(settings.retry_ratio * kBudgetPart, RetryReserve()))
+      .first->second;
+}
+
+double GatewayContext::RetryReserve() const {
+  const auto daemons = std::max<std::size_t>(1, shared.daemons);
+  return std::max(
+      1.0, settings.retry_burst * kBudgetPart / static_cast<double>(daemons));
+}
+
+void GatewayContext::SetShared(const SharedLimits& limits) {
+  shared = limits;
+  for (auto& [service, budget] : budgets) budget.SetReserve(RetryReserve());
+  for (const auto& [workspace, tokens] : limits.quota_grants) {
+    const auto quota = quotas.find(workspace);
+    if (quota != quotas.end()) quota->second.OnGrant(tokens, MonotonicNow());
+  }
+  for (const auto& waiter : std::exchange(quota_waiters, {})) {
+    if (const auto exchange = waiter.lock()) exchange->OnQuotaGrant();
+  }
+}
+
+QuotaLimit GatewayContext::LimitOf(const WorkspaceProfile& workspace) const {
+  return {workspace.rate_per_s, workspace.burst, settings.quota_window};
+}
+
+QuotaAllowance& GatewayContext::QuotaOf(const WorkspaceProfile& workspace,
+                                        TimePoint now) {
+  const auto daemons =
+      static_cast<double>(std::max<std::size_t>(1, shared.daemons));
+  const double slack = workspace.quota_in_tokens ? settings.quota_slack : 0;
+  const QuotaAllowance::Fallback fallback{1.0 / daemons,
+                                          slack * kSlackPart / daemons};
+  const auto limit = LimitOf(workspace);
+  auto& quota =
+      quotas.try_emplace(workspace.name, limit, fallback, now).first->second;
+  quota.SetLimit(limit, fallback);
+  return quota;
+}
+
+void GatewayContext::SyncPicker(TimePoint now) {
+  catalog.Settle(now);
+  picker.SetUpstreams(catalog.all());
+}
+
+}  // namespace firmoor::details
--- /dev/null
+++ b/libs/gateway/src/details/gateway_context.h
@@ -0,0 +1,60 @@
+#ifndef FIRMOOR_GATEWAY_DETAILS_GATEWAY_CONTEXT_H_
+#define FIRMOOR_GATEWAY_DETAILS_GATEWAY_CONTEXT_H_
+
+#include <QObject>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "details/demand_meter.h"
+#include "gateway/gateway.h"
+#include "http/http_call.h"
+#include "limits/quota_allowance.h"
+#include "routing/upstream_picker.h"
+#include "serving/retry_budget.h"
+
+namespace firmoor::details {
+
+class Exchange;
+
+/// What the requests of one gateway share.
+struct GatewayContext {
+  GatewaySettings settings;
+  Gateway::Environment environment;
+  std::shared_ptr<const RouteTable> table;
+  Freshness freshness;
+  UpstreamCatalog catalog;
+  UpstreamPicker picker;
+  HttpConnectionPool pool;
+  SharedLimits shared;
+  std::map<std::string, RetryBudget> budgets;    ///< By service.
+  std::map<std::string, QuotaAllowance> quotas;  ///< By workspace.
+  std::function<void()> on_quota_short;
+  /// Requests that wait for the coordinator's next grant.
+  std::vector<std::weak_ptr<Exchange>> quota_waiters;
+  DemandMeter prompt_demand;
+  UsageLedger ledger;
+  std::unordered_map<const Exchange*, std::shared_ptr<Exchange>> exchanges;
+  QObject janitor;  ///< Receives the release of requests that have ended.
+
+  GatewayContext(GatewaySettings gateway_settings,
+                 Gateway::Environment gateway_environment);
+
+  /// The budget of repeats at `service`.
+  RetryBudget& BudgetOf(const std::string& service);
+  /// Takes new parts of the limits that all daemons share.
+  void SetShared(const SharedLimits& limits);
+  /// This daemon's allowance of a workspace's quota.
+  QuotaAllowance& QuotaOf(const WorkspaceProfile& workspace, TimePoint now);
+  [[nodiscard]] QuotaLimit LimitOf(const WorkspaceProfile& workspace) const;
+  [[nodiscard]] double RetryReserve() const;
+  /// Passes the catalog's entries on to the picker.
+  void SyncPicker(TimePoint now);
+};
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_GATEWAY_DETAILS_GATEWAY_CONTEXT_H_
--- /dev/null
+++ b/libs/gateway/src/duty_service.cc
@@ -0,0 +1,407 @@
+#include "gateway/duty_service.h"
+
+#include <fmt/format.h>
+
+#include <QRandomGenerator>
+#include <QTimer>
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "gateway/scaling_duty.h"
+#include "gateway/usage_duty.h"
+#include "peer/peer_node.h"
+#include "placement/lease.h"
+
+namespace firmoor {
+namespace {
+
+constexpr const char* kLeaseObject = "coordinator";
+constexpr const char* kUsageObject = "usage";
+constexpr const char* kReportKind = "report";
+constexpr Duration kReportPeriod{1'000};
+constexpr Duration kReportTimeout{700};
+// Shortest time between reports when an allowance runs short.
+constexpr Duration kEarlyReportPause{100};
+constexpr Duration kHolderTick{250};
+// Reports without an answer after which the lease is looked at.
+constexpr int kMissesToSeek = 2;
+// Lease time that must be left when a duty call leaves: what the call needs
+// to arrive.
+constexpr Duration kLeaseReserve{500};
+// A new holder waits until calls of the one before it have arrived.
+constexpr Duration kTakeOverPause{700};
+// A new holder orders when it has read the upstreams and heard the daemons.
+constexpr Duration kFirstOrders{2'500};
+constexpr int kRenewalsInLease = 3;
+// Windows that a report repeats, for a coordinator that just took over.
+constexpr std::int64_t kWindowsReported = 6;
+
+QString Text(std::string_view text) {
+  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+std::string HolderName(const DutyService::Settings& settings) {
+  return settings.daemon + "@" + settings.peers.ToString();
+}
+
+Endpoint EndpointOf(const std::string& holder) {
+  const auto at = holder.rfind('@');
+  return at == std::string::npos ? Endpoint{}
+                                 : Endpoint::Parse(holder.substr(at + 1));
+}
+
+}  // namespace
+
+struct DutyService::Impl {
+  Settings settings;
+  Environment environment;
+  LeaseKeeper lease;
+  std::unique_ptr<PeerNode> peers;
+  std::optional<Coordinator> coordinator;  ///< While this daemon holds.
+  std::optional<UsageDuty> usage;
+  std::optional<ScalingDuty> scaling;
+  TimePoint held_since;
+  TimePoint reported_at;
+  std::string holder;  ///< Who is reported to; empty when unknown.
+  int misses = kMissesToSeek;
+  QTimer report_timer;
+  QTimer lease_timer;
+  QTimer early_timer;
+  bool running = false;
+  // Callbacks of the store and the cloud may come after a stop.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+  Impl(Settings duty_settings, Environment duty_environment)
+      : settings(std::move(duty_settings)),
+        environment(duty_environment),
+        lease(HolderName(settings),
+              {settings.lease, settings.lease / kRenewalsInLease,
+               kTakeOverPause}) {}
+
+  [[nodiscard]] DaemonReport MakeReport() const;
+  void Report();
+  void ReportEarly();
+  void OnGrant(const QByteArray& bytes);
+  void TakeGrant(const CoordinatorGrant& grant);
+  void OnMiss();
+  QByteArray OnReport(const QByteArray& bytes);
+  CoordinatorGrant Collect(const DaemonReport& report);
+  [[nodiscard]] bool IsSeeking() const { return misses >= kMissesToSeek; }
+  void StepLease();
+  void LeaseChanged();
+  void BecomeHolder();
+  void LoseLease();
+  [[nodiscard]] bool MayAct() const;
+  [[nodiscard]] DutyHolder Holder() const;
+  void StepUsage();
+  void StepScaling();
+  void LogOrder(const UpstreamOrder& order, CloudStatus status) const;
+  void Run(const UsageDuty::Step& step);
+};
+
+DaemonReport DutyService::Impl::MakeReport() const {
+  DaemonReport report;
+  report.daemon = settings.daemon;
+  report.life = settings.life;
+  report.wall_ms = WallClockMs();
+  auto& ledger = environment.gateway->ledger();
+  const auto window =
+      ledger.WindowOf(environment.true_time->At(MonotonicNow()));
+  ledger.DropBefore(window - kWindowsReported);
+  report.usage = ledger.windows();
+  report.quotas = environment.gateway->ReportQuotas();
+  report.loads = environment.gateway->Loads();
+  return report;
+}
+
+void DutyService::Impl::Report() {
+  if (!running) return;
+  reported_at = MonotonicNow();
+  if (coordinator) return TakeGrant(Collect(MakeReport()));
+  const auto endpoint = EndpointOf(holder);
+  if (endpoint.port == 0 || holder == HolderName(settings)) return OnMiss();
+  peers->Call(endpoint, kReportKind, MakeReport().Encode(), kReportTimeout,
+              [this, weak = std::weak_ptr(alive)](PeerStatus status,
+                                                  const QByteArray& bytes) {
+                if (weak.expired()) return;
+                if (status != PeerStatus::kOk || bytes.isEmpty()) {
+                  return OnMiss();
+                }
+                OnGrant(bytes);
+              });
+}
+
+void DutyService::Impl::ReportEarly() {
+  const auto now = MonotonicNow();
+  if (IsSeeking() || early_timer.isActive()) return;
+  const auto due = reported_at + kEarlyReportPause;
+  // Queued also when it is due, since the report must not change the quota
+  // of the request that is being decided.
+  early_timer.start(std::max(due - now, Duration(0)));
+}
+
+void DutyService::Impl::OnGrant(const QByteArray& bytes) {
+  const auto decoded = Capture([&] { return CoordinatorGrant::Decode(bytes); });
+  if (const auto* error = std::get_if<Error>(&decoded)) {
+    environment.log->Write("coordinator-answer-bad",
+                           {{"reason", Text(error->message)}});
+    return OnMiss();
+  }
+  if (IsSeeking()) {
+    environment.log->Write("coordinator-found",
+                           {{"coordinator", Text(holder)}});
+  }
+  misses = 0;
+  lease_timer.stop();
+  TakeGrant(std::get<CoordinatorGrant>(decoded));
+}
+
+void DutyService::Impl::TakeGrant(const CoordinatorGrant& grant) {
+  environment.true_time->Correct(grant.true_ms, MonotonicNow());
+  if (grant.divides) environment.gateway->SetSharedLimits(grant.limits);
+}
+
+void DutyService::Impl::OnMiss() {
+  ++misses;
+  if (misses == kMissesToSeek) {
+    environment.log->Write("coordinator-lost", {{"coordinator", Text(holder)}});
+  }
+  if (IsSeeking() && !lease_timer.isActive()) {
+    lease_timer.start(kHolderTick);
+  }
+}
+
+CoordinatorGrant DutyService::Impl::Collect(const DaemonReport& report) {
+  const auto now = MonotonicNow();
+  environment.true_time->Compare(report.daemon, report.wall_ms, now);
+  return coordinator->OnReport(
+      report,
+      [this](const std::string& workspace) {
+        return environment.gateway->QuotaOf(workspace);
+      },
+      environment.true_time->At(now), now);
+}
+
+QByteArray DutyService::Impl::OnReport(const QByteArray& bytes) {
+  if (!coordinator) return {};
+  const auto decoded = Capture([&] { return DaemonReport::Decode(bytes); });
+  if (const auto* error = std::get_if<Error>(&decoded)) {
+    environment.log->Write("daemon-report-bad",
+                           {{"reason", Text(error->message)}});
+    return {};
+  }
+  return Collect(std::get<DaemonReport>(decoded)).Encode();
+}
+
+void DutyService::Impl::StepLease() {
+  if (!running) return;
+  const auto call = lease.NextCall(MonotonicNow());
+  if (coordinator) {
+    StepUsage();
+    StepScaling();
+  }
+  if (!call) return;
+  const std::weak_ptr weak = alive;
+  if (call->is_write) {
+    environment.store->Write(
+        kLeaseObject, call->expected, call->value,
+        [this, weak](StoreStatus status, std::int64_t version) {
+          if (weak.expired()) return;
+          lease.OnWrite(status, version, MonotonicNow());
+          LeaseChanged();
+        });
+    return;
+  }
+  environment.store->Read(kLeaseObject,
+                          [this, weak](StoreStatus status, const auto& object) {
+                            if (weak.expired()) return;
+                            lease.OnRead(status, object, MonotonicNow());
+                            LeaseChanged();
+                          });
+}
+
+void DutyService::Impl::LeaseChanged() {
+  if (lease.IsHolder() && !coordinator) BecomeHolder();
+  const bool lost = !lease.IsHolder() && !lease.seen_holder().empty() &&
+                    lease.seen_holder() != HolderName(settings);
+  if (coordinator && lost) LoseLease();
+  if (!coordinator && lease.seen_holder() != holder) {
+    holder = lease.seen_holder();
+    misses = kMissesToSeek;
+    Report();
+  }
+}
+
+void DutyService::Impl::BecomeHolder() {
+  held_since = MonotonicNow();
+  holder = HolderName(settings);
+  coordinator.emplace(held_since);
+  UsageDuty::Timing timing;
+  timing.window_ms = settings.usage_window_ms;
+  usage.emplace(
+      timing,
+      UsageDuty::Counts{
+          [this](std::int64_t window) { return coordinator->Usage(window); },
+          [this](std::int64_t true_ms) {
+            return coordinator->AllReportedSince(true_ms, MonotonicNow());
+          }});
+  lease_timer.start(kHolderTick);
+  environment.log->Write("lease-taken",
+                         {{"fencing", static_cast<qint64>(lease.fencing())}});
+}
+
+void DutyService::Impl::LoseLease() {
+  coordinator.reset();
+  usage.reset();
+  scaling.reset();
+  environment.log->Write("lease-lost", {{"holder", Text(lease.seen_holder())}});
+}
+
+bool DutyService::Impl::MayAct() const {
+  const auto now = MonotonicNow();
+  return lease.MayOrderFenced(now + kLeaseReserve) &&
+         now - held_since >= kTakeOverPause;
+}
+
+DutyHolder DutyService::Impl::Holder() const {
+  return {settings.daemon, lease.fencing()};
+}
+
+void DutyService::Impl::StepUsage() {
+  if (!settings.reports_usage || !MayAct()) return;
+  const auto step = usage->Next(environment.true_time->At(MonotonicNow()));
+  if (step) Run(*step);
+}
+
+void DutyService::Impl::StepScaling() {
+  const auto now = MonotonicNow();
+  const auto* routes = environment.gateway->routes();
+  const bool settled = now - held_since >= kFirstOrders;
+  if (!settings.orders_upstreams || routes == nullptr || !settled ||
+      !MayAct()) {
+    return;
+  }
+  const auto order = scaling->Next(
+      {routes->content().services, environment.gateway->upstreams().all(),
+       coordinator->Loads(now)},
+      now);
+  if (!order) return;
+  const std::weak_ptr weak = alive;
+  const auto since = held_since;
+  const auto stands = [this, weak, since] {
+    return !weak.expired() && scaling && held_since == since;
+  };
+  environment.cloud->OrderUpstreams(
+      Holder(), *order, [this, stands] { return stands() && MayAct(); },
+      [this, stands, order = *order](CloudStatus status) {
+        if (!stands()) return;
+        scaling->OnOrdered(order, status, MonotonicNow());
+        LogOrder(order, status);
+        StepScaling();
+      });
+}
+
+void DutyService::Impl::LogOrder(const UpstreamOrder& order,
+                                 CloudStatus status) const {
+  environment.log->Write("upstream-order",
+                         {{"service", Text(order.service)},
+                          {"zone", Text(order.availability_zone)},
+                          {"reclaimable", order.reclaimable},
+                          {"count", order.count},
+                          {"status", static_cast<int>(status)},
+                          {"fencing", static_cast<qint64>(lease.fencing())}});
+}
+
+void DutyService::Impl::Run(const UsageDuty::Step& step) {
+  const std::weak_ptr weak = alive;
+  // A lease that was lost and taken again has another duty object.
+  const auto since = held_since;
+  const auto stands = [this, weak, since] {
+    return !weak.expired() && usage && held_since == since;
+  };
+  if (std::holds_alternative<UsageDuty::ReadState>(step)) {
+    environment.store->Read(
+        kUsageObject, [this, stands](StoreStatus status, const auto& object) {
+          if (stands()) usage->OnRead(status, object);
+        });
+  } else if (const auto* write = std::get_if<UsageDuty::WriteState>(&step)) {
+    environment.store->Write(
+        kUsageObject, write->expected, write->value,
+        [this, stands](StoreStatus status, std::int64_t version) {
+          if (!stands()) return;
+          usage->OnWrite(status, version);
+          if (status == StoreStatus::kOk) StepUsage();
+        });
+  } else {
+    const auto& report = std::get<UsageDuty::SendReport>(step).report;
+    environment.cloud->ReportUsage(
+        Holder(), report, [this, stands] { return stands() && MayAct(); },
+        [this, stands, report](CloudStatus status) {
+          if (!stands()) return;
+          usage->OnSent(status);
+          std::int64_t total = 0;
+          for (const auto& [name, count] : report.counts) total += count;
+          environment.log->Write(
+              "usage-report",
+              {{"window", static_cast<qint64>(report.window)},
+               {"requests", static_cast<qint64>(total)},
+               {"status", static_cast<int>(status)},
+               {"fencing", static_cast<qint64>(lease.fencing())}});
+        });
+  }
+}
+
+DutyService::DutyService(Settings settings, Environment environment)
+    : impl_(std::make_unique<Impl>(std::move(settings), environment)) {
+  auto* state = impl_.get();
+  state->peers =
+      PeerNode::Builder()
+          .Listen(state->settings.peers)
+          .Handler([state](const std::string& kind, const QByteArray& message,
+                           const PeerNode::Reply& reply) {
+            reply(kind == kReportKind ? state->OnReport(message)
+                                      : QByteArray());
+          })
+          .Build();
+  QObject::connect(&state->report_timer, &QTimer::timeout, &state->report_timer,
+                   [state] { state->Report(); });
+  state->early_timer.setSingleShot(true);
+  QObject::connect(&state->early_timer, &QTimer::timeout, &state->early_timer,
+                   [state] { state->Report(); });
+  QObject::connect(&state->lease_timer, &QTimer::timeout, &state->lease_timer,
+                   [state] { state->StepLease(); });
+}
+
+DutyService::~DutyService() { Stop(); }
+
+bool DutyService::Start() {
+  if (!impl_->peers->Start()) return false;
+  impl_->running = true;
+  impl_->environment.gateway->OnQuotaShort(
+      [state = impl_.get()] { state->ReportEarly(); });
+  impl_->report_timer.start(kReportPeriod);
+  // Spread, so that the daemons do not all write the first lease at once.
+  const auto spread = QRandomGenerator::global()->bounded(
+      static_cast<int>(kHolderTick.count()));
+  QTimer::singleShot(spread, &impl_->lease_timer, [state = impl_.get()] {
+    if (!state->running) return;
+    state->lease_timer.start(kHolderTick);
+    state->StepLease();
+  });
+  return true;
+}
+
+void DutyService::Stop() {
+  if (!std::exchange(impl_->running, false)) return;
+  impl_->alive.reset();
+  impl_->environment.gateway->OnQuotaShort(nullptr);
+  impl_->report_timer.stop();
+  impl_->early_timer.stop();
+  impl_->lease_timer.stop();
+  impl_->peers->Stop();
+}
+
+bool DutyService::IsHolder() const { return impl_->coordinator.has_value(); }
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/src/event_relay.cc
@@ -0,0 +1,77 @@
+#include "gateway/event_relay.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace firmoor {
+namespace {
+
+std::optional<std::int64_t> NumberOf(std::string_view text) {
+  std::int64_t value = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  return value;
+}
+
+/// Value of the `id` line; empty when the event has none.
+std::string_view IdOf(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  while (!event.empty()) {
+    const auto end = event.find('\n');
+    auto line = event.substr(0, end);
+    event = end == std::string_view::npos ? "" : event.substr(end + 1);
+    if (!line.starts_with(kField)) continue;
+    line.remove_prefix(kField.size());
+    if (line.starts_with(' ')) line.remove_prefix(1);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    return line;
+  }
+  return {};
+}
+
+/// End of the first event of `bytes`, behind its empty line.
+std::size_t EndOfEvent(std::string_view bytes, std::size_t from) {
+  const auto plain = bytes.find("\n\n", from);
+  const auto crlf = bytes.find("\n\r\n", from);
+  if (plain == crlf) return std::string_view::npos;
+  return plain < crlf ? plain + 2 : crlf + 3;
+}
+
+}  // namespace
+
+EventRelay::EventRelay(std::string last_event_id)
+    : last_id_(std::move(last_event_id)) {}
+
+bool EventRelay::IsNew(std::string_view event) {
+  const auto id = IdOf(event);
+  const auto number = NumberOf(id);
+  const auto last = NumberOf(last_id_);
+  if (number && last && *number <= *last) return false;
+  if (!id.empty()) last_id_ = std::string(id);
+  return true;
+}
+
+std::string EventRelay::Feed(std::string_view bytes) {
+  rest_ += bytes;
+  std::string passed;
+  std::size_t start = 0;
+  for (;;) {
+    const auto end = EndOfEvent(rest_, start);
+    if (end == std::string::npos) break;
+    const auto event = std::string_view(rest_).substr(start, end - start);
+    if (IsNew(event)) {
+      passed += event;
+      ++events_;
+    }
+    start = end;
+  }
+  rest_.erase(0, start);
+  return passed;
+}
+
+void EventRelay::Restart() { rest_.clear(); }
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/src/gateway.cc
@@ -0,0 +1,183 @@
+#include "gateway/gateway.h"
+
+#include <utility>
+#include <variant>
+
+#include "details/exchange.h"
+#include "details/gateway_context.h"
+#include "gateway/refusal.h"
+
+namespace firmoor {
+namespace {
+
+using details::Exchange;
+using details::GatewayContext;
+
+QString Text(std::string_view text) {
+  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+}  // namespace
+
+struct Gateway::Impl {
+  GatewayContext context;
+
+  Impl(GatewaySettings settings, Environment environment)
+      : context(std::move(settings), environment) {}
+
+  void LogRefused(const std::string& id, const Failure& failure) const;
+  void LogUpstream(const UpstreamEntry& entry, std::string_view change) const;
+};
+
+void Gateway::Impl::LogRefused(const std::string& id,
+                               const Failure& failure) const {
+  const auto age = context.freshness.Age(MonotonicNow());
+  context.environment.log->Write(
+      "refused",
+      {{"request", Text(id)},
+       {"code", Text(InfoOf(failure.error.code).name)},
+       {"message", Text(failure.error.message)},
+       {"config",
+        context.table ? static_cast<qint64>(context.table->version()) : -1},
+       {"config_age_ms", age ? static_cast<qint64>(age->count()) : -1}});
+}
+
+void Gateway::Impl::LogUpstream(const UpstreamEntry& entry,
+                                std::string_view change) const {
+  context.environment.log->Write(
+      "upstream", {{"upstream", Text(entry.id)},
+                   {"service", Text(entry.service)},
+                   {"zone", Text(entry.availability_zone)},
+                   {"address", Text(entry.endpoint.ToString())},
+                   {"born_ms", static_cast<qint64>(entry.born_ms)},
+                   {"change", Text(change)}});
+}
+
+Gateway::Gateway(GatewaySettings settings, Environment environment)
+    : impl_(std::make_unique<Impl>(std::move(settings), environment)) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::SetRoutes(std::shared_ptr<const RouteTable> table) {
+  auto& context = impl_->context;
+  const auto held = context.table ? context.table->version() : -1;
+  if (context.table && table->version() <= held) return;
+  context.picker.SetServices(table->content().services);
+  context.environment.log->Write(
+      "configuration",
+      {{"version", static_cast<qint64>(table->version())},
+       {"before", static_cast<qint64>(held)},
+       {"routes", static_cast<qint64>(table->content().routes.size())},
+       {"workspaces",
+        static_cast<qint64>(table->content().workspaces.size())}});
+  context.table = std::move(table);
+}
+
+void Gateway::ConfirmRoutes(TimePoint asked_at) {
+  impl_->context.freshness.Confirm(asked_at);
+}
+
+const RouteTable* Gateway::routes() const { return impl_->context.table.get(); }
+
+const Freshness& Gateway::freshness() const { return impl_->context.freshness; }
+
+void Gateway::ApplyUpstreams(const std::vector<UpstreamEntry>& entries) {
+  auto& context = impl_->context;
+  for (const auto& entry : entries) {
+    const auto* held = context.catalog.Find(entry.id);
+    if (held == nullptr || *held != entry) impl_->LogUpstream(entry, "listed");
+  }
+  context.catalog.ApplyAll(entries, MonotonicNow());
+  context.SyncPicker(MonotonicNow());
+}
+
+void Gateway::ApplyUpstream(const UpstreamEntry& entry) {
+  impl_->LogUpstream(entry, entry.leaving ? "leaving" : "changed");
+  impl_->context.catalog.Apply(entry);
+  impl_->context.SyncPicker(MonotonicNow());
+}
+
+void Gateway::RemoveUpstream(const std::string& id) {
+  auto& context = impl_->context;
+  const auto* held = context.catalog.Find(id);
+  if (held == nullptr) return;
+  impl_->LogUpstream(*held, "removed");
+  context.catalog.Remove(id, MonotonicNow());
+  context.SyncPicker(MonotonicNow());
+}
+
+void Gateway::NoteStoreOutage() {
+  impl_->context.catalog.NoteOutage(MonotonicNow());
+}
+
+const UpstreamCatalog& Gateway::upstreams() const {
+  return impl_->context.catalog;
+}
+
+void Gateway::SetSharedLimits(const SharedLimits& limits) {
+  impl_->context.SetShared(limits);
+}
+
+void Gateway::Handle(HttpRequest request,
+                     const std::shared_ptr<HttpResponder>& responder) {
+  auto& context = impl_->context;
+  auto read = context.environment.dialect->ReadRequest(std::move(request));
+  if (const auto* error = std::get_if<Error>(&read)) {
+    const Failure failure{*error, RequestOutcome::kNotRun, std::nullopt};
+    impl_->LogRefused("", failure);
+    return responder->Send(MakeGatewayRefusal(failure, ""));
+  }
+  auto& forward = std::get<ForwardRequest>(read);
+  const auto decided = DecideIntake(forward, context.table.get(),
+                                    context.freshness, MonotonicNow());
+  if (const auto* failure = std::get_if<Failure>(&decided)) {
+    impl_->LogRefused(forward.id, *failure);
+    return responder->Send(MakeGatewayRefusal(*failure, forward.id));
+  }
+  const auto exchange = std::make_shared<Exchange>(
+      &context, std::move(forward), std::get<IntakePass>(decided), responder);
+  context.exchanges.emplace(exchange.get(), exchange);
+  exchange->Start();
+}
+
+std::size_t Gateway::InWork() const { return impl_->context.exchanges.size(); }
+
+UsageLedger& Gateway::ledger() { return impl_->context.ledger; }
+
+std::map<std::string, QuotaUse> Gateway::ReportQuotas() {
+  std::map<std::string, QuotaUse> uses;
+  for (auto& [workspace, quota] : impl_->context.quotas) {
+    uses[workspace] = quota.Report(MonotonicNow());
+  }
+  return uses;
+}
+
+QuotaLimit Gateway::QuotaOf(const std::string& workspace) const {
+  const auto& context = impl_->context;
+  if (!context.table) return {};
+  for (const auto& profile : context.table->content().workspaces) {
+    if (profile.name == workspace) return context.LimitOf(profile);
+  }
+  return {};
+}
+
+void Gateway::OnQuotaShort(std::function<void()> handler) {
+  impl_->context.on_quota_short = std::move(handler);
+}
+
+std::map<std::string, ServiceLoad> Gateway::Loads() const {
+  const auto& context = impl_->context;
+  std::map<std::string, ServiceLoad> loads;
+  if (!context.table) return loads;
+  const auto rates = context.prompt_demand.Rates(MonotonicNow());
+  for (const auto& service : context.table->content().services) {
+    auto& load = loads[service.name];
+    load.in_flight =
+        static_cast<double>(context.picker.ServiceInFlight(service.name));
+    const auto rate = rates.find(service.name);
+    if (rate != rates.end()) load.tokens_per_s = rate->second;
+  }
+  return loads;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -0,0 +1,349 @@
+#include "gateway/gateway_daemon.h"
+
+#include <fmt/format.h>
+
+#include <QTimer>
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/random_id.h"
+#include "base/supervisor.h"
+#include "gateway/duty_service.h"
+#include "gateway/gateway.h"
+#include "http/http_server.h"
+#include "platform/kind_follower.h"
+#include "serving/error_answer.h"
+
+namespace firmoor {
+namespace {
+
+// Longest time between two proofs that the configuration is the newest: four
+// fit into the shortest revocation time of the deployments.
+constexpr Duration kConfigurationWait{1'200};
+constexpr Duration kUpstreamWait{3'000};
+// A watch of the store may miss changes for a second before it is cut, and a
+// request needs some time to its upstream.
+constexpr Duration kFreshnessReserve{1'300};
+// The balancer takes a daemon out after two failed probes, a second apart.
+constexpr Duration kBalancerTime{2'500};
+// The process ends this long before it would be killed.
+constexpr Duration kStopReserve{700};
+constexpr Duration kDrainStep{100};
+// Callers may still be sending a long body over a slow link.
+constexpr Duration kLeastRequestTime{10'000};
+// Callers count idle time from when they sent, and from older limits.
+constexpr Duration kIdleReserve{2'000};
+
+QString Text(std::string_view text) {
+  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+GatewaySettings GatewaySettingsOf(const GatewayDaemonSettings& settings) {
+  GatewaySettings gateway;
+  gateway.daemon = settings.daemon;
+  gateway.location = {settings.availability_zone, settings.regions};
+  gateway.freshness_bound = std::max(
+      settings.key_revocation - kFreshnessReserve, settings.key_revocation / 2);
+  gateway.retry_ratio = settings.retry_ratio;
+  gateway.retry_burst = settings.retry_burst;
+  gateway.quota_window = settings.quota_window;
+  gateway.quota_slack = settings.quota_slack;
+  gateway.usage_window_ms = settings.usage_window.count();
+  return gateway;
+}
+
+HttpAnswer PlainText(int status, std::string body) {
+  return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
+}
+
+Supervisor::Part PartOf(std::string name, std::function<bool()> start,
+                        std::function<void()> stop) {
+  return {std::move(name), std::move(start), std::move(stop)};
+}
+
+}  // namespace
+
+struct GatewayDaemon::Impl {
+  GatewayDaemonSettings settings;
+  PlatformPorts ports;
+  EventLog* log;
+  std::function<void()> on_stopped;
+  std::string life;
+  ServiceMetrics metrics;
+  TrueTime true_time;
+  Gateway gateway;
+  KindFollower configuration;
+  KindFollower upstreams;
+  DutyService duties;
+  std::unique_ptr<HttpServer> callers;
+  std::unique_ptr<HttpServer> ready;
+  std::unique_ptr<HttpServer> metrics_server;
+  std::unique_ptr<Supervisor> root;
+  QTimer drain_timer;
+  bool configuration_good = false;
+  bool upstreams_listed = false;
+  bool was_ready = false;
+  Duration longest_idle{0};
+  TimePoint drain_started;
+  bool draining = false;
+
+  Impl(GatewayDaemonSettings daemon_settings, PlatformPorts platform_ports,
+       EventLog* event_log, std::function<void()> stopped);
+
+  KindFollower::Hooks ConfigurationHooks();
+  KindFollower::Hooks UpstreamHooks();
+  void LogDependency(const char* name, bool regained) const;
+  void TakeConfiguration(const KindObject& object);
+  void TakeUpstream(const KindObject& object, std::vector<UpstreamEntry>* out);
+  void ApplyLimits();
+  void BuildServers();
+  void BuildTree();
+  void NoteReadiness();
+  void StepDrain();
+  [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] std::string MetricsText() const;
+};
+
+GatewayDaemon::Impl::Impl(GatewayDaemonSettings daemon_settings,
+                          PlatformPorts platform_ports, EventLog* event_log,
+                          std::function<void()> stopped)
+    : settings(std::move(daemon_settings)),
+      ports(std::move(platform_ports)),
+      log(event_log),
+      on_stopped(std::move(stopped)),
+      life(settings.daemon + "/" + NewRandomId()),
+      true_time(WallClockMs(), MonotonicNow()),
+      gateway(GatewaySettingsOf(settings),
+              {ports.dialect, log, &metrics, &true_time}),
+      configuration(ports.kinds, ports.configuration_kind, kConfigurationWait,
+                    ConfigurationHooks()),
+      upstreams(ports.kinds, ports.upstream_kind, kUpstreamWait,
+                UpstreamHooks()),
+      duties({settings.daemon, life, settings.peers, settings.lease,
+              settings.usage_window.count(), settings.reports_usage,
+              settings.orders_upstreams},
+             {&gateway, ports.objects, ports.cloud, &true_time, log}) {
+  BuildServers();
+  BuildTree();
+  QObject::connect(&drain_timer, &QTimer::timeout, &drain_timer,
+                   [this] { StepDrain(); });
+}
+
+void GatewayDaemon::Impl::LogDependency(const char* name, bool regained) const {
+  log->Write(regained ? "dependency-regained" : "dependency-lost",
+             {{"dependency", name}});
+}
+
+KindFollower::Hooks GatewayDaemon::Impl::ConfigurationHooks() {
+  KindFollower::Hooks hooks;
+  hooks.on_list = [this](const std::vector<KindObject>& objects,
+                         TimePoint asked_at) {
+    for (const auto& object : objects) TakeConfiguration(object);
+    if (configuration_good) gateway.ConfirmRoutes(asked_at);
+  };
+  hooks.on_changes = [this](const std::vector<KindChange>& changes,
+                            TimePoint asked_at) {
+    for (const auto& change : changes) {
+      if (!change.removed) TakeConfiguration(change.object);
+    }
+    if (configuration_good) gateway.ConfirmRoutes(asked_at);
+  };
+  hooks.on_outage = [this, lost = false]() mutable {
+    if (!std::exchange(lost, true)) LogDependency("configuration", false);
+    gateway.NoteStoreOutage();
+  };
+  hooks.on_regained = [this] { LogDependency("configuration", true); };
+  return hooks;
+}
+
+void GatewayDaemon::Impl::TakeConfiguration(const KindObject& object) {
+  if (object.name != ports.configuration_name) return;
+  auto decoded =
+      Capture([&] { return ports.decode_configuration(object.content); });
+  if (const auto* error = std::get_if<Error>(&decoded)) {
+    configuration_good = false;
+    log->Write("configuration-bad", {{"reason", Text(error->message)}});
+    return;
+  }
+  configuration_good = true;
+  gateway.SetRoutes(std::make_shared<const RouteTable>(
+      std::move(std::get<RouteTableContent>(decoded))));
+  ApplyLimits();
+}
+
+void GatewayDaemon::Impl::ApplyLimits() {
+  const auto& limits = gateway.routes()->content().limits;
+  longest_idle = std::max(longest_idle, limits.idle_time + kIdleReserve);
+  HttpServerLimits applied;
+  applied.header_bytes = limits.header_bytes;
+  applied.body_bytes = limits.body_bytes;
+  applied.request_time = std::max(limits.header_time, kLeastRequestTime);
+  applied.idle_time = longest_idle;
+  callers->SetLimits(applied);
+}
+
+KindFollower::Hooks GatewayDaemon::Impl::UpstreamHooks() {
+  KindFollower::Hooks hooks;
+  hooks.on_list = [this](const std::vector<KindObject>& objects, TimePoint) {
+    std::vector<UpstreamEntry> entries;
+    for (const auto& object : objects) TakeUpstream(object, &entries);
+    gateway.ApplyUpstreams(entries);
+    upstreams_listed = true;
+  };
+  hooks.on_changes = [this](const std::vector<KindChange>& changes, TimePoint) {
+    for (const auto& change : changes) {
+      std::vector<UpstreamEntry> entries;
+      if (!change.removed) TakeUpstream(change.object, &entries);
+      if (entries.empty()) {
+        gateway.RemoveUpstream(change.object.name);
+      } else {
+        gateway.ApplyUpstream(entries.front());
+      }
+    }
+  };
+  hooks.on_outage = [this] { gateway.NoteStoreOutage(); };
+  hooks.on_regained = [this] { LogDependency("upstreams", true); };
+  return hooks;
+}
+
+void GatewayDaemon::Impl::TakeUpstream(const KindObject& object,
+                                       std::vector<UpstreamEntry>* out) {
+  auto decoded = Capture(
+      [&] { return ports.decode_upstream(object.name, object.content); });
+  if (const auto* error = std::get_if<Error>(&decoded)) {
+    log->Write("upstream-entry-bad", {{"upstream", Text(object.name)},
+                                      {"reason", Text(error->message)}});
+    return;
+  }
+  out->push_back(std::move(std::get<UpstreamEntry>(decoded)));
+}
+
+void GatewayDaemon::Impl::BuildServers() {
+  callers = HttpServer::Builder()
+                .Listen(settings.callers)
+                .ErrorAnswer(MakeInputErrorAnswer)
+                .Handler([this](HttpRequest request, const auto& responder) {
+                  gateway.Handle(std::move(request), responder);
+                })
+                .Build();
+  ready = HttpServer::Builder()
+              .Listen(settings.ready)
+              .Handler([this](const HttpRequest&, const auto& responder) {
+                NoteReadiness();
+                responder->Send(IsReady() ? PlainText(200, "ready\n")
+                                          : PlainText(503, "not ready\n"));
+              })
+              .Build();
+  metrics_server =
+      HttpServer::Builder()
+          .Listen(settings.metrics)
+          .Handler([this](const HttpRequest&, const auto& responder) {
+            responder->Send(PlainText(200, MetricsText()));
+          })
+          .Build();
+}
+
+void GatewayDaemon::Impl::BuildTree() {
+  const auto server = [](std::string name, HttpServer* http) {
+    return PartOf(
+        std::move(name), [http] { return http->Start(); },
+        [http] { http->StopListening(); });
+  };
+  const auto follower = [](std::string name, KindFollower* kind) {
+    return PartOf(
+        std::move(name),
+        [kind] {
+          kind->Start();
+          return true;
+        },
+        [kind] { kind->Stop(); });
+  };
+  root = Supervisor::Builder("gateway")
+             .Part(follower("configuration", &configuration))
+             .Part(follower("upstreams", &upstreams))
+             .Part(PartOf(
+                 "duties", [this] { return duties.Start(); },
+                 [this] { duties.Stop(); }))
+             .Part(server("callers", callers.get()))
+             .Part(server("ready", ready.get()))
+             .Part(server("metrics", metrics_server.get()))
+             .Build();
+}
+
+bool GatewayDaemon::Impl::IsReady() const {
+  return !draining && upstreams_listed &&
+         gateway.freshness().IsFresh(MonotonicNow());
+}
+
+void GatewayDaemon::Impl::NoteReadiness() {
+  const bool now_ready = IsReady();
+  if (std::exchange(was_ready, now_ready) == now_ready) return;
+  log->Write("readiness", {{"ready", now_ready},
+                           {"draining", draining},
+                           {"upstreams_listed", upstreams_listed}});
+}
+
+std::string GatewayDaemon::Impl::MetricsText() const {
+  const auto age = gateway.freshness().Age(MonotonicNow());
+  const auto* routes = gateway.routes();
+  return metrics.PrometheusText() +
+         fmt::format(
+             "firmoor_config_version {}\nfirmoor_config_age_ms {}\n"
+             "firmoor_upstreams {}\nfirmoor_requests_in_work {}\n"
+             "firmoor_connections {}\nfirmoor_coordinator {}\n"
+             "firmoor_log_dropped_total {}\n",
+             routes == nullptr ? -1 : routes->version(),
+             age ? age->count() : -1, gateway.upstreams().all().size(),
+             gateway.InWork(), callers->ConnectionCount(),
+             duties.IsHolder() ? 1 : 0, log->dropped());
+}
+
+void GatewayDaemon::Impl::StepDrain() {
+  const auto elapsed = MonotonicNow() - drain_started;
+  const bool idle = elapsed >= kBalancerTime && gateway.InWork() == 0 &&
+                    callers->ConnectionCount() == 0;
+  if (!idle && elapsed < settings.drain_time - kStopReserve) return;
+  drain_timer.stop();
+  log->Write("stop", {{"requests_left", static_cast<qint64>(gateway.InWork())},
+                      {"connections_left",
+                       static_cast<qint64>(callers->ConnectionCount())}});
+  root->Stop();
+  on_stopped();
+}
+
+GatewayDaemon::GatewayDaemon(GatewayDaemonSettings settings,
+                             PlatformPorts ports, EventLog* log,
+                             std::function<void()> on_stopped)
+    : impl_(std::make_unique<Impl>(std::move(settings), std::move(ports), log,
+                                   std::move(on_stopped))) {}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+bool GatewayDaemon::Start() {
+  impl_->log->Write("start",
+                    {{"life", Text(impl_->life)},
+                     {"zone", Text(impl_->settings.availability_zone)},
+                     {"callers", Text(impl_->settings.callers.ToString())}});
+  return impl_->root->Start();
+}
+
+void GatewayDaemon::RequestStop() {
+  if (std::exchange(impl_->draining, true)) return;
+  impl_->drain_started = MonotonicNow();
+  impl_->log->Write(
+      "drain", {{"requests", static_cast<qint64>(impl_->gateway.InWork())}});
+  impl_->callers->StartClosing();
+  impl_->drain_timer.start(kDrainStep);
+}
+
+void GatewayDaemon::ApplySettings(const GatewayDaemonSettings& settings) {
+  const bool same = settings == impl_->settings;
+  impl_->log->Write("reload", {{"changed", !same}});
+  if (same) return;
+  impl_->settings.drain_time = settings.drain_time;
+}
+
+bool GatewayDaemon::IsReady() const { return impl_->IsReady(); }
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/src/intake.cc
@@ -0,0 +1,42 @@
+#include "gateway/intake.h"
+
+namespace firmoor {
+namespace {
+
+// Another daemon mostly has a recent configuration, so callers come back soon.
+constexpr Duration kRetryElsewhere{100};
+
+Failure Refused(ResultCode code, std::string message) {
+  return {{code, std::move(message)}, RequestOutcome::kNotRun, std::nullopt};
+}
+
+Failure NotReady(std::string message) {
+  auto failure = Refused(ResultCode::kNotReady, std::move(message));
+  failure.retry_after = kRetryElsewhere;
+  return failure;
+}
+
+}  // namespace
+
+std::variant<IntakePass, Failure> DecideIntake(const ForwardRequest& request,
+                                               const RouteTable* table,
+                                               const Freshness& freshness,
+                                               TimePoint now) {
+  if (table == nullptr) return NotReady("No configuration was read yet");
+  const bool fresh = freshness.IsFresh(now);
+  const auto* route = table->Match(request.host, request.Path());
+  if (route == nullptr) {
+    if (!fresh) return NotReady("The configuration may be out of date");
+    return Refused(ResultCode::kUnknownService, "No route has this path");
+  }
+  if (route->is_public || !table->NeedsKeys())
+    return IntakePass{route, nullptr};
+  if (!fresh) return NotReady("Keys cannot be checked now");
+  const auto* workspace = table->FindKey(request.key);
+  if (workspace == nullptr) {
+    return Refused(ResultCode::kUnauthorized, "No workspace holds this key");
+  }
+  return IntakePass{route, workspace};
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/src/scaling_duty.cc
@@ -0,0 +1,155 @@
+#include "gateway/scaling_duty.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace firmoor {
+namespace {
+
+// Prompt tokens a second, cached or not, that one engine answers well: half of
+// what it reads without a cache, from the trials in docs/PLATFORM.md.
+constexpr double kTokensPerEngineS = 28'000;
+// Demand is believed low only after this time without a higher one: a wave of
+// traffic lasts longer than a burst.
+constexpr Duration kPeakMemory{25'000};
+// A new holder takes most of what serves as the need until it has seen some
+// demand; the rest is there to survive a reclaim.
+constexpr double kStartPart = 0.7;
+constexpr Duration kFirstSight{12'000};
+// A market that refused is asked again after this time.
+constexpr Duration kDryTime{2'500};
+// Orders that were accepted but did not show are repeated after this time
+// beyond the start of an upstream.
+constexpr Duration kRepeatAfter{4'000};
+// Part of the need below which engines are bought on demand.
+constexpr double kLeastPart = 0.5;
+
+}  // namespace
+
+ScalingDuty::ScalingDuty(TimePoint started_at) : started_at_(started_at) {}
+
+ScalingCounts ScalingDuty::Serving(const Input& input) {
+  ScalingCounts counts;
+  for (const auto& [id, entry] : input.upstreams) {
+    if (entry.leaving) continue;
+    ++counts[{entry.service, entry.availability_zone, entry.reclaimable}];
+  }
+  return counts;
+}
+
+double ScalingDuty::Need(const ServiceProfile& service, double serving,
+                         const Input& input, TimePoint now) {
+  const auto load = input.loads.find(service.name);
+  double need = load == input.loads.end()
+                    ? 0
+                    : load->second.tokens_per_s / kTokensPerEngineS;
+  const bool first = !peaks_.contains(service.name);
+  auto& peak = peaks_[service.name];
+  if (first) peak = {serving * kStartPart, now};
+  if (now - started_at_ < kFirstSight) need = std::max(need, peak.need);
+  if (need >= peak.need || now - peak.at > kPeakMemory) peak = {need, now};
+  return peak.need;
+}
+
+bool ScalingDuty::IsDry(const ScalingSubject& subject, TimePoint now) const {
+  const auto found = ordered_.find(subject);
+  return found != ordered_.end() && found->second.refused &&
+         now - found->second.at < kDryTime;
+}
+
+ScalingCounts ScalingDuty::Wanted(const ServiceProfile& service,
+                                  const Input& input,
+                                  const ScalingCounts& serving, TimePoint now) {
+  const auto& scaling = *service.scaling;
+  const auto serving_at = [&](const std::string& zone, bool reclaimable) {
+    const auto found = serving.find({service.name, zone, reclaimable});
+    return found == serving.end() ? 0 : found->second;
+  };
+  int total = 0;
+  for (const auto& [zone, price] : scaling.zone_prices) {
+    total += serving_at(zone, false) + serving_at(zone, true);
+  }
+  const double need = Need(service, total, input, now);
+  const auto zones = static_cast<double>(scaling.zone_prices.size());
+  const double floor = zones * scaling.min_per_zone;
+  // Without any one zone's reclaimable engines the need must be met.
+  const double spread = zones > 1 ? zones / (zones - 1) : 1;
+  const int per_zone =
+      static_cast<int>(std::ceil(std::max(0.0, need - floor) * spread / zones));
+  const bool has_enough = total >= need;
+  ScalingCounts wanted;
+  for (const auto& [zone, price] : scaling.zone_prices) {
+    const int on_demand = serving_at(zone, false);
+    const int reclaimable =
+        std::clamp(per_zone, 0, scaling.max_per_zone - scaling.min_per_zone);
+    const int replaced = std::max(0, serving_at(zone, true) - reclaimable);
+    wanted[{service.name, zone, true}] = reclaimable;
+    // Reclaimable engines must serve before those on demand go.
+    const bool may_go =
+        has_enough && serving_at(zone, true) + replaced >= reclaimable;
+    wanted[{service.name, zone, false}] =
+        may_go
+            ? scaling.min_per_zone
+            : std::clamp(on_demand, scaling.min_per_zone, scaling.max_per_zone);
+  }
+  if (total >= need * kLeastPart) return wanted;
+  // Too few are left and no others can be had: buy in the cheapest zones.
+  int missing = static_cast<int>(std::ceil(need * kLeastPart)) - total;
+  for (const auto& [zone, price] : scaling.zone_prices) {
+    if (missing <= 0 || !IsDry({service.name, zone, true}, now)) continue;
+    auto& count = wanted[{service.name, zone, false}];
+    const int more = std::clamp(scaling.max_per_zone - count, 0, missing);
+    count += more;
+    missing -= more;
+  }
+  return wanted;
+}
+
+bool ScalingDuty::IsDue(const ScalingSubject& subject, int wanted, int serving,
+                        const ScalingProfile& scaling, TimePoint now) const {
+  const auto found = ordered_.find(subject);
+  if (found == ordered_.end() || found->second.count < 0) {
+    return wanted != serving;
+  }
+  const auto& last = found->second;
+  if (last.refused) return now - last.at >= kDryTime && wanted != serving;
+  if (last.count != wanted) return true;
+  const bool overdue =
+      now - last.at > scaling.start_time + kRepeatAfter && serving < wanted;
+  return overdue;
+}
+
+std::optional<UpstreamOrder> ScalingDuty::Next(const Input& input,
+                                               TimePoint now) {
+  if (in_flight_) return std::nullopt;
+  const auto serving = Serving(input);
+  for (const auto& service : input.services) {
+    if (!service.scaling) continue;
+    const auto wanted = Wanted(service, input, serving, now);
+    // More of the reclaimable ones first, so that they can replace others.
+    for (const bool reclaimable : {true, false}) {
+      for (const auto& [subject, count] : wanted) {
+        if (subject.reclaimable != reclaimable) continue;
+        const auto found = serving.find(subject);
+        const int have = found == serving.end() ? 0 : found->second;
+        if (!IsDue(subject, count, have, *service.scaling, now)) continue;
+        in_flight_ = true;
+        return UpstreamOrder{subject.service, subject.availability_zone,
+                             subject.reclaimable, count};
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+void ScalingDuty::OnOrdered(const UpstreamOrder& order, CloudStatus status,
+                            TimePoint now) {
+  in_flight_ = false;
+  auto& ordered =
+      ordered_[{order.service, order.availability_zone, order.reclaimable}];
+  ordered.count = status == CloudStatus::kUnavailable ? -1 : order.count;
+  ordered.refused = status != CloudStatus::kOk;
+  ordered.at = now;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/src/true_time.cc
@@ -0,0 +1,36 @@
+#include "gateway/true_time.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace firmoor {
+namespace {
+
+std::int64_t MsOf(TimePoint now) { return now.time_since_epoch().count(); }
+
+}  // namespace
+
+TrueTime::TrueTime(std::int64_t wall_ms, TimePoint now)
+    : offset_ms_(wall_ms - MsOf(now)) {}
+
+std::int64_t TrueTime::At(TimePoint now) const {
+  return MsOf(now) + offset_ms_;
+}
+
+void TrueTime::Correct(std::int64_t true_ms, TimePoint now) {
+  offset_ms_ = true_ms - MsOf(now);
+}
+
+void TrueTime::Compare(const std::string& daemon, std::int64_t wall_ms,
+                       TimePoint now) {
+  offsets_[daemon] = wall_ms - MsOf(now);
+  std::vector<std::int64_t> sorted;
+  sorted.reserve(offsets_.size());
+  for (const auto& [name, offset] : offsets_) sorted.push_back(offset);
+  const auto middle =
+      sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+  std::nth_element(sorted.begin(), middle, sorted.end());
+  offset_ms_ = *middle;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/src/usage_duty.cc
@@ -0,0 +1,95 @@
+#include "gateway/usage_duty.h"
+
+#include <QCborArray>
+#include <QCborMap>
+#include <QCborValue>
+#include <algorithm>
+#include <utility>
+
+namespace firmoor {
+namespace {
+
+QByteArray Encode(const UsageReport& report) {
+  QCborMap counts;
+  for (const auto& [workspace, count] : report.counts) {
+    counts[QString::fromStdString(workspace)] = static_cast<qint64>(count);
+  }
+  return QCborValue(QCborArray{static_cast<qint64>(report.window), counts})
+      .toCbor();
+}
+
+UsageReport Decode(const QByteArray& bytes) {
+  const auto array = QCborValue::fromCbor(bytes).toArray();
+  UsageReport report;
+  report.window = array.at(0).toInteger();
+  for (const auto& entry : array.at(1).toMap()) {
+    report.counts[entry.first.toString().toStdString()] =
+        entry.second.toInteger();
+  }
+  return report;
+}
+
+}  // namespace
+
+UsageDuty::UsageDuty(Timing timing, Counts counts)
+    : timing_(timing), counts_(std::move(counts)) {}
+
+std::optional<UsageDuty::Step> UsageDuty::Next(std::int64_t true_ms) {
+  if (in_flight_) return std::nullopt;
+  std::optional<Step> step;
+  if (!known_) {
+    step = ReadState{};
+  } else if (!delivered_ && true_ms < EndOf(last_.window) + timing_.late_ms) {
+    step = SendReport{last_};
+  } else {
+    step = NextReport(true_ms);
+  }
+  in_flight_ = step.has_value();
+  return step;
+}
+
+std::optional<UsageDuty::Step> UsageDuty::NextReport(std::int64_t true_ms) {
+  // Windows that are already too late are left out.
+  const auto oldest = (true_ms - timing_.late_ms) / timing_.window_ms;
+  const auto window = last_.window == 0
+                          ? std::max(oldest, true_ms / timing_.window_ms - 1)
+                          : std::max(oldest, NextWindow());
+  if (true_ms < EndOf(window) + timing_.settle_ms) return std::nullopt;
+  const bool waits = true_ms < EndOf(window) + timing_.patience_ms;
+  if (waits && !counts_.is_complete(EndOf(window))) return std::nullopt;
+  written_ = {window, counts_.sum(window)};
+  return WriteState{version_, Encode(written_)};
+}
+
+void UsageDuty::OnRead(StoreStatus status, const StoredObject& object) {
+  in_flight_ = false;
+  if (status == StoreStatus::kNotFound) {
+    known_ = true;
+    version_ = 0;
+    return;
+  }
+  if (status != StoreStatus::kOk) return;
+  known_ = true;
+  version_ = object.version;
+  last_ = Decode(object.value);
+  delivered_ = false;
+}
+
+void UsageDuty::OnWrite(StoreStatus status, std::int64_t version) {
+  in_flight_ = false;
+  if (status != StoreStatus::kOk) {
+    // Whatever the store holds now counts.
+    known_ = false;
+    return;
+  }
+  version_ = version;
+  last_ = std::move(written_);
+  delivered_ = false;
+}
+
+void UsageDuty::OnSent(CloudStatus status) {
+  in_flight_ = false;
+  delivered_ = status == CloudStatus::kOk;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/tests/coordination_test.cc
@@ -0,0 +1,86 @@
+#include "gateway/coordination.h"
+
+#include <doctest/doctest.h>
+
+namespace firmoor {
+namespace {
+
+const TimePoint kStart{Duration(10'000)};
+
+QuotaLimit LimitOf(const std::string&) { return {100, 100, Duration(8'000)}; }
+
+DaemonReport Report(std::string daemon, double demand) {
+  DaemonReport report;
+  report.daemon = daemon;
+  report.life = daemon + "/1";
+  report.wall_ms = 1'000'000;
+  report.usage = {{3, {{"w", 2}}}};
+  report.quotas = {{"w", {demand, demand, 0}}};
+  report.loads = {{"s", {4, 100}}};
+  return report;
+}
+
+}  // namespace
+
+TEST_CASE("messages between daemons") {
+  SUBCASE("come back as they were sent") {
+    const auto report = Report("a", 5);
+    CHECK(std::get<DaemonReport>(Capture([&] {
+            return DaemonReport::Decode(report.Encode());
+          })) == report);
+    CoordinatorGrant grant{77, true, {{{"w", 0.5}}, 4}};
+    CHECK(std::get<CoordinatorGrant>(Capture([&] {
+            return CoordinatorGrant::Decode(grant.Encode());
+          })) == grant);
+  }
+  SUBCASE("are refused when they are malformed") {
+    for (const auto* bytes : {"", "x", "\xa0"}) {
+      CHECK(std::holds_alternative<Error>(
+          Capture([&] { return DaemonReport::Decode(bytes); })));
+      CHECK(std::holds_alternative<Error>(
+          Capture([&] { return CoordinatorGrant::Decode(bytes); })));
+    }
+  }
+}
+
+TEST_CASE("a coordinator") {
+  Coordinator coordinator(kStart);
+  const auto later = kStart + Duration(3'000);
+
+  SUBCASE("divides no limits before all daemons had time to report") {
+    CHECK_FALSE(
+        coordinator.OnReport(Report("a", 1), LimitOf, 5'000, kStart).divides);
+    CHECK(coordinator.OnReport(Report("a", 1), LimitOf, 8'000, later).divides);
+  }
+  SUBCASE("grants parts of what a quota has left") {
+    const auto grant =
+        coordinator.OnReport(Report("a", 100), LimitOf, 8'000, later);
+    CHECK(grant.limits.quota_grants.at("w") == doctest::Approx(400));
+    CHECK(grant.limits.daemons == 1);
+  }
+  SUBCASE("adds up usage and loads of the daemons") {
+    coordinator.OnReport(Report("a", 1), LimitOf, 5'000, kStart);
+    coordinator.OnReport(Report("b", 1), LimitOf, 5'000, kStart);
+    CHECK(coordinator.Usage(3) == UsageCounts{{"w", 4}});
+    CHECK(coordinator.Loads(kStart)["s"] == ServiceLoad{8, 200});
+    SUBCASE("without the load of one that fell silent") {
+      coordinator.OnReport(Report("a", 1), LimitOf, 9'000,
+                           kStart + Duration(4'000));
+      CHECK(coordinator.Loads(kStart + Duration(4'000))["s"] ==
+            ServiceLoad{4, 100});
+    }
+  }
+  SUBCASE("knows whether all daemons have reported since a moment") {
+    coordinator.OnReport(Report("a", 1), LimitOf, 5'000, kStart);
+    coordinator.OnReport(Report("b", 1), LimitOf, 6'000, kStart);
+    CHECK(coordinator.AllReportedSince(5'000, kStart));
+    CHECK_FALSE(coordinator.AllReportedSince(5'500, kStart));
+    SUBCASE("not waiting for one that fell silent") {
+      coordinator.OnReport(Report("b", 1), LimitOf, 9'000,
+                           kStart + Duration(3'500));
+      CHECK(coordinator.AllReportedSince(8'000, kStart + Duration(3'500)));
+    }
+  }
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/tests/event_relay_test.cc
@@ -0,0 +1,80 @@
+#include "gateway/event_relay.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+namespace firmoor {
+namespace {
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: part " + std::to_string(id) +
+         "\n\n";
+}
+
+std::string Events(int from, int to) {
+  std::string events;
+  for (int id = from; id <= to; ++id) events += Event(id);
+  return events;
+}
+
+}  // namespace
+
+TEST_CASE("a stream of events is passed on") {
+  EventRelay relay("");
+
+  SUBCASE("unchanged, in whole events") {
+    const auto whole = Event(1) + Event(2);
+    CHECK(relay.Feed(whole.substr(0, whole.size() - 1)) == Event(1));
+    CHECK(relay.IsInsideEvent());
+    CHECK(relay.Feed("\n") == Event(2));
+    CHECK_FALSE(relay.IsInsideEvent());
+    CHECK(relay.last_event_id() == "2");
+    CHECK(relay.events() == 2);
+  }
+  SUBCASE("with other line ends") {
+    CHECK(relay.Feed("id:4\r\ndata: x\r\n\r\n") == "id:4\r\ndata: x\r\n\r\n");
+    CHECK(relay.last_event_id() == "4");
+  }
+  SUBCASE("with events that have no id") {
+    CHECK(relay.Feed("data: x\n\n") == "data: x\n\n");
+    CHECK(relay.last_event_id().empty());
+  }
+}
+
+TEST_CASE("a stream that broke off inside an event goes on elsewhere") {
+  EventRelay relay("");
+  relay.Feed(Events(1, 3) + "id: 4\nda");
+  CHECK(relay.IsInsideEvent());
+  relay.Restart();
+  CHECK_FALSE(relay.IsInsideEvent());
+  CHECK(relay.last_event_id() == "3");
+  SUBCASE("without events that the caller has") {
+    CHECK(relay.Feed(Events(2, 5)) == Events(4, 5));
+  }
+}
+
+TEST_CASE("a caller gets each event once, wherever streams break off") {
+  rc::check([](const std::vector<std::uint8_t>& cuts) {
+    const int last = 20;
+    EventRelay relay("");
+    std::string received;
+    for (const auto cut : cuts) {
+      const int from = relay.last_event_id().empty()
+                           ? 1
+                           : std::stoi(relay.last_event_id()) + 1;
+      const auto rest = Events(from, last);
+      received += relay.Feed(rest.substr(0, cut));
+      relay.Restart();
+    }
+    const int from = relay.last_event_id().empty()
+                         ? 1
+                         : std::stoi(relay.last_event_id()) + 1;
+    received += relay.Feed(Events(from, last));
+    RC_ASSERT(received == Events(1, last));
+  });
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/tests/intake_test.cc
@@ -0,0 +1,121 @@
+#include "gateway/intake.h"
+
+#include <doctest/doctest.h>
+
+#include "gateway/refusal.h"
+#include "gateway/true_time.h"
+
+namespace firmoor {
+namespace {
+
+const TimePoint kStart{Duration(10'000)};
+
+RouteTableContent Content() {
+  RouteTableContent content;
+  Route keyed;
+  keyed.name = "keyed";
+  keyed.host = "h";
+  keyed.path_prefix = "/keyed/";
+  keyed.services = {{"s", 1}};
+  keyed.priority = 3;
+  auto open = keyed;
+  open.name = "open";
+  open.path_prefix = "/open/";
+  open.is_public = true;
+  content.routes = {keyed, open};
+  WorkspaceProfile workspace;
+  workspace.name = "w";
+  workspace.keys = {"good"};
+  workspace.priority = 1;
+  content.workspaces = {workspace};
+  return content;
+}
+
+ForwardRequest Request(std::string target, std::string key) {
+  ForwardRequest request;
+  request.id = "r";
+  request.host = "h";
+  request.target = std::move(target);
+  request.key = std::move(key);
+  return request;
+}
+
+int StatusOf(const std::variant<IntakePass, Failure>& decided) {
+  const auto* failure = std::get_if<Failure>(&decided);
+  if (failure == nullptr) return 200;
+  return InfoOf(failure->error.code).http_status;
+}
+
+}  // namespace
+
+TEST_CASE("a request is checked against the configuration") {
+  const RouteTable table(Content());
+  Freshness freshness(Duration(1'000));
+  freshness.Confirm(kStart);
+  const auto decide = [&](const char* target, const char* key,
+                          TimePoint now = kStart) {
+    return DecideIntake(Request(target, key), &table, freshness, now);
+  };
+
+  SUBCASE("and passes with its workspace") {
+    const auto decided = decide("/keyed/a?b=c", "good");
+    const auto* pass = std::get_if<IntakePass>(&decided);
+    REQUIRE(pass != nullptr);
+    CHECK(pass->route->name == "keyed");
+    CHECK(pass->workspace->name == "w");
+    CHECK(pass->Urgency() == 1);
+  }
+  SUBCASE("and needs no key on a public route") {
+    const auto decided = decide("/open/a", "bad");
+    const auto* pass = std::get_if<IntakePass>(&decided);
+    REQUIRE(pass != nullptr);
+    CHECK(pass->workspace == nullptr);
+    CHECK(pass->Urgency() == 3);
+  }
+  SUBCASE("and refused when the route or the key is unknown") {
+    CHECK(StatusOf(decide("/other/", "good")) == 404);
+    CHECK(StatusOf(decide("/keyed/", "bad")) == 401);
+    CHECK(StatusOf(decide("/keyed/", "")) == 401);
+  }
+  SUBCASE("and not judged by a configuration that may be out of date") {
+    const auto late = kStart + Duration(1'000);
+    CHECK(StatusOf(decide("/other/", "good", late)) == 503);
+    CHECK(StatusOf(decide("/keyed/", "bad", late)) == 503);
+    CHECK(StatusOf(decide("/keyed/", "good", late)) == 503);
+    CHECK(StatusOf(decide("/open/", "", late)) == 200);
+  }
+  SUBCASE("and refused as not ready before there is one") {
+    CHECK(StatusOf(DecideIntake(Request("/keyed/", "good"), nullptr, freshness,
+                                kStart)) == 503);
+  }
+}
+
+TEST_CASE("a refusal tells when to come back in fractions of a second") {
+  const Failure failure{{ResultCode::kWorkspaceLimit, ""},
+                        RequestOutcome::kNotRun,
+                        Duration(1'250)};
+  const auto answer = MakeGatewayRefusal(failure, "r");
+  CHECK(answer.status == 429);
+  CHECK(HeaderValue(answer.headers, "Retry-After") == "1.250");
+}
+
+TEST_CASE("the time of day when clocks jump") {
+  TrueTime time(1'000'000, kStart);
+  time.Compare("a", 1'000'010, kStart);
+  time.Compare("b", 1'000'020, kStart);
+
+  SUBCASE("is the median of several clocks") {
+    time.Compare("c", 1'000'030, kStart);
+    CHECK(time.At(kStart + Duration(500)) == 1'000'520);
+  }
+  SUBCASE("does not follow one clock that jumped") {
+    time.Compare("c", 1'900'000, kStart);
+    CHECK(time.At(kStart) == 1'000'020);
+  }
+  SUBCASE("follows the daemon that compares") {
+    time.Correct(2'000'000, kStart);
+    CHECK(time.At(kStart + Duration(1)) == 2'000'001);
+  }
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/gateway/tests/scaling_duty_test.cc
@@ -0,0 +1,139 @@
+#include "gateway/scaling_duty.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace firmoor {
+namespace {
+
+const TimePoint kStart{Duration(100'000)};
+
+/// A cloud that starts engines at once, and keeps at least the minimum.
+struct World {
+  ScalingDuty::Input input;
+  ScalingDuty duty{kStart};
+  TimePoint now = kStart;
+  bool dry = false;
+  int orders = 0;
+  int next_id = 0;
+
+  World() {
+    ServiceProfile service;
+    service.name = "engine";
+    service.engine = EngineProfile{};
+    ScalingProfile scaling;
+    scaling.min_per_zone = 1;
+    scaling.max_per_zone = 6;
+    scaling.start_time = Duration(4'000);
+    scaling.zone_prices = {{"a", 1}, {"b", 0.8}, {"c", 1.25}};
+    service.scaling = scaling;
+    input.services = {service};
+    for (const auto* zone : {"a", "b", "c"}) Set(zone, false, 3);
+  }
+  void Set(const std::string& zone, bool reclaimable, int count) {
+    std::erase_if(input.upstreams, [&](const auto& held) {
+      return held.second.availability_zone == zone &&
+             held.second.reclaimable == reclaimable;
+    });
+    for (int i = 0; i < count; ++i) {
+      UpstreamEntry entry;
+      entry.id = "u" + std::to_string(next_id++);
+      entry.service = "engine";
+      entry.availability_zone = zone;
+      entry.reclaimable = reclaimable;
+      input.upstreams[entry.id] = entry;
+    }
+  }
+  void Demand(double tokens_per_s) {
+    input.loads["engine"].tokens_per_s = tokens_per_s;
+  }
+  int Count(const std::string& zone, bool reclaimable) const {
+    const auto counts = ScalingDuty::Serving(input);
+    const auto found = counts.find({"engine", zone, reclaimable});
+    return found == counts.end() ? 0 : found->second;
+  }
+  int Total() const { return static_cast<int>(input.upstreams.size()); }
+  void Run(Duration time) {
+    for (const auto end = now + time; now < end; now += Duration(250)) {
+      const auto order = duty.Next(input, now);
+      if (!order) continue;
+      ++orders;
+      const bool refused = dry && order->reclaimable &&
+                           order->count > Count(order->availability_zone, true);
+      if (!refused) {
+        Set(order->availability_zone, order->reclaimable, order->count);
+      }
+      duty.OnOrdered(
+          *order, refused ? CloudStatus::kNoCapacity : CloudStatus::kOk, now);
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("engines are ordered in two markets") {
+  World world;
+  world.Demand(200'000);
+  world.Run(Duration(20'000));
+
+  SUBCASE("with the minimum on demand and the rest reclaimable") {
+    for (const auto* zone : {"a", "b", "c"}) {
+      CHECK(world.Count(zone, false) == 1);
+      CHECK(world.Count(zone, true) >= 2);
+    }
+  }
+  SUBCASE("with few orders once they stand") {
+    const int before = world.orders;
+    world.Run(Duration(20'000));
+    CHECK(world.orders == before);
+  }
+  SUBCASE("with more when demand grows") {
+    const int before = world.Total();
+    world.Demand(400'000);
+    world.Run(Duration(3'000));
+    CHECK(world.Total() > before);
+    SUBCASE("and fewer only when it stays low") {
+      const int most = world.Total();
+      world.Demand(50'000);
+      world.Run(Duration(20'000));
+      CHECK(world.Total() == most);
+      world.Run(Duration(20'000));
+      CHECK(world.Total() < most);
+    }
+  }
+}
+
+TEST_CASE("all reclaimable engines of a zone are taken (reclaim, dry)") {
+  World world;
+  world.Demand(200'000);
+  world.Run(Duration(20'000));
+  const int needed = 7;
+  world.dry = true;
+  world.Set("a", true, 0);
+
+  SUBCASE("and enough are left") { CHECK(world.Total() >= needed); }
+  SUBCASE("and are ordered again until they can be had") {
+    world.Run(Duration(8'000));
+    CHECK(world.Count("a", true) == 0);
+    world.dry = false;
+    world.Run(Duration(4'000));
+    CHECK(world.Count("a", true) >= 2);
+  }
+  SUBCASE("and when too few are left, some are bought on demand") {
+    world.Set("b", true, 0);
+    world.Set("c", true, 0);
+    world.Run(Duration(8'000));
+    CHECK(world.Total() >= 4);
+  }
+}
+
+TEST_CASE("on-demand engines stay until reclaimable ones serve") {
+  World world;
+  world.dry = true;
+  world.Demand(200'000);
+  world.Run(Duration(10'000));
+  for (const auto* zone : {"a", "b", "c"}) CHECK(world.Count(zone, false) == 3);
+}
+
+}  // namespace firmoor
--- a/libs/http/include/http/http_call.h
+++ b/libs/http/include/http/http_call.h
@@ -17,7 +17,8 @@
   kComplete,      ///< The whole answer arrived.
   kNotConnected,  ///< No connection; no byte of the request left.
   kNoAnswer,      ///< The connection closed before the answer's head.
-  kTruncated,     ///< The connection closed inside the answer.
+  kTruncated,     ///< The connection closed inside the answer, or was reset
+                  ///< in one whose end is that of the connection.
   kMalformed,     ///< The answer is not valid HTTP.
   kSilent,        ///< No byte arrived for the idle time.
   kCancelled,     ///< `HttpCall::Cancel` was called.
@@ -33,7 +34,9 @@
 };
 
 /// Connections kept open between idempotent calls. Non-idempotent calls
-/// never use it, since an idle connection may have been dropped unseen.
+/// never use it, since an idle connection may have been dropped unseen. A
+/// connection is given up when it was idle for long, when the server says that
+/// it closes it, or when bytes arrived on it that nobody asked for.
 class HttpConnectionPool {
  public:
   HttpConnectionPool();
@@ -67,6 +70,11 @@
     Builder(Endpoint endpoint, HttpRequest request);
     ~Builder();
     Builder& Times(HttpCallTimes times);
+    /// Value of the Host header; the endpoint unless set.
+    Builder& Host(std::string host);
+    /// Asked right before the request is written; when it says no, the call
+    /// ends with `kNotConnected`.
+    Builder& SendIf(std::function<bool()> condition);
     /// Takes a kept connection when there is one and keeps it afterwards.
     /// Without a pool the connection is a fresh one and closes at the end.
     Builder& Pool(HttpConnectionPool* pool);
@@ -87,6 +95,10 @@
   /// Closes the connection; `OnEnd` gets `kCancelled`.
   void Cancel();
 
+  /// The connection is closed at the end of the call, for instance since an
+  /// answer that belongs to another request arrived on it.
+  void DropConnection();
+
   /// Stops or resumes reading, for a caller that reads slowly.
   void SetPaused(bool paused);
 
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -105,6 +105,10 @@
   /// Starts to listen; false when the endpoint cannot be had.
   bool Start();
 
+  /// Replaces the limits. Open connections keep their idle time until their
+  /// next answer.
+  void SetLimits(HttpServerLimits limits);
+
   /// Connections close with their next answer from now on, so that callers
   /// move elsewhere; new ones are still accepted.
   void StartClosing();
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -1,6 +1,10 @@
 #include "http/http_call.h"
 
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <QHostAddress>
 #include <QTcpSocket>
@@ -9,6 +13,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <charconv>
 #include <map>
 #include <optional>
 #include <utility>
@@ -26,12 +31,34 @@
 constexpr std::size_t kIdlePerEndpoint = 16;
 constexpr Duration kGrace{20};
 constexpr std::uint32_t kAnswerHeaderBytes = 64 * 1024;
+// Idle connections are used up to this age, or up to a part of the time that
+// the server announces, which it may count from earlier.
+constexpr Duration kIdleTime{4'000};
+constexpr double kIdleTimePart = 0.6;
+// A peer without power answers nothing: probes after a second of silence and
+// the bound on unacknowledged bytes find it within two seconds.
+constexpr int kProbeAfterS = 1;
+constexpr int kProbeEveryS = 1;
+constexpr int kProbes = 2;
+constexpr unsigned kUnacknowledgedMs = 2'000;
+
+void DetectDeadPeers(qintptr descriptor) {
+  const auto handle = static_cast<int>(descriptor);
+  const int on = 1;
+  const auto set = [handle](int level, int option, const auto& value) {
+    setsockopt(handle, level, option, &value, sizeof(value));
+  };
+  set(SOL_SOCKET, SO_KEEPALIVE, on);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterS);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kProbeEveryS);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs);
+}
 
-std::string Serialize(const Endpoint& endpoint, const HttpRequest& request,
+std::string Serialize(const std::string& host, const HttpRequest& request,
                       bool keep) {
-  std::string text =
-      fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method,
-                  request.target, endpoint.ToString());
+  std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n",
+                                 request.method, request.target, host);
   for (const auto& header : request.headers) {
     if (IsConnectionHeader(header.name)) continue;
     text += fmt::format("{}: {}\r\n", header.name, header.value);
@@ -55,28 +82,87 @@
 };
 using SocketPtr = std::unique_ptr<QTcpSocket, SocketDeleter>;
 
+/// Tells how a connection ended after the socket object has closed it: Qt
+/// reports a reset and a close in good order as the same error.
+class EndProbe {
+ public:
+  EndProbe() = default;
+  explicit EndProbe(qintptr descriptor)
+      : descriptor_(dup(static_cast<int>(descriptor))) {}
+  EndProbe(EndProbe&& other) noexcept
+      : descriptor_(std::exchange(other.descriptor_, -1)) {}
+  EndProbe& operator=(EndProbe&& other) noexcept {
+    std::swap(descriptor_, other.descriptor_);
+    return *this;
+  }
+  ~EndProbe() {
+    if (descriptor_ >= 0) close(descriptor_);
+  }
+
+  /// After a reset the system does not know the peer any more.
+  [[nodiscard]] bool WasReset() const {
+    if (descriptor_ < 0) return false;
+    sockaddr_storage peer{};
+    socklen_t length = sizeof(peer);
+    return getpeername(descriptor_, reinterpret_cast<sockaddr*>(&peer),
+                       &length) != 0;
+  }
+
+ private:
+  int descriptor_ = -1;
+};
+
+/// How long the server lets a connection idle, from its Keep-Alive header.
+Duration IdleTimeOf(std::string_view keep_alive) {
+  constexpr std::string_view kName = "timeout=";
+  const auto at = keep_alive.find(kName);
+  if (at == std::string_view::npos) return kIdleTime;
+  const auto digits = keep_alive.substr(at + kName.size());
+  int seconds = 0;
+  const auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc()) return kIdleTime;
+  const auto announced = static_cast<std::int64_t>(seconds * 1'000);
+  return std::min(kIdleTime,
+                  Duration(static_cast<std::int64_t>(
+                      static_cast<double>(announced) * kIdleTimePart)));
+}
+
+/// A connection that waits for its next call.
+struct IdleConnection {
+  SocketPtr socket;
+  TimePoint usable_until;
+};
+
 }  // namespace
 
 struct HttpConnectionPool::Impl {
-  std::map<Endpoint, std::vector<SocketPtr>> idle;
+  std::map<Endpoint, std::vector<IdleConnection>> idle;
 
   SocketPtr Take(const Endpoint& endpoint) {
     auto& sockets = idle[endpoint];
     while (!sockets.empty()) {
-      SocketPtr socket = std::move(sockets.back());
+      IdleConnection connection = std::move(sockets.back());
       sockets.pop_back();
-      const bool usable = socket->state() == QAbstractSocket::ConnectedState &&
-                          socket->bytesAvailable() == 0;
-      if (usable) return socket;
+      const bool usable =
+          connection.socket->state() == QAbstractSocket::ConnectedState &&
+          connection.socket->bytesAvailable() == 0 &&
+          MonotonicNow() < connection.usable_until;
+      if (usable) return std::move(connection.socket);
     }
+    idle.erase(endpoint);
     return nullptr;
   }
 
-  void Keep(const Endpoint& endpoint, SocketPtr socket) {
+  void Keep(const Endpoint& endpoint, SocketPtr socket, Duration idle_time) {
     auto& sockets = idle[endpoint];
-    if (sockets.size() >= kIdlePerEndpoint) return;
+    const auto now = MonotonicNow();
+    std::erase_if(sockets, [now](const IdleConnection& connection) {
+      return now >= connection.usable_until;
+    });
+    if (sockets.size() >= kIdlePerEndpoint || idle_time <= Duration(0)) return;
     socket->disconnect();
-    sockets.push_back(std::move(socket));
+    sockets.push_back({std::move(socket), now + idle_time});
   }
 };
 
@@ -91,8 +177,10 @@
     : std::enable_shared_from_this<HttpCall::Builder::Impl> {
   Endpoint endpoint;
   HttpRequest request;
+  std::string host;
   HttpCallTimes times;
   HttpConnectionPool* pool = nullptr;
+  std::function<bool()> send_if;
   std::function<void(int, const HttpHeaders&)> on_head;
   std::function<void(std::string_view)> on_body;
   std::function<void(HttpCallEnd)> on_end;
@@ -106,8 +194,10 @@
   bool paused = false;
   bool ended = false;
   bool in_grace = false;
+  EndProbe end_probe;  ///< Of an answer whose end is the connection's.
 
   void Start();
+  void ResetParser();
   void Connect();
   void SendRequest();
   void OnTimeout();
@@ -119,12 +209,16 @@
   void End(HttpCallEnd end);
 };
 
-void HttpCall::Builder::Impl::Start() {
+void HttpCall::Builder::Impl::ResetParser() {
   parser.emplace();
   parser->eager(true);
   parser->header_limit(kAnswerHeaderBytes);
   parser->body_limit(boost::none);
   if (request.method == "HEAD") parser->skip(true);
+}
+
+void HttpCall::Builder::Impl::Start() {
+  ResetParser();
   timer.setSingleShot(true);
   QObject::connect(&timer, &QTimer::timeout, &timer, [this] { OnTimeout(); });
   if (pool != nullptr) socket = pool->impl_->Take(endpoint);
@@ -148,13 +242,16 @@
 }
 
 void HttpCall::Builder::Impl::SendRequest() {
+  if (send_if && !send_if()) return End(HttpCallEnd::kNotConnected);
   QObject::connect(socket.get(), &QTcpSocket::readyRead, &timer,
                    [this] { Read(); });
   QObject::connect(socket.get(), &QTcpSocket::disconnected, &timer,
                    [this] { OnClosed(); });
+  DetectDeadPeers(socket->socketDescriptor());
   socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   socket->setReadBufferSize(kReadBytes);
-  const std::string text = Serialize(endpoint, request, pool != nullptr);
+  const std::string text = Serialize(host.empty() ? endpoint.ToString() : host,
+                                     request, pool != nullptr);
   may_have_left = true;
   timer.start(times.first_byte);
   socket->write(text.data(), static_cast<qint64>(text.size()));
@@ -193,6 +290,10 @@
     if (error && error != http::error::need_more) {
       return End(HttpCallEnd::kMalformed);
     }
+    if (parser->is_done() && parser->get().result_int() / 100 == 1) {
+      ResetParser();  // An interim answer precedes the real one.
+      continue;
+    }
     PassHead();
     PassBody();
     if (error == http::error::need_more) break;
@@ -205,6 +306,7 @@
 void HttpCall::Builder::Impl::PassHead() {
   if (ended || head_passed || !parser->is_header_done()) return;
   head_passed = true;
+  if (parser->need_eof()) end_probe = EndProbe(socket->socketDescriptor());
   HttpHeaders headers;
   for (const auto& field : parser->get()) {
     headers.push_back(
@@ -227,6 +329,7 @@
   Read();
   if (ended) return;
   if (!head_passed) return End(HttpCallEnd::kNoAnswer);
+  if (end_probe.WasReset()) return End(HttpCallEnd::kTruncated);
   beast::error_code error;
   parser->put_eof(error);
   End(error ? HttpCallEnd::kTruncated : HttpCallEnd::kComplete);
@@ -241,11 +344,15 @@
   const bool keep = end == HttpCallEnd::kComplete && pool != nullptr &&
                     parser->get().keep_alive() && !parser->need_eof() &&
                     socket && buffer.size() == 0 &&
+                    socket->bytesAvailable() == 0 &&
+                    socket->bytesToWrite() == 0 &&
                     socket->state() == QAbstractSocket::ConnectedState;
   if (keep) {
-    pool->impl_->Keep(endpoint, std::move(socket));
+    const std::string_view keep_alive = parser->get()[http::field::keep_alive];
+    pool->impl_->Keep(endpoint, std::move(socket), IdleTimeOf(keep_alive));
   } else {
     socket.reset();
+    end_probe = {};
   }
   if (on_end) std::exchange(on_end, nullptr)(end);
 }
@@ -263,6 +370,16 @@
   return *this;
 }
 
+HttpCall::Builder& HttpCall::Builder::Host(std::string host) {
+  impl_->host = std::move(host);
+  return *this;
+}
+
+HttpCall::Builder& HttpCall::Builder::SendIf(std::function<bool()> condition) {
+  impl_->send_if = std::move(condition);
+  return *this;
+}
+
 HttpCall::Builder& HttpCall::Builder::Pool(HttpConnectionPool* pool) {
   impl_->pool = pool;
   return *this;
@@ -311,6 +428,8 @@
 
 void HttpCall::Cancel() { impl_->End(HttpCallEnd::kCancelled); }
 
+void HttpCall::DropConnection() { impl_->pool = nullptr; }
+
 void HttpCall::SetPaused(bool paused) {
   if (impl_->paused == paused || impl_->ended) return;
   impl_->paused = paused;
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -158,6 +158,10 @@
   return listening;
 }
 
+void HttpServer::SetLimits(HttpServerLimits limits) {
+  impl_->context->limits = limits;
+}
+
 void HttpServer::StartClosing() { impl_->context->closing = true; }
 
 void HttpServer::StopListening() {
--- a/libs/http/tests/http_call_test.cc
+++ b/libs/http/tests/http_call_test.cc
@@ -1,7 +1,10 @@
 #include "http/http_call.h"
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
 
+#include <QTimer>
+#include <cstring>
 #include <optional>
 #include <string>
 
@@ -177,4 +180,77 @@
   CHECK(second.result->answer.body != "unasked");
 }
 
+TEST_CASE("an answer whose end is that of its connection") {
+  bool reset = false;
+  RawUpstream upstream([&](auto& connection) {
+    connection.socket->write("HTTP/1.1 200 OK\r\n\r\nhalf or whole");
+    connection.socket->flush();
+    QTimer::singleShot(30, connection.socket, [&, s = connection.socket] {
+      if (!reset) return s->disconnectFromHost();
+      const linger now{1, 0};
+      setsockopt(static_cast<int>(s->socketDescriptor()), SOL_SOCKET, SO_LINGER,
+                 &now, sizeof(now));
+      s->abort();
+    });
+  });
+
+  SUBCASE("is whole when the connection was closed in good order") {
+    Exchange call(upstream.Address(), Make("GET"));
+    REQUIRE(call.Wait());
+    CHECK(call.result->end == HttpCallEnd::kComplete);
+  }
+  SUBCASE("is incomplete when the connection was reset") {
+    reset = true;
+    Exchange call(upstream.Address(), Make("GET"));
+    REQUIRE(call.Wait());
+    CHECK(call.result->end == HttpCallEnd::kTruncated);
+  }
+}
+
+TEST_CASE("a kept connection is given up") {
+  HttpConnectionPool pool;
+  int connections = 0;
+
+  SUBCASE("when the server announces to close it soon") {
+    RawUpstream upstream([&](auto& connection) {
+      connections += connection.requests == 1 ? 1 : 0;
+      connection.socket->write(
+          "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"
+          "Content-Length: 0\r\n\r\n");
+    });
+    for (int i = 0; i < 2; ++i) {
+      Exchange call(upstream.Address(), Make("GET"), &pool);
+      REQUIRE(call.Wait());
+    }
+    CHECK(connections == 2);
+  }
+  SUBCASE("when bytes arrived on it that nobody asked for") {
+    RawUpstream upstream([&](auto& connection) {
+      connections += connection.requests == 1 ? 1 : 0;
+      Answer(connection, "one");
+      connection.socket->flush();
+      QTimer::singleShot(10, connection.socket,
+                         [s = connection.socket] { s->write("HTTP/1.1 2"); });
+    });
+    for (int i = 0; i < 2; ++i) {
+      Exchange call(upstream.Address(), Make("GET"), &pool);
+      REQUIRE(call.Wait());
+      CHECK(call.result->answer.body == "one");
+      RunFor(50);
+    }
+    CHECK(connections == 2);
+  }
+}
+
+TEST_CASE("an interim answer is not the answer") {
+  RawUpstream upstream([](auto& connection) {
+    connection.socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    Answer(connection, "real");
+  });
+  Exchange call(upstream.Address(), Make("POST", "x"));
+  REQUIRE(call.Wait());
+  CHECK(call.result->answer.status == 200);
+  CHECK(call.result->answer.body == "real");
+}
+
 }  // namespace firmoor
--- /dev/null
+++ b/libs/limits/src/usage_ledger.cc
@@ -0,0 +1,44 @@
+#include "limits/usage_ledger.h"
+
+#include "base/invariant.h"
+
+namespace firmoor {
+
+UsageLedger::UsageLedger(std::int64_t window_ms) : window_ms_(window_ms) {
+  FIRMOOR_PRECONDITION(window_ms > 0, "a window has a length");
+}
+
+std::int64_t UsageLedger::WindowOf(std::int64_t true_ms) const {
+  return true_ms / window_ms_;
+}
+
+void UsageLedger::Count(const std::string& workspace, std::int64_t true_ms) {
+  ++windows_[WindowOf(true_ms)][workspace];
+}
+
+void UsageLedger::DropBefore(std::int64_t window) {
+  windows_.erase(windows_.begin(), windows_.lower_bound(window));
+}
+
+void UsageTotals::OnReport(const std::string& life,
+                           const UsageByWindow& windows) {
+  for (const auto& [window, counts] : windows) {
+    by_life_[window][life] = counts;
+  }
+}
+
+UsageCounts UsageTotals::Sum(std::int64_t window) const {
+  UsageCounts total;
+  const auto found = by_life_.find(window);
+  if (found == by_life_.end()) return total;
+  for (const auto& [life, counts] : found->second) {
+    for (const auto& [workspace, count] : counts) total[workspace] += count;
+  }
+  return total;
+}
+
+void UsageTotals::DropBefore(std::int64_t window) {
+  by_life_.erase(by_life_.begin(), by_life_.lower_bound(window));
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/limits/tests/quota_test.cc
@@ -0,0 +1,134 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "limits/quota_allowance.h"
+#include "limits/quota_pool.h"
+
+namespace firmoor {
+namespace {
+
+const TimePoint kStart{Duration(50'000)};
+constexpr QuotaLimit kLimit{100, 200, Duration(8'000)};  // 1,000 a window.
+
+/// Daemons that report to one pool each second.
+struct Fleet {
+  QuotaPool pool;
+  std::vector<QuotaAllowance> daemons;
+  TimePoint now = kStart;
+  std::deque<std::pair<TimePoint, double>> passed;
+  double most = 0;  ///< Most tokens that passed in one window.
+
+  explicit Fleet(std::size_t count) {
+    daemons.assign(
+        count,
+        QuotaAllowance(kLimit, {1.0 / static_cast<double>(count), 0}, kStart));
+    ReportAll();
+  }
+  void Report(std::size_t index) {
+    const auto use = daemons[index].Report(now);
+    daemons[index].OnGrant(pool.Grant(std::to_string(index), use, kLimit, now),
+                           now);
+  }
+  void ReportAll() {
+    for (std::size_t i = 0; i < daemons.size(); ++i) Report(i);
+  }
+  bool Ask(std::size_t index, double tokens) {
+    if (daemons[index].TakeOrWait(tokens, now)) {
+      // Asks the coordinator for more and tries once again.
+      Report(index);
+      if (daemons[index].TakeOrWait(tokens, now)) return false;
+    }
+    passed.emplace_back(now, tokens);
+    while (passed.front().first < now - kLimit.window) passed.pop_front();
+    double sum = 0;
+    for (const auto& [at, amount] : passed) sum += amount;
+    most = std::max(most, sum);
+    return true;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a daemon's allowance of a quota") {
+  QuotaAllowance allowance(kLimit, {0.5, 0}, kStart);
+  allowance.Report(kStart);
+  allowance.OnGrant(100, kStart);
+
+  SUBCASE("lets requests pass until it is used up, then tells to come back") {
+    CHECK_FALSE(allowance.TakeOrWait(60, kStart));
+    CHECK(allowance.TakeOrWait(60, kStart) == Duration(400));
+    CHECK(allowance.IsShort());
+    CHECK_FALSE(allowance.TakeOrWait(40, kStart));
+  }
+  SUBCASE("counts what passed while a report was under way") {
+    CHECK(allowance.Report(kStart).passed == 0);
+    CHECK_FALSE(allowance.TakeOrWait(80, kStart));
+    allowance.OnGrant(100, kStart);
+    CHECK(allowance.TakeOrWait(30, kStart));
+  }
+  SUBCASE("may be overdrawn by a prompt that is larger than it") {
+    allowance.SetLimit(kLimit, {0.5, 50});
+    CHECK_FALSE(allowance.TakeOrWait(140, kStart));
+    CHECK(allowance.TakeOrWait(20, kStart));
+  }
+  SUBCASE("grows by an equal part when the coordinator is away") {
+    CHECK_FALSE(allowance.TakeOrWait(100, kStart));
+    CHECK(allowance.TakeOrWait(50, kStart + Duration(2'500)));
+    CHECK_FALSE(allowance.TakeOrWait(50, kStart + Duration(3'500)));
+  }
+  SUBCASE("reports what passed and what was asked in the window") {
+    CHECK_FALSE(allowance.TakeOrWait(60, kStart));
+    CHECK(allowance.TakeOrWait(60, kStart));
+    CHECK(allowance.Report(kStart) == QuotaUse{60, 120, 60});
+    CHECK(allowance.Report(kStart + Duration(8'001)) == QuotaUse{});
+  }
+}
+
+TEST_CASE("a quota far above what is asked (lumps of large prompts)") {
+  Fleet fleet(8);
+  int refused = 0;
+  // Eight daemons, one prompt of 55 tokens a second at changing ones: half of
+  // the quota, although one prompt is half of a daemon's equal burst.
+  for (int second = 0; second < 60; ++second) {
+    const auto index = static_cast<std::size_t>(second * 5 % 8);
+    if (!fleet.Ask(index, 55)) ++refused;
+    fleet.now += Duration(1'000);
+    fleet.ReportAll();
+  }
+  CHECK(refused == 0);
+}
+
+TEST_CASE("a workspace that asks for many times its quota (hot tenant)") {
+  Fleet fleet(8);
+  double passed = 0;
+  for (int step = 0; step < 400; ++step) {
+    const auto index = static_cast<std::size_t>(step % 8);
+    if (fleet.Ask(index, 20)) passed += 20;
+    fleet.now += Duration(50);
+    if (step % 20 == 0) fleet.ReportAll();
+  }
+  SUBCASE("never gets more than its quota in any window") {
+    CHECK(fleet.most <= kLimit.PerWindow());
+  }
+  SUBCASE("gets most of its quota") { CHECK(passed > 0.8 * 2'500); }
+}
+
+TEST_CASE("all daemons together never let more than a quota pass") {
+  rc::check([](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& asks) {
+    Fleet fleet(4);
+    for (const auto& [tokens, wait] : asks) {
+      // Reports stay within the lifetime of a grant.
+      fleet.now += Duration(wait * 4);
+      fleet.Report(tokens % 4);
+      fleet.Ask(tokens % 4, tokens);
+      if (wait % 2 == 0) fleet.ReportAll();
+    }
+    RC_ASSERT(fleet.most <= kLimit.PerWindow() + 400);
+  });
+}
+
+}  // namespace firmoor
--- a/libs/placement/src/lease.cc
+++ b/libs/placement/src/lease.cc
@@ -20,9 +20,12 @@
 }
 
 QByteArray LeaseKeeper::Encode(std::int64_t fencing) const {
-  // The renewal changes the object's version, which is what others watch.
-  return QCborValue(QCborArray{QString::fromStdString(daemon_),
-                               static_cast<qint64>(fencing)})
+  // A renewal must change the object's version, which is what others watch,
+  // and some stores keep the version of an object that is written unchanged.
+  return QCborValue(
+             QCborArray{
+                 QString::fromStdString(daemon_), static_cast<qint64>(fencing),
+                 static_cast<qint64>(sent_at_.time_since_epoch().count())})
       .toCbor();
 }
 
--- /dev/null
+++ b/libs/platform/include/platform/kind_follower.h
@@ -0,0 +1,47 @@
+#ifndef FIRMOOR_PLATFORM_KIND_FOLLOWER_H_
+#define FIRMOOR_PLATFORM_KIND_FOLLOWER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "platform/kind_store.h"
+
+namespace firmoor {
+
+/// Keeps up with the objects of one kind: lists them once, then waits for
+/// changes again and again; lists again when the history is gone. Failed calls
+/// are repeated with growing pauses. Lives in the event loop.
+class KindFollower {
+ public:
+  struct Hooks {
+    /// The whole content, as of a moment after `asked_at`.
+    std::function<void(const std::vector<KindObject>&, TimePoint asked_at)>
+        on_list;
+    /// Some changes, and that nothing else changed before `asked_at`. Also
+    /// called without changes, as a proof that the content is the newest.
+    std::function<void(const std::vector<KindChange>&, TimePoint asked_at)>
+        on_changes;
+    /// A call failed; the content may be old from now on.
+    std::function<void()> on_outage;
+    /// The first answer after a failure.
+    std::function<void()> on_regained;
+  };
+
+  /// `wait`: longest time between two proofs that the content is the newest.
+  KindFollower(KindStore* store, std::string kind, Duration wait, Hooks hooks);
+  ~KindFollower();
+
+  void Start();
+  void Stop();
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_PLATFORM_KIND_FOLLOWER_H_
--- a/libs/platform/include/platform/object_store.h
+++ b/libs/platform/include/platform/object_store.h
@@ -13,6 +13,7 @@
   kOk,
   kNotFound,     ///< No such object.
   kConflict,     ///< The object is not at the expected version.
+  kHistoryGone,  ///< The changes asked for are not kept any more.
   kUnavailable,  ///< No answer; a write may have taken effect.
 };
 
--- /dev/null
+++ b/libs/platform/src/kind_follower.cc
@@ -0,0 +1,134 @@
+#include "platform/kind_follower.h"
+
+#include <QRandomGenerator>
+#include <QTimer>
+#include <algorithm>
+#include <utility>
+
+namespace firmoor {
+namespace {
+
+// Pauses between failed calls: short at first, since a lost connection is
+// mostly back at once, and long enough to spare a store that is overloaded.
+constexpr Duration kFirstPause{50};
+constexpr Duration kLongestPause{800};
+// Pauses are spread by half, so that daemons that lost the store together do
+// not return together.
+constexpr double kJitter = 0.5;
+
+}  // namespace
+
+struct KindFollower::Impl : std::enable_shared_from_this<KindFollower::Impl> {
+  KindStore* store = nullptr;
+  std::string kind;
+  Duration wait{0};
+  Hooks hooks;
+  QTimer timer;
+  bool running = false;
+  bool listed = false;
+  bool failed = false;
+  std::int64_t revision = 0;
+  Duration pause = kFirstPause;
+
+  void Next();
+  void List();
+  void Wait();
+  void OnList(const KindListing& listing, TimePoint asked_at);
+  void OnChanges(const KindChanges& changes, TimePoint asked_at);
+  void OnGood();
+  void OnFailed();
+};
+
+void KindFollower::Impl::Next() {
+  if (!running) return;
+  if (listed) {
+    Wait();
+  } else {
+    List();
+  }
+}
+
+void KindFollower::Impl::List() {
+  const auto asked_at = MonotonicNow();
+  store->List(kind, [weak = weak_from_this(), asked_at](KindListing listing) {
+    const auto self = weak.lock();
+    if (self && self->running) self->OnList(listing, asked_at);
+  });
+}
+
+void KindFollower::Impl::Wait() {
+  const auto asked_at = MonotonicNow();
+  // After a failure an answer at once tells how things stand.
+  const auto wait_now = failed ? Duration(0) : wait;
+  store->WaitForChanges(
+      kind, revision, wait_now,
+      [weak = weak_from_this(), asked_at](KindChanges changes) {
+        const auto self = weak.lock();
+        if (self && self->running) self->OnChanges(changes, asked_at);
+      });
+}
+
+void KindFollower::Impl::OnList(const KindListing& listing,
+                                TimePoint asked_at) {
+  if (listing.status != StoreStatus::kOk) return OnFailed();
+  listed = true;
+  revision = listing.revision;
+  OnGood();
+  hooks.on_list(listing.objects, asked_at);
+  Next();
+}
+
+void KindFollower::Impl::OnChanges(const KindChanges& changes,
+                                   TimePoint asked_at) {
+  if (changes.status == StoreStatus::kHistoryGone) {
+    listed = false;
+    return Next();
+  }
+  if (changes.status != StoreStatus::kOk) return OnFailed();
+  revision = std::max(revision, changes.revision);
+  OnGood();
+  hooks.on_changes(changes.changes, asked_at);
+  Next();
+}
+
+void KindFollower::Impl::OnGood() {
+  pause = kFirstPause;
+  if (std::exchange(failed, false) && hooks.on_regained) hooks.on_regained();
+}
+
+void KindFollower::Impl::OnFailed() {
+  failed = true;
+  if (hooks.on_outage) hooks.on_outage();
+  const double spread =
+      1.0 + kJitter * (QRandomGenerator::global()->generateDouble() - 0.5);
+  timer.start(Duration(
+      static_cast<std::int64_t>(static_cast<double>(pause.count()) * spread)));
+  pause = std::min(kLongestPause, pause * 2);
+}
+
+KindFollower::KindFollower(KindStore* store, std::string kind, Duration wait,
+                           Hooks hooks)
+    : impl_(std::make_shared<Impl>()) {
+  impl_->store = store;
+  impl_->kind = std::move(kind);
+  impl_->wait = wait;
+  impl_->hooks = std::move(hooks);
+  impl_->timer.setSingleShot(true);
+  auto* state = impl_.get();
+  QObject::connect(&state->timer, &QTimer::timeout, &state->timer,
+                   [state] { state->Next(); });
+}
+
+KindFollower::~KindFollower() { Stop(); }
+
+void KindFollower::Start() {
+  impl_->running = true;
+  impl_->Next();
+}
+
+void KindFollower::Stop() {
+  impl_->running = false;
+  impl_->timer.stop();
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/routing/include/routing/upstream_catalog.h
@@ -0,0 +1,71 @@
+#ifndef FIRMOOR_ROUTING_UPSTREAM_CATALOG_H_
+#define FIRMOOR_ROUTING_UPSTREAM_CATALOG_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "http/message.h"
+
+namespace firmoor {
+
+/// What an upstream says of itself in the platform's store.
+struct UpstreamEntry {
+  std::string id;
+  std::int64_t born_ms = 0;  ///< Start of this life, Unix ms; 0: not told.
+  std::string service;
+  std::string availability_zone;
+  Endpoint endpoint;
+  std::int64_t slots = 1;
+  bool leaving = false;
+  bool reclaimable = false;
+  Duration slow_for{0};  ///< How long it stays slow after its start.
+
+  bool operator==(const UpstreamEntry&) const = default;
+};
+
+/// Upstreams that may get work. An upstream that leaves never comes back in
+/// the same life, whatever a source says later. While the store is away its
+/// entries lapse although the upstreams live, so removals seen soon after an
+/// outage wait until the entries had time to return. Pure.
+class UpstreamCatalog {
+ public:
+  /// `return_time`: how long lapsed entries may take to return after an
+  /// outage of the store.
+  explicit UpstreamCatalog(Duration return_time);
+
+  /// Takes a whole list; entries that are missing are removed.
+  void ApplyAll(const std::vector<UpstreamEntry>& entries, TimePoint now);
+  void Apply(const UpstreamEntry& entry);
+  void Remove(const std::string& id, TimePoint now);
+
+  /// The store failed a call now, so entries may be lapsing.
+  void NoteOutage(TimePoint now);
+
+  /// The upstream itself, or an answer in its place, said that it leaves.
+  void MarkLeaving(const std::string& id);
+
+  /// Carries out removals that are due. Call before reading.
+  void Settle(TimePoint now);
+
+  /// When `Settle` has work next.
+  [[nodiscard]] std::optional<TimePoint> NextRemoval() const;
+
+  [[nodiscard]] const UpstreamEntry* Find(const std::string& id) const;
+  [[nodiscard]] const std::map<std::string, UpstreamEntry>& all() const {
+    return entries_;
+  }
+
+ private:
+  Duration return_time_;
+  std::map<std::string, UpstreamEntry> entries_;
+  std::map<std::string, TimePoint> removals_;
+  std::optional<TimePoint> outage_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_ROUTING_UPSTREAM_CATALOG_H_
--- /dev/null
+++ b/libs/routing/include/routing/upstream_picker.h
@@ -0,0 +1,144 @@
+#ifndef FIRMOOR_ROUTING_UPSTREAM_PICKER_H_
+#define FIRMOOR_ROUTING_UPSTREAM_PICKER_H_
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+#include "routing/route_table.h"
+#include "routing/upstream_catalog.h"
+
+namespace firmoor {
+
+/// A part of a prompt; prompts share leading parts.
+struct PromptPart {
+  std::uint64_t id = 0;
+  double tokens = 0;
+
+  bool operator==(const PromptPart&) const = default;
+};
+
+/// What the picker must know of a request.
+struct PickRequest {
+  std::string service;
+  std::vector<PromptPart> parts;  ///< The last one is the request's own.
+  double prompt_tokens = 0;
+  std::set<std::string> exclude;  ///< Upstreams that were tried before.
+
+  bool operator==(const PickRequest&) const = default;
+};
+
+/// One request at one upstream, from its sending to its end.
+struct PickTicket {
+  std::string upstream;  ///< Empty when the request is nowhere.
+  double prefill_tokens = 0;
+  bool has_started = false;
+
+  bool operator==(const PickTicket&) const = default;
+};
+
+/// How a request at an upstream ended, as far as the upstream is to blame.
+enum class UpstreamVerdict {
+  kGood,
+  kRefused,      ///< It said that it is full.
+  kFailed,       ///< It answered with a failure, or broke the answer off.
+  kUnreachable,  ///< It cannot be reached, or fell silent.
+  kNeutral,      ///< The caller left, or the time was over.
+};
+
+/// Chooses the upstream of each request. Engines: by the expected time to the
+/// first event, with a home for each prompt by rendezvous hashing, so that all
+/// daemons send a prompt's requests to the same engine without talking. Plain
+/// upstreams: the least busy of the nearest. Health checks are not believed:
+/// upstreams that fail requests are left out for a growing time, unless all
+/// fail. Pure.
+class UpstreamPicker {
+ public:
+  /// Where the daemon runs, and the region of each availability zone.
+  struct Location {
+    std::string availability_zone;
+    std::map<std::string, std::string> regions;
+
+    bool operator==(const Location&) const = default;
+  };
+
+  explicit UpstreamPicker(Location location);
+
+  /// Takes the upstreams that exist; state of those that stay is kept.
+  void SetUpstreams(const std::map<std::string, UpstreamEntry>& entries);
+  /// Takes the profiles of services, which tell engines from plain services.
+  void SetServices(const std::vector<ServiceProfile>& services);
+
+  /// The upstream for `request`; none when all are full, away or excluded.
+  [[nodiscard]] std::optional<UpstreamEntry> Pick(const PickRequest& request,
+                                                  TimePoint now);
+
+  /// Whether any upstream of the service takes work, full or not.
+  [[nodiscard]] bool HasUsable(const std::string& service) const;
+
+  /// The request was sent. Keep the ticket until its end.
+  PickTicket OnSend(const std::string& id, const PickRequest& request);
+  /// The first event arrived: its prompt is read.
+  void OnFirstEvent(PickTicket* ticket);
+  /// The request left the upstream; the ticket is empty then.
+  void OnEnd(PickTicket* ticket, UpstreamVerdict verdict, TimePoint now);
+
+  [[nodiscard]] std::int64_t InFlight(const std::string& id) const;
+  /// Requests of this daemon at upstreams of `service`.
+  [[nodiscard]] std::int64_t ServiceInFlight(const std::string& service) const;
+  [[nodiscard]] bool IsEjected(const std::string& id, TimePoint now) const;
+
+ private:
+  /// Parts that were sent to an upstream lately, newest first.
+  struct PartMemory {
+    std::list<std::uint64_t> order;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> where;
+
+    void Touch(std::uint64_t part);
+    [[nodiscard]] bool Has(std::uint64_t part) const;
+  };
+  struct Upstream {
+    UpstreamEntry entry;
+    std::int64_t in_flight = 0;
+    double queued_tokens = 0;  ///< Sent by this daemon, not read yet.
+    int failures = 0;          ///< In a row.
+    int ejections = 0;         ///< In a row.
+    TimePoint ejected_until;
+    PartMemory parts;
+  };
+  struct Candidate {
+    const Upstream* upstream = nullptr;
+    double cost = 0;
+    std::uint64_t rank = 0;
+  };
+
+  [[nodiscard]] bool IsRemote(const UpstreamEntry& entry) const;
+  [[nodiscard]] std::vector<const Upstream*> Usable(const PickRequest& request,
+                                                    TimePoint now) const;
+  [[nodiscard]] bool HasRoom(const Upstream& upstream) const;
+  [[nodiscard]] static std::uint64_t HomeKey(const PickRequest& request);
+  [[nodiscard]] static double UncachedTokens(const Upstream& upstream,
+                                             const PickRequest& request,
+                                             bool is_home);
+  [[nodiscard]] double Cost(const Upstream& upstream,
+                            const PickRequest& request, bool is_home) const;
+  [[nodiscard]] std::optional<UpstreamEntry> Best(
+      const std::vector<const Upstream*>& usable,
+      const PickRequest& request) const;
+  void NoteVerdict(Upstream* upstream, UpstreamVerdict verdict, TimePoint now);
+
+  Location location_;
+  std::map<std::string, Upstream> upstreams_;
+  std::map<std::string, ServiceProfile> services_;
+  std::uint64_t turn_ = 0;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_ROUTING_UPSTREAM_PICKER_H_
--- /dev/null
+++ b/libs/routing/src/upstream_catalog.cc
@@ -0,0 +1,81 @@
+#include "routing/upstream_catalog.h"
+
+#include <algorithm>
+#include <set>
+
+namespace firmoor {
+
+UpstreamCatalog::UpstreamCatalog(Duration return_time)
+    : return_time_(return_time) {}
+
+void UpstreamCatalog::ApplyAll(const std::vector<UpstreamEntry>& entries,
+                               TimePoint now) {
+  std::set<std::string> listed;
+  for (const auto& entry : entries) {
+    listed.insert(entry.id);
+    Apply(entry);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : entries_) {
+    if (!listed.contains(id)) missing.push_back(id);
+  }
+  for (const auto& id : missing) Remove(id, now);
+}
+
+void UpstreamCatalog::Apply(const UpstreamEntry& entry) {
+  removals_.erase(entry.id);
+  const auto found = entries_.find(entry.id);
+  const bool same_life =
+      found != entries_.end() && found->second.born_ms == entry.born_ms;
+  const bool was_leaving = same_life && found->second.leaving;
+  auto& held = entries_[entry.id];
+  held = entry;
+  held.leaving = entry.leaving || was_leaving;
+}
+
+void UpstreamCatalog::Remove(const std::string& id, TimePoint now) {
+  if (!entries_.contains(id)) return;
+  const bool may_return = outage_ && now - *outage_ < return_time_;
+  if (!may_return) {
+    entries_.erase(id);
+    removals_.erase(id);
+    return;
+  }
+  removals_.try_emplace(id, *outage_ + return_time_);
+}
+
+void UpstreamCatalog::NoteOutage(TimePoint now) {
+  outage_ = now;
+  for (auto& [id, due] : removals_) due = std::max(due, now + return_time_);
+}
+
+void UpstreamCatalog::MarkLeaving(const std::string& id) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) found->second.leaving = true;
+}
+
+void UpstreamCatalog::Settle(TimePoint now) {
+  for (auto it = removals_.begin(); it != removals_.end();) {
+    if (it->second > now) {
+      ++it;
+      continue;
+    }
+    entries_.erase(it->first);
+    it = removals_.erase(it);
+  }
+}
+
+std::optional<TimePoint> UpstreamCatalog::NextRemoval() const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, due] : removals_) {
+    if (!next || due < *next) next = due;
+  }
+  return next;
+}
+
+const UpstreamEntry* UpstreamCatalog::Find(const std::string& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/routing/src/upstream_picker.cc
@@ -0,0 +1,260 @@
+#include "routing/upstream_picker.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/invariant.h"
+
+namespace firmoor {
+namespace {
+
+// Tokens a second that an engine prefills, until measured: the order of
+// magnitude of the deployments' engines (54.6 tokens a ms).
+constexpr double kPrefillTokensPerS = 50'000;
+// Reading shared parts again also delays the streams beside it, so it counts
+// more than its own time (see docs/PLATFORM.md).
+constexpr double kRereadFactor = 2.0;
+// Slowdown of a first event by each request that runs beside it: the step
+// time grows by 0.12 ms a running request, over some 60 steps.
+constexpr double kInterferenceS = 0.007;
+// Cost of leaving the zone and the region, from their delays and prices.
+constexpr double kOtherZoneS = 0.002;
+constexpr double kOtherRegionS = 0.08;
+// Time of a plain request, to weigh queues against distance.
+constexpr double kPlainWorkS = 0.03;
+// Parts remembered for one upstream: over 16 times the parts that fill one.
+constexpr std::size_t kPartsRemembered = 1'024;
+// Failures in a row that a sound upstream hardly shows: with a seventh of the
+// requests failing anyway, one in 2,000.
+constexpr int kFailuresToEject = 4;
+constexpr Duration kFirstEjection{1'000};
+constexpr int kMaxEjectionDoublings = 3;
+// Own requests at one plain upstream, in multiples of its slots.
+constexpr std::int64_t kPlainQueueFactor = 2;
+
+}  // namespace
+
+void UpstreamPicker::PartMemory::Touch(std::uint64_t part) {
+  const auto found = where.find(part);
+  if (found != where.end()) {
+    order.splice(order.begin(), order, found->second);
+    return;
+  }
+  order.push_front(part);
+  where.emplace(part, order.begin());
+  if (order.size() <= kPartsRemembered) return;
+  where.erase(order.back());
+  order.pop_back();
+}
+
+bool UpstreamPicker::PartMemory::Has(std::uint64_t part) const {
+  return where.contains(part);
+}
+
+UpstreamPicker::UpstreamPicker(Location location)
+    : location_(std::move(location)) {}
+
+void UpstreamPicker::SetUpstreams(
+    const std::map<std::string, UpstreamEntry>& entries) {
+  std::erase_if(upstreams_, [&](const auto& held) {
+    return !entries.contains(held.first);
+  });
+  for (const auto& [id, entry] : entries) {
+    auto& upstream = upstreams_[id];
+    if (upstream.entry.born_ms != entry.born_ms) upstream = {};
+    upstream.entry = entry;
+  }
+}
+
+void UpstreamPicker::SetServices(const std::vector<ServiceProfile>& services) {
+  services_.clear();
+  for (const auto& service : services) services_.emplace(service.name, service);
+}
+
+bool UpstreamPicker::IsRemote(const UpstreamEntry& entry) const {
+  const auto own = location_.regions.find(location_.availability_zone);
+  const auto other = location_.regions.find(entry.availability_zone);
+  if (own == location_.regions.end() || other == location_.regions.end()) {
+    return entry.availability_zone != location_.availability_zone;
+  }
+  return own->second != other->second;
+}
+
+bool UpstreamPicker::HasRoom(const Upstream& upstream) const {
+  const auto service = services_.find(upstream.entry.service);
+  const bool engine =
+      service != services_.end() && service->second.engine.has_value();
+  const auto slots = std::max<std::int64_t>(1, upstream.entry.slots);
+  return upstream.in_flight < (engine ? slots : slots * kPlainQueueFactor);
+}
+
+std::vector<const UpstreamPicker::Upstream*> UpstreamPicker::Usable(
+    const PickRequest& request, TimePoint now) const {
+  std::vector<const Upstream*> sound;
+  std::vector<const Upstream*> ejected;
+  for (const auto& [id, upstream] : upstreams_) {
+    const bool fits = upstream.entry.service == request.service &&
+                      !upstream.entry.leaving &&
+                      !request.exclude.contains(id) && HasRoom(upstream);
+    if (!fits) continue;
+    (now < upstream.ejected_until ? ejected : sound).push_back(&upstream);
+  }
+  // A wrong guess about all of them must not stop the service.
+  return sound.empty() ? ejected : sound;
+}
+
+std::uint64_t UpstreamPicker::HomeKey(const PickRequest& request) {
+  if (request.parts.size() < 2) return 0;
+  return request.parts[request.parts.size() - 2].id;
+}
+
+double UpstreamPicker::UncachedTokens(const Upstream& upstream,
+                                      const PickRequest& request,
+                                      bool is_home) {
+  double cached = 0;
+  for (std::size_t i = 0; i < request.parts.size(); ++i) {
+    const bool shared = i + 1 < request.parts.size();
+    const bool held = upstream.parts.Has(request.parts[i].id);
+    if (!held && !(shared && is_home)) break;
+    cached += request.parts[i].tokens;
+  }
+  return std::max(0.0, request.prompt_tokens - cached);
+}
+
+double UpstreamPicker::Cost(const Upstream& upstream,
+                            const PickRequest& request, bool is_home) const {
+  const double distance =
+      IsRemote(upstream.entry) ? kOtherRegionS
+      : upstream.entry.availability_zone == location_.availability_zone
+          ? 0
+          : kOtherZoneS;
+  const auto running = static_cast<double>(upstream.in_flight);
+  const auto service = services_.find(request.service);
+  if (service == services_.end() || !service->second.engine) {
+    const auto slots =
+        static_cast<double>(std::max<std::int64_t>(1, upstream.entry.slots));
+    return distance + kPlainWorkS * running / slots;
+  }
+  const double own = UncachedTokens(upstream, request, is_home);
+  return distance +
+         (upstream.queued_tokens + kRereadFactor * own) / kPrefillTokensPerS +
+         kInterferenceS * running;
+}
+
+std::optional<UpstreamEntry> UpstreamPicker::Best(
+    const std::vector<const Upstream*>& usable,
+    const PickRequest& request) const {
+  if (usable.empty()) return std::nullopt;
+  const auto key = HomeKey(request);
+  const auto rank_of = [&](const Upstream* upstream) {
+    return Hash64(upstream->entry.id, key == 0 ? turn_ : key);
+  };
+  // Each region has its own home, since crossing regions is dear.
+  std::uint64_t home_near = 0;
+  std::uint64_t home_far = 0;
+  for (const auto* upstream : usable) {
+    auto& home = IsRemote(upstream->entry) ? home_far : home_near;
+    home = std::max(home, rank_of(upstream));
+  }
+  std::optional<Candidate> best;
+  for (const auto* upstream : usable) {
+    const auto rank = rank_of(upstream);
+    const bool is_home = key != 0 && (rank == home_near || rank == home_far);
+    const Candidate candidate{upstream, Cost(*upstream, request, is_home),
+                              rank};
+    const bool better = !best || std::make_pair(candidate.cost, ~rank) <
+                                     std::make_pair(best->cost, ~best->rank);
+    if (better) best = candidate;
+  }
+  return best->upstream->entry;
+}
+
+std::optional<UpstreamEntry> UpstreamPicker::Pick(const PickRequest& request,
+                                                  TimePoint now) {
+  ++turn_;
+  return Best(Usable(request, now), request);
+}
+
+bool UpstreamPicker::HasUsable(const std::string& service) const {
+  return std::any_of(upstreams_.begin(), upstreams_.end(),
+                     [&](const auto& held) {
+                       const auto& entry = held.second.entry;
+                       return entry.service == service && !entry.leaving;
+                     });
+}
+
+PickTicket UpstreamPicker::OnSend(const std::string& id,
+                                  const PickRequest& request) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return {};
+  auto& upstream = found->second;
+  FIRMOOR_INVARIANT(!upstream.entry.leaving,
+                    "a request goes to an upstream that stays");
+  PickTicket ticket;
+  ticket.upstream = id;
+  ticket.prefill_tokens = UncachedTokens(upstream, request, false);
+  ++upstream.in_flight;
+  upstream.queued_tokens += ticket.prefill_tokens;
+  for (const auto& part : request.parts) upstream.parts.Touch(part.id);
+  return ticket;
+}
+
+void UpstreamPicker::OnFirstEvent(PickTicket* ticket) {
+  const auto found = upstreams_.find(ticket->upstream);
+  if (found == upstreams_.end() || ticket->has_started) return;
+  ticket->has_started = true;
+  auto& queued = found->second.queued_tokens;
+  queued = std::max(0.0, queued - ticket->prefill_tokens);
+}
+
+void UpstreamPicker::OnEnd(PickTicket* ticket, UpstreamVerdict verdict,
+                           TimePoint now) {
+  OnFirstEvent(ticket);
+  const auto ended = std::exchange(*ticket, {});
+  const auto found = upstreams_.find(ended.upstream);
+  if (found == upstreams_.end()) return;
+  auto& upstream = found->second;
+  upstream.in_flight = std::max<std::int64_t>(0, upstream.in_flight - 1);
+  if (upstream.in_flight == 0) upstream.queued_tokens = 0;
+  NoteVerdict(&upstream, verdict, now);
+}
+
+void UpstreamPicker::NoteVerdict(Upstream* upstream, UpstreamVerdict verdict,
+                                 TimePoint now) {
+  if (verdict == UpstreamVerdict::kNeutral) return;
+  if (verdict == UpstreamVerdict::kGood) {
+    upstream->failures = 0;
+    upstream->ejections = 0;
+    return;
+  }
+  ++upstream->failures;
+  const bool eject = verdict == UpstreamVerdict::kUnreachable ||
+                     upstream->failures >= kFailuresToEject;
+  if (!eject || now < upstream->ejected_until) return;
+  const int doublings = std::min(upstream->ejections, kMaxEjectionDoublings);
+  ++upstream->ejections;
+  upstream->failures = 0;
+  upstream->ejected_until = now + kFirstEjection * (1 << doublings);
+}
+
+std::int64_t UpstreamPicker::InFlight(const std::string& id) const {
+  const auto found = upstreams_.find(id);
+  return found == upstreams_.end() ? 0 : found->second.in_flight;
+}
+
+std::int64_t UpstreamPicker::ServiceInFlight(const std::string& service) const {
+  std::int64_t total = 0;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service == service) total += upstream.in_flight;
+  }
+  return total;
+}
+
+bool UpstreamPicker::IsEjected(const std::string& id, TimePoint now) const {
+  const auto found = upstreams_.find(id);
+  return found != upstreams_.end() && now < found->second.ejected_until;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/routing/tests/route_table_test.cc
@@ -0,0 +1,104 @@
+#include "routing/route_table.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+
+#include "routing/freshness.h"
+
+namespace firmoor {
+namespace {
+
+Route MakeRoute(std::string host, std::string prefix, std::string service) {
+  Route route;
+  route.name = host + prefix;
+  route.host = std::move(host);
+  route.path_prefix = std::move(prefix);
+  route.services = {{std::move(service), 1}};
+  return route;
+}
+
+RouteTableContent Content() {
+  RouteTableContent content;
+  content.version = 7;
+  content.routes = {MakeRoute("a.example", "/", "root"),
+                    MakeRoute("a.example", "/x/", "x"),
+                    MakeRoute("a.example", "/x/y/", "xy"),
+                    MakeRoute("b.example", "/x/", "other")};
+  WorkspaceProfile workspace;
+  workspace.name = "w";
+  workspace.keys = {"k1", "k2"};
+  content.workspaces = {workspace};
+  return content;
+}
+
+}  // namespace
+
+TEST_CASE("a route is matched") {
+  const RouteTable table(Content());
+  const auto name = [&](const char* host, const char* path) {
+    const auto* route = table.Match(host, path);
+    return route == nullptr ? std::string("none") : route->name;
+  };
+
+  SUBCASE("by the longest prefix of the path") {
+    CHECK(name("a.example", "/x/y/z") == "a.example/x/y/");
+    CHECK(name("a.example", "/x/z") == "a.example/x/");
+    CHECK(name("a.example", "/z") == "a.example/");
+  }
+  SUBCASE("only by whole segments") {
+    CHECK(name("a.example", "/xy/z") == "a.example/");
+    CHECK(name("b.example", "/x") == "none");
+    CHECK(name("b.example", "/x/") == "b.example/x/");
+  }
+  SUBCASE("by its host, in any case and with a port") {
+    CHECK(name("A.Example:80", "/x/z") == "a.example/x/");
+    CHECK(name("c.example", "/x/z") == "none");
+  }
+}
+
+TEST_CASE("a key names the workspace that holds it") {
+  const RouteTable table(Content());
+  REQUIRE(table.FindKey("k2") != nullptr);
+  CHECK(table.FindKey("k2")->name == "w");
+  CHECK(table.FindKey("k3") == nullptr);
+  CHECK(table.FindKey("") == nullptr);
+}
+
+TEST_CASE("a split route") {
+  auto route = MakeRoute("a", "/", "first");
+  route.services = {{"first", 90}, {"second", 10}, {"off", 0}};
+  SUBCASE("gives each service its part of many requests") {
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 10'000; ++i) {
+      ++counts[ChooseService(route, "request-" + std::to_string(i))];
+    }
+    CHECK(counts["first"] > 8'700);
+    CHECK(counts["second"] > 700);
+    CHECK(counts["off"] == 0);
+  }
+  SUBCASE("chooses the same service for the same request") {
+    rc::check([&](const std::string& id) {
+      RC_ASSERT(ChooseService(route, id) == ChooseService(route, id));
+    });
+  }
+}
+
+TEST_CASE("a configuration is fresh") {
+  Freshness freshness(Duration(1'000));
+  const TimePoint start{Duration(5'000)};
+  CHECK_FALSE(freshness.IsFresh(start));
+  freshness.Confirm(start);
+  SUBCASE("until the bound after the store was asked") {
+    CHECK(freshness.IsFresh(start + Duration(999)));
+    CHECK_FALSE(freshness.IsFresh(start + Duration(1'000)));
+  }
+  SUBCASE("and a late answer to an older question does not lower the proof") {
+    freshness.Confirm(start - Duration(500));
+    CHECK(freshness.IsFresh(start + Duration(999)));
+  }
+}
+
+}  // namespace firmoor
--- a/libs/serving/include/serving/attempt_policy.h
+++ b/libs/serving/include/serving/attempt_policy.h
@@ -23,16 +23,21 @@
   bool declared_not_run = false;  ///< The upstream said it did not run.
   bool stream_complete = true;    ///< A stream had its end marker.
   bool overloaded = false;        ///< The upstream said to come back later.
+  bool failed = false;            ///< The whole answer says that it failed.
 
   bool operator==(const AttemptEnd&) const = default;
 };
 
+/// Most attempts for one request.
+constexpr int kMaxAttempts = 4;
+
 /// What is known of the request when an attempt ends.
 struct AttemptContext {
   bool idempotent = false;
-  bool answer_started = false;   ///< Bytes of an answer reached the caller.
-  bool resumable = false;        ///< A generation can go on elsewhere.
-  int attempts = 1;              ///< Including the one that ended.
+  bool answer_started = false;  ///< Bytes of an answer reached the caller.
+  bool resumable = false;       ///< A generation can go on elsewhere.
+  int attempts = 1;             ///< Including the one that ended.
+  int max_attempts = kMaxAttempts;
   Duration time_left{0};         ///< Until the deadline.
   bool retry_allowed = true;     ///< The retry budget grants one.
   bool earlier_unknown = false;  ///< An earlier attempt may have run.
@@ -56,9 +61,6 @@
   bool operator==(const AttemptVerdict&) const = default;
 };
 
-/// Most attempts for one request.
-constexpr int kMaxAttempts = 4;
-
 /// Least time that must be left for another attempt.
 constexpr Duration kLeastTimeForAttempt{50};
 
--- a/libs/serving/src/attempt_policy.cc
+++ b/libs/serving/src/attempt_policy.cc
@@ -27,12 +27,12 @@
 }
 
 bool MayTryAgain(const AttemptContext& context) {
-  return context.attempts < kMaxAttempts &&
+  return context.attempts < context.max_attempts &&
          context.time_left >= kLeastTimeForAttempt && context.retry_allowed;
 }
 
 ResultCode CodeWhenSpent(const AttemptEnd& end, const AttemptContext& context) {
-  const bool only_budget = context.attempts < kMaxAttempts &&
+  const bool only_budget = context.attempts < context.max_attempts &&
                            context.time_left >= kLeastTimeForAttempt &&
                            !context.retry_allowed;
   return only_budget ? ResultCode::kRetryBudgetSpent : CodeOf(end);
@@ -58,6 +58,11 @@
   const auto ran = OutcomeOf(end);
   const bool whole = end.end == HttpCallEnd::kComplete && end.stream_complete &&
                      !end.declared_not_run && !end.overloaded;
+  const bool repeat_failed = end.failed && context.idempotent &&
+                             !context.answer_started && MayTryAgain(context);
+  if (whole && repeat_failed) {
+    return {NextStep::kRetryElsewhere, CodeOf(end), ran};
+  }
   if (whole) return {NextStep::kPassAnswer, ResultCode::kOk, ran};
   const auto outcome = context.earlier_unknown ? RequestOutcome::kUnknown : ran;
   AttemptVerdict verdict{NextStep::kFail, CodeWhenSpent(end, context), outcome};
--- a/libs/serving/src/retry_budget.cc
+++ b/libs/serving/src/retry_budget.cc
@@ -21,4 +21,10 @@
   return true;
 }
 
+void RetryBudget::SetReserve(double reserve) {
+  FIRMOOR_PRECONDITION(reserve >= 1, "a budget can be used");
+  reserve_ = reserve;
+  available_ = std::min(available_, reserve);
+}
+
 }  // namespace firmoor
