Give the coordinator its scaling duty when it takes the lease

Cause: the first holder crashed at its first order, since the duty object was never made (11 exits of the daemons' own, two machines in a crash loop).

--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -246,6 +246,7 @@
           [this](std::int64_t true_ms) {
             return coordinator->AllReportedSince(true_ms, MonotonicNow());
           }});
+  scaling.emplace(held_since);
   lease_timer.start(kHolderTick);
   environment.log->Write("lease-taken",
                          {{"fencing", static_cast<qint64>(lease.fencing())}});
--- /dev/null
+++ b/libs/gateway/tests/duty_service_test.cc
@@ -0,0 +1,154 @@
+#include "gateway/duty_service.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <QTimer>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "support/raw_socket.h"
+
+namespace firmoor {
+namespace {
+
+/// The platform's store, answering in a later turn of the event loop.
+class MemoryStore : public ObjectStore {
+ public:
+  void Read(const std::string& name, ReadDone done) override {
+    Later([this, name, done = std::move(done)] {
+      const auto found = objects_.find(name);
+      if (found == objects_.end()) return done(StoreStatus::kNotFound, {});
+      done(StoreStatus::kOk, found->second);
+    });
+  }
+  void Write(const std::string& name, std::int64_t expected,
+             const QByteArray& value, WriteDone done) override {
+    Later([this, name, expected, value, done = std::move(done)] {
+      auto& object = objects_[name];
+      if (object.version != expected) {
+        return done(StoreStatus::kConflict, object.version);
+      }
+      object = {++revision_, value};
+      done(StoreStatus::kOk, object.version);
+    });
+  }
+  void Watch(const std::string&, std::int64_t, ReadDone done) override {
+    done(StoreStatus::kUnavailable, {});
+  }
+
+ private:
+  void Later(std::function<void()> work) {
+    QTimer::singleShot(1, &context_, [this, work = std::move(work)] {
+      if (!away_) work();
+    });
+  }
+
+  QObject context_;
+  std::map<std::string, StoredObject> objects_;
+  std::int64_t revision_ = 0;
+  bool away_ = false;
+};
+
+/// A cloud API that records who called.
+class RecordingCloud : public CloudApi {
+ public:
+  void ReportUsage(const DutyHolder& holder, const UsageReport& report,
+                   MaySend may_send, Done done) override {
+    if (!may_send()) return done(CloudStatus::kUnavailable);
+    holders.push_back(holder);
+    reports[report.window] = report.counts;
+    QTimer::singleShot(1, &context_, [done] { done(CloudStatus::kOk); });
+  }
+  void OrderUpstreams(const DutyHolder& holder, const UpstreamOrder& order,
+                      MaySend may_send, Done done) override {
+    if (!may_send()) return done(CloudStatus::kUnavailable);
+    holders.push_back(holder);
+    orders.push_back(order);
+    QTimer::singleShot(1, &context_, [done] { done(CloudStatus::kOk); });
+  }
+
+  std::vector<DutyHolder> holders;
+  std::map<std::int64_t, UsageCounts> reports;
+  std::vector<UpstreamOrder> orders;
+
+ private:
+  QObject context_;
+};
+
+RouteTableContent Configuration() {
+  RouteTableContent content;
+  content.version = 1;
+  ServiceProfile service;
+  service.name = "engine";
+  service.engine = EngineProfile{};
+  ScalingProfile scaling;
+  scaling.min_per_zone = 1;
+  scaling.max_per_zone = 4;
+  scaling.zone_prices = {{"a", 1}, {"b", 1}};
+  service.scaling = scaling;
+  content.services = {service};
+  return content;
+}
+
+/// One daemon's part in the duties, with short times.
+struct Daemon {
+  TrueTime true_time{WallClockMs(), MonotonicNow()};
+  EventLog log{-1};
+  ServiceMetrics metrics;
+  Gateway gateway;
+  DutyService duties;
+
+  Daemon(const std::string& name, std::uint16_t port, ObjectStore* store,
+         CloudApi* cloud)
+      : gateway(GatewaySettings{}, {nullptr, &log, &metrics, &true_time}),
+        duties({name, name + "/1", {"127.0.0.1", port}, Duration(1'800), 500,
+                true, true},
+               {&gateway, store, cloud, &true_time, &log}) {
+    gateway.SetRoutes(std::make_shared<const RouteTable>(Configuration()));
+  }
+};
+
+std::uint16_t FreePort() {
+  QTcpServer probe;
+  probe.listen(QHostAddress(QHostAddress::LocalHost), 0);
+  return probe.serverPort();
+}
+
+}  // namespace
+
+TEST_CASE("two daemons share the duties") {
+  MemoryStore store;
+  RecordingCloud cloud;
+  auto first = std::make_unique<Daemon>("first", FreePort(), &store, &cloud);
+  auto second = std::make_unique<Daemon>("second", FreePort(), &store, &cloud);
+  REQUIRE(first->duties.Start());
+  REQUIRE(second->duties.Start());
+  REQUIRE(WaitUntil([&] {
+    return first->duties.IsHolder() || second->duties.IsHolder();
+  }));
+
+  SUBCASE("with one coordinator that reports usage and orders upstreams") {
+    REQUIRE(WaitUntil(
+        [&] { return cloud.reports.size() > 1 && !cloud.orders.empty(); },
+        8'000));
+    CHECK(first->duties.IsHolder() != second->duties.IsHolder());
+    std::set<std::string> names;
+    for (const auto& holder : cloud.holders) names.insert(holder.daemon);
+    CHECK(names.size() == 1);
+  }
+  SUBCASE("and the other one takes over when it stops") {
+    auto& holder = first->duties.IsHolder() ? first : second;
+    auto& other = first->duties.IsHolder() ? second : first;
+    REQUIRE(WaitUntil([&] { return cloud.reports.size() > 1; }, 8'000));
+    const auto fencing = cloud.holders.back().fencing;
+    holder->duties.Stop();
+    REQUIRE(WaitUntil([&] { return other->duties.IsHolder(); }, 8'000));
+    const auto calls = cloud.holders.size();
+    REQUIRE(WaitUntil([&] { return cloud.holders.size() > calls; }, 8'000));
+    CHECK(cloud.holders.back().fencing > fencing);
+  }
+}
+
+}  // namespace firmoor
