Pay overdrawn quotas back and cut no stream before its deadline

Cause: each grant let every daemon overdraw its allowance anew. Ruled out: daemons that were cut off (they refuse keys).

The first usage window is pinned: with short windows it moved on for ever.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -10,6 +10,9 @@
 
 // Another try after this time finds other upstreams or freed slots.
 constexpr Duration kRetryWhenFull{300};
+// The deadline is told in whole milliseconds and counted from the sending, so
+// a request is not given up before its caller has certainly given it up.
+constexpr Duration kDeadlineReserve{50};
 // Longest wait for the coordinator to grant more of a quota: a round trip
 // between regions and the pause between two reports.
 constexpr Duration kGrantPatience{300};
@@ -41,7 +44,7 @@
 }
 
 void Exchange::Start() {
-  timer_.start(ends_at_ - started_at_);
+  timer_.start(ends_at_ - started_at_ + kDeadlineReserve);
   responder_->OnCallerLeft([weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->OnCallerLeft();
   });
@@ -125,7 +128,9 @@
   // what a busy engine needs, and below the time after which callers give up.
   constexpr int kObjectivesToFirstByte = 3;
   constexpr Duration kPause{1'500};
-  const auto left = std::max(ends_at_ - now, Duration(1));
+  // The timer of the whole request ends it, not that of an attempt.
+  const auto left =
+      std::max(ends_at_ - now, Duration(1)) + 2 * kDeadlineReserve;
   HttpCallTimes times{std::min(kConnect, left), left, left};
   if (!pass_.route->MayRepeat()) return times;
   times.first_byte =
@@ -295,10 +300,7 @@
 }
 
 void Exchange::FailAttempt(const AttemptVerdict& verdict) {
-  if (answer_started_) {
-    responder_->Abort();
-    return Finish(verdict.code, "broken-off");
-  }
+  if (answer_started_) return BreakOff(verdict.code);
   const bool not_run = verdict.outcome == RequestOutcome::kNotRun;
   // Statuses that promise "not run" must not be used for anything else.
   const auto code = not_run ? ResultCode::kUpstreamRefused
@@ -309,13 +311,16 @@
          not_run ? std::optional(kRetryWhenFull) : std::nullopt);
 }
 
+void Exchange::BreakOff(ResultCode code) {
+  // Ended first: the closed connection looks like a caller that left.
+  Finish(code, "broken-off");
+  responder_->Abort();
+}
+
 void Exchange::Refuse(ResultCode code, std::string message,
                       RequestOutcome outcome,
                       std::optional<Duration> retry_after) {
-  if (answer_started_) {
-    responder_->Abort();
-    return Finish(code, "broken-off");
-  }
+  if (answer_started_) return BreakOff(code);
   if (outcome != RequestOutcome::kNotRun) {
     const bool promises = InfoOf(code).http_status == 503;
     if (promises) code = ResultCode::kUpstreamUnknown;
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -58,6 +58,7 @@
   void OnEnd(HttpCallEnd end);
   void PassAnswer(const AttemptVerdict& verdict);
   void FailAttempt(const AttemptVerdict& verdict);
+  void BreakOff(ResultCode code);
   void OnTimeUp();
   void OnCallerLeft();
   [[nodiscard]] AttemptEnd DescribeEnd(HttpCallEnd end) const;
--- a/libs/gateway/src/usage_duty.cc
+++ b/libs/gateway/src/usage_duty.cc
@@ -51,9 +51,9 @@
 std::optional<UsageDuty::Step> UsageDuty::NextReport(std::int64_t true_ms) {
   // Windows that are already too late are left out.
   const auto oldest = (true_ms - timing_.late_ms) / timing_.window_ms;
-  const auto window = last_.window == 0
-                          ? std::max(oldest, true_ms / timing_.window_ms - 1)
-                          : std::max(oldest, NextWindow());
+  // The very first report is of the window that ended last.
+  if (last_.window == 0) last_.window = true_ms / timing_.window_ms - 2;
+  const auto window = std::max(oldest, NextWindow());
   if (true_ms < EndOf(window) + timing_.settle_ms) return std::nullopt;
   const bool waits = true_ms < EndOf(window) + timing_.patience_ms;
   if (waits && !counts_.is_complete(EndOf(window))) return std::nullopt;
--- a/libs/gateway/tests/duty_service_test.cc
+++ b/libs/gateway/tests/duty_service_test.cc
@@ -1,7 +1,6 @@
 #include "gateway/duty_service.h"
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include <QTimer>
 #include <map>
@@ -40,15 +39,12 @@
 
  private:
   void Later(std::function<void()> work) {
-    QTimer::singleShot(1, &context_, [this, work = std::move(work)] {
-      if (!away_) work();
-    });
+    QTimer::singleShot(1, &context_, [work = std::move(work)] { work(); });
   }
 
   QObject context_;
   std::map<std::string, StoredObject> objects_;
   std::int64_t revision_ = 0;
-  bool away_ = false;
 };
 
 /// A cloud API that records who called.
@@ -103,8 +99,13 @@
   Daemon(const std::string& name, std::uint16_t port, ObjectStore* store,
          CloudApi* cloud)
       : gateway(GatewaySettings{}, {nullptr, &log, &metrics, &true_time}),
-        duties({name, name + "/1", {"127.0.0.1", port}, Duration(1'800), 500,
-                true, true},
+        duties({name,
+                name + "/1",
+                {"127.0.0.1", port},
+                Duration(1'800),
+                500,
+                true,
+                true},
                {&gateway, store, cloud, &true_time, &log}) {
     gateway.SetRoutes(std::make_shared<const RouteTable>(Configuration()));
   }
@@ -125,9 +126,8 @@
   auto second = std::make_unique<Daemon>("second", FreePort(), &store, &cloud);
   REQUIRE(first->duties.Start());
   REQUIRE(second->duties.Start());
-  REQUIRE(WaitUntil([&] {
-    return first->duties.IsHolder() || second->duties.IsHolder();
-  }));
+  REQUIRE(WaitUntil(
+      [&] { return first->duties.IsHolder() || second->duties.IsHolder(); }));
 
   SUBCASE("with one coordinator that reports usage and orders upstreams") {
     REQUIRE(WaitUntil(
--- /dev/null
+++ b/libs/gateway/tests/gateway_test.cc
@@ -0,0 +1,257 @@
+#include "gateway/gateway.h"
+
+#include <doctest/doctest.h>
+
+#include <QTimer>
+#include <memory>
+#include <string>
+
+#include "support/raw_socket.h"
+
+namespace firmoor {
+namespace {
+
+/// A dialect with the fewest headers: an id, a key and the time allowed.
+class PlainDialect : public Dialect {
+ public:
+  [[nodiscard]] Outcome<ForwardRequest> ReadRequest(
+      HttpRequest request) const override {
+    ForwardRequest read;
+    read.id = std::string(HeaderValue(request.headers, "Id"));
+    read.key = std::string(HeaderValue(request.headers, "Key"));
+    read.host = std::string(HeaderValue(request.headers, "Host"));
+    const std::string allowed(HeaderValue(request.headers, "Allowed-Ms"));
+    if (!allowed.empty()) read.time_allowed = Duration(std::stoi(allowed));
+    read.method = request.method;
+    read.target = request.target;
+    read.body = request.body;
+    return read;
+  }
+  [[nodiscard]] HttpRequest WriteRequest(
+      const ForwardRequest& request, const UpstreamCall& call) const override {
+    return {request.method,
+            request.target,
+            {{"Id", request.id},
+             {"Upstream", call.upstream},
+             {"From", call.last_event_id}},
+            request.body};
+  }
+  [[nodiscard]] UpstreamHead ReadHead(
+      int status, const HttpHeaders& headers) const override {
+    UpstreamHead head;
+    head.status = status;
+    head.request_id = std::string(HeaderValue(headers, "Id"));
+    head.declared_not_run = !HeaderValue(headers, "Not-Run").empty();
+    return head;
+  }
+};
+
+Route MakeRoute(std::string name, RequestKind kind) {
+  Route route;
+  route.host = "h";
+  route.path_prefix = "/" + name + "/";
+  route.name = std::move(name);
+  route.kind = kind;
+  route.services = {{"s", 1}};
+  route.timeout = Duration(3'000);
+  route.objective = Duration(200);
+  route.max_upstreams = 2;
+  route.is_public = true;
+  return route;
+}
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+void Answer(RawUpstream::Connection& connection, const std::string& head,
+            const std::string& body) {
+  connection.socket->write(QByteArray::fromStdString(
+      "HTTP/1.1 " + head + "\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body));
+}
+
+void StartEvents(RawUpstream::Connection& connection, const std::string& body) {
+  connection.socket->write(QByteArray::fromStdString(
+      "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + body));
+  connection.socket->flush();
+}
+
+/// A gateway with callers' side and routes to one service.
+struct World {
+  PlainDialect dialect;
+  EventLog log{-1};
+  ServiceMetrics metrics;
+  TrueTime true_time{WallClockMs(), MonotonicNow()};
+  Gateway gateway{GatewaySettings{}, {&dialect, &log, &metrics, &true_time}};
+  std::unique_ptr<HttpServer> server;
+
+  World() {
+    RouteTableContent content;
+    content.version = 1;
+    content.routes = {MakeRoute("idempotent", RequestKind::kIdempotent),
+                      MakeRoute("once", RequestKind::kNonIdempotent),
+                      MakeRoute("stream", RequestKind::kStream),
+                      MakeRoute("resumable", RequestKind::kStream)};
+    content.routes.back().is_resumable = true;
+    ServiceProfile service;
+    service.name = "s";
+    content.services = {service};
+    gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+    gateway.ConfirmRoutes(MonotonicNow());
+    server = HttpServer::Builder()
+                 .Listen({"127.0.0.1", 0})
+                 .Handler([this](HttpRequest request, const auto& responder) {
+                   gateway.Handle(std::move(request), responder);
+                 })
+                 .Build();
+    REQUIRE(server->Start());
+  }
+  void Add(const std::string& id, const RawUpstream& upstream) {
+    UpstreamEntry entry;
+    entry.id = id;
+    entry.service = "s";
+    entry.endpoint = upstream.Address();
+    entry.slots = 4;
+    gateway.ApplyUpstream(entry);
+  }
+  [[nodiscard]] std::unique_ptr<RawClient> Ask(const std::string& route,
+                                               const std::string& extra = "") {
+    auto caller = std::make_unique<RawClient>(server->Port());
+    caller->Send("POST /" + route + "/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n" +
+                 extra + "Content-Length: 4\r\n\r\nbody");
+    return caller;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a request is sent to another upstream") {
+  World world;
+  RawUpstream failing([](auto& connection) {
+    Answer(connection, "500 Bad\r\nId: r1", "failed");
+  });
+  RawUpstream breaking(
+      [](auto& connection) { connection.socket->disconnectFromHost(); });
+  RawUpstream full([](auto& connection) {
+    Answer(connection, "503 Full\r\nNot-Run: 1", "");
+  });
+  RawUpstream good(
+      [](auto& connection) { Answer(connection, "200 OK\r\nId: r1", "fine"); });
+
+  SUBCASE("when it may be repeated and the first one failed") {
+    world.Add("a", failing);
+    world.Add("b", good);
+    for (int i = 0; i < 4; ++i) {
+      CHECK(world.Ask("idempotent")->WaitFor("fine"));
+    }
+  }
+  SUBCASE("when the first one declared that it did not run") {
+    world.Add("a", full);
+    world.Add("b", good);
+    for (int i = 0; i < 4; ++i) CHECK(world.Ask("once")->WaitFor("fine"));
+  }
+  SUBCASE("but not when it may have run and must not run twice") {
+    world.Add("a", breaking);
+    auto caller = world.Ask("once");
+    REQUIRE(caller->WaitFor("HTTP/1.1 "));
+    CHECK(caller->Received().starts_with("HTTP/1.1 502"));
+    CHECK(breaking.Requests() == 1);
+  }
+  SUBCASE("and the failure is passed on unchanged when it must not") {
+    world.Add("a", failing);
+    auto caller = world.Ask("once");
+    REQUIRE(caller->WaitFor("failed"));
+    CHECK(caller->Received().starts_with("HTTP/1.1 500"));
+  }
+  SUBCASE("and refused as not run when all declared that") {
+    world.Add("a", full);
+    auto caller = world.Ask("once");
+    REQUIRE(caller->WaitFor("HTTP/1.1 "));
+    CHECK(caller->Received().starts_with("HTTP/1.1 503"));
+    CHECK(caller->Received().find("Retry-After: 0.") != std::string::npos);
+  }
+}
+
+TEST_CASE("an answer that belongs to another request is not passed on") {
+  World world;
+  RawUpstream confused([](auto& connection) {
+    Answer(connection, "200 OK\r\nId: other", "secret");
+  });
+  world.Add("a", confused);
+  auto caller = world.Ask("once");
+  REQUIRE(caller->WaitFor("HTTP/1.1 "));
+  CHECK(caller->Received().starts_with("HTTP/1.1 502"));
+  CHECK(caller->Received().find("secret") == std::string::npos);
+}
+
+TEST_CASE("a stream that breaks off") {
+  World world;
+  RawUpstream breaking([](auto& connection) {
+    StartEvents(connection, Event(1) + Event(2) + "id: 3\nda");
+    QTimer::singleShot(50, connection.socket,
+                       [s = connection.socket] { s->disconnectFromHost(); });
+  });
+
+  SUBCASE("goes on elsewhere after the last event, when it is resumable") {
+    RawUpstream rest([](auto& connection) {
+      const bool resumed =
+          connection.received.find("From: 2") != std::string::npos;
+      Answer(connection, "200 OK", resumed ? Event(3) + Event(4) : "wrong");
+    });
+    world.Add("a", breaking);
+    auto caller = world.Ask("resumable");
+    REQUIRE(caller->WaitFor("id: 2"));
+    world.Add("b", rest);
+    REQUIRE(caller->WaitFor("id: 4"));
+    const auto& received = caller->Received();
+    CHECK(received.find("id: 3") == received.rfind("id: 3"));
+    CHECK(received.find("da\r\n") == std::string::npos);
+    CHECK(caller->WaitFor("0\r\n\r\n"));
+  }
+  SUBCASE("is broken off towards the caller, when it is not") {
+    world.Add("a", breaking);
+    auto caller = world.Ask("stream");
+    REQUIRE(caller->WaitFor("id: 2"));
+    CHECK(caller->WaitClosed());
+    CHECK(caller->Received().find("0\r\n\r\n") == std::string::npos);
+  }
+}
+
+TEST_CASE("a stream is not cut before its caller has given it up") {
+  World world;
+  RawUpstream slow([](auto& connection) { StartEvents(connection, Event(1)); });
+  world.Add("a", slow);
+  auto caller = world.Ask("stream", "Allowed-Ms: 400\r\n");
+  REQUIRE(caller->WaitFor("id: 1"));
+  // The caller counts from its own sending, in fractions of milliseconds.
+  CHECK_FALSE(caller->WaitClosed(410));
+  CHECK(caller->WaitClosed(1'000));
+}
+
+TEST_CASE("a caller that leaves") {
+  World world;
+  bool closed = false;
+  RawUpstream busy([&](auto& connection) {
+    QObject::connect(connection.socket, &QTcpSocket::disconnected,
+                     connection.socket, [&] { closed = true; });
+  });
+  world.Add("a", busy);
+
+  SUBCASE("stops work that may be repeated") {
+    auto caller = world.Ask("idempotent");
+    REQUIRE(WaitUntil([&] { return busy.Requests() == 1; }));
+    caller->Leave();
+    CHECK(WaitUntil([&] { return closed; }, 400));
+    CHECK(world.gateway.InWork() == 0);
+  }
+  SUBCASE("does not stop work that runs only once") {
+    auto caller = world.Ask("once");
+    REQUIRE(WaitUntil([&] { return busy.Requests() == 1; }));
+    caller->Leave();
+    RunFor(200);
+    CHECK_FALSE(closed);
+  }
+}
+
+}  // namespace firmoor
--- a/libs/gateway/tests/usage_duty_test.cc
+++ b/libs/gateway/tests/usage_duty_test.cc
@@ -80,6 +80,14 @@
   }
 }
 
+TEST_CASE("the first window is reported also when its counts settle late") {
+  World world;
+  world.complete = false;
+  auto duty = world.Duty(7);
+  for (std::int64_t ms = 0; ms < 9'000; ms += 250) world.Run(&duty, kNow + ms);
+  CHECK(world.reported.contains(199'999));
+}
+
 TEST_CASE("a daemon that takes over repeats the same counts") {
   World world;
   auto first = world.Duty(7);
--- a/libs/limits/include/limits/quota_pool.h
+++ b/libs/limits/include/limits/quota_pool.h
@@ -36,7 +36,8 @@
 /// daemon can take over at any time. Pure.
 class QuotaPool {
  public:
-  /// The tokens that `daemon` may let pass from the moment of its report.
+  /// The tokens that `daemon` may let pass from the moment of its report;
+  /// negative when the quota is overdrawn.
   double Grant(const std::string& daemon, const QuotaUse& use,
                const QuotaLimit& limit, TimePoint now);
 
--- a/libs/limits/src/quota_pool.cc
+++ b/libs/limits/src/quota_pool.cc
@@ -29,8 +29,13 @@
     if (name != daemon) left -= holder.passed + std::max(0.0, holder.allowance);
   }
   const double part = use.asked > 0 ? kPartWhenAsked : kPartWhenIdle;
-  left = std::max(0.0, left);
-  const double allowance = std::max(left * part, std::min(left, use.needed));
+  // What was overdrawn is paid back by all, or it could be overdrawn again
+  // after each grant.
+  const double others = static_cast<double>(holders_.size()) -
+                        (holders_.contains(daemon) ? 1.0 : 0.0);
+  const double allowance =
+      left < 0 ? left / (others + 1)
+               : std::max(left * part, std::min(left, use.needed));
   holders_[daemon] = {use.passed, allowance, now};
   return allowance;
 }
--- a/libs/limits/tests/quota_test.cc
+++ b/libs/limits/tests/quota_test.cc
@@ -22,10 +22,10 @@
   std::deque<std::pair<TimePoint, double>> passed;
   double most = 0;  ///< Most tokens that passed in one window.
 
-  explicit Fleet(std::size_t count) {
-    daemons.assign(
-        count,
-        QuotaAllowance(kLimit, {1.0 / static_cast<double>(count), 0}, kStart));
+  explicit Fleet(std::size_t count, double debt = 0) {
+    const QuotaAllowance::Fallback fallback{1.0 / static_cast<double>(count),
+                                            debt};
+    daemons.assign(count, QuotaAllowance(kLimit, fallback, kStart));
     ReportAll();
   }
   void Report(std::size_t index) {
@@ -117,6 +117,17 @@
   SUBCASE("gets most of its quota") { CHECK(passed > 0.8 * 2'500); }
 }
 
+TEST_CASE("a hot workspace whose large prompts may overdraw the quota") {
+  const double debt = 20;
+  Fleet fleet(8, debt);
+  for (int step = 0; step < 400; ++step) {
+    fleet.Ask(static_cast<std::size_t>(step % 8), 20);
+    fleet.now += Duration(50);
+    if (step % 4 == 0) fleet.ReportAll();
+  }
+  CHECK(fleet.most <= kLimit.PerWindow() + 8 * debt);
+}
+
 TEST_CASE("all daemons together never let more than a quota pass") {
   rc::check([](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& asks) {
     Fleet fleet(4);
