Refuse streams that arrive late in a daemon's stop

Ruled out: cutting them earlier on purpose; the process ended at its 7.3 s as planned. TakesWhileDraining decides by the time left; intake_test "a daemon that stops takes requests on open connections".

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -95,6 +95,10 @@
   void Handle(HttpRequest request,
               const std::shared_ptr<HttpResponder>& responder);
 
+  /// The process ends at `ends_at`: requests that could not be answered before
+  /// are refused, so that their callers go elsewhere.
+  void StartDrain(TimePoint ends_at);
+
   /// Requests without a final answer.
   [[nodiscard]] std::size_t InWork() const;
 
--- a/libs/gateway/include/gateway/intake.h
+++ b/libs/gateway/include/gateway/intake.h
@@ -25,6 +25,21 @@
   bool operator==(const IntakePass&) const = default;
 };
 
+/// How far a daemon is with its stop.
+struct DrainState {
+  TimePoint started_at;
+  TimePoint ends_at;  ///< When the process ends.
+
+  bool operator==(const DrainState&) const = default;
+};
+
+/// Whether a daemon that stops takes a request on a connection that its caller
+/// kept open: only when the answer will have ended before the process does.
+/// Streams may take long, so they are taken only shortly after the start of
+/// the stop; others can be answered within their route's timeout. Pure.
+bool TakesWhileDraining(const Route& route, const DrainState& drain,
+                        TimePoint now);
+
 /// Checks a request against the configuration: its route, its key, and that
 /// the configuration is proved recent enough to believe the key. A daemon
 /// that may have missed a change says that it is not ready instead of calling
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -5,12 +5,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "details/demand_meter.h"
 #include "gateway/gateway.h"
+#include "gateway/intake.h"
 #include "http/http_call.h"
 #include "limits/quota_allowance.h"
 #include "routing/upstream_picker.h"
@@ -33,6 +35,7 @@
   std::map<std::string, RetryBudget> budgets;    ///< By service.
   std::map<std::string, QuotaAllowance> quotas;  ///< By workspace.
   std::function<void()> on_quota_short;
+  std::optional<DrainState> drain;
   /// Requests that wait for the coordinator's next grant.
   std::vector<std::weak_ptr<Exchange>> quota_waiters;
   DemandMeter prompt_demand;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -13,6 +13,9 @@
 using details::Exchange;
 using details::GatewayContext;
 
+// New connections go to other daemons, so callers need not wait.
+constexpr Duration kRetryAtAnother{20};
+
 QString Text(std::string_view text) {
   return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
 }
@@ -134,12 +137,24 @@
     impl_->LogRefused(forward.id, *failure);
     return responder->Send(MakeGatewayRefusal(*failure, forward.id));
   }
-  const auto exchange = std::make_shared<Exchange>(
-      &context, std::move(forward), std::get<IntakePass>(decided), responder);
+  const auto& pass = std::get<IntakePass>(decided);
+  if (context.drain &&
+      !TakesWhileDraining(*pass.route, *context.drain, MonotonicNow())) {
+    const Failure failure{
+        {ResultCode::kDraining, ""}, RequestOutcome::kNotRun, kRetryAtAnother};
+    impl_->LogRefused(forward.id, failure);
+    return responder->Send(MakeGatewayRefusal(failure, forward.id));
+  }
+  const auto exchange =
+      std::make_shared<Exchange>(&context, std::move(forward), pass, responder);
   context.exchanges.emplace(exchange.get(), exchange);
   exchange->Start();
 }
 
+void Gateway::StartDrain(TimePoint ends_at) {
+  impl_->context.drain = DrainState{MonotonicNow(), ends_at};
+}
+
 std::size_t Gateway::InWork() const { return impl_->context.exchanges.size(); }
 
 UsageLedger& Gateway::ledger() { return impl_->context.ledger; }
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -334,6 +334,8 @@
   impl_->log->Write(
       "drain", {{"requests", static_cast<qint64>(impl_->gateway.InWork())}});
   impl_->callers->StartClosing();
+  impl_->gateway.StartDrain(impl_->drain_started + impl_->settings.drain_time -
+                            kStopReserve);
   impl_->drain_timer.start(kDrainStep);
 }
 
--- a/libs/gateway/src/intake.cc
+++ b/libs/gateway/src/intake.cc
@@ -5,6 +5,10 @@
 
 // Another daemon mostly has a recent configuration, so callers come back soon.
 constexpr Duration kRetryElsewhere{100};
+// Streams that arrive later than this after the start of a stop go elsewhere.
+constexpr Duration kStreamsWhileDraining{2'500};
+// Part of a plain route's timeout that its requests hardly ever exceed.
+constexpr int kTimeoutParts = 2;
 
 Failure Refused(ResultCode code, std::string message) {
   return {{code, std::move(message)}, RequestOutcome::kNotRun, std::nullopt};
@@ -18,6 +22,14 @@
 
 }  // namespace
 
+bool TakesWhileDraining(const Route& route, const DrainState& drain,
+                        TimePoint now) {
+  if (route.kind == RequestKind::kStream) {
+    return now - drain.started_at < kStreamsWhileDraining;
+  }
+  return drain.ends_at - now > route.timeout / kTimeoutParts;
+}
+
 std::variant<IntakePass, Failure> DecideIntake(const ForwardRequest& request,
                                                const RouteTable* table,
                                                const Freshness& freshness,
--- a/libs/gateway/tests/intake_test.cc
+++ b/libs/gateway/tests/intake_test.cc
@@ -90,6 +90,25 @@
   }
 }
 
+TEST_CASE("a daemon that stops takes requests on open connections") {
+  const DrainState drain{kStart, kStart + Duration(7'000)};
+  Route route;
+  route.timeout = Duration(1'200);
+  const auto takes = [&](int after_ms) {
+    return TakesWhileDraining(route, drain, kStart + Duration(after_ms));
+  };
+
+  SUBCASE("while plain requests can be answered before its end") {
+    CHECK(takes(6'000));
+    CHECK_FALSE(takes(6'500));
+  }
+  SUBCASE("but streams, which may last long, only at first") {
+    route.kind = RequestKind::kStream;
+    CHECK(takes(2'000));
+    CHECK_FALSE(takes(3'000));
+  }
+}
+
 TEST_CASE("a refusal tells when to come back in fractions of a second") {
   const Failure failure{{ResultCode::kWorkspaceLimit, ""},
                         RequestOutcome::kNotRun,
