--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -10,9 +10,11 @@
 
 // Another try after this time finds other upstreams or freed slots.
 constexpr Duration kRetryWhenFull{300};
-// The deadline is told in whole milliseconds and counted from the sending, so
-// a request is not given up before its caller has certainly given it up.
-constexpr Duration kDeadlineReserve{50};
+// A caller that has waited as long as it said leaves by itself, perhaps a
+// little later; its answer is not cut before.
+constexpr Duration kDeadlineReserve{500};
+// Beyond the route's timeout, which callers count from their sending.
+constexpr Duration kTimeoutReserve{50};
 // Longest wait for the coordinator to grant more of a quota: a round trip
 // between regions and the pause between two reports.
 constexpr Duration kGrantPatience{300};
@@ -26,6 +28,13 @@
                               : route.timeout;
 }
 
+/// When the request gets its final answer, whatever happens.
+Duration GiveUpTime(const ForwardRequest& request, const Route& route) {
+  const auto route_end = route.timeout + kTimeoutReserve;
+  if (!request.time_allowed) return route_end;
+  return std::min(*request.time_allowed + kDeadlineReserve, route_end);
+}
+
 }  // namespace
 
 Exchange::Exchange(GatewayContext* context, ForwardRequest request,
@@ -44,7 +53,7 @@
 }
 
 void Exchange::Start() {
-  timer_.start(ends_at_ - started_at_ + kDeadlineReserve);
+  timer_.start(GiveUpTime(request_, *pass_.route));
   responder_->OnCallerLeft([weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->OnCallerLeft();
   });
@@ -129,8 +138,7 @@
   constexpr int kObjectivesToFirstByte = 3;
   constexpr Duration kPause{1'500};
   // The timer of the whole request ends it, not that of an attempt.
-  const auto left =
-      std::max(ends_at_ - now, Duration(1)) + 2 * kDeadlineReserve;
+  const auto left = std::max(ends_at_ - now, Duration(1)) + kDeadlineReserve;
   HttpCallTimes times{std::min(kConnect, left), left, left};
   if (!pass_.route->MayRepeat()) return times;
   times.first_byte =
