Do not measure demand too low at its start

Cause: the mean of prompt tokens started from zero, so orders grew by one a second through the first twelve seconds while engines take four to start, and first events took 800 to 990 ms. Ruled out: refused orders (none before the first reclaim). demand is divided by the time that the mean has seen.

--- a/libs/gateway/src/details/demand_meter.cc
+++ b/libs/gateway/src/details/demand_meter.cc
@@ -1,11 +1,14 @@
 #include "details/demand_meter.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace firmoor::details {
 namespace {
 
 constexpr double kMsPerSecond = 1'000;
+// A single request says nothing about a rate.
+constexpr Duration kLeastAge{1'000};
 
 }  // namespace
 
@@ -15,7 +18,7 @@
 }
 
 void DemandMeter::Add(const std::string& name, double amount, TimePoint now) {
-  auto& mean = means_[name];
+  auto& mean = means_.try_emplace(name, Mean{now, 0, now}).first->second;
   mean.sum = Decayed(mean, now) + amount;
   mean.at = now;
 }
@@ -24,7 +27,11 @@
   std::map<std::string, double> rates;
   const double memory_s = static_cast<double>(memory_.count()) / kMsPerSecond;
   for (const auto& [name, mean] : means_) {
-    rates[name] = Decayed(mean, now) / memory_s;
+    // Time that the mean has really looked at, as if it were all of one weight.
+    const auto age = std::max(now - mean.since, kLeastAge);
+    const double seen = 1 - std::exp(-static_cast<double>(age.count()) /
+                                     static_cast<double>(memory_.count()));
+    rates[name] = Decayed(mean, now) / (memory_s * seen);
   }
   return rates;
 }
--- a/libs/gateway/src/details/demand_meter.h
+++ b/libs/gateway/src/details/demand_meter.h
@@ -8,7 +8,8 @@
 
 namespace firmoor::details {
 
-/// Amounts a second by name, as a mean that forgets older seconds. Pure.
+/// Amounts a second by name, as a mean that forgets older seconds and is not
+/// too low when it has only begun. Pure.
 class DemandMeter {
  public:
   explicit DemandMeter(Duration memory) : memory_(memory) {}
@@ -18,6 +19,7 @@
 
  private:
   struct Mean {
+    TimePoint since;
     double sum = 0;  ///< Decays with `memory_`.
     TimePoint at;
   };
