Keep as many engines as serve until demand is seen

Cause: a new coordinator kept only 0.7 of the engines that served at the start, and traffic meets cold prefixes in its first seconds. Ruled out: keeping all on demand (three times the price).

--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -12,9 +12,7 @@
 // Demand is believed low only after this time without a higher one: a wave of
 // traffic lasts longer than a burst.
 constexpr Duration kPeakMemory{25'000};
-// A new holder takes most of what serves as the need until it has seen some
-// demand; the rest is there to survive a reclaim.
-constexpr double kStartPart = 0.7;
+// A new holder takes what serves as enough until it has seen some demand.
 constexpr Duration kFirstSight{12'000};
 // A market that refused is asked again after this time.
 constexpr Duration kDryTime{2'500};
@@ -24,6 +22,23 @@
 // Part of the need below which engines are bought on demand.
 constexpr double kLeastPart = 0.5;
 
+/// Engines to have for a need, so that enough are left without the reclaimable
+/// ones of any one zone.
+double SpreadFactor(const ScalingProfile& scaling) {
+  const auto zones = static_cast<double>(scaling.zone_prices.size());
+  return zones > 1 ? zones / (zones - 1) : 1;
+}
+
+double Floor(const ScalingProfile& scaling) {
+  return static_cast<double>(scaling.zone_prices.size()) * scaling.min_per_zone;
+}
+
+/// The need for which as many engines would be ordered as serve now.
+double StartNeed(const ScalingProfile& scaling, double serving) {
+  const double floor = Floor(scaling);
+  return floor + std::max(0.0, serving - floor) / SpreadFactor(scaling);
+}
+
 }  // namespace
 
 ScalingDuty::ScalingDuty(TimePoint started_at) : started_at_(started_at) {}
@@ -45,7 +60,7 @@
                     : load->second.tokens_per_s / kTokensPerEngineS;
   const bool first = !peaks_.contains(service.name);
   auto& peak = peaks_[service.name];
-  if (first) peak = {serving * kStartPart, now};
+  if (first) peak = {StartNeed(*service.scaling, serving), now};
   if (now - started_at_ < kFirstSight) need = std::max(need, peak.need);
   if (need >= peak.need || now - peak.at > kPeakMemory) peak = {need, now};
   return peak.need;
@@ -71,11 +86,9 @@
   }
   const double need = Need(service, total, input, now);
   const auto zones = static_cast<double>(scaling.zone_prices.size());
-  const double floor = zones * scaling.min_per_zone;
-  // Without any one zone's reclaimable engines the need must be met.
-  const double spread = zones > 1 ? zones / (zones - 1) : 1;
+  const double beyond = std::max(0.0, need - Floor(scaling));
   const int per_zone =
-      static_cast<int>(std::ceil(std::max(0.0, need - floor) * spread / zones));
+      static_cast<int>(std::ceil(beyond * SpreadFactor(scaling) / zones));
   const bool has_enough = total >= need;
   ScalingCounts wanted;
   for (const auto& [zone, price] : scaling.zone_prices) {
