Move streams from engines that are reclaimed

Ruled out: reading the time from the store's entry, which does not have it. gateway_test "a stream at an engine that is reclaimed".

--- a/libs/gateway/include/gateway/dialect.h
+++ b/libs/gateway/include/gateway/dialect.h
@@ -41,6 +41,23 @@
   bool operator==(const ForwardRequest&) const = default;
 };
 
+/// A run that stopped at one engine and may go on at another with its memory.
+struct RunCopy {
+  Endpoint source;     ///< Where the run began.
+  std::string handle;  ///< Name of the copy, usable once.
+
+  bool operator==(const RunCopy&) const = default;
+};
+
+/// What an engine answered when it was asked to move a run.
+struct MoveAnswer {
+  bool stopped = false;  ///< The run has stopped and can go on elsewhere.
+  bool copied = false;   ///< Its memory has arrived at the target.
+  std::string handle;    ///< Empty when it has not stopped.
+
+  bool operator==(const MoveAnswer&) const = default;
+};
+
 /// What the daemon adds when it sends a request to an upstream.
 struct UpstreamCall {
   std::string upstream;   ///< The only upstream that may run it.
@@ -49,6 +66,7 @@
   int urgency = 0;  ///< Rank of the request; 0 is the most urgent.
   bool to_engine = false;
   std::string last_event_id;
+  std::optional<RunCopy> copy;  ///< The run goes on from this copy.
 
   bool operator==(const UpstreamCall&) const = default;
 };
@@ -80,6 +98,15 @@
       const ForwardRequest& request, const UpstreamCall& call) const = 0;
   [[nodiscard]] virtual UpstreamHead ReadHead(
       int status, const HttpHeaders& headers) const = 0;
+  /// Asks the engine that runs a request to stop it and to copy its memory.
+  [[nodiscard]] virtual HttpRequest WriteMove(
+      const std::string& request_id, const Endpoint& target) const = 0;
+  [[nodiscard]] virtual MoveAnswer ReadMove(const HttpAnswer& answer) const = 0;
+  /// Asks an engine that leaves how long it stays.
+  [[nodiscard]] virtual HttpRequest WriteStayQuery() const = 0;
+  /// None when the engine does not know.
+  [[nodiscard]] virtual std::optional<Duration> ReadStay(
+      const HttpAnswer& answer) const = 0;
 };
 
 }  // namespace firmoor
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -149,7 +149,8 @@
   return times;
 }
 
-void Exchange::Send(const UpstreamEntry& upstream) {
+void Exchange::Send(const UpstreamEntry& upstream,
+                    const std::optional<RunCopy>& copy) {
   const auto now = MonotonicNow();
   attempt_ = {};
   attempt_.upstream = upstream;
@@ -164,6 +165,7 @@
   const auto* profile = table_->FindService(service_);
   call.to_engine = profile != nullptr && profile->engine.has_value();
   call.last_event_id = relay_.last_event_id();
+  call.copy = copy;
   auto builder = HttpCall::Builder(
       upstream.endpoint,
       context_->environment.dialect->WriteRequest(request_, call));
@@ -265,6 +267,12 @@
 
 void Exchange::OnEnd(HttpCallEnd end) {
   if (finished_) return;
+  if (move_call_ && end != HttpCallEnd::kComplete) {
+    // Moving a run ends its stream; the answer to the move decides.
+    end_while_moving_ = end;
+    return;
+  }
+  move_call_.reset();
   const auto self = shared_from_this();
   const auto now = MonotonicNow();
   const auto described = DescribeEnd(end);
@@ -387,6 +395,7 @@
   if (std::exchange(finished_, true)) return;
   const auto now = MonotonicNow();
   timer_.stop();
+  move_call_.reset();
   const auto age = context_->freshness.Age(now);
   context_->environment.log->Write(
       "request",
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -28,6 +28,11 @@
   /// The coordinator has granted more of the quotas.
   void OnQuotaGrant();
 
+  /// The upstream ends at `ends_at`; a stream that is there goes on at another
+  /// one, with its memory, unless it ends before.
+  void OnUpstreamEnding(const std::string& upstream, TimePoint ends_at,
+                        std::int64_t tokens_per_event);
+
   /// Ends the request with a failure of the daemon's own.
   void Refuse(ResultCode code, std::string message, RequestOutcome outcome,
               std::optional<Duration> retry_after);
@@ -50,7 +55,13 @@
   [[nodiscard]] PickRequest MakePickRequest() const;
   [[nodiscard]] bool MayBelieveKey() const;
   void TryNext();
-  void Send(const UpstreamEntry& upstream);
+  void Send(const UpstreamEntry& upstream,
+            const std::optional<RunCopy>& copy = std::nullopt);
+  [[nodiscard]] bool WillEndBefore(TimePoint ends_at,
+                                   std::int64_t tokens_per_event) const;
+  void StartMove(TimePoint ends_at, std::int64_t tokens_per_event);
+  void OnMoveAnswer(const HttpFetchResult& result, const UpstreamEntry& target);
+  void GoOnFrom(const UpstreamEntry& upstream, const std::string& handle);
   [[nodiscard]] HttpCallTimes Times(TimePoint now) const;
   void OnHead(int status, const HttpHeaders& headers);
   void OnBody(std::string_view bytes);
@@ -79,6 +90,8 @@
   TimePoint ends_at_;
   QTimer timer_;
   Attempt attempt_;
+  std::unique_ptr<HttpCall> move_call_;
+  std::optional<HttpCallEnd> end_while_moving_;
   std::set<std::string> tried_;
   EventRelay relay_;
   std::optional<TimePoint> first_event_;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include <QTimer>
 #include <utility>
 #include <variant>
 
@@ -13,6 +14,10 @@
 using details::Exchange;
 using details::GatewayContext;
 
+constexpr HttpCallTimes kStayQueryTimes{Duration(300), Duration(600),
+                                        Duration(300)};
+// Engines show their state as it was some 200 ms ago.
+constexpr Duration kReportLag{350};
 // New connections go to other daemons, so callers need not wait.
 constexpr Duration kRetryAtAnother{20};
 
@@ -29,6 +34,9 @@
       : context(std::move(settings), environment) {}
 
   void LogRefused(const std::string& id, const Failure& failure) const;
+  void AskHowLongItStays(const UpstreamEntry& entry);
+  void SendStayQuery(const UpstreamEntry& entry);
+  void Evacuate(const UpstreamEntry& entry, Duration stay);
   void LogUpstream(const UpstreamEntry& entry, std::string_view change) const;
 };
 
@@ -45,6 +53,46 @@
        {"config_age_ms", age ? static_cast<qint64>(age->count()) : -1}});
 }
 
+void Gateway::Impl::AskHowLongItStays(const UpstreamEntry& entry) {
+  const auto* service =
+      context.table ? context.table->FindService(entry.service) : nullptr;
+  const bool moves =
+      service != nullptr && service->engine && service->engine->moves_runs;
+  if (!moves || context.picker.InFlight(entry.id) == 0) return;
+  QTimer::singleShot(kReportLag, &context.janitor,
+                     [this, entry] { SendStayQuery(entry); });
+}
+
+void Gateway::Impl::SendStayQuery(const UpstreamEntry& entry) {
+  const auto& dialect = *context.environment.dialect;
+  // Held by its own callback until it has ended.
+  const auto call = std::make_shared<std::unique_ptr<HttpCall>>();
+  *call = HttpFetch(
+      entry.endpoint, dialect.WriteStayQuery(), kStayQueryTimes, &context.pool,
+      [this, entry, call](const HttpFetchResult& result) {
+        const auto ended = std::move(*call);
+        if (result.end != HttpCallEnd::kComplete) return;
+        const auto stay = context.environment.dialect->ReadStay(result.answer);
+        if (stay) Evacuate(entry, *stay - kReportLag);
+      });
+}
+
+void Gateway::Impl::Evacuate(const UpstreamEntry& entry, Duration stay) {
+  context.environment.log->Write(
+      "evacuation",
+      {{"upstream", Text(entry.id)},
+       {"stays_ms", static_cast<qint64>(stay.count())},
+       {"requests", static_cast<qint64>(context.picker.InFlight(entry.id))}});
+  const auto* service =
+      context.table ? context.table->FindService(entry.service) : nullptr;
+  if (service == nullptr || !service->engine) return;
+  const auto ends_at = MonotonicNow() + stay;
+  for (const auto& [key, exchange] : context.exchanges) {
+    exchange->OnUpstreamEnding(entry.id, ends_at,
+                               service->engine->tokens_per_event);
+  }
+}
+
 void Gateway::Impl::LogUpstream(const UpstreamEntry& entry,
                                 std::string_view change) const {
   context.environment.log->Write(
@@ -98,6 +146,7 @@
   impl_->LogUpstream(entry, entry.leaving ? "leaving" : "changed");
   impl_->context.catalog.Apply(entry);
   impl_->context.SyncPicker(MonotonicNow());
+  if (entry.leaving) impl_->AskHowLongItStays(entry);
 }
 
 void Gateway::RemoveUpstream(const std::string& id) {
@@ -105,6 +154,8 @@
   const auto* held = context.catalog.Find(id);
   if (held == nullptr) return;
   impl_->LogUpstream(*held, "removed");
+  // Some leave without saying so; their entry goes while they still serve.
+  if (!held->leaving) impl_->AskHowLongItStays(*held);
   context.catalog.Remove(id, MonotonicNow());
   context.SyncPicker(MonotonicNow());
 }
--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -33,9 +33,25 @@
             request.target,
             {{"Id", request.id},
              {"Upstream", call.upstream},
-             {"From", call.last_event_id}},
+             {"From", call.last_event_id},
+             {"Copy", call.copy ? call.copy->handle : ""}},
             request.body};
   }
+  [[nodiscard]] HttpRequest WriteMove(const std::string& request_id,
+                                      const Endpoint&) const override {
+    return {"POST", "/move", {{"Id", request_id}}, ""};
+  }
+  [[nodiscard]] MoveAnswer ReadMove(const HttpAnswer& answer) const override {
+    const bool stopped = answer.status == 200;
+    return {stopped, stopped, stopped ? answer.body : ""};
+  }
+  [[nodiscard]] HttpRequest WriteStayQuery() const override {
+    return {"GET", "/stay", {}, ""};
+  }
+  [[nodiscard]] std::optional<Duration> ReadStay(
+      const HttpAnswer& answer) const override {
+    return Duration(std::stoi(answer.body));
+  }
   [[nodiscard]] UpstreamHead ReadHead(
       int status, const HttpHeaders& headers) const override {
     UpstreamHead head;
@@ -96,6 +112,7 @@
     content.routes.back().is_resumable = true;
     ServiceProfile service;
     service.name = "s";
+    service.engine = EngineProfile{.slots = 4, .moves_runs = true};
     content.services = {service};
     gateway.SetRoutes(std::make_shared<const RouteTable>(content));
     gateway.ConfirmRoutes(MonotonicNow());
@@ -107,12 +124,14 @@
                  .Build();
     REQUIRE(server->Start());
   }
-  void Add(const std::string& id, const RawUpstream& upstream) {
+  void Add(const std::string& id, const RawUpstream& upstream,
+           bool leaving = false) {
     UpstreamEntry entry;
     entry.id = id;
     entry.service = "s";
     entry.endpoint = upstream.Address();
     entry.slots = 4;
+    entry.leaving = leaving;
     gateway.ApplyUpstream(entry);
   }
   [[nodiscard]] std::unique_ptr<RawClient> Ask(const std::string& route,
@@ -218,6 +237,49 @@
   }
 }
 
+TEST_CASE("a stream at an engine that is reclaimed") {
+  World world;
+  std::string move_answer = "200 OK";
+  RawUpstream::Connection* stream = nullptr;
+  RawUpstream leaving([&](auto& connection) {
+    // The calls come one after the other on one kept connection.
+    if (connection.received.find("POST /move") != std::string::npos) {
+      if (move_answer == "200 OK") stream->socket->abort();
+      return Answer(connection, move_answer, "copy-7");
+    }
+    if (connection.received.find("GET /stay") != std::string::npos) {
+      return Answer(connection, "200 OK", "1800");
+    }
+    stream = &connection;
+    StartEvents(connection, Event(1) + Event(2));
+  });
+  RawUpstream other([](auto& connection) {
+    const bool moved =
+        connection.received.find("Copy: copy-7") != std::string::npos &&
+        connection.received.find("From: 2") != std::string::npos;
+    Answer(connection, "200 OK", moved ? Event(3) : "wrong");
+  });
+  world.Add("a", leaving);
+  auto caller = world.Ask("stream");
+  REQUIRE(caller->WaitFor("id: 2"));
+  world.Add("b", other);
+
+  SUBCASE("goes on at another one, although it must not run twice") {
+    world.Add("a", leaving, true);
+    REQUIRE(caller->WaitFor("0\r\n\r\n"));
+    CHECK(caller->Received().find("id: 3") != std::string::npos);
+  }
+  SUBCASE("stays when it cannot be moved") {
+    move_answer = "404 No Run";
+    world.Add("a", leaving, true);
+    REQUIRE(WaitUntil([&] { return leaving.Requests() == 3; }));
+    RunFor(100);
+    CHECK(other.Requests() == 0);
+    stream->socket->disconnectFromHost();
+    CHECK(caller->WaitClosed());
+  }
+}
+
 TEST_CASE("a stream is not cut before its caller has given it up") {
   World world;
   RawUpstream slow([](auto& connection) { StartEvents(connection, Event(1)); });
--- a/libs/routing/include/routing/route_table.h
+++ b/libs/routing/include/routing/route_table.h
@@ -57,6 +57,7 @@
   std::int64_t slots = 1;          ///< Requests in one batch.
   std::int64_t memory_tokens = 0;  ///< Of running requests and cached parts.
   std::int64_t tokens_per_event = 1;
+  bool moves_runs = false;  ///< Runs can go on at another engine.
 
   bool operator==(const EngineProfile&) const = default;
 };
