--- a/libs/gateway/include/gateway/dialect.h
+++ b/libs/gateway/include/gateway/dialect.h
@@ -30,7 +30,8 @@
 
   /// Path of the target without its query.
   [[nodiscard]] std::string_view Path() const {
-    return std::string_view(target).substr(0, target.find('?'));
+    const std::string_view whole = target;
+    return whole.substr(0, whole.find('?'));
   }
   /// Prompt and output tokens; none when the request does not tell them.
   [[nodiscard]] std::optional<double> Tokens() const {
@@ -99,8 +100,8 @@
   [[nodiscard]] virtual UpstreamHead ReadHead(
       int status, const HttpHeaders& headers) const = 0;
   /// Asks the engine that runs a request to stop it and to copy its memory.
-  [[nodiscard]] virtual HttpRequest WriteMove(
-      const std::string& request_id, const Endpoint& target) const = 0;
+  [[nodiscard]] virtual HttpRequest WriteMove(const std::string& request_id,
+                                              const Endpoint& target) const = 0;
   [[nodiscard]] virtual MoveAnswer ReadMove(const HttpAnswer& answer) const = 0;
   /// Asks an engine that leaves how long it stays.
   [[nodiscard]] virtual HttpRequest WriteStayQuery() const = 0;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -90,6 +90,8 @@
   [[nodiscard]] const UpstreamCatalog& upstreams() const;
 
   void SetSharedLimits(const SharedLimits& limits);
+  /// Takes settings that changed; the location and windows keep their values.
+  void ApplySettings(const GatewaySettings& settings);
 
   /// Serves one request of a caller.
   void Handle(HttpRequest request,
--- a/libs/gateway/include/gateway/gateway_daemon.h
+++ b/libs/gateway/include/gateway/gateway_daemon.h
@@ -46,7 +46,8 @@
   /// still comes on open connections, and ends within the drain time.
   void RequestStop();
 
-  /// Takes settings that changed; endpoints keep their values.
+  /// Takes the times and limits of settings that changed; names, endpoints and
+  /// windows are fixed for the life of the process.
   void ApplySettings(const GatewayDaemonSettings& settings);
 
   /// Whether it has a recent configuration and knows the upstreams.
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -44,6 +44,18 @@
       1.0, settings.retry_burst * kBudgetPart / static_cast<double>(daemons));
 }
 
+void GatewayContext::ApplySettings(const GatewaySettings& changed) {
+  settings.retry_ratio = changed.retry_ratio;
+  settings.retry_burst = changed.retry_burst;
+  settings.quota_slack = changed.quota_slack;
+  settings.freshness_bound = changed.freshness_bound;
+  freshness.SetBound(changed.freshness_bound);
+  for (auto& [service, budget] : budgets) {
+    budget.SetShare(settings.retry_ratio * kBudgetPart);
+    budget.SetReserve(RetryReserve());
+  }
+}
+
 void GatewayContext::SetShared(const SharedLimits& limits) {
   shared = limits;
   for (auto& [service, budget] : budgets) budget.SetReserve(RetryReserve());
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -48,6 +48,7 @@
 
   /// The budget of repeats at `service`.
   RetryBudget& BudgetOf(const std::string& service);
+  void ApplySettings(const GatewaySettings& changed);
   /// Takes new parts of the limits that all daemons share.
   void SetShared(const SharedLimits& limits);
   /// This daemon's allowance of a workspace's quota.
--- a/libs/gateway/src/event_relay.cc
+++ b/libs/gateway/src/event_relay.cc
@@ -56,12 +56,13 @@
 
 std::string EventRelay::Feed(std::string_view bytes) {
   rest_ += bytes;
+  const std::string_view whole = rest_;
   std::string passed;
   std::size_t start = 0;
   for (;;) {
     const auto end = EndOfEvent(rest_, start);
     if (end == std::string::npos) break;
-    const auto event = std::string_view(rest_).substr(start, end - start);
+    const auto event = whole.substr(start, end - start);
     if (IsNew(event)) {
       passed += event;
       ++events_;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -172,6 +172,10 @@
   impl_->context.SetShared(limits);
 }
 
+void Gateway::ApplySettings(const GatewaySettings& settings) {
+  impl_->context.ApplySettings(settings);
+}
+
 void Gateway::Handle(HttpRequest request,
                      const std::shared_ptr<HttpResponder>& responder) {
   auto& context = impl_->context;
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -221,13 +221,14 @@
 }
 
 void GatewayDaemon::Impl::BuildServers() {
-  callers = HttpServer::Builder()
-                .Listen(settings.callers)
-                .ErrorAnswer(MakeInputErrorAnswer)
-                .Handler([this](HttpRequest request, const auto& responder) {
-                  gateway.Handle(std::move(request), responder);
-                })
-                .Build();
+  callers =
+      HttpServer::Builder()
+          .Listen(settings.callers)
+          .ErrorAnswer(MakeInputErrorAnswer)
+          .Handler([this](const HttpRequest& request, const auto& responder) {
+            gateway.Handle(request, responder);
+          })
+          .Build();
   ready = HttpServer::Builder()
               .Listen(settings.ready)
               .Handler([this](const HttpRequest&, const auto& responder) {
@@ -345,6 +346,11 @@
   impl_->log->Write("reload", {{"changed", !same}});
   if (same) return;
   impl_->settings.drain_time = settings.drain_time;
+  impl_->settings.retry_ratio = settings.retry_ratio;
+  impl_->settings.retry_burst = settings.retry_burst;
+  impl_->settings.quota_slack = settings.quota_slack;
+  impl_->settings.key_revocation = settings.key_revocation;
+  impl_->gateway.ApplySettings(GatewaySettingsOf(impl_->settings));
 }
 
 bool GatewayDaemon::IsReady() const { return impl_->IsReady(); }
--- a/libs/gateway/src/refusal.cc
+++ b/libs/gateway/src/refusal.cc
@@ -16,8 +16,8 @@
   const double seconds =
       static_cast<double>(failure.retry_after->count()) / kMsPerSecond;
   for (auto& header : answer.headers) {
-    if (header.name == "Retry-After")
-      header.value = fmt::format("{:.3f}", seconds);
+    if (header.name != "Retry-After") continue;
+    header.value = fmt::format("{:.3f}", seconds);
   }
   return answer;
 }
--- a/libs/gateway/tests/coordination_test.cc
+++ b/libs/gateway/tests/coordination_test.cc
@@ -9,7 +9,7 @@
 
 QuotaLimit LimitOf(const std::string&) { return {100, 100, Duration(8'000)}; }
 
-DaemonReport Report(std::string daemon, double demand) {
+DaemonReport Report(const std::string& daemon, double demand) {
   DaemonReport report;
   report.daemon = daemon;
   report.life = daemon + "/1";
--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -116,12 +116,13 @@
     content.services = {service};
     gateway.SetRoutes(std::make_shared<const RouteTable>(content));
     gateway.ConfirmRoutes(MonotonicNow());
-    server = HttpServer::Builder()
-                 .Listen({"127.0.0.1", 0})
-                 .Handler([this](HttpRequest request, const auto& responder) {
-                   gateway.Handle(std::move(request), responder);
-                 })
-                 .Build();
+    server =
+        HttpServer::Builder()
+            .Listen({"127.0.0.1", 0})
+            .Handler([this](const HttpRequest& request, const auto& responder) {
+              gateway.Handle(request, responder);
+            })
+            .Build();
     REQUIRE(server->Start());
   }
   void Add(const std::string& id, const RawUpstream& upstream,
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -122,10 +122,9 @@
   const auto parsed =
       std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
   if (parsed.ec != std::errc()) return kIdleTime;
-  const auto announced = static_cast<std::int64_t>(seconds * 1'000);
-  return std::min(kIdleTime,
-                  Duration(static_cast<std::int64_t>(
-                      static_cast<double>(announced) * kIdleTimePart)));
+  const Duration announced = std::chrono::seconds(seconds);
+  const auto usable = static_cast<double>(announced.count()) * kIdleTimePart;
+  return std::min(kIdleTime, Duration(static_cast<std::int64_t>(usable)));
 }
 
 /// A connection that waits for its next call.
--- a/libs/placement/src/lease.cc
+++ b/libs/placement/src/lease.cc
@@ -67,6 +67,8 @@
   // An own write whose answer was lost took effect.
   const bool own = seen_holder_ == daemon_ && seen_fencing_ == asked_fencing_ &&
                    asked_fencing_ > 0;
+  if (!own) holder_ = false;
+  if (own && holder_) next_call_ = now;
   if (own && !holder_) {
     holder_ = true;
     fencing_ = seen_fencing_;
@@ -101,7 +103,6 @@
   } else {
     // Unknown: reads back. Until then the old lifetime counts.
     known_ = false;
-    holder_ = false;
     version_ = 0;
   }
   next_call_ = now + (status == StoreStatus::kConflict ? Duration(0) : kRetry);
--- a/libs/placement/tests/placement_test.cc
+++ b/libs/placement/tests/placement_test.cc
@@ -39,6 +39,50 @@
 
 }  // namespace
 
+TEST_CASE("a holder whose renewal got no answer") {
+  const LeaseTiming timing{Duration(3'000), Duration(1'000), Duration(500)};
+  LeaseKeeper keeper("a", timing);
+  auto now = TimePoint(Duration(10'000));
+  REQUIRE(keeper.NextCall(now));
+  keeper.OnRead(StoreStatus::kNotFound, {}, now);
+  const auto taken = keeper.NextCall(now);
+  REQUIRE(taken);
+  keeper.OnWrite(StoreStatus::kOk, 5, now);
+  now += Duration(1'000);
+  REQUIRE(keeper.NextCall(now));
+  keeper.OnWrite(StoreStatus::kUnavailable, 0, now);
+
+  SUBCASE("may act until the end of the lease that it had") {
+    CHECK(keeper.MayOrderFenced(now + Duration(1'999)));
+    CHECK_FALSE(keeper.MayOrderFenced(now + Duration(2'000)));
+  }
+  SUBCASE("reads back and renews, with the same fencing number") {
+    now += Duration(500);
+    const auto read = keeper.NextCall(now);
+    REQUIRE(read);
+    CHECK_FALSE(read->is_write);
+    keeper.OnRead(StoreStatus::kOk, {5, taken->value}, now);
+    const auto again = keeper.NextCall(now);
+    REQUIRE(again);
+    CHECK(again->is_write);
+    CHECK(again->expected == 5);
+    CHECK(keeper.fencing() == 1);
+  }
+  SUBCASE("stops at once when it reads that another one holds the lease") {
+    LeaseKeeper other("b", timing);
+    other.NextCall(now);
+    other.OnRead(StoreStatus::kOk, {5, taken->value}, now);
+    const auto later = now + Duration(3'000);
+    const auto take = other.NextCall(later);
+    REQUIRE(take);
+    CHECK(take->is_write);
+    now += Duration(500);
+    keeper.NextCall(now);
+    keeper.OnRead(StoreStatus::kOk, {6, take->value}, now);
+    CHECK_FALSE(keeper.MayOrderFenced(now));
+  }
+}
+
 TEST_CASE("a placement plan") {
   PlacementPlanner planner(ThreeZones());
   PlacementNeed need{80, 10, 1, 100};
--- a/libs/platform/src/kind_follower.cc
+++ b/libs/platform/src/kind_follower.cc
@@ -50,10 +50,11 @@
 
 void KindFollower::Impl::List() {
   const auto asked_at = MonotonicNow();
-  store->List(kind, [weak = weak_from_this(), asked_at](KindListing listing) {
-    const auto self = weak.lock();
-    if (self && self->running) self->OnList(listing, asked_at);
-  });
+  store->List(kind,
+              [weak = weak_from_this(), asked_at](const KindListing& listing) {
+                const auto self = weak.lock();
+                if (self && self->running) self->OnList(listing, asked_at);
+              });
 }
 
 void KindFollower::Impl::Wait() {
@@ -62,7 +63,7 @@
   const auto wait_now = failed ? Duration(0) : wait;
   store->WaitForChanges(
       kind, revision, wait_now,
-      [weak = weak_from_this(), asked_at](KindChanges changes) {
+      [weak = weak_from_this(), asked_at](const KindChanges& changes) {
         const auto self = weak.lock();
         if (self && self->running) self->OnChanges(changes, asked_at);
       });
--- a/libs/routing/include/routing/freshness.h
+++ b/libs/routing/include/routing/freshness.h
@@ -19,6 +19,8 @@
   /// the newest one. The time of asking counts: the answer may be late.
   void Confirm(TimePoint asked_at);
 
+  void SetBound(Duration bound) { bound_ = bound; }
+
   [[nodiscard]] bool IsFresh(TimePoint now) const;
 
   /// Age of the proof; none before the first.
--- a/libs/serving/include/serving/retry_budget.h
+++ b/libs/serving/include/serving/retry_budget.h
@@ -17,6 +17,9 @@
   /// Takes one retry; false when the budget is spent.
   bool TryTake();
 
+  /// Changes the retries per fresh request.
+  void SetShare(double share) { share_ = share; }
+
   /// Changes the reserve, for instance when more daemons share it.
   void SetReserve(double reserve);
 
