Pass the proof of the configuration on, and wait longer for changes

Now the coordinator proves it and passes version and age on with its answers; the others ask the store themselves when their proof is older than 0.55 of the bound or the versions differ. Changes of upstreams within 0.4 s are taken together, calls wait 10 s. Requests wait for a grant also when their workspace is new to the daemon. Ruled out: longer proofs for all, which would refuse keys sooner in an outage.

--- a/apps/firmoorctl/src/commands.cc
+++ b/apps/firmoorctl/src/commands.cc
@@ -19,6 +19,7 @@
 #include "base/random_id.h"
 #include "config/settings.h"
 #include "metrics/burn_report.h"
+#include "metrics/request_story.h"
 
 namespace firmoor {
 namespace {
@@ -230,4 +231,26 @@
   return 0;
 }
 
+int ExplainCommand(const CtlOptions& options) {
+  QByteArray log;
+  for (const auto& name : options.logs) {
+    QFile file(QString::fromStdString(name));
+    if (!file.open(QIODevice::ReadOnly)) {
+      return PrintError({ResultCode::kUnreadableFile, name});
+    }
+    log += file.readAll() + "\n";
+  }
+  if (options.logs.empty()) {
+    QFile input;
+    if (input.open(stdin, QIODevice::ReadOnly)) log = input.readAll();
+  }
+  const auto story = TellRequestStory(options.request_id, log);
+  if (story.empty()) {
+    return PrintError({ResultCode::kUnknownRequest,
+                       "No line names request " + options.request_id});
+  }
+  for (const auto& line : story) fmt::print("{}\n", line);
+  return 0;
+}
+
 }  // namespace firmoor
--- a/apps/firmoorctl/src/commands.h
+++ b/apps/firmoorctl/src/commands.h
@@ -19,6 +19,8 @@
   std::string patch_id;
   std::string html_file;
   double vm_cost_per_hour = 0;
+  std::string request_id;
+  std::vector<std::string> logs;  ///< Log files; standard input when empty.
 };
 
 /// Each command prints its result and returns the exit code.
@@ -28,6 +30,7 @@
 int StatusCommand(const CtlOptions& options);
 int DrainCommand(const CtlOptions& options);
 int ReportCommand(const CtlOptions& options);
+int ExplainCommand(const CtlOptions& options);
 
 }  // namespace firmoor
 
--- a/apps/firmoorctl/src/main.cc
+++ b/apps/firmoorctl/src/main.cc
@@ -20,6 +20,8 @@
     {"status", "Show the state of daemons", StatusCommand},
     {"drain", "Stop daemons gracefully", DrainCommand},
     {"report", "Show service-level burn", ReportCommand},
+    {"explain", "Tell a request's story from the daemons' logs",
+     ExplainCommand},
 };
 
 void AddOptions(CLI::App* sub, const std::string& name, CtlOptions* options) {
@@ -40,6 +42,12 @@
     sub->add_option("--id", options->patch_id,
                     "Id of the patch, to repeat one whose answer was lost");
   }
+  if (name == "explain") {
+    sub->add_option("request", options->request_id, "Id of the request")
+        ->required();
+    sub->add_option("logs", options->logs,
+                    "Log files of the daemons; standard input if left out");
+  }
   if (name == "report") {
     sub->add_option("--html", options->html_file, "Also write a page here");
     sub->add_option("--vm-cost-per-hour", options->vm_cost_per_hour,
--- a/libs/gateway/include/gateway/coordination.h
+++ b/libs/gateway/include/gateway/coordination.h
@@ -37,6 +37,10 @@
   /// Set when the coordinator has heard of the daemons long enough to divide.
   bool divides = false;
   SharedLimits limits;
+  /// The configuration that the coordinator holds, and the age of its proof
+  /// that it is the newest; negative when it has none.
+  std::int64_t config_version = -1;
+  std::int64_t config_age_ms = -1;
 
   [[nodiscard]] QByteArray Encode() const;
   /// Fails with `kBadMessage`.
--- a/libs/gateway/include/gateway/duty_service.h
+++ b/libs/gateway/include/gateway/duty_service.h
@@ -37,6 +37,8 @@
     CloudApi* cloud = nullptr;
     TrueTime* true_time = nullptr;
     EventLog* log = nullptr;
+    /// Called when the coordinator holds another configuration.
+    std::function<void()> check_configuration;
   };
 
   DutyService(Settings settings, Environment environment);
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -114,6 +114,8 @@
 QByteArray CoordinatorGrant::Encode() const {
   return QCborValue(QCborMap{{"true_ms", static_cast<qint64>(true_ms)},
                              {"divides", divides},
+                             {"version", static_cast<qint64>(config_version)},
+                             {"age_ms", static_cast<qint64>(config_age_ms)},
                              {"grants", Amounts(limits.quota_grants)},
                              {"daemons", static_cast<qint64>(limits.daemons)}})
       .toCbor();
@@ -125,6 +127,8 @@
   CoordinatorGrant grant;
   grant.true_ms = map[QLatin1String("true_ms")].toInteger();
   grant.divides = map[QLatin1String("divides")].toBool();
+  grant.config_version = map[QLatin1String("version")].toInteger(-1);
+  grant.config_age_ms = map[QLatin1String("age_ms")].toInteger(-1);
   grant.limits.quota_grants = AmountsOf(map[QLatin1String("grants")]);
   grant.limits.daemons =
       static_cast<std::size_t>(map[QLatin1String("daemons")].toInteger(1));
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -72,7 +72,7 @@
                           : 1.0;
   auto& quota = context_->QuotaOf(workspace, now);
   const auto wait = quota.TakeOrWait(cost, now);
-  const bool waits = wait && may_wait && quota.MayGetMore(now);
+  const bool waits = wait && may_wait && context_->MayBeGranted(now);
   if (waits) {
     waits_for_quota_ = true;
     context_->quota_waiters.push_back(weak_from_this());
@@ -81,6 +81,15 @@
   if (quota.IsShort() && context_->on_quota_short) context_->on_quota_short();
   if (waits) return;
   if (!wait) return Admit();
+  const auto age = quota.GrantAge(now);
+  context_->environment.log->Write(
+      "quota-refused",
+      {{"request", Text(request_.id)},
+       {"workspace", Text(workspace.name)},
+       {"tokens", cost},
+       {"allowance", quota.level()},
+       {"grant_age_ms", static_cast<qint64>(age.count())},
+       {"retry_after_ms", static_cast<qint64>(wait->count())}});
   Refuse(ResultCode::kWorkspaceLimit, "The workspace is over its quota",
          RequestOutcome::kNotRun, wait);
 }
@@ -155,7 +164,9 @@
   attempt_ = {};
   attempt_.upstream = upstream;
   attempt_.sent_at = now;
+  attempt_.in_flight = context_->picker.InFlight(upstream.id);
   attempt_.ticket = context_->picker.OnSend(upstream.id, MakePickRequest());
+  attempt_.prefill_tokens = attempt_.ticket.prefill_tokens;
   tried_.insert(upstream.id);
   UpstreamCall call;
   call.upstream = upstream.id;
@@ -380,14 +391,14 @@
       "attempt-failed",
       {{"request", Text(request_.id)},
        {"upstream", Text(attempt_.upstream.id)},
-       {"end", static_cast<int>(end.end)},
+       {"end", Text(NameOf(end.end))},
        {"status", attempt_.head ? attempt_.head->status : 0},
        {"may_have_left", end.may_have_left},
        {"declared_not_run", end.declared_not_run},
        {"attempt_ms",
         static_cast<qint64>((MonotonicNow() - attempt_.sent_at).count())},
        {"budget", context_->BudgetOf(service_).available()},
-       {"next", static_cast<int>(verdict.step)},
+       {"next", Text(NameOf(verdict.step))},
        {"outcome", Text(NameOf(verdict.outcome))}});
 }
 
@@ -406,6 +417,8 @@
        {"service", Text(service_)},
        {"upstream", Text(attempt_.upstream.id)},
        {"sends", sends_},
+       {"in_flight", static_cast<qint64>(attempt_.in_flight)},
+       {"prefill_tokens", attempt_.prefill_tokens},
        {"status", attempt_.head ? attempt_.head->status : 0},
        {"code", Text(InfoOf(code).name)},
        {"outcome", Text(outcome)},
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -42,6 +42,8 @@
   struct Attempt {
     UpstreamEntry upstream;
     PickTicket ticket;
+    std::int64_t in_flight = 0;  ///< Of this daemon there, when it was sent.
+    double prefill_tokens = 0;   ///< Estimated not to be cached there.
     std::unique_ptr<HttpCall> call;
     TimePoint sent_at;
     std::optional<UpstreamHead> head;
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -13,6 +13,8 @@
 // Part of the allowed repeats that is used, since daemons count the requests
 // of a window a little apart.
 constexpr double kBudgetPart = 0.8;
+// Grants come once a second; a coordinator that missed two is away.
+constexpr Duration kCoordinatorLifetime{2'500};
 // Part of the slack of quotas that is lent for large prompts; the rest covers
 // daemons that go on with an old division.
 constexpr double kSlackPart = 0.7;
@@ -58,6 +60,7 @@
 
 void GatewayContext::SetShared(const SharedLimits& limits) {
   shared = limits;
+  shared_at = MonotonicNow();
   for (auto& [service, budget] : budgets) budget.SetReserve(RetryReserve());
   for (const auto& [workspace, tokens] : limits.quota_grants) {
     const auto quota = quotas.find(workspace);
@@ -72,6 +75,10 @@
   return {workspace.rate_per_s, workspace.burst, settings.quota_window};
 }
 
+bool GatewayContext::MayBeGranted(TimePoint now) const {
+  return shared_at && now - *shared_at < kCoordinatorLifetime;
+}
+
 QuotaAllowance& GatewayContext::QuotaOf(const WorkspaceProfile& workspace,
                                         TimePoint now) {
   const auto daemons =
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -32,6 +32,7 @@
   UpstreamPicker picker;
   HttpConnectionPool pool;
   SharedLimits shared;
+  std::optional<TimePoint> shared_at;  ///< Last answer of the coordinator.
   std::map<std::string, RetryBudget> budgets;    ///< By service.
   std::map<std::string, QuotaAllowance> quotas;  ///< By workspace.
   std::function<void()> on_quota_short;
@@ -53,6 +54,8 @@
   void SetShared(const SharedLimits& limits);
   /// This daemon's allowance of a workspace's quota.
   QuotaAllowance& QuotaOf(const WorkspaceProfile& workspace, TimePoint now);
+  /// Whether the coordinator has answered lately and may grant more.
+  [[nodiscard]] bool MayBeGranted(TimePoint now) const;
   [[nodiscard]] QuotaLimit LimitOf(const WorkspaceProfile& workspace) const;
   [[nodiscard]] double RetryReserve() const;
   /// Passes the catalog's entries on to the picker.
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -82,7 +82,8 @@
   [[nodiscard]] DaemonReport MakeReport() const;
   void Report();
   void ReportEarly();
-  void OnGrant(const QByteArray& bytes);
+  void OnGrant(const QByteArray& bytes, TimePoint asked_at);
+  void TakeProof(const CoordinatorGrant& grant, TimePoint asked_at);
   void TakeGrant(const CoordinatorGrant& grant);
   void OnMiss();
   QByteArray OnReport(const QByteArray& bytes);
@@ -125,13 +126,13 @@
   const auto endpoint = EndpointOf(holder);
   if (endpoint.port == 0 || holder == HolderName(settings)) return OnMiss();
   peers->Call(endpoint, kReportKind, MakeReport().Encode(), kReportTimeout,
-              [this, weak = std::weak_ptr(alive)](PeerStatus status,
-                                                  const QByteArray& bytes) {
+              [this, weak = std::weak_ptr(alive), asked_at = reported_at](
+                  PeerStatus status, const QByteArray& bytes) {
                 if (weak.expired()) return;
                 if (status != PeerStatus::kOk || bytes.isEmpty()) {
                   return OnMiss();
                 }
-                OnGrant(bytes);
+                OnGrant(bytes, asked_at);
               });
 }
 
@@ -144,7 +145,7 @@
   early_timer.start(std::max(due - now, Duration(0)));
 }
 
-void DutyService::Impl::OnGrant(const QByteArray& bytes) {
+void DutyService::Impl::OnGrant(const QByteArray& bytes, TimePoint asked_at) {
   const auto decoded = Capture([&] { return CoordinatorGrant::Decode(bytes); });
   if (const auto* error = std::get_if<Error>(&decoded)) {
     environment.log->Write("coordinator-answer-bad",
@@ -157,7 +158,19 @@
   }
   misses = 0;
   lease_timer.stop();
-  TakeGrant(std::get<CoordinatorGrant>(decoded));
+  const auto& grant = std::get<CoordinatorGrant>(decoded);
+  TakeGrant(grant);
+  TakeProof(grant, asked_at);
+}
+
+void DutyService::Impl::TakeProof(const CoordinatorGrant& grant,
+                                  TimePoint asked_at) {
+  if (grant.config_age_ms < 0) return;
+  const bool same = environment.gateway->ConfirmRoutesBy(
+      grant.config_version, Duration(grant.config_age_ms), asked_at);
+  if (!same && environment.check_configuration) {
+    environment.check_configuration();
+  }
 }
 
 void DutyService::Impl::TakeGrant(const CoordinatorGrant& grant) {
@@ -195,7 +208,14 @@
                            {{"reason", Text(error->message)}});
     return {};
   }
-  return Collect(std::get<DaemonReport>(decoded)).Encode();
+  auto grant = Collect(std::get<DaemonReport>(decoded));
+  const auto* routes = environment.gateway->routes();
+  const auto age = environment.gateway->freshness().Age(MonotonicNow());
+  if (routes != nullptr && age) {
+    grant.config_version = routes->version();
+    grant.config_age_ms = age->count();
+  }
+  return grant.Encode();
 }
 
 void DutyService::Impl::StepLease() {
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -122,12 +122,25 @@
        {"workspaces",
         static_cast<qint64>(table->content().workspaces.size())}});
   context.table = std::move(table);
+  // Known to the coordinator before the first request needs its quota.
+  for (const auto& workspace : context.table->content().workspaces) {
+    if (workspace.rate_per_s > 0) context.QuotaOf(workspace, MonotonicNow());
+  }
 }
 
 void Gateway::ConfirmRoutes(TimePoint asked_at) {
   impl_->context.freshness.Confirm(asked_at);
 }
 
+bool Gateway::ConfirmRoutesBy(std::int64_t version, Duration age,
+                              TimePoint asked_at) {
+  const auto& context = impl_->context;
+  if (!context.table || context.table->version() != version) return false;
+  // The proof was that old later than this daemon asked, so it is no older.
+  ConfirmRoutes(asked_at - age);
+  return true;
+}
+
 const RouteTable* Gateway::routes() const { return impl_->context.table.get(); }
 
 const Freshness& Gateway::freshness() const { return impl_->context.freshness; }
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -18,11 +18,19 @@
 namespace firmoor {
 namespace {
 
-// Longest time between two proofs that the configuration is the newest. The
-// proof at the begin of an outage is at most this old, and keys are believed
-// for the freshness bound less its age.
-constexpr Duration kConfigurationWait{900};
-constexpr Duration kUpstreamWait{3'000};
+// Calls that wait for changes; dead connections are found by keep-alive
+// probes, so they may wait long.
+constexpr Duration kConfigurationWait{10'000};
+constexpr Duration kUpstreamWait{10'000};
+// Upstreams come and go many at a time. Short against the time for which one
+// that leaves still takes work (2.5 s and more).
+constexpr Duration kUpstreamRest{400};
+// The coordinator proves its configuration this often and passes the proof on
+// with its answers. Others ask the store themselves when their proof is older
+// than a part of the freshness bound, for instance since it does not answer.
+constexpr Duration kProofPeriod{900};
+constexpr double kOldProofPart = 0.55;
+constexpr Duration kProofTick{300};
 // A watch of the store may miss changes for a second before it is cut, and a
 // request needs some time to its upstream.
 constexpr Duration kFreshnessReserve{1'300};
@@ -82,6 +90,7 @@
   std::unique_ptr<HttpServer> metrics_server;
   std::unique_ptr<Supervisor> root;
   QTimer drain_timer;
+  QTimer proof_timer;
   bool configuration_good = false;
   bool upstreams_listed = false;
   bool was_ready = false;
@@ -100,6 +109,7 @@
   void ApplyLimits();
   void BuildServers();
   void BuildTree();
+  void RenewProof();
   void NoteReadiness();
   void StepDrain();
   [[nodiscard]] bool IsReady() const;
@@ -118,15 +128,18 @@
       gateway(GatewaySettingsOf(settings),
               {ports.dialect, log, &metrics, &true_time}),
       configuration(ports.kinds, ports.configuration_kind, kConfigurationWait,
-                    ConfigurationHooks()),
-      upstreams(ports.kinds, ports.upstream_kind, kUpstreamWait,
+                    Duration(0), ConfigurationHooks()),
+      upstreams(ports.kinds, ports.upstream_kind, kUpstreamWait, kUpstreamRest,
                 UpstreamHooks()),
       duties({settings.daemon, life, settings.peers, settings.lease,
               settings.usage_window.count(), settings.reports_usage,
               settings.orders_upstreams},
-             {&gateway, ports.objects, ports.cloud, &true_time, log}) {
+             {&gateway, ports.objects, ports.cloud, &true_time, log,
+              [this] { configuration.CheckNow(); }}) {
   BuildServers();
   BuildTree();
+  QObject::connect(&proof_timer, &QTimer::timeout, &proof_timer,
+                   [this] { RenewProof(); });
   QObject::connect(&drain_timer, &QTimer::timeout, &drain_timer,
                    [this] { StepDrain(); });
 }
@@ -264,6 +277,13 @@
   root = Supervisor::Builder("gateway")
              .Part(follower("configuration", &configuration))
              .Part(follower("upstreams", &upstreams))
+             .Part(PartOf(
+                 "proofs",
+                 [this] {
+                   proof_timer.start(kProofTick);
+                   return true;
+                 },
+                 [this] { proof_timer.stop(); }))
              .Part(PartOf(
                  "duties", [this] { return duties.Start(); },
                  [this] { duties.Stop(); }))
@@ -278,6 +298,14 @@
          gateway.freshness().IsFresh(MonotonicNow());
 }
 
+void GatewayDaemon::Impl::RenewProof() {
+  const auto age = gateway.freshness().Age(MonotonicNow());
+  const auto bound = static_cast<double>(gateway.freshness().bound().count());
+  const Duration old(static_cast<std::int64_t>(bound * kOldProofPart));
+  const auto due = duties.IsHolder() ? std::min(kProofPeriod, old) : old;
+  if (!age || *age >= due) configuration.CheckNow();
+}
+
 void GatewayDaemon::Impl::NoteReadiness() {
   const bool now_ready = IsReady();
   if (std::exchange(was_ready, now_ready) == now_ready) return;
--- a/libs/gateway/tests/coordination_test.cc
+++ b/libs/gateway/tests/coordination_test.cc
@@ -28,7 +28,7 @@
     CHECK(std::get<DaemonReport>(Capture([&] {
             return DaemonReport::Decode(report.Encode());
           })) == report);
-    CoordinatorGrant grant{77, true, {{{"w", 0.5}}, 4}};
+    CoordinatorGrant grant{77, true, {{{"w", 0.5}}, 4}, 7, 300};
     CHECK(std::get<CoordinatorGrant>(Capture([&] {
             return CoordinatorGrant::Decode(grant.Encode());
           })) == grant);
--- a/libs/gateway/tests/duty_service_test.cc
+++ b/libs/gateway/tests/duty_service_test.cc
@@ -138,7 +138,7 @@
                 500,
                 true,
                 true},
-               {&gateway, &link, cloud, &true_time, &log}) {
+               {&gateway, &link, cloud, &true_time, &log, nullptr}) {
     gateway.SetRoutes(std::make_shared<const RouteTable>(Configuration()));
   }
 };
--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -193,6 +193,46 @@
   }
 }
 
+TEST_CASE("a request that an allowance does not cover") {
+  World world;
+  RawUpstream good(
+      [](auto& connection) { Answer(connection, "200 OK\r\nId: r1", "fine"); });
+  world.Add("a", good);
+  RouteTableContent content;
+  content.version = 2;
+  content.routes = {MakeRoute("once", RequestKind::kNonIdempotent)};
+  content.routes.front().is_public = false;
+  WorkspaceProfile workspace;
+  workspace.name = "w";
+  workspace.keys = {"k"};
+  workspace.rate_per_s = 1;
+  workspace.burst = 1;
+  content.workspaces = {workspace};
+  world.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+  const SharedLimits grant{{{"w", 1}}, 8};
+
+  SUBCASE("waits for the coordinator that answers, and passes") {
+    world.gateway.SetSharedLimits({{}, 8});
+    QObject context;
+    world.gateway.OnQuotaShort([&] {
+      QTimer::singleShot(20, &context,
+                         [&] { world.gateway.SetSharedLimits(grant); });
+    });
+    CHECK(world.Ask("once", "Key: k\r\n")->WaitFor("fine"));
+  }
+  SUBCASE("is refused when the coordinator grants nothing") {
+    world.gateway.SetSharedLimits({{}, 8});
+    auto caller = world.Ask("once", "Key: k\r\n");
+    REQUIRE(caller->WaitFor("HTTP/1.1 "));
+    CHECK(caller->Received().starts_with("HTTP/1.1 429"));
+  }
+  SUBCASE("is refused at once when the coordinator is away") {
+    auto caller = world.Ask("once", "Key: k\r\n");
+    REQUIRE(caller->WaitFor("HTTP/1.1 429", 150));
+    CHECK(good.Requests() == 0);
+  }
+}
+
 TEST_CASE("an answer that belongs to another request is not passed on") {
   World world;
   RawUpstream confused([](auto& connection) {
--- a/libs/http/include/http/http_call.h
+++ b/libs/http/include/http/http_call.h
@@ -24,6 +24,9 @@
   kCancelled,     ///< `HttpCall::Cancel` was called.
 };
 
+/// "complete", "not-connected" and so on, for logs.
+std::string_view NameOf(HttpCallEnd end);
+
 /// Times after which a call is given up.
 struct HttpCallTimes {
   Duration connect{1'000};
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -165,6 +165,13 @@
   }
 };
 
+std::string_view NameOf(HttpCallEnd end) {
+  constexpr std::string_view kNames[] = {
+      "complete",  "not-connected", "no-answer", "truncated",
+      "malformed", "silent",        "cancelled"};
+  return kNames[static_cast<int>(end)];
+}
+
 HttpConnectionPool::HttpConnectionPool() : impl_(std::make_unique<Impl>()) {}
 HttpConnectionPool::~HttpConnectionPool() = default;
 
--- a/libs/limits/include/limits/quota_allowance.h
+++ b/libs/limits/include/limits/quota_allowance.h
@@ -38,8 +38,11 @@
   /// that it is worth asking for more at once.
   [[nodiscard]] bool IsShort() const { return short_; }
 
-  /// Whether the coordinator has answered lately and may grant more.
-  [[nodiscard]] bool MayGetMore(TimePoint now) const;
+  /// Tokens left of the allowance; negative when overdrawn.
+  [[nodiscard]] double level() const { return level_; }
+  [[nodiscard]] Duration GrantAge(TimePoint now) const {
+    return now - granted_at_;
+  }
 
  private:
   struct Entry {
--- a/libs/limits/src/quota_allowance.cc
+++ b/libs/limits/src/quota_allowance.cc
@@ -83,10 +83,6 @@
   return {passed_.sum, asked_.sum, std::exchange(needed_, 0)};
 }
 
-bool QuotaAllowance::MayGetMore(TimePoint now) const {
-  return now - granted_at_ < kGrantLifetime;
-}
-
 void QuotaAllowance::OnGrant(double tokens, TimePoint now) {
   level_ = tokens - passed_since_report_;
   granted_at_ = now;
--- /dev/null
+++ b/libs/metrics/tests/request_story_test.cc
@@ -0,0 +1,42 @@
+#include "metrics/request_story.h"
+
+#include <doctest/doctest.h>
+
+namespace firmoor {
+
+TEST_CASE("the story of a request is told from the logs of several daemons") {
+  const QByteArray log =
+      R"(  12.1 d1 {"t_ms":1900,"daemon":"d1","event":"request","request":"r1",)"
+      R"("upstream":"u2","outcome":"answered","total_ms":900})"
+      "\n"
+      R"({"t_ms":1500,"daemon":"d1","event":"attempt-failed","request":"r1",)"
+      R"("upstream":"u1","end":"truncated","next":"resume-elsewhere"})"
+      "\n"
+      R"({"t_ms":1400,"daemon":"d1","event":"upstream","upstream":"u1",)"
+      R"("change":"leaving"})"
+      "\n"
+      R"({"t_ms":1450,"daemon":"d1","event":"upstream","upstream":"u9",)"
+      R"("change":"leaving"})"
+      "\n"
+      R"({"t_ms":1460,"daemon":"d2","event":"dependency-lost"})"
+      "\n"
+      R"({"t_ms":1470,"daemon":"d1","event":"request","request":"r2"})"
+      "\nno json\n";
+
+  SUBCASE("in order of time, with what explains it and nothing else") {
+    const auto story = TellRequestStory("r1", log);
+    REQUIRE(story.size() == 3);
+    CHECK(story[0].find("change=leaving") != std::string::npos);
+    CHECK(story[1].find("end=truncated") != std::string::npos);
+    CHECK(story[2].find("outcome=answered") != std::string::npos);
+  }
+  SUBCASE("with times since the request began") {
+    const auto story = TellRequestStory("r1", log);
+    CHECK(story[2].starts_with("    +900 ms  d1"));
+  }
+  SUBCASE("and there is none of a request that no line names") {
+    CHECK(TellRequestStory("r3", log).empty());
+  }
+}
+
+}  // namespace firmoor
--- a/libs/platform/include/platform/kind_follower.h
+++ b/libs/platform/include/platform/kind_follower.h
@@ -30,13 +30,19 @@
     std::function<void()> on_regained;
   };
 
-  /// `wait`: longest time between two proofs that the content is the newest.
-  KindFollower(KindStore* store, std::string kind, Duration wait, Hooks hooks);
+  /// `wait`: longest time that one call waits for changes. `rest`: pause after
+  /// changes, so that many in a row are taken together.
+  KindFollower(KindStore* store, std::string kind, Duration wait, Duration rest,
+               Hooks hooks);
   ~KindFollower();
 
   void Start();
   void Stop();
 
+  /// Asks at once whether there are changes, beside the call that waits. Does
+  /// nothing while such a question is under way.
+  void CheckNow();
+
  private:
   struct Impl;
   std::shared_ptr<Impl> impl_;
--- a/libs/platform/src/kind_follower.cc
+++ b/libs/platform/src/kind_follower.cc
@@ -22,6 +22,8 @@
   KindStore* store = nullptr;
   std::string kind;
   Duration wait{0};
+  Duration rest{0};
+  bool checking = false;
   Hooks hooks;
   QTimer timer;
   bool running = false;
@@ -35,6 +37,8 @@
   void Wait();
   void OnList(const KindListing& listing, TimePoint asked_at);
   void OnChanges(const KindChanges& changes, TimePoint asked_at);
+  void Check();
+  void OnCheck(const KindChanges& changes, TimePoint asked_at);
   void OnGood();
   void OnFailed();
 };
@@ -89,7 +93,34 @@
   revision = std::max(revision, changes.revision);
   OnGood();
   hooks.on_changes(changes.changes, asked_at);
-  Next();
+  if (changes.changes.empty() || rest == Duration(0)) return Next();
+  timer.start(rest);
+}
+
+void KindFollower::Impl::Check() {
+  if (!running || !listed || std::exchange(checking, true)) return;
+  const auto asked_at = MonotonicNow();
+  store->WaitForChanges(
+      kind, revision, Duration(0),
+      [weak = weak_from_this(), asked_at](const KindChanges& changes) {
+        const auto self = weak.lock();
+        if (!self) return;
+        self->checking = false;
+        if (self->running) self->OnCheck(changes, asked_at);
+      });
+}
+
+void KindFollower::Impl::OnCheck(const KindChanges& changes,
+                                 TimePoint asked_at) {
+  // The call that waits goes on, and deals with what this one cannot.
+  if (changes.status == StoreStatus::kHistoryGone) return;
+  if (changes.status != StoreStatus::kOk) {
+    failed = true;
+    if (hooks.on_outage) hooks.on_outage();
+    return;
+  }
+  OnGood();
+  hooks.on_changes(changes.changes, asked_at);
 }
 
 void KindFollower::Impl::OnGood() {
@@ -108,11 +139,12 @@
 }
 
 KindFollower::KindFollower(KindStore* store, std::string kind, Duration wait,
-                           Hooks hooks)
+                           Duration rest, Hooks hooks)
     : impl_(std::make_shared<Impl>()) {
   impl_->store = store;
   impl_->kind = std::move(kind);
   impl_->wait = wait;
+  impl_->rest = rest;
   impl_->hooks = std::move(hooks);
   impl_->timer.setSingleShot(true);
   auto* state = impl_.get();
@@ -127,6 +159,8 @@
   impl_->Next();
 }
 
+void KindFollower::CheckNow() { impl_->Check(); }
+
 void KindFollower::Stop() {
   impl_->running = false;
   impl_->timer.stop();
--- a/libs/routing/include/routing/freshness.h
+++ b/libs/routing/include/routing/freshness.h
@@ -20,6 +20,7 @@
   void Confirm(TimePoint asked_at);
 
   void SetBound(Duration bound) { bound_ = bound; }
+  [[nodiscard]] Duration bound() const { return bound_; }
 
   [[nodiscard]] bool IsFresh(TimePoint now) const;
 
--- a/libs/serving/include/serving/attempt_policy.h
+++ b/libs/serving/include/serving/attempt_policy.h
@@ -53,6 +53,9 @@
   kFail,             ///< Answer with `code` and `outcome` at once.
 };
 
+/// "pass-answer", "retry-elsewhere", "resume-elsewhere" or "fail", for logs.
+std::string_view NameOf(NextStep step);
+
 struct AttemptVerdict {
   NextStep step = NextStep::kFail;
   ResultCode code = ResultCode::kInternal;
--- a/libs/serving/src/attempt_policy.cc
+++ b/libs/serving/src/attempt_policy.cc
@@ -45,6 +45,12 @@
   return kNames[static_cast<int>(outcome)];
 }
 
+std::string_view NameOf(NextStep step) {
+  constexpr std::string_view kNames[] = {"pass-answer", "retry-elsewhere",
+                                         "resume-elsewhere", "fail"};
+  return kNames[static_cast<int>(step)];
+}
+
 RequestOutcome OutcomeOf(const AttemptEnd& end) {
   if (!end.may_have_left || end.declared_not_run) {
     return RequestOutcome::kNotRun;
