--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -233,6 +233,20 @@
   }
 }
 
+TEST_CASE("a proof of the configuration from another daemon") {
+  World world;
+  const auto asked_at = MonotonicNow() + Duration(60'000);
+
+  SUBCASE("is as old as it was when this daemon asked") {
+    CHECK(world.gateway.ConfirmRoutesBy(1, Duration(500), asked_at));
+    CHECK(world.gateway.freshness().Age(asked_at) == Duration(500));
+  }
+  SUBCASE("does not count for another version") {
+    CHECK_FALSE(world.gateway.ConfirmRoutesBy(2, Duration(500), asked_at));
+    CHECK(world.gateway.freshness().Age(asked_at) > Duration(50'000));
+  }
+}
+
 TEST_CASE("an answer that belongs to another request is not passed on") {
   World world;
   RawUpstream confused([](auto& connection) {
--- /dev/null
+++ b/libs/platform/tests/kind_follower_test.cc
@@ -0,0 +1,144 @@
+#include "platform/kind_follower.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <utility>
+
+#include "support/raw_socket.h"
+
+namespace firmoor {
+namespace {
+
+/// A store whose answers the test gives by hand.
+class ManualStore : public KindStore {
+ public:
+  struct Wait {
+    std::int64_t revision = 0;
+    Duration wait{0};
+    std::function<void(KindChanges)> done;
+  };
+
+  void List(const std::string&,
+            std::function<void(KindListing)> done) override {
+    lists.push_back(std::move(done));
+  }
+  void WaitForChanges(const std::string&, std::int64_t revision, Duration wait,
+                      std::function<void(KindChanges)> done) override {
+    waits.push_back({revision, wait, std::move(done)});
+  }
+  void AnswerList(StoreStatus status, std::int64_t revision) {
+    const auto done = std::exchange(lists.front(), nullptr);
+    lists.pop_front();
+    done({status, revision, {{"a", {}}}});
+  }
+  void AnswerWait(const KindChanges& changes) {
+    const auto wait = waits.front();
+    waits.pop_front();
+    wait.done(changes);
+  }
+
+  std::deque<std::function<void(KindListing)>> lists;
+  std::deque<Wait> waits;
+};
+
+constexpr Duration kWait{10'000};
+
+struct Fixture {
+  ManualStore store;
+  int listed = 0;
+  int changed = 0;
+  int proofs = 0;
+  int outages = 0;
+  int regained = 0;
+  KindFollower follower;
+
+  explicit Fixture(Duration rest = Duration(0))
+      : follower(&store, "kind", kWait, rest,
+                 {[this](const auto&, TimePoint) { ++listed; },
+                  [this](const auto& changes, TimePoint) {
+                    changed += static_cast<int>(changes.size());
+                    ++proofs;
+                  },
+                  [this] { ++outages; }, [this] { ++regained; }}) {
+    follower.Start();
+    store.AnswerList(StoreStatus::kOk, 7);
+  }
+};
+
+KindChanges Changes(std::int64_t revision, int count) {
+  KindChanges changes{StoreStatus::kOk, revision, {}};
+  for (int i = 0; i < count; ++i) changes.changes.push_back({{"a", {}}, false});
+  return changes;
+}
+
+}  // namespace
+
+TEST_CASE("a kind is listed and then followed") {
+  Fixture fixture;
+  auto& store = fixture.store;
+  CHECK(fixture.listed == 1);
+  REQUIRE(store.waits.size() == 1);
+  CHECK(store.waits[0].revision == 7);
+  CHECK(store.waits[0].wait == kWait);
+
+  SUBCASE("from the revision of the last answer") {
+    store.AnswerWait(Changes(9, 2));
+    CHECK(fixture.changed == 2);
+    REQUIRE(store.waits.size() == 1);
+    CHECK(store.waits[0].revision == 9);
+  }
+  SUBCASE("and an answer without changes is a proof") {
+    store.AnswerWait(Changes(8, 0));
+    CHECK(fixture.proofs == 1);
+    CHECK(store.waits.size() == 1);
+  }
+  SUBCASE("and listed again when the history is gone") {
+    store.AnswerWait({StoreStatus::kHistoryGone, 0, {}});
+    REQUIRE(store.lists.size() == 1);
+    store.AnswerList(StoreStatus::kOk, 20);
+    CHECK(fixture.listed == 2);
+    CHECK(store.waits[0].revision == 20);
+  }
+  SUBCASE("and asked again soon, for an answer at once, after a failure") {
+    store.AnswerWait({StoreStatus::kUnavailable, 0, {}});
+    CHECK(fixture.outages == 1);
+    REQUIRE(WaitUntil([&] { return store.waits.size() == 1; }, 500));
+    CHECK(store.waits[0].wait == Duration(0));
+    store.AnswerWait(Changes(8, 0));
+    CHECK(fixture.regained == 1);
+    CHECK(store.waits[0].wait == kWait);
+  }
+}
+
+TEST_CASE("a proof is asked for beside the call that waits") {
+  Fixture fixture;
+  auto& store = fixture.store;
+  fixture.follower.CheckNow();
+  fixture.follower.CheckNow();
+  REQUIRE(store.waits.size() == 2);
+  CHECK(store.waits[1].wait == Duration(0));
+  std::swap(store.waits[0], store.waits[1]);
+  store.AnswerWait(Changes(8, 0));
+  CHECK(fixture.proofs == 1);
+  CHECK(store.waits.size() == 1);
+  SUBCASE("and again when the last one was answered") {
+    fixture.follower.CheckNow();
+    CHECK(store.waits.size() == 2);
+  }
+}
+
+TEST_CASE("many changes in a row are taken together") {
+  Fixture fixture(Duration(100));
+  auto& store = fixture.store;
+  store.AnswerWait(Changes(9, 1));
+  CHECK(store.waits.empty());
+  CHECK(WaitUntil([&] { return store.waits.size() == 1; }, 500));
+  SUBCASE(
+      "but an answer without changes is followed by the next call at once") {
+    store.AnswerWait(Changes(9, 0));
+    CHECK(store.waits.size() == 1);
+  }
+}
+
+}  // namespace firmoor
