--- /dev/null
+++ b/libs/base/include/base/text.h
@@ -0,0 +1,16 @@
+#ifndef FIRMOOR_BASE_TEXT_H_
+#define FIRMOOR_BASE_TEXT_H_
+
+#include <QString>
+#include <string_view>
+
+namespace firmoor {
+
+/// UTF-8 text as Qt's JSON and CBOR take it.
+inline QString Text(std::string_view text) {
+  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_BASE_TEXT_H_
--- a/libs/base/src/event_log.cc
+++ b/libs/base/src/event_log.cc
@@ -7,15 +7,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/text.h"
+
 namespace firmoor {
 namespace {
 
 constexpr Duration kWindow{1'000};
 
-QString Text(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 }  // namespace
 
 EventLog::EventLog(int descriptor) : descriptor_(descriptor) {
--- a/libs/config/include/config/table_reader.h
+++ b/libs/config/include/config/table_reader.h
@@ -16,6 +16,13 @@
 
 namespace firmoor {
 
+/// Parses a TOML text; fails with `kInvalidSettings`, naming the line.
+Result<toml::table> ParseToml(std::string_view text,
+                              std::string_view file_name);
+
+/// The whole content of a file; fails with `kUnreadableFile`.
+Result<std::string> ReadTextFile(const std::string& file_name);
+
 /// Reads the keys of one TOML table and remembers the first problem, with the
 /// file and the line. Values keep their defaults where a key is missing.
 class TableReader {
--- a/libs/config/src/settings.cc
+++ b/libs/config/src/settings.cc
@@ -3,8 +3,6 @@
 #include <fmt/format.h>
 #include <toml++/toml.h>
 
-#include <fstream>
-#include <iterator>
 #include <limits>
 #include <optional>
 
@@ -88,14 +86,7 @@
 
 Result<Settings> ParseSettings(std::string_view text,
                                std::string_view file_name) {
-  const toml::parse_result parsed = toml::parse(text, std::string(file_name));
-  if (!parsed) {
-    const auto& error = parsed.error();
-    return Fail(ResultCode::kInvalidSettings,
-                fmt::format("{}:{}: {}", file_name, error.source().begin.line,
-                            error.description()));
-  }
-  const toml::table& root = parsed.table();
+  BOOST_LEAF_AUTO(root, ParseToml(text, file_name));
   Settings settings;
   std::optional<Error> problem;
   TableReader top(&root, "", file_name, &problem);
@@ -116,12 +107,7 @@
 }
 
 Result<Settings> LoadSettings(const std::string& file_name) {
-  std::ifstream file(file_name, std::ios::binary);
-  if (!file) {
-    return Fail(ResultCode::kUnreadableFile,
-                fmt::format("{}: cannot be read", file_name));
-  }
-  const std::string text((std::istreambuf_iterator<char>(file)), {});
+  BOOST_LEAF_AUTO(text, ReadTextFile(file_name));
   return ParseSettings(text, file_name);
 }
 
--- a/libs/config/src/table_reader.cc
+++ b/libs/config/src/table_reader.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <fstream>
+#include <iterator>
 #include <utility>
 
 namespace firmoor {
@@ -11,6 +13,25 @@
 
 }  // namespace
 
+Result<toml::table> ParseToml(std::string_view text,
+                              std::string_view file_name) {
+  toml::parse_result parsed = toml::parse(text, std::string(file_name));
+  if (parsed) return std::move(parsed).table();
+  const auto& error = parsed.error();
+  return Fail(ResultCode::kInvalidSettings,
+              fmt::format("{}:{}: {}", file_name, error.source().begin.line,
+                          error.description()));
+}
+
+Result<std::string> ReadTextFile(const std::string& file_name) {
+  std::ifstream file(file_name, std::ios::binary);
+  if (!file) {
+    return Fail(ResultCode::kUnreadableFile,
+                fmt::format("{}: cannot be read", file_name));
+  }
+  return std::string((std::istreambuf_iterator<char>(file)), {});
+}
+
 TableReader::TableReader(const toml::table* table, std::string path,
                          std::string_view file_name,
                          std::optional<Error>* problem)
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -2,13 +2,12 @@
 #include <QCborMap>
 #include <QCborValue>
 
+#include "base/text.h"
 #include "gateway/coordination.h"
 
 namespace firmoor {
 namespace {
 
-QString Text(const std::string& text) { return QString::fromStdString(text); }
-
 QCborMap Amounts(const std::map<std::string, double>& amounts) {
   QCborMap map;
   for (const auto& [name, amount] : amounts) map[Text(name)] = amount;
--- a/libs/gateway/src/daemon_settings.cc
+++ b/libs/gateway/src/daemon_settings.cc
@@ -3,8 +3,6 @@
 #include <fmt/format.h>
 #include <toml++/toml.h>
 
-#include <fstream>
-#include <iterator>
 #include <optional>
 
 #include "config/table_reader.h"
@@ -69,14 +67,7 @@
 
 Result<GatewayDaemonSettings> ParseGatewayDaemonSettings(
     std::string_view text, std::string_view file_name) {
-  const toml::parse_result parsed = toml::parse(text, std::string(file_name));
-  if (!parsed) {
-    const auto& error = parsed.error();
-    return Fail(ResultCode::kInvalidSettings,
-                fmt::format("{}:{}: {}", file_name, error.source().begin.line,
-                            error.description()));
-  }
-  const toml::table& root = parsed.table();
+  BOOST_LEAF_AUTO(root, ParseToml(text, file_name));
   GatewayDaemonSettings settings;
   std::optional<Error> problem;
   TableReader top(&root, "", file_name, &problem);
@@ -98,12 +89,7 @@
 
 Result<GatewayDaemonSettings> LoadGatewayDaemonSettings(
     const std::string& file_name) {
-  std::ifstream file(file_name, std::ios::binary);
-  if (!file) {
-    return Fail(ResultCode::kUnreadableFile,
-                fmt::format("{}: cannot be read", file_name));
-  }
-  const std::string text((std::istreambuf_iterator<char>(file)), {});
+  BOOST_LEAF_AUTO(text, ReadTextFile(file_name));
   return ParseGatewayDaemonSettings(text, file_name);
 }
 
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/text.h"
 #include "gateway/refusal.h"
 
 namespace firmoor::details {
@@ -19,10 +20,6 @@
 // between regions and the pause between two reports.
 constexpr Duration kGrantPatience{300};
 
-QString Text(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 Duration TimeAllowed(const ForwardRequest& request, const Route& route) {
   return request.time_allowed ? std::min(*request.time_allowed, route.timeout)
                               : route.timeout;
--- a/libs/gateway/src/details/exchange_move.cc
+++ b/libs/gateway/src/details/exchange_move.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/text.h"
 #include "details/exchange.h"
 
 namespace firmoor::details {
@@ -13,10 +14,6 @@
 constexpr HttpCallTimes kMoveTimes{Duration(300), Duration(1'500),
                                    Duration(1'500)};
 
-QString Text(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 }  // namespace
 
 void Exchange::OnUpstreamEnding(const std::string& upstream, TimePoint ends_at,
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/text.h"
 #include "gateway/scaling_duty.h"
 #include "gateway/usage_duty.h"
 #include "peer/peer_node.h"
@@ -37,10 +38,6 @@
 // Windows that a report repeats, for a coordinator that just took over.
 constexpr std::int64_t kWindowsReported = 6;
 
-QString Text(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 std::string HolderName(const DutyService::Settings& settings) {
   return settings.daemon + "@" + settings.peers.ToString();
 }
@@ -295,6 +292,7 @@
 
 void DutyService::Impl::StepUsage() {
   if (!settings.reports_usage || !MayAct()) return;
+  coordinator->DropUsageBefore(usage->NextWindow() - kWindowsReported);
   const auto step = usage->Next(environment.true_time->At(MonotonicNow()));
   if (step) Run(*step);
 }
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "base/text.h"
 #include "details/exchange.h"
 #include "details/gateway_context.h"
 #include "gateway/refusal.h"
@@ -21,10 +22,6 @@
 // New connections go to other daemons, so callers need not wait.
 constexpr Duration kRetryAtAnother{20};
 
-QString Text(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 }  // namespace
 
 struct Gateway::Impl {
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -9,6 +9,7 @@
 #include "base/event_log.h"
 #include "base/random_id.h"
 #include "base/supervisor.h"
+#include "base/text.h"
 #include "gateway/duty_service.h"
 #include "gateway/gateway.h"
 #include "http/http_server.h"
@@ -44,10 +45,6 @@
 // Callers count idle time from when they sent, and from older limits.
 constexpr Duration kIdleReserve{2'000};
 
-QString Text(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 GatewaySettings GatewaySettingsOf(const GatewayDaemonSettings& settings) {
   GatewaySettings gateway;
   gateway.daemon = settings.daemon;
--- a/libs/routing/include/routing/route_table.h
+++ b/libs/routing/include/routing/route_table.h
@@ -36,11 +36,9 @@
   std::vector<ServiceShare> services;  ///< Never empty.
   Duration timeout{30'000};            ///< Longest time to the final answer.
   Duration objective{1'000};           ///< To the answer or the first event.
-  Duration pause_objective{0};         ///< Between events; 0: none.
   int priority = 0;                    ///< 0 is the most urgent.
   int max_upstreams = 1;      ///< Upstreams one request may be sent to.
   bool is_public = false;     ///< Needs no key.
-  bool has_prompt = false;    ///< Requests name the parts of a prompt.
   bool is_resumable = false;  ///< A stream may go on elsewhere.
 
   /// Whether a request may be sent again although it may have run.
@@ -54,8 +52,7 @@
 
 /// Model engines of a service.
 struct EngineProfile {
-  std::int64_t slots = 1;          ///< Requests in one batch.
-  std::int64_t memory_tokens = 0;  ///< Of running requests and cached parts.
+  std::int64_t slots = 1;  ///< Requests in one batch.
   std::int64_t tokens_per_event = 1;
   bool moves_runs = false;  ///< Runs can go on at another engine.
 
@@ -76,7 +73,6 @@
 /// A set of equal upstreams.
 struct ServiceProfile {
   std::string name;
-  std::int64_t max_connections = 0;  ///< Of one upstream, from all callers.
   std::optional<EngineProfile> engine;
   std::optional<ScalingProfile> scaling;
 
--- a/libs/routing/include/routing/upstream_catalog.h
+++ b/libs/routing/include/routing/upstream_catalog.h
@@ -22,7 +22,6 @@
   std::int64_t slots = 1;
   bool leaving = false;
   bool reclaimable = false;
-  Duration slow_for{0};  ///< How long it stays slow after its start.
 
   bool operator==(const UpstreamEntry&) const = default;
 };
--- a/libs/routing/include/routing/upstream_picker.h
+++ b/libs/routing/include/routing/upstream_picker.h
@@ -79,9 +79,6 @@
   [[nodiscard]] std::optional<UpstreamEntry> Pick(const PickRequest& request,
                                                   TimePoint now);
 
-  /// Whether any upstream of the service takes work, full or not.
-  [[nodiscard]] bool HasUsable(const std::string& service) const;
-
   /// The request was sent. Keep the ticket until its end.
   PickTicket OnSend(const std::string& id, const PickRequest& request);
   /// The first event arrived: its prompt is read.
@@ -92,7 +89,6 @@
   [[nodiscard]] std::int64_t InFlight(const std::string& id) const;
   /// Requests of this daemon at upstreams of `service`.
   [[nodiscard]] std::int64_t ServiceInFlight(const std::string& service) const;
-  [[nodiscard]] bool IsEjected(const std::string& id, TimePoint now) const;
 
  private:
   /// Parts that were sent to an upstream lately, newest first.
--- a/libs/routing/src/upstream_picker.cc
+++ b/libs/routing/src/upstream_picker.cc
@@ -177,14 +177,6 @@
   return Best(Usable(request, now), request);
 }
 
-bool UpstreamPicker::HasUsable(const std::string& service) const {
-  return std::any_of(upstreams_.begin(), upstreams_.end(),
-                     [&](const auto& held) {
-                       const auto& entry = held.second.entry;
-                       return entry.service == service && !entry.leaving;
-                     });
-}
-
 PickTicket UpstreamPicker::OnSend(const std::string& id,
                                   const PickRequest& request) {
   const auto found = upstreams_.find(id);
@@ -252,9 +244,4 @@
   return total;
 }
 
-bool UpstreamPicker::IsEjected(const std::string& id, TimePoint now) const {
-  const auto found = upstreams_.find(id);
-  return found != upstreams_.end() && now < found->second.ejected_until;
-}
-
 }  // namespace firmoor
--- a/libs/serving/src/error_answer.cc
+++ b/libs/serving/src/error_answer.cc
@@ -3,6 +3,8 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include "base/text.h"
+
 namespace firmoor {
 namespace {
 
@@ -10,10 +12,6 @@
 constexpr int kPayloadTooLarge = 413;
 constexpr int kRequestTimeout = 408;
 
-QString Text(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 }  // namespace
 
 std::string FailureJson(const Failure& failure, std::string_view request_id) {
