--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -71,7 +71,7 @@
 
   Impl(Settings duty_settings, Environment duty_environment)
       : settings(std::move(duty_settings)),
-        environment(duty_environment),
+        environment(std::move(duty_environment)),
         lease(HolderName(settings),
               {settings.lease, settings.lease / kRenewalsInLease,
                kTakeOverPause}) {}
@@ -376,7 +376,8 @@
 }
 
 DutyService::DutyService(Settings settings, Environment environment)
-    : impl_(std::make_unique<Impl>(std::move(settings), environment)) {
+    : impl_(
+          std::make_unique<Impl>(std::move(settings), std::move(environment))) {
   auto* state = impl_.get();
   state->peers =
       PeerNode::Builder()
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -29,7 +29,7 @@
 // The coordinator proves its configuration this often and passes the proof on
 // with its answers. Others ask the store themselves when their proof is older
 // than a part of the freshness bound, for instance since it does not answer.
-constexpr Duration kProofPeriod{900};
+constexpr Duration kProofPeriod{500};
 constexpr double kOldProofPart = 0.55;
 constexpr Duration kProofTick{300};
 // A watch of the store may miss changes for a second before it is cut, and a
--- a/libs/gateway/src/intake.cc
+++ b/libs/gateway/src/intake.cc
@@ -10,12 +10,12 @@
 // Part of a plain route's timeout that its requests hardly ever exceed.
 constexpr int kTimeoutParts = 2;
 
-Failure Refused(ResultCode code, std::string message) {
-  return {{code, std::move(message)}, RequestOutcome::kNotRun, std::nullopt};
+Failure Refused(ResultCode code, const std::string& message) {
+  return {{code, message}, RequestOutcome::kNotRun, std::nullopt};
 }
 
-Failure NotReady(std::string message) {
-  auto failure = Refused(ResultCode::kNotReady, std::move(message));
+Failure NotReady(const std::string& message) {
+  auto failure = Refused(ResultCode::kNotReady, message);
   failure.retry_after = kRetryElsewhere;
   return failure;
 }
@@ -41,8 +41,8 @@
     if (!fresh) return NotReady("The configuration may be out of date");
     return Refused(ResultCode::kUnknownService, "No route has this path");
   }
-  if (route->is_public || !table->NeedsKeys())
-    return IntakePass{route, nullptr};
+  const bool needs_key = !route->is_public && table->NeedsKeys();
+  if (!needs_key) return IntakePass{route, nullptr};
   if (!fresh) return NotReady("Keys cannot be checked now");
   const auto* workspace = table->FindKey(request.key);
   if (workspace == nullptr) {
--- a/libs/metrics/src/request_story.cc
+++ b/libs/metrics/src/request_story.cc
@@ -5,7 +5,9 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <algorithm>
+#include <array>
 #include <set>
+#include <string_view>
 
 namespace firmoor {
 namespace {
@@ -13,6 +15,17 @@
 // Context before and after the request that may explain it.
 constexpr qint64 kBeforeMs = 5'000;
 constexpr qint64 kAfterMs = 1'000;
+// What a daemon learns that may explain any of its requests.
+constexpr std::array<std::string_view, 9> kDaemonEvents = {
+    "configuration",
+    "dependency-lost",
+    "dependency-regained",
+    "drain",
+    "start",
+    "stop",
+    "coordinator-lost",
+    "coordinator-found",
+    "readiness"};
 
 std::string Text(const QJsonObject& line, const char* field) {
   return line[QLatin1String(field)].toVariant().toString().toStdString();
@@ -59,22 +72,15 @@
 }
 
 bool IsContext(const QJsonObject& line, const Scope& scope) {
-  static const std::set<std::string> kOfDaemon = {"configuration",
-                                                  "dependency-lost",
-                                                  "dependency-regained",
-                                                  "drain",
-                                                  "start",
-                                                  "stop",
-                                                  "coordinator-lost",
-                                                  "coordinator-found",
-                                                  "readiness"};
   const auto at = line["t_ms"].toInteger();
   const bool in_time =
       at >= scope.first_ms - kBeforeMs && at <= scope.last_ms + kAfterMs;
   if (!in_time || !scope.daemons.contains(Text(line, "daemon"))) return false;
   const auto event = Text(line, "event");
   const bool of_upstream = event == "upstream" || event == "evacuation";
-  return kOfDaemon.contains(event) ||
+  const bool of_daemon = std::find(kDaemonEvents.begin(), kDaemonEvents.end(),
+                                   event) != kDaemonEvents.end();
+  return of_daemon ||
          (of_upstream && scope.upstreams.contains(Text(line, "upstream")));
 }
 
