Count the window's passes while the coordinator is lost

The coordinator was replaced for good at 3 s while a hot workspace used its whole window; until another one took over at 8.5 s each daemon accrued its equal part of the rate on top of what it had passed in the same window. The part now counts what passed.

--- a/libs/limits/src/quota_allowance.cc
+++ b/libs/limits/src/quota_allowance.cc
@@ -51,7 +51,11 @@
   const double elapsed_s =
       static_cast<double>((now - from).count()) / kMsPerSecond;
   const double rate = limit_.rate_per_s * fallback_.share;
-  const double full = limit_.burst * fallback_.share;
+  // What passed before the coordinator was lost counts in its window too.
+  passed_.Prune(now - limit_.window);
+  const double left =
+      std::max(0.0, limit_.PerWindow() * fallback_.share - passed_.sum);
+  const double full = std::min(limit_.burst * fallback_.share, left);
   if (level_ < full) level_ = std::min(full, level_ + rate * elapsed_s);
 }
 
--- a/libs/limits/tests/quota_test.cc
+++ b/libs/limits/tests/quota_test.cc
@@ -36,12 +36,14 @@
   void ReportAll() {
     for (std::size_t i = 0; i < daemons.size(); ++i) Report(i);
   }
+  /// Asks a daemon, which asks the coordinator for more when it must.
   bool Ask(std::size_t index, double tokens) {
-    if (daemons[index].TakeOrWait(tokens, now)) {
-      // Asks the coordinator for more and tries once again.
-      Report(index);
-      if (daemons[index].TakeOrWait(tokens, now)) return false;
-    }
+    if (AskAlone(index, tokens)) return true;
+    Report(index);
+    return AskAlone(index, tokens);
+  }
+  bool AskAlone(std::size_t index, double tokens) {
+    if (daemons[index].TakeOrWait(tokens, now)) return false;
     passed.emplace_back(now, tokens);
     while (passed.front().first < now - kLimit.window) passed.pop_front();
     double sum = 0;
@@ -117,6 +119,25 @@
   SUBCASE("gets most of its quota") { CHECK(passed > 0.8 * 2'500); }
 }
 
+TEST_CASE("a hot workspace while the coordinator is lost") {
+  Fleet fleet(8);
+  const auto ask = [&](int steps, bool reports) {
+    for (int step = 0; step < steps; ++step) {
+      const auto index = static_cast<std::size_t>(step % 8);
+      if (reports) {
+        fleet.Ask(index, 20);
+      } else {
+        fleet.AskAlone(index, 20);
+      }
+      fleet.now += Duration(50);
+      if (reports && step % 20 == 0) fleet.ReportAll();
+    }
+  };
+  ask(60, true);    // Uses nearly all of the window in three seconds.
+  ask(160, false);  // Eight seconds without the coordinator.
+  CHECK(fleet.most <= 1.1 * kLimit.PerWindow());
+}
+
 TEST_CASE("a hot workspace whose large prompts may overdraw the quota") {
   const double debt = 20;
   Fleet fleet(8, debt);
