Size the first orders by the whole list of upstreams

Cause: engines register one after the other over three seconds.

Ruled out: the cut daemons (requests at them failed no more often than others), proofs passed on (the same orders without them).

Now the first orders wait until the list has not grown for a second, five seconds at most.

--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -60,6 +60,8 @@
     TimePoint at;
   };
 
+  /// Whether the list of upstreams, growing while they start, is whole.
+  [[nodiscard]] bool IsSettled(const Input& input, TimePoint now);
   [[nodiscard]] double Need(const ServiceProfile& service, double serving,
                             const Input& input, TimePoint now);
   [[nodiscard]] ScalingCounts Wanted(const ServiceProfile& service,
@@ -72,6 +74,9 @@
                            TimePoint now) const;
 
   TimePoint started_at_;
+  TimePoint grown_at_;  ///< When the list last grew, until it has settled.
+  std::size_t most_listed_ = 0;
+  bool settled_ = false;
   bool in_flight_ = false;
   std::map<ScalingSubject, Ordered> ordered_;
   std::map<std::string, Peak> peaks_;
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -33,7 +33,7 @@
 // A new holder waits until calls of the one before it have arrived.
 constexpr Duration kTakeOverPause{700};
 // A new holder orders when it has read the upstreams and heard the daemons.
-constexpr Duration kFirstOrders{2'500};
+constexpr Duration kFirstOrders{1'500};
 constexpr int kRenewalsInLease = 3;
 // Windows that a report repeats, for a coordinator that just took over.
 constexpr std::int64_t kWindowsReported = 6;
--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -14,6 +14,11 @@
 constexpr Duration kPeakMemory{25'000};
 // A new holder takes what serves as enough until it has seen some demand.
 constexpr Duration kFirstSight{12'000};
+// Upstreams that start together are listed one after the other, with pauses of
+// up to half a second; a list that grew no more for this time is whole.
+constexpr Duration kListSettles{1'000};
+// First orders are not put off for longer by a list that keeps growing.
+constexpr Duration kLongestSettling{5'000};
 // A market that refused is asked again after this time.
 constexpr Duration kDryTime{2'500};
 // Orders that were accepted but did not show are repeated after this time
@@ -42,7 +47,8 @@
 
 }  // namespace
 
-ScalingDuty::ScalingDuty(TimePoint started_at) : started_at_(started_at) {}
+ScalingDuty::ScalingDuty(TimePoint started_at)
+    : started_at_(started_at), grown_at_(started_at) {}
 
 ScalingCounts ScalingDuty::Serving(const Input& input) {
   ScalingCounts counts;
@@ -133,9 +139,20 @@
   return overdue;
 }
 
+bool ScalingDuty::IsSettled(const Input& input, TimePoint now) {
+  if (settled_) return true;
+  if (input.upstreams.size() > most_listed_) {
+    most_listed_ = input.upstreams.size();
+    grown_at_ = now;
+  }
+  settled_ =
+      now - grown_at_ >= kListSettles || now - started_at_ >= kLongestSettling;
+  return settled_;
+}
+
 std::optional<UpstreamOrder> ScalingDuty::Next(const Input& input,
                                                TimePoint now) {
-  if (in_flight_) return std::nullopt;
+  if (in_flight_ || !IsSettled(input, now)) return std::nullopt;
   const auto serving = Serving(input);
   for (const auto& service : input.services) {
     if (!service.scaling) continue;
--- a/libs/gateway/tests/scaling_duty_test.cc
+++ b/libs/gateway/tests/scaling_duty_test.cc
@@ -36,14 +36,15 @@
       return held.second.availability_zone == zone &&
              held.second.reclaimable == reclaimable;
     });
-    for (int i = 0; i < count; ++i) {
-      UpstreamEntry entry;
-      entry.id = "u" + std::to_string(next_id++);
-      entry.service = "engine";
-      entry.availability_zone = zone;
-      entry.reclaimable = reclaimable;
-      input.upstreams[entry.id] = entry;
-    }
+    for (int i = 0; i < count; ++i) Add(zone, reclaimable);
+  }
+  void Add(const std::string& zone, bool reclaimable) {
+    UpstreamEntry entry;
+    entry.id = "u" + std::to_string(next_id++);
+    entry.service = "engine";
+    entry.availability_zone = zone;
+    entry.reclaimable = reclaimable;
+    input.upstreams[entry.id] = entry;
   }
   void Demand(double tokens_per_s) {
     input.loads["engine"].tokens_per_s = tokens_per_s;
@@ -104,6 +105,22 @@
   }
 }
 
+TEST_CASE("engines and coordinator start together, before there is demand") {
+  World world;
+  world.input.services[0].scaling->max_per_zone = 12;
+  // The coordinator begins when half of the six engines a zone are listed.
+  for (const auto* zone : {"a", "b", "c"}) world.Set(zone, false, 3);
+  for (int listed = 3; listed < 6; ++listed) {
+    for (const auto* zone : {"a", "b", "c"}) world.Add(zone, false);
+    world.Run(Duration(250));
+  }
+  world.Run(Duration(5'000));
+
+  SUBCASE("as many stand for the first callers as were given") {
+    CHECK(world.Total() >= 18);
+  }
+}
+
 TEST_CASE("all reclaimable engines of a zone are taken (reclaim, dry)") {
   World world;
   world.Demand(200'000);
