Keep half of the need when the next zone is reclaimed

Cause: with the reclaimable engines of two zones gone and none to be had, the last zone's were counted as if they would stay.

Ruled out: too small a share in all (0.7 of the need stood all the time).

Engines on demand are now bought before, so that half of the need stands without the largest zone of reclaimable ones. Test: zone after zone loses its reclaimable engines (3 of 7 left before, at least 4 after).

--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -27,6 +27,9 @@
 // Part of the need below which engines are bought on demand: the next zone may
 // be reclaimed before the first one's engines can be had again.
 constexpr double kLeastPart = 0.7;
+// Part of the need that must be left when the next zone is reclaimed, until
+// others have started: engines at twice their load still answer, late.
+constexpr double kReservePart = 0.5;
 
 /// Engines to have for a need, so that enough are left without the reclaimable
 /// ones of any one zone.
@@ -88,8 +91,10 @@
     return found == serving.end() ? 0 : found->second;
   };
   int total = 0;
+  int most_in_zone = 0;
   for (const auto& [zone, price] : scaling.zone_prices) {
     total += serving_at(zone, false) + serving_at(zone, true);
+    most_in_zone = std::max(most_in_zone, serving_at(zone, true));
   }
   const double need = Need(service, total, input, now);
   const auto zones = static_cast<double>(scaling.zone_prices.size());
@@ -112,9 +117,12 @@
             ? scaling.min_per_zone
             : std::clamp(on_demand, scaling.min_per_zone, scaling.max_per_zone);
   }
-  if (total >= need * kLeastPart) return wanted;
-  // Too few are left and no others can be had: buy in the cheapest zones.
-  int missing = static_cast<int>(std::ceil(need * kLeastPart)) - total;
+  // Others would start too late when the next zone is reclaimed. With no
+  // reclaimable ones to be had, buy in the cheapest zones.
+  const int survivors = total - most_in_zone;
+  int missing =
+      std::max(static_cast<int>(std::ceil(need * kLeastPart)) - total,
+               static_cast<int>(std::ceil(need * kReservePart)) - survivors);
   for (const auto& [zone, price] : scaling.zone_prices) {
     if (missing <= 0 || !IsDry({service.name, zone, true}, now)) continue;
     auto& count = wanted[{service.name, zone, false}];
--- a/libs/gateway/tests/scaling_duty_test.cc
+++ b/libs/gateway/tests/scaling_duty_test.cc
@@ -145,6 +145,23 @@
   }
 }
 
+TEST_CASE("zone after zone loses its reclaimable engines, none to be had") {
+  World world;
+  world.Demand(200'000);
+  world.Run(Duration(20'000));
+  world.dry = true;
+  // Engines take seconds to start, so those that are left when a zone goes
+  // must do: half of the seven that the demand needs.
+  constexpr int kLeast = 4;
+
+  for (const auto* zone : {"a", "b", "c"}) {
+    world.Set(zone, true, 0);
+    CAPTURE(zone);
+    CHECK(world.Total() >= kLeast);
+    world.Run(Duration(6'000));
+  }
+}
+
 TEST_CASE("on-demand engines stay until reclaimable ones serve") {
   World world;
   world.dry = true;
