Let engines on demand make room for reclaimable ones

Cause: a zone's limit holds for both kinds together.

Ruled out: refused orders (all were accepted), the need (it was 20 then).

Where the market is open and engines on demand leave no room, as many go as are not needed now or after the next reclaim, and others take their place. Test: engines on demand fill a zone when reclaimable ones are back (4, 3 and 3 stayed for ever before).

--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -64,10 +64,23 @@
   [[nodiscard]] bool IsSettled(const Input& input, TimePoint now);
   [[nodiscard]] double Need(const ServiceProfile& service, double serving,
                             const Input& input, TimePoint now);
+  /// Engines of one zone.
+  struct ZoneCounts {
+    int on_demand = 0;
+    int reclaimable = 0;
+    int aim = 0;              ///< Reclaimable ones that should serve.
+    int room = 0;             ///< Most reclaimable ones beside those on demand.
+    bool can_be_had = false;  ///< Whether the last order was accepted.
+  };
+  /// Engines on demand to keep in a zone; takes those that go from `spare`.
+  [[nodiscard]] static int KeptOnDemand(const ZoneCounts& zone, bool has_enough,
+                                        const ScalingProfile& scaling,
+                                        int* spare);
   [[nodiscard]] ScalingCounts Wanted(const ServiceProfile& service,
                                      const Input& input,
                                      const ScalingCounts& serving,
                                      TimePoint now);
+  [[nodiscard]] bool IsAccepted(const ScalingSubject& subject) const;
   [[nodiscard]] bool IsDry(const ScalingSubject& subject, TimePoint now) const;
   [[nodiscard]] bool IsDue(const ScalingSubject& subject, int wanted,
                            int serving, const ScalingProfile& scaling,
--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -82,6 +82,27 @@
          now - found->second.at < kDryTime;
 }
 
+bool ScalingDuty::IsAccepted(const ScalingSubject& subject) const {
+  const auto found = ordered_.find(subject);
+  return found != ordered_.end() && !found->second.refused;
+}
+
+int ScalingDuty::KeptOnDemand(const ZoneCounts& zone, bool has_enough,
+                              const ScalingProfile& scaling, int* spare) {
+  const int surplus = zone.on_demand - scaling.min_per_zone;
+  if (surplus <= 0) return scaling.min_per_zone;
+  // Reclaimable engines must serve before those on demand go.
+  if (has_enough && zone.reclaimable >= zone.aim) return scaling.min_per_zone;
+  // Both kinds share the zone's limit: where those on demand leave no room,
+  // some go first, so that cheaper ones can take their place.
+  if (!zone.can_be_had || zone.reclaimable < zone.room || *spare <= 0) {
+    return zone.on_demand;
+  }
+  const int going = std::min({surplus, *spare, zone.aim - zone.reclaimable});
+  *spare -= going;
+  return zone.on_demand - going;
+}
+
 ScalingCounts ScalingDuty::Wanted(const ServiceProfile& service,
                                   const Input& input,
                                   const ScalingCounts& serving, TimePoint now) {
@@ -101,28 +122,29 @@
   const double beyond = std::max(0.0, need - Floor(scaling));
   const int per_zone =
       static_cast<int>(std::ceil(beyond * SpreadFactor(scaling) / zones));
-  const bool has_enough = total >= need;
   ScalingCounts wanted;
+  // Others would start too late when the next zone is reclaimed.
+  const int spare_now = total - static_cast<int>(std::ceil(need * kLeastPart));
+  const int spare_then =
+      total - most_in_zone - static_cast<int>(std::ceil(need * kReservePart));
+  int spare = std::min(spare_now, spare_then);
+  int missing = -spare;
   for (const auto& [zone, price] : scaling.zone_prices) {
-    const int on_demand = serving_at(zone, false);
-    const int reclaimable =
+    const ScalingSubject subject{service.name, zone, true};
+    ZoneCounts counts;
+    counts.on_demand = serving_at(zone, false);
+    counts.reclaimable = serving_at(zone, true);
+    counts.aim =
         std::clamp(per_zone, 0, scaling.max_per_zone - scaling.min_per_zone);
-    const int replaced = std::max(0, serving_at(zone, true) - reclaimable);
-    wanted[{service.name, zone, true}] = reclaimable;
-    // Reclaimable engines must serve before those on demand go.
-    const bool may_go =
-        has_enough && serving_at(zone, true) + replaced >= reclaimable;
+    counts.room = std::max(0, scaling.max_per_zone - counts.on_demand);
+    counts.can_be_had = IsAccepted(subject);
     wanted[{service.name, zone, false}] =
-        may_go
-            ? scaling.min_per_zone
-            : std::clamp(on_demand, scaling.min_per_zone, scaling.max_per_zone);
+        KeptOnDemand(counts, total >= need, scaling, &spare);
+    // Without room the order only shows whether there are any to be had.
+    wanted[subject] =
+        counts.room > 0 ? std::min(counts.aim, counts.room) : counts.aim;
   }
-  // Others would start too late when the next zone is reclaimed. With no
-  // reclaimable ones to be had, buy in the cheapest zones.
-  const int survivors = total - most_in_zone;
-  int missing =
-      std::max(static_cast<int>(std::ceil(need * kLeastPart)) - total,
-               static_cast<int>(std::ceil(need * kReservePart)) - survivors);
+  // With no reclaimable ones to be had, buy in the cheapest zones.
   for (const auto& [zone, price] : scaling.zone_prices) {
     if (missing <= 0 || !IsDry({service.name, zone, true}, now)) continue;
     auto& count = wanted[{service.name, zone, false}];
--- a/libs/gateway/tests/scaling_duty_test.cc
+++ b/libs/gateway/tests/scaling_duty_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 
 namespace firmoor {
@@ -54,6 +55,8 @@
     const auto found = counts.find({"engine", zone, reclaimable});
     return found == counts.end() ? 0 : found->second;
   }
+  /// Engines of both kinds that a zone may have.
+  int Limit() const { return input.services[0].scaling->max_per_zone; }
   int Total() const { return static_cast<int>(input.upstreams.size()); }
   void Run(Duration time) {
     for (const auto end = now + time; now < end; now += Duration(250)) {
@@ -63,7 +66,9 @@
       const bool refused = dry && order->reclaimable &&
                            order->count > Count(order->availability_zone, true);
       if (!refused) {
-        Set(order->availability_zone, order->reclaimable, order->count);
+        const int others = Count(order->availability_zone, !order->reclaimable);
+        Set(order->availability_zone, order->reclaimable,
+            std::min(order->count, Limit() - others));
       }
       duty.OnOrdered(
           *order, refused ? CloudStatus::kNoCapacity : CloudStatus::kOk, now);
@@ -162,6 +167,35 @@
   }
 }
 
+TEST_CASE("engines on demand fill a zone when reclaimable ones are back") {
+  World world;
+  world.Demand(400'000);
+  world.Run(Duration(20'000));
+  world.dry = true;
+  for (const auto* zone : {"a", "b", "c"}) world.Set(zone, true, 0);
+  world.Run(Duration(10'000));
+  // Seven tenths of the fifteen that the demand needs.
+  constexpr int kLeast = 10;
+  REQUIRE(world.Total() >= kLeast);
+  // Some zone has no room beside them for the five that it should have.
+  REQUIRE(std::max({world.Count("a", false), world.Count("b", false),
+                    world.Count("c", false)}) +
+              5 >
+          world.Limit());
+  world.dry = false;
+
+  SUBCASE("they make room step by step, and too few never serve") {
+    for (int step = 0; step < 60; ++step) {
+      world.Run(Duration(500));
+      CHECK(world.Total() >= kLeast);
+    }
+    for (const auto* zone : {"a", "b", "c"}) {
+      CHECK(world.Count(zone, false) == 1);
+      CHECK(world.Count(zone, true) == world.Limit() - 1);
+    }
+  }
+}
+
 TEST_CASE("on-demand engines stay until reclaimable ones serve") {
   World world;
   world.dry = true;
