Order reclaimable engines before the list of upstreams is whole

Cause: waiting for the whole list put the first orders off by a second or two, while all engines on demand were paid for: they go only when reclaimable ones serve, four seconds after the order.

What the list shows so far is now ordered at once; nothing goes by it. Engines that this coordinator ordered do not count as given, or each order would cause the next (seen in the test of orders that stand).

--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -60,9 +60,13 @@
     TimePoint at;
   };
 
-  /// Whether the list of upstreams, growing while they start, is whole.
-  [[nodiscard]] bool IsSettled(const Input& input, TimePoint now);
-  [[nodiscard]] double Need(const ServiceProfile& service, double serving,
+  /// Notes whether the list of upstreams, which grows while they start, is
+  /// whole.
+  void Settle(const Input& input, const ScalingCounts& serving, TimePoint now);
+  /// Engines of `service` that this duty did not order.
+  [[nodiscard]] int Given(const std::string& service,
+                          const ScalingCounts& serving) const;
+  [[nodiscard]] double Need(const ServiceProfile& service, int given,
                             const Input& input, TimePoint now);
   /// Engines of one zone.
   struct ZoneCounts {
@@ -88,7 +92,7 @@
 
   TimePoint started_at_;
   TimePoint grown_at_;  ///< When the list last grew, until it has settled.
-  std::size_t most_listed_ = 0;
+  int most_given_ = 0;
   bool settled_ = false;
   bool in_flight_ = false;
   std::map<ScalingSubject, Ordered> ordered_;
--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -17,7 +17,7 @@
 // Upstreams that start together are listed one after the other, with pauses of
 // up to half a second; a list that grew no more for this time is whole.
 constexpr Duration kListSettles{1'000};
-// First orders are not put off for longer by a list that keeps growing.
+// Engines go after this time also by a list that keeps growing.
 constexpr Duration kLongestSettling{5'000};
 // A market that refused is asked again after this time.
 constexpr Duration kDryTime{2'500};
@@ -62,15 +62,26 @@
   return counts;
 }
 
-double ScalingDuty::Need(const ServiceProfile& service, double serving,
+int ScalingDuty::Given(const std::string& service,
+                       const ScalingCounts& serving) const {
+  int given = 0;
+  for (const auto& [subject, count] : serving) {
+    const bool own = subject.reclaimable && !ordered_.empty();
+    if (subject.service == service && !own) given += count;
+  }
+  return given;
+}
+
+double ScalingDuty::Need(const ServiceProfile& service, int given,
                          const Input& input, TimePoint now) {
   const auto load = input.loads.find(service.name);
   double need = load == input.loads.end()
                     ? 0
                     : load->second.tokens_per_s / kTokensPerEngineS;
-  const bool first = !peaks_.contains(service.name);
   auto& peak = peaks_[service.name];
-  if (first) peak = {StartNeed(*service.scaling, serving), now};
+  if (!settled_) {
+    peak = {std::max(peak.need, StartNeed(*service.scaling, given)), now};
+  }
   if (now - started_at_ < kFirstSight) need = std::max(need, peak.need);
   if (need >= peak.need || now - peak.at > kPeakMemory) peak = {need, now};
   return peak.need;
@@ -117,7 +128,7 @@
     total += serving_at(zone, false) + serving_at(zone, true);
     most_in_zone = std::max(most_in_zone, serving_at(zone, true));
   }
-  const double need = Need(service, total, input, now);
+  const double need = Need(service, Given(service.name, serving), input, now);
   const auto zones = static_cast<double>(scaling.zone_prices.size());
   const double beyond = std::max(0.0, need - Floor(scaling));
   const int per_zone =
@@ -169,21 +180,26 @@
   return overdue;
 }
 
-bool ScalingDuty::IsSettled(const Input& input, TimePoint now) {
-  if (settled_) return true;
-  if (input.upstreams.size() > most_listed_) {
-    most_listed_ = input.upstreams.size();
+void ScalingDuty::Settle(const Input& input, const ScalingCounts& serving,
+                         TimePoint now) {
+  if (settled_) return;
+  int given = 0;
+  for (const auto& service : input.services) {
+    given += Given(service.name, serving);
+  }
+  if (given > most_given_) {
+    most_given_ = given;
     grown_at_ = now;
   }
   settled_ =
       now - grown_at_ >= kListSettles || now - started_at_ >= kLongestSettling;
-  return settled_;
 }
 
 std::optional<UpstreamOrder> ScalingDuty::Next(const Input& input,
                                                TimePoint now) {
-  if (in_flight_ || !IsSettled(input, now)) return std::nullopt;
+  if (in_flight_) return std::nullopt;
   const auto serving = Serving(input);
+  Settle(input, serving, now);
   for (const auto& service : input.services) {
     if (!service.scaling) continue;
     const auto wanted = Wanted(service, input, serving, now);
@@ -193,6 +209,8 @@
         if (subject.reclaimable != reclaimable) continue;
         const auto found = serving.find(subject);
         const int have = found == serving.end() ? 0 : found->second;
+        // Nothing goes by a list that may not be whole.
+        if (!settled_ && (!reclaimable || count <= have)) continue;
         if (!IsDue(subject, count, have, *service.scaling, now)) continue;
         in_flight_ = true;
         return UpstreamOrder{subject.service, subject.availability_zone,
--- a/libs/gateway/tests/scaling_duty_test.cc
+++ b/libs/gateway/tests/scaling_duty_test.cc
@@ -124,6 +124,11 @@
   SUBCASE("as many stand for the first callers as were given") {
     CHECK(world.Total() >= 18);
   }
+  SUBCASE("and those on demand are replaced before the callers come") {
+    for (const auto* zone : {"a", "b", "c"}) {
+      CHECK(world.Count(zone, false) == 1);
+    }
+  }
 }
 
 TEST_CASE("all reclaimable engines of a zone are taken (reclaim, dry)") {
