--- a/libs/limits/tests/quota_test.cc
+++ b/libs/limits/tests/quota_test.cc
@@ -33,8 +33,9 @@
                                             debt};
     daemons.assign(count, QuotaAllowance(kLimit, fallback, started_at));
     lives.clear();
-    for (std::size_t i = 0; i < count; ++i)
+    for (std::size_t i = 0; i < count; ++i) {
       lives.push_back({std::to_string(i), ""});
+    }
     pool = {};
   }
   void Report(std::size_t index) {
