--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -75,6 +75,8 @@
     int aim = 0;              ///< Reclaimable ones that should serve.
     int room = 0;             ///< Most reclaimable ones beside those on demand.
     bool can_be_had = false;  ///< Whether the last order was accepted.
+
+    bool operator==(const ZoneCounts&) const = default;
   };
   /// Engines on demand to keep in a zone; takes those that go from `spare`.
   [[nodiscard]] static int KeptOnDemand(const ZoneCounts& zone, bool has_enough,
--- a/libs/limits/tests/quota_test.cc
+++ b/libs/limits/tests/quota_test.cc
@@ -59,6 +59,20 @@
     Report(index);
     return AskAlone(index, tokens);
   }
+  /// Asks each daemon in turn for 20 tokens, with the coordinator or alone.
+  void Press(int steps, Duration pause, bool with_coordinator) {
+    const auto reports_each = Duration(1'000) / pause;
+    for (int step = 0; step < steps; ++step) {
+      const auto index = static_cast<std::size_t>(step) % daemons.size();
+      if (with_coordinator) {
+        Ask(index, 20);
+      } else {
+        AskAlone(index, 20);
+      }
+      now += pause;
+      if (with_coordinator && step % reports_each == 0) ReportAll();
+    }
+  }
   bool AskAlone(std::size_t index, double tokens) {
     if (daemons[index].TakeOrWait(tokens, now)) return false;
     passed.emplace_back(now, tokens);
@@ -144,20 +158,10 @@
 
 TEST_CASE("a hot workspace while the coordinator is lost") {
   Fleet fleet(8);
-  const auto ask = [&](int steps, bool reports) {
-    for (int step = 0; step < steps; ++step) {
-      const auto index = static_cast<std::size_t>(step % 8);
-      if (reports) {
-        fleet.Ask(index, 20);
-      } else {
-        fleet.AskAlone(index, 20);
-      }
-      fleet.now += Duration(50);
-      if (reports && step % 20 == 0) fleet.ReportAll();
-    }
-  };
-  ask(60, true);    // Uses nearly all of the window in three seconds.
-  ask(160, false);  // Eight seconds without the coordinator.
+  // Uses nearly all of the window in three seconds.
+  fleet.Press(60, Duration(50), true);
+  // Eight seconds without the coordinator.
+  fleet.Press(160, Duration(50), false);
   CHECK(fleet.most <= 1.1 * kLimit.PerWindow());
 }
 
@@ -201,27 +205,16 @@
 
 TEST_CASE("all daemons restart at once under a hot workspace (herd kill)") {
   Fleet fleet(8);
-  const auto ask = [&](int steps, bool reports) {
-    for (int step = 0; step < steps; ++step) {
-      const auto index = static_cast<std::size_t>(step % 8);
-      if (reports) {
-        fleet.Ask(index, 20);
-      } else {
-        fleet.AskAlone(index, 20);
-      }
-      fleet.now += Duration(25);
-      if (reports && step % 40 == 0) fleet.ReportAll();
-    }
-  };
-  ask(400, true);
+  fleet.Press(400, Duration(25), true);
   const double used = fleet.pool.Used(kLimit, fleet.now);
   const auto used_at = fleet.now;
   fleet.now += Duration(500);
   fleet.Restart(8, 0, fleet.now);
   for (auto& daemon : fleet.daemons) daemon.SetUsedBefore(used, fleet.now);
   fleet.pool.SetUsedBefore(used, used_at + kLimit.window);
-  ask(160, false);  // Four seconds until there is a coordinator.
-  ask(400, true);
+  // Four seconds until there is a coordinator.
+  fleet.Press(160, Duration(25), false);
+  fleet.Press(400, Duration(25), true);
   SUBCASE("never gets more than its quota, whatever passed before") {
     CHECK(fleet.most <= 1.1 * kLimit.PerWindow());
   }
