Be ready only at the version that the peers serve as well

Cause: one read of the head was taken as proof of the version in force. A read that lags shows the version before; the watch that follows brings the newer one a moment later, and in between the daemon served the old one. The race is as wide as the watch is late, so it was seen once.

Ruled out: a version that goes back inside one life (the follower only rises, the test's other checks held); a wrong poll of the test (the status holds both fields of one moment).

Now a daemon that starts also waits until its seeds have answered or timed out (0.5 s) and until it has reached the highest version that any of them told; the answer to a join carries the version. The decision is the pure class StartupVersion. The store's stand-in can let watches lag (watch_lag_ms), which makes the test show the fault each time.

--- a/apps/firmoord/src/config_service.cc
+++ b/apps/firmoord/src/config_service.cc
@@ -44,7 +44,10 @@
     const Settings& settings, ObjectStore* store,
     std::function<void(const Configuration&)> on_change)
     : settings_(settings), store_(store), on_change_(std::move(on_change)) {
-  QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { Watch(); });
+  QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] {
+    if (fleet_->HasAskedSeeds()) startup_.OnPeersAsked();
+    Watch();
+  });
 }
 
 void ConfigService::SetFleet(Fleet* fleet) {
@@ -92,13 +95,13 @@
 
 void ConfigService::Watch() {
   if (watching_ || stopped_) return;
-  if (known_ && !IsWatcher()) return;
+  if (IsKnown() && !IsWatcher()) return;
   watching_ = true;
   const auto take = [this](StoreStatus status, const StoredObject& object) {
     watching_ = false;
     if (stopped_ || status == StoreStatus::kUnavailable) return;
     if (status == StoreStatus::kNotFound) {
-      known_ = known_ || fleet_->HasAskedSeeds();
+      HeadTaken();
       return Watch();
     }
     // A lagging store may show an older head; the follower ignores it.
@@ -107,7 +110,7 @@
       if (taken) Watch();
     });
   };
-  if (!known_) {
+  if (!has_read_head_) {
     store_->Read(kHeadObject, take);
   } else {
     store_->Watch(kHeadObject, head_object_version_, take);
@@ -129,7 +132,7 @@
   const bool connects = follower_.current().version() >= head.snapshot_version;
   if (connects || head.snapshot_version == 0) {
     if (follower_.OfferUpdate(update)) Changed();
-    known_ = true;
+    HeadTaken();
     return done(true);
   }
   store_->Read(
@@ -137,11 +140,16 @@
       [this, head, done](StoreStatus status, const StoredObject& snapshot) {
         if (status != StoreStatus::kOk) return done(false);
         OfferHead(head, DecodeSnapshot(snapshot));
-        known_ = true;
+        HeadTaken();
         done(true);
       });
 }
 
+void ConfigService::HeadTaken() {
+  has_read_head_ = true;
+  startup_.OnStoreAnswered();
+}
+
 void ConfigService::OfferHead(const ConfigHead& head,
                               const QJsonObject& snapshot) {
   const auto built =
@@ -157,6 +165,7 @@
 
 void ConfigService::Changed() {
   kLog.Info("Version {} is in force.", current().version());
+  startup_.OnVersion(current().version());
   on_change_(current());
   const auto message =
       QCborValue(QCborArray{QString::fromStdString(settings_.daemon),
@@ -177,6 +186,8 @@
 }
 
 void ConfigService::OnVersionSeen(const Member& peer, std::int64_t version) {
+  startup_.OnPeerTold(version);
+  if (fleet_->HasAskedSeeds()) startup_.OnPeersAsked();
   if (version > current().version()) PullFrom(peer);
 }
 
@@ -193,7 +204,6 @@
             Capture([&] { return ConfigFollower::Update::Decode(body); });
         if (std::holds_alternative<Error>(update)) return;
         if (follower_.OfferUpdate(std::get<ConfigFollower::Update>(update))) {
-          known_ = true;
           Changed();
         }
       });
--- a/apps/firmoord/src/config_service.h
+++ b/apps/firmoord/src/config_service.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "config/config_log.h"
+#include "config/startup_version.h"
 #include "fleet.h"
 #include "platform/object_store.h"
 
@@ -39,8 +40,8 @@
   [[nodiscard]] const Configuration& current() const {
     return follower_.current();
   }
-  /// Whether the store or a peer has told which version is in force.
-  [[nodiscard]] bool IsKnown() const { return known_; }
+  /// Whether this daemon knows which version is in force.
+  [[nodiscard]] bool IsKnown() const { return startup_.IsKnown(); }
 
   /// A peer has this version.
   void OnVersionSeen(const Member& peer, std::int64_t version);
@@ -54,6 +55,7 @@
   void Watch();
   void TakeHead(const StoredObject& object,
                 const std::function<void(bool)>& done);
+  void HeadTaken();
   void OfferHead(const ConfigHead& head, const QJsonObject& snapshot);
   void Changed();
   void PullFrom(const Member& peer);
@@ -77,7 +79,8 @@
   bool watching_ = false;
   bool stopped_ = true;
   bool pulling_ = false;
-  bool known_ = false;
+  bool has_read_head_ = false;
+  StartupVersion startup_;
   std::int64_t head_object_version_ = 0;
 };
 
--- a/apps/firmoord/src/fleet.cc
+++ b/apps/firmoord/src/fleet.cc
@@ -125,7 +125,7 @@
   }
   if (kind == "join") {
     TakeProbe(message);
-    return reply(membership_.FullState().Encode());
+    return reply(MakeProbe(membership_.FullState()));
   }
   if (kind == "probe-via") return ServeProbeVia(message, reply);
   const auto found = handlers_.find(kind);
@@ -136,14 +136,14 @@
   found->second(message, reply);
 }
 
-QByteArray Fleet::MakeProbe() {
+QByteArray Fleet::MakeProbe(const Gossip& gossip) {
   QCborArray leaving;
   const auto ids = hooks_.leaving();
   const auto count = std::min(ids.size(), kLeavingInProbe);
   for (std::size_t i = ids.size() - count; i < ids.size(); ++i) {
     leaving.append(QString::fromStdString(ids[i]));
   }
-  return QCborValue(QCborArray{membership_.MakeGossip().Encode(),
+  return QCborValue(QCborArray{gossip.Encode(),
                                static_cast<qint64>(hooks_.config_version()),
                                leaving})
       .toCbor();
@@ -213,22 +213,12 @@
                     [&](const Member& m) { return m.peers == seed; });
     if (known) continue;
     ++asked;
-    const QByteArray message =
-        QCborValue(QCborArray{membership_.FullState().Encode(),
-                              static_cast<qint64>(hooks_.config_version()),
-                              QCborArray{}})
-            .toCbor();
-    node_->Call(seed, "join", message, kJoinTimeout,
+    node_->Call(seed, "join", MakeProbe(membership_.FullState()), kJoinTimeout,
                 [this](PeerStatus status, const QByteArray& body) {
-                  const auto gossip =
-                      Capture([&] { return Gossip::Decode(body); });
-                  if (status == PeerStatus::kOk &&
-                      std::holds_alternative<Gossip>(gossip)) {
-                    membership_.Merge(std::get<Gossip>(gossip), MonotonicNow());
-                  }
                   if (++seed_answers_ >= settings_.seeds.size()) {
                     seeds_asked_ = true;
                   }
+                  if (status == PeerStatus::kOk) TakeProbe(body);
                 });
   }
   if (asked == 0) seeds_asked_ = true;
--- a/apps/firmoord/src/fleet.h
+++ b/apps/firmoord/src/fleet.h
@@ -56,7 +56,8 @@
  private:
   void ServeCall(const std::string& kind, const QByteArray& message,
                  const PeerNode::Reply& reply);
-  QByteArray MakeProbe();
+  QByteArray MakeProbe() { return MakeProbe(membership_.MakeGossip()); }
+  QByteArray MakeProbe(const Gossip& gossip);
   void TakeProbe(const QByteArray& message);
   void Tick();
   void Probe(const Membership::Probe& probe);
--- a/tests/process/configuration_process_test.cc
+++ b/tests/process/configuration_process_test.cc
@@ -158,7 +158,7 @@
     }
     REQUIRE(InForceEverywhere(&cluster, 4, all));
     cluster.Kill(&cluster.daemon(1));
-    cluster.ControlPlatform({{"stale_reads", 1'000}});
+    cluster.ControlPlatform({{"stale_reads", 1'000}, {"watch_lag_ms", 400}});
     cluster.Start(&cluster.daemon(1));
     std::int64_t highest = 0;
     bool went_back = false;
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -5,6 +5,7 @@
 //   slow_ms        every answer is this much late
 //   lose_answers   the next N writes take effect and are not answered
 //   stale_reads    the next N reads show the version before the last write
+//   watch_lag_ms   watches end this much after the write that ends them
 //   vms            replaces the VM list
 //   list_lag_ms    the VM list shows changes this much late
 //   refuse_starts  the cloud API refuses starts in this zone
@@ -133,7 +134,11 @@
     const auto after = std::stoll(request.QueryValue("after"));
     const auto& object = objects_[name];
     if (object.version > after) {
-      return responder->Send(ObjectAnswer(object, object.value));
+      QTimer::singleShot(watch_lag_ms_, &context_, [this, name, responder] {
+        const auto& written = objects_[name];
+        responder->Send(ObjectAnswer(written, written.value));
+      });
+      return;
     }
     watchers_.push_back({name, after, responder});
     QTimer::singleShot(kWatchWaitMs, &context_, [responder] {
@@ -214,6 +219,7 @@
     if (const int ms = number("outage_ms", -1); ms >= 0) Outage(ms);
     slow_ms_ = number("slow_ms", slow_ms_);
     lose_answers_ = number("lose_answers", lose_answers_);
+    watch_lag_ms_ = number("watch_lag_ms", watch_lag_ms_);
     stale_reads_ = number("stale_reads", stale_reads_);
     list_lag_ms_ = number("list_lag_ms", list_lag_ms_);
     check_fencing_ = body.value("check_fencing").toBool(check_fencing_);
@@ -256,6 +262,7 @@
   int slow_ms_ = 0;
   int lose_answers_ = 0;
   int stale_reads_ = 0;
+  int watch_lag_ms_ = 0;
   int list_lag_ms_ = 0;
   std::int64_t reads_ = 0;
   std::int64_t writes_ = 0;
