Deliver streams whose events flow after the time that callers allowed

The gateway ended every request 0.5 s after the time that its caller had allowed, also a stream in the middle of its events. Answers that are ready are to be delivered, also late, and a caller that doesn't want them any more closes its connection.

Now a stream that has started goes on until its events pause for 1 s or the route's time is over. Streams that have stalled, and requests without any part of an answer, end as before; the test of a stalled stream is unchanged.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -14,6 +14,9 @@
 // A caller that has waited as long as it said leaves by itself, perhaps a
 // little later; its answer is not cut before.
 constexpr Duration kDeadlineReserve{500};
+// Longest pause between the events of a stream that still makes progress: a
+// resumed run stops, waits for its predecessor's end and is read again.
+constexpr Duration kFlowPause{1'000};
 // Beyond the route's timeout, which callers count from their sending.
 constexpr Duration kTimeoutReserve{50};
 // Longest wait for the coordinator to grant more of a quota: a round trip
@@ -25,7 +28,7 @@
                               : route.timeout;
 }
 
-/// When the request gets its final answer, whatever happens.
+/// When a request ends that has no part of its answer yet.
 Duration GiveUpTime(const ForwardRequest& request, const Route& route) {
   const auto route_end = route.timeout + kTimeoutReserve;
   if (!request.time_allowed) return route_end;
@@ -217,6 +220,7 @@
     first_event_ = MonotonicNow();
     responder_->StartStream(attempt_.head->status, attempt_.head->headers);
   }
+  last_event_ = MonotonicNow();
   responder_->Write(events);
 }
 
@@ -356,9 +360,19 @@
   Finish(code, NameOf(outcome));
 }
 
+Duration Exchange::TimeForFlow(TimePoint now) const {
+  if (!answer_started_) return Duration(0);
+  const auto route_end = started_at_ + pass_.route->timeout + kTimeoutReserve;
+  return std::min(last_event_ + kFlowPause, route_end) - now;
+}
+
 void Exchange::OnTimeUp() {
   const auto self = shared_from_this();
   if (finished_) return;
+  if (const auto longer = TimeForFlow(MonotonicNow()); longer > Duration(0)) {
+    timer_.start(longer);
+    return;
+  }
   const bool sent = attempt_.call && attempt_.call->MayHaveLeft();
   const bool unknown = may_have_run_ || sent;
   context_->picker.OnEnd(&attempt_.ticket, UpstreamVerdict::kNeutral,
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -73,6 +73,9 @@
   void FailAttempt(const AttemptVerdict& verdict);
   void BreakOff(ResultCode code);
   void OnTimeUp();
+  /// How long a stream that makes progress may go on; 0 or less when its
+  /// events have stopped, or the route's time is over.
+  [[nodiscard]] Duration TimeForFlow(TimePoint now) const;
   void OnCallerLeft();
   [[nodiscard]] AttemptEnd DescribeEnd(HttpCallEnd end) const;
   [[nodiscard]] AttemptContext DescribeContext(TimePoint now) const;
@@ -97,6 +100,7 @@
   std::set<std::string> tried_;
   EventRelay relay_;
   std::optional<TimePoint> first_event_;
+  TimePoint last_event_;
   int sends_ = 0;          ///< Times that bytes may have left.
   int counted_sends_ = 0;  ///< Without upstreams that ended meanwhile.
   bool may_have_run_ = false;
--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -357,6 +357,36 @@
   CHECK(caller->WaitClosed(1'000));
 }
 
+TEST_CASE("a stream whose events flow is delivered late rather than cut") {
+  World world;
+  QTimer events;
+  int sent = 0;
+  RawUpstream steady([&](auto& connection) {
+    StartEvents(connection, Event(++sent));
+    QObject::connect(&events, &QTimer::timeout, connection.socket,
+                     [&sent, socket = connection.socket] {
+                       socket->write(QByteArray::fromStdString(Event(++sent)));
+                     });
+    events.start(100);
+  });
+  world.Add("a", steady);
+  auto caller = world.Ask("stream", "Allowed-Ms: 300\r\n");
+  REQUIRE(caller->WaitFor("id: 1"));
+
+  SUBCASE("long after the time that its caller allowed") {
+    CHECK(caller->WaitFor("id: 20", 2'500));
+  }
+  SUBCASE("but not when the events stop then") {
+    REQUIRE(caller->WaitFor("id: 12", 2'000));
+    events.stop();
+    CHECK(caller->WaitClosed(1'500));
+  }
+  SUBCASE("and not beyond the time of the route") {
+    REQUIRE(caller->WaitFor("id: 20", 2'500));
+    CHECK(caller->WaitClosed(1'500));
+  }
+}
+
 TEST_CASE("a caller that leaves") {
   World world;
   bool closed = false;
