Order only reclaimable engines while they can be had

Now the need is met by reclaimable engines, so many that any one zone may go; while a zone refuses, the others carry its part, and give it back only when it serves again. Engines on demand that serve go only when the rest meets the whole need, also after the next reclaim.

--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -25,13 +25,13 @@
 
 using ScalingCounts = std::map<ScalingSubject, int>;
 
-/// Decides how many engines to order in two markets. The smallest allowed
-/// number is bought on demand in each zone, since it survives every reclaim;
-/// what demand needs beyond it is reclaimable, with so much to spare that the
-/// loss of the reclaimable engines of any one zone leaves enough. Engines on
-/// demand are given up only when reclaimable ones serve in their place, and
-/// bought where reclaimable ones cannot be had and too few serve. Growth
-/// follows at once, shrinking after a while. Pure.
+/// Decides how many engines to order in two markets. Demand is met by
+/// reclaimable engines, with so many to spare that those of any one zone may
+/// go; while a zone has none to be had, the others carry its part. Engines on
+/// demand are bought where reclaimable ones cannot be had and too few serve,
+/// or would serve after the next reclaim, and given up when reclaimable ones
+/// serve in their place. The smallest number of a zone counts both kinds.
+/// Growth follows at once, shrinking after a while. Pure.
 class ScalingDuty {
  public:
   struct Input {
@@ -78,14 +78,28 @@
 
     bool operator==(const ZoneCounts&) const = default;
   };
-  /// Engines on demand to keep in a zone; takes those that go from `spare`.
-  [[nodiscard]] static int KeptOnDemand(const ZoneCounts& zone, bool has_enough,
-                                        const ScalingProfile& scaling,
-                                        int* spare);
+  /// Engines beyond what must serve, now and without the reclaimable ones of
+  /// any one zone; negative when some are missing.
+  struct Spares {
+    int whole = 0;  ///< Beyond the whole need.
+    int least = 0;  ///< Beyond the part below which engines are bought.
+
+    bool operator==(const Spares&) const = default;
+  };
+  [[nodiscard]] std::map<std::string, ZoneCounts> CountZones(
+      const ServiceProfile& service, const ScalingCounts& serving,
+      double need) const;
+  [[nodiscard]] static Spares CountSpares(
+      const std::map<std::string, ZoneCounts>& zones, double need);
+  /// Engines on demand that a zone can do without.
+  [[nodiscard]] static int GoingOnDemand(const ZoneCounts& zone,
+                                         const ScalingProfile& scaling,
+                                         const Spares& spares);
   [[nodiscard]] ScalingCounts Wanted(const ServiceProfile& service,
                                      const Input& input,
                                      const ScalingCounts& serving,
                                      TimePoint now);
+  [[nodiscard]] bool WasRefused(const ScalingSubject& subject) const;
   [[nodiscard]] bool IsAccepted(const ScalingSubject& subject) const;
   [[nodiscard]] bool IsDry(const ScalingSubject& subject, TimePoint now) const;
   [[nodiscard]] bool IsDue(const ScalingSubject& subject, int wanted,
--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -31,21 +31,15 @@
 // others have started: engines at twice their load still answer, late.
 constexpr double kReservePart = 0.5;
 
-/// Engines to have for a need, so that enough are left without the reclaimable
-/// ones of any one zone.
-double SpreadFactor(const ScalingProfile& scaling) {
-  const auto zones = static_cast<double>(scaling.zone_prices.size());
-  return zones > 1 ? zones / (zones - 1) : 1;
-}
-
-double Floor(const ScalingProfile& scaling) {
-  return static_cast<double>(scaling.zone_prices.size()) * scaling.min_per_zone;
+/// Engines in each of `zones`, so that the need is met without any one of them.
+double PerZone(double need, std::size_t zones) {
+  return need / std::max(1.0, static_cast<double>(zones) - 1);
 }
 
 /// The need for which as many engines would be ordered as serve now.
 double StartNeed(const ScalingProfile& scaling, double serving) {
-  const double floor = Floor(scaling);
-  return floor + std::max(0.0, serving - floor) / SpreadFactor(scaling);
+  const auto zones = static_cast<double>(scaling.zone_prices.size());
+  return zones > 1 ? serving * (zones - 1) / zones : serving;
 }
 
 }  // namespace
@@ -93,67 +87,103 @@
          now - found->second.at < kDryTime;
 }
 
+bool ScalingDuty::WasRefused(const ScalingSubject& subject) const {
+  const auto found = ordered_.find(subject);
+  return found != ordered_.end() && found->second.refused;
+}
+
 bool ScalingDuty::IsAccepted(const ScalingSubject& subject) const {
   const auto found = ordered_.find(subject);
   return found != ordered_.end() && !found->second.refused;
 }
 
-int ScalingDuty::KeptOnDemand(const ZoneCounts& zone, bool has_enough,
-                              const ScalingProfile& scaling, int* spare) {
-  const int surplus = zone.on_demand - scaling.min_per_zone;
-  if (surplus <= 0) return scaling.min_per_zone;
+int ScalingDuty::GoingOnDemand(const ZoneCounts& zone,
+                               const ScalingProfile& scaling,
+                               const Spares& spares) {
+  const int surplus =
+      zone.on_demand - std::max(0, scaling.min_per_zone - zone.reclaimable);
+  if (surplus <= 0) return 0;
   // Reclaimable engines must serve before those on demand go.
-  if (has_enough && zone.reclaimable >= zone.aim) return scaling.min_per_zone;
+  if (zone.reclaimable >= zone.aim) {
+    return std::clamp(spares.whole, 0, surplus);
+  }
   // Both kinds share the zone's limit: where those on demand leave no room,
   // some go first, so that cheaper ones can take their place.
-  if (!zone.can_be_had || zone.reclaimable < zone.room || *spare <= 0) {
-    return zone.on_demand;
-  }
-  const int going = std::min({surplus, *spare, zone.aim - zone.reclaimable});
-  *spare -= going;
-  return zone.on_demand - going;
+  if (!zone.can_be_had || zone.reclaimable < zone.room) return 0;
+  return std::clamp(spares.least, 0,
+                    std::min(surplus, zone.aim - zone.reclaimable));
 }
 
-ScalingCounts ScalingDuty::Wanted(const ServiceProfile& service,
-                                  const Input& input,
-                                  const ScalingCounts& serving, TimePoint now) {
+std::map<std::string, ScalingDuty::ZoneCounts> ScalingDuty::CountZones(
+    const ServiceProfile& service, const ScalingCounts& serving,
+    double need) const {
   const auto& scaling = *service.scaling;
   const auto serving_at = [&](const std::string& zone, bool reclaimable) {
     const auto found = serving.find({service.name, zone, reclaimable});
     return found == serving.end() ? 0 : found->second;
   };
-  int total = 0;
-  int most_in_zone = 0;
+  std::size_t open = 0;
   for (const auto& [zone, price] : scaling.zone_prices) {
-    total += serving_at(zone, false) + serving_at(zone, true);
-    most_in_zone = std::max(most_in_zone, serving_at(zone, true));
+    if (!WasRefused({service.name, zone, true})) ++open;
   }
-  const double need = Need(service, Given(service.name, serving), input, now);
-  const auto zones = static_cast<double>(scaling.zone_prices.size());
-  const double beyond = std::max(0.0, need - Floor(scaling));
-  const int per_zone =
-      static_cast<int>(std::ceil(beyond * SpreadFactor(scaling) / zones));
-  ScalingCounts wanted;
-  // Others would start too late when the next zone is reclaimed.
-  const int spare_now = total - static_cast<int>(std::ceil(need * kLeastPart));
-  const int spare_then =
-      total - most_in_zone - static_cast<int>(std::ceil(need * kReservePart));
-  int spare = std::min(spare_now, spare_then);
-  int missing = -spare;
+  std::map<std::string, ZoneCounts> zones;
   for (const auto& [zone, price] : scaling.zone_prices) {
     const ScalingSubject subject{service.name, zone, true};
-    ZoneCounts counts;
+    // While a zone has none, the others carry its part; it is asked for what
+    // it will have again.
+    const auto sharing =
+        WasRefused(subject) ? scaling.zone_prices.size() : open;
+    auto& counts = zones[zone];
     counts.on_demand = serving_at(zone, false);
     counts.reclaimable = serving_at(zone, true);
-    counts.aim =
-        std::clamp(per_zone, 0, scaling.max_per_zone - scaling.min_per_zone);
+    counts.aim = std::clamp(static_cast<int>(std::ceil(PerZone(need, sharing))),
+                            scaling.min_per_zone, scaling.max_per_zone);
     counts.room = std::max(0, scaling.max_per_zone - counts.on_demand);
     counts.can_be_had = IsAccepted(subject);
-    wanted[{service.name, zone, false}] =
-        KeptOnDemand(counts, total >= need, scaling, &spare);
+  }
+  return zones;
+}
+
+ScalingDuty::Spares ScalingDuty::CountSpares(
+    const std::map<std::string, ZoneCounts>& zones, double need) {
+  int total = 0;
+  int most_in_zone = 0;
+  for (const auto& [zone, counts] : zones) {
+    total += counts.on_demand + counts.reclaimable;
+    most_in_zone = std::max(most_in_zone, counts.reclaimable);
+  }
+  // Others would start too late when the next zone is reclaimed.
+  const int then =
+      total - most_in_zone - static_cast<int>(std::ceil(need * kReservePart));
+  const int whole = total - static_cast<int>(std::ceil(need));
+  const int least = total - static_cast<int>(std::ceil(need * kLeastPart));
+  return {std::min(whole, then), std::min(least, then)};
+}
+
+ScalingCounts ScalingDuty::Wanted(const ServiceProfile& service,
+                                  const Input& input,
+                                  const ScalingCounts& serving, TimePoint now) {
+  const auto& scaling = *service.scaling;
+  const double need = Need(service, Given(service.name, serving), input, now);
+  const auto zones = CountZones(service, serving, need);
+  auto spares = CountSpares(zones, need);
+  int missing = -spares.least;
+  const bool all_serve =
+      std::all_of(zones.begin(), zones.end(), [](const auto& zone) {
+        return zone.second.reclaimable >= zone.second.aim;
+      });
+  ScalingCounts wanted;
+  for (const auto& [zone, counts] : zones) {
+    const int going = GoingOnDemand(counts, scaling, spares);
+    spares.whole -= going;
+    spares.least -= going;
+    wanted[{service.name, zone, false}] = counts.on_demand - going;
+    // None go while those of another zone are still starting.
+    const int aim =
+        all_serve ? counts.aim : std::max(counts.aim, counts.reclaimable);
     // Without room the order only shows whether there are any to be had.
-    wanted[subject] =
-        counts.room > 0 ? std::min(counts.aim, counts.room) : counts.aim;
+    wanted[{service.name, zone, true}] =
+        counts.room > 0 ? std::min(aim, counts.room) : aim;
   }
   // With no reclaimable ones to be had, buy in the cheapest zones.
   for (const auto& [zone, price] : scaling.zone_prices) {
