--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -8,7 +8,7 @@
 
 // Prompt tokens a second, cached or not, that one engine answers well: half of
 // what it reads without a cache, from the trials in docs/PLATFORM.md.
-constexpr double kTokensPerEngineS = 28'000;
+constexpr double kTokensPerEngineS = 40'000;
 // Demand is believed low only after this time without a higher one: a wave of
 // traffic lasts longer than a burst.
 constexpr Duration kPeakMemory{25'000};
