Keep orders on demand that have not started, in the cheapest zone

Zones were taken by name, not by price. And engines on demand stayed for 25 s after a burst of 10 s.

Now engines that are starting count, a zone is dry until an order is accepted, the cheapest zone is first, and engines on demand follow the need of the last 8 s.

--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -58,6 +58,20 @@
   struct Peak {
     double need = 0;
     TimePoint at;
+
+    void Note(double seen, Duration memory, TimePoint now);
+  };
+  /// Highest needs of late, over a long and a short time.
+  struct Peaks {
+    Peak usual;
+    Peak dear;
+  };
+  /// Engines that are needed, and those for which engines on demand are paid.
+  struct Needs {
+    double usual = 0;
+    double dear = 0;
+
+    bool operator==(const Needs&) const = default;
   };
 
   /// Notes whether the list of upstreams, which grows while they start, is
@@ -66,11 +80,12 @@
   /// Engines of `service` that this duty did not order.
   [[nodiscard]] int Given(const std::string& service,
                           const ScalingCounts& serving) const;
-  [[nodiscard]] double Need(const ServiceProfile& service, int given,
-                            const Input& input, TimePoint now);
+  [[nodiscard]] Needs Need(const ServiceProfile& service, int given,
+                           const Input& input, TimePoint now);
   /// Engines of one zone.
   struct ZoneCounts {
     int on_demand = 0;
+    int starting = 0;  ///< On demand, ordered and not serving yet.
     int reclaimable = 0;
     int aim = 0;              ///< Reclaimable ones that should serve.
     int room = 0;             ///< Most reclaimable ones beside those on demand.
@@ -81,14 +96,15 @@
   /// Engines beyond what must serve, now and without the reclaimable ones of
   /// any one zone; negative when some are missing.
   struct Spares {
-    int whole = 0;  ///< Beyond the whole need.
-    int least = 0;  ///< Beyond the part below which engines are bought.
+    int whole = 0;     ///< Beyond the whole need.
+    int least = 0;     ///< Beyond the part below which engines are bought.
+    int starting = 0;  ///< On demand, ordered and not serving yet.
 
     bool operator==(const Spares&) const = default;
   };
   [[nodiscard]] std::map<std::string, ZoneCounts> CountZones(
-      const ServiceProfile& service, const ScalingCounts& serving,
-      double need) const;
+      const ServiceProfile& service, const ScalingCounts& serving, double need,
+      TimePoint now) const;
   [[nodiscard]] static Spares CountSpares(
       const std::map<std::string, ZoneCounts>& zones, double need);
   /// Engines on demand that a zone can do without.
@@ -101,7 +117,10 @@
                                      TimePoint now);
   [[nodiscard]] bool WasRefused(const ScalingSubject& subject) const;
   [[nodiscard]] bool IsAccepted(const ScalingSubject& subject) const;
-  [[nodiscard]] bool IsDry(const ScalingSubject& subject, TimePoint now) const;
+  /// Engines of an order that was accepted and may still be carried out.
+  [[nodiscard]] int Starting(const ScalingSubject& subject, int serving,
+                             const ScalingProfile& scaling,
+                             TimePoint now) const;
   [[nodiscard]] bool IsDue(const ScalingSubject& subject, int wanted,
                            int serving, const ScalingProfile& scaling,
                            TimePoint now) const;
@@ -112,7 +131,7 @@
   bool settled_ = false;
   bool in_flight_ = false;
   std::map<ScalingSubject, Ordered> ordered_;
-  std::map<std::string, Peak> peaks_;
+  std::map<std::string, Peaks> peaks_;
 };
 
 }  // namespace firmoor
--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -8,10 +8,13 @@
 
 // Prompt tokens a second, cached or not, that one engine answers well: half of
 // what it reads without a cache, from the trials in docs/PLATFORM.md.
-constexpr double kTokensPerEngineS = 40'000;
+constexpr double kTokensPerEngineS = 28'000;
 // Demand is believed low only after this time without a higher one: a wave of
 // traffic lasts longer than a burst.
 constexpr Duration kPeakMemory{25'000};
+// The same for engines on demand, which cost as much as several reclaimable
+// ones: they follow a burst once it has lasted longer than they take to start.
+constexpr Duration kDearPeakMemory{8'000};
 // A new holder takes what serves as enough until it has seen some demand.
 constexpr Duration kFirstSight{12'000};
 // Upstreams that start together are listed one after the other, with pauses of
@@ -42,6 +45,18 @@
   return zones > 1 ? serving * (zones - 1) / zones : serving;
 }
 
+/// Zones, the cheapest first.
+std::vector<std::string> ByPrice(const ScalingProfile& scaling) {
+  std::vector<std::string> zones;
+  for (const auto& [zone, price] : scaling.zone_prices) zones.push_back(zone);
+  std::stable_sort(zones.begin(), zones.end(),
+                   [&](const std::string& a, const std::string& b) {
+                     return scaling.zone_prices.at(a) <
+                            scaling.zone_prices.at(b);
+                   });
+  return zones;
+}
+
 }  // namespace
 
 ScalingDuty::ScalingDuty(TimePoint started_at)
@@ -66,25 +81,34 @@
   return given;
 }
 
-double ScalingDuty::Need(const ServiceProfile& service, int given,
-                         const Input& input, TimePoint now) {
+void ScalingDuty::Peak::Note(double seen, Duration memory, TimePoint now) {
+  if (seen >= need || now - at > memory) *this = {seen, now};
+}
+
+ScalingDuty::Needs ScalingDuty::Need(const ServiceProfile& service, int given,
+                                     const Input& input, TimePoint now) {
   const auto load = input.loads.find(service.name);
   double need = load == input.loads.end()
                     ? 0
                     : load->second.tokens_per_s / kTokensPerEngineS;
-  auto& peak = peaks_[service.name];
-  if (!settled_) {
-    peak = {std::max(peak.need, StartNeed(*service.scaling, given)), now};
+  auto& peaks = peaks_[service.name];
+  for (auto* peak : {&peaks.usual, &peaks.dear}) {
+    if (settled_) continue;
+    *peak = {std::max(peak->need, StartNeed(*service.scaling, given)), now};
   }
-  if (now - started_at_ < kFirstSight) need = std::max(need, peak.need);
-  if (need >= peak.need || now - peak.at > kPeakMemory) peak = {need, now};
-  return peak.need;
+  if (now - started_at_ < kFirstSight) need = std::max(need, peaks.usual.need);
+  peaks.usual.Note(need, kPeakMemory, now);
+  peaks.dear.Note(need, kDearPeakMemory, now);
+  return {peaks.usual.need, peaks.dear.need};
 }
 
-bool ScalingDuty::IsDry(const ScalingSubject& subject, TimePoint now) const {
+int ScalingDuty::Starting(const ScalingSubject& subject, int serving,
+                          const ScalingProfile& scaling, TimePoint now) const {
   const auto found = ordered_.find(subject);
-  return found != ordered_.end() && found->second.refused &&
-         now - found->second.at < kDryTime;
+  if (found == ordered_.end() || found->second.refused) return 0;
+  const bool overdue =
+      now - found->second.at > scaling.start_time + kRepeatAfter;
+  return overdue ? 0 : std::max(0, found->second.count - serving);
 }
 
 bool ScalingDuty::WasRefused(const ScalingSubject& subject) const {
@@ -115,8 +139,8 @@
 }
 
 std::map<std::string, ScalingDuty::ZoneCounts> ScalingDuty::CountZones(
-    const ServiceProfile& service, const ScalingCounts& serving,
-    double need) const {
+    const ServiceProfile& service, const ScalingCounts& serving, double need,
+    TimePoint now) const {
   const auto& scaling = *service.scaling;
   const auto serving_at = [&](const std::string& zone, bool reclaimable) {
     const auto found = serving.find({service.name, zone, reclaimable});
@@ -135,6 +159,8 @@
         WasRefused(subject) ? scaling.zone_prices.size() : open;
     auto& counts = zones[zone];
     counts.on_demand = serving_at(zone, false);
+    counts.starting =
+        Starting({service.name, zone, false}, counts.on_demand, scaling, now);
     counts.reclaimable = serving_at(zone, true);
     counts.aim = std::clamp(static_cast<int>(std::ceil(PerZone(need, sharing))),
                             scaling.min_per_zone, scaling.max_per_zone);
@@ -147,9 +173,11 @@
 ScalingDuty::Spares ScalingDuty::CountSpares(
     const std::map<std::string, ZoneCounts>& zones, double need) {
   int total = 0;
+  int starting = 0;
   int most_in_zone = 0;
   for (const auto& [zone, counts] : zones) {
     total += counts.on_demand + counts.reclaimable;
+    starting += counts.starting;
     most_in_zone = std::max(most_in_zone, counts.reclaimable);
   }
   // Others would start too late when the next zone is reclaimed.
@@ -157,17 +185,17 @@
       total - most_in_zone - static_cast<int>(std::ceil(need * kReservePart));
   const int whole = total - static_cast<int>(std::ceil(need));
   const int least = total - static_cast<int>(std::ceil(need * kLeastPart));
-  return {std::min(whole, then), std::min(least, then)};
+  return {std::min(whole, then), std::min(least, then), starting};
 }
 
 ScalingCounts ScalingDuty::Wanted(const ServiceProfile& service,
                                   const Input& input,
                                   const ScalingCounts& serving, TimePoint now) {
   const auto& scaling = *service.scaling;
-  const double need = Need(service, Given(service.name, serving), input, now);
-  const auto zones = CountZones(service, serving, need);
-  auto spares = CountSpares(zones, need);
-  int missing = -spares.least;
+  const auto need = Need(service, Given(service.name, serving), input, now);
+  const auto zones = CountZones(service, serving, need.usual, now);
+  auto spares = CountSpares(zones, need.dear);
+  int missing = -(spares.least + spares.starting);
   const bool all_serve =
       std::all_of(zones.begin(), zones.end(), [](const auto& zone) {
         return zone.second.reclaimable >= zone.second.aim;
@@ -177,7 +205,8 @@
     const int going = GoingOnDemand(counts, scaling, spares);
     spares.whole -= going;
     spares.least -= going;
-    wanted[{service.name, zone, false}] = counts.on_demand - going;
+    wanted[{service.name, zone, false}] =
+        counts.on_demand + counts.starting - going;
     // None go while those of another zone are still starting.
     const int aim =
         all_serve ? counts.aim : std::max(counts.aim, counts.reclaimable);
@@ -185,11 +214,16 @@
     wanted[{service.name, zone, true}] =
         counts.room > 0 ? std::min(aim, counts.room) : aim;
   }
-  // With no reclaimable ones to be had, buy in the cheapest zones.
-  for (const auto& [zone, price] : scaling.zone_prices) {
-    if (missing <= 0 || !IsDry({service.name, zone, true}, now)) continue;
+  const bool some_refused =
+      std::any_of(zones.begin(), zones.end(), [&](const auto& zone) {
+        return WasRefused({service.name, zone.first, true});
+      });
+  if (!some_refused) return wanted;
+  for (const auto& zone : ByPrice(scaling)) {
+    if (missing <= 0) break;
     auto& count = wanted[{service.name, zone, false}];
-    const int more = std::clamp(scaling.max_per_zone - count, 0, missing);
+    const int room = scaling.max_per_zone - zones.at(zone).reclaimable - count;
+    const int more = std::clamp(room, 0, missing);
     count += more;
     missing -= more;
   }
