--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -29,10 +29,10 @@
 constexpr Duration kRepeatAfter{4'000};
 // Part of the need below which engines are bought on demand: the next zone may
 // be reclaimed before the first one's engines can be had again.
-constexpr double kLeastPart = 0.5;
+constexpr double kLeastPart = 0.7;
 // Part of the need that must be left when the next zone is reclaimed, until
 // others have started: engines at twice their load still answer, late.
-constexpr double kReservePart = 0.4;
+constexpr double kReservePart = 0.5;
 
 /// Engines in each of `zones`, so that the need is met without any one of them.
 double PerZone(double need, std::size_t zones) {
