Let engines on demand go when the need falls, the dearest first

They went only for reclaimable ones that served, and none were to be had for 14 s after each of three reclaims.

Now they go by what serves beyond the need of the last 8 s, with half of it left after the next reclaim, the dearest zone first; at the start the given ones still stay until others serve. New case in scaling_duty_test: 10 engines stood for a need of 5 before, 5 after.

--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -88,17 +88,20 @@
 ScalingDuty::Needs ScalingDuty::Need(const ServiceProfile& service, int given,
                                      const Input& input, TimePoint now) {
   const auto load = input.loads.find(service.name);
-  double need = load == input.loads.end()
-                    ? 0
-                    : load->second.tokens_per_s / kTokensPerEngineS;
+  const double need = load == input.loads.end()
+                          ? 0
+                          : load->second.tokens_per_s / kTokensPerEngineS;
   auto& peaks = peaks_[service.name];
-  for (auto* peak : {&peaks.usual, &peaks.dear}) {
-    if (settled_) continue;
-    *peak = {std::max(peak->need, StartNeed(*service.scaling, given)), now};
+  if (!settled_) {
+    const double start = StartNeed(*service.scaling, given);
+    peaks.usual = {std::max(peaks.usual.need, start), now};
+    peaks.dear = {std::max<double>(peaks.dear.need, given), now};
   }
-  if (now - started_at_ < kFirstSight) need = std::max(need, peaks.usual.need);
-  peaks.usual.Note(need, kPeakMemory, now);
-  peaks.dear.Note(need, kDearPeakMemory, now);
+  const bool knows_little = now - started_at_ < kFirstSight;
+  peaks.usual.Note(knows_little ? std::max(need, peaks.usual.need) : need,
+                   kPeakMemory, now);
+  peaks.dear.Note(knows_little ? std::max(need, peaks.dear.need) : need,
+                  kDearPeakMemory, now);
   return {peaks.usual.need, peaks.dear.need};
 }
 
@@ -127,15 +130,13 @@
   const int surplus =
       zone.on_demand - std::max(0, scaling.min_per_zone - zone.reclaimable);
   if (surplus <= 0) return 0;
-  // Reclaimable engines must serve before those on demand go.
-  if (zone.reclaimable >= zone.aim) {
-    return std::clamp(spares.whole, 0, surplus);
-  }
+  const int going = std::clamp(spares.whole, 0, surplus);
   // Both kinds share the zone's limit: where those on demand leave no room,
   // some go first, so that cheaper ones can take their place.
-  if (!zone.can_be_had || zone.reclaimable < zone.room) return 0;
-  return std::clamp(spares.least, 0,
-                    std::min(surplus, zone.aim - zone.reclaimable));
+  const bool makes_room = zone.can_be_had && zone.reclaimable >= zone.room;
+  const int lacking = std::clamp(zone.aim - zone.reclaimable, 0, surplus);
+  return makes_room ? std::max(going, std::clamp(spares.least, 0, lacking))
+                    : going;
 }
 
 std::map<std::string, ScalingDuty::ZoneCounts> ScalingDuty::CountZones(
@@ -201,17 +202,19 @@
         return zone.second.reclaimable >= zone.second.aim;
       });
   ScalingCounts wanted;
-  for (const auto& [zone, counts] : zones) {
+  const auto by_price = ByPrice(scaling);
+  for (auto zone = by_price.rbegin(); zone != by_price.rend(); ++zone) {
+    const auto& counts = zones.at(*zone);
     const int going = GoingOnDemand(counts, scaling, spares);
     spares.whole -= going;
     spares.least -= going;
-    wanted[{service.name, zone, false}] =
+    wanted[{service.name, *zone, false}] =
         counts.on_demand + counts.starting - going;
     // None go while those of another zone are still starting.
     const int aim =
         all_serve ? counts.aim : std::max(counts.aim, counts.reclaimable);
     // Without room the order only shows whether there are any to be had.
-    wanted[{service.name, zone, true}] =
+    wanted[{service.name, *zone, true}] =
         counts.room > 0 ? std::min(aim, counts.room) : aim;
   }
   const bool some_refused =
@@ -219,7 +222,7 @@
         return WasRefused({service.name, zone.first, true});
       });
   if (!some_refused) return wanted;
-  for (const auto& zone : ByPrice(scaling)) {
+  for (const auto& zone : by_price) {
     if (missing <= 0) break;
     auto& count = wanted[{service.name, zone, false}];
     const int room = scaling.max_per_zone - zones.at(zone).reclaimable - count;
--- a/libs/gateway/tests/scaling_duty_test.cc
+++ b/libs/gateway/tests/scaling_duty_test.cc
@@ -244,6 +244,31 @@
   }
 }
 
+TEST_CASE("engines on demand follow the demand while none are reclaimable") {
+  World world;
+  world.Demand(400'000);
+  world.Run(Duration(20'000));
+  world.dry = true;
+  for (const auto* zone : {"a", "b", "c"}) world.Set(zone, true, 0);
+  world.Run(Duration(10'000));
+  const int most = world.Total();
+  REQUIRE(most >= 10);
+  world.Demand(140'000);
+
+  SUBCASE("not at once") {
+    world.Run(Duration(5'000));
+    CHECK(world.Total() == most);
+  }
+  SUBCASE("they go when it stays low, the dearest first") {
+    world.Run(Duration(15'000));
+    // The five that the demand needs.
+    CHECK(world.Total() == 5);
+    // The smallest number stays in the dearer zone.
+    CHECK(world.Count("a", false) == 1);
+    CHECK(world.Count("b", false) == 4);
+  }
+}
+
 TEST_CASE("on-demand engines stay until reclaimable ones serve") {
   World world;
   world.dry = true;
