Keep what serves when the coordinator could not hear its daemons

Now a gap of more than 2 s between two looks at the orders keeps the needs that were known, and starts the first sight anew.

--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -74,6 +74,8 @@
     bool operator==(const Needs&) const = default;
   };
 
+  /// Without reports demand is unknown, not low: what was known stays.
+  void NoteGap(TimePoint now);
   /// Notes whether the list of upstreams, which grows while they start, is
   /// whole.
   void Settle(const Input& input, const ScalingCounts& serving, TimePoint now);
@@ -126,7 +128,9 @@
                            TimePoint now) const;
 
   TimePoint started_at_;
-  TimePoint grown_at_;  ///< When the list last grew, until it has settled.
+  TimePoint sees_since_;  ///< Without a gap.
+  TimePoint asked_at_;    ///< For the next order.
+  TimePoint grown_at_;    ///< When the list last grew, until it has settled.
   int most_given_ = 0;
   bool settled_ = false;
   bool in_flight_ = false;
--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace firmoor {
 namespace {
@@ -17,6 +18,9 @@
 constexpr Duration kDearPeakMemory{8'000};
 // A new holder takes what serves as enough until it has seen some demand.
 constexpr Duration kFirstSight{12'000};
+// A duty that was not asked for longer than this could not act, and its daemons
+// could not report: several steps of the coordinator.
+constexpr Duration kLongestGap{2'000};
 // Upstreams that start together are listed one after the other, with pauses of
 // up to half a second; a list that grew no more for this time is whole.
 constexpr Duration kListSettles{1'000};
@@ -60,7 +64,20 @@
 }  // namespace
 
 ScalingDuty::ScalingDuty(TimePoint started_at)
-    : started_at_(started_at), grown_at_(started_at) {}
+    : started_at_(started_at),
+      sees_since_(started_at),
+      asked_at_(started_at),
+      grown_at_(started_at) {}
+
+void ScalingDuty::NoteGap(TimePoint now) {
+  const auto gap = now - std::exchange(asked_at_, now);
+  if (gap <= kLongestGap) return;
+  sees_since_ = now;
+  for (auto& [service, peaks] : peaks_) {
+    peaks.usual.at += gap;
+    peaks.dear.at += gap;
+  }
+}
 
 ScalingCounts ScalingDuty::Serving(const Input& input) {
   ScalingCounts counts;
@@ -97,7 +114,7 @@
     peaks.usual = {std::max(peaks.usual.need, start), now};
     peaks.dear = {std::max<double>(peaks.dear.need, given), now};
   }
-  const bool knows_little = now - started_at_ < kFirstSight;
+  const bool knows_little = now - sees_since_ < kFirstSight;
   peaks.usual.Note(knows_little ? std::max(need, peaks.usual.need) : need,
                    kPeakMemory, now);
   peaks.dear.Note(knows_little ? std::max(need, peaks.dear.need) : need,
@@ -264,6 +281,7 @@
 
 std::optional<UpstreamOrder> ScalingDuty::Next(const Input& input,
                                                TimePoint now) {
+  NoteGap(now);
   if (in_flight_) return std::nullopt;
   const auto serving = Serving(input);
   Settle(input, serving, now);
--- a/libs/gateway/tests/scaling_duty_test.cc
+++ b/libs/gateway/tests/scaling_duty_test.cc
@@ -269,6 +269,26 @@
   }
 }
 
+TEST_CASE("a coordinator that was cut off and heard no daemon") {
+  World world;
+  world.Demand(200'000);
+  world.Run(Duration(20'000));
+  const int before = world.Total();
+  // Without its lease it may not order. When it may again, the first daemons
+  // report, and few requests were let through meanwhile.
+  world.now += Duration(30'000);
+  world.Demand(10'000);
+
+  SUBCASE("keeps what serves") {
+    world.Run(Duration(10'000));
+    CHECK(world.Total() == before);
+  }
+  SUBCASE("until demand stays low") {
+    world.Run(Duration(45'000));
+    CHECK(world.Total() < before);
+  }
+}
+
 TEST_CASE("on-demand engines stay until reclaimable ones serve") {
   World world;
   world.dry = true;
