A new coordinator does not take what serves as its need on demand

When a zone was reclaimed in its first 12 s it bought on demand what the other zones had to spare.

Now the need on demand starts, as the other one, at what the zones would carry without one of them; engines on demand still stay until reclaimable ones serve while little is known.

--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -70,6 +70,7 @@
   struct Needs {
     double usual = 0;
     double dear = 0;
+    bool knows_little = false;  ///< Demand was not seen for long enough.
 
     bool operator==(const Needs&) const = default;
   };
@@ -101,6 +102,7 @@
     int whole = 0;     ///< Beyond the whole need.
     int least = 0;     ///< Beyond the part below which engines are bought.
     int starting = 0;  ///< On demand, ordered and not serving yet.
+    bool knows_little = false;  ///< Demand was not seen for long enough.
 
     bool operator==(const Spares&) const = default;
   };
@@ -108,7 +110,7 @@
       const ServiceProfile& service, const ScalingCounts& serving, double need,
       TimePoint now) const;
   [[nodiscard]] static Spares CountSpares(
-      const std::map<std::string, ZoneCounts>& zones, double need);
+      const std::map<std::string, ZoneCounts>& zones, const Needs& needs);
   /// Engines on demand that a zone can do without.
   [[nodiscard]] static int GoingOnDemand(const ZoneCounts& zone,
                                          const ScalingProfile& scaling,
--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -112,14 +112,14 @@
   if (!settled_) {
     const double start = StartNeed(*service.scaling, given);
     peaks.usual = {std::max(peaks.usual.need, start), now};
-    peaks.dear = {std::max<double>(peaks.dear.need, given), now};
+    peaks.dear = {std::max(peaks.dear.need, start), now};
   }
   const bool knows_little = now - sees_since_ < kFirstSight;
   peaks.usual.Note(knows_little ? std::max(need, peaks.usual.need) : need,
                    kPeakMemory, now);
   peaks.dear.Note(knows_little ? std::max(need, peaks.dear.need) : need,
                   kDearPeakMemory, now);
-  return {peaks.usual.need, peaks.dear.need};
+  return {peaks.usual.need, peaks.dear.need, knows_little};
 }
 
 int ScalingDuty::Starting(const ScalingSubject& subject, int serving,
@@ -147,7 +147,9 @@
   const int surplus =
       zone.on_demand - std::max(0, scaling.min_per_zone - zone.reclaimable);
   if (surplus <= 0) return 0;
-  const int going = std::clamp(spares.whole, 0, surplus);
+  // While little is known of the demand, reclaimable ones must serve first.
+  const bool waits = spares.knows_little && zone.reclaimable < zone.aim;
+  const int going = waits ? 0 : std::clamp(spares.whole, 0, surplus);
   // Both kinds share the zone's limit: where those on demand leave no room,
   // some go first, so that cheaper ones can take their place.
   const bool makes_room = zone.can_be_had && zone.reclaimable >= zone.room;
@@ -189,7 +191,8 @@
 }
 
 ScalingDuty::Spares ScalingDuty::CountSpares(
-    const std::map<std::string, ZoneCounts>& zones, double need) {
+    const std::map<std::string, ZoneCounts>& zones, const Needs& needs) {
+  const double need = needs.dear;
   int total = 0;
   int starting = 0;
   int most_in_zone = 0;
@@ -203,7 +206,8 @@
       total - most_in_zone - static_cast<int>(std::ceil(need * kReservePart));
   const int whole = total - static_cast<int>(std::ceil(need));
   const int least = total - static_cast<int>(std::ceil(need * kLeastPart));
-  return {std::min(whole, then), std::min(least, then), starting};
+  return {std::min(whole, then), std::min(least, then), starting,
+          needs.knows_little};
 }
 
 ScalingCounts ScalingDuty::Wanted(const ServiceProfile& service,
@@ -212,7 +216,7 @@
   const auto& scaling = *service.scaling;
   const auto need = Need(service, Given(service.name, serving), input, now);
   const auto zones = CountZones(service, serving, need.usual, now);
-  auto spares = CountSpares(zones, need.dear);
+  auto spares = CountSpares(zones, need);
   int missing = -(spares.least + spares.starting);
   const bool all_serve =
       std::all_of(zones.begin(), zones.end(), [](const auto& zone) {
--- a/libs/gateway/tests/scaling_duty_test.cc
+++ b/libs/gateway/tests/scaling_duty_test.cc
@@ -269,6 +269,23 @@
   }
 }
 
+TEST_CASE("a new coordinator finds reclaimable engines, and a zone goes") {
+  World world;
+  for (const auto* zone : {"a", "b", "c"}) {
+    world.Set(zone, false, 0);
+    world.Set(zone, true, 4);
+  }
+  world.Demand(140'000);
+  world.Run(Duration(4'000));
+  world.dry = true;
+  world.Set("a", true, 0);
+  world.Run(Duration(6'000));
+
+  SUBCASE("nothing is bought on demand while the rest serves the need") {
+    CHECK(world.Total() == 8);
+  }
+}
+
 TEST_CASE("a coordinator that was cut off and heard no daemon") {
   World world;
   world.Demand(200'000);
