The next coordinator takes over when the lease ends

Now each answer of the coordinator tells the clock by which its renewals are dated, so a daemon that reads the lease knows how old the renewal is. The clock counts from the start of the holder's VM and the answer takes some time, so a renewal looks younger, never older; another fencing number is another clock.

--- a/libs/gateway/include/gateway/coordination.h
+++ b/libs/gateway/include/gateway/coordination.h
@@ -41,6 +41,10 @@
   /// that it is the newest; negative when it has none.
   std::int64_t config_version = -1;
   std::int64_t config_age_ms = -1;
+  /// The fencing number of the coordinator's lease, and its clock since the
+  /// start of its VM; 0 when the lease is about to end.
+  std::int64_t lease_fencing = 0;
+  std::int64_t lease_clock_ms = 0;
 
   [[nodiscard]] QByteArray Encode() const;
   /// Fails with `kBadMessage`.
@@ -84,7 +88,8 @@
   [[nodiscard]] UsageCounts Usage(std::int64_t window) const {
     return usage_.Sum(window);
   }
-  /// Whether every daemon that is heard of has reported since `true_ms`.
+  /// Whether every daemon, as far as is known, has reported since `true_ms`;
+  /// not those that have been silent for so long that they are likely gone.
   [[nodiscard]] bool AllReportedSince(std::int64_t true_ms,
                                       TimePoint now) const;
   /// Sums over the daemons that are heard of.
--- a/libs/gateway/src/coordination.cc
+++ b/libs/gateway/src/coordination.cc
@@ -12,6 +12,9 @@
 // A new coordinator that does not know how many daemons there are divides when
 // every one had time for two reports.
 constexpr Duration kFirstDivision{2'500};
+// A daemon that is silent for longer was replaced, or is cut off beyond the
+// time by which usage is due.
+constexpr Duration kCountsInTime{10'000};
 // A daemon that was replaced stops counting after this time.
 constexpr Duration kForgetAfter{60'000};
 
@@ -64,6 +67,8 @@
     TimePoint now) const {
   FleetNote note;
   note.daemons = heard_.size();
+  if (!Divides(now)) note.daemons = std::max(note.daemons, before_.daemons);
+  if (now < before_until_) note.used = before_.used;
   for (const auto& [workspace, pool] : quotas_) {
     note.used[workspace] = pool.Used(limit_of(workspace), now);
   }
@@ -71,10 +76,13 @@
 }
 
 bool Coordinator::AllReportedSince(std::int64_t true_ms, TimePoint now) const {
-  return std::all_of(heard_.begin(), heard_.end(), [&](const auto& entry) {
-    return entry.second.true_ms >= true_ms ||
-           now - entry.second.at > kAwayAfter;
-  });
+  const bool knows_all =
+      heard_.size() >= before_.daemons || now - started_at_ > kCountsInTime;
+  return knows_all &&
+         std::all_of(heard_.begin(), heard_.end(), [&](const auto& entry) {
+           return entry.second.true_ms >= true_ms ||
+                  now - entry.second.at > kCountsInTime;
+         });
 }
 
 std::map<std::string, ServiceLoad> Coordinator::Loads(TimePoint now) const {
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -146,6 +146,8 @@
                              {"divides", divides},
                              {"version", static_cast<qint64>(config_version)},
                              {"age_ms", static_cast<qint64>(config_age_ms)},
+                             {"lease", static_cast<qint64>(lease_fencing)},
+                             {"lease_ms", static_cast<qint64>(lease_clock_ms)},
                              {"grants", GrantMap(limits.quota_grants)},
                              {"daemons", static_cast<qint64>(limits.daemons)}})
       .toCbor();
@@ -159,6 +161,8 @@
   grant.divides = map[QLatin1String("divides")].toBool();
   grant.config_version = map[QLatin1String("version")].toInteger(-1);
   grant.config_age_ms = map[QLatin1String("age_ms")].toInteger(-1);
+  grant.lease_fencing = map[QLatin1String("lease")].toInteger();
+  grant.lease_clock_ms = map[QLatin1String("lease_ms")].toInteger();
   grant.limits.quota_grants = GrantsOf(map[QLatin1String("grants")]);
   grant.limits.daemons =
       static_cast<std::size_t>(map[QLatin1String("daemons")].toInteger(1));
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -82,6 +82,7 @@
   void ReportEarly();
   void OnGrant(const QByteArray& bytes, TimePoint asked_at);
   void TakeProof(const CoordinatorGrant& grant, TimePoint asked_at);
+  void TakeLeaseClock(const CoordinatorGrant& grant);
   void TakeGrant(const CoordinatorGrant& grant);
   void OnMiss();
   QByteArray OnReport(const QByteArray& bytes);
@@ -161,6 +162,7 @@
   const auto& grant = std::get<CoordinatorGrant>(decoded);
   TakeGrant(grant);
   TakeProof(grant, asked_at);
+  TakeLeaseClock(grant);
 }
 
 void DutyService::Impl::TakeProof(const CoordinatorGrant& grant,
@@ -173,6 +175,12 @@
   }
 }
 
+void DutyService::Impl::TakeLeaseClock(const CoordinatorGrant& grant) {
+  if (grant.lease_fencing <= 0) return;
+  lease.OnTold({grant.lease_fencing, TimePoint(Duration(grant.lease_clock_ms))},
+               MonotonicNow());
+}
+
 void DutyService::Impl::TakeGrant(const CoordinatorGrant& grant) {
   environment.true_time->Correct(grant.true_ms, MonotonicNow());
   if (grant.divides) environment.gateway->SetSharedLimits(grant.limits);
@@ -185,6 +193,7 @@
   }
   if (IsSeeking() && !lease_timer.isActive()) {
     lease_timer.start(kHolderTick);
+    StepLease();
   }
 }
 
@@ -215,6 +224,10 @@
     grant.config_version = routes->version();
     grant.config_age_ms = age->count();
   }
+  if (const auto clock = lease.Clock(MonotonicNow())) {
+    grant.lease_fencing = clock->fencing;
+    grant.lease_clock_ms = clock->now.time_since_epoch().count();
+  }
   return grant.Encode();
 }
 
@@ -243,6 +256,7 @@
                             if (weak.expired()) return;
                             lease.OnRead(status, object, MonotonicNow());
                             LeaseChanged();
+                            StepLease();
                           });
 }
 
--- a/libs/gateway/tests/duty_service_test.cc
+++ b/libs/gateway/tests/duty_service_test.cc
@@ -178,6 +178,15 @@
     holder->link.Cut();
     CHECK(WaitUntil([&] { return other->duties.IsHolder(); }, 9'000));
   }
+  SUBCASE("and the other one does not wait a lease anew when it stops") {
+    auto& holder = first->duties.IsHolder() ? first : second;
+    auto& other = first->duties.IsHolder() ? second : first;
+    RunFor(2'500);
+    holder->duties.Stop();
+    // Two reports without an answer, by which time the lease of 1.8 s that the
+    // other one was told of has ended, and some steps.
+    CHECK(WaitUntil([&] { return other->duties.IsHolder(); }, 3'200));
+  }
   SUBCASE("and the other one takes over when it stops") {
     auto& holder = first->duties.IsHolder() ? first : second;
     auto& other = first->duties.IsHolder() ? second : first;
--- a/libs/placement/include/placement/lease.h
+++ b/libs/placement/include/placement/lease.h
@@ -20,11 +20,21 @@
   bool operator==(const LeaseTiming&) const = default;
 };
 
+/// The clock of a lease's holder, which counts from the start of its VM.
+struct LeaseClock {
+  std::int64_t fencing = 0;  ///< Of the lease; another one has another clock.
+  TimePoint now;
+
+  bool operator==(const LeaseClock&) const = default;
+};
+
 /// Keeps or takes a lease that is an object of the platform's store.
 ///
 /// No clock is compared between machines: a waiting daemon takes the lease
 /// when it saw the object unchanged for the whole lifetime on its own clock,
 /// and the holder counts its lifetime from before it sent its last renewal.
+/// The holder may tell others its clock: then they know the age of a renewal
+/// when they first read it, and need not wait a lifetime anew.
 /// Each new holder has a higher fencing number. Pure.
 class LeaseKeeper {
  public:
@@ -46,6 +56,11 @@
   std::optional<Call> NextCall(TimePoint now);
   void OnRead(StoreStatus status, const StoredObject& object, TimePoint now);
   void OnWrite(StoreStatus status, std::int64_t version, TimePoint now);
+  /// The holder told its clock. The message took some time, so renewals look
+  /// younger than they are, never older.
+  void OnTold(const LeaseClock& clock, TimePoint now);
+  /// What the holder tells others.
+  [[nodiscard]] std::optional<LeaseClock> Clock(TimePoint now) const;
 
   /// Whether an order may be sent now to an upstream that checks fencing
   /// numbers. Ask right before each send: a holder that was frozen past its
@@ -62,6 +77,9 @@
 
  private:
   [[nodiscard]] QByteArray Encode(std::int64_t fencing) const;
+  /// The latest time at which a write that was read now may have been sent.
+  [[nodiscard]] TimePoint SentBefore(std::int64_t holder_ms,
+                                     TimePoint now) const;
 
   std::string daemon_;
   LeaseTiming timing_;
@@ -76,6 +94,8 @@
   std::int64_t fencing_ = 0;
   std::int64_t asked_fencing_ = 0;
   TimePoint unchanged_since_;
+  std::int64_t told_fencing_ = 0;
+  Duration told_offset_{0};  ///< Of the own clock from the holder's.
   TimePoint sent_at_;
   TimePoint valid_from_;
   TimePoint taken_at_;
--- a/libs/placement/src/lease.cc
+++ b/libs/placement/src/lease.cc
@@ -2,6 +2,7 @@
 
 #include <QCborArray>
 #include <QCborValue>
+#include <algorithm>
 #include <utility>
 
 #include "base/invariant.h"
@@ -26,7 +27,7 @@
              QCborArray{
                  QString::fromStdString(daemon_), static_cast<qint64>(fencing),
                  static_cast<qint64>(sent_at_.time_since_epoch().count()),
-                 note_})
+                 holder_ || seen_note_.isEmpty() ? note_ : seen_note_})
       .toCbor();
 }
 
@@ -60,13 +61,16 @@
   const auto array = QCborValue::fromCbor(object.value).toArray();
   if (!known_ || object.version > version_) {
     version_ = object.version;
-    unchanged_since_ = now;
     seen_holder_ = array.at(0).toString().toStdString();
     seen_fencing_ = array.at(1).toInteger();
+    unchanged_since_ = SentBefore(array.at(2).toInteger(), now);
     // Objects of earlier releases have no such field.
     seen_note_ = array.at(3).toByteArray();
   }
   known_ = true;
+  // Taken without a further look once its lifetime is over.
+  next_call_ =
+      std::min(next_call_, std::max(now, unchanged_since_ + timing_.lifetime));
   // An own write whose answer was lost took effect.
   const bool own = seen_holder_ == daemon_ && seen_fencing_ == asked_fencing_ &&
                    asked_fencing_ > 0;
@@ -111,6 +115,21 @@
   next_call_ = now + (status == StoreStatus::kConflict ? Duration(0) : kRetry);
 }
 
+void LeaseKeeper::OnTold(const LeaseClock& clock, TimePoint now) {
+  told_fencing_ = clock.fencing;
+  told_offset_ = now - clock.now;
+}
+
+std::optional<LeaseClock> LeaseKeeper::Clock(TimePoint now) const {
+  if (!MayOrderFenced(now)) return std::nullopt;
+  return LeaseClock{fencing_, now};
+}
+
+TimePoint LeaseKeeper::SentBefore(std::int64_t holder_ms, TimePoint now) const {
+  if (seen_fencing_ != told_fencing_ || told_fencing_ == 0) return now;
+  return std::min(now, TimePoint(Duration(holder_ms)) + told_offset_);
+}
+
 bool LeaseKeeper::MayOrderFenced(TimePoint now) const {
   return holder_ && now - valid_from_ < timing_.lifetime;
 }
--- a/libs/placement/tests/placement_test.cc
+++ b/libs/placement/tests/placement_test.cc
@@ -98,6 +98,18 @@
   CHECK(other.seen_note().isEmpty());
   other.OnRead(StoreStatus::kOk, {5, taken->value}, now);
   CHECK(other.seen_note() == "65 daemons");
+
+  SUBCASE("which passes it on until it has one of its own") {
+    const auto later = now + Duration(3'000);
+    const auto take = other.NextCall(later);
+    REQUIRE(take);
+    REQUIRE(take->is_write);
+    other.OnWrite(StoreStatus::kOk, 6, later);
+    LeaseKeeper third("c", timing);
+    REQUIRE(third.NextCall(later));
+    third.OnRead(StoreStatus::kOk, {6, take->value}, later);
+    CHECK(third.seen_note() == "65 daemons");
+  }
 }
 
 TEST_CASE("a placement plan") {
@@ -198,7 +210,13 @@
   TimePoint now = kStart;
   std::vector<Daemon> daemons;
   StoredObject object;
+  struct Message {
+    std::size_t to;
+    LeaseClock clock;
+    TimePoint arrives;
+  };
   std::vector<Order> under_way;
+  std::vector<Message> messages;
   std::int64_t highest_sent = 0;
 
   explicit LeaseWorld(int count) {
@@ -217,10 +235,33 @@
       Serve(&daemon);
       if (!daemon.call) daemon.call = daemon.keeper->NextCall(now);
       SendOrder(*daemon.keeper);
+      Tell(*daemon.keeper);
     }
+    Deliver();
+    CheckHolders();
     CheckOverlap();
   }
 
+  /// The holder answers a daemon, which hears of its clock a while later.
+  void Tell(const LeaseKeeper& keeper) {
+    const auto clock = keeper.Clock(now);
+    if (!clock || *rc::gen::inRange(0, 3) == 0) return;
+    const auto to = *rc::gen::inRange<std::size_t>(0, daemons.size());
+    messages.push_back(
+        {to, *clock, now + Duration(*rc::gen::inRange(0, 2'000))});
+  }
+
+  void Deliver() {
+    for (const auto& message : messages) {
+      auto& daemon = daemons[message.to];
+      if (message.arrives > now || daemon.frozen) continue;
+      daemon.keeper->OnTold(message.clock, now);
+    }
+    std::erase_if(messages, [&](const Message& message) {
+      return message.arrives <= now && !daemons[message.to].frozen;
+    });
+  }
+
   void Serve(Daemon* daemon) {
     if (!daemon->call || *rc::gen::inRange(0, 3) == 0) return;
     const auto call = *daemon->call;
@@ -253,6 +294,14 @@
     under_way.push_back({keeper.fencing(), now + travel});
   }
 
+  /// Whatever was lost or told late, only one may act at a time.
+  void CheckHolders() const {
+    const auto holders = std::count_if(
+        daemons.begin(), daemons.end(),
+        [&](const auto& daemon) { return daemon.keeper->MayOrderFenced(now); });
+    RC_ASSERT(holders <= 1);
+  }
+
   /// An upstream that ignores the number must never take an order of an old
   /// holder after one of a new holder.
   void CheckOverlap() {
@@ -307,6 +356,43 @@
     CHECK(second.MayOrderFenced(now));
     CHECK_FALSE(second.MayOrderUnfenced(now));
   }
+  SUBCASE("is taken by one that its holder told its clock") {
+    LeaseKeeper second("second", {});
+    // Both machines were started at different times.
+    const Duration ahead(500'000);
+    second.OnTold(*first.Clock(now), now + ahead);
+    SUBCASE("when it ends, however late it is first looked at") {
+      now += Duration(5'900);
+      REQUIRE_FALSE(second.NextCall(now + ahead)->is_write);
+      second.OnRead(StoreStatus::kOk, {1, take->value}, now + ahead);
+      CHECK_FALSE(second.NextCall(now + ahead));
+      const auto steal = second.NextCall(now + ahead + Duration(100));
+      REQUIRE(steal);
+      CHECK(steal->is_write);
+      CHECK(steal->expected == 1);
+    }
+    SUBCASE("but not when it was renewed once more since") {
+      now += Duration(5'000);
+      const auto renewal = first.NextCall(now);
+      REQUIRE(renewal);
+      now += Duration(1'500);
+      second.NextCall(now + ahead);
+      second.OnRead(StoreStatus::kOk, {2, renewal->value}, now + ahead);
+      const auto look = second.NextCall(now + ahead + Duration(600));
+      REQUIRE(look);
+      CHECK_FALSE(look->is_write);
+    }
+  }
+  SUBCASE("is not taken early by one that knows another holder's clock") {
+    LeaseKeeper second("second", {});
+    second.OnTold({7, now + Duration(90'000)}, now);
+    now += Duration(5'900);
+    second.NextCall(now);
+    second.OnRead(StoreStatus::kOk, {1, take->value}, now);
+    const auto look = second.NextCall(now + Duration(600));
+    REQUIRE(look);
+    CHECK_FALSE(look->is_write);
+  }
 }
 
 }  // namespace firmoor
