Count streams that fail before their first event as usage

Now a stream that an upstream ended with a failure counts too, once for each request, and not when it was declared not run. New case in gateway_test: 0 counted before, 1 after.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -301,7 +301,10 @@
   const auto verdict = DecideAttempt(described, DescribeContext(now));
   const bool ran = OutcomeOf(described) != RequestOutcome::kNotRun;
   may_have_run_ = may_have_run_ || ran;
-  if (ran && pass_.route->kind != RequestKind::kStream) CountRun();
+  // A stream counts with its first event, or when it fails without one.
+  const bool counts =
+      pass_.route->kind != RequestKind::kStream || described.failed;
+  if (ran && counts) CountRun();
   if (verdict.step != NextStep::kPassAnswer) LogAttempt(described, verdict);
   if (caller_left_) return Finish(verdict.code, "caller-left");
   switch (verdict.step) {
--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -244,6 +244,57 @@
   }
 }
 
+TEST_CASE("usage counts a request that an upstream began to run") {
+  World world;
+  RouteTableContent content = world.gateway.routes()->content();
+  ++content.version;
+  for (auto& route : content.routes) route.is_public = false;
+  WorkspaceProfile workspace;
+  workspace.name = "w";
+  workspace.keys = {"k"};
+  content.workspaces = {workspace};
+  world.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+  const auto counted = [&] {
+    std::int64_t sum = 0;
+    for (const auto& [window, counts] : world.gateway.ledger().windows()) {
+      for (const auto& [name, count] : counts) sum += count;
+    }
+    return sum;
+  };
+  const auto ask = [&](const std::string& route) {
+    auto caller = world.Ask(route, "Key: k\r\n");
+    REQUIRE(caller->WaitFor("HTTP/1.1 "));
+    RunFor(50);
+  };
+
+  SUBCASE("also a stream that fails before its first event") {
+    RawUpstream failing([](auto& connection) {
+      Answer(connection, "500 Bad\r\nId: r1", "failed");
+    });
+    world.Add("a", failing);
+    ask("stream");
+    CHECK(counted() == 1);
+  }
+  SUBCASE("once, when it is sent to two") {
+    RawUpstream failing([](auto& connection) {
+      Answer(connection, "500 Bad\r\nId: r1", "failed");
+    });
+    world.Add("a", failing);
+    world.Add("b", failing);
+    ask("resumable");
+    CHECK(failing.Requests() == 2);
+    CHECK(counted() == 1);
+  }
+  SUBCASE("but none that it declared not run") {
+    RawUpstream full([](auto& connection) {
+      Answer(connection, "503 Full\r\nNot-Run: 1", "");
+    });
+    world.Add("a", full);
+    ask("stream");
+    CHECK(counted() == 0);
+  }
+}
+
 TEST_CASE("a proof of the configuration from another daemon") {
   World world;
   const auto asked_at = MonotonicNow() + Duration(60'000);
