--- a/libs/gateway/include/gateway/usage_duty.h
+++ b/libs/gateway/include/gateway/usage_duty.h
@@ -24,7 +24,7 @@
     std::int64_t settle_ms = 700;
     /// Longest wait for daemons that have not reported; usage is due 10 s after
     /// its window.
-    std::int64_t patience_ms = 8'000;
+    std::int64_t patience_ms = 9'000;
     /// Reports that are later than this are not worth a call.
     std::int64_t late_ms = 20'000;
 
