Let requests of the first moments wait for what is about to be read

Now requests that arrive before the first configuration wait for it, at most 0.3 s and only while a daemon starts; a request that its quota does not cover waits as long for the number of daemons. The lease is read first of all. Time that was waited is taken off the time that the caller allowed. What the note told of quotas is kept when it is read before the configuration.

New cases in gateway_test, 3 checks red before.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -96,9 +96,13 @@
 
   void SetSharedLimits(const SharedLimits& limits);
   /// Takes the number of daemons that share, and the tokens that they had let
-  /// pass in the window, by workspace, before the coordinator told its own.
+  /// pass in the window, by workspace, before the coordinator told its own. 0
+  /// daemons: nothing is known of them.
   void AssumeShared(std::size_t daemons,
                     const std::map<std::string, double>& used);
+  /// The number of daemons is about to be read: until then, or `until`,
+  /// requests that a quota does not cover wait for it.
+  void ExpectShared(TimePoint until);
   /// Takes settings that changed; the location and windows keep their values.
   void ApplySettings(const GatewaySettings& settings);
 
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -66,6 +66,10 @@
     const auto quota = quotas.find(workspace);
     if (quota != quotas.end()) quota->second.OnGrant(grant, MonotonicNow());
   }
+  WakeQuotaWaiters();
+}
+
+void GatewayContext::WakeQuotaWaiters() {
   for (const auto& waiter : std::exchange(quota_waiters, {})) {
     if (const auto exchange = waiter.lock()) exchange->OnQuotaGrant();
   }
@@ -81,7 +85,8 @@
 }
 
 bool GatewayContext::MayBeGranted(TimePoint now) const {
-  return shared_at && now - *shared_at < kCoordinatorLifetime;
+  if (shared_at) return now - *shared_at < kCoordinatorLifetime;
+  return shared_expected_until && now < *shared_expected_until;
 }
 
 QuotaAllowance& GatewayContext::QuotaOf(const WorkspaceProfile& workspace,
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -33,6 +33,8 @@
   HttpConnectionPool pool;
   SharedLimits shared;
   std::optional<TimePoint> shared_at;  ///< Last answer of the coordinator.
+  /// Until when the number of daemons may be read from the store.
+  std::optional<TimePoint> shared_expected_until;
   std::map<std::string, RetryBudget> budgets;    ///< By service.
   std::map<std::string, QuotaAllowance> quotas;  ///< By workspace.
   std::function<void()> on_quota_short;
@@ -56,7 +58,10 @@
   void SetDaemons(std::size_t daemons);
   /// This daemon's allowance of a workspace's quota.
   QuotaAllowance& QuotaOf(const WorkspaceProfile& workspace, TimePoint now);
-  /// Whether the coordinator has answered lately and may grant more.
+  /// Decides again on the requests that wait for a grant.
+  void WakeQuotaWaiters();
+  /// Whether the coordinator has answered lately and may grant more, or the
+  /// number of daemons is about to be read.
   [[nodiscard]] bool MayBeGranted(TimePoint now) const;
   [[nodiscard]] QuotaLimit LimitOf(const WorkspaceProfile& workspace) const;
   [[nodiscard]] double RetryReserve() const;
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -255,8 +255,9 @@
                           [this, weak](StoreStatus status, const auto& object) {
                             if (weak.expired()) return;
                             lease.OnRead(status, object, MonotonicNow());
+                            if (status != StoreStatus::kUnavailable) ReadNote();
                             LeaseChanged();
-                            StepLease();
+                            if (lease_timer.isActive()) StepLease();
                           });
 }
 
@@ -270,7 +271,8 @@
 
 void DutyService::Impl::ReadNote() {
   const auto& bytes = lease.seen_note();
-  if (coordinator || bytes.isEmpty()) return;
+  if (coordinator) return;
+  if (bytes.isEmpty()) return environment.gateway->AssumeShared(0, {});
   const auto decoded = Capture([&] { return FleetNote::Decode(bytes); });
   if (const auto* error = std::get_if<Error>(&decoded)) {
     environment.log->Write("fleet-note-bad",
@@ -282,7 +284,6 @@
 }
 
 void DutyService::Impl::LeaseChanged() {
-  ReadNote();
   if (lease.IsHolder() && !coordinator) BecomeHolder();
   const bool lost = !lease.IsHolder() && !lease.seen_holder().empty() &&
                     lease.seen_holder() != HolderName(settings);
@@ -447,7 +448,10 @@
   impl_->environment.gateway->OnQuotaShort(
       [state = impl_.get()] { state->ReportEarly(); });
   impl_->report_timer.start(kReportPeriod);
-  // Spread, so that the daemons do not all write the first lease at once.
+  // Read at once, since quotas are divided by the note in the lease; written
+  // apart, so that the daemons do not all write the first one.
+  impl_->environment.gateway->ExpectShared(MonotonicNow() + kReportPeriod);
+  impl_->StepLease();
   const auto spread = QRandomGenerator::global()->bounded(
       static_cast<int>(kHolderTick.count()));
   QTimer::singleShot(spread, &impl_->lease_timer, [state = impl_.get()] {
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -19,17 +19,37 @@
                                         Duration(300)};
 // Engines show their state as it was some 200 ms ago.
 constexpr Duration kReportLag{350};
+// The first configuration is read within some 100 ms of a start; requests that
+// arrive before it wait no longer than this.
+constexpr Duration kFirstConfiguration{300};
 // New connections go to other daemons, so callers need not wait.
 constexpr Duration kRetryAtAnother{20};
 
 }  // namespace
 
 struct Gateway::Impl {
+  struct EarlyRequest {
+    HttpRequest request;
+    std::shared_ptr<HttpResponder> responder;
+    TimePoint arrived_at;
+  };
+
   GatewayContext context;
+  std::vector<EarlyRequest> early;  ///< Before the first configuration.
+  bool takes_early = true;
+  bool shared_assumed = false;
+  std::map<std::string, double> used_before;  ///< Tokens, by workspace.
 
   Impl(GatewaySettings settings, Environment environment)
       : context(std::move(settings), environment) {}
 
+  void TakeEarly(HttpRequest request,
+                 const std::shared_ptr<HttpResponder>& responder);
+  void HandleEarly();
+  void Handle(HttpRequest request,
+              const std::shared_ptr<HttpResponder>& responder,
+              TimePoint arrived_at);
+  void ApplyUsedBefore();
   void LogRefused(const std::string& id, const Failure& failure) const;
   void AskHowLongItStays(const UpstreamEntry& entry);
   void SendStayQuery(const UpstreamEntry& entry);
@@ -50,6 +70,17 @@
        {"config_age_ms", age ? static_cast<qint64>(age->count()) : -1}});
 }
 
+void Gateway::Impl::ApplyUsedBefore() {
+  if (!shared_assumed || context.shared_at || !context.table) return;
+  const auto now = MonotonicNow();
+  for (const auto& workspace : context.table->content().workspaces) {
+    if (workspace.rate_per_s <= 0) continue;
+    const auto found = used_before.find(workspace.name);
+    const double tokens = found == used_before.end() ? 0 : found->second;
+    context.QuotaOf(workspace, now).SetUsedBefore(tokens, now);
+  }
+}
+
 void Gateway::Impl::AskHowLongItStays(const UpstreamEntry& entry) {
   const auto* service =
       context.table ? context.table->FindService(entry.service) : nullptr;
@@ -123,6 +154,11 @@
   for (const auto& workspace : context.table->content().workspaces) {
     if (workspace.rate_per_s > 0) context.QuotaOf(workspace, MonotonicNow());
   }
+  impl_->ApplyUsedBefore();
+  // Queued: the caller confirms the configuration first.
+  QMetaObject::invokeMethod(
+      &context.janitor, [impl = impl_.get()] { impl->HandleEarly(); },
+      Qt::QueuedConnection);
 }
 
 void Gateway::ConfirmRoutes(TimePoint asked_at) {
@@ -185,16 +221,18 @@
 void Gateway::AssumeShared(std::size_t daemons,
                            const std::map<std::string, double>& used) {
   auto& context = impl_->context;
-  if (context.shared_at || daemons == 0) return;
+  context.shared_expected_until.reset();
+  if (context.shared_at || daemons == 0) return context.WakeQuotaWaiters();
   context.SetDaemons(daemons);
-  if (!context.table) return;
-  const auto now = MonotonicNow();
-  for (const auto& workspace : context.table->content().workspaces) {
-    if (workspace.rate_per_s <= 0) continue;
-    const auto found = used.find(workspace.name);
-    const double tokens = found == used.end() ? 0 : found->second;
-    context.QuotaOf(workspace, now).SetUsedBefore(tokens, now);
-  }
+  impl_->used_before = used;
+  impl_->shared_assumed = true;
+  impl_->ApplyUsedBefore();
+  context.WakeQuotaWaiters();
+}
+
+void Gateway::ExpectShared(TimePoint until) {
+  auto& context = impl_->context;
+  if (!context.shared_at) context.shared_expected_until = until;
 }
 
 void Gateway::ApplySettings(const GatewaySettings& settings) {
@@ -203,18 +241,46 @@
 
 void Gateway::Handle(HttpRequest request,
                      const std::shared_ptr<HttpResponder>& responder) {
-  auto& context = impl_->context;
+  const bool waits = impl_->takes_early && !impl_->context.table;
+  if (waits) return impl_->TakeEarly(std::move(request), responder);
+  impl_->Handle(std::move(request), responder, MonotonicNow());
+}
+
+void Gateway::Impl::TakeEarly(HttpRequest request,
+                              const std::shared_ptr<HttpResponder>& responder) {
+  if (early.empty()) {
+    QTimer::singleShot(kFirstConfiguration, &context.janitor, [this] {
+      takes_early = false;
+      HandleEarly();
+    });
+  }
+  early.push_back({std::move(request), responder, MonotonicNow()});
+}
+
+void Gateway::Impl::HandleEarly() {
+  for (auto& held : std::exchange(early, {})) {
+    if (!held.responder->IsOpen()) continue;
+    Handle(std::move(held.request), held.responder, held.arrived_at);
+  }
+}
+
+void Gateway::Impl::Handle(HttpRequest request,
+                           const std::shared_ptr<HttpResponder>& responder,
+                           TimePoint arrived_at) {
   auto read = context.environment.dialect->ReadRequest(std::move(request));
   if (const auto* error = std::get_if<Error>(&read)) {
     const Failure failure{*error, RequestOutcome::kNotRun, std::nullopt};
-    impl_->LogRefused("", failure);
+    LogRefused("", failure);
     return responder->Send(MakeGatewayRefusal(failure, ""));
   }
   auto& forward = std::get<ForwardRequest>(read);
+  if (forward.time_allowed) {
+    *forward.time_allowed -= MonotonicNow() - arrived_at;
+  }
   const auto decided = DecideIntake(forward, context.table.get(),
                                     context.freshness, MonotonicNow());
   if (const auto* failure = std::get_if<Failure>(&decided)) {
-    impl_->LogRefused(forward.id, *failure);
+    LogRefused(forward.id, *failure);
     return responder->Send(MakeGatewayRefusal(*failure, forward.id));
   }
   const auto& pass = std::get<IntakePass>(decided);
@@ -222,7 +288,7 @@
       !TakesWhileDraining(*pass.route, *context.drain, MonotonicNow())) {
     const Failure failure{
         {ResultCode::kDraining, ""}, RequestOutcome::kNotRun, kRetryAtAnother};
-    impl_->LogRefused(forward.id, failure);
+    LogRefused(forward.id, failure);
     return responder->Send(MakeGatewayRefusal(failure, forward.id));
   }
   const auto exchange =
--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -102,7 +102,11 @@
   Gateway gateway{GatewaySettings{}, {&dialect, &log, &metrics, &true_time}};
   std::unique_ptr<HttpServer> server;
 
-  World() {
+  explicit World(bool configured = true) {
+    if (configured) Configure();
+    Listen();
+  }
+  void Configure() {
     RouteTableContent content;
     content.version = 1;
     content.routes = {MakeRoute("idempotent", RequestKind::kIdempotent),
@@ -116,6 +120,8 @@
     content.services = {service};
     gateway.SetRoutes(std::make_shared<const RouteTable>(content));
     gateway.ConfirmRoutes(MonotonicNow());
+  }
+  void Listen() {
     server =
         HttpServer::Builder()
             .Listen({"127.0.0.1", 0})
@@ -295,6 +301,68 @@
   }
 }
 
+TEST_CASE("requests that arrive while a daemon starts (power is back)") {
+  World world(false);
+  RawUpstream good(
+      [](auto& connection) { Answer(connection, "200 OK\r\nId: r1", "fine"); });
+  world.Add("a", good);
+
+  SUBCASE("wait for the first configuration, which is on its way") {
+    auto caller = world.Ask("once");
+    RunFor(100);
+    CHECK(caller->Received().empty());
+    world.Configure();
+    CHECK(caller->WaitFor("fine", 500));
+  }
+  SUBCASE("are refused as not run when it does not come") {
+    auto caller = world.Ask("once");
+    CHECK(caller->WaitFor("HTTP/1.1 503", 600));
+    SUBCASE("later ones at once") {
+      CHECK(world.Ask("once")->WaitFor("HTTP/1.1 503", 150));
+    }
+  }
+  SUBCASE("are forgotten when their caller has left") {
+    world.Ask("once")->Leave();
+    RunFor(50);
+    world.Configure();
+    RunFor(100);
+    CHECK(good.Requests() == 0);
+  }
+}
+
+TEST_CASE("quotas of a daemon that starts without a coordinator") {
+  World world;
+  RawUpstream good(
+      [](auto& connection) { Answer(connection, "200 OK\r\nId: r1", "fine"); });
+  world.Add("a", good);
+  RouteTableContent content;
+  content.version = 2;
+  content.routes = {MakeRoute("once", RequestKind::kNonIdempotent)};
+  content.routes.front().is_public = false;
+  WorkspaceProfile workspace;
+  workspace.name = "w";
+  workspace.keys = {"k"};
+  workspace.rate_per_s = 20;
+  workspace.burst = 10;
+  content.workspaces = {workspace};
+  world.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+
+  world.gateway.ExpectShared(MonotonicNow() + Duration(2'000));
+  SUBCASE("are asked for again when the number of daemons is read") {
+    auto caller = world.Ask("once", "Key: k\r\n");
+    RunFor(50);
+    world.gateway.AssumeShared(1, {});
+    CHECK(caller->WaitFor("fine", 500));
+  }
+  SUBCASE("are refused soon when that takes long") {
+    CHECK(world.Ask("once", "Key: k\r\n")->WaitFor("HTTP/1.1 429", 600));
+  }
+  SUBCASE("are not waited for when nothing is left to read") {
+    world.gateway.AssumeShared(400, {});
+    CHECK(world.Ask("once", "Key: k\r\n")->WaitFor("HTTP/1.1 429", 150));
+  }
+}
+
 TEST_CASE("a proof of the configuration from another daemon") {
   World world;
   const auto asked_at = MonotonicNow() + Duration(60'000);
--- a/libs/gateway/tests/usage_duty_test.cc
+++ b/libs/gateway/tests/usage_duty_test.cc
@@ -85,7 +85,8 @@
   World world;
   world.complete = false;
   auto duty = world.Duty(7);
-  for (std::int64_t ms = 0; ms < 9'000; ms += 250) world.Run(&duty, kNow + ms);
+  // Due 10 s after its end.
+  for (std::int64_t ms = 0; ms < 10'000; ms += 250) world.Run(&duty, kNow + ms);
   CHECK(world.reported.contains(199'999));
 }
 
