Keep half of a quota's window for prompts larger than an allowance

Each of 65 daemons held a 66th of what the window had left, about as much was left at the coordinator, and a prompt is larger than both.

Now all daemons together hold at most half of it, each by what it was asked for; the other half answers reports of daemons that have a larger prompt waiting.

--- a/libs/limits/include/limits/quota_pool.h
+++ b/libs/limits/include/limits/quota_pool.h
@@ -69,13 +69,27 @@
  private:
   struct Holder {
     double passed = 0;
+    double asked = 0;
     double allowance = 0;
     bool is_young = false;
     TimePoint at;
   };
 
-  [[nodiscard]] double Taken(const DaemonLife& daemon, const QuotaUse& use,
+  /// Over all daemons but one, in tokens.
+  struct Sums {
+    double passed = 0;
+    double asked = 0;
+    double taken = 0;  ///< Passed, or allowed.
+    double taken_by_young = 0;
+    std::size_t daemons = 0;
+  };
+
+  [[nodiscard]] Sums Others(const DaemonLife& daemon) const;
+  [[nodiscard]] double Taken(const Sums& others, const QuotaUse& use,
                              TimePoint now) const;
+  /// What one daemon gets of the tokens that are `left`.
+  [[nodiscard]] static double Allowance(const Sums& others, const QuotaUse& use,
+                                        const QuotaLimit& limit, double left);
 
   std::map<DaemonLife, Holder> holders_;
   double used_before_ = 0;
--- a/libs/limits/src/quota_pool.cc
+++ b/libs/limits/src/quota_pool.cc
@@ -6,11 +6,14 @@
 namespace {
 
 constexpr double kMsPerSecond = 1'000;
-// Part of what is left that one daemon gets at once. All daemons then settle
-// at nearly equal allowances, and one that has more callers asks more often.
+// Part of what is left that one daemon gets at once.
 constexpr double kPartWhenAsked = 0.5;
 // The same for a daemon that nobody asked for this quota.
 constexpr double kPartWhenIdle = 0.05;
+// Part of what the window has left that all daemons hold together, by what each
+// was asked for. The rest stays for prompts that are larger than an allowance,
+// which in a large fleet most are.
+constexpr double kPartHeld = 0.5;
 
 }  // namespace
 
@@ -19,20 +22,42 @@
          burst;
 }
 
-double QuotaPool::Taken(const DaemonLife& daemon, const QuotaUse& use,
-                        TimePoint now) const {
-  double all = use.passed;
-  double young = use.is_young ? use.passed : 0;
+QuotaPool::Sums QuotaPool::Others(const DaemonLife& daemon) const {
+  Sums sums;
   for (const auto& [name, holder] : holders_) {
     if (name == daemon) continue;
     const double taken = holder.passed + std::max(0.0, holder.allowance);
-    all += taken;
-    if (holder.is_young) young += taken;
+    sums.passed += holder.passed;
+    sums.asked += holder.asked;
+    sums.taken += taken;
+    if (holder.is_young) sums.taken_by_young += taken;
+    ++sums.daemons;
   }
+  return sums;
+}
+
+double QuotaPool::Taken(const Sums& others, const QuotaUse& use,
+                        TimePoint now) const {
+  const double all = others.taken + use.passed;
+  const double young = others.taken_by_young + (use.is_young ? use.passed : 0);
   // What passed before may be that of daemons that are gone.
   return now < before_until_ ? std::max(all, used_before_ + young) : all;
 }
 
+double QuotaPool::Allowance(const Sums& others, const QuotaUse& use,
+                            const QuotaLimit& limit, double left) {
+  // What was overdrawn is paid back by all, or it could be overdrawn again
+  // after each grant.
+  if (left < 0) return left / static_cast<double>(others.daemons + 1);
+  const double asked = others.asked + use.asked;
+  const double share = asked > 0 ? use.asked / asked : 0;
+  const double free = limit.PerWindow() - others.passed - use.passed;
+  const double usual =
+      use.asked > 0 ? std::min(left * kPartWhenAsked, free * kPartHeld * share)
+                    : left * kPartWhenIdle;
+  return std::max(usual, std::min(left, use.needed));
+}
+
 QuotaGrant QuotaPool::Grant(const DaemonLife& daemon, const QuotaUse& use,
                             const QuotaLimit& limit, TimePoint now) {
   std::erase_if(holders_, [&](const auto& entry) {
@@ -42,16 +67,10 @@
     const bool ended = name.daemon == daemon.daemon && name != daemon;
     if (ended) holder.allowance = 0;
   }
-  const double left = limit.PerWindow() - Taken(daemon, use, now);
-  const double part = use.asked > 0 ? kPartWhenAsked : kPartWhenIdle;
-  // What was overdrawn is paid back by all, or it could be overdrawn again
-  // after each grant.
-  const double others = static_cast<double>(holders_.size()) -
-                        (holders_.contains(daemon) ? 1.0 : 0.0);
-  const double allowance =
-      left < 0 ? left / (others + 1)
-               : std::max(left * part, std::min(left, use.needed));
-  holders_[daemon] = {use.passed, allowance, use.is_young, now};
+  const auto others = Others(daemon);
+  const double left = limit.PerWindow() - Taken(others, use, now);
+  const double allowance = Allowance(others, use, limit, left);
+  holders_[daemon] = {use.passed, use.asked, allowance, use.is_young, now};
   return {allowance, std::max(0.0, left - allowance)};
 }
 
--- a/libs/limits/tests/quota_test.cc
+++ b/libs/limits/tests/quota_test.cc
@@ -141,6 +141,23 @@
   CHECK(refused == 0);
 }
 
+TEST_CASE("large prompts beside small ones at many daemons (large fleet)") {
+  Fleet fleet(65);
+  int refused = 0;
+  // 65 daemons with one token every other second, and a prompt of 50 tokens a
+  // second at changing ones: 82 of the 100 tokens a second.
+  for (int second = 0; second < 60; ++second) {
+    for (std::size_t i = 0; i < fleet.daemons.size(); ++i) {
+      if ((i + static_cast<std::size_t>(second)) % 2 == 0) fleet.Ask(i, 1);
+    }
+    if (!fleet.Ask(static_cast<std::size_t>(second) * 7 % 65, 50)) ++refused;
+    fleet.now += Duration(1'000);
+    fleet.ReportAll();
+  }
+  CHECK(refused == 0);
+  CHECK(fleet.most <= kLimit.PerWindow());
+}
+
 TEST_CASE("a workspace that asks for many times its quota (hot tenant)") {
   Fleet fleet(8);
   double passed = 0;
