Usage does not wait for daemons that stop, nor for a coordinator's end

Now daemons tell with their reports that they were told to stop, and are not waited for once they are silent; a coordinator that was told to stop sends what it has. Cases in coordination_test and duty_service_test.

Left: counts of daemons that ended, when the coordinator ends or is lost before it has sent them.

--- a/libs/gateway/include/gateway/coordination.h
+++ b/libs/gateway/include/gateway/coordination.h
@@ -20,6 +20,7 @@
   std::string daemon;
   std::string life;          ///< Unique for each start of the daemon.
   std::int64_t wall_ms = 0;  ///< Its clock, when the report was sent.
+  bool leaves = false;       ///< It was told to stop, and reports till its end.
   UsageByWindow usage;       ///< Of this life, the last windows.
   std::map<std::string, QuotaUse> quotas;    ///< By workspace.
   std::map<std::string, ServiceLoad> loads;  ///< By service.
@@ -101,6 +102,7 @@
   struct Heard {
     std::int64_t true_ms = 0;
     TimePoint at;
+    bool leaves = false;
     std::map<std::string, ServiceLoad> loads;
   };
 
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -115,6 +115,7 @@
   void StartDrain(TimePoint ends_at);
 
   /// Requests without a final answer.
+  [[nodiscard]] bool IsDraining() const;
   [[nodiscard]] std::size_t InWork() const;
 
   /// Requests that began to run here, by window and workspace.
--- a/libs/gateway/src/coordination.cc
+++ b/libs/gateway/src/coordination.cc
@@ -49,7 +49,7 @@
   std::erase_if(heard_, [now](const auto& entry) {
     return now - entry.second.at > kForgetAfter;
   });
-  heard_[report.daemon] = {true_ms, now, report.loads};
+  heard_[report.daemon] = {true_ms, now, report.leaves, report.loads};
   usage_.OnReport(report.life, report.usage);
   CoordinatorGrant grant;
   grant.true_ms = true_ms;
@@ -80,8 +80,9 @@
       heard_.size() >= before_.daemons || now - started_at_ > kCountsInTime;
   return knows_all &&
          std::all_of(heard_.begin(), heard_.end(), [&](const auto& entry) {
-           return entry.second.true_ms >= true_ms ||
-                  now - entry.second.at > kCountsInTime;
+           const auto& heard = entry.second;
+           return heard.true_ms >= true_ms ||
+                  now - heard.at > (heard.leaves ? kAwayAfter : kCountsInTime);
          });
 }
 
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -89,6 +89,7 @@
   return QCborValue(QCborMap{{"daemon", Text(daemon)},
                              {"life", Text(life)},
                              {"wall_ms", static_cast<qint64>(wall_ms)},
+                             {"leaves", leaves},
                              {"usage", UsageMap(usage)},
                              {"quotas", QuotaMap(quotas)},
                              {"loads", load_map}})
@@ -102,6 +103,7 @@
   report.daemon = map[QLatin1String("daemon")].toString().toStdString();
   report.life = map[QLatin1String("life")].toString().toStdString();
   report.wall_ms = map[QLatin1String("wall_ms")].toInteger();
+  report.leaves = map[QLatin1String("leaves")].toBool();
   report.usage = UsageOf(map[QLatin1String("usage")]);
   report.quotas = QuotasOf(map[QLatin1String("quotas")]);
   for (const auto& entry : map[QLatin1String("loads")].toMap()) {
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -110,6 +110,7 @@
   report.daemon = settings.daemon;
   report.life = settings.life;
   report.wall_ms = WallClockMs();
+  report.leaves = environment.gateway->IsDraining();
   auto& ledger = environment.gateway->ledger();
   const auto window =
       ledger.WindowOf(environment.true_time->At(MonotonicNow()));
@@ -308,7 +309,10 @@
       UsageDuty::Counts{
           [this](std::int64_t window) { return coordinator->Usage(window); },
           [this](std::int64_t true_ms) {
-            return coordinator->AllReportedSince(true_ms, MonotonicNow());
+            // The next coordinator would not have the counts of daemons that
+            // have ended.
+            return environment.gateway->IsDraining() ||
+                   coordinator->AllReportedSince(true_ms, MonotonicNow());
           }});
   scaling.emplace(held_since);
   lease_timer.start(kHolderTick);
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -301,6 +301,8 @@
   impl_->context.drain = DrainState{MonotonicNow(), ends_at};
 }
 
+bool Gateway::IsDraining() const { return impl_->context.drain.has_value(); }
+
 std::size_t Gateway::InWork() const { return impl_->context.exchanges.size(); }
 
 UsageLedger& Gateway::ledger() { return impl_->context.ledger; }
--- a/libs/gateway/tests/coordination_test.cc
+++ b/libs/gateway/tests/coordination_test.cc
@@ -103,6 +103,16 @@
       coordinator.OnReport(Report("b", 1), LimitOf, 13'000, then);
       CHECK_FALSE(coordinator.AllReportedSince(8'000, then));
     }
+    SUBCASE("not waiting for one that was told to stop (rolling restart)") {
+      auto last = Report("a", 1);
+      last.leaves = true;
+      CHECK(std::get<DaemonReport>(Capture(
+                [&] { return DaemonReport::Decode(last.Encode()); })) == last);
+      coordinator.OnReport(last, LimitOf, 7'000, kStart + Duration(1'000));
+      const auto then = kStart + Duration(4'500);
+      coordinator.OnReport(Report("b", 1), LimitOf, 10'500, then);
+      CHECK(coordinator.AllReportedSince(8'000, then));
+    }
     SUBCASE("not waiting for one that has been silent for long") {
       const auto then = kStart + Duration(10'500);
       coordinator.OnReport(Report("b", 1), LimitOf, 16'000, then);
--- a/libs/gateway/tests/duty_service_test.cc
+++ b/libs/gateway/tests/duty_service_test.cc
@@ -187,6 +187,18 @@
     // other one was told of has ended, and some steps.
     CHECK(WaitUntil([&] { return other->duties.IsHolder(); }, 3'200));
   }
+  SUBCASE("and usage waits for one that is silent, but not before a stop") {
+    auto& holder = first->duties.IsHolder() ? first : second;
+    auto& other = first->duties.IsHolder() ? second : first;
+    REQUIRE(WaitUntil([&] { return cloud.reports.size() > 1; }, 8'000));
+    other->duties.Stop();
+    RunFor(2'500);
+    const auto before = cloud.reports.size();
+    RunFor(1'000);
+    CHECK(cloud.reports.size() == before);
+    holder->gateway.StartDrain(MonotonicNow() + Duration(8'000));
+    CHECK(WaitUntil([&] { return cloud.reports.size() > before; }, 1'500));
+  }
   SUBCASE("and the other one takes over when it stops") {
     auto& holder = first->duties.IsHolder() ? first : second;
     auto& other = first->duties.IsHolder() ? second : first;
