--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -63,28 +63,19 @@
   };
   /// Highest needs of late, over a long and a short time.
   struct Peaks {
-    Peak usual;
-    Peak dear;
+    Peak reclaimable;
+    Peak on_demand;
   };
-  /// Engines that are needed, and those for which engines on demand are paid.
+  /// Engines that are needed: for as many, reclaimable ones are ordered, and
+  /// engines on demand are paid.
   struct Needs {
-    double usual = 0;
-    double dear = 0;
+    double reclaimable = 0;
+    double on_demand = 0;
     bool knows_little = false;  ///< Demand was not seen for long enough.
 
     bool operator==(const Needs&) const = default;
   };
 
-  /// Without reports demand is unknown, not low: what was known stays.
-  void NoteGap(TimePoint now);
-  /// Notes whether the list of upstreams, which grows while they start, is
-  /// whole.
-  void Settle(const Input& input, const ScalingCounts& serving, TimePoint now);
-  /// Engines of `service` that this duty did not order.
-  [[nodiscard]] int Given(const std::string& service,
-                          const ScalingCounts& serving) const;
-  [[nodiscard]] Needs Need(const ServiceProfile& service, int given,
-                           const Input& input, TimePoint now);
   /// Engines of one zone.
   struct ZoneCounts {
     int on_demand = 0;
@@ -106,6 +97,18 @@
 
     bool operator==(const Spares&) const = default;
   };
+
+  /// Without reports demand is unknown, not low: what was known stays.
+  void NoteGap(TimePoint now);
+  /// Notes whether the list of upstreams, which grows while they start, is
+  /// whole.
+  void Settle(const Input& input, const ScalingCounts& serving, TimePoint now);
+  /// Engines of `service` that this duty did not order.
+  [[nodiscard]] int Given(const std::string& service,
+                          const ScalingCounts& serving) const;
+  [[nodiscard]] Needs Need(const ServiceProfile& service, int given,
+                           const Input& input, TimePoint now);
+  /// Engines of each zone, and those that should serve there for `need`.
   [[nodiscard]] std::map<std::string, ZoneCounts> CountZones(
       const ServiceProfile& service, const ScalingCounts& serving, double need,
       TimePoint now) const;
@@ -115,10 +118,17 @@
   [[nodiscard]] static int GoingOnDemand(const ZoneCounts& zone,
                                          const ScalingProfile& scaling,
                                          const Spares& spares);
+  /// Engines to have of each kind in each zone.
   [[nodiscard]] ScalingCounts Wanted(const ServiceProfile& service,
                                      const Input& input,
                                      const ScalingCounts& serving,
                                      TimePoint now);
+  /// Adds `missing` engines on demand, in the cheapest zones with room, when
+  /// reclaimable ones cannot be had.
+  void BuyOnDemand(const ServiceProfile& service,
+                   const std::map<std::string, ZoneCounts>& zones, int missing,
+                   ScalingCounts* wanted) const;
+  /// How the last order ended; both false when there was none.
   [[nodiscard]] bool WasRefused(const ScalingSubject& subject) const;
   [[nodiscard]] bool IsAccepted(const ScalingSubject& subject) const;
   /// Engines of an order that was accepted and may still be carried out.
--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -15,7 +15,7 @@
 constexpr Duration kPeakMemory{25'000};
 // The same for engines on demand, which cost as much as several reclaimable
 // ones: they follow a burst once it has lasted longer than they take to start.
-constexpr Duration kDearPeakMemory{8'000};
+constexpr Duration kOnDemandPeakMemory{8'000};
 // A new holder takes what serves as enough until it has seen some demand.
 constexpr Duration kFirstSight{12'000};
 // A duty that was not asked for longer than this could not act, and its daemons
@@ -74,8 +74,8 @@
   if (gap <= kLongestGap) return;
   sees_since_ = now;
   for (auto& [service, peaks] : peaks_) {
-    peaks.usual.at += gap;
-    peaks.dear.at += gap;
+    peaks.reclaimable.at += gap;
+    peaks.on_demand.at += gap;
   }
 }
 
@@ -111,15 +111,17 @@
   auto& peaks = peaks_[service.name];
   if (!settled_) {
     const double start = StartNeed(*service.scaling, given);
-    peaks.usual = {std::max(peaks.usual.need, start), now};
-    peaks.dear = {std::max(peaks.dear.need, start), now};
+    peaks.reclaimable = {std::max(peaks.reclaimable.need, start), now};
+    peaks.on_demand = {std::max(peaks.on_demand.need, start), now};
   }
   const bool knows_little = now - sees_since_ < kFirstSight;
-  peaks.usual.Note(knows_little ? std::max(need, peaks.usual.need) : need,
-                   kPeakMemory, now);
-  peaks.dear.Note(knows_little ? std::max(need, peaks.dear.need) : need,
-                  kDearPeakMemory, now);
-  return {peaks.usual.need, peaks.dear.need, knows_little};
+  peaks.reclaimable.Note(
+      knows_little ? std::max(need, peaks.reclaimable.need) : need, kPeakMemory,
+      now);
+  peaks.on_demand.Note(
+      knows_little ? std::max(need, peaks.on_demand.need) : need,
+      kOnDemandPeakMemory, now);
+  return {peaks.reclaimable.need, peaks.on_demand.need, knows_little};
 }
 
 int ScalingDuty::Starting(const ScalingSubject& subject, int serving,
@@ -192,7 +194,7 @@
 
 ScalingDuty::Spares ScalingDuty::CountSpares(
     const std::map<std::string, ZoneCounts>& zones, const Needs& needs) {
-  const double need = needs.dear;
+  const double need = needs.on_demand;
   int total = 0;
   int starting = 0;
   int most_in_zone = 0;
@@ -215,9 +217,9 @@
                                   const ScalingCounts& serving, TimePoint now) {
   const auto& scaling = *service.scaling;
   const auto need = Need(service, Given(service.name, serving), input, now);
-  const auto zones = CountZones(service, serving, need.usual, now);
+  const auto zones = CountZones(service, serving, need.reclaimable, now);
   auto spares = CountSpares(zones, need);
-  int missing = -(spares.least + spares.starting);
+  const int missing = -(spares.least + spares.starting);
   const bool all_serve =
       std::all_of(zones.begin(), zones.end(), [](const auto& zone) {
         return zone.second.reclaimable >= zone.second.aim;
@@ -238,20 +240,28 @@
     wanted[{service.name, *zone, true}] =
         counts.room > 0 ? std::min(aim, counts.room) : aim;
   }
+  BuyOnDemand(service, zones, missing, &wanted);
+  return wanted;
+}
+
+void ScalingDuty::BuyOnDemand(const ServiceProfile& service,
+                              const std::map<std::string, ZoneCounts>& zones,
+                              int missing, ScalingCounts* wanted) const {
+  // Where reclaimable ones can be had, those that were ordered start as soon.
   const bool some_refused =
       std::any_of(zones.begin(), zones.end(), [&](const auto& zone) {
         return WasRefused({service.name, zone.first, true});
       });
-  if (!some_refused) return wanted;
-  for (const auto& zone : by_price) {
-    if (missing <= 0) break;
-    auto& count = wanted[{service.name, zone, false}];
-    const int room = scaling.max_per_zone - zones.at(zone).reclaimable - count;
+  if (!some_refused) return;
+  for (const auto& zone : ByPrice(*service.scaling)) {
+    if (missing <= 0) return;
+    auto& count = (*wanted)[{service.name, zone, false}];
+    const int room =
+        service.scaling->max_per_zone - zones.at(zone).reclaimable - count;
     const int more = std::clamp(room, 0, missing);
     count += more;
     missing -= more;
   }
-  return wanted;
 }
 
 bool ScalingDuty::IsDue(const ScalingSubject& subject, int wanted, int serving,
--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -121,6 +121,20 @@
     gateway.SetRoutes(std::make_shared<const RouteTable>(content));
     gateway.ConfirmRoutes(MonotonicNow());
   }
+  /// From now on routes need the key "k" of a workspace with this quota, in
+  /// requests; 0: none.
+  void RequireKeys(double rate_per_s, double burst) {
+    auto content = gateway.routes()->content();
+    ++content.version;
+    for (auto& route : content.routes) route.is_public = false;
+    WorkspaceProfile workspace;
+    workspace.name = "w";
+    workspace.keys = {"k"};
+    workspace.rate_per_s = rate_per_s;
+    workspace.burst = burst;
+    content.workspaces = {workspace};
+    gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+  }
   void Listen() {
     server =
         HttpServer::Builder()
@@ -204,17 +218,7 @@
   RawUpstream good(
       [](auto& connection) { Answer(connection, "200 OK\r\nId: r1", "fine"); });
   world.Add("a", good);
-  RouteTableContent content;
-  content.version = 2;
-  content.routes = {MakeRoute("once", RequestKind::kNonIdempotent)};
-  content.routes.front().is_public = false;
-  WorkspaceProfile workspace;
-  workspace.name = "w";
-  workspace.keys = {"k"};
-  workspace.rate_per_s = 1;
-  workspace.burst = 1;
-  content.workspaces = {workspace};
-  world.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+  world.RequireKeys(1, 1);
   const SharedLimits grant{{{"w", {1, 0}}}, 8};
 
   SUBCASE("waits for the coordinator that answers, and passes") {
@@ -233,9 +237,7 @@
     CHECK(caller->Received().starts_with("HTTP/1.1 429"));
   }
   SUBCASE("passes by an equal part when the number of daemons is known") {
-    content.workspaces[0].rate_per_s = 20;
-    ++content.version;
-    world.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+    world.RequireKeys(20, 1);
     world.gateway.AssumeShared(1, {});
     CHECK(WaitUntil([&] {
       const auto caller = world.Ask("once", "Key: k\r\n");
@@ -252,14 +254,7 @@
 
 TEST_CASE("usage counts a request that an upstream began to run") {
   World world;
-  RouteTableContent content = world.gateway.routes()->content();
-  ++content.version;
-  for (auto& route : content.routes) route.is_public = false;
-  WorkspaceProfile workspace;
-  workspace.name = "w";
-  workspace.keys = {"k"};
-  content.workspaces = {workspace};
-  world.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+  world.RequireKeys(0, 0);
   const auto counted = [&] {
     std::int64_t sum = 0;
     for (const auto& [window, counts] : world.gateway.ledger().windows()) {
@@ -335,17 +330,7 @@
   RawUpstream good(
       [](auto& connection) { Answer(connection, "200 OK\r\nId: r1", "fine"); });
   world.Add("a", good);
-  RouteTableContent content;
-  content.version = 2;
-  content.routes = {MakeRoute("once", RequestKind::kNonIdempotent)};
-  content.routes.front().is_public = false;
-  WorkspaceProfile workspace;
-  workspace.name = "w";
-  workspace.keys = {"k"};
-  workspace.rate_per_s = 20;
-  workspace.burst = 10;
-  content.workspaces = {workspace};
-  world.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+  world.RequireKeys(20, 10);
 
   world.gateway.ExpectShared(MonotonicNow() + Duration(2'000));
   SUBCASE("are asked for again when the number of daemons is read") {
