--- /dev/null
+++ b/libs/gateway/tests/gateway_world.h
@@ -0,0 +1,170 @@
+#ifndef FIRMOOR_GATEWAY_TESTS_GATEWAY_WORLD_H_
+#define FIRMOOR_GATEWAY_TESTS_GATEWAY_WORLD_H_
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+#include "gateway/gateway.h"
+#include "support/raw_socket.h"
+
+namespace firmoor {
+
+/// A dialect with the fewest headers: an id, a key and the time allowed.
+class PlainDialect : public Dialect {
+ public:
+  [[nodiscard]] Outcome<ForwardRequest> ReadRequest(
+      HttpRequest request) const override {
+    ForwardRequest read;
+    read.id = std::string(HeaderValue(request.headers, "Id"));
+    read.key = std::string(HeaderValue(request.headers, "Key"));
+    read.host = std::string(HeaderValue(request.headers, "Host"));
+    const std::string allowed(HeaderValue(request.headers, "Allowed-Ms"));
+    if (!allowed.empty()) read.time_allowed = Duration(std::stoi(allowed));
+    read.method = request.method;
+    read.target = request.target;
+    read.body = request.body;
+    return read;
+  }
+  [[nodiscard]] HttpRequest WriteRequest(
+      const ForwardRequest& request, const UpstreamCall& call) const override {
+    return {request.method,
+            request.target,
+            {{"Id", request.id},
+             {"Upstream", call.upstream},
+             {"From", call.last_event_id},
+             {"Copy", call.copy ? call.copy->handle : ""}},
+            request.body};
+  }
+  [[nodiscard]] HttpRequest WriteMove(const std::string& request_id,
+                                      const Endpoint&) const override {
+    return {"POST", "/move", {{"Id", request_id}}, ""};
+  }
+  [[nodiscard]] MoveAnswer ReadMove(const HttpAnswer& answer) const override {
+    const bool stopped = answer.status == 200;
+    return {stopped, stopped, stopped ? answer.body : ""};
+  }
+  [[nodiscard]] HttpRequest WriteStayQuery() const override {
+    return {"GET", "/stay", {}, ""};
+  }
+  [[nodiscard]] std::optional<Duration> ReadStay(
+      const HttpAnswer& answer) const override {
+    return Duration(std::stoi(answer.body));
+  }
+  [[nodiscard]] UpstreamHead ReadHead(
+      int status, const HttpHeaders& headers) const override {
+    UpstreamHead head;
+    head.status = status;
+    head.request_id = std::string(HeaderValue(headers, "Id"));
+    head.declared_not_run = !HeaderValue(headers, "Not-Run").empty();
+    return head;
+  }
+};
+
+inline Route MakeRoute(std::string name, RequestKind kind) {
+  Route route;
+  route.host = "h";
+  route.path_prefix = "/" + name + "/";
+  route.name = std::move(name);
+  route.kind = kind;
+  route.services = {{"s", 1}};
+  route.timeout = Duration(3'000);
+  route.objective = Duration(200);
+  route.max_upstreams = 2;
+  route.is_public = true;
+  return route;
+}
+
+inline std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+inline void Answer(RawUpstream::Connection& connection, const std::string& head,
+                   const std::string& body) {
+  connection.socket->write(QByteArray::fromStdString(
+      "HTTP/1.1 " + head + "\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body));
+}
+
+inline void StartEvents(RawUpstream::Connection& connection,
+                        const std::string& body) {
+  connection.socket->write(QByteArray::fromStdString(
+      "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + body));
+  connection.socket->flush();
+}
+
+/// A gateway with callers' side and routes to one service.
+struct World {
+  PlainDialect dialect;
+  EventLog log{-1};
+  ServiceMetrics metrics;
+  TrueTime true_time{WallClockMs(), MonotonicNow()};
+  Gateway gateway{GatewaySettings{}, {&dialect, &log, &metrics, &true_time}};
+  std::unique_ptr<HttpServer> server;
+
+  explicit World(bool configured = true) {
+    if (configured) Configure();
+    Listen();
+  }
+  void Configure() {
+    RouteTableContent content;
+    content.version = 1;
+    content.routes = {MakeRoute("idempotent", RequestKind::kIdempotent),
+                      MakeRoute("once", RequestKind::kNonIdempotent),
+                      MakeRoute("stream", RequestKind::kStream),
+                      MakeRoute("resumable", RequestKind::kStream)};
+    content.routes.back().is_resumable = true;
+    ServiceProfile service;
+    service.name = "s";
+    service.engine = EngineProfile{.slots = 4, .moves_runs = true};
+    content.services = {service};
+    gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+    gateway.ConfirmRoutes(MonotonicNow());
+  }
+  /// From now on routes need the key "k" of a workspace with this quota, in
+  /// requests; 0: none.
+  void RequireKeys(double rate_per_s, double burst) {
+    auto content = gateway.routes()->content();
+    ++content.version;
+    for (auto& route : content.routes) route.is_public = false;
+    WorkspaceProfile workspace;
+    workspace.name = "w";
+    workspace.keys = {"k"};
+    workspace.rate_per_s = rate_per_s;
+    workspace.burst = burst;
+    content.workspaces = {workspace};
+    gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+  }
+  void Listen() {
+    server =
+        HttpServer::Builder()
+            .Listen({"127.0.0.1", 0})
+            .Handler([this](const HttpRequest& request, const auto& responder) {
+              gateway.Handle(request, responder);
+            })
+            .Build();
+    REQUIRE(server->Start());
+  }
+  void Add(const std::string& id, const RawUpstream& upstream,
+           bool leaving = false) {
+    UpstreamEntry entry;
+    entry.id = id;
+    entry.service = "s";
+    entry.endpoint = upstream.Address();
+    entry.slots = 4;
+    entry.leaving = leaving;
+    gateway.ApplyUpstream(entry);
+  }
+  [[nodiscard]] std::unique_ptr<RawClient> Ask(const std::string& route,
+                                               const std::string& extra = "") {
+    auto caller = std::make_unique<RawClient>(server->Port());
+    caller->Send("POST /" + route + "/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n" +
+                 extra + "Content-Length: 4\r\n\r\nbody");
+    return caller;
+  }
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_GATEWAY_TESTS_GATEWAY_WORLD_H_
