Give no work to upstreams that say they leave or want none

Cause: an upstream tells in its answers that it leaves, and in a refusal for how long it wants nothing. Both were passed over, so a daemon went on sending until the store listed the upstream as leaving, and again at once after a refusal. Ruled out: the failure count of the picker, which uses upstreams that fail when all fail; a closed one must not be used then.

The adapter decodes both into fields of UpstreamHead. The catalog keeps the life that leaves, also when its entry was gone for a while; the picker keeps closures until their end, over the loss of the entry. Callers are refused at once with the first opening, spread by request. Values that cannot be read are logged.

--- a/libs/gateway/include/gateway/dialect.h
+++ b/libs/gateway/include/gateway/dialect.h
@@ -79,6 +79,10 @@
   std::string request_id;         ///< Empty when the answer names none.
   bool declared_not_run = false;  ///< It did not run and never will.
   bool wrong_upstream = false;    ///< Another upstream has the address.
+  bool leaving = false;  ///< The upstream is about to end: no new work.
+  /// The upstream refused and wants nothing from this daemon for that long.
+  std::optional<Duration> closed_for;
+  std::string unreadable;  ///< A header whose value means nothing, for logs.
 
   [[nodiscard]] bool IsSuccess() const { return status / 100 == 2; }
   [[nodiscard]] bool IsFailure() const { return status >= 500; }
--- a/libs/gateway/include/gateway/refusal.h
+++ b/libs/gateway/include/gateway/refusal.h
@@ -3,6 +3,7 @@
 
 #include <string_view>
 
+#include "base/time.h"
 #include "serving/error_answer.h"
 
 namespace firmoor {
@@ -13,6 +14,10 @@
 HttpAnswer MakeGatewayRefusal(const Failure& failure,
                               std::string_view request_id);
 
+/// When the caller of `request_id` may come back, at `earliest` or later: at
+/// another moment for each request, so that not all return at once. Pure.
+Duration SpreadPause(Duration earliest, std::string_view request_id);
+
 }  // namespace firmoor
 
 #endif  // FIRMOOR_GATEWAY_REFUSAL_H_
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -9,8 +9,6 @@
 namespace firmoor::details {
 namespace {
 
-// Another try after this time finds other upstreams or freed slots.
-constexpr Duration kRetryWhenFull{300};
 // A caller that has waited as long as it said leaves by itself, perhaps a
 // little later; its answer is not cut before.
 constexpr Duration kDeadlineReserve{500};
@@ -128,13 +126,13 @@
       may_have_run_ ? RequestOutcome::kUnknown : RequestOutcome::kNotRun;
   if (!MayBelieveKey()) {
     return Refuse(ResultCode::kNotReady, "Keys cannot be checked now", outcome,
-                  kRetryWhenFull);
+                  PauseBeforeReturn());
   }
   context_->SyncPicker(MonotonicNow());
   const auto upstream =
       context_->picker.Pick(MakePickRequest(), MonotonicNow());
   if (!upstream) {
-    return Refuse(ResultCode::kNoUpstream, "", outcome, kRetryWhenFull);
+    return Refuse(ResultCode::kNoUpstream, "", outcome, PauseBeforeReturn());
   }
   Send(*upstream);
 }
@@ -183,7 +181,10 @@
       context_->environment.dialect->WriteRequest(request_, call));
   builder.Host(request_.host)
       .Times(Times(now))
-      .SendIf([this] { return MayBelieveKey(); })
+      .SendIf([this, moved = copy.has_value()] {
+        attempt_.withheld = !MayBelieveKey() || (!moved && IsLeaving());
+        return !attempt_.withheld;
+      })
       .OnHead([this](int status, const HttpHeaders& headers) {
         OnHead(status, headers);
       })
@@ -193,11 +194,17 @@
   attempt_.call = builder.Start();
 }
 
+bool Exchange::IsLeaving() const {
+  const auto* entry = context_->catalog.Find(attempt_.upstream.id);
+  return entry != nullptr && entry->leaving;
+}
+
 void Exchange::OnHead(int status, const HttpHeaders& headers) {
   attempt_.head = context_->environment.dialect->ReadHead(status, headers);
   const auto& answered = attempt_.head->request_id;
   attempt_.foreign = !answered.empty() && answered != request_.id;
   if (attempt_.foreign) attempt_.call->DropConnection();
+  context_->NoteHead(attempt_.upstream, *attempt_.head, request_.id);
   attempt_.relays = !attempt_.foreign &&
                     pass_.route->kind == RequestKind::kStream &&
                     attempt_.head->IsSuccess();
@@ -257,9 +264,8 @@
 }
 
 UpstreamVerdict Exchange::Blame(const AttemptEnd& end) const {
-  if (attempt_.head && attempt_.head->wrong_upstream) {
-    return UpstreamVerdict::kNeutral;
-  }
+  const bool wrong = attempt_.head && attempt_.head->wrong_upstream;
+  if (wrong || attempt_.withheld) return UpstreamVerdict::kNeutral;
   if (end.declared_not_run) return UpstreamVerdict::kRefused;
   switch (end.end) {
     case HttpCallEnd::kComplete:
@@ -294,9 +300,6 @@
     const auto* entry = context_->catalog.Find(attempt_.upstream.id);
     if (entry != nullptr && !entry->leaving) ++counted_sends_;
   }
-  if (attempt_.head && attempt_.head->wrong_upstream) {
-    context_->catalog.MarkLeaving(attempt_.upstream.id);
-  }
   context_->picker.OnEnd(&attempt_.ticket, Blame(described), now);
   const auto verdict = DecideAttempt(described, DescribeContext(now));
   const bool ran = OutcomeOf(described) != RequestOutcome::kNotRun;
@@ -340,7 +343,11 @@
                         ? ResultCode::kUpstreamUnknown
                         : verdict.code;
   Refuse(code, "", verdict.outcome,
-         not_run ? std::optional(kRetryWhenFull) : std::nullopt);
+         not_run ? std::optional(PauseBeforeReturn()) : std::nullopt);
+}
+
+Duration Exchange::PauseBeforeReturn() const {
+  return context_->PauseBeforeReturn(service_, request_.id, MonotonicNow());
 }
 
 void Exchange::BreakOff(ResultCode code) {
@@ -384,7 +391,7 @@
   Refuse(unknown ? ResultCode::kUpstreamTimeout : ResultCode::kNoUpstream,
          "The time of the request is over",
          unknown ? RequestOutcome::kUnknown : RequestOutcome::kNotRun,
-         unknown ? std::nullopt : std::optional(kRetryWhenFull));
+         unknown ? std::nullopt : std::optional(PauseBeforeReturn()));
 }
 
 void Exchange::OnCallerLeft() {
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -50,12 +50,16 @@
     std::string body;      ///< Of an answer that is passed on as a whole.
     bool relays = false;   ///< The answer is a stream of events.
     bool foreign = false;  ///< The answer belongs to another request.
+    /// Not sent: the key or the upstream would not do any more.
+    bool withheld = false;
   };
 
   void TakeQuota(bool may_wait);
   void Admit();
   [[nodiscard]] PickRequest MakePickRequest() const;
   [[nodiscard]] bool MayBelieveKey() const;
+  /// Whether the upstream of this attempt has become one that leaves.
+  [[nodiscard]] bool IsLeaving() const;
   void TryNext();
   void Send(const UpstreamEntry& upstream,
             const std::optional<RunCopy>& copy = std::nullopt);
@@ -71,6 +75,7 @@
   void OnEnd(HttpCallEnd end);
   void PassAnswer(const AttemptVerdict& verdict);
   void FailAttempt(const AttemptVerdict& verdict);
+  [[nodiscard]] Duration PauseBeforeReturn() const;
   void BreakOff(ResultCode code);
   void OnTimeUp();
   /// How long a stream that makes progress may go on; 0 or less when its
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/text.h"
 #include "details/exchange.h"
+#include "gateway/refusal.h"
 
 namespace firmoor::details {
 namespace {
@@ -18,6 +20,13 @@
 // Part of the slack of quotas that is lent for large prompts; the rest covers
 // daemons that go on with an old division.
 constexpr double kSlackPart = 0.7;
+// Another try after this time finds other upstreams or freed slots.
+constexpr Duration kRetryWhenFull{300};
+// Longest time that an upstream's refusal closes it: a value beyond it is more
+// likely wrong than meant, and would cost the upstream for the day.
+constexpr Duration kLongestClosure{300'000};
+// Shorter ones are over before another request could arrive.
+constexpr Duration kShortestClosure{1};
 
 }  // namespace
 
@@ -103,6 +112,43 @@
   return quota;
 }
 
+void GatewayContext::NoteHead(const UpstreamEntry& upstream,
+                              const UpstreamHead& head,
+                              const std::string& request) {
+  const auto now = MonotonicNow();
+  if (!head.unreadable.empty()) {
+    environment.log->Write("upstream-header-bad",
+                           {{"request", Text(request)},
+                            {"upstream", Text(upstream.id)},
+                            {"header", Text(head.unreadable)}});
+  }
+  const bool leaves = head.leaving || head.wrong_upstream;
+  if (leaves && catalog.MarkLeaving(upstream.id, upstream.born_ms, now)) {
+    environment.log->Write(
+        "upstream", {{"upstream", Text(upstream.id)},
+                     {"service", Text(upstream.service)},
+                     {"born_ms", static_cast<qint64>(upstream.born_ms)},
+                     {"request", Text(request)},
+                     {"change", head.leaving ? "says-leaving" : "replaced"}});
+    SyncPicker(now);
+  }
+  if (!head.closed_for || *head.closed_for < kShortestClosure) return;
+  const auto closed_for = std::min(*head.closed_for, kLongestClosure);
+  picker.Close(upstream.id, upstream.born_ms, now + closed_for, now);
+  environment.log->Write(
+      "upstream-closed",
+      {{"upstream", Text(upstream.id)},
+       {"request", Text(request)},
+       {"closed_ms", static_cast<qint64>(closed_for.count())}});
+}
+
+Duration GatewayContext::PauseBeforeReturn(const std::string& service,
+                                           const std::string& request,
+                                           TimePoint now) const {
+  const auto opens = picker.NextOpening(service, now);
+  return opens ? SpreadPause(*opens - now, request) : kRetryWhenFull;
+}
+
 void GatewayContext::SyncPicker(TimePoint now) {
   catalog.Settle(now);
   picker.SetUpstreams(catalog.all());
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -65,6 +65,13 @@
   [[nodiscard]] bool MayBeGranted(TimePoint now) const;
   [[nodiscard]] QuotaLimit LimitOf(const WorkspaceProfile& workspace) const;
   [[nodiscard]] double RetryReserve() const;
+  /// Takes what an answer of `upstream` says of work to come.
+  void NoteHead(const UpstreamEntry& upstream, const UpstreamHead& head,
+                const std::string& request);
+  /// When a caller whom no upstream could take may come back.
+  [[nodiscard]] Duration PauseBeforeReturn(const std::string& service,
+                                           const std::string& request,
+                                           TimePoint now) const;
   /// Passes the catalog's entries on to the picker.
   void SyncPicker(TimePoint now);
 };
--- a/libs/gateway/src/refusal.cc
+++ b/libs/gateway/src/refusal.cc
@@ -2,10 +2,19 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
+#include "base/hash.h"
+
 namespace firmoor {
 namespace {
 
 constexpr double kMsPerSecond = 1'000;
+// Returns are spread over this time, and over a part of a longer pause: what
+// opens again must not meet all callers of the pause at once.
+constexpr Duration kLeastSpread{200};
+constexpr double kSpreadPart = 0.25;
+constexpr double kHashes = 18'446'744'073'709'551'616.0;  // 2 to the 64th
 
 }  // namespace
 
@@ -22,4 +31,13 @@
   return answer;
 }
 
+Duration SpreadPause(Duration earliest, std::string_view request_id) {
+  const auto least = std::max(earliest, Duration(0));
+  const double spread =
+      std::max(static_cast<double>(kLeastSpread.count()),
+               static_cast<double>(least.count()) * kSpreadPart);
+  const double place = static_cast<double>(Hash64(request_id)) / kHashes;
+  return least + Duration(static_cast<std::int64_t>(spread * place));
+}
+
 }  // namespace firmoor
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -58,6 +58,9 @@
     head.status = status;
     head.request_id = std::string(HeaderValue(headers, "Id"));
     head.declared_not_run = !HeaderValue(headers, "Not-Run").empty();
+    head.leaving = !HeaderValue(headers, "Leaving").empty();
+    const std::string closed(HeaderValue(headers, "Closed-Ms"));
+    if (!closed.empty()) head.closed_for = Duration(std::stoi(closed));
     return head;
   }
 };
--- a/libs/routing/include/routing/upstream_catalog.h
+++ b/libs/routing/include/routing/upstream_catalog.h
@@ -27,7 +27,8 @@
 };
 
 /// Upstreams that may get work. An upstream that leaves never comes back in
-/// the same life, whatever a source says later. While the store is away its
+/// the same life, whatever a source says later, also when its entry was gone
+/// for a while. While the store is away its
 /// entries lapse although the upstreams live, so removals seen soon after an
 /// outage wait until the entries had time to return. Pure.
 class UpstreamCatalog {
@@ -45,7 +46,9 @@
   void NoteOutage(TimePoint now);
 
   /// The upstream itself, or an answer in its place, said that it leaves.
-  void MarkLeaving(const std::string& id);
+  /// `born_ms`: the life that was asked; another one is not touched. False
+  /// when it was known, or is gone.
+  bool MarkLeaving(const std::string& id, std::int64_t born_ms, TimePoint now);
 
   /// Carries out removals that are due. Call before reading.
   void Settle(TimePoint now);
@@ -59,8 +62,15 @@
   }
 
  private:
+  /// A life that said that it leaves.
+  struct Left {
+    std::int64_t born_ms = 0;
+    TimePoint at;
+  };
+
   Duration return_time_;
   std::map<std::string, UpstreamEntry> entries_;
+  std::map<std::string, Left> left_;  ///< By id; also of entries that are gone.
   std::map<std::string, TimePoint> removals_;
   std::optional<TimePoint> outage_;
 };
--- a/libs/routing/include/routing/upstream_picker.h
+++ b/libs/routing/include/routing/upstream_picker.h
@@ -75,7 +75,17 @@
   /// Takes the profiles of services, which tell engines from plain services.
   void SetServices(const std::vector<ServiceProfile>& services);
 
-  /// The upstream for `request`; none when all are full, away or excluded.
+  /// The upstream wants no requests until `until`, and gets none, unlike one
+  /// that fails. `born_ms`: the life that said so.
+  void Close(const std::string& id, std::int64_t born_ms, TimePoint until,
+             TimePoint now);
+  /// When the first upstream of `service` opens again; none while one is open,
+  /// or when all are away.
+  [[nodiscard]] std::optional<TimePoint> NextOpening(const std::string& service,
+                                                     TimePoint now) const;
+
+  /// The upstream for `request`; none when all are full, closed, away or
+  /// excluded.
   [[nodiscard]] std::optional<UpstreamEntry> Pick(const PickRequest& request,
                                                   TimePoint now);
 
@@ -108,6 +118,11 @@
     TimePoint ejected_until;
     PartMemory parts;
   };
+  /// A life of an upstream that wants no requests for a while.
+  struct Closure {
+    std::int64_t born_ms = 0;
+    TimePoint until;
+  };
   struct Candidate {
     const Upstream* upstream = nullptr;
     double cost = 0;
@@ -118,6 +133,9 @@
   [[nodiscard]] std::vector<const Upstream*> Usable(const PickRequest& request,
                                                     TimePoint now) const;
   [[nodiscard]] bool HasRoom(const Upstream& upstream) const;
+  /// Until when it is closed; none when it is open.
+  [[nodiscard]] std::optional<TimePoint> ClosedUntil(const UpstreamEntry& entry,
+                                                     TimePoint now) const;
   [[nodiscard]] static std::uint64_t HomeKey(const PickRequest& request);
   [[nodiscard]] static double UncachedTokens(const Upstream& upstream,
                                              const PickRequest& request,
@@ -132,6 +150,7 @@
   Location location_;
   std::map<std::string, Upstream> upstreams_;
   std::map<std::string, ServiceProfile> services_;
+  std::map<std::string, Closure> closures_;  ///< By id; outlive the entries.
   std::uint64_t turn_ = 0;
 };
 
--- a/libs/routing/src/upstream_catalog.cc
+++ b/libs/routing/src/upstream_catalog.cc
@@ -2,8 +2,16 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace firmoor {
+namespace {
+
+// An upstream that left has ended long before this: it serves for some seconds
+// more, at times for many.
+constexpr Duration kRemembersLeft{120'000};
+
+}  // namespace
 
 UpstreamCatalog::UpstreamCatalog(Duration return_time)
     : return_time_(return_time) {}
@@ -30,7 +38,10 @@
   const bool was_leaving = same_life && found->second.leaving;
   auto& held = entries_[entry.id];
   held = entry;
-  held.leaving = entry.leaving || was_leaving;
+  const auto left = left_.find(entry.id);
+  const bool has_left =
+      left != left_.end() && left->second.born_ms == entry.born_ms;
+  held.leaving = entry.leaving || was_leaving || has_left;
 }
 
 void UpstreamCatalog::Remove(const std::string& id, TimePoint now) {
@@ -49,9 +60,15 @@
   for (auto& [id, due] : removals_) due = std::max(due, now + return_time_);
 }
 
-void UpstreamCatalog::MarkLeaving(const std::string& id) {
+bool UpstreamCatalog::MarkLeaving(const std::string& id, std::int64_t born_ms,
+                                  TimePoint now) {
+  std::erase_if(left_, [now](const auto& entry) {
+    return now - entry.second.at > kRemembersLeft;
+  });
   const auto found = entries_.find(id);
-  if (found != entries_.end()) found->second.leaving = true;
+  if (found != entries_.end() && found->second.born_ms != born_ms) return false;
+  left_[id] = {born_ms, now};
+  return found != entries_.end() && !std::exchange(found->second.leaving, true);
 }
 
 void UpstreamCatalog::Settle(TimePoint now) {
--- a/libs/routing/src/upstream_picker.cc
+++ b/libs/routing/src/upstream_picker.cc
@@ -90,6 +90,37 @@
   return upstream.in_flight < (engine ? slots : slots * kPlainQueueFactor);
 }
 
+void UpstreamPicker::Close(const std::string& id, std::int64_t born_ms,
+                           TimePoint until, TimePoint now) {
+  std::erase_if(closures_, [now](const auto& closure) {
+    return closure.second.until <= now;
+  });
+  auto& closure = closures_[id];
+  if (closure.born_ms != born_ms) closure = {born_ms, until};
+  closure.until = std::max(closure.until, until);
+}
+
+std::optional<TimePoint> UpstreamPicker::ClosedUntil(const UpstreamEntry& entry,
+                                                     TimePoint now) const {
+  const auto found = closures_.find(entry.id);
+  const bool closed = found != closures_.end() &&
+                      found->second.born_ms == entry.born_ms &&
+                      now < found->second.until;
+  return closed ? std::optional(found->second.until) : std::nullopt;
+}
+
+std::optional<TimePoint> UpstreamPicker::NextOpening(const std::string& service,
+                                                     TimePoint now) const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service != service || upstream.entry.leaving) continue;
+    const auto until = ClosedUntil(upstream.entry, now);
+    if (!until) return std::nullopt;
+    next = next ? std::min(*next, *until) : *until;
+  }
+  return next;
+}
+
 std::vector<const UpstreamPicker::Upstream*> UpstreamPicker::Usable(
     const PickRequest& request, TimePoint now) const {
   std::vector<const Upstream*> sound;
@@ -97,7 +128,8 @@
   for (const auto& [id, upstream] : upstreams_) {
     const bool fits = upstream.entry.service == request.service &&
                       !upstream.entry.leaving &&
-                      !request.exclude.contains(id) && HasRoom(upstream);
+                      !request.exclude.contains(id) &&
+                      !ClosedUntil(upstream.entry, now) && HasRoom(upstream);
     if (!fits) continue;
     (now < upstream.ejected_until ? ejected : sound).push_back(&upstream);
   }
--- a/libs/routing/tests/upstream_catalog_test.cc
+++ b/libs/routing/tests/upstream_catalog_test.cc
@@ -39,11 +39,34 @@
   }
 }
 
-TEST_CASE("an upstream whose address has another upstream leaves") {
+TEST_CASE("an upstream says in an answer that it leaves") {
   UpstreamCatalog catalog(kReturn);
+  const TimePoint now{Duration(10'000)};
   catalog.Apply(Entry("a"));
-  catalog.MarkLeaving("a");
+  CHECK(catalog.MarkLeaving("a", 1, now));
   CHECK(catalog.Find("a")->leaving);
+
+  SUBCASE("which is news only once") {
+    CHECK_FALSE(catalog.MarkLeaving("a", 1, now));
+  }
+  SUBCASE("and leaves whatever the store says of it") {
+    catalog.Apply(Entry("a"));
+    CHECK(catalog.Find("a")->leaving);
+    SUBCASE("also when its entry was gone for a while") {
+      catalog.Remove("a", now);
+      REQUIRE(catalog.Find("a") == nullptr);
+      catalog.Apply(Entry("a"));
+      CHECK(catalog.Find("a")->leaving);
+    }
+  }
+  SUBCASE("and its next life stays") {
+    catalog.Apply(Entry("a", 2));
+    CHECK_FALSE(catalog.Find("a")->leaving);
+    SUBCASE("also when an answer of the former one comes late") {
+      CHECK_FALSE(catalog.MarkLeaving("a", 1, now));
+      CHECK_FALSE(catalog.Find("a")->leaving);
+    }
+  }
 }
 
 TEST_CASE("an entry is removed") {
--- a/libs/routing/tests/upstream_picker_test.cc
+++ b/libs/routing/tests/upstream_picker_test.cc
@@ -95,6 +95,46 @@
   }
 }
 
+TEST_CASE("an upstream that wants no requests for a while") {
+  Fixture fixture;
+  fixture.Add(Entry("near", "plain", "east"));
+  fixture.Add(Entry("beside", "plain", "west"));
+  const auto opens = kStart + Duration(2'000);
+  fixture.picker.Close("near", 0, opens, kStart);
+
+  SUBCASE("gets none, and others take the work") {
+    CHECK(fixture.Pick(Plain()) == "beside");
+    CHECK_FALSE(fixture.picker.NextOpening("plain", kStart));
+  }
+  SUBCASE("gets none also when all others are closed or left out") {
+    fixture.picker.Close("beside", 0, kStart + Duration(900), kStart);
+    CHECK(fixture.Pick(Plain()) == "none");
+    CHECK(fixture.picker.NextOpening("plain", kStart) ==
+          kStart + Duration(900));
+    CHECK(fixture.Pick(Plain(), kStart + Duration(900)) == "beside");
+  }
+  SUBCASE("is open again when the time is over") {
+    CHECK(fixture.Pick(Plain(), opens - Duration(1)) == "beside");
+    CHECK(fixture.Pick(Plain(), opens) == "near");
+  }
+  SUBCASE("stays closed when it names an earlier time later") {
+    fixture.picker.Close("near", 0, kStart + Duration(100), kStart);
+    CHECK(fixture.Pick(Plain(), kStart + Duration(500)) == "beside");
+  }
+  SUBCASE("stays closed when its entry was gone for a while") {
+    fixture.entries.erase("near");
+    fixture.picker.SetUpstreams(fixture.entries);
+    fixture.Add(Entry("near", "plain", "east"));
+    CHECK(fixture.Pick(Plain()) == "beside");
+  }
+  SUBCASE("is open in its next life") {
+    auto reborn = Entry("near", "plain", "east");
+    reborn.born_ms = 7;
+    fixture.Add(reborn);
+    CHECK(fixture.Pick(Plain()) == "near");
+  }
+}
+
 TEST_CASE("an upstream that fails requests while its health check is good") {
   Fixture fixture;
   fixture.Add(Entry("near", "plain", "east"));
