Go on at the engine where a run stopped when nothing was copied

Cause: Exchange::GoOnFrom passed the entry of the current attempt by reference to Send, which clears that attempt first. The run then went to an upstream without name or address and the stream was broken off. Ruled out: the move's answer, which was decoded well (log line `move`, stopped, not copied).

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -157,18 +157,20 @@
   return times;
 }
 
-void Exchange::Send(const UpstreamEntry& upstream,
+void Exchange::Send(UpstreamEntry upstream,
                     const std::optional<RunCopy>& copy) {
   const auto now = MonotonicNow();
+  auto pick = MakePickRequest();
+  pick.goes_on = copy.has_value();
   attempt_ = {};
-  attempt_.upstream = upstream;
   attempt_.sent_at = now;
   attempt_.in_flight = context_->picker.InFlight(upstream.id);
-  attempt_.ticket = context_->picker.OnSend(upstream.id, MakePickRequest());
+  attempt_.ticket = context_->picker.OnSend(upstream.id, pick);
   attempt_.prefill_tokens = attempt_.ticket.prefill_tokens;
-  tried_.insert(upstream.id);
+  attempt_.upstream = std::move(upstream);
+  tried_.insert(attempt_.upstream.id);
   UpstreamCall call;
-  call.upstream = upstream.id;
+  call.upstream = attempt_.upstream.id;
   call.workspace = pass_.workspace == nullptr ? "" : pass_.workspace->name;
   call.time_left = std::max(ends_at_ - now, Duration(1));
   call.urgency = pass_.Urgency();
@@ -177,7 +179,7 @@
   call.last_event_id = relay_.last_event_id();
   call.copy = copy;
   auto builder = HttpCall::Builder(
-      upstream.endpoint,
+      attempt_.upstream.endpoint,
       context_->environment.dialect->WriteRequest(request_, call));
   builder.Host(request_.host)
       .Times(Times(now))
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -61,7 +61,8 @@
   /// Whether the upstream of this attempt has become one that leaves.
   [[nodiscard]] bool IsLeaving() const;
   void TryNext();
-  void Send(const UpstreamEntry& upstream,
+  /// Takes its own copy: `upstream` may be that of the attempt before.
+  void Send(UpstreamEntry upstream,
             const std::optional<RunCopy>& copy = std::nullopt);
   [[nodiscard]] bool WillEndBefore(TimePoint ends_at,
                                    std::int64_t tokens_per_event) const;
--- a/libs/routing/include/routing/upstream_picker.h
+++ b/libs/routing/include/routing/upstream_picker.h
@@ -30,6 +30,9 @@
   std::vector<PromptPart> parts;  ///< The last one is the request's own.
   double prompt_tokens = 0;
   std::set<std::string> exclude;  ///< Upstreams that were tried before.
+  /// A run that goes on, perhaps at the upstream that it began at and that
+  /// leaves.
+  bool goes_on = false;
 
   bool operator==(const PickRequest&) const = default;
 };
--- a/libs/routing/src/upstream_picker.cc
+++ b/libs/routing/src/upstream_picker.cc
@@ -214,7 +214,7 @@
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) return {};
   auto& upstream = found->second;
-  FIRMOOR_INVARIANT(!upstream.entry.leaving,
+  FIRMOOR_INVARIANT(request.goes_on || !upstream.entry.leaving,
                     "a request goes to an upstream that stays");
   PickTicket ticket;
   ticket.upstream = id;
