Read the store through a shallow tree of daemons, and keep quota sums

And each report to the coordinator cost steps for every other daemon and workspace (sums over all holders of a quota), which grows with the square of the fleet.

libs/dissemination: a log of the newest states by revision, a tree by rank in each availability zone with two readers and at most eight daemons below one, and a plan of where to ask next. The coordinator's answer names the sources; waits go to them, lists and proofs to the store. A source that has not heard of the store for half of the time for which a leaving upstream takes work is passed over. Proofs that the store does not give are asked for with growing pauses. A proof of an older version counts for who holds a newer one. QuotaPool keeps its sums with each report.

Ruled out: changes in the coordinator's answers (one daemon of 20 Mbit/s would send each change to all), stale reads (may be older than a drain).

Tests: dissemination_test 17 of 17, platform_test, limits_test and gateway_test passed. kind_follower_test: the wait after a failure is 1 ms instead of 0, since 0 now means a proof.

--- /dev/null
+++ b/libs/dissemination/include/dissemination/source_plan.h
@@ -0,0 +1,51 @@
+#ifndef FIRMOOR_DISSEMINATION_SOURCE_PLAN_H_
+#define FIRMOOR_DISSEMINATION_SOURCE_PLAN_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "base/time.h"
+#include "http/message.h"
+
+namespace firmoor {
+
+/// Chooses where a daemon asks next for changes: at the daemons that it reads
+/// from, at the store itself when none of them answers or knows anything
+/// recent, and nowhere for a moment when the store fails as well. Pure.
+class SourcePlan {
+ public:
+  enum class Place { kDaemon, kStore, kNowhere };
+  struct Choice {
+    Place place = Place::kStore;
+    Endpoint daemon;  ///< Of `kDaemon`.
+
+    bool operator==(const Choice&) const = default;
+  };
+
+  /// Takes the daemons to read from, the preferred one first; empty: this
+  /// daemon reads the store.
+  void SetSources(const std::vector<Endpoint>& sources);
+
+  [[nodiscard]] Choice Next(TimePoint now) const;
+
+  void OnDaemon(const Endpoint& daemon, bool good, TimePoint now);
+  void OnStore(bool good, TimePoint now);
+
+ private:
+  /// Failures in a row, and until when it is not asked again.
+  struct Rest {
+    int failures = 0;
+    TimePoint until;
+
+    void Note(bool good, Duration first, TimePoint now);
+  };
+
+  std::vector<Endpoint> sources_;
+  std::map<Endpoint, Rest> rests_;
+  Rest store_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_DISSEMINATION_SOURCE_PLAN_H_
--- /dev/null
+++ b/libs/dissemination/src/change_log.cc
@@ -0,0 +1,82 @@
+#include "dissemination/change_log.h"
+
+#include <algorithm>
+#include <set>
+
+namespace firmoor {
+namespace {
+
+void EraseEntry(std::multimap<std::int64_t, std::string>* index,
+                std::int64_t revision, const std::string& name) {
+  const auto [from, to] = index->equal_range(revision);
+  const auto found = std::find_if(
+      from, to, [&](const auto& entry) { return entry.second == name; });
+  if (found != to) index->erase(found);
+}
+
+}  // namespace
+
+void ChangeLog::Put(std::int64_t revision, const EncodedChange& change) {
+  auto& held = objects_[change.name];
+  EraseEntry(&by_revision_, held.revision, change.name);
+  EraseEntry(&removals_, held.revision, change.name);
+  held = {change, revision};
+  by_revision_.emplace(revision, change.name);
+  if (change.removed) removals_.emplace(revision, change.name);
+}
+
+void ChangeLog::ForgetRemovals() {
+  while (removals_.size() > removals_kept_) {
+    const auto [revision, name] = *removals_.begin();
+    removals_.erase(removals_.begin());
+    EraseEntry(&by_revision_, revision, name);
+    objects_.erase(name);
+    oldest_ = std::max(oldest_, revision);
+  }
+}
+
+void ChangeLog::TakeAll(std::int64_t revision,
+                        const std::vector<EncodedChange>& objects) {
+  if (revision < revision_) return;
+  if (revision_ == 0) oldest_ = revision;
+  std::set<std::string> listed;
+  for (const auto& object : objects) {
+    listed.insert(object.name);
+    const auto held = objects_.find(object.name);
+    const bool same = held != objects_.end() && held->second.change == object;
+    if (!same) Put(revision, object);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [name, held] : objects_) {
+    if (!held.change.removed && !listed.contains(name)) missing.push_back(name);
+  }
+  for (const auto& name : missing) Put(revision, {name, {}, true});
+  revision_ = revision;
+  ForgetRemovals();
+}
+
+void ChangeLog::Take(std::int64_t revision,
+                     const std::vector<EncodedChange>& changes) {
+  // Before the first list it is not known what came before.
+  if (revision_ == 0 || revision < revision_) return;
+  for (const auto& change : changes) Put(revision, change);
+  revision_ = revision;
+  ForgetRemovals();
+}
+
+std::optional<std::vector<EncodedChange>> ChangeLog::Since(
+    std::int64_t revision) const {
+  if (!Covers(revision)) return std::nullopt;
+  std::vector<EncodedChange> changes;
+  for (auto entry = by_revision_.upper_bound(revision);
+       entry != by_revision_.end(); ++entry) {
+    changes.push_back(objects_.at(entry->second).change);
+  }
+  return changes;
+}
+
+bool ChangeLog::HasSince(std::int64_t revision) const {
+  return by_revision_.upper_bound(revision) != by_revision_.end();
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/dissemination/src/relay_messages.cc
@@ -0,0 +1,129 @@
+#include "dissemination/relay_messages.h"
+
+#include <QCborArray>
+#include <QCborMap>
+#include <QCborValue>
+
+#include "base/text.h"
+
+namespace firmoor {
+namespace {
+
+// Below this size compression saves less than it costs.
+constexpr qsizetype kCompressFrom = 1'024;
+// An object that unpacks to more than the store's largest is not one of its.
+constexpr qsizetype kLargestObject = 16 * 1024 * 1024;
+constexpr char kPlain = 'p';
+constexpr char kCompressed = 'z';
+constexpr qsizetype kSizePrefix = 4;  // Of a compressed block, big-endian.
+
+Result<QCborMap> MapOf(const QByteArray& bytes) {
+  const auto value = QCborValue::fromCbor(bytes);
+  if (!value.isMap()) {
+    return Fail(ResultCode::kBadMessage, "A relay's message is no map");
+  }
+  return value.toMap();
+}
+
+/// The size that a compressed block says that it unpacks to.
+std::uint32_t UnpackedSize(const QByteArray& block) {
+  std::uint32_t size = 0;
+  for (qsizetype i = 0; i < kSizePrefix; ++i) {
+    size = (size << 8U) | static_cast<unsigned char>(block[i]);
+  }
+  return size;
+}
+
+Result<QByteArray> Unpack(const QByteArray& bytes) {
+  if (bytes.startsWith(kPlain)) return bytes.mid(1);
+  const auto block = bytes.mid(1);
+  const bool good = bytes.startsWith(kCompressed) &&
+                    block.size() > kSizePrefix &&
+                    UnpackedSize(block) <= kLargestObject;
+  const auto unpacked = good ? qUncompress(block) : QByteArray();
+  if (unpacked.isEmpty()) {
+    return Fail(ResultCode::kBadMessage, "A relayed object cannot be unpacked");
+  }
+  return unpacked;
+}
+
+}  // namespace
+
+EncodedChange EncodeChange(const KindChange& change) {
+  EncodedChange encoded{change.object.name, {}, change.removed};
+  if (change.removed) return encoded;
+  const auto plain =
+      QCborValue(QCborMap::fromJsonObject(change.object.content)).toCbor();
+  const bool compresses = plain.size() >= kCompressFrom;
+  encoded.bytes = compresses ? kCompressed + qCompress(plain) : kPlain + plain;
+  return encoded;
+}
+
+Result<KindChange> DecodeChange(const EncodedChange& change) {
+  KindChange decoded;
+  decoded.object.name = change.name;
+  decoded.removed = change.removed;
+  if (change.removed) return decoded;
+  BOOST_LEAF_AUTO(plain, Unpack(change.bytes));
+  BOOST_LEAF_AUTO(map, MapOf(plain));
+  decoded.object.content = map.toJsonObject();
+  return decoded;
+}
+
+QByteArray RelayAsk::Encode() const {
+  return QCborValue(QCborMap{{"kind", Text(kind)},
+                             {"revision", static_cast<qint64>(revision)},
+                             {"wait_ms", static_cast<qint64>(wait.count())}})
+      .toCbor();
+}
+
+Result<RelayAsk> RelayAsk::Decode(const QByteArray& bytes) {
+  BOOST_LEAF_AUTO(decoded, MapOf(bytes));
+  const QCborMap& map = decoded;
+  RelayAsk ask;
+  ask.kind = map[QLatin1String("kind")].toString().toStdString();
+  ask.revision = map[QLatin1String("revision")].toInteger(-1);
+  ask.wait = Duration(map[QLatin1String("wait_ms")].toInteger(-1));
+  if (ask.kind.empty() || ask.revision < 0 || ask.wait < Duration(0)) {
+    return Fail(ResultCode::kBadMessage, "A relay is asked for nothing");
+  }
+  return ask;
+}
+
+QByteArray RelayAnswer::Encode() const {
+  QCborArray list;
+  for (const auto& change : changes) {
+    list.append(QCborArray{Text(change.name), change.bytes, change.removed});
+  }
+  return QCborValue(
+             QCborMap{{"known", known},
+                      {"revision", static_cast<qint64>(revision)},
+                      {"heard_ms", static_cast<qint64>(heard_ago.count())},
+                      {"changes", list}})
+      .toCbor();
+}
+
+Result<RelayAnswer> RelayAnswer::Decode(const QByteArray& bytes) {
+  BOOST_LEAF_AUTO(decoded, MapOf(bytes));
+  const QCborMap& map = decoded;
+  RelayAnswer answer;
+  answer.known = map[QLatin1String("known")].toBool();
+  answer.revision = map[QLatin1String("revision")].toInteger(-1);
+  answer.heard_ago = Duration(map[QLatin1String("heard_ms")].toInteger(-1));
+  if (answer.revision < 0 || answer.heard_ago < Duration(0)) {
+    return Fail(ResultCode::kBadMessage, "A relay's answer tells nothing");
+  }
+  const auto list = map[QLatin1String("changes")].toArray();
+  for (const auto& item : list) {
+    const auto change = item.toArray();
+    const auto name = change.at(0).toString().toStdString();
+    if (name.empty()) {
+      return Fail(ResultCode::kBadMessage, "A relayed object has no name");
+    }
+    answer.changes.push_back(
+        {name, change.at(1).toByteArray(), change.at(2).toBool()});
+  }
+  return answer;
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/dissemination/tests/change_log_test.cc
@@ -0,0 +1,107 @@
+#include "dissemination/change_log.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+namespace firmoor {
+namespace {
+
+EncodedChange Object(const std::string& name, const char* bytes) {
+  return {name, bytes, false};
+}
+
+EncodedChange Removal(const std::string& name) { return {name, {}, true}; }
+
+using Changes = std::vector<EncodedChange>;
+
+/// What an asker holds after it has taken `changes`.
+void Apply(const Changes& changes, std::map<std::string, QByteArray>* held) {
+  for (const auto& change : changes) {
+    if (change.removed) {
+      held->erase(change.name);
+    } else {
+      (*held)[change.name] = change.bytes;
+    }
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a log of changes") {
+  ChangeLog log(2);
+  CHECK_FALSE(log.Since(0));
+  log.TakeAll(10, {Object("a", "1"), Object("b", "1")});
+
+  SUBCASE("tells an asker that has all that there is nothing") {
+    CHECK(log.Since(10) == Changes{});
+    CHECK_FALSE(log.HasSince(10));
+  }
+  SUBCASE("cannot tell what was before its first list") {
+    CHECK_FALSE(log.Since(9));
+  }
+  SUBCASE("tells only the newest state of an object") {
+    log.Take(12, {Object("a", "2")});
+    log.Take(15, {Object("a", "3"), Object("c", "1")});
+    CHECK(log.HasSince(12));
+    CHECK(log.Since(10) == Changes{Object("a", "3"), Object("c", "1")});
+    CHECK(log.Since(15) == Changes{});
+  }
+  SUBCASE("takes nothing that is older than what it has") {
+    log.Take(12, {Object("a", "2")});
+    log.Take(11, {Object("a", "old")});
+    CHECK(log.Since(10) == Changes{Object("a", "2")});
+  }
+  SUBCASE("finds what changed between two lists") {
+    log.TakeAll(20, {Object("a", "1"), Object("c", "1")});
+    CHECK(log.Since(10) == Changes{Object("c", "1"), Removal("b")});
+  }
+  SUBCASE("forgets the oldest removals and then reaches back less far") {
+    log.Take(12, {Removal("a")});
+    log.Take(14, {Removal("b")});
+    CHECK(log.Since(10) == Changes{Removal("a"), Removal("b")});
+    log.Take(16, {Removal("x")});
+    CHECK_FALSE(log.Since(10));
+    CHECK(log.Since(12) == Changes{Removal("b"), Removal("x")});
+  }
+}
+
+TEST_CASE("an asker that reads from several logs ends with the same content") {
+  rc::check([] {
+    ChangeLog first(100);
+    ChangeLog second(100);
+    std::map<std::string, QByteArray> truth;
+    std::map<std::string, QByteArray> held;
+    first.TakeAll(1, {});
+    second.TakeAll(1, {});
+    std::int64_t known = 1;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1'000));
+    std::int64_t revision = 1;
+    Changes behind;
+    for (const int step : steps) {
+      const auto name = std::string(1, static_cast<char>('a' + step % 5));
+      const auto change = step % 3 == 0
+                              ? Removal(name)
+                              : Object(name, std::to_string(step).c_str());
+      Apply({change}, &truth);
+      first.Take(++revision, {change});
+      // The second reader takes several changes at once.
+      behind.push_back(change);
+      if (step % 4 == 0) {
+        second.Take(revision, behind);
+        behind.clear();
+      }
+      auto& asked = step % 2 == 0 ? first : second;
+      const auto told = asked.Since(known);
+      RC_ASSERT(told.has_value());
+      Apply(*told, &held);
+      known = std::max(known, asked.revision());
+    }
+    Apply(*first.Since(known), &held);
+    RC_ASSERT(held == truth);
+  });
+}
+
+}  // namespace firmoor
--- a/libs/gateway/include/gateway/coordination.h
+++ b/libs/gateway/include/gateway/coordination.h
@@ -6,9 +6,11 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/error.h"
 #include "base/time.h"
+#include "dissemination/reading_tree.h"
 #include "gateway/gateway.h"
 #include "limits/quota_pool.h"
 #include "limits/usage_ledger.h"
@@ -21,6 +23,7 @@
   std::string life;          ///< Unique for each start of the daemon.
   std::int64_t wall_ms = 0;  ///< Its clock, when the report was sent.
   bool leaves = false;       ///< It was told to stop, and reports till its end.
+  DaemonPlace place;         ///< Where other daemons find it.
   UsageByWindow usage;       ///< Of this life, the last windows.
   std::map<std::string, QuotaUse> quotas;    ///< By workspace.
   std::map<std::string, ServiceLoad> loads;  ///< By service.
@@ -46,6 +49,9 @@
   /// start of its VM; 0 when the lease is about to end.
   std::int64_t lease_fencing = 0;
   std::int64_t lease_clock_ms = 0;
+  /// Daemons to read the store's content from, the preferred one first; empty:
+  /// the store itself. Holds when `divides` is set.
+  std::vector<Endpoint> sources;
 
   [[nodiscard]] QByteArray Encode() const;
   /// Fails with `kBadMessage`.
@@ -103,9 +109,13 @@
     std::int64_t true_ms = 0;
     TimePoint at;
     bool leaves = false;
+    DaemonPlace place;
     std::map<std::string, ServiceLoad> loads;
   };
 
+  /// Forgets daemons that are gone, and notes who takes part in reading.
+  void Sweep(TimePoint now);
+
   [[nodiscard]] bool Divides(TimePoint now) const;
   QuotaPool& PoolOf(const std::string& workspace);
 
@@ -115,6 +125,8 @@
   std::map<std::string, QuotaPool> quotas_;  ///< By workspace.
   UsageTotals usage_;
   std::map<std::string, Heard> heard_;
+  ReadingTree tree_;
+  TimePoint swept_at_;
 };
 
 }  // namespace firmoor
--- a/libs/gateway/include/gateway/daemon_settings.h
+++ b/libs/gateway/include/gateway/daemon_settings.h
@@ -31,7 +31,9 @@
   /// A key that was taken away must not work any more after this time.
   Duration key_revocation{5'000};
   Duration drain_time{8'000};  ///< From the stop signal to the forced end.
-  Duration lease{3'000};       ///< Of the coordinator.
+  /// For how long an upstream that leaves still takes work.
+  Duration upstream_stay{2'500};
+  Duration lease{3'000};  ///< Of the coordinator.
   Duration usage_window{5'000};
   double retry_ratio = 0.2;  ///< Repeats for each request, over all daemons.
   double retry_burst = 50;   ///< Repeats that may be saved for bursts.
--- a/libs/gateway/include/gateway/duty_service.h
+++ b/libs/gateway/include/gateway/duty_service.h
@@ -1,13 +1,16 @@
 #ifndef FIRMOOR_GATEWAY_DUTY_SERVICE_H_
 #define FIRMOOR_GATEWAY_DUTY_SERVICE_H_
 
+#include <QByteArray>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "gateway/cloud_api.h"
 #include "gateway/coordination.h"
 #include "gateway/gateway.h"
+#include "peer/peer_node.h"
 #include "platform/object_store.h"
 
 namespace firmoor {
@@ -22,6 +25,7 @@
   struct Settings {
     std::string daemon;
     std::string life;
+    std::string availability_zone;
     Endpoint peers;  ///< Where this daemon listens for the others.
     Duration lease{3'000};
     Duration quota_window{8'000};
@@ -40,6 +44,11 @@
     EventLog* log = nullptr;
     /// Called when the coordinator holds another configuration.
     std::function<void()> check_configuration;
+    /// Whom this daemon reads the store's content from, the preferred one
+    /// first; empty: the store.
+    std::function<void(const std::vector<Endpoint>&)> set_sources;
+    /// Serves an ask of another daemon for the store's content.
+    std::function<void(const QByteArray&, const PeerNode::Reply&)> serve_relay;
   };
 
   DutyService(Settings settings, Environment environment);
@@ -50,6 +59,10 @@
 
   [[nodiscard]] bool IsHolder() const;
 
+  /// Asks another daemon for the store's content.
+  void CallRelay(const Endpoint& peer, const QByteArray& ask, Duration timeout,
+                 PeerNode::Done done);
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -82,7 +82,7 @@
   /// The configuration was the newest one when the store was asked.
   void ConfirmRoutes(TimePoint asked_at);
   /// Another daemon has a proof of that age that `version` is the newest one;
-  /// it was asked for at `asked_at`. False when this daemon holds another one.
+  /// it was asked for at `asked_at`. False when this daemon holds an older one.
   bool ConfirmRoutesBy(std::int64_t version, Duration age, TimePoint asked_at);
   [[nodiscard]] const RouteTable* routes() const;
   [[nodiscard]] const Freshness& freshness() const;
--- a/libs/gateway/src/coordination.cc
+++ b/libs/gateway/src/coordination.cc
@@ -15,6 +15,9 @@
 // A daemon that is silent for longer was replaced, or is cut off beyond the
 // time by which usage is due.
 constexpr Duration kCountsInTime{10'000};
+// How soon a daemon that fell silent is no longer read from; those that read
+// from it go elsewhere by themselves before.
+constexpr Duration kSweepPeriod{500};
 // A daemon that was replaced stops counting after this time.
 constexpr Duration kForgetAfter{60'000};
 
@@ -24,7 +27,8 @@
                          TimePoint before_until)
     : started_at_(started_at),
       before_(std::move(before)),
-      before_until_(before_until) {}
+      before_until_(before_until),
+      swept_at_(started_at) {}
 
 QuotaPool& Coordinator::PoolOf(const std::string& workspace) {
   const auto [found, is_new] = quotas_.try_emplace(workspace);
@@ -46,10 +50,11 @@
     const DaemonReport& report,
     const std::function<QuotaLimit(const std::string&)>& limit_of,
     std::int64_t true_ms, TimePoint now) {
-  std::erase_if(heard_, [now](const auto& entry) {
-    return now - entry.second.at > kForgetAfter;
-  });
-  heard_[report.daemon] = {true_ms, now, report.leaves, report.loads};
+  auto& heard = heard_[report.daemon];
+  const bool same =
+      heard.place == report.place && heard.leaves == report.leaves;
+  heard = {true_ms, now, report.leaves, report.place, report.loads};
+  if (!same || now - swept_at_ >= kSweepPeriod) Sweep(now);
   usage_.OnReport(report.life, report.usage);
   CoordinatorGrant grant;
   grant.true_ms = true_ms;
@@ -59,9 +64,25 @@
     grant.limits.quota_grants[workspace] = PoolOf(workspace).Grant(
         {report.daemon, report.life}, use, limit_of(workspace), now);
   }
+  grant.sources =
+      tree_.SourcesOf(report.daemon, report.place.availability_zone);
   return grant;
 }
 
+void Coordinator::Sweep(TimePoint now) {
+  swept_at_ = now;
+  std::erase_if(heard_, [now](const auto& entry) {
+    return now - entry.second.at > kForgetAfter;
+  });
+  std::map<std::string, DaemonPlace> readers;
+  for (const auto& [daemon, heard] : heard_) {
+    const bool reads = !heard.leaves && now - heard.at <= kAwayAfter &&
+                       heard.place.peers.port != 0;
+    if (reads) readers.emplace(daemon, heard.place);
+  }
+  tree_.SetDaemons(readers);
+}
+
 FleetNote Coordinator::Note(
     const std::function<QuotaLimit(const std::string&)>& limit_of,
     TimePoint now) const {
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -69,6 +69,23 @@
   return usage;
 }
 
+QCborArray EndpointArray(const std::vector<Endpoint>& endpoints) {
+  QCborArray array;
+  for (const auto& endpoint : endpoints)
+    array.append(Text(endpoint.ToString()));
+  return array;
+}
+
+std::vector<Endpoint> EndpointsOf(const QCborValue& value) {
+  std::vector<Endpoint> endpoints;
+  const auto array = value.toArray();
+  for (const auto& item : array) {
+    const auto endpoint = Endpoint::Parse(item.toString().toStdString());
+    if (endpoint.port != 0) endpoints.push_back(endpoint);
+  }
+  return endpoints;
+}
+
 /// The map of a message, or nothing when `bytes` are no map.
 Result<QCborMap> MapOf(const QByteArray& bytes) {
   const auto value = QCborValue::fromCbor(bytes);
@@ -90,6 +107,8 @@
                              {"life", Text(life)},
                              {"wall_ms", static_cast<qint64>(wall_ms)},
                              {"leaves", leaves},
+                             {"zone", Text(place.availability_zone)},
+                             {"peers", Text(place.peers.ToString())},
                              {"usage", UsageMap(usage)},
                              {"quotas", QuotaMap(quotas)},
                              {"loads", load_map}})
@@ -104,6 +123,10 @@
   report.life = map[QLatin1String("life")].toString().toStdString();
   report.wall_ms = map[QLatin1String("wall_ms")].toInteger();
   report.leaves = map[QLatin1String("leaves")].toBool();
+  report.place.availability_zone =
+      map[QLatin1String("zone")].toString().toStdString();
+  report.place.peers =
+      Endpoint::Parse(map[QLatin1String("peers")].toString().toStdString());
   report.usage = UsageOf(map[QLatin1String("usage")]);
   report.quotas = QuotasOf(map[QLatin1String("quotas")]);
   for (const auto& entry : map[QLatin1String("loads")].toMap()) {
@@ -150,6 +173,7 @@
                              {"age_ms", static_cast<qint64>(config_age_ms)},
                              {"lease", static_cast<qint64>(lease_fencing)},
                              {"lease_ms", static_cast<qint64>(lease_clock_ms)},
+                             {"sources", EndpointArray(sources)},
                              {"grants", GrantMap(limits.quota_grants)},
                              {"daemons", static_cast<qint64>(limits.daemons)}})
       .toCbor();
@@ -165,6 +189,7 @@
   grant.config_age_ms = map[QLatin1String("age_ms")].toInteger(-1);
   grant.lease_fencing = map[QLatin1String("lease")].toInteger();
   grant.lease_clock_ms = map[QLatin1String("lease_ms")].toInteger();
+  grant.sources = EndpointsOf(map[QLatin1String("sources")]);
   grant.limits.quota_grants = GrantsOf(map[QLatin1String("grants")]);
   grant.limits.daemons =
       static_cast<std::size_t>(map[QLatin1String("daemons")].toInteger(1));
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -20,6 +20,7 @@
 constexpr const char* kLeaseObject = "coordinator";
 constexpr const char* kUsageObject = "usage";
 constexpr const char* kReportKind = "report";
+constexpr const char* kRelayKind = "relay";
 constexpr Duration kReportPeriod{1'000};
 constexpr Duration kReportTimeout{700};
 // Shortest time between reports when an allowance runs short.
@@ -111,6 +112,7 @@
   report.life = settings.life;
   report.wall_ms = WallClockMs();
   report.leaves = environment.gateway->IsDraining();
+  report.place = {settings.availability_zone, settings.peers};
   auto& ledger = environment.gateway->ledger();
   const auto window =
       ledger.WindowOf(environment.true_time->At(MonotonicNow()));
@@ -184,7 +186,9 @@
 
 void DutyService::Impl::TakeGrant(const CoordinatorGrant& grant) {
   environment.true_time->Correct(grant.true_ms, MonotonicNow());
-  if (grant.divides) environment.gateway->SetSharedLimits(grant.limits);
+  if (!grant.divides) return;
+  environment.gateway->SetSharedLimits(grant.limits);
+  if (environment.set_sources) environment.set_sources(grant.sources);
 }
 
 void DutyService::Impl::OnMiss() {
@@ -431,6 +435,9 @@
           .Listen(state->settings.peers)
           .Handler([state](const std::string& kind, const QByteArray& message,
                            const PeerNode::Reply& reply) {
+            if (kind == kRelayKind && state->environment.serve_relay) {
+              return state->environment.serve_relay(message, reply);
+            }
             reply(kind == kReportKind ? state->OnReport(message)
                                       : QByteArray());
           })
@@ -476,6 +483,11 @@
   impl_->peers->Stop();
 }
 
+void DutyService::CallRelay(const Endpoint& peer, const QByteArray& ask,
+                            Duration timeout, PeerNode::Done done) {
+  impl_->peers->Call(peer, kRelayKind, ask, timeout, std::move(done));
+}
+
 bool DutyService::IsHolder() const { return impl_->coordinator.has_value(); }
 
 }  // namespace firmoor
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -168,7 +168,8 @@
 bool Gateway::ConfirmRoutesBy(std::int64_t version, Duration age,
                               TimePoint asked_at) {
   const auto& context = impl_->context;
-  if (!context.table || context.table->version() != version) return false;
+  // A newer one than the newest at that time was proved as well.
+  if (!context.table || context.table->version() < version) return false;
   // The proof was that old later than this daemon asked, so it is no older.
   ConfirmRoutes(asked_at - age);
   return true;
@@ -189,8 +190,12 @@
 }
 
 void Gateway::ApplyUpstream(const UpstreamEntry& entry) {
-  impl_->LogUpstream(entry, entry.leaving ? "leaving" : "changed");
+  // What comes through other daemons may be told twice.
+  const auto* held = impl_->context.catalog.Find(entry.id);
+  const bool is_news = held == nullptr || *held != entry;
   impl_->context.catalog.Apply(entry);
+  if (!is_news) return;
+  impl_->LogUpstream(entry, entry.leaving ? "leaving" : "changed");
   impl_->context.SyncPicker(MonotonicNow());
   if (entry.leaving) impl_->AskHowLongItStays(entry);
 }
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -10,6 +10,7 @@
 #include "base/random_id.h"
 #include "base/supervisor.h"
 #include "base/text.h"
+#include "dissemination/kind_relay.h"
 #include "gateway/duty_service.h"
 #include "gateway/gateway.h"
 #include "http/http_server.h"
@@ -32,6 +33,16 @@
 constexpr Duration kProofPeriod{500};
 constexpr double kOldProofPart = 0.55;
 constexpr Duration kProofTick{300};
+// Proofs that the store does not give are asked for again after pauses up to
+// this one, so that a store that is away is not flooded.
+constexpr Duration kLongestProofPause{1'200};
+// Part of the time for which an upstream that leaves takes work, after which a
+// daemon that has not heard of the store is not read from any more. The rest is
+// for the way to another source.
+constexpr int kStalePartOfStay = 2;
+// Version that this daemon reads from others may come a moment after the
+// coordinator has told of it.
+constexpr Duration kVersionOnItsWay{400};
 // A watch of the store may miss changes for a second before it is cut, and a
 // request needs some time to its upstream.
 constexpr Duration kFreshnessReserve{1'300};
@@ -79,6 +90,7 @@
   ServiceMetrics metrics;
   TrueTime true_time;
   Gateway gateway;
+  std::unique_ptr<KindRelay> relay;
   KindFollower configuration;
   KindFollower upstreams;
   DutyService duties;
@@ -88,6 +100,9 @@
   std::unique_ptr<Supervisor> root;
   QTimer drain_timer;
   QTimer proof_timer;
+  QTimer version_timer;
+  TimePoint proof_asked_at;
+  Duration proof_pause{0};
   bool configuration_good = false;
   bool upstreams_listed = false;
   bool was_ready = false;
@@ -98,6 +113,8 @@
   Impl(GatewayDaemonSettings daemon_settings, PlatformPorts platform_ports,
        EventLog* event_log, std::function<void()> stopped);
 
+  std::unique_ptr<KindRelay> BuildRelay();
+  DutyService::Environment DutyEnvironment();
   KindFollower::Hooks ConfigurationHooks();
   KindFollower::Hooks UpstreamHooks();
   void LogDependency(const char* name, bool regained) const;
@@ -124,23 +141,59 @@
       true_time(WallClockMs(), MonotonicNow()),
       gateway(GatewaySettingsOf(settings),
               {ports.dialect, log, &metrics, &true_time}),
-      configuration(ports.kinds, ports.configuration_kind, kConfigurationWait,
+      relay(BuildRelay()),
+      configuration(relay.get(), ports.configuration_kind, kConfigurationWait,
                     Duration(0), ConfigurationHooks()),
-      upstreams(ports.kinds, ports.upstream_kind, kUpstreamWait, kUpstreamRest,
+      upstreams(relay.get(), ports.upstream_kind, kUpstreamWait, kUpstreamRest,
                 UpstreamHooks()),
-      duties({settings.daemon, life, settings.peers, settings.lease,
-              settings.quota_window, settings.usage_window.count(),
-              settings.reports_usage, settings.orders_upstreams},
-             {&gateway, ports.objects, ports.cloud, &true_time, log,
-              [this] { configuration.CheckNow(); }}) {
+      duties(
+          {settings.daemon, life, settings.availability_zone, settings.peers,
+           settings.lease, settings.quota_window, settings.usage_window.count(),
+           settings.reports_usage, settings.orders_upstreams},
+          DutyEnvironment()) {
   BuildServers();
   BuildTree();
   QObject::connect(&proof_timer, &QTimer::timeout, &proof_timer,
                    [this] { RenewProof(); });
+  version_timer.setSingleShot(true);
+  QObject::connect(&version_timer, &QTimer::timeout, &version_timer,
+                   [this] { configuration.CheckNow(); });
   QObject::connect(&drain_timer, &QTimer::timeout, &drain_timer,
                    [this] { StepDrain(); });
 }
 
+std::unique_ptr<KindRelay> GatewayDaemon::Impl::BuildRelay() {
+  return KindRelay::Builder(ports.kinds)
+      .Kind({ports.configuration_kind, std::nullopt})
+      .Kind({ports.upstream_kind, settings.upstream_stay / kStalePartOfStay})
+      .Peers([this](const Endpoint& peer, const QByteArray& ask,
+                    Duration timeout, PeerNode::Done done) {
+        duties.CallRelay(peer, ask, timeout, std::move(done));
+      })
+      .Log(log)
+      .Build();
+}
+
+DutyService::Environment GatewayDaemon::Impl::DutyEnvironment() {
+  DutyService::Environment environment;
+  environment.gateway = &gateway;
+  environment.store = ports.objects;
+  environment.cloud = ports.cloud;
+  environment.true_time = &true_time;
+  environment.log = log;
+  environment.check_configuration = [this] {
+    if (!version_timer.isActive()) version_timer.start(kVersionOnItsWay);
+  };
+  environment.set_sources = [this](const std::vector<Endpoint>& sources) {
+    relay->SetSources(sources);
+  };
+  environment.serve_relay = [this](const QByteArray& ask,
+                                   const PeerNode::Reply& reply) {
+    relay->Serve(ask, reply);
+  };
+  return environment;
+}
+
 void GatewayDaemon::Impl::LogDependency(const char* name, bool regained) const {
   log->Write(regained ? "dependency-regained" : "dependency-lost",
              {{"dependency", name}});
@@ -154,11 +207,11 @@
     if (configuration_good) gateway.ConfirmRoutes(asked_at);
   };
   hooks.on_changes = [this](const std::vector<KindChange>& changes,
-                            TimePoint asked_at) {
+                            std::optional<TimePoint> proved_at) {
     for (const auto& change : changes) {
       if (!change.removed) TakeConfiguration(change.object);
     }
-    if (configuration_good) gateway.ConfirmRoutes(asked_at);
+    if (configuration_good && proved_at) gateway.ConfirmRoutes(*proved_at);
   };
   hooks.on_outage = [this, lost = false]() mutable {
     if (!std::exchange(lost, true)) LogDependency("configuration", false);
@@ -202,7 +255,8 @@
     gateway.ApplyUpstreams(entries);
     upstreams_listed = true;
   };
-  hooks.on_changes = [this](const std::vector<KindChange>& changes, TimePoint) {
+  hooks.on_changes = [this](const std::vector<KindChange>& changes,
+                            std::optional<TimePoint>) {
     for (const auto& change : changes) {
       std::vector<UpstreamEntry> entries;
       if (!change.removed) TakeUpstream(change.object, &entries);
@@ -300,7 +354,18 @@
   const auto bound = static_cast<double>(gateway.freshness().bound().count());
   const Duration old(static_cast<std::int64_t>(bound * kOldProofPart));
   const auto due = duties.IsHolder() ? std::min(kProofPeriod, old) : old;
-  if (!age || *age >= due) configuration.CheckNow();
+  const auto now = MonotonicNow();
+  if (age && *age < due) {
+    proof_pause = kProofTick;
+    return;
+  }
+  if (now - proof_asked_at < proof_pause) return;
+  proof_asked_at = now;
+  // The coordinator's proof is passed on, so it is renewed without a pause.
+  proof_pause = duties.IsHolder() ? Duration(0)
+                                  : std::clamp(proof_pause * 2, kProofTick,
+                                               kLongestProofPause);
+  configuration.CheckNow();
 }
 
 void GatewayDaemon::Impl::NoteReadiness() {
--- a/libs/limits/include/limits/quota_pool.h
+++ b/libs/limits/include/limits/quota_pool.h
@@ -1,8 +1,12 @@
 #ifndef FIRMOOR_LIMITS_QUOTA_POOL_H_
 #define FIRMOOR_LIMITS_QUOTA_POOL_H_
 
+#include <cstddef>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "base/time.h"
 
@@ -75,15 +79,24 @@
     TimePoint at;
   };
 
-  /// Over all daemons but one, in tokens.
+  /// Over several daemons, in tokens. Kept up to date with each report, so
+  /// that a grant costs the same for any number of daemons.
   struct Sums {
     double passed = 0;
     double asked = 0;
     double taken = 0;  ///< Passed, or allowed.
     double taken_by_young = 0;
     std::size_t daemons = 0;
+
+    void Add(const Holder& holder);
+    void Remove(const Holder& holder);
   };
 
+  /// Takes the state of a daemon; none when it is gone.
+  void Set(const DaemonLife& daemon, const std::optional<Holder>& holder);
+  void DropSilent(const QuotaLimit& limit, TimePoint now);
+  /// What earlier lives of the daemon had left is lost.
+  void EndEarlierLives(const DaemonLife& daemon);
   [[nodiscard]] Sums Others(const DaemonLife& daemon) const;
   [[nodiscard]] double Taken(const Sums& others, const QuotaUse& use,
                              TimePoint now) const;
@@ -92,6 +105,8 @@
                                         const QuotaLimit& limit, double left);
 
   std::map<DaemonLife, Holder> holders_;
+  std::set<std::pair<TimePoint, DaemonLife>> by_age_;  ///< Oldest first.
+  Sums all_;
   double used_before_ = 0;
   TimePoint before_until_;
 };
--- a/libs/limits/src/quota_pool.cc
+++ b/libs/limits/src/quota_pool.cc
@@ -1,6 +1,7 @@
 #include "limits/quota_pool.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace firmoor {
 namespace {
@@ -22,17 +23,63 @@
          burst;
 }
 
-QuotaPool::Sums QuotaPool::Others(const DaemonLife& daemon) const {
-  Sums sums;
-  for (const auto& [name, holder] : holders_) {
-    if (name == daemon) continue;
-    const double taken = holder.passed + std::max(0.0, holder.allowance);
-    sums.passed += holder.passed;
-    sums.asked += holder.asked;
-    sums.taken += taken;
-    if (holder.is_young) sums.taken_by_young += taken;
-    ++sums.daemons;
+void QuotaPool::Sums::Add(const Holder& holder) {
+  const double taken_now = holder.passed + std::max(0.0, holder.allowance);
+  passed += holder.passed;
+  asked += holder.asked;
+  taken += taken_now;
+  if (holder.is_young) taken_by_young += taken_now;
+  ++daemons;
+}
+
+void QuotaPool::Sums::Remove(const Holder& holder) {
+  const double taken_now = holder.passed + std::max(0.0, holder.allowance);
+  passed -= holder.passed;
+  asked -= holder.asked;
+  taken -= taken_now;
+  if (holder.is_young) taken_by_young -= taken_now;
+  --daemons;
+  // No rounding errors are left over.
+  if (daemons == 0) *this = {};
+}
+
+void QuotaPool::Set(const DaemonLife& daemon,
+                    const std::optional<Holder>& holder) {
+  const auto found = holders_.find(daemon);
+  if (found != holders_.end()) {
+    all_.Remove(found->second);
+    by_age_.erase({found->second.at, daemon});
+    holders_.erase(found);
+  }
+  if (!holder) return;
+  all_.Add(*holder);
+  by_age_.emplace(holder->at, daemon);
+  holders_.emplace(daemon, *holder);
+}
+
+void QuotaPool::DropSilent(const QuotaLimit& limit, TimePoint now) {
+  while (!by_age_.empty() && now - by_age_.begin()->first >= limit.window) {
+    Set(DaemonLife(by_age_.begin()->second), std::nullopt);
   }
+}
+
+void QuotaPool::EndEarlierLives(const DaemonLife& daemon) {
+  std::vector<std::pair<DaemonLife, Holder>> earlier;
+  for (auto holder = holders_.lower_bound({daemon.daemon, ""});
+       holder != holders_.end() && holder->first.daemon == daemon.daemon;
+       ++holder) {
+    if (holder->first != daemon) earlier.emplace_back(*holder);
+  }
+  for (auto& [life, holder] : earlier) {
+    holder.allowance = 0;
+    Set(life, holder);
+  }
+}
+
+QuotaPool::Sums QuotaPool::Others(const DaemonLife& daemon) const {
+  auto sums = all_;
+  const auto own = holders_.find(daemon);
+  if (own != holders_.end()) sums.Remove(own->second);
   return sums;
 }
 
@@ -60,17 +107,12 @@
 
 QuotaGrant QuotaPool::Grant(const DaemonLife& daemon, const QuotaUse& use,
                             const QuotaLimit& limit, TimePoint now) {
-  std::erase_if(holders_, [&](const auto& entry) {
-    return now - entry.second.at >= limit.window;
-  });
-  for (auto& [name, holder] : holders_) {
-    const bool ended = name.daemon == daemon.daemon && name != daemon;
-    if (ended) holder.allowance = 0;
-  }
+  DropSilent(limit, now);
+  EndEarlierLives(daemon);
   const auto others = Others(daemon);
   const double left = limit.PerWindow() - Taken(others, use, now);
   const double allowance = Allowance(others, use, limit, left);
-  holders_[daemon] = {use.passed, use.asked, allowance, use.is_young, now};
+  Set(daemon, Holder{use.passed, use.asked, allowance, use.is_young, now});
   return {allowance, std::max(0.0, left - allowance)};
 }
 
--- a/libs/platform/include/platform/kind_follower.h
+++ b/libs/platform/include/platform/kind_follower.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,9 +21,10 @@
     /// The whole content, as of a moment after `asked_at`.
     std::function<void(const std::vector<KindObject>&, TimePoint asked_at)>
         on_list;
-    /// Some changes, and that nothing else changed before `asked_at`. Also
-    /// called without changes, as a proof that the content is the newest.
-    std::function<void(const std::vector<KindChange>&, TimePoint asked_at)>
+    /// Some changes, and that nothing else changed before `proved_at`; none
+    /// when that is not known. Also called without changes.
+    std::function<void(const std::vector<KindChange>&,
+                       std::optional<TimePoint> proved_at)>
         on_changes;
     /// A call failed; the content may be old from now on.
     std::function<void()> on_outage;
--- a/libs/platform/include/platform/kind_store.h
+++ b/libs/platform/include/platform/kind_store.h
@@ -41,6 +41,9 @@
   StoreStatus status = StoreStatus::kUnavailable;
   std::int64_t revision = 0;
   std::vector<KindChange> changes;
+  /// From the store itself, so that nothing else had changed when it was
+  /// asked; otherwise through another daemon, which may be behind.
+  bool is_direct = true;
 };
 
 /// Objects that others keep in the platform's store: read whole, then followed
--- a/libs/platform/src/kind_follower.cc
+++ b/libs/platform/src/kind_follower.cc
@@ -15,6 +15,8 @@
 // Pauses are spread by half, so that daemons that lost the store together do
 // not return together.
 constexpr double kJitter = 0.5;
+// Wait for changes after a failure: an answer at once tells how things stand.
+constexpr Duration kSoon{1};
 
 }  // namespace
 
@@ -63,8 +65,7 @@
 
 void KindFollower::Impl::Wait() {
   const auto asked_at = MonotonicNow();
-  // After a failure an answer at once tells how things stand.
-  const auto wait_now = failed ? Duration(0) : wait;
+  const auto wait_now = failed ? kSoon : wait;
   store->WaitForChanges(
       kind, revision, wait_now,
       [weak = weak_from_this(), asked_at](const KindChanges& changes) {
@@ -92,7 +93,8 @@
   if (changes.status != StoreStatus::kOk) return OnFailed();
   revision = std::max(revision, changes.revision);
   OnGood();
-  hooks.on_changes(changes.changes, asked_at);
+  hooks.on_changes(changes.changes,
+                   changes.is_direct ? std::optional(asked_at) : std::nullopt);
   if (changes.changes.empty() || rest == Duration(0)) return Next();
   timer.start(rest);
 }
@@ -120,7 +122,8 @@
     return;
   }
   OnGood();
-  hooks.on_changes(changes.changes, asked_at);
+  hooks.on_changes(changes.changes,
+                   changes.is_direct ? std::optional(asked_at) : std::nullopt);
 }
 
 void KindFollower::Impl::OnGood() {
