Count what daemons may have used unseen against their quotas

Daemons were killed and others cut off in the first second under a hot tenant. What a daemon let pass between its last report and its end was forgotten with its life, and the next coordinator knew only what had passed, not what the daemons that it does not hear could still let pass of their grants.

An ended life's allowance now counts as passed for the window. The note in the lease also tells what was granted and not used, and the next coordinator counts the part of it that belongs to daemons it has not heard of.

Ruled out: the allowance of a daemon without a coordinator, which stays within its last grant (limits_test, "a hot workspace while the coordinator is lost").

--- a/libs/gateway/include/gateway/coordination.h
+++ b/libs/gateway/include/gateway/coordination.h
@@ -65,6 +65,8 @@
 struct FleetNote {
   std::size_t daemons = 0;             ///< Heard of.
   std::map<std::string, double> used;  ///< Tokens of the window, by workspace.
+  /// Tokens that daemons may still let pass, by workspace.
+  std::map<std::string, double> held;
 
   [[nodiscard]] QByteArray Encode() const;
   /// Fails with `kBadMessage`.
--- a/libs/gateway/src/coordination.cc
+++ b/libs/gateway/src/coordination.cc
@@ -32,10 +32,14 @@
 
 QuotaPool& Coordinator::PoolOf(const std::string& workspace) {
   const auto [found, is_new] = quotas_.try_emplace(workspace);
-  const auto used = before_.used.find(workspace);
-  if (is_new && used != before_.used.end()) {
-    found->second.SetUsedBefore(used->second, before_until_);
-  }
+  if (!is_new) return found->second;
+  const auto tokens_of = [&](const std::map<std::string, double>& tokens) {
+    const auto entry = tokens.find(workspace);
+    return entry == tokens.end() ? 0 : entry->second;
+  };
+  found->second.SetBefore(
+      {tokens_of(before_.used), tokens_of(before_.held), before_.daemons},
+      before_until_);
   return found->second;
 }
 
@@ -89,9 +93,13 @@
   FleetNote note;
   note.daemons = heard_.size();
   if (!Divides(now)) note.daemons = std::max(note.daemons, before_.daemons);
-  if (now < before_until_) note.used = before_.used;
+  if (now < before_until_) {
+    note.used = before_.used;
+    note.held = before_.held;
+  }
   for (const auto& [workspace, pool] : quotas_) {
     note.used[workspace] = pool.Used(limit_of(workspace), now);
+    note.held[workspace] = pool.Held(limit_of(workspace), now);
   }
   return note;
 }
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -26,6 +26,20 @@
   return grants;
 }
 
+QCborMap TokensMap(const std::map<std::string, double>& tokens) {
+  QCborMap map;
+  for (const auto& [workspace, amount] : tokens) map[Text(workspace)] = amount;
+  return map;
+}
+
+std::map<std::string, double> TokensOf(const QCborValue& value) {
+  std::map<std::string, double> tokens;
+  for (const auto& entry : value.toMap()) {
+    tokens[entry.first.toString().toStdString()] = entry.second.toDouble();
+  }
+  return tokens;
+}
+
 QCborMap QuotaMap(const std::map<std::string, QuotaUse>& quotas) {
   QCborMap map;
   for (const auto& [workspace, use] : quotas) {
@@ -142,12 +156,9 @@
 }
 
 QByteArray FleetNote::Encode() const {
-  QCborMap used_map;
-  for (const auto& [workspace, tokens] : used) {
-    used_map[Text(workspace)] = tokens;
-  }
   return QCborValue(QCborMap{{"daemons", static_cast<qint64>(daemons)},
-                             {"used", used_map}})
+                             {"used", TokensMap(used)},
+                             {"held", TokensMap(held)}})
       .toCbor();
 }
 
@@ -160,9 +171,8 @@
   }
   FleetNote note;
   note.daemons = static_cast<std::size_t>(daemons);
-  for (const auto& entry : map[QLatin1String("used")].toMap()) {
-    note.used[entry.first.toString().toStdString()] = entry.second.toDouble();
-  }
+  note.used = TokensOf(map[QLatin1String("used")]);
+  note.held = TokensOf(map[QLatin1String("held")]);
   return note;
 }
 
--- a/libs/gateway/tests/coordination_test.cc
+++ b/libs/gateway/tests/coordination_test.cc
@@ -65,18 +65,18 @@
     CHECK(coordinator.OnReport(Report("a", 1), LimitOf, 8'000, later).divides);
   }
   SUBCASE("that knows how many there were divides when it has heard them") {
-    Coordinator second(kStart, {3, {}}, kStart);
+    Coordinator second(kStart, {3, {}, {}}, kStart);
     CHECK_FALSE(
         second.OnReport(Report("a", 1), LimitOf, 5'000, kStart).divides);
     CHECK(second.OnReport(Report("b", 1), LimitOf, 5'000, kStart).divides);
-    const FleetNote note{2, {{"w", 799}}};
+    const FleetNote note{2, {{"w", 799}}, {{"w", 12}}};
     CHECK(second.Note(LimitOf, kStart).daemons == 2);
     CHECK(second.Note(LimitOf, kStart).used.at("w") == 2);
     CHECK(std::get<FleetNote>(Capture(
               [&] { return FleetNote::Decode(note.Encode()); })) == note);
   }
   SUBCASE("counts what had passed at daemons that are gone") {
-    Coordinator second(kStart, {0, {{"w", 800}}}, later + Duration(1));
+    Coordinator second(kStart, {0, {{"w", 800}}, {}}, later + Duration(1));
     const auto grant = [&](Duration after) {
       return second.OnReport(Report("a", 100), LimitOf, 8'000, later + after)
           .limits.quota_grants.at("w")
@@ -154,7 +154,7 @@
     }
   }
   SUBCASE("that took over waits for the reports of those that there were") {
-    Coordinator second(kStart, {3, {}}, kStart);
+    Coordinator second(kStart, {3, {}, {}}, kStart);
     second.OnReport(Report("a", 1), LimitOf, 5'000, kStart);
     second.OnReport(Report("b", 1), LimitOf, 5'000, kStart);
     CHECK_FALSE(second.AllReportedSince(5'000, kStart));
@@ -162,7 +162,7 @@
     CHECK(second.AllReportedSince(5'000, kStart));
   }
   SUBCASE("leaves what it was left until it has heard the daemons") {
-    Coordinator second(kStart, {7, {{"w", 300}}}, later);
+    Coordinator second(kStart, {7, {{"w", 300}}, {}}, later);
     second.OnReport(Report("a", 1), LimitOf, 5'000, kStart);
     const auto note = second.Note(LimitOf, kStart);
     CHECK(note.daemons == 7);
--- a/libs/limits/include/limits/quota_pool.h
+++ b/libs/limits/include/limits/quota_pool.h
@@ -55,6 +55,15 @@
   bool operator==(const QuotaGrant&) const = default;
 };
 
+/// What a coordinator leaves to the next one of a quota.
+struct QuotaBefore {
+  double passed = 0;        ///< Tokens that all daemons let pass in the window.
+  double held = 0;          ///< Tokens that they could still let pass.
+  std::size_t daemons = 0;  ///< Daemons that it knew of.
+
+  bool operator==(const QuotaBefore&) const = default;
+};
+
 /// The coordinator's side of one workspace's quota: hands out what the window
 /// has left, after what all daemons passed and what they may still pass of
 /// their allowances. Everything follows from the daemons' reports, so another
@@ -62,13 +71,16 @@
 class QuotaPool {
  public:
   /// What a daemon may let pass after its report. What its earlier lives let
-  /// pass still counts; what they had left does not.
+  /// pass still counts, and what they had left, since they may have used it
+  /// before they ended.
   QuotaGrant Grant(const DaemonLife& daemon, const QuotaUse& use,
                    const QuotaLimit& limit, TimePoint now);
   /// Tokens that all daemons have let pass in the window.
   [[nodiscard]] double Used(const QuotaLimit& limit, TimePoint now) const;
-  /// Tells a new pool what was used before it, which counts until `until`.
-  void SetUsedBefore(double tokens, TimePoint until);
+  /// Tokens that they may still let pass of what they were granted.
+  [[nodiscard]] double Held(const QuotaLimit& limit, TimePoint now) const;
+  /// Tells a new pool what was before it, which counts until `until`.
+  void SetBefore(const QuotaBefore& before, TimePoint until);
 
  private:
   struct Holder {
@@ -86,7 +98,7 @@
     double asked = 0;
     double taken = 0;  ///< Passed, or allowed.
     double taken_by_young = 0;
-    std::size_t daemons = 0;
+    std::size_t lives = 0;
 
     void Add(const Holder& holder);
     void Remove(const Holder& holder);
@@ -94,12 +106,17 @@
 
   /// Takes the state of a daemon; none when it is gone.
   void Set(const DaemonLife& daemon, const std::optional<Holder>& holder);
+  /// Whether a life of the daemon is known.
+  [[nodiscard]] bool Knows(const std::string& daemon) const;
+  /// Part of the daemons before that were not heard of; the one that reports
+  /// is.
+  [[nodiscard]] double MissingPart(const std::string& reporting) const;
   void DropSilent(const QuotaLimit& limit, TimePoint now);
   /// What earlier lives of the daemon had left is lost.
   void EndEarlierLives(const DaemonLife& daemon);
   [[nodiscard]] Sums Others(const DaemonLife& daemon) const;
-  [[nodiscard]] double Taken(const Sums& others, const QuotaUse& use,
-                             TimePoint now) const;
+  [[nodiscard]] double Taken(const DaemonLife& daemon, const Sums& others,
+                             const QuotaUse& use, TimePoint now) const;
   /// What one daemon gets of the tokens that are `left`.
   [[nodiscard]] static double Allowance(const Sums& others, const QuotaUse& use,
                                         const QuotaLimit& limit, double left);
@@ -107,7 +124,8 @@
   std::map<DaemonLife, Holder> holders_;
   std::set<std::pair<TimePoint, DaemonLife>> by_age_;  ///< Oldest first.
   Sums all_;
-  double used_before_ = 0;
+  std::size_t daemons_ = 0;  ///< With a life in `holders_`.
+  QuotaBefore before_;
   TimePoint before_until_;
 };
 
--- a/libs/limits/src/quota_pool.cc
+++ b/libs/limits/src/quota_pool.cc
@@ -29,7 +29,7 @@
   asked += holder.asked;
   taken += taken_now;
   if (holder.is_young) taken_by_young += taken_now;
-  ++daemons;
+  ++lives;
 }
 
 void QuotaPool::Sums::Remove(const Holder& holder) {
@@ -38,9 +38,9 @@
   asked -= holder.asked;
   taken -= taken_now;
   if (holder.is_young) taken_by_young -= taken_now;
-  --daemons;
+  --lives;
   // No rounding errors are left over.
-  if (daemons == 0) *this = {};
+  if (lives == 0) *this = {};
 }
 
 void QuotaPool::Set(const DaemonLife& daemon,
@@ -50,13 +50,27 @@
     all_.Remove(found->second);
     by_age_.erase({found->second.at, daemon});
     holders_.erase(found);
+    if (!Knows(daemon.daemon)) --daemons_;
   }
   if (!holder) return;
+  if (!Knows(daemon.daemon)) ++daemons_;
   all_.Add(*holder);
   by_age_.emplace(holder->at, daemon);
   holders_.emplace(daemon, *holder);
 }
 
+bool QuotaPool::Knows(const std::string& daemon) const {
+  const auto life = holders_.lower_bound({daemon, ""});
+  return life != holders_.end() && life->first.daemon == daemon;
+}
+
+double QuotaPool::MissingPart(const std::string& reporting) const {
+  const auto heard = daemons_ + (Knows(reporting) ? 0 : 1);
+  if (heard >= before_.daemons) return 0;
+  return static_cast<double>(before_.daemons - heard) /
+         static_cast<double>(before_.daemons);
+}
+
 void QuotaPool::DropSilent(const QuotaLimit& limit, TimePoint now) {
   while (!by_age_.empty() && now - by_age_.begin()->first >= limit.window) {
     Set(DaemonLife(by_age_.begin()->second), std::nullopt);
@@ -71,7 +85,7 @@
     if (holder->first != daemon) earlier.emplace_back(*holder);
   }
   for (auto& [life, holder] : earlier) {
-    holder.allowance = 0;
+    holder.passed += std::max(0.0, std::exchange(holder.allowance, 0));
     Set(life, holder);
   }
 }
@@ -83,19 +97,23 @@
   return sums;
 }
 
-double QuotaPool::Taken(const Sums& others, const QuotaUse& use,
-                        TimePoint now) const {
+double QuotaPool::Taken(const DaemonLife& daemon, const Sums& others,
+                        const QuotaUse& use, TimePoint now) const {
   const double all = others.taken + use.passed;
+  if (now >= before_until_) return all;
   const double young = others.taken_by_young + (use.is_young ? use.passed : 0);
+  // Daemons that are not heard of may use all that they had.
+  const double unseen =
+      (before_.passed + before_.held) * MissingPart(daemon.daemon);
   // What passed before may be that of daemons that are gone.
-  return now < before_until_ ? std::max(all, used_before_ + young) : all;
+  return std::max(all + unseen, before_.passed + young);
 }
 
 double QuotaPool::Allowance(const Sums& others, const QuotaUse& use,
                             const QuotaLimit& limit, double left) {
   // What was overdrawn is paid back by all, or it could be overdrawn again
   // after each grant.
-  if (left < 0) return left / static_cast<double>(others.daemons + 1);
+  if (left < 0) return left / static_cast<double>(others.lives + 1);
   const double asked = others.asked + use.asked;
   const double share = asked > 0 ? use.asked / asked : 0;
   const double free = limit.PerWindow() - others.passed - use.passed;
@@ -110,7 +128,7 @@
   DropSilent(limit, now);
   EndEarlierLives(daemon);
   const auto others = Others(daemon);
-  const double left = limit.PerWindow() - Taken(others, use, now);
+  const double left = limit.PerWindow() - Taken(daemon, others, use, now);
   const double allowance = Allowance(others, use, limit, left);
   Set(daemon, Holder{use.passed, use.asked, allowance, use.is_young, now});
   return {allowance, std::max(0.0, left - allowance)};
@@ -121,11 +139,19 @@
   for (const auto& [life, holder] : holders_) {
     if (now - holder.at < limit.window) used += holder.passed;
   }
-  return now < before_until_ ? std::max(used, used_before_) : used;
+  return now < before_until_ ? std::max(used, before_.passed) : used;
+}
+
+double QuotaPool::Held(const QuotaLimit& limit, TimePoint now) const {
+  double held = 0;
+  for (const auto& [life, holder] : holders_) {
+    if (now - holder.at < limit.window) held += std::max(0.0, holder.allowance);
+  }
+  return now < before_until_ ? std::max(held, before_.held) : held;
 }
 
-void QuotaPool::SetUsedBefore(double tokens, TimePoint until) {
-  used_before_ = tokens;
+void QuotaPool::SetBefore(const QuotaBefore& before, TimePoint until) {
+  before_ = before;
   before_until_ = until;
 }
 
--- a/libs/limits/tests/quota_test.cc
+++ b/libs/limits/tests/quota_test.cc
@@ -228,7 +228,7 @@
   fleet.now += Duration(500);
   fleet.Restart(8, 0, fleet.now);
   for (auto& daemon : fleet.daemons) daemon.SetUsedBefore(used, fleet.now);
-  fleet.pool.SetUsedBefore(used, used_at + kLimit.window);
+  fleet.pool.SetBefore({used, 0, 8}, used_at + kLimit.window);
   // Four seconds until there is a coordinator.
   fleet.Press(160, Duration(25), false);
   fleet.Press(400, Duration(25), true);
@@ -237,6 +237,42 @@
   }
 }
 
+TEST_CASE("daemons are killed right after they used what they had (kill)") {
+  Fleet fleet(8);
+  fleet.Press(16, Duration(50), true);
+  fleet.ReportAll();
+  for (std::size_t index = 0; index < 4; ++index) {
+    while (fleet.AskAlone(index, 10)) fleet.now += Duration(1);
+    fleet.Replace(index);
+  }
+  fleet.Press(400, Duration(25), true);
+  CHECK(fleet.most <= kLimit.PerWindow());
+}
+
+TEST_CASE("a coordinator takes over while daemons are cut off (hot tenant)") {
+  Fleet fleet(8);
+  fleet.Press(16, Duration(50), true);
+  fleet.ReportAll();
+  const QuotaBefore before{fleet.pool.Used(kLimit, fleet.now),
+                           fleet.pool.Held(kLimit, fleet.now), 8};
+  const auto known_at = fleet.now;
+  // Three daemons use all that they may, unseen.
+  for (std::size_t index = 0; index < 3; ++index) {
+    while (fleet.AskAlone(index, 10)) fleet.now += Duration(1);
+  }
+  fleet.pool = {};
+  fleet.pool.SetBefore(before, known_at + kLimit.window);
+  for (int step = 0; step < 200; ++step) {
+    const auto index = static_cast<std::size_t>(3 + step % 5);
+    fleet.Ask(index, 20);
+    fleet.now += Duration(25);
+  }
+  CHECK(fleet.most <= kLimit.PerWindow());
+  SUBCASE("and lets most of the quota pass all the same") {
+    CHECK(fleet.most >= 0.6 * kLimit.PerWindow());
+  }
+}
+
 TEST_CASE("daemons restart in turn under an even load (rolling restart)") {
   Fleet fleet(8);
   int refused = 0;
