Form the reading tree by region, with ranks that mix the zones

By name, readers of a region would stand in one zone and be lost with it.

Tests: dissemination_test, gateway_test, gateway_process_test passed.

--- a/libs/dissemination/include/dissemination/reading_tree.h
+++ b/libs/dissemination/include/dissemination/reading_tree.h
@@ -12,44 +12,45 @@
 
 /// Where a daemon is reached by others.
 struct DaemonPlace {
-  std::string availability_zone;
+  std::string region;
   Endpoint peers;
 
   bool operator==(const DaemonPlace&) const = default;
 };
 
-/// Who reads the platform's store, and who reads from whom: in each
-/// availability zone two daemons read the store, and the others form a shallow
-/// tree below them, so that no daemon answers more than a fixed number of
-/// others. The same daemons give the same tree, whoever computes it. Pure.
+/// Who reads the platform's store, and who reads from whom: in each region two
+/// daemons read the store, and the others form a shallow tree below them, so
+/// that no daemon answers more than a fixed number of others. Ranks follow a
+/// hash of the names, which mixes the availability zones. The same daemons give
+/// the same tree, whoever computes it. Pure.
 class ReadingTree {
  public:
-  /// Daemons of a zone that read the store: one more than needed, so that the
+  /// Daemons of a region that read the store: one more than needed, so that the
   /// loss of one leaves no gap.
   static constexpr std::size_t kReaders = 2;
-  /// Daemons that read from one: keeps what it answers to some ten calls a
-  /// second, and the depth at two for a zone of 146.
-  static constexpr std::size_t kFanOut = 8;
-  /// A zone of so many saves too few calls to be worth the hop.
-  static constexpr std::size_t kSmallZone = 4;
+  /// Daemons that read from one: keeps what it answers to some twenty calls a
+  /// second, and the depth at two for a region of 222.
+  static constexpr std::size_t kFanOut = 10;
+  /// A region of so many saves too few calls to be worth the hop.
+  static constexpr std::size_t kSmallRegion = 6;
 
   /// Takes the daemons that take part, by name.
   void SetDaemons(const std::map<std::string, DaemonPlace>& daemons);
 
   /// Whom `daemon` reads from, the preferred one first; empty: the store. A
   /// daemon that does not take part, since it stops, reads from the readers of
-  /// its zone.
+  /// its region.
   [[nodiscard]] std::vector<Endpoint> SourcesOf(
-      const std::string& daemon, const std::string& availability_zone) const;
+      const std::string& daemon, const std::string& region) const;
 
  private:
-  struct Zone {
+  struct Region {
     std::vector<Endpoint> in_order;
     std::map<std::string, std::size_t> ranks;  ///< By daemon.
   };
 
   std::map<std::string, DaemonPlace> daemons_;
-  std::map<std::string, Zone> zones_;
+  std::map<std::string, Region> regions_;
 };
 
 }  // namespace firmoor
--- a/libs/dissemination/src/reading_tree.cc
+++ b/libs/dissemination/src/reading_tree.cc
@@ -1,28 +1,38 @@
 #include "dissemination/reading_tree.h"
 
+#include <set>
+#include <utility>
+
+#include "base/hash.h"
+
 namespace firmoor {
 
 void ReadingTree::SetDaemons(
     const std::map<std::string, DaemonPlace>& daemons) {
   if (daemons == daemons_) return;
   daemons_ = daemons;
-  zones_.clear();
+  regions_.clear();
+  std::set<std::pair<std::uint64_t, std::string>> by_hash;
   for (const auto& [name, place] : daemons_) {
-    auto& zone = zones_[place.availability_zone];
-    zone.ranks[name] = zone.in_order.size();
-    zone.in_order.push_back(place.peers);
+    by_hash.emplace(Hash64(name), name);
+  }
+  for (const auto& [hash, name] : by_hash) {
+    const auto& place = daemons_.at(name);
+    auto& region = regions_[place.region];
+    region.ranks[name] = region.in_order.size();
+    region.in_order.push_back(place.peers);
   }
 }
 
-std::vector<Endpoint> ReadingTree::SourcesOf(
-    const std::string& daemon, const std::string& availability_zone) const {
-  const auto found = zones_.find(availability_zone);
-  if (found == zones_.end()) return {};
-  const auto& zone = found->second;
-  if (zone.in_order.size() <= kSmallZone) return {};
-  const auto own = zone.ranks.find(daemon);
-  if (own == zone.ranks.end()) {
-    return {zone.in_order.begin(), zone.in_order.begin() + kReaders};
+std::vector<Endpoint> ReadingTree::SourcesOf(const std::string& daemon,
+                                             const std::string& region) const {
+  const auto found = regions_.find(region);
+  if (found == regions_.end()) return {};
+  const auto& readers = found->second;
+  if (readers.in_order.size() <= kSmallRegion) return {};
+  const auto own = readers.ranks.find(daemon);
+  if (own == readers.ranks.end()) {
+    return {readers.in_order.begin(), readers.in_order.begin() + kReaders};
   }
   const auto rank = own->second;
   if (rank < kReaders) return {};
@@ -30,7 +40,7 @@
   // Half of the daemons below a lost one go to each reader.
   auto other = rank % kReaders;
   if (other == parent) other = (other + 1) % kReaders;
-  return {zone.in_order[parent], zone.in_order[other]};
+  return {readers.in_order[parent], readers.in_order[other]};
 }
 
 }  // namespace firmoor
--- a/libs/dissemination/tests/reading_tree_test.cc
+++ b/libs/dissemination/tests/reading_tree_test.cc
@@ -35,8 +35,8 @@
 
 }  // namespace
 
-TEST_CASE("in a large zone") {
-  for (const int count : {10, 30, 65, 146}) {
+TEST_CASE("in a large region") {
+  for (const int count : {10, 30, 65, 222}) {
     CAPTURE(count);
     const Fleet fleet(count);
     int readers = 0;
@@ -59,15 +59,15 @@
   }
 }
 
-TEST_CASE("in a small zone all daemons read the store") {
-  const Fleet fleet(ReadingTree::kSmallZone);
-  for (int i = 0; i < 4; ++i) CHECK(fleet.Sources(i).empty());
+TEST_CASE("in a small region all daemons read the store") {
+  const Fleet fleet(ReadingTree::kSmallRegion);
+  for (int i = 0; i < 6; ++i) CHECK(fleet.Sources(i).empty());
 }
 
 TEST_CASE("when a daemon is gone") {
   Fleet fleet(30);
   SUBCASE("its place is taken, whichever it was") {
-    for (const int gone : {0, 1, 5, 29}) {
+    for (const int gone : {0, 1, 5, 14, 29}) {
       Fleet rest(30);
       rest.daemons.erase(fmt::format("d{:04}", gone));
       rest.tree.SetDaemons(rest.daemons);
@@ -86,11 +86,13 @@
     fleet.tree.SetDaemons(fleet.daemons);
     const auto sources = fleet.Sources(0);
     REQUIRE(sources.size() == 2);
-    CHECK(sources[0].port == 1'001);
+    for (const auto& source : sources) {
+      CHECK(fleet.Sources(source.port - 1'000).empty());
+    }
   }
 }
 
-TEST_CASE("a zone that nobody is known of is read from the store") {
+TEST_CASE("a region that nobody is known of is read from the store") {
   const Fleet fleet(30);
   CHECK(fleet.tree.SourcesOf("other", "west").empty());
 }
--- a/libs/gateway/include/gateway/duty_service.h
+++ b/libs/gateway/include/gateway/duty_service.h
@@ -25,7 +25,7 @@
   struct Settings {
     std::string daemon;
     std::string life;
-    std::string availability_zone;
+    std::string region;
     Endpoint peers;  ///< Where this daemon listens for the others.
     Duration lease{3'000};
     Duration quota_window{8'000};
--- a/libs/gateway/src/coordination.cc
+++ b/libs/gateway/src/coordination.cc
@@ -68,8 +68,7 @@
     grant.limits.quota_grants[workspace] = PoolOf(workspace).Grant(
         {report.daemon, report.life}, use, limit_of(workspace), now);
   }
-  grant.sources =
-      tree_.SourcesOf(report.daemon, report.place.availability_zone);
+  grant.sources = tree_.SourcesOf(report.daemon, report.place.region);
   return grant;
 }
 
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -121,7 +121,7 @@
                              {"life", Text(life)},
                              {"wall_ms", static_cast<qint64>(wall_ms)},
                              {"leaves", leaves},
-                             {"zone", Text(place.availability_zone)},
+                             {"region", Text(place.region)},
                              {"peers", Text(place.peers.ToString())},
                              {"usage", UsageMap(usage)},
                              {"quotas", QuotaMap(quotas)},
@@ -137,8 +137,7 @@
   report.life = map[QLatin1String("life")].toString().toStdString();
   report.wall_ms = map[QLatin1String("wall_ms")].toInteger();
   report.leaves = map[QLatin1String("leaves")].toBool();
-  report.place.availability_zone =
-      map[QLatin1String("zone")].toString().toStdString();
+  report.place.region = map[QLatin1String("region")].toString().toStdString();
   report.place.peers =
       Endpoint::Parse(map[QLatin1String("peers")].toString().toStdString());
   report.usage = UsageOf(map[QLatin1String("usage")]);
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -112,7 +112,7 @@
   report.life = settings.life;
   report.wall_ms = WallClockMs();
   report.leaves = environment.gateway->IsDraining();
-  report.place = {settings.availability_zone, settings.peers};
+  report.place = {settings.region, settings.peers};
   auto& ledger = environment.gateway->ledger();
   const auto window =
       ledger.WindowOf(environment.true_time->At(MonotonicNow()));
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -70,6 +70,12 @@
   return gateway;
 }
 
+std::string RegionOf(const GatewayDaemonSettings& settings) {
+  const auto region = settings.regions.find(settings.availability_zone);
+  return region == settings.regions.end() ? settings.availability_zone
+                                          : region->second;
+}
+
 HttpAnswer PlainText(int status, std::string body) {
   return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
 }
@@ -147,7 +153,7 @@
       upstreams(relay.get(), ports.upstream_kind, kUpstreamWait, kUpstreamRest,
                 UpstreamHooks()),
       duties(
-          {settings.daemon, life, settings.availability_zone, settings.peers,
+          {settings.daemon, life, RegionOf(settings), settings.peers,
            settings.lease, settings.quota_window, settings.usage_window.count(),
            settings.reports_usage, settings.orders_upstreams},
           DutyEnvironment()) {
--- a/libs/gateway/tests/coordination_test.cc
+++ b/libs/gateway/tests/coordination_test.cc
@@ -91,28 +91,42 @@
     CHECK(grant.limits.quota_grants.at("w").tokens == doctest::Approx(400));
     CHECK(grant.limits.daemons == 1);
   }
-  SUBCASE("tells daemons whom to read from (large zone)") {
+  SUBCASE("tells daemons whom to read from (large region)") {
+    constexpr int kDaemons = 8;
     const auto ask = [&](int i, TimePoint now, bool leaves = false) {
       auto report = Report("d" + std::to_string(i), 1);
       report.place.peers.port = static_cast<std::uint16_t>(80 + i);
       report.leaves = leaves;
       return coordinator.OnReport(report, LimitOf, 5'000, now).sources;
     };
-    for (int i = 0; i < 6; ++i) ask(i, kStart);
-    CHECK(ask(0, kStart).empty());
-    CHECK(ask(1, kStart).empty());
-    REQUIRE(ask(4, kStart).size() == 2);
-    CHECK(ask(4, kStart)[0].port == 80);
+    /// Whether anybody but `gone` reads from it.
+    const auto is_read = [&](int gone, TimePoint now) {
+      for (int i = 0; i < kDaemons; ++i) {
+        if (i == gone) continue;
+        for (const auto& source : ask(i, now)) {
+          if (source.port == 80 + gone) return true;
+        }
+      }
+      return false;
+    };
+    int reader = -1;
+    int readers = 0;
+    for (int i = 0; i < kDaemons; ++i) ask(i, kStart);
+    for (int i = 0; i < kDaemons; ++i) {
+      if (!ask(i, kStart).empty()) continue;
+      reader = i;
+      ++readers;
+    }
+    REQUIRE(readers == 2);
+    CHECK(is_read(reader, kStart));
     SUBCASE("but not from one that stops") {
-      ask(0, kStart, true);
-      CHECK(ask(2, kStart).empty());
-      REQUIRE(ask(4, kStart).size() == 2);
-      CHECK(ask(4, kStart)[0].port == 81);
+      ask(reader, kStart, true);
+      CHECK_FALSE(is_read(reader, kStart));
     }
     SUBCASE("nor from one that fell silent") {
       const auto then = kStart + Duration(3'500);
-      for (int i = 1; i < 6; ++i) ask(i, then);
-      CHECK(ask(2, then + Duration(600)).empty());
+      is_read(reader, then);
+      CHECK_FALSE(is_read(reader, then + Duration(600)));
     }
   }
   SUBCASE("adds up usage and loads of the daemons") {
