Order again when engines of an accepted order have gone

Ruled out: the reserve for the next reclaim, which asks for half of the need once a zone is refused.

Before: "zones go one after the other soon after an order" of gateway_test fails with 0 engines left; after: it passes, 41 of 41.

--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -54,6 +54,7 @@
     int count = -1;  ///< -1: not known.
     TimePoint at;
     bool refused = false;
+    int served = 0;  ///< Most that have served since.
   };
   struct Peak {
     double need = 0;
@@ -135,6 +136,8 @@
   [[nodiscard]] int Starting(const ScalingSubject& subject, int serving,
                              const ScalingProfile& scaling,
                              TimePoint now) const;
+  /// Notes how many serve of each order.
+  void NoteServing(const ScalingCounts& serving);
   [[nodiscard]] bool IsDue(const ScalingSubject& subject, int wanted,
                            int serving, const ScalingProfile& scaling,
                            TimePoint now) const;
--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -273,11 +273,22 @@
   const auto& last = found->second;
   if (last.refused) return now - last.at >= kDryTime && wanted != serving;
   if (last.count != wanted) return true;
+  // Some have gone since: only another order tells whether more can be had.
+  if (serving < std::min(last.served, wanted)) return true;
   const bool overdue =
       now - last.at > scaling.start_time + kRepeatAfter && serving < wanted;
   return overdue;
 }
 
+void ScalingDuty::NoteServing(const ScalingCounts& serving) {
+  for (auto& [subject, order] : ordered_) {
+    const auto found = serving.find(subject);
+    if (found != serving.end()) {
+      order.served = std::max(order.served, found->second);
+    }
+  }
+}
+
 void ScalingDuty::Settle(const Input& input, const ScalingCounts& serving,
                          TimePoint now) {
   if (settled_) return;
@@ -299,6 +310,7 @@
   if (in_flight_) return std::nullopt;
   const auto serving = Serving(input);
   Settle(input, serving, now);
+  NoteServing(serving);
   for (const auto& service : input.services) {
     if (!service.scaling) continue;
     const auto wanted = Wanted(service, input, serving, now);
@@ -328,6 +340,7 @@
   ordered.count = status == CloudStatus::kUnavailable ? -1 : order.count;
   ordered.refused = status != CloudStatus::kOk;
   ordered.at = now;
+  ordered.served = 0;
 }
 
 }  // namespace firmoor
--- a/libs/gateway/tests/scaling_duty_test.cc
+++ b/libs/gateway/tests/scaling_duty_test.cc
@@ -215,6 +215,33 @@
   }
 }
 
+TEST_CASE("zones go one after the other soon after an order (early waves)") {
+  World world;
+  world.Demand(140'000);
+  world.Run(Duration(20'000));
+  world.Demand(200'000);
+  world.Run(Duration(2'000));
+  world.dry = true;
+  constexpr int kLeast = 4;  // Half of the eight that the demand needs.
+
+  world.Set("a", true, 0);
+  CHECK(world.Total() >= kLeast);
+  world.Run(Duration(750));
+  world.Set("b", true, 0);
+  CHECK(world.Total() >= kLeast);
+  world.Run(Duration(1'000));
+  SUBCASE("those on demand are ordered in time to serve before the last goes") {
+    CHECK(world.Count("a", false) + world.Count("b", false) +
+              world.Count("c", false) >=
+          kLeast);
+  }
+  SUBCASE("and enough are left when it goes") {
+    world.Run(Duration(4'300));
+    world.Set("c", true, 0);
+    CHECK(world.Total() >= kLeast);
+  }
+}
+
 TEST_CASE("engines on demand fill a zone when reclaimable ones are back") {
   World world;
   world.Demand(400'000);
