Leave a quota to the daemons that are asked for it

Cause: each daemon that nobody asked for a workspace held a twentieth of what the window had left. Ruled out: the part held by daemons that are asked, half of what is free.

--- a/libs/limits/src/quota_pool.cc
+++ b/libs/limits/src/quota_pool.cc
@@ -11,6 +11,9 @@
 constexpr double kPartWhenAsked = 0.5;
 // The same for a daemon that nobody asked for this quota.
 constexpr double kPartWhenIdle = 0.05;
+// The same for all of them together: in a large fleet nearly all daemons are
+// idle for a workspace, and what they hold is missing where it is asked for.
+constexpr double kPartOfAllIdle = 0.2;
 // Part of what the window has left that all daemons hold together, by what each
 // was asked for. The rest stays for prompts that are larger than an allowance,
 // which in a large fleet most are.
@@ -117,9 +120,11 @@
   const double asked = others.asked + use.asked;
   const double share = asked > 0 ? use.asked / asked : 0;
   const double free = limit.PerWindow() - others.passed - use.passed;
+  const double idle_part = std::min(
+      kPartWhenIdle, kPartOfAllIdle / static_cast<double>(others.lives + 1));
   const double usual =
       use.asked > 0 ? std::min(left * kPartWhenAsked, free * kPartHeld * share)
-                    : left * kPartWhenIdle;
+                    : left * idle_part;
   return std::max(usual, std::min(left, use.needed));
 }
 
--- a/libs/limits/tests/quota_test.cc
+++ b/libs/limits/tests/quota_test.cc
@@ -158,6 +158,28 @@
   CHECK(fleet.most <= kLimit.PerWindow());
 }
 
+TEST_CASE("a prompt now and then at each of many daemons (very large fleet)") {
+  // Each daemon sees the workspace once in some 20 s, with prompts of 4 in 100
+  // of the quota's window, and all together ask for half of the quota.
+  constexpr std::size_t kDaemons = 300;
+  Fleet fleet(kDaemons);
+  int refused = 0;
+  int asked = 0;
+  for (int step = 0; step < 60; ++step) {
+    for (int i = 0; i < 2; ++i) {
+      const auto index =
+          static_cast<std::size_t>((step * 2 + i) * 7) % kDaemons;
+      ++asked;
+      if (!fleet.Ask(index, 40)) ++refused;
+      fleet.now += Duration(800);
+    }
+    fleet.ReportAll();
+  }
+  CHECK(refused == 0);
+  CHECK(asked == 120);
+  CHECK(fleet.most <= kLimit.PerWindow());
+}
+
 TEST_CASE("a workspace that asks for many times its quota (hot tenant)") {
   Fleet fleet(8);
   double passed = 0;
