Tell callers over a quota when the coordinator can grant it

Cause: the time told to a refused caller came from the daemon's equal part of the quota's rate, also while the coordinator hands all that the window has left to whoever needs it. With 295 daemons every caller was told 3 s, the longest time, and its answer was late even when the window had room. The time now follows from what the last grant left to nobody and from the whole rate; alone, a daemon goes on by its own part.

--- a/libs/limits/include/limits/quota_allowance.h
+++ b/libs/limits/include/limits/quota_allowance.h
@@ -65,6 +65,8 @@
   };
 
   void Accrue(TimePoint now);
+  /// After which time `tokens` may be had.
+  [[nodiscard]] Duration WaitFor(double tokens, TimePoint now) const;
   /// Tokens of this daemon's part that may have passed before it started.
   [[nodiscard]] double Unseen(TimePoint now) const;
   /// Tokens that may pass in one window without the coordinator.
--- a/libs/limits/src/quota_allowance.cc
+++ b/libs/limits/src/quota_allowance.cc
@@ -100,8 +100,18 @@
   }
   short_ = true;
   needed_ += tokens;
-  const double rate = std::max(limit_.rate_per_s * fallback_.share, 1.0);
-  const double missing = tokens - level_ - fallback_.debt;
+  return WaitFor(tokens, now);
+}
+
+Duration QuotaAllowance::WaitFor(double tokens, TimePoint now) const {
+  // The coordinator gives what the window has left to whoever needs it; alone,
+  // a daemon has its equal part.
+  const bool granted = grant_ && now - granted_at_ < kGrantLifetime;
+  const double share = granted ? 1 : fallback_.share;
+  const double free = granted ? grant_->unassigned : 0;
+  const double rate = std::max(limit_.rate_per_s * share, 1.0);
+  const double missing =
+      std::max(0.0, tokens - level_ - fallback_.debt - free);
   const Duration wait(static_cast<std::int64_t>(missing / rate * kMsPerSecond));
   return std::clamp(wait, kShortestWait, kLongestWait);
 }
