Take an ended lease one after the other in a large fleet

Cause: at the end of the coordinator's lease every daemon wrote it at once and read it back after the conflict, and until then looked twice a second: some 2,000 calls at 295 daemons for each coordinator that is lost. Each daemon now leaves the lease to others for a time by the hash of its life, 4 ms a daemon on average, up to a second, and looks once before it writes. Up to 16 daemons nothing changes. Ruled out: ranks by the coordinator's list, which daemons that start do not have.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -103,6 +103,8 @@
   /// The number of daemons is about to be read: until then, or `until`,
   /// requests that a quota does not cover wait for it.
   void ExpectShared(TimePoint until);
+  /// Daemons that share limits, as far as this one knows.
+  [[nodiscard]] std::size_t DaemonsSharing() const;
   /// Takes settings that changed; the location and windows keep their values.
   void ApplySettings(const GatewaySettings& settings);
 
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/hash.h"
 #include "base/text.h"
 #include "gateway/scaling_duty.h"
 #include "gateway/usage_duty.h"
@@ -36,6 +37,13 @@
 // A new holder orders when it has read the upstreams and heard the daemons.
 constexpr Duration kFirstOrders{1'500};
 constexpr int kRenewalsInLease = 3;
+// Daemons take a lease that ended one after the other, on average this far
+// apart: about what a write of the first one needs to be seen. Few daemons need
+// not, and the last one must not wait long.
+constexpr Duration kStaggerEach{4};
+constexpr Duration kLongestStagger{1'000};
+constexpr std::size_t kFewDaemons = 16;
+constexpr double kHashes = 18'446'744'073'709'551'616.0;  // 2 to the 64th
 // Windows that a report repeats, for a coordinator that just took over.
 constexpr std::int64_t kWindowsReported = 6;
 
@@ -92,6 +100,8 @@
   void StepLease();
   void LeaseChanged();
   [[nodiscard]] FleetNote MakeNote() const;
+  /// How long this daemon leaves a lease that ended to others.
+  [[nodiscard]] Duration Stagger() const;
   void ReadNote();
   void BecomeHolder();
   void LoseLease();
@@ -239,6 +249,7 @@
 void DutyService::Impl::StepLease() {
   if (!running) return;
   if (coordinator) lease.SetNote(MakeNote().Encode());
+  lease.SetStagger(Stagger());
   const auto call = lease.NextCall(MonotonicNow());
   if (coordinator) {
     StepUsage();
@@ -266,6 +277,17 @@
                           });
 }
 
+Duration DutyService::Impl::Stagger() const {
+  const auto daemons = environment.gateway->DaemonsSharing();
+  if (daemons <= kFewDaemons) return Duration(0);
+  const auto all =
+      std::min(kLongestStagger, kStaggerEach * static_cast<int>(daemons));
+  // Another daemon is first after each restart.
+  const double place = static_cast<double>(Hash64(settings.life)) / kHashes;
+  return Duration(
+      1 + static_cast<std::int64_t>(static_cast<double>(all.count()) * place));
+}
+
 FleetNote DutyService::Impl::MakeNote() const {
   return coordinator->Note(
       [this](const std::string& workspace) {
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -240,6 +240,10 @@
   if (!context.shared_at) context.shared_expected_until = until;
 }
 
+std::size_t Gateway::DaemonsSharing() const {
+  return impl_->context.shared.daemons;
+}
+
 void Gateway::ApplySettings(const GatewaySettings& settings) {
   impl_->context.ApplySettings(settings);
 }
--- a/libs/placement/include/placement/lease.h
+++ b/libs/placement/include/placement/lease.h
@@ -53,6 +53,10 @@
   /// The note in the object that was read last; empty when it has none.
   [[nodiscard]] const QByteArray& seen_note() const { return seen_note_; }
 
+  /// How long after its end this daemon leaves the lease to others. In a large
+  /// fleet each daemon has its own time, so that not all write at once.
+  void SetStagger(Duration stagger) { stagger_ = stagger; }
+
   std::optional<Call> NextCall(TimePoint now);
   void OnRead(StoreStatus status, const StoredObject& object, TimePoint now);
   void OnWrite(StoreStatus status, std::int64_t version, TimePoint now);
@@ -77,6 +81,8 @@
 
  private:
   [[nodiscard]] QByteArray Encode(std::int64_t fencing) const;
+  /// When this daemon may take the lease, unless it is renewed.
+  [[nodiscard]] TimePoint FreeAt() const;
   /// The latest time at which a write that was read now may have been sent.
   [[nodiscard]] TimePoint SentBefore(std::int64_t holder_ms,
                                      TimePoint now) const;
@@ -100,6 +106,9 @@
   TimePoint valid_from_;
   TimePoint taken_at_;
   TimePoint next_call_;
+  Duration stagger_{0};
+  TimePoint read_at_;
+  TimePoint absent_since_;  ///< While there is no lease object.
 };
 
 }  // namespace firmoor
--- a/libs/placement/src/lease.cc
+++ b/libs/placement/src/lease.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration kRetry{500};
+// A look at the lease that is older does not show who has taken it since.
+constexpr Duration kRecentLook{100};
 
 }  // namespace
 
@@ -40,9 +42,9 @@
     asked_fencing_ = fencing_;
     return Call{true, version_, Encode(fencing_)};
   }
-  if (version_ != 0 && now - unchanged_since_ < timing_.lifetime) {
-    return Call{};
-  }
+  // Who waits its turn looks once more before it writes.
+  const bool looked = stagger_ == Duration(0) || now - read_at_ <= kRecentLook;
+  if (now < FreeAt() || !looked) return Call{};
   asked_fencing_ = seen_fencing_ + 1;
   return Call{true, version_, Encode(asked_fencing_)};
 }
@@ -51,10 +53,12 @@
                          TimePoint now) {
   in_flight_ = false;
   next_call_ = now + kRetry;
+  read_at_ = now;
   if (status == StoreStatus::kNotFound) {
+    if (!known_ || version_ != 0) absent_since_ = now;
     known_ = true;
     version_ = 0;
-    next_call_ = now;
+    next_call_ = std::max(now, FreeAt());
     return;
   }
   if (status != StoreStatus::kOk) return;
@@ -69,8 +73,10 @@
   }
   known_ = true;
   // Taken without a further look once its lifetime is over.
-  next_call_ =
-      std::min(next_call_, std::max(now, unchanged_since_ + timing_.lifetime));
+  // With many others there is no look in between: whoever takes it before is
+  // seen then.
+  const auto free_at = std::max(now, FreeAt());
+  next_call_ = stagger_ > Duration(0) ? free_at : std::min(next_call_, free_at);
   // An own write whose answer was lost took effect.
   const bool own = seen_holder_ == daemon_ && seen_fencing_ == asked_fencing_ &&
                    asked_fencing_ > 0;
@@ -115,6 +121,12 @@
   next_call_ = now + (status == StoreStatus::kConflict ? Duration(0) : kRetry);
 }
 
+TimePoint LeaseKeeper::FreeAt() const {
+  const auto end =
+      version_ == 0 ? absent_since_ : unchanged_since_ + timing_.lifetime;
+  return end + stagger_;
+}
+
 void LeaseKeeper::OnTold(const LeaseClock& clock, TimePoint now) {
   told_fencing_ = clock.fencing;
   told_offset_ = now - clock.now;
--- a/libs/placement/tests/placement_test.cc
+++ b/libs/placement/tests/placement_test.cc
@@ -328,6 +328,52 @@
   CHECK(holds);
 }
 
+TEST_CASE("hundreds of daemons wait for one lease (coordinator lost)") {
+  constexpr int kDaemons = 300;
+  LeaseKeeper gone("gone", {});
+  gone.NextCall(kStart);
+  gone.OnRead(StoreStatus::kNotFound, {}, kStart);
+  StoredObject object{1, gone.NextCall(kStart)->value};
+  std::vector<LeaseKeeper> keepers;
+  for (int i = 0; i < kDaemons; ++i) {
+    keepers.emplace_back("d" + std::to_string(i), LeaseTiming{});
+    keepers.back().SetStagger(Duration(1 + i * 1'000 / kDaemons));
+  }
+  int reads = 0;
+  int writes = 0;
+  // Each looks at the lease four times a second, at its own moments.
+  for (Duration at(0); at < Duration(9'000); at += Duration(1)) {
+    for (int i = static_cast<int>(at.count() % 250); i < kDaemons; i += 250) {
+      auto& keeper = keepers[static_cast<std::size_t>(i)];
+      const auto now = kStart + at;
+      auto call = keeper.NextCall(now);
+      if (call && !call->is_write) {
+        ++reads;
+        keeper.OnRead(StoreStatus::kOk, object, now);
+        call = keeper.NextCall(now);
+      }
+      if (!call) continue;
+      if (!call->is_write) {
+        ++reads;
+        keeper.OnRead(StoreStatus::kOk, object, now);
+        continue;
+      }
+      ++writes;
+      const bool good = call->expected == object.version;
+      if (good) object = {object.version + 1, call->value};
+      keeper.OnWrite(good ? StoreStatus::kOk : StoreStatus::kConflict,
+                     object.version, now);
+    }
+  }
+  int holders = 0;
+  for (const auto& keeper : keepers) holders += keeper.IsHolder() ? 1 : 0;
+  CHECK(holders == 1);
+  // The one that took it, and its renewals.
+  CHECK(writes <= 4);
+  // A look when it was missed, one at its end and one at the new holder's.
+  CHECK(reads <= 3 * kDaemons);
+}
+
 TEST_CASE("a lease") {
   LeaseKeeper first("first", {});
   TimePoint now = kStart;
