Bound answers of the store that trickle

Streams to callers were looked at too: they are bounded by whole events and by their route's time, and stay without a bound of the whole.

--- a/libs/http/include/http/http_call.h
+++ b/libs/http/include/http/http_call.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -32,6 +33,9 @@
   Duration connect{1'000};
   Duration first_byte{30'000};  ///< From the sent request to the head.
   Duration idle{10'000};        ///< Between two parts of the answer.
+  /// From the sent request to the end of the answer; none: as long as it makes
+  /// progress.
+  std::optional<Duration> whole = std::nullopt;
 
   bool operator==(const HttpCallTimes&) const = default;
 };
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -193,6 +193,7 @@
 
   SocketPtr socket;
   QTimer timer;
+  QTimer whole_timer;
   beast::flat_buffer buffer;
   std::optional<http::response_parser<http::string_body>> parser;
   bool may_have_left = false;
@@ -227,6 +228,9 @@
   ResetParser();
   timer.setSingleShot(true);
   QObject::connect(&timer, &QTimer::timeout, &timer, [this] { OnTimeout(); });
+  whole_timer.setSingleShot(true);
+  QObject::connect(&whole_timer, &QTimer::timeout, &whole_timer,
+                   [this] { End(HttpCallEnd::kSilent); });
   if (pool != nullptr) socket = pool->impl_->Take(endpoint);
   if (socket) {
     SendRequest();
@@ -260,6 +264,7 @@
                                      request, pool != nullptr);
   may_have_left = true;
   timer.start(times.first_byte);
+  if (times.whole) whole_timer.start(*times.whole);
   socket->write(text.data(), static_cast<qint64>(text.size()));
 }
 
@@ -347,6 +352,8 @@
   const auto self = shared_from_this();
   timer.stop();
   timer.disconnect();
+  whole_timer.stop();
+  whole_timer.disconnect();
   const bool keep = end == HttpCallEnd::kComplete && pool != nullptr &&
                     parser->get().keep_alive() && !parser->need_eof() &&
                     socket && buffer.size() == 0 &&
--- a/libs/http/tests/http_call_test.cc
+++ b/libs/http/tests/http_call_test.cc
@@ -164,6 +164,34 @@
   }
 }
 
+TEST_CASE("an answer that trickles is bounded as a whole") {
+  // A byte each 50 ms is never silence.
+  RawUpstream upstream([](auto& connection) {
+    connection.socket->write("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
+    auto* timer = new QTimer(connection.socket);
+    QObject::connect(timer, &QTimer::timeout, connection.socket,
+                     [socket = connection.socket] { socket->write("x"); });
+    timer->start(50);
+  });
+  std::optional<HttpFetchResult> result;
+  auto times = kTimes;
+  SUBCASE("and given up at its end") {
+    times.whole = Duration(500);
+    const auto call =
+        HttpFetch(upstream.Address(), Make("GET"), times, nullptr,
+                  [&](HttpFetchResult end) { result = std::move(end); });
+    REQUIRE(WaitUntil([&] { return result.has_value(); }, 1'000));
+    CHECK(result->end == HttpCallEnd::kSilent);
+  }
+  SUBCASE("but goes on where it has none, as streams do") {
+    const auto call =
+        HttpFetch(upstream.Address(), Make("GET"), times, nullptr,
+                  [&](HttpFetchResult end) { result = std::move(end); });
+    RunFor(800);
+    CHECK_FALSE(result);
+  }
+}
+
 TEST_CASE("an answer never reaches a call that did not ask for it") {
   // The upstream sends a second, unasked answer on the kept connection.
   RawUpstream upstream([](auto& connection) {
