--- a/libs/dissemination/src/relay_messages.cc
+++ b/libs/dissemination/src/relay_messages.cc
@@ -40,7 +40,7 @@
   const bool good = bytes.startsWith(kCompressed) &&
                     block.size() > kSizePrefix &&
                     UnpackedSize(block) <= kLargestObject;
-  const auto unpacked = good ? qUncompress(block) : QByteArray();
+  auto unpacked = good ? qUncompress(block) : QByteArray();
   if (unpacked.isEmpty()) {
     return Fail(ResultCode::kBadMessage, "A relayed object cannot be unpacked");
   }
--- a/libs/dissemination/tests/kind_relay_test.cc
+++ b/libs/dissemination/tests/kind_relay_test.cc
@@ -24,7 +24,7 @@
     Later(Duration(1), [this, done = std::move(done)] {
       if (away) return done({});
       KindListing listing{StoreStatus::kOk, revision, {}};
-      for (const auto& [name, object] : objects) {
+      for (const auto& [name, object] : objects_) {
         listing.objects.push_back(object);
       }
       done(listing);
@@ -37,8 +37,8 @@
   }
   void Put(const std::string& name, int value) {
     const KindObject object{name, QJsonObject{{"value", value}}};
-    objects[name] = object;
-    changes.emplace_back(++revision, KindChange{object, false});
+    objects_[name] = object;
+    changes_.emplace_back(++revision, KindChange{object, false});
   }
 
   bool away = false;
@@ -54,7 +54,7 @@
     Later(Duration(2), [this, after, end, done = std::move(done)] {
       if (away) return done({});
       KindChanges answer{StoreStatus::kOk, revision, {}};
-      for (const auto& [at, change] : changes) {
+      for (const auto& [at, change] : changes_) {
         if (at > after) answer.changes.push_back(change);
       }
       const bool over = !answer.changes.empty() || MonotonicNow() >= end;
@@ -64,8 +64,8 @@
   }
 
   QObject context_;
-  std::map<std::string, KindObject> objects;
-  std::vector<std::pair<std::int64_t, KindChange>> changes;
+  std::map<std::string, KindObject> objects_;
+  std::vector<std::pair<std::int64_t, KindChange>> changes_;
 };
 
 /// Relays that call each other, and some that are silent.
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -85,8 +85,9 @@
 
 QCborArray EndpointArray(const std::vector<Endpoint>& endpoints) {
   QCborArray array;
-  for (const auto& endpoint : endpoints)
+  for (const auto& endpoint : endpoints) {
     array.append(Text(endpoint.ToString()));
+  }
   return array;
 }
 
