Keep one copy of the message decoding and of the hash as a fraction

The map of a message between daemons was decoded by the same function in two libraries, and a hash was made a fraction in three places. Both are one function now (libs/peer, libs/base).

--- a/libs/base/include/base/hash.h
+++ b/libs/base/include/base/hash.h
@@ -12,6 +12,9 @@
 /// 64-bit xxHash (XXH3) of `bytes`.
 std::uint64_t Hash64(std::string_view bytes, std::uint64_t seed = 0);
 
+/// The hash of `bytes` as a fraction, from 0 to below 1.
+double HashFraction(std::string_view bytes);
+
 /// 128-bit xxHash (XXH3) of `bytes` as 32 lower-case hexadecimal digits.
 std::string Hash128Hex(std::string_view bytes);
 
--- a/libs/base/src/hash.cc
+++ b/libs/base/src/hash.cc
@@ -11,6 +11,12 @@
   return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+double HashFraction(std::string_view bytes) {
+  constexpr double kHashes = 18'446'744'073'709'551'616.0;  // 2 to the 64th
+  constexpr double kBelowOne = 1.0 - 1e-15;
+  return std::min(kBelowOne, static_cast<double>(Hash64(bytes)) / kHashes);
+}
+
 std::string Hash128Hex(std::string_view bytes) {
   const XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
   return fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
--- a/libs/dissemination/src/relay_messages.cc
+++ b/libs/dissemination/src/relay_messages.cc
@@ -5,6 +5,7 @@
 #include <QCborValue>
 
 #include "base/text.h"
+#include "peer/peer_message.h"
 
 namespace firmoor {
 namespace {
@@ -17,14 +18,6 @@
 constexpr char kCompressed = 'z';
 constexpr qsizetype kSizePrefix = 4;  // Of a compressed block, big-endian.
 
-Result<QCborMap> MapOf(const QByteArray& bytes) {
-  const auto value = QCborValue::fromCbor(bytes);
-  if (!value.isMap()) {
-    return Fail(ResultCode::kBadMessage, "A relay's message is no map");
-  }
-  return value.toMap();
-}
-
 /// The size that a compressed block says that it unpacks to.
 std::uint32_t UnpackedSize(const QByteArray& block) {
   std::uint32_t size = 0;
@@ -65,7 +58,7 @@
   decoded.removed = change.removed;
   if (change.removed) return decoded;
   BOOST_LEAF_AUTO(plain, Unpack(change.bytes));
-  BOOST_LEAF_AUTO(map, MapOf(plain));
+  BOOST_LEAF_AUTO(map, DecodePeerMessage(plain));
   decoded.object.content = map.toJsonObject();
   return decoded;
 }
@@ -78,7 +71,7 @@
 }
 
 Result<RelayAsk> RelayAsk::Decode(const QByteArray& bytes) {
-  BOOST_LEAF_AUTO(decoded, MapOf(bytes));
+  BOOST_LEAF_AUTO(decoded, DecodePeerMessage(bytes));
   const QCborMap& map = decoded;
   RelayAsk ask;
   ask.kind = map[QLatin1String("kind")].toString().toStdString();
@@ -104,7 +97,7 @@
 }
 
 Result<RelayAnswer> RelayAnswer::Decode(const QByteArray& bytes) {
-  BOOST_LEAF_AUTO(decoded, MapOf(bytes));
+  BOOST_LEAF_AUTO(decoded, DecodePeerMessage(bytes));
   const QCborMap& map = decoded;
   RelayAnswer answer;
   answer.known = map[QLatin1String("known")].toBool();
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -4,6 +4,7 @@
 
 #include "base/text.h"
 #include "gateway/coordination.h"
+#include "peer/peer_message.h"
 
 namespace firmoor {
 namespace {
@@ -101,15 +102,6 @@
   return endpoints;
 }
 
-/// The map of a message, or nothing when `bytes` are no map.
-Result<QCborMap> MapOf(const QByteArray& bytes) {
-  const auto value = QCborValue::fromCbor(bytes);
-  if (!value.isMap()) {
-    return Fail(ResultCode::kBadMessage, "A daemon's message is no map");
-  }
-  return value.toMap();
-}
-
 }  // namespace
 
 QByteArray DaemonReport::Encode() const {
@@ -131,7 +123,7 @@
 }
 
 Result<DaemonReport> DaemonReport::Decode(const QByteArray& bytes) {
-  BOOST_LEAF_AUTO(decoded, MapOf(bytes));
+  BOOST_LEAF_AUTO(decoded, DecodePeerMessage(bytes));
   const QCborMap& map = decoded;
   DaemonReport report;
   report.daemon = map[QLatin1String("daemon")].toString().toStdString();
@@ -163,7 +155,7 @@
 }
 
 Result<FleetNote> FleetNote::Decode(const QByteArray& bytes) {
-  BOOST_LEAF_AUTO(decoded, MapOf(bytes));
+  BOOST_LEAF_AUTO(decoded, DecodePeerMessage(bytes));
   const QCborMap& map = decoded;
   const auto daemons = map[QLatin1String("daemons")].toInteger(-1);
   if (daemons < 0) {
@@ -190,7 +182,7 @@
 }
 
 Result<CoordinatorGrant> CoordinatorGrant::Decode(const QByteArray& bytes) {
-  BOOST_LEAF_AUTO(decoded, MapOf(bytes));
+  BOOST_LEAF_AUTO(decoded, DecodePeerMessage(bytes));
   const QCborMap& map = decoded;
   CoordinatorGrant grant;
   grant.true_ms = map[QLatin1String("true_ms")].toInteger();
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -48,7 +48,6 @@
 // of a core does not bear for hundreds.
 constexpr double kWeaknessMs = 100;
 constexpr double kLongestWeaknessMs = 900;
-constexpr double kHashes = 18'446'744'073'709'551'616.0;  // 2 to the 64th
 // Windows that a report repeats, for a coordinator that just took over.
 constexpr std::int64_t kWindowsReported = 6;
 
@@ -290,7 +289,7 @@
   const double weakness = std::clamp(kWeaknessMs * (1 / settings.cores - 1),
                                      0.0, kLongestWeaknessMs);
   // Another daemon is first after each restart.
-  const double place = static_cast<double>(Hash64(settings.life)) / kHashes;
+  const double place = HashFraction(settings.life);
   return Duration(1 + static_cast<std::int64_t>(
                           weakness + static_cast<double>(all.count()) * place));
 }
--- a/libs/gateway/src/refusal.cc
+++ b/libs/gateway/src/refusal.cc
@@ -14,7 +14,6 @@
 // opens again must not meet all callers of the pause at once.
 constexpr Duration kLeastSpread{200};
 constexpr double kSpreadPart = 0.25;
-constexpr double kHashes = 18'446'744'073'709'551'616.0;  // 2 to the 64th
 
 }  // namespace
 
@@ -36,8 +35,8 @@
   const double spread =
       std::max(static_cast<double>(kLeastSpread.count()),
                static_cast<double>(least.count()) * kSpreadPart);
-  const double place = static_cast<double>(Hash64(request_id)) / kHashes;
-  return least + Duration(static_cast<std::int64_t>(spread * place));
+  return least +
+         Duration(static_cast<std::int64_t>(spread * HashFraction(request_id)));
 }
 
 }  // namespace firmoor
--- a/libs/routing/src/route_table.cc
+++ b/libs/routing/src/route_table.cc
@@ -61,8 +61,7 @@
   FIRMOOR_PRECONDITION(!route.services.empty(), "a route has a service");
   double total = 0;
   for (const auto& share : route.services) total += share.weight;
-  constexpr double kHashes = 18'446'744'073'709'551'616.0;
-  double point = static_cast<double>(Hash64(request_id)) / kHashes * total;
+  double point = HashFraction(request_id) * total;
   for (const auto& share : route.services) {
     if (share.weight > 0 && point < share.weight) return share.service;
     point -= share.weight;
