--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -8,12 +8,12 @@
 #include <optional>
 #include <utility>
 
-#include "base/hash.h"
 #include "base/text.h"
 #include "gateway/scaling_duty.h"
 #include "gateway/usage_duty.h"
 #include "peer/peer_node.h"
 #include "placement/lease.h"
+#include "placement/lease_stagger.h"
 
 namespace firmoor {
 namespace {
@@ -37,17 +37,6 @@
 // A new holder orders when it has read the upstreams and heard the daemons.
 constexpr Duration kFirstOrders{1'500};
 constexpr int kRenewalsInLease = 3;
-// Daemons take a lease that ended one after the other, on average this far
-// apart: about what a write of the first one needs to be seen. Few daemons need
-// not, and the last one must not wait long.
-constexpr Duration kStaggerEach{4};
-constexpr Duration kLongestStagger{1'000};
-constexpr std::size_t kFewDaemons = 16;
-// Wait of a VM with half a core in milliseconds; one with an eighth waits seven
-// times as long. The coordinator hears all daemons each second, which an eighth
-// of a core does not bear for hundreds.
-constexpr double kWeaknessMs = 100;
-constexpr double kLongestWeaknessMs = 900;
 // Windows that a report repeats, for a coordinator that just took over.
 constexpr std::int64_t kWindowsReported = 6;
 
@@ -104,8 +93,6 @@
   void StepLease();
   void LeaseChanged();
   [[nodiscard]] FleetNote MakeNote() const;
-  /// How long this daemon leaves a lease that ended to others.
-  [[nodiscard]] Duration Stagger() const;
   void ReadNote();
   void BecomeHolder();
   void LoseLease();
@@ -253,7 +240,8 @@
 void DutyService::Impl::StepLease() {
   if (!running) return;
   if (coordinator) lease.SetNote(MakeNote().Encode());
-  lease.SetStagger(Stagger());
+  lease.SetStagger(LeaseStagger(environment.gateway->DaemonsSharing(),
+                                settings.cores, settings.life));
   const auto call = lease.NextCall(MonotonicNow());
   if (coordinator) {
     StepUsage();
@@ -281,19 +269,6 @@
                           });
 }
 
-Duration DutyService::Impl::Stagger() const {
-  const auto daemons = environment.gateway->DaemonsSharing();
-  if (daemons <= kFewDaemons) return Duration(0);
-  const auto all =
-      std::min(kLongestStagger, kStaggerEach * static_cast<int>(daemons));
-  const double weakness = std::clamp(kWeaknessMs * (1 / settings.cores - 1),
-                                     0.0, kLongestWeaknessMs);
-  // Another daemon is first after each restart.
-  const double place = HashFraction(settings.life);
-  return Duration(1 + static_cast<std::int64_t>(
-                          weakness + static_cast<double>(all.count()) * place));
-}
-
 FleetNote DutyService::Impl::MakeNote() const {
   return coordinator->Note(
       [this](const std::string& workspace) {
--- a/libs/limits/include/limits/quota_pool.h
+++ b/libs/limits/include/limits/quota_pool.h
@@ -116,7 +116,7 @@
   /// Part of a quota that daemons which are not heard of may have had.
   [[nodiscard]] double MissingPart(std::size_t heard) const;
   void DropSilent(const QuotaLimit& limit, TimePoint now);
-  /// What earlier lives of the daemon had left is lost.
+  /// What earlier lives of the daemon had left counts as passed.
   void EndEarlierLives(const DaemonLife& daemon);
   [[nodiscard]] Sums Others(const DaemonLife& daemon) const;
   [[nodiscard]] double Taken(const Sums& others, const QuotaUse& use,
--- a/libs/placement/tests/placement_test.cc
+++ b/libs/placement/tests/placement_test.cc
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "placement/lease.h"
+#include "placement/lease_stagger.h"
 #include "placement/planner.h"
 
 namespace firmoor {
@@ -328,6 +329,27 @@
   CHECK(holds);
 }
 
+TEST_CASE("a lease that ended is left to others") {
+  SUBCASE("by none of few daemons") {
+    CHECK(LeaseStagger(16, 0.25, "d1/a") == Duration(0));
+  }
+  SUBCASE("for about as long as there are daemons, by each for another time") {
+    const auto first = LeaseStagger(100, 1, "d1/a");
+    CHECK(first > Duration(0));
+    CHECK(first <= Duration(401));
+    CHECK(first != LeaseStagger(100, 1, "d2/a"));
+    CHECK(LeaseStagger(5'000, 1, "d1/a") <= Duration(1'001));
+  }
+  SUBCASE("longer by weak VMs, which cannot hear hundreds") {
+    const auto wait = [](double cores) {
+      return LeaseStagger(300, cores, "d");
+    };
+    CHECK(wait(0.5) - wait(1) == Duration(100));
+    CHECK(wait(0.12) - wait(1) >= Duration(700));
+    CHECK(wait(0.01) - wait(1) == Duration(900));
+  }
+}
+
 TEST_CASE("hundreds of daemons wait for one lease (coordinator lost)") {
   constexpr int kDaemons = 300;
   LeaseKeeper gone("gone", {});
