Ask engines for their load, refuse what would wait, order engines for slots

- EngineLoads: daemons ask three engines, by their rank for the request, before a large request is sent, when a quarter of the slots or more is taken.
Engines that did not report are taken to be like the mean of those that did.
- A request whose best engine would keep it waiting for over a quarter of its objective is refused at once, with the time of the drain.
- Engines are ordered for the slots that requests take, 0.6 of a batch, as well as for prompt tokens.
- Each can be switched off in the settings' [strategies].

--- a/libs/gateway/include/gateway/daemon_settings.h
+++ b/libs/gateway/include/gateway/daemon_settings.h
@@ -7,6 +7,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
+#include "gateway/strategies.h"
 #include "http/message.h"
 
 namespace firmoor {
@@ -43,6 +44,7 @@
   double retry_burst = 50;   ///< Repeats that may be saved for bursts.
   Duration quota_window{8'000};  ///< Span in which a quota holds.
   double quota_slack = 0;        ///< Tokens over a quota that do no harm.
+  Strategies strategies;
 
   bool operator==(const GatewayDaemonSettings&) const = default;
 };
--- a/libs/gateway/include/gateway/dialect.h
+++ b/libs/gateway/include/gateway/dialect.h
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/time.h"
 #include "http/message.h"
+#include "routing/engine_report.h"
 #include "routing/upstream_picker.h"
 
 namespace firmoor {
@@ -107,10 +108,10 @@
   [[nodiscard]] virtual HttpRequest WriteMove(const std::string& request_id,
                                               const Endpoint& target) const = 0;
   [[nodiscard]] virtual MoveAnswer ReadMove(const HttpAnswer& answer) const = 0;
-  /// Asks an engine that leaves how long it stays.
-  [[nodiscard]] virtual HttpRequest WriteStayQuery() const = 0;
-  /// None when the engine does not know.
-  [[nodiscard]] virtual std::optional<Duration> ReadStay(
+  /// Asks an engine for its report.
+  [[nodiscard]] virtual HttpRequest WriteReportQuery() const = 0;
+  /// An empty report when the answer is none.
+  [[nodiscard]] virtual EngineReport ReadReport(
       const HttpAnswer& answer) const = 0;
 };
 
--- a/libs/gateway/include/gateway/duty_service.h
+++ b/libs/gateway/include/gateway/duty_service.h
@@ -33,6 +33,7 @@
     double cores = 1;  ///< Part of a processor core that the VM has.
     bool reports_usage = true;
     bool orders_upstreams = true;
+    Strategies strategies;
 
     bool operator==(const Settings&) const = default;
   };
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "base/event_log.h"
 #include "base/time.h"
 #include "gateway/dialect.h"
+#include "gateway/strategies.h"
 #include "gateway/true_time.h"
 #include "http/http_server.h"
 #include "limits/quota_pool.h"
@@ -37,6 +38,7 @@
   /// How long lapsed upstream entries may take to return.
   Duration return_time{2'200};
   std::int64_t usage_window_ms = 5'000;
+  Strategies strategies;
 
   bool operator==(const GatewaySettings&) const = default;
 };
--- a/libs/gateway/include/gateway/intake.h
+++ b/libs/gateway/include/gateway/intake.h
@@ -40,6 +40,11 @@
 bool TakesWhileDraining(const Route& route, const DrainState& drain,
                         TimePoint now);
 
+/// Whether a request that would wait so long for a slot of an engine is refused
+/// instead: it would hardly start within its objective, and its caller can come
+/// back sooner than it would be answered. Pure.
+bool WaitsTooLong(const Route& route, Duration wait);
+
 /// Checks a request against the configuration: its route, its key, and that
 /// the configuration is proved recent enough to believe the key. A daemon
 /// that may have missed a change says that it is not ready instead of calling
--- a/libs/gateway/include/gateway/scaling_duty.h
+++ b/libs/gateway/include/gateway/scaling_duty.h
@@ -9,6 +9,7 @@
 #include "base/time.h"
 #include "gateway/cloud_api.h"
 #include "gateway/gateway.h"
+#include "gateway/strategies.h"
 #include "routing/route_table.h"
 #include "routing/upstream_catalog.h"
 
@@ -40,7 +41,7 @@
     std::map<std::string, ServiceLoad> loads;  ///< Over all daemons.
   };
 
-  explicit ScalingDuty(TimePoint started_at);
+  explicit ScalingDuty(TimePoint started_at, Strategies strategies = {});
 
   /// The next order to send; one at a time.
   std::optional<UpstreamOrder> Next(const Input& input, TimePoint now);
@@ -66,12 +67,14 @@
   struct Peaks {
     Peak reclaimable;
     Peak on_demand;
+    Peak slots;  ///< By the slots that are taken.
   };
   /// Engines that are needed: for as many, reclaimable ones are ordered, and
   /// engines on demand are paid.
   struct Needs {
     double reclaimable = 0;
     double on_demand = 0;
+    double slots = 0;           ///< For the slots that requests take.
     bool knows_little = false;  ///< Demand was not seen for long enough.
 
     bool operator==(const Needs&) const = default;
@@ -107,14 +110,17 @@
   /// Engines of `service` that this duty did not order.
   [[nodiscard]] int Given(const std::string& service,
                           const ScalingCounts& serving) const;
+  /// Engines for which the requests in flight leave room in their batches.
+  [[nodiscard]] double SlotsNeed(const ServiceProfile& service,
+                                 const ServiceLoad& load) const;
   [[nodiscard]] Needs Need(const ServiceProfile& service, int given,
                            const Input& input, TimePoint now);
   /// Engines of each zone, and those that should serve there for `need`.
   [[nodiscard]] std::map<std::string, ZoneCounts> CountZones(
       const ServiceProfile& service, const ScalingCounts& serving, double need,
       TimePoint now) const;
-  [[nodiscard]] static Spares CountSpares(
-      const std::map<std::string, ZoneCounts>& zones, const Needs& needs);
+  [[nodiscard]] Spares CountSpares(
+      const std::map<std::string, ZoneCounts>& zones, const Needs& needs) const;
   /// Engines on demand that a zone can do without.
   [[nodiscard]] static int GoingOnDemand(const ZoneCounts& zone,
                                          const ScalingProfile& scaling,
@@ -143,6 +149,7 @@
                            TimePoint now) const;
 
   TimePoint started_at_;
+  Strategies strategies_;
   TimePoint sees_since_;  ///< Without a gap.
   TimePoint asked_at_;    ///< For the next order.
   TimePoint grown_at_;    ///< When the list last grew, until it has settled.
--- a/libs/gateway/src/daemon_settings.cc
+++ b/libs/gateway/src/daemon_settings.cc
@@ -51,15 +51,27 @@
   reader->Decimal("slack", &out->quota_slack, 0, kMostTokens);
 }
 
+void ReadStrategies(TableReader* reader, GatewayDaemonSettings* out) {
+  auto& strategies = out->strategies;
+  reader->Flag("prefix_homes", &strategies.prefix_homes);
+  reader->Flag("ask_engines", &strategies.ask_engines);
+  reader->Flag("refuse_by_wait", &strategies.refuse_by_wait);
+  reader->Flag("ejection", &strategies.ejection);
+  reader->Flag("move_runs", &strategies.move_runs);
+  reader->Flag("engines_for_slots", &strategies.engines_for_slots);
+  reader->Flag("reclaim_reserve", &strategies.reclaim_reserve);
+}
+
 struct Section {
   const char* name;
   void (*read)(TableReader*, GatewayDaemonSettings*);
 };
 
 constexpr Section kSections[] = {
-    {"listen", ReadListen},     {"vm", ReadVm},
-    {"platform", ReadPlatform}, {"times", ReadTimes},
-    {"retries", ReadRetries},   {"quotas", ReadQuotas}};
+    {"listen", ReadListen},        {"vm", ReadVm},
+    {"platform", ReadPlatform},    {"times", ReadTimes},
+    {"retries", ReadRetries},      {"quotas", ReadQuotas},
+    {"strategies", ReadStrategies}};
 
 void ReadRegions(const toml::table* table, GatewayDaemonSettings* out) {
   if (table == nullptr) return;
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -107,36 +107,11 @@
   TryNext();
 }
 
-PickRequest Exchange::MakePickRequest() const {
-  PickRequest pick;
-  pick.service = service_;
-  pick.parts = request_.prompt_parts;
-  pick.prompt_tokens = request_.prompt_tokens.value_or(0);
-  pick.exclude = tried_;
-  return pick;
-}
-
 bool Exchange::MayBelieveKey() const {
   return pass_.workspace == nullptr ||
          context_->freshness.IsFresh(MonotonicNow());
 }
 
-void Exchange::TryNext() {
-  const auto outcome =
-      may_have_run_ ? RequestOutcome::kUnknown : RequestOutcome::kNotRun;
-  if (!MayBelieveKey()) {
-    return Refuse(ResultCode::kNotReady, "Keys cannot be checked now", outcome,
-                  PauseBeforeReturn());
-  }
-  context_->SyncPicker(MonotonicNow());
-  const auto upstream =
-      context_->picker.Pick(MakePickRequest(), MonotonicNow());
-  if (!upstream) {
-    return Refuse(ResultCode::kNoUpstream, "", outcome, PauseBeforeReturn());
-  }
-  Send(*upstream);
-}
-
 HttpCallTimes Exchange::Times(TimePoint now) const {
   // A connection in one region takes a few ms and 40 ms between regions;
   // longer means a lost packet or a dead upstream.
@@ -222,14 +197,17 @@
 }
 
 void Exchange::OnEvents(const std::string& events) {
-  context_->picker.OnFirstEvent(&attempt_.ticket);
+  const auto now = MonotonicNow();
+  context_->picker.OnFirstEvent(&attempt_.ticket, now);
   CountRun();
   if (!answer_started_) {
     answer_started_ = true;
-    first_event_ = MonotonicNow();
+    first_event_ = now;
+    last_event_ = now;
     responder_->StartStream(attempt_.head->status, attempt_.head->headers);
   }
-  last_event_ = MonotonicNow();
+  longest_pause_ = std::max(longest_pause_, now - last_event_);
+  last_event_ = now;
   responder_->Write(events);
 }
 
@@ -442,6 +420,8 @@
        {"upstream", Text(attempt_.upstream.id)},
        {"sends", sends_},
        {"in_flight", static_cast<qint64>(attempt_.in_flight)},
+       {"asked", static_cast<qint64>(asked_)},
+       {"wait_ms", static_cast<qint64>(expected_wait_.count())},
        {"prefill_tokens", attempt_.prefill_tokens},
        {"quota_tokens", quota_tokens_},
        {"status", attempt_.head ? attempt_.head->status : 0},
@@ -450,6 +430,7 @@
        {"first_ms", first_event_ ? static_cast<qint64>(
                                        (*first_event_ - started_at_).count())
                                  : -1},
+       {"longest_pause_ms", static_cast<qint64>(longest_pause_.count())},
        {"total_ms", static_cast<qint64>((now - started_at_).count())},
        {"events", static_cast<qint64>(relay_.events())},
        {"config", static_cast<qint64>(table_->version())},
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -60,7 +60,12 @@
   [[nodiscard]] bool MayBelieveKey() const;
   /// Whether the upstream of this attempt has become one that leaves.
   [[nodiscard]] bool IsLeaving() const;
+  /// Sends the request to the best upstream that is left, perhaps after some
+  /// engines were asked for their load.
   void TryNext();
+  void OnReport();
+  void SendToBest();
+  [[nodiscard]] RequestOutcome OutcomeSoFar() const;
   /// Takes its own copy: `upstream` may be that of the attempt before.
   void Send(UpstreamEntry upstream,
             const std::optional<RunCopy>& copy = std::nullopt);
@@ -107,14 +112,18 @@
   EventRelay relay_;
   std::optional<TimePoint> first_event_;
   TimePoint last_event_;
-  int sends_ = 0;          ///< Times that bytes may have left.
-  int counted_sends_ = 0;  ///< Without upstreams that ended meanwhile.
+  Duration longest_pause_{0};  ///< Between two events.
+  int sends_ = 0;              ///< Times that bytes may have left.
+  int counted_sends_ = 0;      ///< Without upstreams that ended meanwhile.
   bool may_have_run_ = false;
   bool counted_run_ = false;
   bool answer_started_ = false;
   bool caller_left_ = false;
   double quota_tokens_ = 0;  ///< Counted against the workspace's quota.
   bool waits_for_quota_ = false;
+  std::size_t asked_ = 0;            ///< Engines that were asked.
+  std::size_t reports_awaited_ = 0;  ///< Of them, without an answer.
+  Duration expected_wait_{0};        ///< For a slot, when it was sent.
   bool finished_ = false;
 };
 
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -36,7 +36,8 @@
       environment(gateway_environment),
       freshness(settings.freshness_bound),
       catalog(settings.return_time),
-      picker(settings.location),
+      picker(settings.location,
+             {settings.strategies.prefix_homes, settings.strategies.ejection}),
       prompt_demand(kLoadMemory),
       ledger(settings.usage_window_ms) {}
 
@@ -147,6 +148,25 @@
        {"closed_ms", static_cast<qint64>(closed_for.count())}});
 }
 
+void GatewayContext::AskReport(const UpstreamEntry& upstream, Duration patience,
+                               std::function<void(const EngineReport&)> done) {
+  // Held by its own callback until it has ended.
+  const auto call = std::make_shared<std::unique_ptr<HttpCall>>();
+  *call = HttpFetch(upstream.endpoint, environment.dialect->WriteReportQuery(),
+                    {patience, patience, patience}, &pool,
+                    [this, id = upstream.id, call,
+                     done = std::move(done)](const HttpFetchResult& result) {
+                      const auto ended = std::move(*call);
+                      EngineReport report;
+                      if (result.end == HttpCallEnd::kComplete) {
+                        report = environment.dialect->ReadReport(result.answer);
+                      }
+                      if (report.load)
+                        picker.OnReport(id, *report.load, MonotonicNow());
+                      done(report);
+                    });
+}
+
 Duration GatewayContext::PauseBeforeReturn(const std::string& service,
                                            const std::string& request,
                                            TimePoint now) const {
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -68,6 +68,10 @@
   /// Takes what an answer of `upstream` says of work to come.
   void NoteHead(const UpstreamEntry& upstream, const UpstreamHead& head,
                 const std::string& request);
+  /// Asks an engine for its report and tells its load to the picker. `done`
+  /// gets an empty report when none came within `patience`.
+  void AskReport(const UpstreamEntry& upstream, Duration patience,
+                 std::function<void(const EngineReport&)> done);
   /// When a caller whom no upstream could take may come back.
   [[nodiscard]] Duration PauseBeforeReturn(const std::string& service,
                                            const std::string& request,
--- a/libs/gateway/src/duty_service.cc
+++ b/libs/gateway/src/duty_service.cc
@@ -321,7 +321,7 @@
             return environment.gateway->IsDraining() ||
                    coordinator->AllReportedSince(true_ms, MonotonicNow());
           }});
-  scaling.emplace(held_since);
+  scaling.emplace(held_since, settings.strategies);
   lease_timer.start(kHolderTick);
   environment.log->Write("lease-taken",
                          {{"fencing", static_cast<qint64>(lease.fencing())}});
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -15,8 +15,8 @@
 using details::Exchange;
 using details::GatewayContext;
 
-constexpr HttpCallTimes kStayQueryTimes{Duration(300), Duration(600),
-                                        Duration(300)};
+// Engines that are about to end may be in another region, and busy.
+constexpr Duration kStayPatience{600};
 // Engines show their state as it was some 200 ms ago.
 constexpr Duration kReportLag{350};
 // The first configuration is read within some 100 ms of a start; requests that
@@ -84,25 +84,18 @@
 void Gateway::Impl::AskHowLongItStays(const UpstreamEntry& entry) {
   const auto* service =
       context.table ? context.table->FindService(entry.service) : nullptr;
-  const bool moves =
-      service != nullptr && service->engine && service->engine->moves_runs;
+  const bool moves = context.settings.strategies.move_runs &&
+                     service != nullptr && service->engine &&
+                     service->engine->moves_runs;
   if (!moves || context.picker.InFlight(entry.id) == 0) return;
   QTimer::singleShot(kReportLag, &context.janitor,
                      [this, entry] { SendStayQuery(entry); });
 }
 
 void Gateway::Impl::SendStayQuery(const UpstreamEntry& entry) {
-  const auto& dialect = *context.environment.dialect;
-  // Held by its own callback until it has ended.
-  const auto call = std::make_shared<std::unique_ptr<HttpCall>>();
-  *call = HttpFetch(
-      entry.endpoint, dialect.WriteStayQuery(), kStayQueryTimes, &context.pool,
-      [this, entry, call](const HttpFetchResult& result) {
-        const auto ended = std::move(*call);
-        if (result.end != HttpCallEnd::kComplete) return;
-        const auto stay = context.environment.dialect->ReadStay(result.answer);
-        if (stay) Evacuate(entry, *stay - kReportLag);
-      });
+  context.AskReport(entry, kStayPatience, [this, entry](const auto& report) {
+    if (report.stays) Evacuate(entry, *report.stays - kReportLag);
+  });
 }
 
 void Gateway::Impl::Evacuate(const UpstreamEntry& entry, Duration stay) {
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -67,6 +67,7 @@
   gateway.quota_window = settings.quota_window;
   gateway.quota_slack = settings.quota_slack;
   gateway.usage_window_ms = settings.usage_window.count();
+  gateway.strategies = settings.strategies;
   return gateway;
 }
 
@@ -155,7 +156,8 @@
       duties(
           {settings.daemon, life, RegionOf(settings), settings.peers,
            settings.lease, settings.quota_window, settings.usage_window.count(),
-           settings.cores, settings.reports_usage, settings.orders_upstreams},
+           settings.cores, settings.reports_usage, settings.orders_upstreams,
+           settings.strategies},
           DutyEnvironment()) {
   BuildServers();
   BuildTree();
--- a/libs/gateway/src/intake.cc
+++ b/libs/gateway/src/intake.cc
@@ -22,6 +22,13 @@
 
 }  // namespace
 
+bool WaitsTooLong(const Route& route, Duration wait) {
+  // Part of the objective that may be spent on a slot; the rest is for prompts
+  // that are read before, and the own one.
+  constexpr int kWaitDivisor = 4;
+  return wait > route.objective / kWaitDivisor;
+}
+
 bool TakesWhileDraining(const Route& route, const DrainState& drain,
                         TimePoint now) {
   if (route.kind == RequestKind::kStream) {
--- a/libs/gateway/src/scaling_duty.cc
+++ b/libs/gateway/src/scaling_duty.cc
@@ -31,6 +31,10 @@
 // Orders that were accepted but did not show are repeated after this time
 // beyond the start of an upstream.
 constexpr Duration kRepeatAfter{4'000};
+// Part of the slots that may be taken: load is uneven, so that requests queue
+// at some engines long before all are full, and prompts that are read slow the
+// rest down (0.8 was tried, see docs/DECISIONS.md).
+constexpr double kSlotsTaken = 0.6;
 // Part of the need below which engines are bought on demand: the next zone may
 // be reclaimed before the first one's engines can be had again.
 constexpr double kLeastPart = 0.7;
@@ -63,8 +67,9 @@
 
 }  // namespace
 
-ScalingDuty::ScalingDuty(TimePoint started_at)
+ScalingDuty::ScalingDuty(TimePoint started_at, Strategies strategies)
     : started_at_(started_at),
+      strategies_(strategies),
       sees_since_(started_at),
       asked_at_(started_at),
       grown_at_(started_at) {}
@@ -102,13 +107,21 @@
   if (seen >= need || now - at > memory) *this = {seen, now};
 }
 
+double ScalingDuty::SlotsNeed(const ServiceProfile& service,
+                              const ServiceLoad& load) const {
+  if (!strategies_.engines_for_slots || !service.engine) return 0;
+  const auto slots =
+      static_cast<double>(std::max<std::int64_t>(1, service.engine->slots));
+  return load.in_flight / (slots * kSlotsTaken);
+}
+
 ScalingDuty::Needs ScalingDuty::Need(const ServiceProfile& service, int given,
                                      const Input& input, TimePoint now) {
-  const auto load = input.loads.find(service.name);
-  const double need = load == input.loads.end()
-                          ? 0
-                          : load->second.tokens_per_s / kTokensPerEngineS;
+  const auto found = input.loads.find(service.name);
+  const auto load = found == input.loads.end() ? ServiceLoad{} : found->second;
+  const double need = load.tokens_per_s / kTokensPerEngineS;
   auto& peaks = peaks_[service.name];
+  peaks.slots.Note(SlotsNeed(service, load), kOnDemandPeakMemory, now);
   if (!settled_) {
     const double start = StartNeed(*service.scaling, given);
     peaks.reclaimable = {std::max(peaks.reclaimable.need, start), now};
@@ -121,7 +134,8 @@
   peaks.on_demand.Note(
       knows_little ? std::max(need, peaks.on_demand.need) : need,
       kOnDemandPeakMemory, now);
-  return {peaks.reclaimable.need, peaks.on_demand.need, knows_little};
+  return {std::max(peaks.reclaimable.need, peaks.slots.need),
+          peaks.on_demand.need, peaks.slots.need, knows_little};
 }
 
 int ScalingDuty::Starting(const ScalingSubject& subject, int serving,
@@ -193,7 +207,7 @@
 }
 
 ScalingDuty::Spares ScalingDuty::CountSpares(
-    const std::map<std::string, ZoneCounts>& zones, const Needs& needs) {
+    const std::map<std::string, ZoneCounts>& zones, const Needs& needs) const {
   const double need = needs.on_demand;
   int total = 0;
   int starting = 0;
@@ -206,8 +220,15 @@
   // Others would start too late when the next zone is reclaimed.
   const int then =
       total - most_in_zone - static_cast<int>(std::ceil(need * kReservePart));
-  const int whole = total - static_cast<int>(std::ceil(need));
-  const int least = total - static_cast<int>(std::ceil(need * kLeastPart));
+  const auto beyond = [&](double part) {
+    const double least = std::max(need * part, needs.slots);
+    return total - static_cast<int>(std::ceil(least));
+  };
+  const int whole = beyond(1);
+  const int least = beyond(kLeastPart);
+  if (!strategies_.reclaim_reserve) {
+    return {whole, least, starting, needs.knows_little};
+  }
   return {std::min(whole, then), std::min(least, then), starting,
           needs.knows_little};
 }
--- a/libs/gateway/tests/duty_service_test.cc
+++ b/libs/gateway/tests/duty_service_test.cc
@@ -140,7 +140,8 @@
                 500,
                 1,
                 true,
-                true},
+                true,
+                {}},
                {&gateway, &link, cloud, &true_time, &log, {}, {}, {}}) {
     gateway.SetRoutes(std::make_shared<const RouteTable>(Configuration()));
   }
--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -128,7 +128,7 @@
     if (connection.received.find("Copy: copy-7") != std::string::npos) {
       return Answer(connection, "200 OK", Event(3));
     }
-    if (connection.received.find("GET /stay") != std::string::npos) {
+    if (connection.received.find("GET /report") != std::string::npos) {
       return Answer(connection, "200 OK", "1800");
     }
     stream = &connection;
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cctype>
 #include <memory>
 #include <string>
 
@@ -46,12 +47,24 @@
     const bool stopped = copied || answer.status == 503;
     return {stopped, copied, stopped ? answer.body : ""};
   }
-  [[nodiscard]] HttpRequest WriteStayQuery() const override {
-    return {"GET", "/stay", {}, ""};
+  [[nodiscard]] HttpRequest WriteReportQuery() const override {
+    return {"GET", "/report", {}, ""};
   }
-  [[nodiscard]] std::optional<Duration> ReadStay(
+  /// "STAYS_MS" or "RUNNING/WAITING"; anything else is no report.
+  [[nodiscard]] EngineReport ReadReport(
       const HttpAnswer& answer) const override {
-    return Duration(std::stoi(answer.body));
+    EngineReport report;
+    if (answer.body.empty() || std::isdigit(answer.body.front()) == 0) {
+      return report;
+    }
+    const auto slash = answer.body.find('/');
+    if (slash == std::string::npos) {
+      report.stays = Duration(std::stoi(answer.body));
+    } else {
+      report.load = {std::stoi(answer.body),
+                     std::stoi(answer.body.substr(slash + 1))};
+    }
+    return report;
   }
   [[nodiscard]] UpstreamHead ReadHead(
       int status, const HttpHeaders& headers) const override {
--- a/libs/gateway/tests/intake_test.cc
+++ b/libs/gateway/tests/intake_test.cc
@@ -137,4 +137,17 @@
   }
 }
 
+TEST_CASE("a request that would wait for a slot of an engine") {
+  Route route;
+  route.objective = Duration(800);
+
+  SUBCASE("is sent while most of its objective is left for its prompt") {
+    CHECK_FALSE(WaitsTooLong(route, Duration(0)));
+    CHECK_FALSE(WaitsTooLong(route, Duration(200)));
+  }
+  SUBCASE("is refused beyond that") {
+    CHECK(WaitsTooLong(route, Duration(201)));
+  }
+}
+
 }  // namespace firmoor
--- a/libs/gateway/tests/scaling_duty_test.cc
+++ b/libs/gateway/tests/scaling_duty_test.cc
@@ -52,6 +52,8 @@
   void Demand(double tokens_per_s) {
     input.loads["engine"].tokens_per_s = tokens_per_s;
   }
+  /// Requests that are at engines.
+  void Hold(double requests) { input.loads["engine"].in_flight = requests; }
   int Count(const std::string& zone, bool reclaimable) const {
     const auto counts = ScalingDuty::Serving(input);
     const auto found = counts.find({"engine", zone, reclaimable});
@@ -341,4 +343,37 @@
   for (const auto* zone : {"a", "b", "c"}) CHECK(world.Count(zone, false) == 3);
 }
 
+TEST_CASE("few slots an engine, and requests that hold them (long answers)") {
+  World world;
+  world.input.services[0].engine->slots = 8;
+  world.input.services[0].scaling->max_per_zone = 20;
+  world.Demand(50'000);
+  world.Run(Duration(20'000));
+  const int by_tokens = world.Total();
+
+  SUBCASE("engines are ordered for the slots, though the prompts need fewer") {
+    world.Hold(120);
+    world.Run(Duration(10'000));
+    CHECK(by_tokens * 8 < 120);
+    CHECK(world.Total() * 8 > 120);
+    SUBCASE("and go when the slots are free again") {
+      world.Hold(10);
+      world.Run(Duration(60'000));
+      CHECK(world.Total() <= by_tokens);
+    }
+  }
+  SUBCASE("they are bought on demand when reclaimable ones cannot be had") {
+    world.dry = true;
+    world.Hold(120);
+    world.Run(Duration(10'000));
+    CHECK(world.Total() * 8 > 120);
+  }
+  SUBCASE("not when the strategy is off") {
+    world.duty = ScalingDuty(world.now, Strategies{.engines_for_slots = false});
+    world.Hold(120);
+    world.Run(Duration(20'000));
+    CHECK(world.Total() * 8 < 120);
+  }
+}
+
 }  // namespace firmoor
--- a/libs/routing/include/routing/upstream_picker.h
+++ b/libs/routing/include/routing/upstream_picker.h
@@ -8,9 +8,11 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
+#include "routing/engine_loads.h"
 #include "routing/route_table.h"
 #include "routing/upstream_catalog.h"
 
@@ -29,6 +31,7 @@
   std::string service;
   std::vector<PromptPart> parts;  ///< The last one is the request's own.
   double prompt_tokens = 0;
+  double output_tokens = 0;       ///< At most.
   std::set<std::string> exclude;  ///< Upstreams that were tried before.
   /// A run that goes on, perhaps at the upstream that it began at and that
   /// leaves.
@@ -41,7 +44,7 @@
 struct PickTicket {
   std::string upstream;  ///< Empty when the request is nowhere.
   double prefill_tokens = 0;
-  bool has_started = false;
+  std::optional<TimePoint> started_at;  ///< When its first event came.
 
   bool operator==(const PickTicket&) const = default;
 };
@@ -58,9 +61,10 @@
 /// Chooses the upstream of each request. Engines: by the expected time to the
 /// first event, with a home for each prompt by rendezvous hashing, so that all
 /// daemons send a prompt's requests to the same engine without talking. Plain
-/// upstreams: the least busy of the nearest. Health checks are not believed:
-/// upstreams that fail requests are left out for a growing time, unless all
-/// fail. Pure.
+/// upstreams: the least busy of the nearest. Where slots of engines are scarce,
+/// some are asked for their load before a request is sent. Health checks are
+/// not believed: upstreams that fail requests are left out for a growing time,
+/// unless all fail. Pure.
 class UpstreamPicker {
  public:
   /// Where the daemon runs, and the region of each availability zone.
@@ -71,7 +75,17 @@
     bool operator==(const Location&) const = default;
   };
 
-  explicit UpstreamPicker(Location location);
+  /// Parts that may be left out, to measure what they are worth.
+  struct Options {
+    bool prefix_homes = true;
+    bool ejection = true;
+
+    bool operator==(const Options&) const = default;
+  };
+
+  explicit UpstreamPicker(Location location)
+      : UpstreamPicker(std::move(location), Options{}) {}
+  UpstreamPicker(Location location, Options options);
 
   /// Takes the upstreams that exist; state of those that stay is kept.
   void SetUpstreams(const std::map<std::string, UpstreamEntry>& entries);
@@ -92,10 +106,23 @@
   [[nodiscard]] std::optional<UpstreamEntry> Pick(const PickRequest& request,
                                                   TimePoint now);
 
+  /// Engines to ask for their load before `request` is sent: of the best ones,
+  /// those that did not report just now. None where a report would not change
+  /// the choice: with few of the slots taken, or a small request. `daemons`:
+  /// how many share the engines.
+  [[nodiscard]] std::vector<UpstreamEntry> ToAsk(const PickRequest& request,
+                                                 std::size_t daemons,
+                                                 TimePoint now);
+  /// An engine has reported its load.
+  void OnReport(const std::string& id, const EngineLoad& load, TimePoint now);
+  /// How long a request would wait for a slot, as far as is known.
+  [[nodiscard]] Duration ExpectedWait(const std::string& id,
+                                      TimePoint now) const;
+
   /// The request was sent. Keep the ticket until its end.
   PickTicket OnSend(const std::string& id, const PickRequest& request);
   /// The first event arrived: its prompt is read.
-  void OnFirstEvent(PickTicket* ticket);
+  void OnFirstEvent(PickTicket* ticket, TimePoint now);
   /// The request left the upstream; the ticket is empty then.
   void OnEnd(PickTicket* ticket, UpstreamVerdict verdict, TimePoint now);
 
@@ -139,20 +166,34 @@
   /// Until when it is closed; none when it is open.
   [[nodiscard]] std::optional<TimePoint> ClosedUntil(const UpstreamEntry& entry,
                                                      TimePoint now) const;
-  [[nodiscard]] static std::uint64_t HomeKey(const PickRequest& request);
+  [[nodiscard]] std::uint64_t HomeKey(const PickRequest& request) const;
   [[nodiscard]] static double UncachedTokens(const Upstream& upstream,
                                              const PickRequest& request,
                                              bool is_home);
   [[nodiscard]] double Cost(const Upstream& upstream,
-                            const PickRequest& request, bool is_home) const;
-  [[nodiscard]] std::optional<UpstreamEntry> Best(
-      const std::vector<const Upstream*>& usable,
-      const PickRequest& request) const;
+                            const PickRequest& request, bool is_home,
+                            TimePoint now) const;
+  [[nodiscard]] double EngineCost(const Upstream& upstream,
+                                  const PickRequest& request, bool is_home,
+                                  TimePoint now) const;
+  /// Those of `usable`, the best first.
+  [[nodiscard]] std::vector<Candidate> Ranked(
+      const std::vector<const Upstream*>& usable, const PickRequest& request,
+      TimePoint now) const;
+  [[nodiscard]] bool IsEngine(const std::string& service) const;
+  [[nodiscard]] static EngineLoads::Engine LoadKey(const Upstream& upstream);
+  /// Part of a service's slots that is taken, if all daemons send as much.
+  [[nodiscard]] double PartTaken(const std::string& service,
+                                 std::size_t daemons) const;
+  /// The prompt is read, or will not be.
+  void EndReading(const PickTicket& ticket);
   void NoteVerdict(Upstream* upstream, UpstreamVerdict verdict, TimePoint now);
 
   Location location_;
+  Options options_;
   std::map<std::string, Upstream> upstreams_;
   std::map<std::string, ServiceProfile> services_;
+  EngineLoads loads_;
   std::map<std::string, Closure> closures_;  ///< By id; outlive the entries.
   std::uint64_t turn_ = 0;
 };
--- a/libs/routing/src/upstream_picker.cc
+++ b/libs/routing/src/upstream_picker.cc
@@ -24,6 +24,12 @@
 constexpr double kOtherRegionS = 0.08;
 // Time of a plain request, to weigh queues against distance.
 constexpr double kPlainWorkS = 0.03;
+// Engines that are compared for a request: two random choices even out most of
+// the load (Mitzenmacher), a third the rest, and each costs a question.
+constexpr std::size_t kEnginesCompared = 3;
+// Part of the slots that is taken below which engines hardly ever queue, even
+// when some get several times the mean.
+constexpr double kScarceFrom = 0.25;
 // Parts remembered for one upstream: over 16 times the parts that fill one.
 constexpr std::size_t kPartsRemembered = 1'024;
 // Failures in a row that a sound upstream hardly shows: with a seventh of the
@@ -53,17 +59,22 @@
   return where.contains(part);
 }
 
-UpstreamPicker::UpstreamPicker(Location location)
-    : location_(std::move(location)) {}
+UpstreamPicker::UpstreamPicker(Location location, Options options)
+    : location_(std::move(location)), options_(options) {}
 
 void UpstreamPicker::SetUpstreams(
     const std::map<std::string, UpstreamEntry>& entries) {
   std::erase_if(upstreams_, [&](const auto& held) {
-    return !entries.contains(held.first);
+    const bool gone = !entries.contains(held.first);
+    if (gone) loads_.Forget(held.first);
+    return gone;
   });
   for (const auto& [id, entry] : entries) {
     auto& upstream = upstreams_[id];
-    if (upstream.entry.born_ms != entry.born_ms) upstream = {};
+    if (upstream.entry.born_ms != entry.born_ms) {
+      upstream = {};
+      loads_.Forget(id);
+    }
     upstream.entry = entry;
   }
 }
@@ -83,11 +94,9 @@
 }
 
 bool UpstreamPicker::HasRoom(const Upstream& upstream) const {
-  const auto service = services_.find(upstream.entry.service);
-  const bool engine =
-      service != services_.end() && service->second.engine.has_value();
   const auto slots = std::max<std::int64_t>(1, upstream.entry.slots);
-  return upstream.in_flight < (engine ? slots : slots * kPlainQueueFactor);
+  return upstream.in_flight <
+         (IsEngine(upstream.entry.service) ? slots : slots * kPlainQueueFactor);
 }
 
 void UpstreamPicker::Close(const std::string& id, std::int64_t born_ms,
@@ -137,8 +146,8 @@
   return sound.empty() ? ejected : sound;
 }
 
-std::uint64_t UpstreamPicker::HomeKey(const PickRequest& request) {
-  if (request.parts.size() < 2) return 0;
+std::uint64_t UpstreamPicker::HomeKey(const PickRequest& request) const {
+  if (!options_.prefix_homes || request.parts.size() < 2) return 0;
   return request.parts[request.parts.size() - 2].id;
 }
 
@@ -155,30 +164,51 @@
   return std::max(0.0, request.prompt_tokens - cached);
 }
 
+bool UpstreamPicker::IsEngine(const std::string& service) const {
+  const auto found = services_.find(service);
+  return found != services_.end() && found->second.engine.has_value();
+}
+
+EngineLoads::Engine UpstreamPicker::LoadKey(const Upstream& upstream) {
+  return {upstream.entry.id, upstream.entry.service, upstream.entry.slots,
+          upstream.in_flight};
+}
+
 double UpstreamPicker::Cost(const Upstream& upstream,
-                            const PickRequest& request, bool is_home) const {
+                            const PickRequest& request, bool is_home,
+                            TimePoint now) const {
   const double distance =
       IsRemote(upstream.entry) ? kOtherRegionS
       : upstream.entry.availability_zone == location_.availability_zone
           ? 0
           : kOtherZoneS;
-  const auto running = static_cast<double>(upstream.in_flight);
-  const auto service = services_.find(request.service);
-  if (service == services_.end() || !service->second.engine) {
-    const auto slots =
-        static_cast<double>(std::max<std::int64_t>(1, upstream.entry.slots));
-    return distance + kPlainWorkS * running / slots;
+  if (IsEngine(request.service)) {
+    return distance + EngineCost(upstream, request, is_home, now);
   }
+  const auto running = static_cast<double>(upstream.in_flight);
+  const auto slots =
+      static_cast<double>(std::max<std::int64_t>(1, upstream.entry.slots));
+  return distance + kPlainWorkS * running / slots;
+}
+
+double UpstreamPicker::EngineCost(const Upstream& upstream,
+                                  const PickRequest& request, bool is_home,
+                                  TimePoint now) const {
+  constexpr double kMsPerSecond = 1'000;
+  const auto engine = LoadKey(upstream);
+  const double running =
+      std::min(loads_.Requests(engine, now),
+               static_cast<double>(std::max<std::int64_t>(1, engine.slots)));
   const double own = UncachedTokens(upstream, request, is_home);
-  return distance +
+  const auto wait = static_cast<double>(loads_.Wait(engine, now).count());
+  return wait / kMsPerSecond +
          (upstream.queued_tokens + kRereadFactor * own) / kPrefillTokensPerS +
          kInterferenceS * running;
 }
 
-std::optional<UpstreamEntry> UpstreamPicker::Best(
-    const std::vector<const Upstream*>& usable,
-    const PickRequest& request) const {
-  if (usable.empty()) return std::nullopt;
+std::vector<UpstreamPicker::Candidate> UpstreamPicker::Ranked(
+    const std::vector<const Upstream*>& usable, const PickRequest& request,
+    TimePoint now) const {
   const auto key = HomeKey(request);
   const auto rank_of = [&](const Upstream* upstream) {
     return Hash64(upstream->entry.id, key == 0 ? turn_ : key);
@@ -190,23 +220,76 @@
     auto& home = IsRemote(upstream->entry) ? home_far : home_near;
     home = std::max(home, rank_of(upstream));
   }
-  std::optional<Candidate> best;
+  std::vector<Candidate> ranked;
+  ranked.reserve(usable.size());
   for (const auto* upstream : usable) {
     const auto rank = rank_of(upstream);
     const bool is_home = key != 0 && (rank == home_near || rank == home_far);
-    const Candidate candidate{upstream, Cost(*upstream, request, is_home),
-                              rank};
-    const bool better = !best || std::make_pair(candidate.cost, ~rank) <
-                                     std::make_pair(best->cost, ~best->rank);
-    if (better) best = candidate;
+    ranked.push_back({upstream, Cost(*upstream, request, is_home, now), rank});
   }
-  return best->upstream->entry;
+  std::sort(ranked.begin(), ranked.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::make_pair(a.cost, ~a.rank) <
+                     std::make_pair(b.cost, ~b.rank);
+            });
+  return ranked;
 }
 
 std::optional<UpstreamEntry> UpstreamPicker::Pick(const PickRequest& request,
                                                   TimePoint now) {
   ++turn_;
-  return Best(Usable(request, now), request);
+  const auto ranked = Ranked(Usable(request, now), request, now);
+  if (ranked.empty()) return std::nullopt;
+  return ranked.front().upstream->entry;
+}
+
+double UpstreamPicker::PartTaken(const std::string& service,
+                                 std::size_t daemons) const {
+  double slots = 0;
+  double own = 0;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service != service || upstream.entry.leaving) continue;
+    slots += static_cast<double>(upstream.entry.slots);
+    own += static_cast<double>(upstream.in_flight);
+  }
+  return own * static_cast<double>(daemons) / std::max(1.0, slots);
+}
+
+std::vector<UpstreamEntry> UpstreamPicker::ToAsk(const PickRequest& request,
+                                                 std::size_t daemons,
+                                                 TimePoint now) {
+  if (!IsEngine(request.service)) return {};
+  loads_.OnRequest(request.service, request.output_tokens);
+  const bool helps =
+      loads_.IsWorthAsking(request.service, request.output_tokens) &&
+      PartTaken(request.service, daemons) >= kScarceFrom;
+  if (!helps) return {};
+  std::vector<UpstreamEntry> asked;
+  std::size_t compared = 0;
+  for (const auto& candidate : Ranked(Usable(request, now), request, now)) {
+    const auto& entry = candidate.upstream->entry;
+    if (IsRemote(entry)) continue;
+    if (!loads_.IsFresh(entry.id, now)) asked.push_back(entry);
+    if (++compared == kEnginesCompared) break;
+  }
+  return asked;
+}
+
+void UpstreamPicker::OnReport(const std::string& id, const EngineLoad& load,
+                              TimePoint now) {
+  const auto found = upstreams_.find(id);
+  if (found != upstreams_.end()) {
+    loads_.OnReport(LoadKey(found->second), load, now);
+  }
+}
+
+Duration UpstreamPicker::ExpectedWait(const std::string& id,
+                                      TimePoint now) const {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end() || !IsEngine(found->second.entry.service)) {
+    return Duration(0);
+  }
+  return loads_.Wait(LoadKey(found->second), now);
 }
 
 PickTicket UpstreamPicker::OnSend(const std::string& id,
@@ -225,29 +308,37 @@
   return ticket;
 }
 
-void UpstreamPicker::OnFirstEvent(PickTicket* ticket) {
-  const auto found = upstreams_.find(ticket->upstream);
-  if (found == upstreams_.end() || ticket->has_started) return;
-  ticket->has_started = true;
+void UpstreamPicker::EndReading(const PickTicket& ticket) {
+  const auto found = upstreams_.find(ticket.upstream);
+  if (found == upstreams_.end() || ticket.started_at) return;
   auto& queued = found->second.queued_tokens;
-  queued = std::max(0.0, queued - ticket->prefill_tokens);
+  queued = std::max(0.0, queued - ticket.prefill_tokens);
+}
+
+void UpstreamPicker::OnFirstEvent(PickTicket* ticket, TimePoint now) {
+  if (ticket->started_at) return;
+  EndReading(*ticket);
+  ticket->started_at = now;
 }
 
 void UpstreamPicker::OnEnd(PickTicket* ticket, UpstreamVerdict verdict,
                            TimePoint now) {
-  OnFirstEvent(ticket);
+  EndReading(*ticket);
   const auto ended = std::exchange(*ticket, {});
   const auto found = upstreams_.find(ended.upstream);
   if (found == upstreams_.end()) return;
   auto& upstream = found->second;
   upstream.in_flight = std::max<std::int64_t>(0, upstream.in_flight - 1);
   if (upstream.in_flight == 0) upstream.queued_tokens = 0;
+  if (ended.started_at) {
+    loads_.OnRun(upstream.entry.service, now - *ended.started_at);
+  }
   NoteVerdict(&upstream, verdict, now);
 }
 
 void UpstreamPicker::NoteVerdict(Upstream* upstream, UpstreamVerdict verdict,
                                  TimePoint now) {
-  if (verdict == UpstreamVerdict::kNeutral) return;
+  if (!options_.ejection || verdict == UpstreamVerdict::kNeutral) return;
   if (verdict == UpstreamVerdict::kGood) {
     upstream->failures = 0;
     upstream->ejections = 0;
