--- /dev/null
+++ b/libs/gateway/tests/daemon_settings_test.cc
@@ -0,0 +1,51 @@
+#include "gateway/daemon_settings.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <variant>
+
+namespace firmoor {
+namespace {
+
+constexpr const char* kGood = R"(daemon = "front-1"
+availability_zone = "east"
+[regions]
+east = "r"
+[listen]
+callers = "127.0.0.1:8080"
+ready = "127.0.0.1:8081"
+peers = "127.0.0.1:8082"
+metrics = "127.0.0.1:8083"
+[platform]
+object_api = "127.0.0.1:9000"
+)";
+
+std::variant<GatewayDaemonSettings, Error> Parse(const std::string& more) {
+  const std::string text = kGood + more;
+  return Capture([&] { return ParseGatewayDaemonSettings(text, "f.toml"); });
+}
+
+}  // namespace
+
+TEST_CASE("the strategies of a daemon") {
+  SUBCASE("are all on when the settings say nothing") {
+    const auto parsed = Parse("");
+    REQUIRE(std::holds_alternative<GatewayDaemonSettings>(parsed));
+    CHECK(std::get<GatewayDaemonSettings>(parsed).strategies == Strategies{});
+  }
+  SUBCASE("are switched off one by one") {
+    const auto parsed = Parse("[strategies]\nask_engines = false\n");
+    REQUIRE(std::holds_alternative<GatewayDaemonSettings>(parsed));
+    const auto strategies = std::get<GatewayDaemonSettings>(parsed).strategies;
+    CHECK_FALSE(strategies.ask_engines);
+    CHECK(strategies.refuse_by_wait);
+  }
+  SUBCASE("are refused with another name or type") {
+    CHECK(std::holds_alternative<Error>(Parse("[strategies]\nasks = true\n")));
+    CHECK(std::holds_alternative<Error>(
+        Parse("[strategies]\nask_engines = \"off\"\n")));
+  }
+}
+
+}  // namespace firmoor
