--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -161,8 +161,9 @@
                       if (result.end == HttpCallEnd::kComplete) {
                         report = environment.dialect->ReadReport(result.answer);
                       }
-                      if (report.load)
+                      if (report.load) {
                         picker.OnReport(id, *report.load, MonotonicNow());
+                      }
                       done(report);
                     });
 }
--- a/libs/routing/include/routing/upstream_picker.h
+++ b/libs/routing/include/routing/upstream_picker.h
@@ -108,8 +108,8 @@
 
   /// Engines to ask for their load before `request` is sent: of the best ones,
   /// those that did not report just now. None where a report would not change
-  /// the choice: with few of the slots taken, or a small request. `daemons`:
-  /// how many share the engines.
+  /// the choice: with few of the slots taken, or a request that is small beside
+  /// those that were passed here before. `daemons`: how many share the engines.
   [[nodiscard]] std::vector<UpstreamEntry> ToAsk(const PickRequest& request,
                                                  std::size_t daemons,
                                                  TimePoint now);
