--- a/libs/routing/src/engine_loads.cc
+++ b/libs/routing/src/engine_loads.cc
@@ -46,9 +46,9 @@
 
 const EngineLoads::Means& EngineLoads::MeansOf(
     const std::string& service) const {
-  static const Means kUnknown;
+  static const Means unknown;
   const auto found = means_.find(service);
-  return found == means_.end() ? kUnknown : found->second;
+  return found == means_.end() ? unknown : found->second;
 }
 
 double EngineLoads::Requests(const Engine& engine, TimePoint now) const {
