Log which prompt chunks failed attempts share

The logs told which attempts were cut off, but not what the requests had in common, so they could not tell a culprit among them from crashes by themselves. attempt-failed lines now carry hashes of the shared chunks (all but the last) and the run of the upstream. Hashes cover the service; no prompt text or id is logged.

--- a/libs/gateway/include/gateway/dialect.h
+++ b/libs/gateway/include/gateway/dialect.h
@@ -25,6 +25,9 @@
   std::string key;                         ///< API key; empty if absent.
   std::optional<Duration> caller_timeout;  ///< How long the caller waits.
   std::vector<PromptChunk> prompt_chunks;
+  /// 128-bit hashes of the prompt chunks but the last, which belongs to this
+  /// request or its session alone.
+  std::vector<std::string> shared_chunk_digests;
   std::optional<double> prompt_tokens;
   double max_output_tokens = 0;
   std::string last_event_id;  ///< Last event received, for resumed streams.
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -43,6 +43,7 @@
       table_(context->table),
       admission_(admission),
       service_(ChooseService(*admission.route, request_.id)),
+      suspects_(SuspectsOf(service_, request_.shared_chunk_digests)),
       responder_(std::move(responder)),
       started_at_(MonotonicNow()),
       ends_at_(started_at_ +
@@ -420,6 +421,8 @@
        {"attempt_ms",
         static_cast<qint64>((MonotonicNow() - attempt_.sent_at).count())},
        {"budget", context_->BudgetOf(service_).available()},
+       {"born_ms", static_cast<qint64>(attempt_.upstream.born_ms)},
+       {"shared_chunks", Text(HashList(suspects_))},
        {"next", Text(NameOf(decision.step))},
        {"outcome", Text(NameOf(decision.outcome))}});
 }
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -12,6 +12,7 @@
 #include "details/gateway_context.h"
 #include "gateway/event_relay.h"
 #include "gateway/request_admission.h"
+#include "quarantine/suspect.h"
 #include "serving/attempt_policy.h"
 
 namespace firmoor::details {
@@ -120,6 +121,7 @@
   std::shared_ptr<const RouteTable> table_;
   RequestAdmission admission_;
   std::string service_;
+  std::vector<Suspect> suspects_;  ///< What in it may crash upstreams.
   std::shared_ptr<HttpResponder> responder_;
   TimePoint started_at_;
   TimePoint ends_at_;
