Quarantine a request that crashes each upstream that runs it

Cause: the same as for prompt chunks. What repeats is the caller's request as a whole, under a new id each time and at any daemon; its chunks are shared with sound requests and are cleared by them. A hash of caller, path and body is a suspect as well now, and guilty after three successive crashes: a sound request is seldom sent more often than twice. The coordinator keeps up to 8,192 suspects, since each crash adds the requests that ran on the upstream.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -43,7 +43,11 @@
       table_(context->table),
       admission_(admission),
       service_(ChooseService(*admission.route, request_.id)),
-      suspects_(SuspectsOf(service_, request_.shared_chunk_digests)),
+      suspects_(SuspectsOf(
+          {service_,
+           admission.workspace == nullptr ? "" : admission.workspace->name,
+           request_.method, request_.target, request_.body,
+           request_.shared_chunk_digests})),
       responder_(std::move(responder)),
       started_at_(MonotonicNow()),
       ends_at_(started_at_ +
@@ -430,7 +434,7 @@
         static_cast<qint64>((MonotonicNow() - attempt_.sent_at).count())},
        {"budget", context_->BudgetOf(service_).available()},
        {"born_ms", static_cast<qint64>(attempt_.upstream.born_ms)},
-       {"shared_chunks", Text(HashList(suspects_))},
+       {"suspects", Text(HashList(suspects_))},
        {"next", Text(NameOf(decision.step))},
        {"outcome", Text(NameOf(decision.outcome))}});
 }
--- a/libs/quarantine/include/quarantine/crash_correlator.h
+++ b/libs/quarantine/include/quarantine/crash_correlator.h
@@ -25,11 +25,16 @@
 class CrashCorrelator {
  public:
   /// Successive crashes that make a suspect guilty. Fewer may be chance: while
-  /// a tenth of all requests end in crashes, sound ones meet several in a row.
-  static constexpr std::size_t kGuiltyCrashes = 4;
+  /// a tenth of all requests end in crashes, sound chunks meet several in a
+  /// row. One sound request is seldom sent more often than twice.
+  static constexpr std::size_t GuiltyCrashes(SuspectKind kind) {
+    return kind == SuspectKind::kRequest ? 3 : 4;
+  }
   /// Successive crashes from which on daemons report completed requests.
   static constexpr std::size_t kWatchedCrashes = 2;
-  static constexpr std::size_t kMaxSuspects = 512;
+  /// Each crash adds the requests that ran on the upstream, a few hundred at
+  /// most.
+  static constexpr std::size_t kMaxSuspects = 8'192;
 
   /// `clearance`: time for which a suspect is watched before it can be found
   /// guilty, so that daemons can report completed requests.
@@ -63,6 +68,7 @@
     std::optional<TimePoint> completed_at;
     std::optional<TimePoint> watched_since;
     std::size_t successive = 0;  ///< As of the last `Recount`.
+    bool is_changed = true;      ///< Since then.
   };
   using RunSet = std::set<UpstreamRun>;
 
@@ -89,7 +95,7 @@
   std::map<UpstreamRun, TimePoint> crashes_;
   std::multimap<TimePoint, UpstreamRun> crash_times_;
   TimePoint expired_at_;
-  bool is_changed_ = false;  ///< Since the last `Recount`.
+  bool is_changed_ = false;  ///< Any evidence since the last `Recount`.
 };
 
 }  // namespace firmoor
--- a/libs/quarantine/include/quarantine/suspect.h
+++ b/libs/quarantine/include/quarantine/suspect.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <compare>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,11 +13,13 @@
 /// Property of a request that may be what crashes an upstream.
 enum class SuspectKind {
   kPromptChunk,  ///< A chunk of the prompt that other requests share.
+  kRequest,      ///< The whole request: caller, path and body.
 };
 
-inline constexpr std::array kSuspectKinds = {SuspectKind::kPromptChunk};
+inline constexpr std::array kSuspectKinds = {SuspectKind::kPromptChunk,
+                                             SuspectKind::kRequest};
 
-/// "prompt-chunk", for logs and messages.
+/// "prompt-chunk" or "request", for logs and messages.
 std::string_view NameOf(SuspectKind kind);
 
 /// One property of a request that may crash upstreams. Holds only a hash, so
@@ -28,10 +31,19 @@
   auto operator<=>(const Suspect&) const = default;
 };
 
-/// The suspects in a request to `service`, without duplicates.
-/// `chunk_digests`: 128-bit hashes of its prompt chunks but the last.
-std::vector<Suspect> SuspectsOf(std::string_view service,
-                                const std::vector<std::string>& chunk_digests);
+/// What of a request may crash upstreams.
+struct RequestContent {
+  std::string_view service = {};
+  std::string_view workspace = {};  ///< Empty on public routes.
+  std::string_view method = {};
+  std::string_view target = {};
+  std::string_view body = {};
+  /// 128-bit hashes of its prompt chunks but the last.
+  std::span<const std::string> chunk_digests = {};
+};
+
+/// The suspects in a request, sorted and without duplicates.
+std::vector<Suspect> SuspectsOf(const RequestContent& content);
 
 /// The hashes, separated by commas, for logs.
 std::string HashList(const std::vector<Suspect>& suspects);
--- a/libs/quarantine/src/crash_correlator.cc
+++ b/libs/quarantine/src/crash_correlator.cc
@@ -34,6 +34,7 @@
   for (const auto& [suspect, age] : report.suspects) {
     auto& evidence = evidence_[suspect];
     if (evidence.completed_at && *evidence.completed_at > crashed_at) continue;
+    evidence.is_changed = true;
     const auto begun_at = std::min(now - age, crashed_at);
     const auto [known, is_new] =
         evidence.crashes.try_emplace(report.run, Crash{begun_at, crashed_at});
@@ -62,6 +63,7 @@
   const auto cleared = std::erase_if(evidence.crashes, [&](const auto& crash) {
     return crash.second.crashed_at < *evidence.completed_at;
   });
+  evidence.is_changed = evidence.is_changed || cleared > 0;
   is_changed_ = is_changed_ || cleared > 0;
   if (evidence.crashes.size() < kWatchedCrashes) evidence.watched_since.reset();
 }
@@ -69,7 +71,9 @@
 void CrashCorrelator::Refute(const UpstreamRun& run) {
   is_changed_ = true;
   RemoveCrash(run);
-  for (auto& [suspect, evidence] : evidence_) evidence.crashes.erase(run);
+  for (auto& [suspect, evidence] : evidence_) {
+    if (evidence.crashes.erase(run) > 0) evidence.is_changed = true;
+  }
 }
 
 void CrashCorrelator::RemoveCrash(const UpstreamRun& run) {
@@ -88,9 +92,11 @@
     RemoveCrash(UpstreamRun(run));
   }
   for (auto& [suspect, evidence] : evidence_) {
-    std::erase_if(evidence.crashes, [now](const auto& crash) {
-      return now - crash.second.crashed_at > kEvidenceLifetime;
-    });
+    const auto expired =
+        std::erase_if(evidence.crashes, [now](const auto& crash) {
+          return now - crash.second.crashed_at > kEvidenceLifetime;
+        });
+    if (expired > 0) evidence.is_changed = true;
   }
   // A late report of an earlier crash is compared with the last completion.
   std::erase_if(evidence_, [now](const auto& entry) {
@@ -104,7 +110,10 @@
 void CrashCorrelator::Recount() {
   if (!std::exchange(is_changed_, false)) return;
   for (auto& [suspect, evidence] : evidence_) {
-    evidence.successive = CountSuccessive(evidence, {});
+    // A crash of other upstreams may turn an earlier one into an outage.
+    const bool is_affected =
+        std::exchange(evidence.is_changed, false) || evidence.successive > 1;
+    if (is_affected) evidence.successive = CountSuccessive(evidence, {});
   }
 }
 
@@ -200,9 +209,10 @@
     for (const auto& [suspect, evidence] : evidence_) {
       const bool is_watched =
           evidence.watched_since && now - *evidence.watched_since >= clearance_;
-      if (!is_watched || evidence.successive < kGuiltyCrashes) continue;
+      if (!is_watched || evidence.successive < GuiltyCrashes(suspect.kind))
+        continue;
       const auto crashes = CountSuccessive(evidence, explained);
-      if (crashes < kGuiltyCrashes || crashes <= most) continue;
+      if (crashes < GuiltyCrashes(suspect.kind) || crashes <= most) continue;
       worst = &evidence;
       most = crashes;
     }
--- a/libs/quarantine/src/suspect.cc
+++ b/libs/quarantine/src/suspect.cc
@@ -1,5 +1,7 @@
 #include "quarantine/suspect.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -8,19 +10,22 @@
 namespace firmoor {
 
 std::string_view NameOf(SuspectKind kind) {
-  constexpr std::string_view kNames[] = {"prompt-chunk"};
+  constexpr std::string_view kNames[] = {"prompt-chunk", "request"};
   return kNames[static_cast<int>(kind)];
 }
 
-std::vector<Suspect> SuspectsOf(std::string_view service,
-                                const std::vector<std::string>& chunk_digests) {
+std::vector<Suspect> SuspectsOf(const RequestContent& content) {
   std::vector<Suspect> suspects;
-  for (const auto& digest : chunk_digests) {
-    std::string content(service);
-    content += '\n';
-    content += digest;
-    suspects.push_back({SuspectKind::kPromptChunk, Hash128Hex(content)});
+  for (const auto& digest : content.chunk_digests) {
+    suspects.push_back(
+        {SuspectKind::kPromptChunk,
+         Hash128Hex(fmt::format("{}\n{}", content.service, digest))});
   }
+  suspects.push_back(
+      {SuspectKind::kRequest,
+       Hash128Hex(fmt::format("{}\n{}\n{}\n{}\n{}", content.service,
+                              content.workspace, content.method, content.target,
+                              Hash128Hex(content.body)))});
   std::sort(suspects.begin(), suspects.end());
   suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
   return suspects;
--- a/libs/quarantine/tests/fleet_model.cc
+++ b/libs/quarantine/tests/fleet_model.cc
@@ -70,7 +70,11 @@
   request.daemon = random_() % daemons_.size();
   request.is_deadly = is_deadly;
   const auto make = is_deadly ? make_deadly_ : make_sound_;
-  request.suspects = SuspectsOf("s", make(&random_));
+  const auto content = make(&random_);
+  request.suspects =
+      SuspectsOf({.service = "s",
+                  .body = content.body.empty() ? request.id : content.body,
+                  .chunk_digests = content.chunks});
   Send(std::move(request));
 }
 
--- a/libs/quarantine/tests/fleet_model.h
+++ b/libs/quarantine/tests/fleet_model.h
@@ -28,13 +28,17 @@
     double deadly_per_s = 1.5;
     CrashBudgetChecker::Rule rule = CrashBudgetChecker::ForPromptChunk();
   };
-  /// What a request holds, but for chunks of its own.
-  using MakeContent = std::function<std::vector<std::string>(std::mt19937_64*)>;
+  /// What a request holds.
+  struct Content {
+    std::vector<std::string> chunks;  ///< But the last, which is its own.
+    std::string body;                 ///< Empty: one of its own.
+  };
+  using MakeContent = std::function<Content(std::mt19937_64*)>;
 
   explicit QuarantineFleetModel(Options options);
 
-  /// Chunks of sound and of deadly requests. A request is deadly if it holds a
-  /// chunk whose name begins with "bad".
+  /// Content of the requests that crash no upstream, and of those that crash
+  /// each one that runs them.
   void SetContent(MakeContent sound, MakeContent deadly);
   void SetDeadlyRate(double per_s) { options_.deadly_per_s = per_s; }
   void SetSoundRate(double per_s) { options_.sound_per_s = per_s; }
--- a/libs/quarantine/tests/quarantine_fleet_test.cc
+++ b/libs/quarantine/tests/quarantine_fleet_test.cc
@@ -8,19 +8,19 @@
 namespace firmoor {
 namespace {
 
-using Chunks = std::vector<std::string>;
+using Content = QuarantineFleetModel::Content;
 
 std::string Pick(std::mt19937_64* random, const char* name, std::size_t of) {
   return name + std::to_string((*random)() % of);
 }
 
 /// A common first chunk, one of a few, and one that few requests share.
-Chunks SoundContent(std::mt19937_64* random) {
-  return {"first", Pick(random, "kind", 5), Pick(random, "rare", 400)};
+Content SoundContent(std::mt19937_64* random) {
+  return {{"first", Pick(random, "kind", 5), Pick(random, "rare", 400)}, ""};
 }
 
-Chunks DeadlyContent(std::mt19937_64* random) {
-  return {"first", "bad", Pick(random, "kind", 5)};
+Content DeadlyContent(std::mt19937_64* random) {
+  return {{"first", "bad", Pick(random, "kind", 5)}, ""};
 }
 
 void CheckRules(const QuarantineFleetModel& fleet) {
@@ -89,7 +89,7 @@
     }
     SUBCASE("of two at once") {
       fleet.SetContent(SoundContent, [](std::mt19937_64* random) {
-        return Chunks{"first", Pick(random, "bad", 2)};
+        return Content{{"first", Pick(random, "bad", 2)}, ""};
       });
       fleet.SetDeadlyRate(2 * rate);
       fleet.Run(Duration(25'000));
@@ -100,6 +100,39 @@
   }
 }
 
+// Guards against one request that crashes each upstream that runs it, and is
+// repeated at any daemon (incident BUDGET, second matter).
+TEST_CASE("a fleet finds the request that crashes upstreams") {
+  for (const std::size_t daemons : {8U, 74U, 295U}) {
+    CAPTURE(daemons);
+    auto options = SizedOptions(daemons);
+    options.rule = CrashBudgetChecker::ForRequest();
+    QuarantineFleetModel fleet(options);
+    fleet.SetContent(SoundContent, [](std::mt19937_64*) {
+      return Content{{"first", "kind0"}, "deadly"};
+    });
+    fleet.SetDeadlyRate(0);
+    fleet.Run(Duration(3'000));
+
+    SUBCASE("repeated twice a second") { fleet.SetDeadlyRate(2); }
+    SUBCASE("repeated once in four seconds") { fleet.SetDeadlyRate(0.25); }
+    SUBCASE("amid the outage of a zone") {
+      fleet.SetDeadlyRate(1);
+      fleet.Run(Duration(1'500));
+      fleet.CrashUpstreams(0.4);
+    }
+    SUBCASE("while the coordinator changes") {
+      fleet.SetDeadlyRate(1);
+      fleet.Run(Duration(1'500));
+      fleet.ReplaceCoordinator(Duration(2'000));
+    }
+    fleet.Run(Duration(60'000));
+    CheckRules(fleet);
+    CHECK(fleet.deadly_rejected() > 0);
+    CHECK(fleet.sound_rejected() == 0);
+  }
+}
+
 // Guards against the rejection of sound requests after crashes for which no
 // request is to blame.
 TEST_CASE("a fleet rejects no sound request") {
@@ -142,12 +175,12 @@
   bool apart = false;
   fleet.SetContent(
       [&apart](std::mt19937_64* random) {
-        Chunks chunks = SoundContent(random);
-        if (apart) chunks.emplace_back("companion");
-        return chunks;
+        auto content = SoundContent(random);
+        if (apart) content.chunks.emplace_back("companion");
+        return content;
       },
       [](std::mt19937_64*) {
-        return Chunks{"first", "bad", "companion"};
+        return Content{{"first", "bad", "companion"}, ""};
       });
   fleet.SetDeadlyRate(1.5);
   fleet.Run(Duration(15'000));
