--- a/apps/firmoorctl/src/commands.cc
+++ b/apps/firmoorctl/src/commands.cc
@@ -17,6 +17,7 @@
 
 #include "base/error.h"
 #include "base/random_id.h"
+#include "base/text.h"
 #include "config/settings.h"
 #include "metrics/burn_report.h"
 #include "metrics/request_timeline.h"
@@ -231,6 +232,37 @@
   return 0;
 }
 
+int QuarantineCommand(const CtlOptions& options) {
+  const auto& daemon = options.daemons.front();
+  if (!options.lifted_hash.empty()) {
+    const auto result = Call(options, daemon, "/quarantine/lift",
+                             QJsonObject{{"hash", Text(options.lifted_hash)}});
+    if (result.status != kOk) return PrintError(ErrorOf(result, daemon));
+    fmt::print("{} is released\n", options.lifted_hash);
+    return 0;
+  }
+  const auto result = Call(options, daemon, "/quarantine", std::nullopt);
+  if (result.status != kOk) return PrintError(ErrorOf(result, daemon));
+  if (options.json) {
+    PrintJson(result.body);
+    return 0;
+  }
+  const auto verdicts = result.body.value("verdicts").toArray();
+  for (const auto& item : verdicts) {
+    const auto verdict = item.toObject();
+    const auto join = [&verdict](const char* field) {
+      return verdict.value(field).toVariant().toStringList().join(",");
+    };
+    fmt::print("{:<13} {} crashes {} of {}, {} s ago\n",
+               verdict.value("kind").toString().toStdString(),
+               join("hashes").toStdString(),
+               verdict.value("crashes").toInteger(),
+               join("upstreams").toStdString(),
+               verdict.value("age_ms").toInteger() / 1'000);
+  }
+  return 0;
+}
+
 int ExplainCommand(const CtlOptions& options) {
   QByteArray log;
   for (const auto& name : options.logs) {
--- a/apps/firmoorctl/src/commands.h
+++ b/apps/firmoorctl/src/commands.h
@@ -20,6 +20,7 @@
   std::string html_file;
   double vm_cost_per_hour = 0;
   std::string request_id;
+  std::string lifted_hash;        ///< Empty: list the verdicts.
   std::vector<std::string> logs;  ///< Log files; reads standard input if empty.
 };
 
@@ -30,6 +31,7 @@
 int StatusCommand(const CtlOptions& options);
 int DrainCommand(const CtlOptions& options);
 int ReportCommand(const CtlOptions& options);
+int QuarantineCommand(const CtlOptions& options);
 int ExplainCommand(const CtlOptions& options);
 
 }  // namespace firmoor
--- a/apps/firmoorctl/src/main.cc
+++ b/apps/firmoorctl/src/main.cc
@@ -20,6 +20,8 @@
     {"status", "Show the state of daemons", StatusCommand},
     {"drain", "Stop daemons gracefully", DrainCommand},
     {"report", "Show service-level burn", ReportCommand},
+    {"quarantine", "List what crashes upstreams and is rejected, or release it",
+     QuarantineCommand},
     {"explain", "Tell a request's story from the daemons' logs",
      ExplainCommand},
 };
@@ -48,6 +50,10 @@
     sub->add_option("logs", options->logs,
                     "Log files of the daemons; standard input if left out");
   }
+  if (name == "quarantine") {
+    sub->add_option("--lift", options->lifted_hash,
+                    "Hash to release, from a daemon's own VM");
+  }
   if (name == "report") {
     sub->add_option("--html", options->html_file, "Also write a page here");
     sub->add_option("--vm-cost-per-hour", options->vm_cost_per_hour,
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -10,6 +10,7 @@
 #include "base/random_id.h"
 #include "base/supervisor.h"
 #include "base/text.h"
+#include "details/quarantine_endpoint.h"
 #include "dissemination/kind_relay.h"
 #include "gateway/coordinator_service.h"
 #include "gateway/gateway.h"
@@ -324,8 +325,14 @@
   metrics_server =
       HttpServer::Builder()
           .Listen(settings.metrics)
-          .Handler([this](const HttpRequest&, const auto& responder) {
-            responder->Send(PlainText(200, MetricsText()));
+          .Handler([this](const HttpRequest& request, const auto& responder) {
+            const bool lists =
+                request.Path().starts_with(details::kQuarantinePath);
+            responder->Send(
+                lists ? details::AnswerQuarantine(&gateway, request,
+                                                  responder->CallerAddress(),
+                                                  settings.metrics.address)
+                      : PlainText(200, MetricsText()));
           })
           .Build();
 }
--- a/libs/metrics/src/request_timeline.cc
+++ b/libs/metrics/src/request_timeline.cc
@@ -51,6 +51,7 @@
 struct Scope {
   std::set<std::string> daemons;
   std::set<std::string> upstreams;
+  std::set<std::string> hashes;  ///< Of the verdicts that rejected it.
   qint64 first_ms = 0;
   qint64 last_ms = 0;
 };
@@ -65,6 +66,8 @@
       const auto upstream = FieldText(line, field);
       if (!upstream.empty()) scope.upstreams.insert(upstream);
     }
+    const auto hash = FieldText(line, "hash");
+    if (!hash.empty()) scope.hashes.insert(hash);
     // The final event holds the duration of the request.
     const auto start_ms =
         line["t_ms"].toInteger() - line["total_ms"].toInteger();
@@ -74,15 +77,20 @@
 }
 
 bool IsContext(const QJsonObject& line, const Scope& scope) {
+  // A verdict may have been passed long before the request it rejects.
+  const auto event = FieldText(line, "event");
+  if (event == "quarantine") {
+    return scope.hashes.contains(FieldText(line, "hash"));
+  }
   const auto time_ms = line["t_ms"].toInteger();
   const bool is_in_window = time_ms >= scope.first_ms - kContextBeforeMs &&
                             time_ms <= scope.last_ms + kContextAfterMs;
   if (!is_in_window || !scope.daemons.contains(FieldText(line, "daemon"))) {
     return false;
   }
-  const auto event = FieldText(line, "event");
   const bool is_upstream_event =
-      event == "upstream" || event == "upstream-limit" || event == "evacuation";
+      event == "upstream" || event == "upstream-limit" ||
+      event == "upstream-broken" || event == "evacuation";
   const bool is_daemon_event =
       std::find(kDaemonEvents.begin(), kDaemonEvents.end(), event) !=
       kDaemonEvents.end();
--- a/libs/metrics/tests/request_timeline_test.cc
+++ b/libs/metrics/tests/request_timeline_test.cc
@@ -40,6 +40,19 @@
     const auto timeline = BuildRequestTimeline("r1", log);
     CHECK(timeline[3].starts_with("    +900 ms  d1"));
   }
+  SUBCASE("with the verdict that rejected it, however old") {
+    const QByteArray rejected =
+        R"({"t_ms":5,"daemon":"d2","event":"quarantine","hash":"h1",)"
+        R"("change":"passed"})"
+        "\n"
+        R"({"t_ms":6,"daemon":"d1","event":"quarantine","hash":"h2"})"
+        "\n"
+        R"({"t_ms":99000,"daemon":"d1","event":"quarantine-refused",)"
+        R"("request":"r4","hash":"h1"})";
+    const auto timeline = BuildRequestTimeline("r4", rejected);
+    REQUIRE(timeline.size() == 2);
+    CHECK(timeline[0].find("change=passed") != std::string::npos);
+  }
   SUBCASE("and is empty for a request that no line names") {
     CHECK(BuildRequestTimeline("r3", log).empty());
   }
