--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -194,6 +194,7 @@
   context_->ApplyResponseHead(attempt_.upstream, *attempt_.head, request_.id);
   // Such a response may be of another upstream, or an earlier one.
   if (!attempt_.is_mismatched && !attempt_.head->wrong_upstream) {
+    context_->quarantine.OnResponse(attempt_.upstream);
     context_->ApplyRateLimit(attempt_.upstream, *attempt_.head, request_.id);
   }
   attempt_.is_event_stream = !attempt_.is_mismatched &&
@@ -251,15 +252,17 @@
   return attempt_end;
 }
 
-AttemptContext Exchange::MakeAttemptContext(TimePoint now) const {
+AttemptContext Exchange::MakeAttemptContext(const AttemptEnd& end,
+                                            TimePoint now) const {
   AttemptContext attempt_context;
   attempt_context.idempotent = admission_.route->MayRepeat();
   attempt_context.answer_started = answer_started_;
   attempt_context.resumable = admission_.route->is_resumable;
   attempt_context.attempts = counted_attempts_;
+  const bool ran = may_have_run_ || OutcomeOf(end) != RequestOutcome::kNotRun;
   attempt_context.max_attempts =
-      MayRunAgain() ? std::max(1, admission_.route->max_upstreams)
-                    : counted_attempts_;
+      ran && !MayRunAgain() ? counted_attempts_
+                            : std::max(1, admission_.route->max_upstreams);
   attempt_context.time_left = ends_at_ - now;
   attempt_context.retry_allowed =
       context_->BudgetOf(service_).available() >= 1.0;
@@ -308,7 +311,8 @@
   }
   context_->picker.OnEnd(&attempt_.ticket, UpstreamOutcomeOf(attempt_end), now);
   RecordEvidence(attempt_end);
-  const auto decision = DecideAttempt(attempt_end, MakeAttemptContext(now));
+  const auto decision =
+      DecideAttempt(attempt_end, MakeAttemptContext(attempt_end, now));
   const bool ran = OutcomeOf(attempt_end) != RequestOutcome::kNotRun;
   may_have_run_ = may_have_run_ || ran;
   // Usage counts a stream at its first event, or when it fails without one.
@@ -420,25 +424,6 @@
   Finish(ResultCode::kOk, "caller-left");
 }
 
-void Exchange::LogAttempt(const AttemptEnd& end,
-                          const AttemptDecision& decision) const {
-  context_->environment.log->Write(
-      "attempt-failed",
-      {{"request", Text(request_.id)},
-       {"upstream", Text(attempt_.upstream.id)},
-       {"end", Text(NameOf(end.end))},
-       {"status", attempt_.head ? attempt_.head->status : 0},
-       {"may_have_left", end.may_have_been_sent},
-       {"declared_not_run", end.declared_not_run},
-       {"attempt_ms",
-        static_cast<qint64>((MonotonicNow() - attempt_.sent_at).count())},
-       {"budget", context_->BudgetOf(service_).available()},
-       {"born_ms", static_cast<qint64>(attempt_.upstream.born_ms)},
-       {"suspects", Text(HashList(suspects_))},
-       {"next", Text(NameOf(decision.step))},
-       {"outcome", Text(NameOf(decision.outcome))}});
-}
-
 void Exchange::Finish(ResultCode code, std::string_view outcome) {
   if (std::exchange(finished_, true)) return;
   const auto now = MonotonicNow();
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -117,7 +117,8 @@
   [[nodiscard]] Duration RemainingStreamTime(TimePoint now) const;
   void OnCallerDisconnected();
   [[nodiscard]] AttemptEnd MakeAttemptEnd(HttpCallEnd end) const;
-  [[nodiscard]] AttemptContext MakeAttemptContext(TimePoint now) const;
+  [[nodiscard]] AttemptContext MakeAttemptContext(const AttemptEnd& end,
+                                                  TimePoint now) const;
   [[nodiscard]] UpstreamOutcome UpstreamOutcomeOf(const AttemptEnd& end) const;
   void CountUsage();
   void Finish(ResultCode code, std::string_view outcome);
--- a/libs/gateway/src/details/exchange_quarantine.cc
+++ b/libs/gateway/src/details/exchange_quarantine.cc
@@ -33,10 +33,10 @@
   const bool is_broken =
       end.end == HttpCallEnd::kNoResponse || end.end == HttpCallEnd::kTruncated;
   if (!is_broken && !may_be_cut) return;
-  if (is_broken) ++crashed_attempts_;
   // Connections to upstreams that leave end without a crash.
   const auto* entry = context_->catalog.Find(attempt_.upstream.id);
   if (entry == nullptr || entry->leaving) return;
+  if (is_broken) ++crashed_attempts_;
   context_->quarantine.OnBroken(
       attempt_.upstream,
       {{attempt_.upstream.id, attempt_.upstream.born_ms},
--- a/libs/quarantine/include/quarantine/crash_correlator.h
+++ b/libs/quarantine/include/quarantine/crash_correlator.h
@@ -86,7 +86,7 @@
   void Recount();
   void RemoveExpired(TimePoint now);
   void RemoveCrash(const UpstreamRun& run);
-  /// Removes the suspect with the fewest and oldest crashes.
+  /// Removes the suspects with the fewest and oldest crashes.
   void RemoveLeastSuspected();
 
   Duration clearance_;
--- a/libs/quarantine/src/crash_correlator.cc
+++ b/libs/quarantine/src/crash_correlator.cc
@@ -21,6 +21,9 @@
 constexpr Duration kOutageSpread{50};
 constexpr std::size_t kMaxRuns = 1'024;
 constexpr Duration kExpiryPeriod{1'000};
+// When there are too many suspects, this part of them is removed at once, since
+// it takes a pass over all.
+constexpr std::size_t kRemovedPart = 8;
 
 }  // namespace
 
@@ -49,7 +52,10 @@
                              return a.second.crashed_at < b.second.crashed_at;
                            }));
     }
-    if (evidence_.size() > kMaxSuspects) RemoveLeastSuspected();
+  }
+  if (evidence_.size() > kMaxSuspects) {
+    Recount();
+    RemoveLeastSuspected();
   }
 }
 
@@ -118,17 +124,20 @@
 }
 
 void CrashCorrelator::RemoveLeastSuspected() {
-  const auto rank = [](const Evidence& evidence) {
+  using Rank = std::tuple<std::size_t, TimePoint, Suspect>;
+  std::vector<Rank> ranks;
+  for (const auto& [suspect, evidence] : evidence_) {
     TimePoint latest;
     for (const auto& [run, crash] : evidence.crashes) {
       latest = std::max(latest, crash.crashed_at);
     }
-    return std::tuple(evidence.successive, latest);
-  };
-  evidence_.erase(std::min_element(evidence_.begin(), evidence_.end(),
-                                   [&](const auto& a, const auto& b) {
-                                     return rank(a.second) < rank(b.second);
-                                   }));
+    ranks.emplace_back(evidence.successive, latest, suspect);
+  }
+  const auto removed = static_cast<std::ptrdiff_t>(ranks.size() / kRemovedPart);
+  std::nth_element(ranks.begin(), ranks.begin() + removed, ranks.end());
+  for (auto rank = ranks.begin(); rank != ranks.begin() + removed; ++rank) {
+    evidence_.erase(std::get<Suspect>(*rank));
+  }
 }
 
 bool CrashCorrelator::IsOutage(const Crash& crash,
