--- a/libs/gateway/src/details/request_quarantine.cc
+++ b/libs/gateway/src/details/request_quarantine.cc
@@ -36,6 +36,10 @@
   return ProbeResult::kUnknown;
 }
 
+std::string HashesOf(const Verdict& verdict) {
+  return HashList({verdict.members.begin(), verdict.members.end()});
+}
+
 }  // namespace
 
 RequestQuarantine::RequestQuarantine(EventLog* log,
@@ -90,11 +94,10 @@
   const auto* verdict = monitor_.Reject(request, suspects, MonotonicNow());
   if (verdict == nullptr) return nullptr;
   ++rejected_;
-  const auto& first = *verdict->members.begin();
   log_->Write("quarantine-refused",
               {{"request", Text(request)},
-               {"kind", Text(NameOf(first.kind))},
-               {"hash", Text(first.hash)},
+               {"kind", Text(NameOf(verdict->members.begin()->kind))},
+               {"hash", Text(HashesOf(*verdict))},
                {"crashes", static_cast<qint64>(verdict->crashes)},
                {"age_ms", static_cast<qint64>(verdict->age.count())}});
   return verdict;
@@ -139,12 +142,11 @@
 
 void RequestQuarantine::LogVerdict(const Verdict& verdict, const char* change,
                                    const char* source) const {
-  std::vector<Suspect> members(verdict.members.begin(), verdict.members.end());
   log_->Write("quarantine",
               {{"change", change},
                {"source", source},
-               {"kind", Text(NameOf(members.front().kind))},
-               {"hash", Text(HashList(members))},
+               {"kind", Text(NameOf(verdict.members.begin()->kind))},
+               {"hash", Text(HashesOf(verdict))},
                {"crashes", static_cast<qint64>(verdict.crashes)},
                {"upstreams",
                 Text(fmt::format("{}", fmt::join(verdict.upstreams, ",")))},
