--- a/libs/gateway/src/details/request_quarantine.cc
+++ b/libs/gateway/src/details/request_quarantine.cc
@@ -118,8 +118,8 @@
         verdict.members.begin(), verdict.members.end(),
         [&hash](const auto& suspect) { return suspect.hash == hash; });
     if (found == verdict.members.end()) continue;
-    const auto suspect = *found;
-    LogChanges(monitor_.Lift(suspect), "operator");
+    // A copy, since the verdict is removed.
+    LogChanges(monitor_.Lift(Suspect(*found)), "operator");
     ReportEarlyIfNeeded();
     return true;
   }
--- a/libs/quarantine/include/quarantine/crash_correlator.h
+++ b/libs/quarantine/include/quarantine/crash_correlator.h
@@ -79,6 +79,13 @@
   /// running the suspect.
   [[nodiscard]] bool IsOutage(const Crash& crash,
                               const Evidence& evidence) const;
+  /// Evidence of the guilty suspect with the most crashes that are not
+  /// explained by another one; null if there is none.
+  [[nodiscard]] const Evidence* FindGuiltiest(const RunSet& explained,
+                                              TimePoint now) const;
+  /// Suspects that were in exactly these crashes.
+  [[nodiscard]] std::set<Suspect> SuspectsWithCrashesOf(
+      const Evidence& evidence) const;
   [[nodiscard]] static Verdict MakeVerdict(const std::set<Suspect>& members,
                                            const Evidence& evidence,
                                            TimePoint now);
--- a/libs/quarantine/src/crash_correlator.cc
+++ b/libs/quarantine/src/crash_correlator.cc
@@ -208,37 +208,49 @@
   return runs;
 }
 
+const CrashCorrelator::Evidence* CrashCorrelator::FindGuiltiest(
+    const RunSet& explained, TimePoint now) const {
+  const Evidence* guiltiest = nullptr;
+  std::size_t most = 0;
+  for (const auto& [suspect, evidence] : evidence_) {
+    const bool may_be_guilty =
+        evidence.watched_since && now - *evidence.watched_since >= clearance_ &&
+        evidence.successive >= GuiltyCrashes(suspect.kind);
+    if (!may_be_guilty) continue;
+    const auto crashes = CountSuccessive(evidence, explained);
+    if (crashes < GuiltyCrashes(suspect.kind) || crashes <= most) continue;
+    guiltiest = &evidence;
+    most = crashes;
+  }
+  return guiltiest;
+}
+
+std::set<Suspect> CrashCorrelator::SuspectsWithCrashesOf(
+    const Evidence& evidence) const {
+  const auto is_same_run = [](const auto& a, const auto& b) {
+    return a.first == b.first;
+  };
+  std::set<Suspect> suspects;
+  for (const auto& [suspect, other] : evidence_) {
+    if (std::equal(other.crashes.begin(), other.crashes.end(),
+                   evidence.crashes.begin(), evidence.crashes.end(),
+                   is_same_run)) {
+      suspects.insert(suspect);
+    }
+  }
+  return suspects;
+}
+
 std::vector<Verdict> CrashCorrelator::FindGuilty(TimePoint now) {
   Recount();
   RunSet explained;
   std::vector<Verdict> verdicts;
-  for (;;) {
-    const Evidence* worst = nullptr;
-    std::size_t most = 0;
-    for (const auto& [suspect, evidence] : evidence_) {
-      const bool is_watched =
-          evidence.watched_since && now - *evidence.watched_since >= clearance_;
-      if (!is_watched || evidence.successive < GuiltyCrashes(suspect.kind))
-        continue;
-      const auto crashes = CountSuccessive(evidence, explained);
-      if (crashes < GuiltyCrashes(suspect.kind) || crashes <= most) continue;
-      worst = &evidence;
-      most = crashes;
-    }
-    if (worst == nullptr) return verdicts;
-    std::set<Suspect> members;
-    const auto same_run = [](const auto& a, const auto& b) {
-      return a.first == b.first;
-    };
-    for (const auto& [suspect, evidence] : evidence_) {
-      if (std::equal(evidence.crashes.begin(), evidence.crashes.end(),
-                     worst->crashes.begin(), worst->crashes.end(), same_run)) {
-        members.insert(suspect);
-      }
-    }
-    verdicts.push_back(MakeVerdict(members, *worst, now));
-    for (const auto& [run, crash] : worst->crashes) explained.insert(run);
+  while (const auto* guiltiest = FindGuiltiest(explained, now)) {
+    verdicts.push_back(
+        MakeVerdict(SuspectsWithCrashesOf(*guiltiest), *guiltiest, now));
+    for (const auto& [run, crash] : guiltiest->crashes) explained.insert(run);
   }
+  return verdicts;
 }
 
 Verdict CrashCorrelator::MakeVerdict(const std::set<Suspect>& members,
--- a/libs/quarantine/tests/crash_monitor_test.cc
+++ b/libs/quarantine/tests/crash_monitor_test.cc
@@ -21,7 +21,7 @@
 
   UpstreamRun CrashUnder(const std::vector<Suspect>& suspects,
                          ProbeResult probe = ProbeResult::kRefused) {
-    const UpstreamRun run{"u" + std::to_string(++runs), 1};
+    UpstreamRun run{"u" + std::to_string(++runs), 1};
     const auto begun_at = now;
     now += Duration(100);
     monitor.OnBroken({run, begun_at, suspects, false}, now);
--- a/libs/quarantine/tests/fleet_model.cc
+++ b/libs/quarantine/tests/fleet_model.cc
@@ -151,8 +151,8 @@
   });
 }
 
-void QuarantineFleetModel::OnBroken(const Request& request, UpstreamRun run,
-                                    ProbeResult probe) {
+void QuarantineFleetModel::OnBroken(const Request& request,
+                                    const UpstreamRun& run, ProbeResult probe) {
   auto& monitor = daemons_[request.daemon].monitor;
   const bool is_first =
       monitor.OnBroken({run, request.begun_at, request.suspects, false}, now_);
--- a/libs/quarantine/tests/fleet_model.h
+++ b/libs/quarantine/tests/fleet_model.h
@@ -104,7 +104,8 @@
   void Complete(std::size_t upstream, std::int64_t born_ms,
                 const std::string& id);
   void Crash(std::size_t upstream, std::int64_t born_ms);
-  void OnBroken(const Request& request, UpstreamRun run, ProbeResult probe);
+  void OnBroken(const Request& request, const UpstreamRun& run,
+                ProbeResult probe);
   void Report(std::size_t daemon);
   void StepDaemons();
 
