Keep a lifted verdict lifted at a daemon without a coordinator

Found in review: the daemon that an operator told still held its own evidence, and would have passed the verdict again once it had no coordinator. Lifting now counts as a completed request. crash_monitor_test checks it.

--- a/libs/gateway/src/details/request_quarantine.cc
+++ b/libs/gateway/src/details/request_quarantine.cc
@@ -119,7 +119,7 @@
         [&hash](const auto& suspect) { return suspect.hash == hash; });
     if (found == verdict.members.end()) continue;
     // A copy, since the verdict is removed.
-    LogChanges(monitor_.Lift(Suspect(*found)), "operator");
+    LogChanges(monitor_.Lift(Suspect(*found), MonotonicNow()), "operator");
     ReportEarlyIfNeeded();
     return true;
   }
--- a/libs/quarantine/include/quarantine/crash_correlator.h
+++ b/libs/quarantine/include/quarantine/crash_correlator.h
@@ -56,7 +56,6 @@
   [[nodiscard]] std::vector<Verdict> FindGuilty(TimePoint now);
   /// Successive crashes under `suspect` since its last complete response.
   [[nodiscard]] std::size_t SuccessiveCrashes(const Suspect& suspect) const;
-  [[nodiscard]] std::size_t size() const { return evidence_.size(); }
 
  private:
   struct Crash {
--- a/libs/quarantine/include/quarantine/crash_monitor.h
+++ b/libs/quarantine/include/quarantine/crash_monitor.h
@@ -76,7 +76,7 @@
   /// Passes verdicts by itself while no coordinator replies.
   Changes JudgeAlone(TimePoint now);
   /// Releases the suspect, by order of an operator.
-  Changes Lift(const Suspect& suspect);
+  Changes Lift(const Suspect& suspect, TimePoint now);
 
   [[nodiscard]] const std::vector<Verdict>& verdicts() const {
     return verdicts_;
@@ -104,9 +104,10 @@
     std::list<Suspect>::iterator position;
   };
 
-  /// Whether this request may be sent to find out whether a verdict holds.
-  bool IsTrial(const Suspect& first_member, const std::string& request,
-               TimePoint now);
+  /// Whether this request may be sent to find out whether a verdict holds. The
+  /// first one that asks is the one.
+  bool UseTrial(const Suspect& first_member, const std::string& request,
+                TimePoint now);
   [[nodiscard]] CrashReport MakeCrashReport(const UpstreamRun& run,
                                             const Crash& crash,
                                             TimePoint now) const;
--- a/libs/quarantine/src/crash_monitor.cc
+++ b/libs/quarantine/src/crash_monitor.cc
@@ -109,8 +109,8 @@
   }
 }
 
-bool CrashMonitor::IsTrial(const Suspect& first_member,
-                           const std::string& request, TimePoint now) {
+bool CrashMonitor::UseTrial(const Suspect& first_member,
+                            const std::string& request, TimePoint now) {
   const auto found = trials_.find(first_member);
   if (found == trials_.end()) return false;
   auto& trial = found->second;
@@ -131,7 +131,7 @@
                       verdict.members.end());
     if (!holds_all) continue;
     const auto& first = *verdict.members.begin();
-    if (IsTrial(first, request, now)) continue;
+    if (UseTrial(first, request, now)) continue;
     rejected_.insert(first);
     return &verdict;
   }
@@ -244,8 +244,10 @@
   return SetVerdicts(std::move(verdicts));
 }
 
-CrashMonitor::Changes CrashMonitor::Lift(const Suspect& suspect) {
+CrashMonitor::Changes CrashMonitor::Lift(const Suspect& suspect,
+                                         TimePoint now) {
   lifted_.insert(suspect);
+  own_evidence_.AddCompleted(suspect, now);
   needs_early_report_ = true;
   auto verdicts = verdicts_;
   std::erase_if(verdicts, [&](const auto& verdict) {
--- a/libs/quarantine/tests/crash_monitor_test.cc
+++ b/libs/quarantine/tests/crash_monitor_test.cc
@@ -125,12 +125,16 @@
     other.now = daemon.now;
     other.ReportTo(&authority);
     REQUIRE(other.Rejects(bad));
-    daemon.monitor.Lift(bad.front());
+    daemon.monitor.Lift(bad.front(), daemon.now);
     CHECK_FALSE(daemon.Rejects(bad));
     daemon.ReportTo(&authority);
     CHECK_FALSE(daemon.Rejects(bad));
     other.ReportTo(&authority);
     CHECK_FALSE(other.Rejects(bad));
+    // Nor does the daemon pass it again by itself.
+    daemon.now += Duration(10'000);
+    daemon.monitor.JudgeAlone(daemon.now);
+    CHECK_FALSE(daemon.Rejects(bad));
   }
   SUBCASE("is lifted by a request that completes after the first crash") {
     daemon.monitor.OnCompleted(bad, daemon.now);
--- a/libs/quarantine/tests/fleet_model.cc
+++ b/libs/quarantine/tests/fleet_model.cc
@@ -182,9 +182,6 @@
 void QuarantineFleetModel::Report(std::size_t index) {
   auto& monitor = daemons_[index].monitor;
   const auto report = monitor.Report(now_);
-  std::size_t suspects = 0;
-  for (const auto& crash : report.crashes) suspects += crash.suspects.size();
-  largest_report_ = std::max(largest_report_, suspects);
   if (authority_ == nullptr) {
     monitor.JudgeAlone(now_);
     return;
--- a/libs/quarantine/tests/fleet_model.h
+++ b/libs/quarantine/tests/fleet_model.h
@@ -41,7 +41,6 @@
   /// each one that runs them.
   void SetContent(MakeContent sound, MakeContent deadly);
   void SetDeadlyRate(double per_s) { options_.deadly_per_s = per_s; }
-  void SetSoundRate(double per_s) { options_.sound_per_s = per_s; }
   void Run(Duration time);
 
   /// A part of the upstreams crashes at this moment.
@@ -58,12 +57,6 @@
   [[nodiscard]] const CrashBudgetChecker& checker() const { return checker_; }
   [[nodiscard]] std::size_t sound_rejected() const { return sound_rejected_; }
   [[nodiscard]] std::size_t deadly_rejected() const { return deadly_rejected_; }
-  /// Largest report of one daemon on crashes, in suspects.
-  [[nodiscard]] std::size_t largest_report() const { return largest_report_; }
-  [[nodiscard]] CrashMonitor& daemon(std::size_t index) {
-    return daemons_[index].monitor;
-  }
-  [[nodiscard]] TimePoint now() const { return now_; }
 
  private:
   struct Request {
@@ -125,7 +118,6 @@
   std::size_t request_count_ = 0;
   std::size_t sound_rejected_ = 0;
   std::size_t deadly_rejected_ = 0;
-  std::size_t largest_report_ = 0;
 };
 
 }  // namespace firmoor
