--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -5,15 +5,10 @@
 #include <QRandomGenerator>
 #include <QTimer>
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 #include "base/text.h"
-#include "details/holder_name.h"
-#include "gateway/autoscaler.h"
-#include "gateway/usage_reporter.h"
-#include "peer/peer_node.h"
-#include "placement/lease_elector.h"
+#include "details/coordinator_service_impl.h"
 #include "placement/lease_stagger.h"
 
 namespace firmoor {
@@ -21,9 +16,10 @@
 
 using details::HolderEndpoint;
 using details::HolderName;
+using details::kMaxMissedReplies;
+using details::kReportedWindows;
 
 constexpr const char* kLeaseObject = "coordinator";
-constexpr const char* kUsageObject = "usage";
 constexpr const char* kReportKind = "report";
 constexpr const char* kRelayKind = "relay";
 constexpr Duration kReportPeriod{1'000};
@@ -31,88 +27,9 @@
 // Shortest interval between reports while a quota allowance is nearly used up.
 constexpr Duration kMinReportInterval{100};
 constexpr Duration kPollPeriod{250};
-// Missed replies after which the lease is read.
-constexpr int kMaxMissedReplies = 2;
-// Remaining lease time with which a call to the cloud may be sent, so that it
-// arrives before the lease expires.
-constexpr Duration kMinLeaseRemaining{500};
-// A new coordinator waits until calls of the previous one have arrived.
-constexpr Duration kTakeoverDelay{700};
-// A new coordinator first lists the upstreams and collects the reports.
-constexpr Duration kOrderingDelay{1'500};
-constexpr int kRenewalsPerLease = 3;
-// Windows that a report repeats, for a coordinator that has just taken over.
-constexpr std::int64_t kReportedWindows = 6;
 
 }  // namespace
 
-struct CoordinatorService::Impl {
-  Settings settings;
-  Environment env;
-  LeaseElector lease;
-  std::unique_ptr<PeerNode> peers;
-  std::optional<Coordinator> coordinator;   ///< While it holds the lease.
-  CoordinatorHandoverState previous_state;  ///< Of the last coordinator.
-  std::optional<UsageReporter> usage_reporter;
-  std::optional<Autoscaler> autoscaler;
-  TimePoint holder_since;
-  TimePoint reported_at;
-  std::string holder;  ///< Name of the coordinator; empty when unknown.
-  int missed_replies = kMaxMissedReplies;
-  QTimer report_timer;
-  QTimer lease_timer;
-  QTimer early_report_timer;
-  bool running = false;
-  // Callbacks of the store and the cloud API may run after `Stop`.
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
-
-  Impl(Settings service_settings, Environment service_environment)
-      : settings(std::move(service_settings)),
-        env(std::move(service_environment)),
-        lease(HolderName(settings.daemon, settings.peers),
-              {settings.lease, settings.lease / kRenewalsPerLease,
-               kTakeoverDelay}) {}
-
-  [[nodiscard]] DaemonReport MakeReport() const;
-  void Report();
-  void ReportEarly();
-  void OnReply(const QByteArray& bytes, TimePoint sent_at);
-  void ConfirmConfiguration(const CoordinatorReply& reply, TimePoint sent_at);
-  void UpdateLeaseClock(const CoordinatorReply& reply);
-  void ApplyReply(const CoordinatorReply& reply, TimePoint sent_at);
-  void OnMissedReply();
-  QByteArray OnReport(const QByteArray& bytes);
-  CoordinatorReply AddReport(const DaemonReport& report);
-  [[nodiscard]] bool HasLostCoordinator() const {
-    return missed_replies >= kMaxMissedReplies;
-  }
-  void PollLease();
-  void OnLeaseChanged();
-  [[nodiscard]] CoordinatorHandoverState MakeHandoverState() const {
-    return coordinator->MakeHandoverState(
-        [this](const std::string& name) { return env.gateway->QuotaOf(name); },
-        MonotonicNow());
-  }
-  void LoadHandoverState();
-  void StartCoordinator();
-  void StopCoordinator();
-  [[nodiscard]] bool HoldsLease() const {
-    return lease.MayOrderFenced(MonotonicNow());
-  }
-  [[nodiscard]] bool MayCallCloud() const {
-    const auto now = MonotonicNow();
-    return lease.MayOrderFenced(now + kMinLeaseRemaining) &&
-           now - holder_since >= kTakeoverDelay;
-  }
-  [[nodiscard]] LeaseHolder HolderIdentity() const {
-    return {settings.daemon, lease.fencing()};
-  }
-  void ReportUsage();
-  void OrderUpstreams();
-  void LogOrder(const UpstreamOrder& order, CloudStatus status) const;
-  void RunUsageStep(const UsageReporter::Step& step);
-};
-
 DaemonReport CoordinatorService::Impl::MakeReport() const {
   DaemonReport report;
   report.daemon = settings.daemon;
@@ -341,93 +258,6 @@
   env.log->Write("lease-lost", {{"holder", Text(lease.seen_holder())}});
 }
 
-void CoordinatorService::Impl::ReportUsage() {
-  if (!settings.reports_usage || !MayCallCloud()) return;
-  coordinator->DropUsageBefore(usage_reporter->NextWindow() - kReportedWindows);
-  const auto step = usage_reporter->Next(env.true_time->At(MonotonicNow()));
-  if (step) RunUsageStep(*step);
-}
-
-void CoordinatorService::Impl::OrderUpstreams() {
-  const auto now = MonotonicNow();
-  const auto* routes = env.gateway->routes();
-  const bool delay_elapsed = now - holder_since >= kOrderingDelay;
-  if (!settings.orders_upstreams || routes == nullptr || !delay_elapsed ||
-      !MayCallCloud()) {
-    return;
-  }
-  const auto order = autoscaler->Next(
-      {routes->content().services, env.gateway->upstreams().all(),
-       coordinator->Loads(now)},
-      now);
-  if (!order) return;
-  const std::weak_ptr weak = alive;
-  const auto since = holder_since;
-  const auto is_current = [this, weak, since] {
-    return !weak.expired() && autoscaler && holder_since == since;
-  };
-  env.cloud->OrderUpstreams(
-      HolderIdentity(), *order,
-      [this, is_current] { return is_current() && MayCallCloud(); },
-      [this, is_current, order = *order](CloudStatus status) {
-        if (!is_current()) return;
-        autoscaler->OnOrdered(order, status, MonotonicNow());
-        LogOrder(order, status);
-        OrderUpstreams();
-      });
-}
-
-void CoordinatorService::Impl::LogOrder(const UpstreamOrder& order,
-                                        CloudStatus status) const {
-  env.log->Write("upstream-order",
-                 {{"service", Text(order.service)},
-                  {"zone", Text(order.availability_zone)},
-                  {"reclaimable", order.reclaimable},
-                  {"count", order.count},
-                  {"status", static_cast<int>(status)},
-                  {"fencing", static_cast<qint64>(lease.fencing())}});
-}
-
-void CoordinatorService::Impl::RunUsageStep(const UsageReporter::Step& step) {
-  const std::weak_ptr weak = alive;
-  // After the lease was lost and taken again there is another reporter.
-  const auto since = holder_since;
-  const auto is_current = [this, weak, since] {
-    return !weak.expired() && usage_reporter && holder_since == since;
-  };
-  if (std::holds_alternative<UsageReporter::ReadState>(step)) {
-    env.store->Read(kUsageObject,
-                    [this, is_current](StoreStatus status, const auto& object) {
-                      if (is_current()) usage_reporter->OnRead(status, object);
-                    });
-  } else if (const auto* write =
-                 std::get_if<UsageReporter::WriteState>(&step)) {
-    env.store->Write(
-        kUsageObject, write->expected, write->value,
-        [this, is_current](StoreStatus status, std::int64_t version) {
-          if (!is_current()) return;
-          usage_reporter->OnWrite(status, version);
-          if (status == StoreStatus::kOk) ReportUsage();
-        });
-  } else {
-    const auto& report = std::get<UsageReporter::SendReport>(step).report;
-    env.cloud->ReportUsage(
-        HolderIdentity(), report,
-        [this, is_current] { return is_current() && MayCallCloud(); },
-        [this, is_current, report](CloudStatus status) {
-          if (!is_current()) return;
-          usage_reporter->OnSent(status);
-          std::int64_t total = 0;
-          for (const auto& [name, count] : report.counts) total += count;
-          env.log->Write("usage-report",
-                         {{"window", static_cast<qint64>(report.window)},
-                          {"requests", static_cast<qint64>(total)},
-                          {"status", static_cast<int>(status)},
-                          {"fencing", static_cast<qint64>(lease.fencing())}});
-        });
-  }
-}
-
 CoordinatorService::CoordinatorService(Settings settings,
                                        Environment environment)
     : impl_(
--- /dev/null
+++ b/libs/gateway/src/details/coordinator_service_impl.h
@@ -0,0 +1,106 @@
+#ifndef FIRMOOR_GATEWAY_DETAILS_COORDINATOR_SERVICE_IMPL_H_
+#define FIRMOOR_GATEWAY_DETAILS_COORDINATOR_SERVICE_IMPL_H_
+
+#include <QByteArray>
+#include <QTimer>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "details/holder_name.h"
+#include "gateway/autoscaler.h"
+#include "gateway/coordinator_service.h"
+#include "gateway/usage_reporter.h"
+#include "peer/peer_node.h"
+#include "placement/lease_elector.h"
+
+namespace firmoor {
+namespace details {
+
+// Missed replies after which the lease is read.
+constexpr int kMaxMissedReplies = 2;
+// Remaining lease time with which a call to the cloud may be sent, so that it
+// arrives before the lease expires.
+constexpr Duration kMinLeaseRemaining{500};
+// A new coordinator waits until calls of the previous one have arrived.
+constexpr Duration kTakeoverDelay{700};
+constexpr int kRenewalsPerLease = 3;
+// Windows that a report repeats, for a coordinator that has just taken over.
+constexpr std::int64_t kReportedWindows = 6;
+
+}  // namespace details
+
+/// State of the service. The lease and the reports are handled in
+/// coordinator_service.cc, the coordinator's calls to the cloud in
+/// coordinator_duties.cc.
+struct CoordinatorService::Impl {
+  Settings settings;
+  Environment env;
+  LeaseElector lease;
+  std::unique_ptr<PeerNode> peers;
+  std::optional<Coordinator> coordinator;   ///< While it holds the lease.
+  CoordinatorHandoverState previous_state;  ///< Of the last coordinator.
+  std::optional<UsageReporter> usage_reporter;
+  std::optional<Autoscaler> autoscaler;
+  TimePoint holder_since;
+  TimePoint reported_at;
+  std::string holder;  ///< Name of the coordinator; empty when unknown.
+  int missed_replies = details::kMaxMissedReplies;
+  QTimer report_timer;
+  QTimer lease_timer;
+  QTimer early_report_timer;
+  bool running = false;
+  // Callbacks of the store and the cloud API may run after `Stop`.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+  Impl(Settings service_settings, Environment service_environment)
+      : settings(std::move(service_settings)),
+        env(std::move(service_environment)),
+        lease(details::HolderName(settings.daemon, settings.peers),
+              {settings.lease, settings.lease / details::kRenewalsPerLease,
+               details::kTakeoverDelay}) {}
+
+  [[nodiscard]] DaemonReport MakeReport() const;
+  void Report();
+  void ReportEarly();
+  void OnReply(const QByteArray& bytes, TimePoint sent_at);
+  void ConfirmConfiguration(const CoordinatorReply& reply, TimePoint sent_at);
+  void UpdateLeaseClock(const CoordinatorReply& reply);
+  void ApplyReply(const CoordinatorReply& reply, TimePoint sent_at);
+  void OnMissedReply();
+  QByteArray OnReport(const QByteArray& bytes);
+  CoordinatorReply AddReport(const DaemonReport& report);
+  [[nodiscard]] bool HasLostCoordinator() const {
+    return missed_replies >= details::kMaxMissedReplies;
+  }
+  void PollLease();
+  void OnLeaseChanged();
+  [[nodiscard]] CoordinatorHandoverState MakeHandoverState() const {
+    return coordinator->MakeHandoverState(
+        [this](const std::string& name) { return env.gateway->QuotaOf(name); },
+        MonotonicNow());
+  }
+  void LoadHandoverState();
+  void StartCoordinator();
+  void StopCoordinator();
+  [[nodiscard]] bool HoldsLease() const {
+    return lease.MayOrderFenced(MonotonicNow());
+  }
+  [[nodiscard]] bool MayCallCloud() const {
+    const auto now = MonotonicNow();
+    return lease.MayOrderFenced(now + details::kMinLeaseRemaining) &&
+           now - holder_since >= details::kTakeoverDelay;
+  }
+  [[nodiscard]] LeaseHolder HolderIdentity() const {
+    return {settings.daemon, lease.fencing()};
+  }
+  void ReportUsage();
+  void OrderUpstreams();
+  void LogOrder(const UpstreamOrder& order, CloudStatus status) const;
+  void RunUsageStep(const UsageReporter::Step& step);
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_GATEWAY_DETAILS_COORDINATOR_SERVICE_IMPL_H_
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -123,6 +123,8 @@
   void CountUsage();
   void Finish(ResultCode code, std::string_view outcome);
   void LogAttempt(const AttemptEnd& end, const AttemptDecision& decision) const;
+  void LogRequest(ResultCode code, std::string_view outcome,
+                  TimePoint now) const;
 
   GatewayContext* context_;
   ForwardRequest request_;
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -22,4 +22,39 @@
        {"outcome", Text(NameOf(decision.outcome))}});
 }
 
+void Exchange::LogRequest(ResultCode code, std::string_view outcome,
+                          TimePoint now) const {
+  const auto age = context_->freshness.Age(now);
+  context_->environment.log->Write(
+      "request",
+      {{"request", Text(request_.id)},
+       {"route", Text(admission_.route->name)},
+       {"workspace",
+        Text(admission_.workspace == nullptr ? ""
+                                             : admission_.workspace->name)},
+       {"service", Text(service_)},
+       {"upstream", Text(attempt_.upstream.id)},
+       {"sends", sends_},
+       {"in_flight", static_cast<qint64>(attempt_.in_flight)},
+       {"asked", static_cast<qint64>(probes_sent_)},
+       {"wait_ms", static_cast<qint64>(expected_wait_.count())},
+       {"prefill_tokens", attempt_.prefill_tokens},
+       {"upstream_limit", attempt_.rate_limit},
+       {"without_permit", static_cast<qint64>(without_permit_.size())},
+       {"preferred",
+        Text(without_permit_.empty() ? "" : without_permit_.front().id)},
+       {"quota_tokens", quota_tokens_},
+       {"status", attempt_.head ? attempt_.head->status : 0},
+       {"code", Text(InfoOf(code).name)},
+       {"outcome", Text(outcome)},
+       {"first_ms", first_event_ ? static_cast<qint64>(
+                                       (*first_event_ - started_at_).count())
+                                 : -1},
+       {"longest_pause_ms", static_cast<qint64>(longest_pause_.count())},
+       {"total_ms", static_cast<qint64>((now - started_at_).count())},
+       {"events", static_cast<qint64>(relay_.events())},
+       {"config", static_cast<qint64>(table_->version())},
+       {"config_age_ms", age ? static_cast<qint64>(age->count()) : -1}});
+}
+
 }  // namespace firmoor::details
