Name who ends an answer, and why

Callers reported requests with neither an answer nor a refusal (LOST). The log could not tell who had closed their connections: `request` has the same line for a silent upstream and for a route's timeout, and a connection that the server closed by itself left no trace.

`answer-cut` is written for each answer that ends incomplete: by whom, why, how the last attempt ended, whether the request was passed on, how long nothing had come and how much of the caller's and the route's time was used, under which configuration. `firmoor_connections_cut_total` counts the connections that the server closes without a response, by reason. No change of behaviour.

Not covered: connections open when HttpServer is destroyed.

--- /dev/null
+++ b/libs/gateway/src/details/connection_metrics.cc
@@ -0,0 +1,18 @@
+#include "details/connection_metrics.h"
+
+#include <fmt/format.h>
+
+namespace firmoor::details {
+
+std::string ConnectionCutMetrics(const HttpServer& server) {
+  std::string text;
+  for (const auto reason :
+       {ConnectionCut::kIdle, ConnectionCut::kConnections, ConnectionCut::kStop,
+        ConnectionCut::kAborted, ConnectionCut::kPipelined}) {
+    text += fmt::format("firmoor_connections_cut_total{{reason=\"{}\"}} {}\n",
+                        NameOf(reason), server.CutCount(reason));
+  }
+  return text;
+}
+
+}  // namespace firmoor::details
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -303,6 +303,7 @@
   ReturnUnusedPermit();
   const auto self = shared_from_this();
   const auto now = MonotonicNow();
+  attempt_.end = end;
   const auto attempt_end = MakeAttemptEnd(end);
   if (attempt_end.may_have_been_sent) {
     ++sends_;
@@ -365,6 +366,7 @@
 }
 
 void Exchange::AbortStream(ResultCode code) {
+  LogCut("daemon", InfoOf(code).name);
   // Finish first: the closed connection is otherwise taken for a caller that
   // disconnected.
   Finish(code, "broken-off");
@@ -415,6 +417,7 @@
   const auto self = shared_from_this();
   if (finished_) return;
   caller_disconnected_ = true;
+  LogCut("caller", "left");
   const bool may_stop = admission_.route->kind != RequestKind::kNonIdempotent;
   const bool sent = attempt_.call && attempt_.call->MayHaveBeenSent();
   // A request that must not run twice is left to complete.
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -62,6 +62,7 @@
     bool is_mismatched = false;    ///< The response is to another request.
     /// Not sent, since the key or the upstream was no longer usable.
     bool send_cancelled = false;
+    std::optional<HttpCallEnd> end;  ///< Unset while the attempt runs.
   };
 
   void ChargeQuota(bool may_wait);
@@ -125,6 +126,9 @@
   void LogAttempt(const AttemptEnd& end, const AttemptDecision& decision) const;
   void LogRequest(ResultCode code, std::string_view outcome,
                   TimePoint now) const;
+  /// Logs that the caller's connection closes without a complete response, by
+  /// whom ("caller" or "daemon") and for what `reason`.
+  void LogCut(std::string_view by, std::string_view reason) const;
 
   GatewayContext* context_;
   ForwardRequest request_;
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -57,4 +57,31 @@
        {"config_age_ms", age ? static_cast<qint64>(age->count()) : -1}});
 }
 
+void Exchange::LogCut(std::string_view by, std::string_view reason) const {
+  const auto now = MonotonicNow();
+  const auto ms = [](Duration time) {
+    return static_cast<qint64>(time.count());
+  };
+  const bool is_passed_on =
+      sends_ > 0 || (attempt_.call && attempt_.call->MayHaveBeenSent());
+  const auto silent_since = answer_started_ ? last_event_ : started_at_;
+  context_->environment.log->Write(
+      "answer-cut",
+      {{"request", Text(request_.id)},
+       {"by", Text(by)},
+       {"reason", Text(reason)},
+       {"upstream", Text(attempt_.upstream.id)},
+       {"end", Text(attempt_.end ? NameOf(*attempt_.end) : "")},
+       {"passed_on", is_passed_on},
+       {"started", answer_started_},
+       {"moving", move_call_ != nullptr},
+       {"events", static_cast<qint64>(relay_.events())},
+       {"silent_ms", ms(now - silent_since)},
+       {"total_ms", ms(now - started_at_)},
+       {"caller_time_ms", ms(ends_at_ - started_at_)},
+       {"route_time_ms", ms(admission_.route->timeout)},
+       {"config", static_cast<qint64>(table_->version())},
+       {"newest_config", static_cast<qint64>(context_->table->version())}});
+}
+
 }  // namespace firmoor::details
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -10,6 +10,7 @@
 #include "base/random_id.h"
 #include "base/supervisor.h"
 #include "base/text.h"
+#include "details/connection_metrics.h"
 #include "details/quarantine_endpoint.h"
 #include "dissemination/kind_relay.h"
 #include "gateway/coordinator_service.h"
@@ -413,6 +414,7 @@
   const auto* routes = gateway.routes();
   return metrics.PrometheusText() + gateway.UpstreamLimitMetrics() +
          gateway.QuarantineMetrics() +
+         details::ConnectionCutMetrics(*caller_server) +
          fmt::format(
              "firmoor_config_version {}\nfirmoor_config_age_ms {}\n"
              "firmoor_upstreams {}\nfirmoor_requests_in_work {}\n"
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -120,13 +120,14 @@
 /// A gateway behind an HTTP server, with routes to one service.
 struct GatewayFixture {
   TestDialect dialect;
-  EventLog log{-1};
+  EventLog log;
   ServiceMetrics metrics;
   TrueTime true_time{WallClockMs(), MonotonicNow()};
   Gateway gateway{GatewaySettings{}, {&dialect, &log, &metrics, &true_time}};
   std::unique_ptr<HttpServer> server;
 
-  explicit GatewayFixture(bool configured = true) {
+  explicit GatewayFixture(bool configured = true, int log_descriptor = -1)
+      : log(log_descriptor) {
     if (configured) Configure();
     Listen();
   }
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/time.h"
 #include "http/message.h"
@@ -55,6 +56,19 @@
   std::weak_ptr<details::ServerConnection> connection_;
 };
 
+/// Why a server closed a connection without a response to a request that the
+/// caller may have sent on it.
+enum class ConnectionCut {
+  kIdle,         ///< No request within the idle time-out.
+  kConnections,  ///< More connections than `HttpServerLimits` allows.
+  kStop,         ///< Idle when the server stopped to listen.
+  kAborted,      ///< `HttpResponder::Abort`.
+  kPipelined,    ///< Bytes followed the last request of the connection.
+};
+
+/// "idle", "connections" and so on, for logs and metrics.
+std::string_view NameOf(ConnectionCut reason);
+
 /// Limits on connections and requests of callers.
 struct HttpServerLimits {
   std::uint32_t header_bytes = 16 * 1024;
@@ -119,6 +133,9 @@
   /// their connections close after the response.
   void StopListening();
 
+  /// Connections closed for `reason` since the start.
+  [[nodiscard]] std::uint64_t CutCount(ConnectionCut reason) const;
+
   /// Number of open connections.
   [[nodiscard]] std::size_t ConnectionCount() const;
 
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -40,7 +40,7 @@
 }  // namespace
 
 ServerConnection::ServerConnection(
-    QTcpSocket* socket, std::shared_ptr<const ServerConnectionContext> context,
+    QTcpSocket* socket, std::shared_ptr<ServerConnectionContext> context,
     std::function<void(ServerConnection*)> on_closed)
     : socket_(socket),
       context_(std::move(context)),
@@ -64,7 +64,7 @@
     if (parser_->got_some()) {
       RejectInput(kRequestTimeout);
     } else {
-      Abort();
+      Abort(ConnectionCut::kIdle);
     }
   });
   ResetParser();
@@ -193,6 +193,9 @@
 void ServerConnection::FinishResponse() {
   on_caller_disconnected_ = nullptr;
   if (!keep_alive_) {
+    if (buffer_.size() > 0 || socket_->bytesAvailable() > 0) {
+      context_->CountCut(ConnectionCut::kPipelined);
+    }
     // No response may follow one that carried `Connection: close`.
     phase_ = Phase::kReading;
     closed_ = true;
@@ -208,13 +211,16 @@
       socket_, [this] { ReadMore(); }, Qt::QueuedConnection);
 }
 
-void ServerConnection::Abort() {
+void ServerConnection::Abort(ConnectionCut reason) {
   if (closed_) return;
+  context_->CountCut(reason);
   socket_->abort();
 }
 
 void ServerConnection::CloseIfIdle() {
-  if (phase_ == Phase::kReading && !parser_->got_some() && !closed_) Abort();
+  if (phase_ == Phase::kReading && !parser_->got_some() && !closed_) {
+    Abort(ConnectionCut::kStop);
+  }
 }
 
 std::size_t ServerConnection::UnsentBytes() const {
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -3,6 +3,7 @@
 
 #include <QTcpSocket>
 #include <QTimer>
+#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -22,6 +23,11 @@
   HttpServer::Handler handler;
   HttpServer::ErrorResponse error_response;
   bool closing = false;  ///< Connections close after their next response.
+  std::array<std::uint64_t, 5> cuts{};  ///< By `ConnectionCut`.
+
+  void CountCut(ConnectionCut reason) {
+    ++cuts.at(static_cast<std::size_t>(reason));
+  }
 };
 
 /// One accepted connection. Reads a request, dispatches it and reads the next
@@ -29,7 +35,7 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(QTcpSocket* socket,
-                   std::shared_ptr<const ServerConnectionContext> context,
+                   std::shared_ptr<ServerConnectionContext> context,
                    std::function<void(ServerConnection*)> on_closed);
   ~ServerConnection();
 
@@ -40,7 +46,7 @@
   void StartStream(int status, const HttpHeaders& headers);
   void Write(std::string_view bytes);
   void FinishStream();
-  void Abort();
+  void Abort(ConnectionCut reason);
   [[nodiscard]] bool IsResponding() const {
     return !closed_ && phase_ != Phase::kReading;
   }
@@ -65,7 +71,7 @@
   void OnDisconnected();
 
   QTcpSocket* socket_;
-  std::shared_ptr<const ServerConnectionContext> context_;
+  std::shared_ptr<ServerConnectionContext> context_;
   std::function<void(ServerConnection*)> on_closed_;
   std::function<void()> on_caller_disconnected_;
   boost::beast::flat_buffer buffer_;
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -19,6 +19,12 @@
 
 }  // namespace
 
+std::string_view NameOf(ConnectionCut reason) {
+  constexpr std::string_view kNames[] = {"idle", "connections", "stop",
+                                         "aborted", "pipelined"};
+  return kNames[static_cast<int>(reason)];
+}
+
 HttpResponder::HttpResponder(
     std::weak_ptr<details::ServerConnection> connection)
     : connection_(std::move(connection)) {}
@@ -42,7 +48,9 @@
 }
 
 void HttpResponder::Abort() {
-  if (const auto connection = connection_.lock()) connection->Abort();
+  if (const auto connection = connection_.lock()) {
+    connection->Abort(ConnectionCut::kAborted);
+  }
 }
 
 bool HttpResponder::IsOpen() const {
@@ -83,6 +91,7 @@
   while (QTcpSocket* socket = listener.nextPendingConnection()) {
     socket->setParent(nullptr);
     if (connections.size() >= context->limits.connections) {
+      context->CountCut(ConnectionCut::kConnections);
       socket->abort();
       socket->deleteLater();
       continue;
@@ -178,6 +187,10 @@
   for (const auto& connection : open) connection->CloseIfIdle();
 }
 
+std::uint64_t HttpServer::CutCount(ConnectionCut reason) const {
+  return impl_->context->cuts.at(static_cast<std::size_t>(reason));
+}
+
 std::size_t HttpServer::ConnectionCount() const {
   return impl_->connections.size();
 }
--- a/libs/http/tests/http_server_test.cc
+++ b/libs/http/tests/http_server_test.cc
@@ -147,4 +147,59 @@
   CHECK(fixture.requests.empty());
 }
 
+// Guards against connections that the server closes by itself while nothing
+// tells how many and why.
+TEST_CASE("connections that the server closes are counted by their reason") {
+  HttpServerLimits limits;
+  limits.idle_timeout = Duration(100);
+  Fixture fixture(limits);
+  const auto count = [&](ConnectionCut reason) {
+    return fixture.server->CutCount(reason);
+  };
+  RawClient client(fixture.server->Port());
+
+  SUBCASE("idle for too long") {
+    CHECK(client.WaitClosed(1'000));
+    CHECK(count(ConnectionCut::kIdle) == 1);
+  }
+  SUBCASE("one too many") {
+    limits.connections = 0;
+    fixture.server->SetLimits(limits);
+    CHECK(RawClient(fixture.server->Port()).WaitClosed(1'000));
+    CHECK(count(ConnectionCut::kConnections) >= 1);
+  }
+  SUBCASE("idle when the server stops to listen") {
+    REQUIRE(WaitUntil([&] { return fixture.server->ConnectionCount() == 1; }));
+    fixture.server->StopListening();
+    CHECK(client.WaitClosed(1'000));
+    CHECK(count(ConnectionCut::kStop) == 1);
+  }
+  SUBCASE("aborted by the handler") {
+    client.Send(kGet);
+    REQUIRE(fixture.WaitRequests(1));
+    fixture.responders[0]->Abort();
+    CHECK(client.WaitClosed(1'000));
+    CHECK(count(ConnectionCut::kAborted) == 1);
+  }
+  SUBCASE("with bytes behind the last request") {
+    client.Send(std::string(kGet) + std::string(kGet));
+    REQUIRE(fixture.WaitRequests(1));
+    fixture.server->CloseAfterResponses();
+    fixture.responders[0]->Send({200, {}, "last"});
+    CHECK(client.WaitClosed(1'000));
+    CHECK(count(ConnectionCut::kPipelined) == 1);
+  }
+  SUBCASE("but not after a complete response") {
+    client.Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    REQUIRE(fixture.WaitRequests(1));
+    fixture.responders[0]->Send({200, {}, "last"});
+    CHECK(client.WaitClosed(1'000));
+    for (const auto reason : {ConnectionCut::kIdle, ConnectionCut::kConnections,
+                              ConnectionCut::kStop, ConnectionCut::kAborted,
+                              ConnectionCut::kPipelined}) {
+      CHECK(count(reason) == 0);
+    }
+  }
+}
+
 }  // namespace firmoor
