Answer a pipelined request when the server stops to listen

Callers saw: a request that had been read behind another one got no response when StopListening was called between the two, since a connection without a parsed byte of its next request counted as idle. firmoord stops to listen early in its drain; the gateway only at its end.

Input that is buffered but not yet parsed now keeps the connection open; its response closes it. Before: "a pipelined request is answered when the server stops to listen" fails (14 of 15 cases of http_test pass). After: all pass.

Ruled out on this machine, with tests that passed before as well: a request that lies in the socket while the event loop is held up for longer than the idle or the request time-out is read before the timer ends its connection.

--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -218,7 +218,9 @@
 }
 
 void ServerConnection::CloseIfIdle() {
-  if (phase_ == Phase::kReading && !parser_->got_some() && !closed_) {
+  const bool has_input = parser_->got_some() || buffer_.size() > 0 ||
+                         socket_->bytesAvailable() > 0;
+  if (phase_ == Phase::kReading && !has_input && !closed_) {
     Abort(ConnectionCut::kStop);
   }
 }
--- a/libs/http/tests/http_server_test.cc
+++ b/libs/http/tests/http_server_test.cc
@@ -4,6 +4,7 @@
 
 #include <QTimer>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "support/raw_socket.h"
@@ -202,4 +203,47 @@
   }
 }
 
+// Guards against a request that is cut off unread, because the idle time-out of
+// its connection was due first after a pause of the event loop.
+TEST_CASE("a request that arrives during a pause of the event loop") {
+  HttpServerLimits limits;
+  limits.idle_timeout = Duration(100);
+  limits.request_timeout = Duration(100);
+  Fixture fixture(limits);
+  RawClient client(fixture.server->Port());
+  REQUIRE(WaitUntil([&] { return fixture.server->ConnectionCount() == 1; }));
+
+  SUBCASE("is read before its connection counts as idle") {
+    client.Send(kGet);
+    std::this_thread::sleep_for(Duration(150));
+    CHECK(fixture.WaitRequests(1));
+  }
+  SUBCASE("is read to its end before it counts as too slow") {
+    client.Send(kGet.substr(0, 10));
+    RunFor(50);
+    client.Send(kGet.substr(10));
+    std::this_thread::sleep_for(Duration(150));
+    CHECK(fixture.WaitRequests(1));
+  }
+  SUBCASE("and nothing else keeps the connection open") {
+    std::this_thread::sleep_for(Duration(150));
+    CHECK(client.WaitClosed(200));
+  }
+}
+
+// Guards against a request that was read behind another one and cut off when
+// the server stopped to listen.
+TEST_CASE("a pipelined request is answered when the server stops to listen") {
+  Fixture fixture;
+  RawClient client(fixture.server->Port());
+  client.Send(std::string(kGet) + std::string(kGet));
+  REQUIRE(fixture.WaitRequests(1));
+  fixture.responders[0]->Send({200, {}, "first"});
+  fixture.server->StopListening();
+  REQUIRE(fixture.WaitRequests(2));
+  fixture.responders[1]->Send({200, {}, "second"});
+  CHECK(client.WaitFor("second"));
+  CHECK(client.WaitClosed());
+}
+
 }  // namespace firmoor
