Keep a silent upstream that nothing else could replace

Callers saw: a resumable stream was broken off after 1.5 s without an event, and a repeatable request was refused after three objectives without a byte, although the upstream was sound and would have gone on (LOST).

Cause: these times were made to try another upstream soon. They ended the call also where there was none: the only upstream, the others leaving, the attempts used up, the retry budget spent, the key not verifiable.

HttpCall asks its owner before it gives a silent upstream up (EndIfSilent). The exchange agrees only if the request can go on elsewhere now: DecideAttempt would retry or resume, the key is verifiable, no verdict holds the request and the picker has an eligible upstream with a permit (HasUpstreamFor records no demand). Otherwise the time-out starts anew, and the request's own timer decides as before.

Evidence: "a stream survives the silence of its upstream" (only upstream, others leave, attempts used up) and "a request waits for the first byte of its only upstream" (stream, idempotent) failed on the old logic; a resumable stream with another upstream went on there before and does now. Ruled out: a stream that may not be resumed had its idle time-out from its own time already.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -165,6 +165,7 @@
       context_->environment.dialect->EncodeRequest(request_, call));
   builder.Host(request_.host)
       .Timeouts(TimeoutsAt(now))
+      .EndIfSilent([this] { return CanGoOnElsewhere(); })
       .SendIf([this, moved = copy.has_value()] {
         attempt_.send_cancelled =
             !CanVerifyKey() || (!moved && IsLeaving()) || !EnsurePermit();
@@ -307,8 +308,7 @@
   const auto attempt_end = MakeAttemptEnd(end);
   if (attempt_end.may_have_been_sent) {
     ++sends_;
-    const auto* entry = context_->catalog.Find(attempt_.upstream.id);
-    if (entry != nullptr && !entry->leaving) ++counted_attempts_;
+    if (CountsAsAttempt()) ++counted_attempts_;
   }
   context_->picker.OnEnd(&attempt_.ticket, UpstreamOutcomeOf(attempt_end), now);
   RecordEvidence(attempt_end);
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -116,6 +116,11 @@
   /// Time after which a stream that makes progress must be checked again; 0 or
   /// less when its events have stopped or the route's timeout has passed.
   [[nodiscard]] Duration RemainingStreamTime(TimePoint now) const;
+  /// Whether the end of the current attempt counts towards the route's limit.
+  [[nodiscard]] bool CountsAsAttempt() const;
+  /// Whether another upstream could go on with the request now if its current
+  /// attempt were given up.
+  [[nodiscard]] bool CanGoOnElsewhere() const;
   void OnCallerDisconnected();
   [[nodiscard]] AttemptEnd MakeAttemptEnd(HttpCallEnd end) const;
   [[nodiscard]] AttemptContext MakeAttemptContext(const AttemptEnd& end,
--- /dev/null
+++ b/libs/gateway/src/details/exchange_time.cc
@@ -0,0 +1,22 @@
+#include "details/exchange.h"
+
+namespace firmoor::details {
+
+bool Exchange::CountsAsAttempt() const {
+  const auto* entry = context_->catalog.Find(attempt_.upstream.id);
+  return entry != nullptr && !entry->leaving;
+}
+
+bool Exchange::CanGoOnElsewhere() const {
+  if (!CanVerifyKey() || context_->quarantine.HasVerdict(suspects_)) {
+    return false;
+  }
+  const auto now = MonotonicNow();
+  const auto end = MakeAttemptEnd(HttpCallEnd::kTimedOut);
+  auto attempt_context = MakeAttemptContext(end, now);
+  if (CountsAsAttempt()) ++attempt_context.attempts;
+  return DecideAttempt(end, attempt_context).step != NextStep::kFail &&
+         context_->picker.HasUpstreamFor(MakePickRequest(), now);
+}
+
+}  // namespace firmoor::details
--- a/libs/gateway/src/details/request_quarantine.cc
+++ b/libs/gateway/src/details/request_quarantine.cc
@@ -103,6 +103,14 @@
   return verdict;
 }
 
+bool RequestQuarantine::HasVerdict(const std::vector<Suspect>& suspects) const {
+  return std::any_of(
+      verdicts().begin(), verdicts().end(), [&](const Verdict& verdict) {
+        return std::includes(suspects.begin(), suspects.end(),
+                             verdict.members.begin(), verdict.members.end());
+      });
+}
+
 QuarantineReport RequestQuarantine::Report() {
   return monitor_.Report(MonotonicNow());
 }
--- a/libs/gateway/src/details/request_quarantine.h
+++ b/libs/gateway/src/details/request_quarantine.h
@@ -30,6 +30,8 @@
   /// The verdict that rejects `request`; null if there is none.
   const Verdict* Reject(const std::string& request,
                         const std::vector<Suspect>& suspects);
+  /// Whether a verdict is about a request with these suspects.
+  [[nodiscard]] bool HasVerdict(const std::vector<Suspect>& suspects) const;
   [[nodiscard]] bool IsSuspected(const std::vector<Suspect>& suspects) const {
     return monitor_.IsSuspected(suspects);
   }
--- /dev/null
+++ b/libs/gateway/tests/gateway_stream_time_test.cc
@@ -0,0 +1,111 @@
+#include <doctest/doctest.h>
+
+#include <QTimer>
+#include <string>
+
+#include "gateway_fixture.h"
+
+namespace firmoor {
+namespace {
+
+/// Sends event 1, falls silent and then sends event 2, which completes the
+/// stream.
+RawUpstream::Script PauseBetweenEvents(int silent_ms) {
+  return [silent_ms](auto& connection) {
+    const auto size = MakeEvent(1).size() + MakeEvent(2).size();
+    connection.socket->write(QByteArray::fromStdString(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
+        "\r\n\r\n" + MakeEvent(1)));
+    QTimer::singleShot(silent_ms, connection.socket, [s = connection.socket] {
+      s->write(QByteArray::fromStdString(MakeEvent(2)));
+    });
+  };
+}
+
+/// Falls silent before the first byte of a complete response.
+RawUpstream::Script PauseBeforeResponse(int silent_ms) {
+  return [silent_ms](auto& connection) {
+    QTimer::singleShot(silent_ms, connection.socket, [&connection] {
+      SendResponse(connection, "200 OK", MakeEvent(1) + MakeEvent(2));
+    });
+  };
+}
+
+constexpr std::string_view kEnd = "0\r\n\r\n";
+
+}  // namespace
+
+// Guards against LOST: the only upstream of a stream paused for over 1.5 s, and
+// the gateway broke the answer off though nothing else could go on with it.
+TEST_CASE("a stream survives the silence of its upstream") {
+  GatewayFixture fixture;
+  RawUpstream pausing(PauseBetweenEvents(1'900));
+  fixture.AddUpstream("a", pausing);
+
+  SUBCASE("when there is no other upstream") {
+    auto caller = fixture.SendRequest("resumable");
+    REQUIRE(caller->WaitFor("id: 1"));
+    CHECK(caller->WaitFor(kEnd, 2'500));
+    CHECK(pausing.Requests() == 1);
+  }
+  SUBCASE("when the others leave") {
+    RawUpstream other(PauseBetweenEvents(0));
+    fixture.AddUpstream("b", other, true);
+    auto caller = fixture.SendRequest("resumable");
+    REQUIRE(caller->WaitFor("id: 1"));
+    CHECK(caller->WaitFor(kEnd, 2'500));
+    CHECK(other.Requests() == 0);
+  }
+  SUBCASE("when its attempts are used up") {
+    RawUpstream other(PauseBetweenEvents(0));
+    auto content = fixture.gateway.routes()->content();
+    ++content.version;
+    for (auto& route : content.routes) route.max_upstreams = 1;
+    fixture.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+    auto caller = fixture.SendRequest("resumable");
+    REQUIRE(caller->WaitFor("id: 1"));
+    fixture.AddUpstream("b", other);
+    CHECK(caller->WaitFor(kEnd, 2'500));
+    CHECK(other.Requests() == 0);
+  }
+  SUBCASE("when it may not be resumed") {
+    auto caller = fixture.SendRequest("stream");
+    REQUIRE(caller->WaitFor("id: 1"));
+    CHECK(caller->WaitFor(kEnd, 2'500));
+  }
+  SUBCASE("and goes on elsewhere if it can") {
+    RawUpstream other([](auto& connection) {
+      const bool resumed =
+          connection.received.find("From: 1") != std::string::npos;
+      SendResponse(connection, "200 OK", resumed ? MakeEvent(2) : "wrong");
+    });
+    auto caller = fixture.SendRequest("resumable");
+    REQUIRE(caller->WaitFor("id: 1"));
+    fixture.AddUpstream("b", other);
+    CHECK(caller->WaitFor(kEnd, 1'800));
+    CHECK(caller->Received().find("id: 2") != std::string::npos);
+    CHECK(other.Requests() == 1);
+  }
+}
+
+// Guards against an answer that is given up because its only upstream needed
+// longer than three times the objective for the first byte.
+TEST_CASE("a request waits for the first byte of its only upstream") {
+  GatewayFixture fixture;
+  RawUpstream slow(PauseBeforeResponse(1'200));
+  fixture.AddUpstream("a", slow);
+
+  SUBCASE("of a stream") {
+    CHECK(fixture.SendRequest("resumable")->WaitFor("id: 2", 2'000));
+  }
+  SUBCASE("of another idempotent request") {
+    CHECK(fixture.SendRequest("idempotent")->WaitFor("id: 2", 2'000));
+  }
+  SUBCASE("until the caller's time is over") {
+    auto caller = fixture.SendRequest("idempotent", "Allowed-Ms: 300\r\n");
+    REQUIRE(caller->WaitFor("HTTP/1.1 ", 1'000));
+    CHECK(caller->Received().starts_with("HTTP/1.1 504"));
+  }
+}
+
+}  // namespace firmoor
--- a/libs/http/include/http/http_call.h
+++ b/libs/http/include/http/http_call.h
@@ -83,6 +83,10 @@
     /// Evaluated right before the request is written; if it returns false, the
     /// call ends with `kNotConnected`.
     Builder& SendIf(std::function<bool()> condition);
+    /// Evaluated when `HttpCallTimeouts::first_byte` or `idle` has expired; if
+    /// it returns false, the time-out starts anew. Without a condition the call
+    /// ends. The total time-out applies regardless.
+    Builder& EndIfSilent(std::function<bool()> condition);
     /// Reuses an idle connection of `pool` if there is one and returns it
     /// afterwards. Without a pool the call opens a connection and closes it.
     Builder& Pool(HttpConnectionPool* pool);
@@ -128,7 +132,8 @@
 ///
 /// `done` receives how the call ended, whether the request may have been sent,
 /// and the response, which is complete only with `HttpCallEnd::kComplete`.
-/// Deleting the returned call cancels it without a callback.
+/// Deleting the returned call cancels it without a callback. `end_if_silent`:
+/// see `HttpCall::Builder::EndIfSilent`.
 struct HttpFetchResult {
   HttpCallEnd end = HttpCallEnd::kNotConnected;
   bool may_have_been_sent = false;
@@ -138,7 +143,8 @@
 std::unique_ptr<HttpCall> HttpFetch(const Endpoint& endpoint,
                                     HttpRequest request, HttpCallTimeouts times,
                                     HttpConnectionPool* pool,
-                                    std::function<void(HttpFetchResult)> done);
+                                    std::function<void(HttpFetchResult)> done,
+                                    std::function<bool()> end_if_silent = {});
 
 }  // namespace firmoor
 
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -4,7 +4,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <QHostAddress>
 #include <QTcpSocket>
@@ -20,6 +19,7 @@
 #include <vector>
 
 #include "base/invariant.h"
+#include "details/reset_detector.h"
 
 namespace firmoor {
 namespace {
@@ -83,37 +83,6 @@
 };
 using SocketPtr = std::unique_ptr<QTcpSocket, SocketDeleter>;
 
-/// Distinguishes a reset from an orderly close after the socket object has
-/// closed the connection, since Qt reports both as the same error. Holds a
-/// duplicate of the descriptor for this.
-class ResetDetector {
- public:
-  ResetDetector() = default;
-  explicit ResetDetector(qintptr descriptor)
-      : descriptor_(dup(static_cast<int>(descriptor))) {}
-  ResetDetector(ResetDetector&& other) noexcept
-      : descriptor_(std::exchange(other.descriptor_, -1)) {}
-  ResetDetector& operator=(ResetDetector&& other) noexcept {
-    std::swap(descriptor_, other.descriptor_);
-    return *this;
-  }
-  ~ResetDetector() {
-    if (descriptor_ >= 0) close(descriptor_);
-  }
-
-  /// After a reset the kernel no longer has a peer address for the socket.
-  [[nodiscard]] bool WasReset() const {
-    if (descriptor_ < 0) return false;
-    sockaddr_storage peer{};
-    socklen_t length = sizeof(peer);
-    return getpeername(descriptor_, reinterpret_cast<sockaddr*>(&peer),
-                       &length) != 0;
-  }
-
- private:
-  int descriptor_ = -1;
-};
-
 /// How long a connection may be reused, given the server's Keep-Alive header.
 Duration IdleTimeoutFrom(std::string_view keep_alive) {
   constexpr std::string_view kName = "timeout=";
@@ -192,6 +161,7 @@
   HttpCallTimeouts timeouts;
   HttpConnectionPool* pool = nullptr;
   std::function<bool()> send_if;
+  std::function<bool()> end_if_silent;
   std::function<void(int, const HttpHeaders&)> on_head;
   std::function<void(std::string_view)> on_body;
   std::function<void(HttpCallEnd)> on_end;
@@ -207,13 +177,15 @@
   bool paused = false;
   bool ended = false;
   bool in_grace = false;
-  ResetDetector reset_detector;  ///< Of a response delimited by the close.
+  details::ResetDetector
+      reset_detector;  ///< Of a response delimited by the close.
 
   void Start();
   void ResetParser();
   void Connect();
   void SendRequest();
   void OnTimeout();
+  void RestartTimer();
   void Read();
   void Parse();
   void DeliverHead();
@@ -282,7 +254,14 @@
     timer.start(kReadGrace);
     return;
   }
-  End(may_have_been_sent ? HttpCallEnd::kTimedOut : HttpCallEnd::kNotConnected);
+  if (!may_have_been_sent) return End(HttpCallEnd::kNotConnected);
+  if (!end_if_silent || end_if_silent()) return End(HttpCallEnd::kTimedOut);
+  in_grace = false;
+  RestartTimer();
+}
+
+void HttpCall::Builder::Impl::RestartTimer() {
+  timer.start(head_delivered ? timeouts.idle : timeouts.first_byte);
 }
 
 void HttpCall::Builder::Impl::Read() {
@@ -317,7 +296,7 @@
   }
   if (ended) return;
   if (parser->is_done()) return End(HttpCallEnd::kComplete);
-  timer.start(head_delivered ? timeouts.idle : timeouts.first_byte);
+  RestartTimer();
 }
 
 void HttpCall::Builder::Impl::DeliverHead() {
@@ -325,7 +304,7 @@
   head_delivered = true;
   if (parser->need_eof()) {
     delimited_by_close = true;
-    reset_detector = ResetDetector(socket->socketDescriptor());
+    reset_detector = details::ResetDetector(socket->socketDescriptor());
   }
   HttpHeaders headers;
   for (const auto& field : parser->get()) {
@@ -402,6 +381,12 @@
   return *this;
 }
 
+HttpCall::Builder& HttpCall::Builder::EndIfSilent(
+    std::function<bool()> condition) {
+  impl_->end_if_silent = std::move(condition);
+  return *this;
+}
+
 HttpCall::Builder& HttpCall::Builder::Pool(HttpConnectionPool* pool) {
   impl_->pool = pool;
   return *this;
@@ -476,11 +461,13 @@
                                     HttpRequest request,
                                     HttpCallTimeouts timeouts,
                                     HttpConnectionPool* pool,
-                                    std::function<void(HttpFetchResult)> done) {
+                                    std::function<void(HttpFetchResult)> done,
+                                    std::function<bool()> end_if_silent) {
   const auto response = std::make_shared<HttpResponse>();
   return HttpCall::Builder(endpoint, std::move(request))
       .Timeouts(timeouts)
       .Pool(pool)
+      .EndIfSilent(std::move(end_if_silent))
       .OnHead([response](int status, const HttpHeaders& headers) {
         response->status = status;
         response->headers = headers;
--- a/libs/http/tests/http_call_test.cc
+++ b/libs/http/tests/http_call_test.cc
@@ -193,6 +193,60 @@
   }
 }
 
+// Guards against a call that gives up on a silent upstream though its owner has
+// nothing better to do than to wait.
+TEST_CASE("a call to a silent upstream lasts as long as its owner wants") {
+  int questions = 0;
+  int patience = 100;
+  std::optional<HttpCallEnd> end;
+  std::string body;
+  HttpCallTimeouts timeouts{Duration(300), Duration(100), Duration(100)};
+  const auto start = [&](const RawUpstream& upstream) {
+    return HttpCall::Builder(upstream.Address(), Make("GET"))
+        .Timeouts(timeouts)
+        .EndIfSilent([&] { return ++questions > patience; })
+        .OnBody([&](std::string_view bytes) { body += bytes; })
+        .OnEnd([&](HttpCallEnd ended) { end = ended; })
+        .Start();
+  };
+  RawUpstream late_head([](auto& connection) {
+    QTimer::singleShot(450, connection.socket,
+                       [&connection] { Respond(connection, "ok"); });
+  });
+  RawUpstream late_rest([](auto& connection) {
+    connection.socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
+    QTimer::singleShot(450, connection.socket,
+                       [s = connection.socket] { s->write("k"); });
+  });
+
+  SUBCASE("before the response") {
+    const auto call = start(late_head);
+    REQUIRE(WaitUntil([&] { return end.has_value(); }));
+    CHECK(*end == HttpCallEnd::kComplete);
+    CHECK(questions >= 3);
+  }
+  SUBCASE("within the response") {
+    const auto call = start(late_rest);
+    REQUIRE(WaitUntil([&] { return end.has_value(); }));
+    CHECK(*end == HttpCallEnd::kComplete);
+    CHECK(body == "ok");
+    CHECK(questions >= 3);
+  }
+  SUBCASE("and no longer") {
+    patience = 1;
+    const auto call = start(late_rest);
+    REQUIRE(WaitUntil([&] { return end.has_value(); }, 400));
+    CHECK(*end == HttpCallEnd::kTimedOut);
+    CHECK(questions == 2);
+  }
+  SUBCASE("within its total time") {
+    timeouts.total = Duration(300);
+    const auto call = start(late_rest);
+    REQUIRE(WaitUntil([&] { return end.has_value(); }, 400));
+    CHECK(*end == HttpCallEnd::kTimedOut);
+  }
+}
+
 TEST_CASE("an unsolicited response never reaches a later call") {
   // The upstream sends a second, unsolicited response on the pooled connection.
   RawUpstream upstream([](auto& connection) {
--- a/libs/routing/include/routing/upstream_picker.h
+++ b/libs/routing/include/routing/upstream_picker.h
@@ -119,6 +119,9 @@
   [[nodiscard]] std::optional<UpstreamEntry> Pick(
       const PickRequest& request, TimePoint now,
       std::vector<UpstreamEntry>* without_permit = nullptr);
+  /// Whether `Pick` would find an upstream now. Records no demand for permits.
+  [[nodiscard]] bool HasUpstreamFor(const PickRequest& request,
+                                    TimePoint now) const;
   /// Requests per second that this daemon can expect to send to the
   /// rate-limited upstreams of `service`.
   [[nodiscard]] double PermitRate(const std::string& service,
--- a/libs/routing/src/upstream_picker.cc
+++ b/libs/routing/src/upstream_picker.cc
@@ -269,6 +269,17 @@
   return std::nullopt;
 }
 
+bool UpstreamPicker::HasUpstreamFor(const PickRequest& request,
+                                    TimePoint now) const {
+  const auto eligible = EligibleUpstreams(request, now);
+  return std::any_of(
+      eligible.begin(), eligible.end(), [&](const Upstream* upstream) {
+        const auto& entry = upstream->entry;
+        return !IsRateLimited(entry) ||
+               permits_->IsAvailable(entry.id, entry.born_ms, now);
+      });
+}
+
 double UpstreamPicker::PermitRate(const std::string& service,
                                   TimePoint now) const {
   double rate = 0;
