End a started stream at its route's timeout, not after a second of silence

Cause: the gap was made to tell whether a stream still moves. A sound upstream may fall silent for a second or so and go on. Callers leave when they want to; what is owed is an end at the route's timeout.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -12,12 +12,6 @@
 // Callers disconnect by themselves at their deadline, perhaps a little later;
 // the response is not cut off before they do.
 constexpr Duration kDeadlineGrace{500};
-// Longest gap between the events of a stream that still makes progress. A
-// request that resumes elsewhere has such a gap: it stops, waits for the
-// earlier run to end and repeats its prefill.
-constexpr Duration kMaxEventGap{1'000};
-// Added to the route's timeout, which callers count from when they send.
-constexpr Duration kRouteTimeoutGrace{50};
 
 Duration EffectiveCallerTimeout(const ForwardRequest& request,
                                 const Route& route) {
@@ -387,13 +381,6 @@
   Finish(code, NameOf(outcome));
 }
 
-Duration Exchange::RemainingStreamTime(TimePoint now) const {
-  if (!answer_started_) return Duration(0);
-  const auto route_end =
-      started_at_ + admission_.route->timeout + kRouteTimeoutGrace;
-  return std::min(last_event_ + kMaxEventGap, route_end) - now;
-}
-
 void Exchange::OnTimeout() {
   const auto self = shared_from_this();
   if (finished_) return;
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -17,6 +17,9 @@
 
 namespace firmoor::details {
 
+/// Added to the route's timeout, which callers count from when they send.
+constexpr Duration kRouteTimeoutGrace{50};
+
 /// One caller's request, from its admission to its final response: sends it to
 /// upstreams one after the other, as far as the attempt policy allows, and
 /// forwards the response. Kept alive by the context until it ends.
@@ -113,8 +116,8 @@
   [[nodiscard]] Duration RetryDelay() const;
   void AbortStream(ResultCode code);
   void OnTimeout();
-  /// Time after which a stream that makes progress must be checked again; 0 or
-  /// less when its events have stopped or the route's timeout has passed.
+  /// Time that is left for a started stream; 0 or less when its route's timeout
+  /// has passed.
   [[nodiscard]] Duration RemainingStreamTime(TimePoint now) const;
   /// Whether the end of the current attempt counts towards the route's limit.
   [[nodiscard]] bool CountsAsAttempt() const;
--- a/libs/gateway/src/details/exchange_time.cc
+++ b/libs/gateway/src/details/exchange_time.cc
@@ -2,6 +2,11 @@
 
 namespace firmoor::details {
 
+Duration Exchange::RemainingStreamTime(TimePoint now) const {
+  if (!answer_started_) return Duration(0);
+  return started_at_ + admission_.route->timeout + kRouteTimeoutGrace - now;
+}
+
 bool Exchange::CountsAsAttempt() const {
   const auto* entry = context_->catalog.Find(attempt_.upstream.id);
   return entry != nullptr && !entry->leaving;
--- a/libs/gateway/tests/gateway_stream_time_test.cc
+++ b/libs/gateway/tests/gateway_stream_time_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <QTimer>
+#include <optional>
 #include <string>
 
 #include "gateway_fixture.h"
@@ -31,6 +32,21 @@
   };
 }
 
+/// Checks that the caller's connection closes, no sooner than after `from_ms`,
+/// and that its request has ended when a timer of `until_ms` fires. Both are
+/// timers of one event loop, so that a pause of the process delays both.
+void CheckEndsWithin(GatewayFixture* fixture, RawClient* caller, int from_ms,
+                     int until_ms) {
+  std::optional<std::size_t> left;
+  QTimer::singleShot(until_ms,
+                     [&] { left = fixture->gateway.ActiveRequestCount(); });
+  const auto since = MonotonicNow();
+  CHECK(caller->WaitClosed(6'000));
+  CHECK(MonotonicNow() - since >= Duration(from_ms));
+  REQUIRE(WaitUntil([&] { return left.has_value(); }));
+  CHECK(*left == 0);
+}
+
 constexpr std::string_view kEnd = "0\r\n\r\n";
 
 }  // namespace
@@ -108,4 +124,26 @@
   }
 }
 
+// Guards against LOST: a stream was broken off after a second of silence once
+// its caller's time was over, though the caller still waited.
+TEST_CASE("a started stream ends at its route's timeout") {
+  GatewayFixture fixture;
+
+  SUBCASE("and not at its caller's, even if silent for longer than a second") {
+    RawUpstream pausing(PauseBetweenEvents(1'900));
+    fixture.AddUpstream("a", pausing);
+    auto caller = fixture.SendRequest("stream", "Allowed-Ms: 400\r\n");
+    REQUIRE(caller->WaitFor("id: 1"));
+    CHECK(caller->WaitFor(kEnd, 2'500));
+  }
+  SUBCASE("if its upstream stays silent") {
+    RawUpstream stuck(
+        [](auto& connection) { StartEventStream(connection, MakeEvent(1)); });
+    fixture.AddUpstream("a", stuck);
+    auto caller = fixture.SendRequest("stream", "Allowed-Ms: 400\r\n");
+    REQUIRE(caller->WaitFor("id: 1"));
+    CheckEndsWithin(&fixture, caller.get(), 2'800, 3'300);
+  }
+}
+
 }  // namespace firmoor
