Give a running stream the longer timeout of the newest configuration

Callers saw: a stream that was admitted under a configuration with a short timeout was broken off at it, although the newest configuration gave its route longer and the upstream was at work.

Cause: the exchange keeps the route it was admitted under. The longer of both timeouts holds now for a started stream; a shorter one does not cut it. Requests without a part of their answer keep the time they were admitted with, since they get a whole refusal then.

Evidence: "a stream that outlasts its route's earlier timeout", first section, failed on the old logic (broken off at 1 s where the newest route has 3 s). The other two sections passed before and hold the bounds.

--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -117,7 +117,8 @@
   void AbortStream(ResultCode code);
   void OnTimeout();
   /// Time that is left for a started stream; 0 or less when its route's timeout
-  /// has passed.
+  /// has passed, of the configuration that it was admitted under and of the
+  /// newest one.
   [[nodiscard]] Duration RemainingStreamTime(TimePoint now) const;
   /// Whether the end of the current attempt counts towards the route's limit.
   [[nodiscard]] bool CountsAsAttempt() const;
--- a/libs/gateway/src/details/exchange_time.cc
+++ b/libs/gateway/src/details/exchange_time.cc
@@ -1,10 +1,15 @@
+#include <algorithm>
+
 #include "details/exchange.h"
 
 namespace firmoor::details {
 
 Duration Exchange::RemainingStreamTime(TimePoint now) const {
   if (!answer_started_) return Duration(0);
-  return started_at_ + admission_.route->timeout + kRouteTimeoutGrace - now;
+  auto timeout = admission_.route->timeout;
+  const auto* current = context_->table->Match(request_.host, request_.Path());
+  if (current != nullptr) timeout = std::max(timeout, current->timeout);
+  return started_at_ + timeout + kRouteTimeoutGrace - now;
 }
 
 bool Exchange::CountsAsAttempt() const {
--- a/libs/gateway/tests/gateway_stream_time_test.cc
+++ b/libs/gateway/tests/gateway_stream_time_test.cc
@@ -32,6 +32,13 @@
   };
 }
 
+void SetTimeouts(GatewayFixture* fixture, Duration timeout) {
+  auto content = fixture->gateway.routes()->content();
+  ++content.version;
+  for (auto& route : content.routes) route.timeout = timeout;
+  fixture->gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+}
+
 /// Checks that the caller's connection closes, no sooner than after `from_ms`,
 /// and that its request has ended when a timer of `until_ms` fires. Both are
 /// timers of one event loop, so that a pause of the process delays both.
@@ -146,4 +153,32 @@
   }
 }
 
+// Guards against a stream that is broken off at the timeout of an outdated
+// configuration while the newest one gives its route longer.
+TEST_CASE("a stream that outlasts its route's earlier timeout") {
+  GatewayFixture fixture;
+  RawUpstream pausing(PauseBetweenEvents(1'500));
+  fixture.AddUpstream("a", pausing);
+
+  SUBCASE("goes on if the route has a longer one now") {
+    SetTimeouts(&fixture, Duration(1'000));
+    auto caller = fixture.SendRequest("stream");
+    REQUIRE(caller->WaitFor("id: 1"));
+    SetTimeouts(&fixture, Duration(3'000));
+    CHECK(caller->WaitFor(kEnd, 2'000));
+  }
+  SUBCASE("keeps its time if the route has a shorter one now") {
+    auto caller = fixture.SendRequest("stream");
+    REQUIRE(caller->WaitFor("id: 1"));
+    SetTimeouts(&fixture, Duration(500));
+    CHECK(caller->WaitFor(kEnd, 2'000));
+  }
+  SUBCASE("ends at it if the route has not changed") {
+    SetTimeouts(&fixture, Duration(1'000));
+    auto caller = fixture.SendRequest("stream");
+    REQUIRE(caller->WaitFor("id: 1"));
+    CheckEndsWithin(&fixture, caller.get(), 800, 1'300);
+  }
+}
+
 }  // namespace firmoor
