Wait for the response to a move as long as for an upstream

Callers saw: a stream that may not be resumed was broken off when the engine it was moved from needed over 1.5 s to respond: it had stopped the run and closed the stream, was copying the KV cache, and the gateway gave the order up (LOST).

Cause: the order had time-outs of its own, and the stream's end during the move counted as a failure once they were over. The order is given up on silence only if the stream can go on elsewhere without it, and a silent stream is not given up while its move is pending. An engine that dies breaks the order's connection, which ends the wait at once; the route's timeout ends it in any case.

Evidence: "a stream waits for the response to its move", with a response after 1.9 s, failed on the old logic; the section in which the connection breaks passed before.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -159,7 +159,7 @@
       context_->environment.dialect->EncodeRequest(request_, call));
   builder.Host(request_.host)
       .Timeouts(TimeoutsAt(now))
-      .EndIfSilent([this] { return CanGoOnElsewhere(); })
+      .EndIfSilent([this] { return !move_call_ && CanGoOnElsewhere(); })
       .SendIf([this, moved = copy.has_value()] {
         attempt_.send_cancelled =
             !CanVerifyKey() || (!moved && IsLeaving()) || !EnsurePermit();
--- a/libs/gateway/src/details/exchange_move.cc
+++ b/libs/gateway/src/details/exchange_move.cc
@@ -55,14 +55,15 @@
   // The order to move is a request to the upstream as well.
   if (!target || !context_->TakePermit(attempt_.upstream)) return;
   const auto self = shared_from_this();
-  move_call_ =
-      HttpFetch(attempt_.upstream.endpoint,
-                context_->environment.dialect->EncodeMoveRequest(
-                    request_.id, target->endpoint),
-                kMoveTimeouts, &context_->pool,
-                [this, target = *target](const HttpFetchResult& result) {
-                  OnMoveResult(result, target);
-                });
+  move_call_ = HttpFetch(
+      attempt_.upstream.endpoint,
+      context_->environment.dialect->EncodeMoveRequest(request_.id,
+                                                       target->endpoint),
+      kMoveTimeouts, &context_->pool,
+      [this, target = *target](const HttpFetchResult& result) {
+        OnMoveResult(result, target);
+      },
+      [this] { return CanGoOnElsewhere(); });
 }
 
 void Exchange::OnMoveResult(const HttpFetchResult& result,
--- a/libs/gateway/tests/gateway_stream_time_test.cc
+++ b/libs/gateway/tests/gateway_stream_time_test.cc
@@ -181,4 +181,47 @@
   }
 }
 
+// Guards against LOST: a stopped stream was given up because the engine needed
+// over 1.5 s to copy its KV cache before it responded to the order to move.
+TEST_CASE("a stream waits for the response to its move") {
+  GatewayFixture fixture;
+  SetTimeouts(&fixture, Duration(6'000));
+  RawUpstream::Connection* stream = nullptr;
+  bool responds = true;
+  RawUpstream leaving([&](auto& connection) {
+    if (connection.received.find("POST /move") != std::string::npos) {
+      stream->socket->abort();
+      QTimer::singleShot(1'900, connection.socket, [&] {
+        if (!responds) return connection.socket->abort();
+        SendResponse(connection, "200 OK", "copy-7");
+      });
+      return;
+    }
+    if (connection.received.find("GET /report") != std::string::npos) {
+      return SendResponse(connection, "200 OK", "1800");
+    }
+    stream = &connection;
+    StartEventStream(connection, MakeEvent(1) + MakeEvent(2));
+  });
+  RawUpstream other([](auto& connection) {
+    const bool moved =
+        connection.received.find("Copy: copy-7") != std::string::npos;
+    SendResponse(connection, "200 OK", moved ? MakeEvent(3) : "wrong");
+  });
+  fixture.AddUpstream("a", leaving);
+  auto caller = fixture.SendRequest("stream");
+  REQUIRE(caller->WaitFor("id: 2"));
+  fixture.AddUpstream("b", other);
+  fixture.AddUpstream("a", leaving, true);
+
+  SUBCASE("and continues elsewhere") {
+    REQUIRE(caller->WaitFor(kEnd));
+    CHECK(caller->Received().find("id: 3") != std::string::npos);
+  }
+  SUBCASE("and ends when the engine's connection breaks") {
+    responds = false;
+    CheckEndsWithin(&fixture, caller.get(), 2'000, 5'000);
+  }
+}
+
 }  // namespace firmoor
