End the requests in work before the process exits

Callers saw: when the time to stop was over, the process exited with requests in work: their connections closed without an answer or a refusal, and the log had no line for them but their number in `stop` (LOST).

Cause: the end of the drain stopped the parts of the daemon, and nothing ended the exchanges. Gateway::EndRequests refuses what has no part of its answer (503 if no upstream may have received it, 502 if one may) and breaks the rest off with an `answer-cut` line; the process exits 50 ms later, within the 700 ms that it stops before it would be killed. Requests that wait for the first configuration are refused as well.

Evidence: the fault by reading; gateway_stop_test.cc passes, and could not run before for want of EndRequests. Ruled out by a test that stays: a request that was refused as not run while its call was about to start is not sent (the bytes are still unsent when the call is deleted).

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -150,6 +150,11 @@
   void StartDrain(TimePoint ends_at);
 
   [[nodiscard]] bool IsDraining() const;
+
+  /// Ends all requests before the process exits: those without a part of their
+  /// response get a refusal, the others are broken off.
+  void EndRequests();
+
   /// Number of requests without a final response.
   [[nodiscard]] std::size_t ActiveRequestCount() const;
 
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -389,13 +389,25 @@
     timer_.start(remaining);
     return;
   }
+  GiveUp(ResultCode::kUpstreamTimeout, ResultCode::kNoUpstream,
+         "The time of the request is over");
+}
+
+void Exchange::OnStop() {
+  const auto self = shared_from_this();
+  if (finished_) return;
+  GiveUp(ResultCode::kUpstreamOutcomeUnknown, ResultCode::kDraining,
+         "The daemon stops");
+}
+
+void Exchange::GiveUp(ResultCode code, ResultCode code_if_not_run,
+                      std::string message) {
   const bool sent = attempt_.call && attempt_.call->MayHaveBeenSent();
   const bool unknown = may_have_run_ || sent;
   context_->picker.OnEnd(&attempt_.ticket, UpstreamOutcome::kNeutral,
                          MonotonicNow());
   if (sent && admission_.route->kind != RequestKind::kStream) CountUsage();
-  Refuse(unknown ? ResultCode::kUpstreamTimeout : ResultCode::kNoUpstream,
-         "The time of the request is over",
+  Refuse(unknown ? code : code_if_not_run, std::move(message),
          unknown ? RequestOutcome::kUnknown : RequestOutcome::kNotRun,
          unknown ? std::nullopt : std::optional(RetryDelay()));
 }
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -40,6 +40,9 @@
   void OnUpstreamEnding(const std::string& upstream, TimePoint ends_at,
                         std::int64_t tokens_per_event);
 
+  /// Ends the request since the process exits.
+  void OnStop();
+
   /// Ends the request with an error of the gateway itself.
   void Refuse(ResultCode code, std::string message, RequestOutcome outcome,
               std::optional<Duration> retry_after);
@@ -116,6 +119,9 @@
   [[nodiscard]] Duration RetryDelay() const;
   void AbortStream(ResultCode code);
   void OnTimeout();
+  /// Ends the request whether or not an upstream still works on it.
+  /// `code_if_not_run`: for a request that no upstream may have received.
+  void GiveUp(ResultCode code, ResultCode code_if_not_run, std::string message);
   /// Time that is left for a started stream; 0 or less when its route's timeout
   /// has passed, of the configuration that it was admitted under and of the
   /// newest one.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -372,6 +372,13 @@
 
 bool Gateway::IsDraining() const { return impl_->context.drain.has_value(); }
 
+void Gateway::EndRequests() {
+  impl_->queues_early_requests = false;
+  impl_->HandleEarlyRequests();
+  const auto exchanges = impl_->context.exchanges;
+  for (const auto& [key, exchange] : exchanges) exchange->OnStop();
+}
+
 std::size_t Gateway::ActiveRequestCount() const {
   return impl_->context.exchanges.size();
 }
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -55,6 +55,8 @@
 // The process stops this long before it would be killed.
 constexpr Duration kStopMargin{700};
 constexpr Duration kDrainCheckInterval{100};
+// For the last responses to reach the kernel.
+constexpr Duration kLastResponseTime{50};
 // Lower limit of the time for receiving a request, since callers may send a
 // long body over a slow link.
 constexpr Duration kMinRequestTimeout{10'000};
@@ -438,8 +440,11 @@
                        static_cast<qint64>(gateway.ActiveRequestCount())},
                       {"connections_left",
                        static_cast<qint64>(caller_server->ConnectionCount())}});
-  root->Stop();
-  on_stopped();
+  gateway.EndRequests();
+  QTimer::singleShot(kLastResponseTime, &drain_timer, [this] {
+    root->Stop();
+    on_stopped();
+  });
 }
 
 GatewayDaemon::GatewayDaemon(GatewayDaemonSettings settings,
--- /dev/null
+++ b/libs/gateway/tests/gateway_stop_test.cc
@@ -0,0 +1,72 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "gateway_fixture.h"
+
+namespace firmoor {
+
+// Guards against LOST: requests in work when the process exited got neither an
+// answer nor a refusal, and no line in the log.
+TEST_CASE("the requests in work end before the process exits") {
+  GatewayFixture fixture(false);
+  RawUpstream busy([](auto& connection) {
+    if (connection.received.find("POST /stream") == std::string::npos) return;
+    StartEventStream(connection, MakeEvent(1));
+  });
+
+  SUBCASE("with an unknown outcome if an upstream has them") {
+    fixture.Configure();
+    fixture.AddUpstream("a", busy);
+    auto caller = fixture.SendRequest("once");
+    REQUIRE(WaitUntil([&] { return busy.Requests() == 1; }));
+    fixture.gateway.EndRequests();
+    REQUIRE(caller->WaitFor("HTTP/1.1 "));
+    CHECK(caller->Received().starts_with("HTTP/1.1 502"));
+  }
+  SUBCASE("as not run if no upstream has them") {
+    auto waiting = fixture.SendRequest("once");
+    REQUIRE(WaitUntil([&] { return fixture.server->ConnectionCount() == 1; }));
+    RunFor(50);
+    fixture.gateway.EndRequests();
+    REQUIRE(waiting->WaitFor("HTTP/1.1 ", 150));
+    CHECK(waiting->Received().starts_with("HTTP/1.1 503"));
+  }
+  SUBCASE("broken off if their answer has begun") {
+    fixture.Configure();
+    fixture.AddUpstream("a", busy);
+    auto caller = fixture.SendRequest("stream");
+    REQUIRE(caller->WaitFor("id: 1"));
+    fixture.gateway.EndRequests();
+    CHECK(caller->WaitClosed(500));
+    CHECK(caller->Received().find("0\r\n\r\n") == std::string::npos);
+  }
+  CHECK(fixture.gateway.ActiveRequestCount() == 0);
+}
+
+// Guards against a request that is answered as not run and sent afterwards,
+// since its sending was already under way.
+TEST_CASE("a request that ended as not run is not sent any more") {
+  GatewayFixture fixture;
+  RawUpstream good(
+      [](auto& connection) { SendResponse(connection, "200 OK", "fine"); });
+  fixture.AddUpstream("a", good);
+  // Leaves a connection on which the next request would leave at once.
+  REQUIRE(fixture.SendRequest("idempotent")->WaitFor("fine"));
+  fixture.server =
+      HttpServer::Builder()
+          .Listen({"127.0.0.1", 0})
+          .Handler([&](const HttpRequest& request, const auto& responder) {
+            fixture.gateway.Handle(request, responder);
+            fixture.gateway.EndRequests();
+          })
+          .Build();
+  REQUIRE(fixture.server->Start());
+  auto caller = fixture.SendRequest("idempotent");
+  REQUIRE(caller->WaitFor("HTTP/1.1 "));
+  CHECK(caller->Received().starts_with("HTTP/1.1 503"));
+  RunFor(50);
+  CHECK(good.Requests() == 1);
+}
+
+}  // namespace firmoor
