Show that accepted work is called unknown while its daemon stands still

This test makes a daemon stand still and fails here: 404 unknown-request after 500 ms, while the request is still in work, and again when the peers take that daemon for dead.

--- a/tests/process/graceful_test.cc
+++ b/tests/process/graceful_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <QJsonArray>
 #include <QTimer>
 
 #include "cluster.h"
@@ -270,4 +271,42 @@
   }
 }
 
+// Guards against the answer "unknown request" for accepted work whose daemon
+// only stood still: it was given as soon as the daemon did not answer a peer.
+TEST_CASE("accepted work is not called unknown while its daemon stands still") {
+  Cluster cluster(ThreeDaemons());
+  REQUIRE(cluster.WaitReady());
+  const auto accepted =
+      cluster.Ask(0, cluster.Completion("consent letter", 200, false, true));
+  REQUIRE(accepted.answer.status == 202);
+  const auto question = cluster.Question(LocationOf(accepted));
+  cluster.Freeze(&cluster.daemon(0));
+
+  SUBCASE("for a moment: the question is answered when it goes on") {
+    Exchange asked(cluster.daemon(2).endpoint, question);
+    RunFor(700);
+    CHECK_FALSE(asked.done());
+    cluster.Thaw(&cluster.daemon(0));
+    REQUIRE(asked.Wait());
+    const auto status = asked.result().answer.status;
+    CAPTURE(status);
+    CHECK((status == 200 || status == 202));
+  }
+  SUBCASE("until its peers take it for dead: the caller is told to ask again") {
+    REQUIRE(WaitUntil([&] {
+      return cluster.Status(2).value("members").toArray().size() == 1;
+    }));
+    const auto asked = cluster.Ask(2, question);
+    CHECK(asked.answer.status == 502);
+    CHECK(asked.answer.body.find("peer-unreachable") != std::string::npos);
+    CHECK_FALSE(HeaderValue(asked.answer.headers, "Retry-After").empty());
+    cluster.Thaw(&cluster.daemon(0));
+  }
+  HttpFetchResult answer;
+  CHECK(WaitUntil([&] {
+    answer = cluster.Ask(2, question);
+    return answer.answer.status == 200;
+  }));
+}
+
 }  // namespace firmoor
