Tell an unanswered query for accepted work from an unknown request

Callers that asked for an accepted request at another daemon got 404 unknown-request when the daemon that holds it did not answer its peer within 500 ms, or was taken for dead while it only stood still. They had to conclude that accepted work was lost.

The cause: the lookup took "no answer" for "not found", and did not ask daemons that are taken for dead. Now it tells them apart. Live daemons that give no answer, and up to two that are taken for dead and do not refuse the connection, leave the question open: the caller waits up to 3 s, since daemons were seen to stand still for 1.2 s on a busy machine, and then gets 502 peer-unreachable with Retry-After. A dead daemon that refuses the connection has ended, so 404 stays at once for it.

After a lost VM whose address no longer answers, a query for an unknown id costs up to 1 s more, for as long as dead daemons are remembered (120 s).

--- a/apps/firmoord/src/peer_requests.cc
+++ b/apps/firmoord/src/peer_requests.cc
@@ -10,6 +10,8 @@
 
 constexpr Duration kProgressTimeout{500};
 constexpr std::size_t kMaxQueriedDaemons = 6;
+// The origin and the nearest other one; each may cost kProgressTimeout.
+constexpr std::size_t kMaxQueriedDeadDaemons = 2;
 
 }  // namespace
 
@@ -27,7 +29,6 @@
 
 std::vector<Member> PeerRequests::CandidatesFor(const std::string& id) const {
   const auto origin = OriginOf(id);
-  auto members = fleet_->LiveMembersByDistance(id);
   const auto* origin_member = fleet_->membership().Find(origin.daemon);
   const std::string origin_region =
       origin_member == nullptr ? settings_.region : origin_member->region;
@@ -38,10 +39,21 @@
     if (member.availability_zone == origin.availability_zone) return 1;
     return member.region == origin_region ? 2 : 3;
   };
-  std::stable_sort(
-      members.begin(), members.end(),
-      [&](const Member& a, const Member& b) { return rank(a) < rank(b); });
-  if (members.size() > kMaxQueriedDaemons) members.resize(kMaxQueriedDaemons);
+  const auto keep_nearest = [&](std::vector<Member>* members,
+                                std::size_t count) {
+    std::stable_sort(
+        members->begin(), members->end(),
+        [&](const Member& a, const Member& b) { return rank(a) < rank(b); });
+    if (members->size() > count) members->resize(count);
+  };
+  auto members = fleet_->LiveMembersByDistance(id);
+  keep_nearest(&members, kMaxQueriedDaemons);
+  auto dead = fleet_->membership().FullState().members;
+  std::erase_if(dead, [](const Member& member) {
+    return member.state != MemberState::kDead;
+  });
+  keep_nearest(&dead, kMaxQueriedDeadDaemons);
+  members.insert(members.end(), dead.begin(), dead.end());
   return members;
 }
 
@@ -50,27 +62,33 @@
   const auto query = QCborValue(QCborArray{QByteArray::fromStdString(id),
                                            static_cast<qint64>(from)})
                          .toCbor();
-  QueryNext(std::make_shared<std::vector<Member>>(CandidatesFor(id)), query,
-            done);
+  QueryNext(std::make_shared<Lookup>(Lookup{CandidatesFor(id), query, done}));
 }
 
-void PeerRequests::QueryNext(const Candidates& candidates,
-                             const QByteArray& query, const Done& done) {
-  if (candidates->empty()) return done({});
-  const Member member = candidates->front();
-  candidates->erase(candidates->begin());
-  fleet_->Call(member, "tail", query, kProgressTimeout,
-               [this, candidates, query, done](PeerStatus status,
-                                               const QByteArray& body) {
-                 const auto decoded =
-                     Capture([&] { return RequestProgress::Decode(body); });
-                 const auto* progress = std::get_if<RequestProgress>(&decoded);
-                 if (status == PeerStatus::kOk && progress != nullptr &&
-                     progress->found) {
-                   return done(*progress);
-                 }
-                 QueryNext(candidates, query, done);
-               });
+void PeerRequests::QueryNext(const std::shared_ptr<Lookup>& lookup) {
+  if (lookup->candidates.empty()) {
+    RequestProgress missing;
+    missing.unanswered = lookup->unanswered;
+    return lookup->done(missing);
+  }
+  const Member member = lookup->candidates.front();
+  lookup->candidates.erase(lookup->candidates.begin());
+  fleet_->Call(
+      member, "tail", lookup->query, kProgressTimeout,
+      [this, lookup, member](PeerStatus status, const QByteArray& body) {
+        const auto decoded =
+            Capture([&] { return RequestProgress::Decode(body); });
+        const auto* progress = std::get_if<RequestProgress>(&decoded);
+        if (status == PeerStatus::kOk && progress != nullptr &&
+            progress->found) {
+          return lookup->done(*progress);
+        }
+        // A dead daemon that refuses the connection has ended.
+        const bool has_ended = status == PeerStatus::kNotSent &&
+                               member.state == MemberState::kDead;
+        lookup->unanswered |= status != PeerStatus::kOk && !has_ended;
+        QueryNext(lookup);
+      });
 }
 
 void PeerRequests::ServeProgress(const QByteArray& message,
--- a/apps/firmoord/src/peer_requests.h
+++ b/apps/firmoord/src/peer_requests.h
@@ -27,17 +27,24 @@
 
   /// Queries other daemons for the tokens of request `id` from index `from` on
   /// and for its outcome. Reports "not found" if no queried daemon has the
-  /// request. Calls `done` exactly once.
+  /// request, and then whether a daemon that may have it gave no answer. Calls
+  /// `done` exactly once.
   void Find(const std::string& id, std::size_t from, const Done& done);
 
  private:
-  using Candidates = std::shared_ptr<std::vector<Member>>;
+  /// Query of one daemon after the other.
+  struct Lookup {
+    std::vector<Member> candidates;  ///< Not queried yet.
+    QByteArray query;
+    Done done;
+    bool unanswered = false;  ///< A daemon that may have it gave no answer.
+  };
 
   /// The daemon that accepted the request, then those that it would offer the
-  /// request to when it drains.
+  /// request to when it drains. Those that are taken for dead come last: they
+  /// may only stand still.
   [[nodiscard]] std::vector<Member> CandidatesFor(const std::string& id) const;
-  void QueryNext(const Candidates& candidates, const QByteArray& query,
-                 const Done& done);
+  void QueryNext(const std::shared_ptr<Lookup>& lookup);
   void ServeProgress(const QByteArray& message, const PeerNode::Reply& reply);
   void ServeHandover(const QByteArray& message, const PeerNode::Reply& reply);
 
--- a/libs/serving/include/serving/request_record.h
+++ b/libs/serving/include/serving/request_record.h
@@ -46,6 +46,9 @@
   std::vector<std::string> tokens;  ///< From the requested index on.
   bool done = false;
   HttpResponse answer;  ///< When done.
+  /// When not found: a daemon that may hold the request gave no answer. Not
+  /// part of the message.
+  bool unanswered = false;
 
   [[nodiscard]] QByteArray Encode() const;
   /// Fails with `kBadMessage`.
--- a/libs/serving/src/details/remote_follower.cc
+++ b/libs/serving/src/details/remote_follower.cc
@@ -13,6 +13,9 @@
 
 constexpr int kPollMs = 100;
 constexpr int kMaxMisses = 30;
+// Longer than daemons stand still on busy machines, short for a caller.
+constexpr Duration kMaxUnansweredWait{3'000};
+constexpr Duration kUnansweredRetryAfter{1'000};
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 
@@ -42,23 +45,36 @@
       });
 }
 
-void RemoteFollower::NotFound() {
+bool RemoteFollower::MayFindLater(bool unanswered) {
   // No daemon reports a request while it is being handed over.
-  const bool again = started_ && ++misses_ < kMaxMisses;
-  if (again) {
+  if (started_) return ++misses_ < kMaxMisses;
+  if (!unanswered) return false;
+  const auto now = MonotonicNow();
+  if (!first_unanswered_) first_unanswered_ = now;
+  return now - *first_unanswered_ < kMaxUnansweredWait;
+}
+
+void RemoteFollower::NotFound(bool unanswered) {
+  if (MayFindLater(unanswered)) {
     QTimer::singleShot(kPollMs, [self = shared_from_this()] { self->Poll(); });
     return;
   }
   if (started_) return responder_->Abort();
-  responder_->Send(MakeErrorAnswer(
-      {{ResultCode::kUnknownRequest, ""}, RequestOutcome::kUnknown, {}},
-      query_.id));
+  Failure failure{{ResultCode::kUnknownRequest, ""},
+                  RequestOutcome::kUnknown,
+                  std::nullopt};
+  if (unanswered) {
+    failure.error = {ResultCode::kPeerUnreachable,
+                     "A daemon that may hold the request does not answer."};
+    failure.retry_after = kUnansweredRetryAfter;
+  }
+  responder_->Send(MakeErrorAnswer(failure, query_.id));
 }
 
 void RemoteFollower::OnProgress(const RequestProgress& progress) {
   if (!responder_->IsOpen()) return;
   if (!progress.found || progress.workspace != query_.workspace) {
-    return NotFound();
+    return NotFound(!progress.found && progress.unanswered);
   }
   misses_ = 0;
   if (query_.stream) return SendProgress(progress);
--- a/libs/serving/src/details/remote_follower.h
+++ b/libs/serving/src/details/remote_follower.h
@@ -3,8 +3,10 @@
 
 #include <QTimer>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "base/time.h"
 #include "http/http_server.h"
 #include "serving/dispatcher.h"
 
@@ -29,13 +31,16 @@
  private:
   void OnProgress(const RequestProgress& progress);
   void SendProgress(const RequestProgress& progress);
-  void NotFound();
+  /// `unanswered`: a daemon that may hold the request gave no answer.
+  void NotFound(bool unanswered);
+  [[nodiscard]] bool MayFindLater(bool unanswered);
 
   Query query_;
   std::shared_ptr<HttpResponder> responder_;
   const DispatcherEnvironment* environment_;
   bool started_ = false;
   int misses_ = 0;  ///< Consecutive polls that did not find the request.
+  std::optional<TimePoint> first_unanswered_;
 };
 
 /// Answer to a query for a request that has not ended.
