Give each test cluster a peer token of its own

Clusters of tests that run at once shared one token. When a daemon of one cluster ended and a daemon of another came to listen on its port, the first cluster's daemons joined the second, whose members have the same names, and one cluster was taken over by the other: questions for accepted requests went to daemons that had never seen them. Tests in which a daemon ends failed then for no fault of the product.

The ports come from the process ids, so they meet rarely.

No assertion changes. Ports of callers, upstreams and the platform are still shared between tests that run at once.

--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -222,8 +222,10 @@
                           {"vm_list", quoted(PlatformFor(node.zone))},
                           {"seeds", "[" + seeds + "]"},
                           {"cloud_api", quoted(platform_->endpoint)}};
-  sections["security"] = {{"allow_anonymous", "true"},
-                          {"peer_token", "\"test\""}};
+  // Unique, since another test's daemon may take the port of one that ended.
+  sections["security"] = {
+      {"allow_anonymous", "true"},
+      {"peer_token", "\"" + directory_.path().toStdString() + "\""}};
   auto& times = sections["times"];
   times.try_emplace("drain_ms", "6000");
   times.try_emplace("balancer_wait_ms", "100");
