Replace the call that waits for upstreams after the store was away

The cause: a call that waits for changes may be lost with the network and then hangs until it times out, 10 s. The configuration is also checked beside its waiting call, so its return is seen at once; the upstreams are not. Now, when the configuration returns, the waiting call for upstreams is abandoned and another one starts that returns at once. Its late answer is ignored.

Daemons that read from other daemons were not affected: they wait 500 ms at most.

--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -236,7 +236,10 @@
     if (!std::exchange(lost, true)) LogDependency("configuration", false);
     gateway.RecordStoreOutage();
   };
-  hooks.on_recovered = [this] { LogDependency("configuration", true); };
+  hooks.on_recovered = [this] {
+    LogDependency("configuration", true);
+    upstreams.RestartWait();
+  };
   return hooks;
 }
 
--- a/libs/platform/include/platform/kind_watcher.h
+++ b/libs/platform/include/platform/kind_watcher.h
@@ -45,6 +45,11 @@
   /// nothing while such a check is in progress.
   void CheckNow();
 
+  /// Abandons the waiting call and starts another one that returns at once. For
+  /// use after an outage that others saw: the call may have been lost in it,
+  /// and would delay changes until it times out.
+  void RestartWait();
+
  private:
   struct Impl;
   std::shared_ptr<Impl> impl_;
--- a/libs/platform/src/kind_watcher.cc
+++ b/libs/platform/src/kind_watcher.cc
@@ -3,6 +3,7 @@
 #include <QRandomGenerator>
 #include <QTimer>
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace firmoor {
@@ -33,11 +34,13 @@
   bool listed = false;
   bool failed = false;
   std::int64_t revision = 0;
+  std::uint64_t wait_number = 0;  ///< Of the waiting call that counts.
   Duration backoff = kInitialBackoff;
 
   void StartNextCall();
   void List();
-  void Wait();
+  void Wait(Duration wait_time);
+  void RestartWait();
   void OnList(const KindListing& listing, TimePoint requested_at);
   void OnChanges(const KindChanges& changes, TimePoint requested_at);
   void Check();
@@ -49,7 +52,7 @@
 void KindWatcher::Impl::StartNextCall() {
   if (!running) return;
   if (listed) {
-    Wait();
+    Wait(failed ? kProbeWait : wait);
   } else {
     List();
   }
@@ -64,17 +67,24 @@
   });
 }
 
-void KindWatcher::Impl::Wait() {
+void KindWatcher::Impl::Wait(Duration wait_time) {
   const auto requested_at = MonotonicNow();
-  const auto wait_time = failed ? kProbeWait : wait;
   store->WaitForChanges(
       kind, revision, wait_time,
-      [weak = weak_from_this(), requested_at](const KindChanges& changes) {
+      [weak = weak_from_this(), requested_at,
+       number = ++wait_number](const KindChanges& changes) {
         const auto self = weak.lock();
-        if (self && self->running) self->OnChanges(changes, requested_at);
+        if (!self || !self->running || self->wait_number != number) return;
+        self->OnChanges(changes, requested_at);
       });
 }
 
+void KindWatcher::Impl::RestartWait() {
+  // Without a waiting call, the next one starts by itself soon.
+  if (!running || !listed || timer.isActive()) return;
+  Wait(kProbeWait);
+}
+
 void KindWatcher::Impl::OnList(const KindListing& listing,
                                TimePoint requested_at) {
   if (listing.status != StoreStatus::kOk) return OnFailure();
@@ -169,6 +179,8 @@
 
 void KindWatcher::CheckNow() { impl_->Check(); }
 
+void KindWatcher::RestartWait() { impl_->RestartWait(); }
+
 void KindWatcher::Stop() {
   impl_->running = false;
   impl_->timer.stop();
--- a/libs/platform/tests/kind_watcher_test.cc
+++ b/libs/platform/tests/kind_watcher_test.cc
@@ -136,6 +136,40 @@
   }
 }
 
+// Guards against changes that arrive 10 s late: a waiting call that was lost in
+// an outage was awaited until it timed out.
+TEST_CASE("a waiting call that may be lost is replaced") {
+  Fixture fixture;
+  auto& store = fixture.store;
+  fixture.watcher.RestartWait();
+  REQUIRE(store.waits.size() == 2);
+  CHECK(store.waits[1].revision == 7);
+  CHECK(store.waits[1].wait == Duration(1));
+  SUBCASE("and its late answer is ignored") {
+    store.AnswerWait(Changes(9, 1));
+    CHECK(fixture.changed == 0);
+    CHECK(store.waits.size() == 1);
+  }
+  SUBCASE("and its late failure is no outage") {
+    store.AnswerWait({StoreStatus::kUnavailable, 0, {}});
+    CHECK(fixture.outages == 0);
+  }
+  SUBCASE("and the new one goes on as it would have") {
+    std::swap(store.waits[0], store.waits[1]);
+    store.AnswerWait(Changes(9, 1));
+    CHECK(fixture.changed == 1);
+    REQUIRE(store.waits.size() == 2);
+    CHECK(store.waits[1].revision == 9);
+    CHECK(store.waits[1].wait == kWait);
+  }
+  SUBCASE("but not while the next call is due anyway after a failure") {
+    store.waits.pop_front();
+    store.AnswerWait({StoreStatus::kUnavailable, 0, {}});
+    fixture.watcher.RestartWait();
+    CHECK(store.waits.empty());
+  }
+}
+
 TEST_CASE("rapid changes are fetched together") {
   Fixture fixture(Duration(100));
   auto& store = fixture.store;
