Build and lint with all cores

FIRMOOR_JOBS now is the number of cores unless it is set (it was 6; the machine has 8), and each clang-tidy takes one file instead of two, so that no job has two long files left at the end. The verdicts cannot change: each file is compiled and checked as before.

--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 bash scripts/install_dependencies.sh
 cmake -S . -B build -G Ninja >/dev/null
-cmake --build build -j "${FIRMOOR_JOBS:-6}"
+cmake --build build -j "${FIRMOOR_JOBS:-$(nproc)}"
--- a/scripts/check_style.sh
+++ b/scripts/check_style.sh
@@ -8,7 +8,7 @@
   format) clang-format --dry-run --Werror "${files[@]}" ;;
   lint)
     printf '%s\n' "${files[@]}" | grep '\.cc$' |
-      xargs -P "${FIRMOOR_JOBS:-6}" -n 2 clang-tidy -p build --quiet \
+      xargs -P "${FIRMOOR_JOBS:-$(nproc)}" -n 1 clang-tidy -p build --quiet \
         2> >(grep -vE 'warnings? generated|Suppressed|Use -header-filter' >&2)
     ;;
   *) echo "usage: check_style.sh format|lint" >&2; exit 2 ;;
