--- /dev/null
+++ b/libs/gateway/src/details/gateway_settings.cc
@@ -0,0 +1,35 @@
+#include "details/gateway_settings.h"
+
+#include <algorithm>
+
+namespace firmoor::details {
+namespace {
+
+// A watch of the store may miss changes for a second before it is disconnected,
+// and a request takes some time to reach its upstream.
+constexpr Duration kFreshnessMargin{1'300};
+
+}  // namespace
+
+GatewaySettings GatewaySettingsOf(const GatewayDaemonSettings& settings) {
+  GatewaySettings gateway;
+  gateway.daemon = settings.daemon;
+  gateway.location = {settings.availability_zone, settings.regions};
+  gateway.freshness_bound = std::max(settings.key_revocation - kFreshnessMargin,
+                                     settings.key_revocation / 2);
+  gateway.retry_ratio = settings.retry_ratio;
+  gateway.retry_burst = settings.retry_burst;
+  gateway.quota_window = settings.quota_window;
+  gateway.quota_slack = settings.quota_slack;
+  gateway.usage_window_ms = settings.usage_window.count();
+  gateway.strategies = settings.strategies;
+  return gateway;
+}
+
+std::string RegionOf(const GatewayDaemonSettings& settings) {
+  const auto region = settings.regions.find(settings.availability_zone);
+  return region == settings.regions.end() ? settings.availability_zone
+                                          : region->second;
+}
+
+}  // namespace firmoor::details
--- /dev/null
+++ b/libs/gateway/src/details/gateway_settings.h
@@ -0,0 +1,20 @@
+#ifndef FIRMOOR_GATEWAY_DETAILS_GATEWAY_SETTINGS_H_
+#define FIRMOOR_GATEWAY_DETAILS_GATEWAY_SETTINGS_H_
+
+#include <string>
+
+#include "gateway/daemon_settings.h"
+#include "gateway/gateway.h"
+
+namespace firmoor::details {
+
+/// What the gateway of a daemon needs of the daemon's settings.
+GatewaySettings GatewaySettingsOf(const GatewayDaemonSettings& settings);
+
+/// Region of the daemon's availability zone; the zone itself if its region is
+/// not known.
+std::string RegionOf(const GatewayDaemonSettings& settings);
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_GATEWAY_DETAILS_GATEWAY_SETTINGS_H_
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -11,6 +11,7 @@
 #include "base/supervisor.h"
 #include "base/text.h"
 #include "details/connection_metrics.h"
+#include "details/gateway_settings.h"
 #include "details/quarantine_endpoint.h"
 #include "dissemination/kind_relay.h"
 #include "gateway/coordinator_service.h"
@@ -22,6 +23,9 @@
 namespace firmoor {
 namespace {
 
+using details::GatewaySettingsOf;
+using details::RegionOf;
+
 // Timeouts of long polls for changes. They may be long since keep-alive probes
 // detect dead connections.
 constexpr Duration kConfigurationPollTimeout{10'000};
@@ -47,9 +51,6 @@
 // Delay before a version announced by the coordinator is requested: a daemon
 // that reads from other daemons receives it a little later.
 constexpr Duration kVersionCheckDelay{400};
-// A watch of the store may miss changes for a second before it is disconnected,
-// and a request takes some time to reach its upstream.
-constexpr Duration kFreshnessMargin{1'300};
 // The load balancer removes a daemon after two failed probes, one second apart.
 constexpr Duration kBalancerDetectionTime{2'500};
 // The process stops this long before it would be killed.
@@ -64,27 +65,6 @@
 // configuration's limit.
 constexpr Duration kIdleTimeoutMargin{2'000};
 
-GatewaySettings GatewaySettingsOf(const GatewayDaemonSettings& settings) {
-  GatewaySettings gateway;
-  gateway.daemon = settings.daemon;
-  gateway.location = {settings.availability_zone, settings.regions};
-  gateway.freshness_bound = std::max(settings.key_revocation - kFreshnessMargin,
-                                     settings.key_revocation / 2);
-  gateway.retry_ratio = settings.retry_ratio;
-  gateway.retry_burst = settings.retry_burst;
-  gateway.quota_window = settings.quota_window;
-  gateway.quota_slack = settings.quota_slack;
-  gateway.usage_window_ms = settings.usage_window.count();
-  gateway.strategies = settings.strategies;
-  return gateway;
-}
-
-std::string RegionOf(const GatewayDaemonSettings& settings) {
-  const auto region = settings.regions.find(settings.availability_zone);
-  return region == settings.regions.end() ? settings.availability_zone
-                                          : region->second;
-}
-
 HttpResponse PlainText(int status, std::string body) {
   return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
 }
