--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -1,5 +1,7 @@
 #include "details/exchange.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -300,6 +302,10 @@
   const auto self = shared_from_this();
   const auto now = MonotonicNow();
   attempt_.end = end;
+  if (end == HttpCallEnd::kTimedOut) {
+    left_silent_ += fmt::format(" {}:{}", attempt_.upstream.id,
+                                (now - attempt_.last_byte_at).count());
+  }
   const auto attempt_end = MakeAttemptEnd(end);
   if (attempt_end.may_have_been_sent) {
     ++sends_;
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -261,6 +261,8 @@
   std::unique_ptr<HttpCall> move_call_;
   std::optional<HttpCallEnd> end_during_move_;
   std::set<std::string> tried_upstreams_;
+  /// Upstreams left while they were silent, and for how many ms they were.
+  std::string left_silent_;
   /// Of these, those to which this daemon found no connection.
   std::set<std::string> unreached_upstreams_;
   EventRelay relay_;
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -79,6 +79,7 @@
        {"end", Text(attempt_.end ? NameOf(*attempt_.end) : "")},
        {"passed_on", is_passed_on},
        {"started", answer_started_},
+       {"left_silent", Text(left_silent_)},
        {"moving", move_call_ != nullptr},
        {"events", static_cast<qint64>(relay_.events())},
        {"silent_ms", ms(now - silent_since)},
--- a/libs/gateway/tests/gateway_cut_log_test.cc
+++ b/libs/gateway/tests/gateway_cut_log_test.cc
@@ -57,6 +57,20 @@
     CHECK(line["route_time_ms"].toInt() == 3'000);
     CHECK(line["caller_time_ms"].toInt() == 3'000);
   }
+  SUBCASE("when the upstream that replaced a silent one did not serve it") {
+    RawUpstream silent(
+        [](auto& connection) { StartEventStream(connection, MakeEvent(1)); });
+    RawUpstream other([](auto& connection) {
+      SendResponse(connection, "503 Service Unavailable\r\nNot-Run: 1", "");
+    });
+    fixture.AddUpstream("a", silent);
+    auto caller = fixture.SendRequest("resumable");
+    REQUIRE(caller->WaitFor("id: 1"));
+    fixture.AddUpstream("b", other);
+    CHECK(caller->WaitClosed());
+    const auto line = log.OnlyLine("answer-cut");
+    CHECK(line["left_silent"].toString().trimmed().startsWith("a:"));
+  }
   SUBCASE("when its time was over") {
     RawUpstream stuck(
         [](auto& connection) { StartEventStream(connection, MakeEvent(1)); });
--- /dev/null
+++ b/libs/gateway/tests/gateway_silence_test.cc
@@ -0,0 +1,157 @@
+#include <doctest/doctest.h>
+
+#include <QTcpServer>
+#include <QTimer>
+#include <memory>
+#include <string>
+
+#include "gateway_fixture.h"
+
+namespace firmoor {
+namespace {
+
+constexpr std::string_view kEnd = "0\r\n\r\n";
+// The gateway tries another upstream after 1,500 ms between two events, or
+// after three objectives (600 ms) before the head.
+constexpr int kPauseInStreamMs = 1'900;
+constexpr int kPauseBeforeHeadMs = 1'200;
+
+/// Sends event 1, pauses, and completes the stream with event 2.
+void PauseInStream(RawUpstream::Connection& connection,
+                   int pause_ms = kPauseInStreamMs) {
+  const auto size = MakeEvent(1).size() + MakeEvent(2).size();
+  connection.socket->write(QByteArray::fromStdString(
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
+      "\r\n\r\n" + MakeEvent(1)));
+  QTimer::singleShot(pause_ms, connection.socket, [s = connection.socket] {
+    s->write(QByteArray::fromStdString(MakeEvent(2)));
+  });
+}
+
+/// Pauses before the head of a complete response.
+void PauseBeforeHead(RawUpstream::Connection& connection,
+                     const std::string& body,
+                     int pause_ms = kPauseBeforeHeadMs) {
+  QTimer::singleShot(pause_ms, connection.socket, [&connection, body] {
+    SendResponse(connection, "200 OK", body);
+  });
+}
+
+void Reject(RawUpstream::Connection& connection) {
+  SendResponse(connection, "503 Service Unavailable\r\nNot-Run: 1", "");
+}
+
+/// A stream whose upstream "a" pauses after event 1, when "b" is added.
+struct PausedStream {
+  GatewayFixture fixture;
+  RawUpstream a{[](auto& connection) { PauseInStream(connection); }};
+  std::unique_ptr<RawClient> caller;
+
+  PausedStream() {
+    fixture.AddUpstream("a", a);
+    caller = fixture.SendRequest("resumable");
+    REQUIRE(caller->WaitFor("id: 1"));
+  }
+  /// Whether the caller gets the whole stream, each event once.
+  [[nodiscard]] bool Completes() const {
+    if (!caller->WaitFor(kEnd, 2'500)) return false;
+    const auto& text = caller->Received();
+    const auto at = text.find("id: 2");
+    return at != std::string::npos &&
+           text.find("id: 2", at + 1) == std::string::npos &&
+           text.find("id: 1", text.find("id: 1") + 1) == std::string::npos;
+  }
+};
+
+}  // namespace
+
+// Guards against LOST: a stream left an upstream that paused for 1.9 s and was
+// broken off when the next upstream did not serve it.
+TEST_CASE("a stream whose upstream pauses is not lost to another upstream") {
+  PausedStream stream;
+
+  SUBCASE("that rejects it") {
+    RawUpstream b(Reject);
+    stream.fixture.AddUpstream("b", b);
+    CHECK(stream.Completes());
+    CHECK(b.Requests() == 1);
+  }
+  SUBCASE("that answers with an error") {
+    RawUpstream b([](auto& connection) {
+      SendResponse(connection, "500 Internal Server Error", "");
+    });
+    stream.fixture.AddUpstream("b", b);
+    CHECK(stream.Completes());
+  }
+  SUBCASE("that resets the connection") {
+    RawUpstream b([](auto& connection) { connection.socket->abort(); });
+    stream.fixture.AddUpstream("b", b);
+    CHECK(stream.Completes());
+  }
+  SUBCASE("that refuses the connection") {
+    Endpoint closed{"127.0.0.1", 0};
+    {
+      QTcpServer listener;
+      REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
+      closed.port = listener.serverPort();
+    }
+    stream.fixture.AddUpstream("b", closed);
+    CHECK(stream.Completes());
+  }
+  SUBCASE("that is silent before its head") {
+    RawUpstream b([](auto& connection) {
+      PauseBeforeHead(connection, MakeEvent(2), kPauseInStreamMs);
+    });
+    stream.fixture.AddUpstream("b", b);
+    CHECK(stream.Completes());
+    CHECK(b.Requests() == 1);
+  }
+  SUBCASE("that turns out to be leaving") {
+    RawUpstream b([](auto& connection) {
+      SendResponse(connection,
+                   "503 Service Unavailable\r\nNot-Run: 1\r\nLeaving: 1", "");
+    });
+    stream.fixture.AddUpstream("b", b);
+    CHECK(stream.Completes());
+  }
+  SUBCASE("that breaks off within the next event") {
+    RawUpstream b([](auto& connection) {
+      StartEventStream(connection, "id: 2\nda");
+      QTimer::singleShot(100, connection.socket,
+                         [s = connection.socket] { s->abort(); });
+    });
+    stream.fixture.AddUpstream("b", b);
+    CHECK(stream.Completes());
+  }
+}
+
+// Guards against an idempotent request that is refused, and its work thrown
+// away, since it left an upstream that would have answered after 1.2 s.
+TEST_CASE("a request whose upstream pauses is not lost to another upstream") {
+  GatewayFixture fixture;
+  RawUpstream a([](auto& connection) { PauseBeforeHead(connection, "of-a"); });
+  fixture.AddUpstream("a", a);
+  auto caller = fixture.SendRequest("idempotent");
+  REQUIRE(WaitUntil([&] { return a.Requests() == 1; }));
+
+  SUBCASE("that rejects it") {
+    RawUpstream b(Reject);
+    fixture.AddUpstream("b", b);
+    CHECK(caller->WaitFor("of-a", 2'000));
+    CHECK(b.Requests() == 1);
+  }
+  SUBCASE("that answers with an error") {
+    RawUpstream b([](auto& connection) {
+      SendResponse(connection, "500 Internal Server Error", "of-b");
+    });
+    fixture.AddUpstream("b", b);
+    CHECK(caller->WaitFor("of-a", 2'000));
+  }
+  SUBCASE("that resets the connection") {
+    RawUpstream b([](auto& connection) { connection.socket->abort(); });
+    fixture.AddUpstream("b", b);
+    CHECK(caller->WaitFor("of-a", 2'000));
+  }
+}
+
+}  // namespace firmoor
