End a stream whose next upstream answers with an error

What callers see: a resumable stream breaks off at its upstream, the next one answers 500 (or 404), and the caller gets neither a further event nor an end: its connection stays open until it gives up. The request is logged as 'failure-passed'.

Cause: DecideAttempt passed on each complete answer; the error was sent into a connection that already had the head of a stream, where HttpResponder::Send does nothing, and the request ended without ending the stream. This is a request with neither an answer nor a refusal, as reported; that it was the reported one is not shown.

Now an error after a part of the answer is an end like a truncation: the stream goes on at a further upstream or is broken off. gateway_cut_log_test, 'a stream that is resumed at an upstream that answers with an error': 2 of 8 assertions failed before (open after 1 s), all pass now; attempt_policy_test has the decision alone. Ruled out: the same through another daemon, where ForwardDelegatedResponse breaks off.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -236,7 +236,9 @@
   if (end == HttpCallEnd::kComplete && attempt_.head &&
       !attempt_.is_mismatched) {
     attempt_end.declared_not_run = attempt_.head->declared_not_run;
-    attempt_end.failed = attempt_.head->IsFailure();
+    // Only events may follow those that the caller has.
+    attempt_end.failed = attempt_.head->IsFailure() ||
+                         (answer_started_ && !attempt_.is_event_stream);
   }
   // An engine that crashes at its first token has sent a head only.
   const bool may_be_cut =
--- a/libs/gateway/tests/gateway_cut_log_test.cc
+++ b/libs/gateway/tests/gateway_cut_log_test.cc
@@ -183,4 +183,22 @@
   CHECK(next->Received().starts_with("HTTP/1.1 401"));
 }
 
+// Guards against a caller that waits without an end: a stream broke off, the
+// next upstream answered with an error, and the error was sent into the started
+// stream, which nobody ended.
+TEST_CASE(
+    "a stream that is resumed at an upstream that answers with an error") {
+  GatewayFixture fixture;
+  BreakingStream stream;
+  const auto caller = stream.Begin(&fixture);
+  std::string status;
+  SUBCASE("of the server") { status = "500 Internal Server Error"; }
+  SUBCASE("of the request") { status = "404 Not Found"; }
+  RawUpstream failing([&](auto& opened) { SendResponse(opened, status, "x"); });
+  fixture.AddUpstream("b", failing, false, "v1");
+  stream.BreakOff();
+  CHECK(caller->WaitClosed(1'000));
+  CHECK(fixture.gateway.ActiveRequestCount() == 0);
+}
+
 }  // namespace firmoor
--- a/libs/serving/src/attempt_policy.cc
+++ b/libs/serving/src/attempt_policy.cc
@@ -62,9 +62,11 @@
 AttemptDecision DecideAttempt(const AttemptEnd& end,
                               const AttemptContext& context) {
   const auto attempt_outcome = OutcomeOf(end);
+  // An error cannot follow the part of the answer that the caller has.
+  const bool is_late_error = end.failed && context.answer_started;
   const bool is_complete = end.end == HttpCallEnd::kComplete &&
                            end.stream_complete && !end.declared_not_run &&
-                           !end.overloaded;
+                           !end.overloaded && !is_late_error;
   const bool retry_failed_answer = end.failed && context.idempotent &&
                                    !context.answer_started && MayRetry(context);
   if (is_complete && retry_failed_answer) {
--- a/libs/serving/tests/attempt_policy_test.cc
+++ b/libs/serving/tests/attempt_policy_test.cc
@@ -56,6 +56,15 @@
     CHECK(DecideAttempt({HttpCallEnd::kTruncated, true}, context).step ==
           NextStep::kResumeElsewhere);
   }
+  SUBCASE("never passes on an error after a part of the answer") {
+    AttemptEnd end{HttpCallEnd::kComplete, true};
+    end.failed = true;
+    context.idempotent = true;
+    context.answer_started = true;
+    CHECK(DecideAttempt(end, context).step == NextStep::kFail);
+    context.resumable = true;
+    CHECK(DecideAttempt(end, context).step == NextStep::kResumeElsewhere);
+  }
   SUBCASE("treats a stream without its end marker as incomplete") {
     context.idempotent = true;
     AttemptEnd end{HttpCallEnd::kComplete, true, false, false};
