--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -9,12 +9,13 @@
 #include <string_view>
 #include <vector>
 
+#include "details/attempts_in_flight.h"
 #include "details/delegated_response_writer.h"
 #include "details/gateway_context.h"
 #include "gateway/event_relay.h"
 #include "gateway/request_admission.h"
 #include "quarantine/suspect.h"
-#include "serving/attempt_policy.h"
+#include "serving/attempt_race.h"
 
 namespace firmoor::details {
 
@@ -22,9 +23,11 @@
 constexpr Duration kRouteTimeoutGrace{50};
 
 /// One caller's request, from its admission to its final response: sends it to
-/// upstreams one after the other, as far as the attempt policy allows, and
-/// forwards the response. Kept alive by the context until it ends.
-class Exchange : public std::enable_shared_from_this<Exchange> {
+/// upstreams as far as the attempt policy allows, to a second one while the
+/// first is silent, and forwards the response. Kept alive by the context until
+/// it ends.
+class Exchange : public std::enable_shared_from_this<Exchange>,
+                 public UpstreamAttempt::Owner {
  public:
   /// Where a request comes from that another daemon delegated to this one.
   struct Origin {
@@ -74,38 +77,10 @@
               std::optional<Duration> retry_after);
 
  private:
-  /// One attempt to serve the request at one upstream.
-  struct Attempt {
+  /// The upstream that wrote the last event.
+  struct Writer {
     UpstreamEntry upstream;
-    PickTicket ticket;
-    /// This daemon's requests at the upstream when the attempt was sent.
-    std::int64_t in_flight = 0;
-    double prefill_tokens = 0;  ///< Prompt tokens estimated not to be cached.
-    /// Requests per second that the upstream had announced to accept when the
-    /// attempt was sent; 0 without a limit.
-    double rate_limit = 0;
-    bool has_permit = false;  ///< For this limit.
-    std::unique_ptr<HttpCall> call;
     TimePoint sent_at;
-    TimePoint last_byte_at;  ///< Of the response; `sent_at` before the first.
-    std::optional<TimePoint> head_at;  ///< Arrival of the response head.
-    std::optional<UpstreamResponseHead> head;
-    std::string body;              ///< Body of a response that is no stream.
-    bool is_event_stream = false;  ///< The response is forwarded by event.
-    bool is_mismatched = false;    ///< The response is to another request.
-    /// Not sent, since the key or the upstream was no longer usable.
-    bool send_cancelled = false;
-    std::optional<HttpCallEnd> end;  ///< Unset while the attempt runs.
-  };
-
-  /// The request's way through another daemon.
-  struct Delegation {
-    PeerAddress peer;
-    std::unique_ptr<PeerStream> stream;
-    TimePoint sent_at;
-    TimePoint last_message_at;  ///< `sent_at` before the first message.
-    bool accepted = false;
-    bool stream_started = false;
   };
 
   [[nodiscard]] bool IsStream() const {
@@ -122,8 +97,6 @@
   /// Whether the upstream was replaced under the same id by one of another
   /// version that may have written the events.
   [[nodiscard]] bool IsVersionDoubtful() const;
-  /// Whether another instance is registered under the id of `upstream` by now.
-  [[nodiscard]] bool WasReplaced(const UpstreamEntry& upstream) const;
   /// Keeps all daemons from resuming the stream if its version is doubtful.
   void RecordDoubt();
   [[nodiscard]] int PriorityOfAttempt() const;
@@ -137,8 +110,6 @@
   [[nodiscard]] PickRequest MakePickRequest() const;
   /// Whether the configuration is recent enough for the key to be accepted.
   [[nodiscard]] bool CanVerifyKey() const;
-  /// Whether the upstream of the current attempt is leaving.
-  [[nodiscard]] bool IsLeaving() const;
   /// Sends the request to the best remaining upstream, after probing the load
   /// of some engines if slots are scarce.
   void TryNextUpstream();
@@ -150,35 +121,54 @@
   /// Waits for a slot of a brittle upstream while the request can still be
   /// served; returns false if it is not to wait.
   bool AwaitSlot(TimePoint now);
+  /// No further attempt can start: refuses the request, unless one is in
+  /// flight.
+  void RefuseFurtherAttempt(ResultCode code, std::string message,
+                            std::optional<Duration> retry_after);
   void RefuseWithoutUpstream(bool rate_limited);
   /// Rejects the request if what it holds crashes upstreams. Returns whether it
   /// did.
   bool RejectQuarantined();
-  /// Records what the end of the attempt says about what crashes upstreams.
-  void RecordEvidence(const AttemptEnd& end);
   /// Whether the request may be sent to another upstream after it ran on one.
   [[nodiscard]] bool MayRunAgain() const;
-  /// Whether the current attempt may be sent under the rate limit of its
-  /// upstream, which may have become known after the upstream was chosen.
-  bool EnsurePermit();
-  void ReturnUnusedPermit();
   [[nodiscard]] RequestOutcome OutcomeSoFar() const;
-  /// Takes `upstream` by value since it may be a member of the current attempt,
-  /// which is replaced.
-  void Send(UpstreamEntry upstream,
+  void Send(const UpstreamEntry& upstream,
             const std::optional<KvCacheCopy>& copy = std::nullopt);
   [[nodiscard]] bool WillFinishBefore(TimePoint ends_at,
                                       std::int64_t tokens_per_event) const;
-  void StartMove(TimePoint ends_at, std::int64_t tokens_per_event);
+  void StartMove(const std::string& source, TimePoint ends_at,
+                 std::int64_t tokens_per_event);
   void OnMoveResult(const HttpFetchResult& result, const UpstreamEntry& target);
-  /// Continues a stopped request at `upstream` from the KV cache copy `handle`.
-  void ContinueAt(const UpstreamEntry& upstream, const std::string& handle);
-  [[nodiscard]] HttpCallTimeouts TimeoutsAt(TimePoint now) const;
-  void OnHead(int status, const HttpHeaders& headers);
-  void OnBody(std::string_view bytes);
-  void OnEvents(const std::string& events);
-  void OnEnd(HttpCallEnd end);
-  void ForwardAnswer(const AttemptDecision& decision);
+  /// Continues the request that `source` has stopped at `upstream` from the KV
+  /// cache copy `handle`.
+  void ContinueAt(const std::shared_ptr<UpstreamAttempt>& source,
+                  const UpstreamEntry& upstream, const std::string& handle);
+  bool MaySend(const UpstreamAttempt& attempt) override;
+  void OnByte(const UpstreamAttempt& attempt) override;
+  void OnSilent(const UpstreamAttempt& attempt) override;
+  void OnEvents(const UpstreamAttempt& attempt,
+                const NewEvents& events) override;
+  void OnEnd(const UpstreamAttempt& attempt, HttpCallEnd end) override;
+  void HandleEnd(const UpstreamAttempt& attempt, HttpCallEnd end);
+  /// What decisions on attempts depend on.
+  [[nodiscard]] AttemptRace::Conditions MakeConditions() const;
+  /// Whether another attempt may start beside those in flight, and would find
+  /// an upstream or a peer.
+  [[nodiscard]] bool MayStartBeside() const;
+  /// Starts another attempt if all in flight are silent and it may.
+  void StartBeside();
+  /// After an attempt has ended that is not to fail the request: tries the next
+  /// upstream, beside the attempts in flight if they are silent.
+  void GoOn();
+  /// Takes the retry from the budget that the next attempt needs. Returns
+  /// whether it has one or needs none.
+  bool TakeRetry();
+  /// Cancels the attempts that `winner` has overtaken.
+  void CancelOvertaken(const std::vector<int>& overtaken,
+                       std::string_view winner);
+  /// Gives up the places of all attempts in flight.
+  void ReleaseAttempts();
+  void ForwardAnswer(const UpstreamAttempt& attempt);
   void FailRequest(const AttemptDecision& decision);
   [[nodiscard]] Duration RetryDelay() const;
   void AbortStream(ResultCode code);
@@ -197,24 +187,24 @@
   bool ReturnToSender();
   /// Returns false if there is no daemon that may serve the request.
   bool Delegate(TimePoint now);
-  /// Ends the wait for a peer that does not respond.
-  void CheckDelegation(TimePoint sent_at);
-  /// Whether the request could go on without the peer that has it.
-  [[nodiscard]] bool CanLeavePeer(TimePoint now);
+  /// Starts another attempt beside a peer that does not respond.
+  void CheckDelegation(int number);
   /// Silence after which a peer that accepted the request has failed.
   [[nodiscard]] Duration PeerSilenceBound() const;
-  void OnDelegationMessage(const QByteArray& bytes);
-  void ForwardDelegatedResponse(const HttpResponse& response);
-  void OnDelegationEnd(PeerStatus status);
+  void OnDelegationMessage(int number, const QByteArray& bytes);
+  void ForwardDelegatedEvents(int number, const std::string& bytes);
+  void ForwardDelegatedResponse(int number, const HttpResponse& response);
+  void FinishDelegatedStream(int number);
+  /// Has the stream of the peer go on with the request.
+  void AdoptDelegation(int number);
+  void OnDelegationEnd(int number, PeerStatus status);
   /// The peer did not and will not serve the request.
-  void OnPeerRefused(PeerRefusal reason);
+  void OnPeerRefused(int number, PeerRefusal reason);
   /// The response of the peer was cut: it may have served the request.
-  void OnDelegationBroken();
-  void EndDelegation();
-  /// Records what the end of the attempt says about the links to upstreams.
-  void RecordLinkEvidence(const AttemptEnd& end) const;
+  void OnDelegationBroken(int number);
+  void EndDelegation(int number);
   void StartAnswer(int status, const HttpHeaders& headers, TimePoint now);
-  void ForwardEvents(const std::string& events, TimePoint now);
+  void ForwardEvents(const NewEvents& events, TimePoint now);
   /// Ends the request whether or not an upstream still works on it.
   /// `code_if_not_run`: for a request that no upstream may have received.
   void GiveUp(ResultCode code, ResultCode code_if_not_run, std::string message);
@@ -222,19 +212,14 @@
   /// has passed, of the configuration that it was admitted under and of the
   /// newest one.
   [[nodiscard]] Duration RemainingStreamTime(TimePoint now) const;
-  /// Whether the end of the current attempt counts towards the route's limit.
-  [[nodiscard]] bool CountsAsAttempt() const;
-  /// Whether another upstream could go on with the request now if its current
-  /// attempt were given up.
-  [[nodiscard]] bool CanGoOnElsewhere() const;
   void OnCallerDisconnected();
-  [[nodiscard]] AttemptEnd MakeAttemptEnd(HttpCallEnd end) const;
-  [[nodiscard]] AttemptContext MakeAttemptContext(const AttemptEnd& end,
-                                                  TimePoint now) const;
-  [[nodiscard]] UpstreamOutcome UpstreamOutcomeOf(const AttemptEnd& end) const;
   void CountUsage();
   void Finish(ResultCode code, std::string_view outcome);
-  void LogAttempt(const AttemptEnd& end, const AttemptDecision& decision) const;
+  void LogAttempt(const UpstreamAttempt& attempt, const AttemptEnd& end,
+                  const AttemptRace::Decision& decision) const;
+  void LogBeside() const;
+  void LogOvertaken(const std::string& by, const std::string& overtaken,
+                    bool sent, Duration silent) const;
   void LogRequest(ResultCode code, std::string_view outcome,
                   TimePoint now) const;
   /// Logs that the caller's connection closes without a complete response, by
@@ -253,28 +238,31 @@
   TimePoint ends_at_;
   QTimer timer_;
   std::optional<Origin> origin_;
-  Attempt attempt_;
-  std::optional<Delegation> delegation_;
+  AttemptRace race_;
+  AttemptsInFlight attempts_;
+  std::optional<Writer> writer_;
+  /// Answer of an attempt that failed while another one was in flight.
+  std::optional<HttpResponse> failed_answer_;
+  int started_beside_ = 0;  ///< Attempts started beside a silent one.
   std::set<std::string> refusing_peers_;  ///< Daemons that did not serve it.
   std::string last_peer_;    ///< Daemon that it was last delegated to.
   int unsent_attempts_ = 0;  ///< Attempts that found no connection.
   std::unique_ptr<HttpCall> move_call_;
+  int moving_ = 0;  ///< Number of the attempt that is moved.
   std::optional<HttpCallEnd> end_during_move_;
   std::set<std::string> tried_upstreams_;
   /// Upstreams left while they were silent, and for how many ms they were.
   std::string left_silent_;
   /// Of these, those to which this daemon found no connection.
   std::set<std::string> unreached_upstreams_;
-  EventRelay relay_;
+  std::string last_event_id_;  ///< Of the events that the caller has.
+  std::size_t events_ = 0;     ///< Forwarded.
   /// Software version that wrote the stream so far; empty before its first
   /// event.
   std::optional<std::string> version_;
   std::optional<TimePoint> first_event_;
   TimePoint last_event_;
   Duration longest_pause_{0};  ///< Between two events.
-  int sends_ = 0;              ///< Attempts that may have sent bytes.
-  int counted_attempts_ = 0;  ///< Of these, without those to leaving upstreams.
-  bool may_have_run_ = false;
   bool usage_counted_ = false;
   bool answer_started_ = false;
   bool caller_disconnected_ = false;
--- a/libs/gateway/src/details/exchange_choice.cc
+++ b/libs/gateway/src/details/exchange_choice.cc
@@ -30,20 +30,21 @@
 }
 
 void Exchange::TryNextUpstream() {
-  if (RejectQuarantined()) return;
+  if (probes_pending_ > 0 || RejectQuarantined()) return;
   if (answer_started_ && IsVersionDoubtful()) {
-    return Refuse(ResultCode::kStreamVersionUnknown, "", OutcomeSoFar(),
-                  std::nullopt);
+    return RefuseFurtherAttempt(ResultCode::kStreamVersionUnknown, "",
+                                std::nullopt);
   }
   if (!CanVerifyKey()) {
-    return Refuse(ResultCode::kNotReady, "Keys cannot be checked now",
-                  OutcomeSoFar(), RetryDelay());
+    return RefuseFurtherAttempt(ResultCode::kNotReady,
+                                "Keys cannot be checked now", RetryDelay());
   }
   const auto now = MonotonicNow();
   context_->SyncPicker(now);
   if (LeaveToPeer(now)) return;
+  // An attempt beside a silent one is late already.
   const auto engines =
-      context_->settings.strategies.ask_engines
+      context_->settings.strategies.ask_engines && race_.in_flight() == 0
           ? context_->picker.EnginesToProbe(MakePickRequest(),
                                             context_->shared.daemons, now)
           : std::vector<UpstreamEntry>{};
@@ -67,6 +68,9 @@
 
 void Exchange::SendToBestUpstream() {
   if (RejectQuarantined()) return;
+  const bool has_recovered =
+      race_.in_flight() > 0 && !race_.MayStartBeside(MakeConditions());
+  if (has_recovered) return;
   const auto now = MonotonicNow();
   context_->SyncPicker(now);
   without_permit_.clear();
@@ -82,7 +86,8 @@
   // A request that may have started to run, or a stream that the caller has a
   // part of, is not rejected.
   const bool refused = context_->settings.strategies.refuse_by_wait &&
-                       !may_have_run_ && !answer_started_ && !version_ &&
+                       OutcomeSoFar() == RequestOutcome::kNotRun &&
+                       !answer_started_ && !version_ &&
                        IsSlotWaitTooLong(*admission_.route, expected_wait_);
   if (!refused) return Send(*upstream);
   Refuse(
@@ -90,7 +95,14 @@
       std::max(RetryDelay(), JitteredRetryDelay(expected_wait_, request_.id)));
 }
 
+void Exchange::RefuseFurtherAttempt(ResultCode code, std::string message,
+                                    std::optional<Duration> retry_after) {
+  if (race_.in_flight() > 0) return;
+  Refuse(code, std::move(message), OutcomeSoFar(), retry_after);
+}
+
 void Exchange::RefuseWithoutUpstream(bool rate_limited) {
+  if (race_.in_flight() > 0) return;
   if (version_ && !context_->picker.HasVersion(service_, *version_)) {
     return Refuse(ResultCode::kStreamVersionGone, "", OutcomeSoFar(),
                   RetryDelay());
@@ -108,6 +120,7 @@
 
 bool Exchange::AwaitPermit(const std::vector<UpstreamEntry>& upstreams,
                            TimePoint now) {
+  if (race_.in_flight() > 0) return false;
   if (context_->permits.slots().IsBrittle(service_)) {
     return !upstreams.empty() && AwaitSlot(now);
   }
@@ -153,24 +166,4 @@
   return true;
 }
 
-bool Exchange::EnsurePermit() {
-  const auto& upstream = attempt_.upstream;
-  if (attempt_.rate_limit > 0 && attempt_.has_permit) return true;
-  attempt_.rate_limit =
-      context_->permits.LimitOf(upstream.id, upstream.born_ms);
-  attempt_.has_permit = context_->TakePermit(upstream);
-  return attempt_.has_permit;
-}
-
-void Exchange::ReturnUnusedPermit() {
-  const bool is_unused = attempt_.rate_limit > 0 && attempt_.call &&
-                         !attempt_.call->MayHaveBeenSent();
-  if (!is_unused || !std::exchange(attempt_.has_permit, false)) return;
-  context_->permits.Return(attempt_.upstream.id, attempt_.upstream.born_ms);
-}
-
-RequestOutcome Exchange::OutcomeSoFar() const {
-  return may_have_run_ ? RequestOutcome::kUnknown : RequestOutcome::kNotRun;
-}
-
 }  // namespace firmoor::details
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -91,29 +91,36 @@
   message.config_version = table_->version();
   message.request = request_;
   message.request.caller_timeout = std::max(ends_at_ - now, Duration(1));
-  message.request.last_event_id = relay_.last_event_id();
+  message.request.last_event_id = last_event_id_;
   message.service = service_;
   message.version = version_;
   message.tried_upstreams = tried_upstreams_;
   for (const auto& id : unreached_upstreams_) message.tried_upstreams.erase(id);
-  message.attempts = counted_attempts_;
+  message.attempts = race_.attempts();
   message.usage_counted = usage_counted_;
   const auto weak = weak_from_this();
+  const auto number = std::make_shared<int>(0);
   PeerStream::Handlers handlers;
-  handlers.on_message = [weak](const QByteArray& bytes) {
-    if (const auto self = weak.lock()) self->OnDelegationMessage(bytes);
+  handlers.on_message = [weak, number](const QByteArray& bytes) {
+    if (const auto self = weak.lock()) {
+      self->OnDelegationMessage(*number, bytes);
+    }
   };
-  handlers.on_end = [weak](PeerStatus status) {
-    if (const auto self = weak.lock()) self->OnDelegationEnd(status);
+  handlers.on_end = [weak, number](PeerStatus status) {
+    if (const auto self = weak.lock()) self->OnDelegationEnd(*number, status);
   };
   auto stream = delegations.Open(*peer, message, std::move(handlers));
   if (!stream) return false;
-  attempt_ = {};
-  delegation_ = Delegation{};
-  delegation_->peer = *peer;
-  delegation_->stream = std::move(stream);
-  delegation_->sent_at = now;
-  delegation_->last_message_at = now;
+  *number = race_.Start(true);
+  attempts_.Add(*number, {*peer,
+                          std::move(stream),
+                          now,
+                          now,
+                          false,
+                          false,
+                          {},
+                          "",
+                          EventRelay(last_event_id_)});
   last_peer_ = peer->daemon;
   context_->environment.log->Write(
       "delegated",
@@ -125,40 +132,31 @@
        {"unsent", unsent_attempts_},
        {"refused_by", static_cast<qint64>(refusing_peers_.size())},
        {"time_left_ms", static_cast<qint64>((ends_at_ - now).count())},
-       {"events", static_cast<qint64>(relay_.events())}});
+       {"events", static_cast<qint64>(events_)}});
   QTimer::singleShot(kAcceptTimeout, &timer_,
-                     [this, now] { CheckDelegation(now); });
+                     [this, number] { CheckDelegation(*number); });
   return true;
 }
 
-void Exchange::CheckDelegation(TimePoint sent_at) {
-  const bool is_current =
-      !finished_ && delegation_ && delegation_->sent_at == sent_at;
-  if (!is_current) return;
+void Exchange::CheckDelegation(int number) {
+  auto* delegation = attempts_.FindDelegated(number);
+  if (finished_ || delegation == nullptr) return;
   const auto self = shared_from_this();
-  if (!delegation_->stream->MayHaveBeenSent()) {
-    return OnPeerRefused(PeerRefusal::kNoResponse);
+  if (!delegation->stream->MayHaveBeenSent()) {
+    return OnPeerRefused(number, PeerRefusal::kNoResponse);
   }
-  const auto bound = delegation_->accepted ? PeerSilenceBound() : Duration(0);
-  const auto now = MonotonicNow();
-  const bool is_silent = now - delegation_->last_message_at >= bound;
-  if (is_silent && CanLeavePeer(now)) return OnDelegationBroken();
   QTimer::singleShot(kCheckPeriod, &timer_,
-                     [this, sent_at] { CheckDelegation(sent_at); });
-}
-
-bool Exchange::CanLeavePeer(TimePoint now) {
-  AttemptEnd end;
-  end.end = HttpCallEnd::kTimedOut;
-  end.may_have_been_sent = true;
-  auto attempt_context = MakeAttemptContext(end, now);
-  ++attempt_context.attempts;
-  if (DecideAttempt(end, attempt_context).step == NextStep::kFail) return false;
-  if (IsLinkUsable(now)) return true;
-  const bool is_new = refusing_peers_.insert(delegation_->peer.daemon).second;
-  const bool has_other = HasPeer(now);
-  if (is_new) refusing_peers_.erase(delegation_->peer.daemon);
-  return has_other;
+                     [this, number] { CheckDelegation(number); });
+  const auto now = MonotonicNow();
+  const auto bound = delegation->accepted ? PeerSilenceBound() : Duration(0);
+  if (now - delegation->last_message_at < bound) return;
+  if (!std::exchange(delegation->is_silent, true) && !delegation->accepted) {
+    context_->delegations.OnRefused(delegation->peer, service_,
+                                    PeerRefusal::kNoResponse, now);
+  }
+  refusing_peers_.insert(delegation->peer.daemon);
+  race_.OnSilent(number);
+  StartBeside();
 }
 
 Duration Exchange::PeerSilenceBound() const {
@@ -168,98 +166,131 @@
                   admission_.route->objective * kFirstByteTimeoutObjectives);
 }
 
-void Exchange::OnDelegationMessage(const QByteArray& bytes) {
-  if (finished_ || !delegation_) return;
+void Exchange::OnDelegationMessage(int number, const QByteArray& bytes) {
+  auto* delegation = attempts_.FindDelegated(number);
+  if (finished_ || delegation == nullptr) return;
   const auto self = shared_from_this();
   const auto decoded = Capture([&] { return DelegationReply::Decode(bytes); });
   if (const auto* error = std::get_if<Error>(&decoded)) {
     context_->environment.log->Write("delegation-bad",
                                      {{"request", Text(request_.id)},
-                                      {"from", Text(delegation_->peer.daemon)},
+                                      {"from", Text(delegation->peer.daemon)},
                                       {"reason", Text(error->message)}});
-    return OnDelegationBroken();
+    return OnDelegationBroken(number);
   }
   const auto now = MonotonicNow();
-  delegation_->last_message_at = now;
+  delegation->last_message_at = now;
+  delegation->is_silent = false;
+  race_.OnByte(number);
   const auto& reply = std::get<DelegationReply>(decoded);
-  const bool is_part_of_stream =
-      reply.kind == DelegationReply::Kind::kEvents ||
-      reply.kind == DelegationReply::Kind::kStreamEnd;
-  if (is_part_of_stream && !delegation_->stream_started) {
-    return OnDelegationBroken();
-  }
   switch (reply.kind) {
     case DelegationReply::Kind::kAccepted:
-      delegation_->accepted = true;
-      return context_->delegations.OnAccepted(delegation_->peer, service_,
-                                              now - delegation_->sent_at);
+      delegation->accepted = true;
+      return context_->delegations.OnAccepted(delegation->peer, service_,
+                                              now - delegation->sent_at);
     case DelegationReply::Kind::kRefused:
-      return OnPeerRefused(reply.reason);
+      return OnPeerRefused(number, reply.reason);
     case DelegationReply::Kind::kResponse:
-      return ForwardDelegatedResponse(reply.response);
+      return ForwardDelegatedResponse(number, reply.response);
     case DelegationReply::Kind::kStreamStart:
-      delegation_->stream_started = true;
-      // The peer counts a stream before it sends the head.
-      usage_counted_ = true;
-      StartAnswer(reply.response.status, reply.response.headers, now);
-      if (!version_) version_ = reply.version;
+      delegation->head = reply.response;
+      delegation->version = reply.version;
       return;
-    case DelegationReply::Kind::kEvents: {
-      const auto events = relay_.Feed(reply.response.body);
-      if (!events.empty()) ForwardEvents(events, now);
-      return;
-    }
+    case DelegationReply::Kind::kEvents:
+      return ForwardDelegatedEvents(number, reply.response.body);
     case DelegationReply::Kind::kStreamEnd:
-      responder_->FinishStream();
-      return Finish(ResultCode::kOk, "answered");
+      return FinishDelegatedStream(number);
   }
 }
 
-void Exchange::ForwardDelegatedResponse(const HttpResponse& response) {
+void Exchange::ForwardDelegatedEvents(int number, const std::string& bytes) {
+  auto* delegation = attempts_.FindDelegated(number);
+  if (!delegation->head) return OnDelegationBroken(number);
+  const auto events = FeedEvents(&delegation->relay, bytes);
+  if (events.bytes.empty()) return;
+  AdoptDelegation(number);
+  ForwardEvents(events, MonotonicNow());
+}
+
+void Exchange::FinishDelegatedStream(int number) {
+  if (!attempts_.FindDelegated(number)->head) return OnDelegationBroken(number);
+  AdoptDelegation(number);
+  responder_->FinishStream();
+  Finish(ResultCode::kOk, "answered");
+}
+
+void Exchange::AdoptDelegation(int number) {
+  const auto* delegation = attempts_.FindDelegated(number);
+  CancelOvertaken(race_.OnNextPart(number), delegation->peer.daemon);
+  // The peer counts a stream before it sends the head.
+  usage_counted_ = true;
+  writer_.reset();
+  StartAnswer(delegation->head->status, delegation->head->headers,
+              MonotonicNow());
+  if (!version_) version_ = delegation->version;
+}
+
+void Exchange::ForwardDelegatedResponse(int number,
+                                        const HttpResponse& response) {
+  constexpr int kFirstServerError = 500;
+  const auto peer = attempts_.FindDelegated(number)->peer.daemon;
   const auto refusal = ReadGatewayRefusal(response);
   const bool is_not_run =
       refusal && refusal->outcome == RequestOutcome::kNotRun;
+  const bool is_failure =
+      refusal || answer_started_ || response.status >= kFirstServerError;
+  if (is_failure && race_.in_flight() > 1) {
+    refusing_peers_.insert(peer);
+    race_.OnCancelled(number, !is_not_run, true);
+    EndDelegation(number);
+    return StartBeside();
+  }
   // What runs or has run elsewhere is not given up for a peer that is full.
-  if (is_not_run && (answer_started_ || may_have_run_)) {
-    refusing_peers_.insert(delegation_->peer.daemon);
-    if (HasPeer(MonotonicNow())) return OnPeerRefused(PeerRefusal::kBusy);
+  if (is_not_run && (answer_started_ || race_.may_have_run())) {
+    refusing_peers_.insert(peer);
+    if (HasPeer(MonotonicNow())) {
+      return OnPeerRefused(number, PeerRefusal::kBusy);
+    }
   }
   if (answer_started_) {
     return AbortStream(refusal ? refusal->code
                                : ResultCode::kUpstreamIncomplete);
   }
-  if (is_not_run && may_have_run_) {
+  if (is_not_run && race_.may_have_run()) {
     return Refuse(refusal->code, "", RequestOutcome::kUnknown, std::nullopt);
   }
+  CancelOvertaken(race_.OnNextPart(number), peer);
   responder_->Send(response);
   if (refusal) return Finish(refusal->code, NameOf(refusal->outcome));
-  constexpr int kFirstServerError = 500;
   Finish(ResultCode::kOk,
          response.status < kFirstServerError ? "answered" : "failure-passed");
 }
 
-void Exchange::OnDelegationEnd(PeerStatus status) {
-  if (finished_ || !delegation_) return;
+void Exchange::OnDelegationEnd(int number, PeerStatus status) {
+  auto* delegation = attempts_.FindDelegated(number);
+  if (finished_ || delegation == nullptr) return;
   const auto self = shared_from_this();
   if (status == PeerStatus::kNotSent) {
-    return OnPeerRefused(PeerRefusal::kNoResponse);
+    return OnPeerRefused(number, PeerRefusal::kNoResponse);
   }
   // Earlier builds complete the call without any message.
-  const bool has_reply = delegation_->last_message_at != delegation_->sent_at;
+  const bool has_reply = delegation->last_message_at != delegation->sent_at;
   if (status == PeerStatus::kOk && !has_reply) {
-    return OnPeerRefused(PeerRefusal::kUnsupported);
+    return OnPeerRefused(number, PeerRefusal::kUnsupported);
   }
-  OnDelegationBroken();
+  OnDelegationBroken(number);
 }
 
-void Exchange::EndDelegation() {
-  if (!delegation_) return;
-  context_->delegations.OnEnd(delegation_->peer);
-  delegation_.reset();
+void Exchange::EndDelegation(int number) {
+  const auto delegation = attempts_.RemoveDelegated(number);
+  if (!delegation) return;
+  race_.OnCancelled(number, delegation->stream->MayHaveBeenSent(), true);
+  context_->delegations.OnEnd(delegation->peer);
 }
 
-void Exchange::OnPeerRefused(PeerRefusal reason) {
-  const auto peer = delegation_->peer;
+void Exchange::OnPeerRefused(int number, PeerRefusal reason) {
+  const auto* delegation = attempts_.FindDelegated(number);
+  const auto peer = delegation->peer;
   const auto now = MonotonicNow();
   context_->environment.log->Write(
       "delegation-refused",
@@ -267,82 +298,67 @@
        {"service", Text(service_)},
        {"by", Text(peer.daemon)},
        {"reason", Text(NameOf(reason))},
-       {"after_ms",
-        static_cast<qint64>((now - delegation_->sent_at).count())}});
+       {"after_ms", static_cast<qint64>((now - delegation->sent_at).count())}});
   context_->delegations.OnRefused(peer, service_, reason, now);
   refusing_peers_.insert(peer.daemon);
-  EndDelegation();
-  TryNextUpstream();
+  race_.OnCancelled(number, false, false);
+  EndDelegation(number);
+  GoOn();
 }
 
-void Exchange::OnDelegationBroken() {
+void Exchange::OnDelegationBroken(int number) {
   const auto now = MonotonicNow();
-  if (!delegation_->accepted) {
-    context_->delegations.OnRefused(delegation_->peer, service_,
+  const auto* delegation = attempts_.FindDelegated(number);
+  if (!delegation->accepted) {
+    context_->delegations.OnRefused(delegation->peer, service_,
                                     PeerRefusal::kNoResponse, now);
   }
-  refusing_peers_.insert(delegation_->peer.daemon);
-  ++sends_;
-  ++counted_attempts_;
+  refusing_peers_.insert(delegation->peer.daemon);
   AttemptEnd end;
   end.end =
       answer_started_ ? HttpCallEnd::kTruncated : HttpCallEnd::kNoResponse;
   end.may_have_been_sent = true;
-  const auto decision = DecideAttempt(end, MakeAttemptContext(end, now));
-  may_have_run_ = true;
+  const auto decision = race_.OnEnd(number, end, true, MakeConditions());
   context_->environment.log->Write(
       "delegation-broken",
       {{"request", Text(request_.id)},
-       {"by", Text(delegation_->peer.daemon)},
-       {"accepted", delegation_->accepted},
-       {"after_ms", static_cast<qint64>((now - delegation_->sent_at).count())},
-       {"next", Text(NameOf(decision.step))}});
-  EndDelegation();
-  if (caller_disconnected_) return Finish(decision.code, "caller-left");
-  const bool goes_on = decision.step == NextStep::kRetryElsewhere ||
-                       decision.step == NextStep::kResumeElsewhere;
-  if (!goes_on) return FailRequest(decision);
-  context_->BudgetOf(service_).TryTake();
-  relay_.DiscardPartialEvent();
-  TryNextUpstream();
+       {"by", Text(delegation->peer.daemon)},
+       {"accepted", delegation->accepted},
+       {"after_ms", static_cast<qint64>((now - delegation->sent_at).count())},
+       {"next", Text(AttemptRace::NameOfNext(decision))}});
+  EndDelegation(number);
+  if (caller_disconnected_) {
+    return Finish(decision.attempt.code, "caller-left");
+  }
+  if (decision.step == RaceStep::kFail) return FailRequest(decision.attempt);
+  if (decision.step == RaceStep::kTryNext) TakeRetry();
+  GoOn();
 }
 
 void Exchange::ReportSilence(TimePoint now) const {
-  const bool waits = attempt_.call && !attempt_.end && !move_call_ &&
-                     attempt_.call->MayHaveBeenSent();
-  if (!waits || now - attempt_.last_byte_at < kSilence) return;
-  context_->links.OnSilence(attempt_.upstream.id, attempt_.last_byte_at);
+  if (move_call_) return;
+  for (const auto& attempt : attempts_.all()) {
+    if (!attempt->IsSilentFor(kSilence, now)) continue;
+    context_->links.OnSilence(attempt->upstream().id, attempt->last_byte_at());
+  }
 }
 
 void Exchange::OnLinksLost() {
-  const bool runs = !finished_ && attempt_.call && !attempt_.end && !move_call_;
-  if (!runs) return;
+  if (finished_ || move_call_) return;
   const auto self = shared_from_this();
   const auto now = MonotonicNow();
-  if (!attempt_.call->MayHaveBeenSent()) {
-    return OnEnd(HttpCallEnd::kNotConnected);
-  }
-  const bool is_silent = now - attempt_.last_byte_at >= kSilence;
-  if (!is_silent || !CanGoOnElsewhere()) return;
-  // Another daemon may reach the same upstream.
-  unreached_upstreams_.insert(attempt_.upstream.id);
-  OnEnd(HttpCallEnd::kTimedOut);
-}
-
-void Exchange::RecordLinkEvidence(const AttemptEnd& end) const {
-  if (attempt_.send_cancelled) return;
-  switch (end.end) {
-    case HttpCallEnd::kNotConnected:
-      return context_->links.OnConnectFailure(attempt_.upstream.id);
-    case HttpCallEnd::kNoResponse:
-    case HttpCallEnd::kTruncated:
-    case HttpCallEnd::kTimedOut:
-      return context_->links.OnBroken(attempt_.upstream.id);
-    case HttpCallEnd::kComplete:
-    case HttpCallEnd::kMalformed:
-    case HttpCallEnd::kCancelled:
-      return;
+  const auto affected = attempts_.all();
+  for (const auto& attempt : affected) {
+    if (finished_) return;
+    if (!attempt->MayHaveBeenSent()) {
+      attempt->End(HttpCallEnd::kNotConnected);
+    } else if (attempt->IsSilentFor(kSilence, now)) {
+      // Another daemon may reach the same upstream.
+      unreached_upstreams_.insert(attempt->upstream().id);
+      race_.OnSilent(attempt->number());
+    }
   }
+  if (!finished_) StartBeside();
 }
 
 }  // namespace firmoor::details
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -1,30 +1,61 @@
+#include <fmt/format.h>
+
 #include "base/text.h"
 #include "details/exchange.h"
 
 namespace firmoor::details {
+namespace {
+
+qint64 Milliseconds(Duration time) { return time.count(); }
+
+}  // namespace
 
-void Exchange::LogAttempt(const AttemptEnd& end,
-                          const AttemptDecision& decision) const {
+void Exchange::LogAttempt(const UpstreamAttempt& attempt, const AttemptEnd& end,
+                          const AttemptRace::Decision& decision) const {
+  const auto now = MonotonicNow();
   context_->environment.log->Write(
       "attempt-failed",
       {{"request", Text(request_.id)},
-       {"upstream", Text(attempt_.upstream.id)},
+       {"upstream", Text(attempt.upstream().id)},
        {"end", Text(NameOf(end.end))},
-       {"status", attempt_.head ? attempt_.head->status : 0},
+       {"status", attempt.head() ? attempt.head()->status : 0},
        {"may_have_left", end.may_have_been_sent},
        {"declared_not_run", end.declared_not_run},
-       {"attempt_ms",
-        static_cast<qint64>((MonotonicNow() - attempt_.sent_at).count())},
+       {"attempt_ms", Milliseconds(now - attempt.sent_at())},
+       {"silent_ms", Milliseconds(now - attempt.last_byte_at())},
        {"budget", context_->BudgetOf(service_).available()},
-       {"born_ms", static_cast<qint64>(attempt_.upstream.born_ms)},
+       {"born_ms", static_cast<qint64>(attempt.upstream().born_ms)},
        {"suspects", Text(HashList(suspects_))},
-       {"next", Text(NameOf(decision.step))},
-       {"outcome", Text(NameOf(decision.outcome))}});
+       {"in_flight", Text(attempts_.Describe(now))},
+       {"next", Text(AttemptRace::NameOfNext(decision))},
+       {"outcome", Text(NameOf(decision.attempt.outcome))}});
+}
+
+void Exchange::LogBeside() const {
+  context_->environment.log->Write(
+      "attempt-beside",
+      {{"request", Text(request_.id)},
+       {"service", Text(service_)},
+       {"in_flight", Text(attempts_.Describe(MonotonicNow()))},
+       {"attempts", race_.attempts()},
+       {"events", static_cast<qint64>(events_)},
+       {"budget", context_->BudgetOf(service_).available()}});
+}
+
+void Exchange::LogOvertaken(const std::string& by, const std::string& overtaken,
+                            bool sent, Duration silent) const {
+  context_->environment.log->Write("attempt-overtaken",
+                                   {{"request", Text(request_.id)},
+                                    {"upstream", Text(overtaken)},
+                                    {"by", Text(by)},
+                                    {"may_have_left", sent},
+                                    {"silent_ms", Milliseconds(silent)}});
 }
 
 void Exchange::LogRequest(ResultCode code, std::string_view outcome,
                           TimePoint now) const {
   const auto age = context_->freshness.Age(now);
+  const auto* attempt = attempts_.Shown();
   context_->environment.log->Write(
       "request",
       {{"request", Text(request_.id)},
@@ -33,18 +64,22 @@
         Text(admission_.workspace == nullptr ? ""
                                              : admission_.workspace->name)},
        {"service", Text(service_)},
-       {"upstream", Text(attempt_.upstream.id)},
-       {"sends", sends_},
-       {"in_flight", static_cast<qint64>(attempt_.in_flight)},
+       {"upstream", Text(attempt == nullptr ? "" : attempt->upstream().id)},
+       {"sends", race_.sends()},
+       {"beside", started_beside_},
+       {"running", Text(attempts_.Describe(now))},
+       {"in_flight", static_cast<qint64>(
+                         attempt == nullptr ? 0 : attempt->requests_before())},
        {"asked", static_cast<qint64>(probes_sent_)},
        {"wait_ms", static_cast<qint64>(expected_wait_.count())},
-       {"prefill_tokens", attempt_.prefill_tokens},
-       {"upstream_limit", attempt_.rate_limit},
+       {"prefill_tokens", attempt == nullptr ? 0 : attempt->prefill_tokens()},
+       {"upstream_limit", attempt == nullptr ? 0 : attempt->rate_limit()},
        {"without_permit", static_cast<qint64>(without_permit_.size())},
        {"preferred",
         Text(without_permit_.empty() ? "" : without_permit_.front().id)},
        {"quota_tokens", quota_tokens_},
-       {"status", attempt_.head ? attempt_.head->status : 0},
+       {"status",
+        attempt != nullptr && attempt->head() ? attempt->head()->status : 0},
        {"code", Text(InfoOf(code).name)},
        {"outcome", Text(outcome)},
        {"version", Text(version_.value_or(""))},
@@ -56,36 +91,34 @@
                                  : -1},
        {"longest_pause_ms", static_cast<qint64>(longest_pause_.count())},
        {"total_ms", static_cast<qint64>((now - started_at_).count())},
-       {"events", static_cast<qint64>(relay_.events())},
+       {"events", static_cast<qint64>(events_)},
        {"config", static_cast<qint64>(table_->version())},
        {"config_age_ms", age ? static_cast<qint64>(age->count()) : -1}});
 }
 
 void Exchange::LogCut(std::string_view by, std::string_view reason) const {
   const auto now = MonotonicNow();
-  const auto ms = [](Duration time) {
-    return static_cast<qint64>(time.count());
-  };
-  const bool is_passed_on =
-      sends_ > 0 || (delegation_ && delegation_->stream->MayHaveBeenSent()) ||
-      (attempt_.call && attempt_.call->MayHaveBeenSent());
+  const auto* attempt = attempts_.Shown();
+  const bool has_ended = attempt != nullptr && attempt->end();
   const auto silent_since = answer_started_ ? last_event_ : started_at_;
   context_->environment.log->Write(
       "answer-cut",
       {{"request", Text(request_.id)},
        {"by", Text(by)},
        {"reason", Text(reason)},
-       {"upstream", Text(attempt_.upstream.id)},
-       {"end", Text(attempt_.end ? NameOf(*attempt_.end) : "")},
-       {"passed_on", is_passed_on},
+       {"upstream", Text(attempt == nullptr ? "" : attempt->upstream().id)},
+       {"end", Text(has_ended ? NameOf(*attempt->end()) : "")},
+       {"passed_on", race_.sends() > 0 || attempts_.IsSent()},
+       {"running", Text(attempts_.Describe(now))},
+       {"beside", started_beside_},
        {"started", answer_started_},
        {"left_silent", Text(left_silent_)},
        {"moving", move_call_ != nullptr},
-       {"events", static_cast<qint64>(relay_.events())},
-       {"silent_ms", ms(now - silent_since)},
-       {"total_ms", ms(now - started_at_)},
-       {"caller_time_ms", ms(ends_at_ - started_at_)},
-       {"route_time_ms", ms(admission_.route->timeout)},
+       {"events", static_cast<qint64>(events_)},
+       {"silent_ms", Milliseconds(now - silent_since)},
+       {"total_ms", Milliseconds(now - started_at_)},
+       {"caller_time_ms", Milliseconds(ends_at_ - started_at_)},
+       {"route_time_ms", Milliseconds(admission_.route->timeout)},
        {"config", static_cast<qint64>(table_->version())},
        {"newest_config", static_cast<qint64>(context_->table->version())}});
 }
--- a/libs/gateway/src/details/exchange_move.cc
+++ b/libs/gateway/src/details/exchange_move.cc
@@ -18,19 +18,18 @@
 
 void Exchange::OnUpstreamEnding(const std::string& upstream, TimePoint ends_at,
                                 std::int64_t tokens_per_event) {
-  if (finished_ || attempt_.upstream.id != upstream) return;
+  if (finished_ || !attempts_.HasAttemptAt(upstream)) return;
   const auto wait =
       std::max(ends_at - MonotonicNow() - kMoveLeadTime, Duration(0));
   QTimer::singleShot(wait, &timer_,
                      [this, upstream, ends_at, tokens_per_event] {
-                       if (attempt_.upstream.id != upstream) return;
-                       StartMove(ends_at, tokens_per_event);
+                       StartMove(upstream, ends_at, tokens_per_event);
                      });
 }
 
 bool Exchange::WillFinishBefore(TimePoint ends_at,
                                 std::int64_t tokens_per_event) const {
-  const auto events = static_cast<double>(relay_.events());
+  const auto events = static_cast<double>(events_);
   if (!first_event_ || events < 2 || request_.max_output_tokens <= 0) {
     return false;
   }
@@ -45,25 +44,38 @@
   return now + remaining < ends_at;
 }
 
-void Exchange::StartMove(TimePoint ends_at, std::int64_t tokens_per_event) {
-  const bool is_streaming =
-      !finished_ && attempt_.is_event_stream && answer_started_ && !move_call_;
+void Exchange::StartMove(const std::string& source, TimePoint ends_at,
+                         std::int64_t tokens_per_event) {
+  // Of two attempts one is about to take over.
+  if (finished_ || attempts_.all().size() != 1 || race_.in_flight() != 1)
+    return;
+  const auto attempt = attempts_.all().front();
+  const auto& upstream = attempt->upstream();
+  const bool is_streaming = upstream.id == source &&
+                            attempt->is_event_stream() && answer_started_ &&
+                            !move_call_;
   if (!is_streaming || WillFinishBefore(ends_at, tokens_per_event)) return;
   auto pick = MakePickRequest();
-  pick.exclude = {attempt_.upstream.id};
+  pick.exclude = {source};
   const auto target = context_->picker.Pick(pick, MonotonicNow());
   // The order to move is a request to the upstream as well.
-  if (!target || !context_->TakePermit(attempt_.upstream)) return;
+  if (!target || !context_->TakePermit(upstream)) return;
   const auto self = shared_from_this();
+  moving_ = attempt->number();
   move_call_ = HttpFetch(
-      attempt_.upstream.endpoint,
+      upstream.endpoint,
       context_->environment.dialect->EncodeMoveRequest(request_.id,
                                                        target->endpoint),
       kMoveTimeouts, &context_->pool,
       [this, target = *target](const HttpFetchResult& result) {
         OnMoveResult(result, target);
       },
-      [this] { return CanGoOnElsewhere(); });
+      [this] {
+        // The engine may still be copying; its stream has ended before.
+        race_.OnSilent(moving_);
+        if (end_during_move_) StartBeside();
+        return false;
+      });
 }
 
 void Exchange::OnMoveResult(const HttpFetchResult& result,
@@ -72,35 +84,39 @@
   const auto self = shared_from_this();
   const auto call = std::move(move_call_);
   const auto ended = std::exchange(end_during_move_, std::nullopt);
+  const auto source = attempts_.Find(moving_);
+  if (!source) return;
   MoveResult moved;
   if (result.end == HttpCallEnd::kComplete) {
     moved = context_->environment.dialect->DecodeMoveResponse(result.answer);
   }
-  context_->environment.log->Write(
-      "move", {{"request", Text(request_.id)},
-               {"from", Text(attempt_.upstream.id)},
-               {"to", Text(target.id)},
-               {"status", result.answer.status},
-               {"stopped", moved.stopped},
-               {"copied", moved.copied},
-               {"events", static_cast<qint64>(relay_.events())}});
+  context_->environment.log->Write("move",
+                                   {{"request", Text(request_.id)},
+                                    {"from", Text(source->upstream().id)},
+                                    {"to", Text(target.id)},
+                                    {"status", result.answer.status},
+                                    {"stopped", moved.stopped},
+                                    {"copied", moved.copied},
+                                    {"events", static_cast<qint64>(events_)}});
   if (moved.stopped) {
-    const bool can_move = moved.copied && !WasReplaced(target);
-    return ContinueAt(can_move ? target : attempt_.upstream, moved.handle);
+    const auto* entry = context_->catalog.Find(target.id);
+    const bool was_replaced =
+        entry != nullptr && entry->born_ms != target.born_ms;
+    const bool can_move = moved.copied && !was_replaced;
+    return ContinueAt(source, can_move ? target : source->upstream(),
+                      moved.handle);
   }
-  if (ended) OnEnd(*ended);
+  if (ended) HandleEnd(*source, *ended);
 }
 
-void Exchange::ContinueAt(const UpstreamEntry& upstream,
+void Exchange::ContinueAt(const std::shared_ptr<UpstreamAttempt>& source,
+                          const UpstreamEntry& upstream,
                           const std::string& handle) {
-  const auto source = attempt_.upstream.endpoint;
-  ++sends_;
-  may_have_run_ = true;
-  context_->BudgetOf(service_).TryTake();
-  context_->EndAttempt(attempt_.upstream, &attempt_.ticket,
-                       UpstreamOutcome::kNeutral, false, MonotonicNow());
-  relay_.DiscardPartialEvent();
-  Send(upstream, KvCacheCopy{source, handle});
+  attempts_.Remove(source->number());
+  race_.OnCancelled(source->number(), true, false);
+  TakeRetry();
+  source->Release(UpstreamOutcome::kNeutral, false, MonotonicNow());
+  Send(upstream, KvCacheCopy{source->upstream().endpoint, handle});
 }
 
 }  // namespace firmoor::details
--- /dev/null
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -0,0 +1,100 @@
+#include <algorithm>
+
+#include "details/exchange.h"
+
+namespace firmoor::details {
+
+AttemptRace::Conditions Exchange::MakeConditions() const {
+  AttemptRace::Conditions conditions;
+  conditions.idempotent = admission_.route->MayRepeat();
+  conditions.answer_started = answer_started_;
+  conditions.resumable = admission_.route->is_resumable;
+  conditions.max_attempts = std::max(1, admission_.route->max_upstreams);
+  conditions.may_run_again = MayRunAgain();
+  conditions.time_left = ends_at_ - MonotonicNow();
+  conditions.retry_available = context_->BudgetOf(service_).available() >= 1.0;
+  return conditions;
+}
+
+bool Exchange::MayStartBeside() const {
+  const bool is_busy = finished_ || caller_disconnected_ ||
+                       probes_pending_ > 0 || (move_call_ && !end_during_move_);
+  if (is_busy || race_.in_flight() == 0) return false;
+  if (!race_.MayStartBeside(MakeConditions())) return false;
+  const bool is_held = !CanVerifyKey() || IsVersionDoubtful() ||
+                       context_->quarantine.HasVerdict(suspects_);
+  if (is_held) return false;
+  const auto now = MonotonicNow();
+  return IsLinkUsable(now)
+             ? context_->picker.HasUpstreamFor(MakePickRequest(), now)
+             : HasPeer(now);
+}
+
+void Exchange::OnSilent(const UpstreamAttempt& attempt) {
+  if (finished_) return;
+  const auto self = shared_from_this();
+  race_.OnSilent(attempt.number());
+  StartBeside();
+}
+
+void Exchange::StartBeside() {
+  if (!MayStartBeside() || !TakeRetry()) return;
+  ++started_beside_;
+  LogBeside();
+  TryNextUpstream();
+}
+
+void Exchange::GoOn() {
+  if (race_.in_flight() == 0) return TryNextUpstream();
+  StartBeside();
+}
+
+bool Exchange::TakeRetry() {
+  if (!race_.NeedsRetry()) return true;
+  if (!context_->BudgetOf(service_).TryTake()) return false;
+  race_.AddRetry();
+  return true;
+}
+
+void Exchange::CancelOvertaken(const std::vector<int>& overtaken,
+                               std::string_view winner) {
+  const auto now = MonotonicNow();
+  const std::string by(winner);
+  for (const int number : overtaken) {
+    if (const auto* delegated = attempts_.FindDelegated(number)) {
+      LogOvertaken(by, delegated->peer.daemon,
+                   delegated->stream->MayHaveBeenSent(),
+                   now - delegated->last_message_at);
+      EndDelegation(number);
+    } else if (const auto attempt = attempts_.Remove(number)) {
+      if (moving_ == number) move_call_.reset();
+      const bool sent = attempt->MayHaveBeenSent();
+      LogOvertaken(by, attempt->upstream().id, sent,
+                   now - attempt->last_byte_at());
+      race_.OnCancelled(number, sent, attempt->Counts());
+      attempt->Release(attempt->is_silent() ? UpstreamOutcome::kFailed
+                                            : UpstreamOutcome::kNeutral,
+                       false, now);
+    }
+  }
+}
+
+RequestOutcome Exchange::OutcomeSoFar() const {
+  return race_.may_have_run() || attempts_.IsSent() ? RequestOutcome::kUnknown
+                                                    : RequestOutcome::kNotRun;
+}
+
+void Exchange::ReleaseAttempts() {
+  while (const auto number = attempts_.AnyDelegated()) EndDelegation(*number);
+  const auto now = MonotonicNow();
+  // They are deleted with this object, since a call of theirs may be on the
+  // stack.
+  for (const auto& attempt : attempts_.all()) {
+    race_.OnCancelled(attempt->number(), attempt->MayHaveBeenSent(),
+                      attempt->Counts());
+    attempt->Release(UpstreamOutcome::kNeutral, false, now);
+  }
+  if (race_.TakeUnusedRetry()) context_->BudgetOf(service_).Return();
+}
+
+}  // namespace firmoor::details
--- a/libs/gateway/src/details/exchange_resume.cc
+++ b/libs/gateway/src/details/exchange_resume.cc
@@ -65,7 +65,7 @@
 }
 
 void Exchange::BindVersion() {
-  version_ = attempt_.upstream.software_version;
+  version_ = writer_->upstream.software_version;
   if (!admission_.route->is_resumable) return;
   RecordVersion();
   RecordDoubt();
@@ -83,33 +83,29 @@
 }
 
 void Exchange::OnUpstreamReplaced(const std::string& upstream) {
-  if (finished_ || !version_ || attempt_.upstream.id != upstream) return;
-  RecordDoubt();
+  const bool wrote = writer_ && writer_->upstream.id == upstream;
+  if (!finished_ && version_ && wrote) RecordDoubt();
 }
 
 void Exchange::RecordDoubt() {
   if (!admission_.route->is_resumable || !IsVersionDoubtful()) return;
   // Records that contradict each other forbid to resume the stream.
   const auto bound = std::exchange(
-      version_, context_->catalog.Find(attempt_.upstream.id)->software_version);
+      version_, context_->catalog.Find(writer_->upstream.id)->software_version);
   RecordVersion();
   version_ = bound;
 }
 
-bool Exchange::WasReplaced(const UpstreamEntry& upstream) const {
-  const auto* entry = context_->catalog.Find(upstream.id);
-  return entry != nullptr && entry->born_ms != upstream.born_ms;
-}
-
 bool Exchange::IsVersionDoubtful() const {
-  const auto* entry = context_->catalog.Find(attempt_.upstream.id);
-  if (!WasReplaced(attempt_.upstream) ||
-      entry->software_version == attempt_.upstream.software_version) {
-    return false;
-  }
-  return entry->born_ms <=
-         context_->environment.true_time->At(attempt_.sent_at) +
-             kClockToleranceMs;
+  if (!writer_) return false;
+  const auto& wrote = writer_->upstream;
+  const auto* entry = context_->catalog.Find(wrote.id);
+  const bool was_replaced = entry != nullptr &&
+                            entry->born_ms != wrote.born_ms &&
+                            entry->software_version != wrote.software_version;
+  return was_replaced && entry->born_ms <= context_->environment.true_time->At(
+                                               writer_->sent_at) +
+                                               kClockToleranceMs;
 }
 
 int Exchange::PriorityOfAttempt() const {
--- /dev/null
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -0,0 +1,258 @@
+#include "details/upstream_attempt.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace firmoor::details {
+
+NewEvents FeedEvents(EventRelay* relay, std::string_view bytes) {
+  const auto before = relay->events();
+  NewEvents events;
+  events.bytes = relay->Feed(bytes);
+  events.count = relay->events() - before;
+  events.last_id = relay->last_event_id();
+  return events;
+}
+
+HttpCallTimeouts AttemptTimeouts(const Route& route, Duration left) {
+  // Connecting takes a few ms within a region and 40 ms between regions; a
+  // longer time means a lost packet or a dead upstream.
+  constexpr Duration kConnectTimeout{400};
+  // Time without a byte after which a second attempt of a repeatable request
+  // starts: well above what a busy engine needs, and below the callers'
+  // timeouts.
+  constexpr int kFirstByteTimeoutObjectives = 3;
+  constexpr Duration kStreamIdleTimeout{1'500};
+  HttpCallTimeouts times{std::min(kConnectTimeout, left), left, left};
+  if (!route.MayRepeat()) return times;
+  times.first_byte =
+      std::min(left, route.objective * kFirstByteTimeoutObjectives);
+  if (route.kind == RequestKind::kStream) {
+    times.idle = std::min(left, kStreamIdleTimeout);
+  }
+  return times;
+}
+
+UpstreamAttempt::UpstreamAttempt(GatewayContext* context,
+                                 const ForwardRequest& request, Plan plan,
+                                 Owner* owner)
+    : context_(context),
+      request_(request),
+      plan_(std::move(plan)),
+      owner_(owner),
+      in_flight_(context->picker.InFlight(plan_.upstream.id)),
+      sent_at_(MonotonicNow()),
+      last_byte_at_(sent_at_),
+      relay_(plan_.call.last_event_id) {
+  ticket_ = context_->StartAttempt(plan_.upstream, plan_.pick, sent_at_);
+  prefill_tokens_ = ticket_.prefill_tokens;
+  EnsurePermit();
+}
+
+UpstreamAttempt::~UpstreamAttempt() {
+  Release(UpstreamOutcome::kNeutral, false, MonotonicNow());
+}
+
+void UpstreamAttempt::Start(int number) {
+  number_ = number;
+  auto builder = HttpCall::Builder(
+      plan_.upstream.endpoint,
+      context_->environment.dialect->EncodeRequest(request_, plan_.call));
+  builder.Host(request_.host)
+      .Timeouts(plan_.timeouts)
+      .EndIfSilent([this] {
+        is_silent_ = true;
+        owner_->OnSilent(*this);
+        return false;
+      })
+      .SendIf([this] { return MaySend(); })
+      .OnHead([this](int status, const HttpHeaders& headers) {
+        OnHead(status, headers);
+      })
+      .OnBody([this](std::string_view bytes) { OnBody(bytes); })
+      .OnEnd([this](HttpCallEnd end) { End(end); });
+  if (plan_.may_repeat) builder.Pool(&context_->pool);
+  call_ = builder.Start();
+}
+
+bool UpstreamAttempt::MaySend() {
+  const bool is_continuation = plan_.call.copy.has_value();
+  send_cancelled_ = end_ || (!is_continuation && IsLeaving()) ||
+                    !owner_->MaySend(*this) || !EnsurePermit();
+  return !send_cancelled_;
+}
+
+void UpstreamAttempt::End(HttpCallEnd end) {
+  if (end_) return;
+  end_ = end;
+  owner_->OnEnd(*this, end);
+}
+
+void UpstreamAttempt::Release(UpstreamOutcome outcome, bool rejected,
+                              TimePoint now) {
+  const bool is_unused = rate_limit_ > 0 && !MayHaveBeenSent();
+  if (is_unused && std::exchange(has_permit_, false)) {
+    context_->permits.Return(plan_.upstream.id, plan_.upstream.born_ms);
+  }
+  context_->EndAttempt(plan_.upstream, &ticket_, outcome, rejected, now);
+}
+
+bool UpstreamAttempt::MayHaveBeenSent() const {
+  return call_ && call_->MayHaveBeenSent();
+}
+
+bool UpstreamAttempt::IsLeaving() const {
+  const auto* entry = context_->catalog.Find(plan_.upstream.id);
+  return entry != nullptr && entry->leaving;
+}
+
+bool UpstreamAttempt::Counts() const {
+  const auto* entry = context_->catalog.Find(plan_.upstream.id);
+  return entry != nullptr && !entry->leaving;
+}
+
+bool UpstreamAttempt::WasReplaced() const {
+  const auto* entry = context_->catalog.Find(plan_.upstream.id);
+  return entry != nullptr && entry->born_ms != plan_.upstream.born_ms;
+}
+
+bool UpstreamAttempt::IsSilentFor(Duration time, TimePoint now) const {
+  return !end_ && MayHaveBeenSent() && now - last_byte_at_ >= time;
+}
+
+bool UpstreamAttempt::EnsurePermit() {
+  const auto& upstream = plan_.upstream;
+  if (rate_limit_ > 0 && has_permit_) return true;
+  rate_limit_ = context_->permits.LimitOf(upstream.id, upstream.born_ms);
+  has_permit_ = context_->TakePermit(upstream);
+  return has_permit_;
+}
+
+void UpstreamAttempt::OnHead(int status, const HttpHeaders& headers) {
+  if (end_) return;
+  head_at_ = MonotonicNow();
+  last_byte_at_ = *head_at_;
+  if (call_->IsOnReusedConnection()) {
+    context_->links.OnContact(plan_.upstream.id);
+  } else {
+    context_->links.OnConnected(plan_.upstream.id, sent_at_);
+  }
+  head_ = context_->environment.dialect->DecodeResponseHead(status, headers);
+  const auto& answered = head_->request_id;
+  is_mismatched_ = !answered.empty() && answered != request_.id;
+  if (is_mismatched_) call_->DisableReuse();
+  context_->ApplyResponseHead(plan_.upstream, *head_, request_.id);
+  // Such a response may be of another upstream, or an earlier one.
+  if (!is_mismatched_ && !head_->wrong_upstream) {
+    context_->quarantine.OnResponse(plan_.upstream);
+    context_->ApplyRateLimit(plan_.upstream, *head_, request_.id);
+    context_->ApplyBrittleness(plan_.upstream, *head_, request_.id);
+  }
+  is_event_stream_ = !is_mismatched_ && plan_.is_stream && head_->IsSuccess();
+  is_silent_ = false;
+  owner_->OnByte(*this);
+}
+
+void UpstreamAttempt::OnBody(std::string_view bytes) {
+  if (end_) return;
+  last_byte_at_ = MonotonicNow();
+  is_silent_ = false;
+  context_->links.OnContact(plan_.upstream.id);
+  owner_->OnByte(*this);
+  if (!is_event_stream_) {
+    body_ += bytes;
+    return;
+  }
+  const auto events = FeedEvents(&relay_, bytes);
+  if (events.bytes.empty()) return;
+  context_->picker.OnFirstEvent(&ticket_, last_byte_at_);
+  owner_->OnEvents(*this, events);
+}
+
+AttemptEnd UpstreamAttempt::DescribeEnd(HttpCallEnd end, bool answer_started,
+                                        std::size_t forwarded_events) const {
+  AttemptEnd described;
+  described.end = is_mismatched_ ? HttpCallEnd::kMalformed : end;
+  described.may_have_been_sent = MayHaveBeenSent();
+  if (end == HttpCallEnd::kComplete && head_ && !is_mismatched_) {
+    described.declared_not_run = head_->declared_not_run;
+    // Only events may follow those that the caller has.
+    described.failed =
+        head_->IsFailure() || (answer_started && !is_event_stream_);
+  }
+  // An engine that crashes at its first token has sent a head only.
+  const bool may_be_cut = forwarded_events == 0 && call_->IsDelimitedByClose();
+  described.stream_complete =
+      !is_event_stream_ || !(relay_.HasPartialEvent() || may_be_cut);
+  return described;
+}
+
+UpstreamOutcome UpstreamAttempt::OutcomeFor(const AttemptEnd& end) const {
+  const bool wrong = head_ && head_->wrong_upstream;
+  if (wrong || send_cancelled_) return UpstreamOutcome::kNeutral;
+  if (end.declared_not_run) return UpstreamOutcome::kRefused;
+  switch (end.end) {
+    case HttpCallEnd::kComplete:
+      return end.failed ? UpstreamOutcome::kFailed : UpstreamOutcome::kSuccess;
+    case HttpCallEnd::kNotConnected:
+      return end.may_have_been_sent ? UpstreamOutcome::kNeutral
+                                    : UpstreamOutcome::kUnreachable;
+    case HttpCallEnd::kNoResponse:
+    case HttpCallEnd::kTruncated:
+    case HttpCallEnd::kMalformed:
+    case HttpCallEnd::kTimedOut:
+      return UpstreamOutcome::kFailed;
+    case HttpCallEnd::kCancelled:
+      return UpstreamOutcome::kNeutral;
+  }
+  return UpstreamOutcome::kNeutral;
+}
+
+bool UpstreamAttempt::WasRejected(const AttemptEnd& end) const {
+  return end.declared_not_run && !head_->wrong_upstream && !head_->leaving;
+}
+
+bool UpstreamAttempt::RecordEvidence(
+    const AttemptEnd& end, const std::vector<Suspect>& suspects) const {
+  const bool ran =
+      end.may_have_been_sent && !end.declared_not_run && !is_mismatched_;
+  if (!ran) return false;
+  const bool is_complete = end.end == HttpCallEnd::kComplete;
+  const bool may_be_cut = is_complete && call_->IsDelimitedByClose();
+  if (is_complete && !may_be_cut) {
+    context_->quarantine.OnResponse(plan_.upstream);
+    const bool succeeded = head_->IsSuccess() && end.stream_complete;
+    if (succeeded) context_->quarantine.OnCompleted(suspects);
+    return false;
+  }
+  const bool is_broken =
+      end.end == HttpCallEnd::kNoResponse || end.end == HttpCallEnd::kTruncated;
+  if (!is_broken && !may_be_cut) return false;
+  // Connections to upstreams that leave end without a crash.
+  if (!Counts()) return false;
+  context_->quarantine.OnBroken(
+      plan_.upstream,
+      {{plan_.upstream.id, plan_.upstream.born_ms},
+       head_at_.value_or(sent_at_),
+       suspects,
+       may_be_cut && head_->IsSuccess() && end.stream_complete});
+  return is_broken;
+}
+
+void UpstreamAttempt::RecordLinkEvidence(const AttemptEnd& end) const {
+  if (send_cancelled_) return;
+  switch (end.end) {
+    case HttpCallEnd::kNotConnected:
+      return context_->links.OnConnectFailure(plan_.upstream.id);
+    case HttpCallEnd::kNoResponse:
+    case HttpCallEnd::kTruncated:
+    case HttpCallEnd::kTimedOut:
+      return context_->links.OnBroken(plan_.upstream.id);
+    case HttpCallEnd::kComplete:
+    case HttpCallEnd::kMalformed:
+    case HttpCallEnd::kCancelled:
+      return;
+  }
+}
+
+}  // namespace firmoor::details
--- /dev/null
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -0,0 +1,158 @@
+#ifndef FIRMOOR_GATEWAY_DETAILS_UPSTREAM_ATTEMPT_H_
+#define FIRMOOR_GATEWAY_DETAILS_UPSTREAM_ATTEMPT_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "details/gateway_context.h"
+#include "gateway/event_relay.h"
+#include "quarantine/suspect.h"
+#include "serving/attempt_policy.h"
+
+namespace firmoor::details {
+
+/// Complete events of a stream that the caller does not have yet.
+struct NewEvents {
+  std::string bytes;
+  std::size_t count = 0;
+  std::string last_id;  ///< Id of the last one.
+
+  bool operator==(const NewEvents&) const = default;
+};
+
+/// The events that `bytes` complete in `relay`.
+NewEvents FeedEvents(EventRelay* relay, std::string_view bytes);
+
+/// Time-outs of an attempt of a request that has `left` until it ends.
+HttpCallTimeouts AttemptTimeouts(const Route& route, Duration left);
+
+/// One attempt to serve a request at one upstream: its call, its place at the
+/// upstream, its permit, and what its end tells about the upstream.
+class UpstreamAttempt {
+ public:
+  /// Gets what happens to the attempt; may delete it in `OnEnd` only.
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    /// Asked right before the request is written.
+    virtual bool MaySend(const UpstreamAttempt& attempt) = 0;
+    virtual void OnByte(const UpstreamAttempt& attempt) = 0;
+    /// The upstream has been silent for its time-out; called again each time
+    /// it expires.
+    virtual void OnSilent(const UpstreamAttempt& attempt) = 0;
+    virtual void OnEvents(const UpstreamAttempt& attempt,
+                          const NewEvents& events) = 0;
+    virtual void OnEnd(const UpstreamAttempt& attempt, HttpCallEnd end) = 0;
+  };
+  struct Plan {
+    UpstreamEntry upstream;
+    PickRequest pick;
+    UpstreamCall call;
+    HttpCallTimeouts timeouts;
+    bool is_stream = false;
+    bool may_repeat = false;
+  };
+
+  /// Takes a place at the upstream, and a permit if it needs one. `context`,
+  /// `request` and `owner` must outlive the attempt.
+  UpstreamAttempt(GatewayContext* context, const ForwardRequest& request,
+                  Plan plan, Owner* owner);
+  /// Cancels the call.
+  ~UpstreamAttempt();
+  UpstreamAttempt(const UpstreamAttempt&) = delete;
+  UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
+
+  /// Starts the call. `number`: by which the owner knows the attempt.
+  void Start(int number);
+  /// Ends the attempt, perhaps before its call has ended.
+  void End(HttpCallEnd end);
+  /// Gives up the place at the upstream, and the permit if it was not used.
+  /// `rejected`: the upstream had no room.
+  void Release(UpstreamOutcome outcome, bool rejected, TimePoint now);
+
+  [[nodiscard]] int number() const { return number_; }
+  [[nodiscard]] const UpstreamEntry& upstream() const { return plan_.upstream; }
+  [[nodiscard]] TimePoint sent_at() const { return sent_at_; }
+  /// Of the response; `sent_at` before the first.
+  [[nodiscard]] TimePoint last_byte_at() const { return last_byte_at_; }
+  /// Unset while the attempt runs.
+  [[nodiscard]] const std::optional<HttpCallEnd>& end() const { return end_; }
+  [[nodiscard]] const std::optional<UpstreamResponseHead>& head() const {
+    return head_;
+  }
+  /// Body of a response that is no event stream.
+  [[nodiscard]] const std::string& body() const { return body_; }
+  /// Whether the response is forwarded by event.
+  [[nodiscard]] bool is_event_stream() const { return is_event_stream_; }
+  /// This daemon's requests at the upstream when the attempt was sent.
+  [[nodiscard]] std::int64_t requests_before() const { return in_flight_; }
+  /// Prompt tokens estimated not to be cached.
+  [[nodiscard]] double prefill_tokens() const { return prefill_tokens_; }
+  /// Requests per second that the upstream had announced to accept; 0 without
+  /// a limit.
+  [[nodiscard]] double rate_limit() const { return rate_limit_; }
+  [[nodiscard]] bool send_cancelled() const { return send_cancelled_; }
+  [[nodiscard]] bool MayHaveBeenSent() const;
+  /// Whether it counts towards the route's limit of attempts.
+  [[nodiscard]] bool Counts() const;
+  /// Whether another instance is registered under the upstream's id by now.
+  [[nodiscard]] bool WasReplaced() const;
+  /// Whether the upstream has been silent for its time-out.
+  [[nodiscard]] bool is_silent() const { return is_silent_; }
+  /// Whether no byte has arrived for `time` since the request was sent.
+  [[nodiscard]] bool IsSilentFor(Duration time, TimePoint now) const;
+
+  /// `forwarded_events`: of the whole response, by all attempts.
+  [[nodiscard]] AttemptEnd DescribeEnd(HttpCallEnd end, bool answer_started,
+                                       std::size_t forwarded_events) const;
+  [[nodiscard]] UpstreamOutcome OutcomeFor(const AttemptEnd& end) const;
+  /// Whether the upstream had no room for the request.
+  [[nodiscard]] bool WasRejected(const AttemptEnd& end) const;
+  /// Records what the end says about what crashes upstreams. Returns whether
+  /// the connection broke as in a crash.
+  bool RecordEvidence(const AttemptEnd& end,
+                      const std::vector<Suspect>& suspects) const;
+  /// Records what the end says about the links to upstreams.
+  void RecordLinkEvidence(const AttemptEnd& end) const;
+
+ private:
+  void OnHead(int status, const HttpHeaders& headers);
+  void OnBody(std::string_view bytes);
+  bool MaySend();
+  [[nodiscard]] bool IsLeaving() const;
+  /// Whether the request may be sent under the rate limit of the upstream,
+  /// which may have become known after it was chosen.
+  bool EnsurePermit();
+
+  GatewayContext* context_;
+  const ForwardRequest& request_;
+  Plan plan_;
+  Owner* owner_;
+  int number_ = 0;
+  PickTicket ticket_;
+  std::int64_t in_flight_ = 0;
+  double prefill_tokens_ = 0;
+  double rate_limit_ = 0;
+  bool has_permit_ = false;  ///< For this limit.
+  TimePoint sent_at_;
+  TimePoint last_byte_at_;
+  std::optional<TimePoint> head_at_;
+  std::optional<UpstreamResponseHead> head_;
+  std::string body_;
+  EventRelay relay_;
+  bool is_event_stream_ = false;
+  bool is_silent_ = false;
+  bool is_mismatched_ = false;  ///< The response is to another request.
+  /// Not sent, since the key or the upstream was no longer usable.
+  bool send_cancelled_ = false;
+  std::optional<HttpCallEnd> end_;
+  std::unique_ptr<HttpCall> call_;
+};
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_GATEWAY_DETAILS_UPSTREAM_ATTEMPT_H_
--- a/libs/gateway/tests/gateway_cut_log_test.cc
+++ b/libs/gateway/tests/gateway_cut_log_test.cc
@@ -68,8 +68,12 @@
     REQUIRE(caller->WaitFor("id: 1"));
     fixture.AddUpstream("b", other);
     CHECK(caller->WaitClosed());
+    CHECK(log.OnlyLine("attempt-failed")["next"].toString() == "go-on");
     const auto line = log.OnlyLine("answer-cut");
-    CHECK(line["left_silent"].toString().trimmed().startsWith("a:"));
+    CHECK(line["reason"].toString() == "upstream-timeout");
+    CHECK(line["running"].toString().startsWith("a:"));
+    CHECK(line["beside"].toInt() == 1);
+    CHECK(line["left_silent"].toString().isEmpty());
   }
   SUBCASE("when its time was over") {
     RawUpstream stuck(
--- a/libs/serving/include/serving/retry_budget.h
+++ b/libs/serving/include/serving/retry_budget.h
@@ -24,6 +24,9 @@
   /// Consumes one retry; false when the budget is exhausted.
   bool TryTake();
 
+  /// Gives back a retry that was taken and not used.
+  void Return();
+
   void SetRatio(double ratio) { ratio_ = ratio; }
 
   /// Changes the burst, for instance when more daemons share it.
--- a/libs/serving/src/retry_budget.cc
+++ b/libs/serving/src/retry_budget.cc
@@ -27,6 +27,8 @@
   return true;
 }
 
+void RetryBudget::Return() { available_ = std::min(burst_, available_ + 1.0); }
+
 void RetryBudget::SetBurst(double burst) {
   FIRMOOR_PRECONDITION(burst >= 1, "the burst is at least 1");
   burst_ = burst;
