Count attempts that start beside a silent one by how they ended

Operators could not tell how often a second attempt starts and what it is worth: firmoor_attempts_beside_total has started, took-over, overtaken and dropped. An attempt is no longer released when it is deleted, since at the end of the process the picker may be gone before; each way that ends one releases it.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -151,7 +151,8 @@
   /// What this daemon knows of the coordinator's list of daemons.
   [[nodiscard]] DirectoryPosition DaemonDirectoryPosition() const;
   void ApplyDaemonDirectory(const DirectoryUpdate& update);
-  /// Metrics of resumed streams, in the Prometheus text format.
+  /// Metrics of resumed streams, and of attempts that started beside a silent
+  /// one, in the Prometheus text format.
   [[nodiscard]] std::string StreamMetrics() const;
 
   /// Applies the coordinator's reply to `report`, and continues the requests
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -127,7 +127,8 @@
                         const NewEvents& events) {
   if (finished_) return;
   const auto self = shared_from_this();
-  CancelOvertaken(race_.OnNextPart(attempt.number()), attempt.upstream().id);
+  CancelOvertaken(attempt.number(), attempt.upstream().id,
+                  race_.OnNextPart(attempt.number()));
   CountUsage();
   const bool is_new_writer =
       !writer_ || writer_->upstream != attempt.upstream();
@@ -212,9 +213,11 @@
   }
   switch (decision.step) {
     case RaceStep::kPassAnswer:
-      CancelOvertaken(decision.overtaken, attempt.upstream().id);
+      CancelOvertaken(attempt.number(), attempt.upstream().id,
+                      decision.overtaken);
       return ForwardAnswer(attempt);
     case RaceStep::kGoOn:
+      ++context_->beside_counters.dropped;
       if (attempt_end.failed && !answer_started_) {
         failed_answer_ = HttpResponse{attempt.head()->status,
                                       attempt.head()->headers, attempt.body()};
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -163,9 +163,10 @@
   /// Takes the retry from the budget that the next attempt needs. Returns
   /// whether it has one or needs none.
   bool TakeRetry();
-  /// Cancels the attempts that `winner` has overtaken.
-  void CancelOvertaken(const std::vector<int>& overtaken,
-                       std::string_view winner);
+  /// Cancels the attempts that `winner` has overtaken. `by`: its upstream or
+  /// daemon.
+  void CancelOvertaken(int winner, const std::string& by,
+                       const std::vector<int>& overtaken);
   /// Gives up the places of all attempts in flight.
   void ReleaseAttempts();
   void ForwardAnswer(const UpstreamAttempt& attempt);
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -221,7 +221,7 @@
 
 void Exchange::AdoptDelegation(int number) {
   const auto* delegation = attempts_.FindDelegated(number);
-  CancelOvertaken(race_.OnNextPart(number), delegation->peer.daemon);
+  CancelOvertaken(number, delegation->peer.daemon, race_.OnNextPart(number));
   // The peer counts a stream before it sends the head.
   usage_counted_ = true;
   writer_.reset();
@@ -240,6 +240,7 @@
   const bool is_failure =
       refusal || answer_started_ || response.status >= kFirstServerError;
   if (is_failure && race_.in_flight() > 1) {
+    ++context_->beside_counters.dropped;
     refusing_peers_.insert(peer);
     race_.OnCancelled(number, !is_not_run, true);
     EndDelegation(number);
@@ -259,7 +260,7 @@
   if (is_not_run && race_.may_have_run()) {
     return Refuse(refusal->code, "", RequestOutcome::kUnknown, std::nullopt);
   }
-  CancelOvertaken(race_.OnNextPart(number), peer);
+  CancelOvertaken(number, peer, race_.OnNextPart(number));
   responder_->Send(response);
   if (refusal) return Finish(refusal->code, NameOf(refusal->outcome));
   Finish(ResultCode::kOk,
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -40,6 +40,7 @@
 void Exchange::StartBeside() {
   if (!MayStartBeside() || !TakeRetry()) return;
   ++started_beside_;
+  ++context_->beside_counters.started;
   LogBeside();
   TryNextUpstream();
 }
@@ -56,11 +57,12 @@
   return true;
 }
 
-void Exchange::CancelOvertaken(const std::vector<int>& overtaken,
-                               std::string_view winner) {
+void Exchange::CancelOvertaken(int winner, const std::string& by,
+                               const std::vector<int>& overtaken) {
   const auto now = MonotonicNow();
-  const std::string by(winner);
+  auto& counters = context_->beside_counters;
   for (const int number : overtaken) {
+    ++(winner > number ? counters.took_over : counters.overtaken);
     if (const auto* delegated = attempts_.FindDelegated(number)) {
       LogOvertaken(by, delegated->peer.daemon,
                    delegated->stream->MayHaveBeenSent(),
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -42,6 +42,14 @@
   std::uint64_t rejected = 0;   ///< Rejected for want of a permit.
 };
 
+/// Attempts that started beside a silent one, since the start.
+struct BesideCounters {
+  std::uint64_t started = 0;
+  std::uint64_t took_over = 0;  ///< Brought the next part of the response.
+  std::uint64_t overtaken = 0;  ///< Cancelled, since the silent one went on.
+  std::uint64_t dropped = 0;    ///< Attempts that ended while another went on.
+};
+
 /// Effects of brittle upstreams, since the start.
 struct SlotCounters {
   std::uint64_t waited = 0;    ///< Waits of requests for a slot.
@@ -78,6 +86,7 @@
   RetrySchedule retry_schedule;
   UpstreamLimitCounters limit_counters;
   SlotCounters slot_counters;
+  BesideCounters beside_counters;
   /// Requests that wait for a slot of a brittle upstream, by service; may hold
   /// some that wait no more.
   std::map<std::string, std::deque<std::weak_ptr<Exchange>>> slot_waiters;
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -49,10 +49,6 @@
   EnsurePermit();
 }
 
-UpstreamAttempt::~UpstreamAttempt() {
-  Release(UpstreamOutcome::kNeutral, false, MonotonicNow());
-}
-
 void UpstreamAttempt::Start(int number) {
   number_ = number;
   auto builder = HttpCall::Builder(
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -57,12 +57,11 @@
     bool may_repeat = false;
   };
 
-  /// Takes a place at the upstream, and a permit if it needs one. `context`,
+  /// Takes a place at the upstream, which `Release` gives up, and a permit if
+  /// it needs one. Deleting the attempt cancels its call. `context`,
   /// `request` and `owner` must outlive the attempt.
   UpstreamAttempt(GatewayContext* context, const ForwardRequest& request,
                   Plan plan, Owner* owner);
-  /// Cancels the call.
-  ~UpstreamAttempt();
   UpstreamAttempt(const UpstreamAttempt&) = delete;
   UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -286,6 +286,14 @@
         "firmoor_streams_bound{{service=\"{}\",version=\"{}\"}} {}\n", of.first,
         of.second, count);
   }
+  const auto& beside = context.beside_counters;
+  for (const auto& [end, count] : {std::pair("started", beside.started),
+                                   std::pair("took-over", beside.took_over),
+                                   std::pair("overtaken", beside.overtaken),
+                                   std::pair("dropped", beside.dropped)}) {
+    text += fmt::format("firmoor_attempts_beside_total{{end=\"{}\"}} {}\n", end,
+                        count);
+  }
   return text;
 }
 
