Close the connection of an attempt that was overtaken

An attempt that another one had overtaken was kept for the log with its call alive: when its upstream went on, its events were forwarded as well, it took over in turn, and was deleted while its own callback was on the stack.

--- a/libs/gateway/src/details/attempts_in_flight.cc
+++ b/libs/gateway/src/details/attempts_in_flight.cc
@@ -37,6 +37,7 @@
   auto attempt = Find(number);
   if (!attempt) return nullptr;
   std::erase(attempts_, attempt);
+  attempt->Cancel();
   last_removed_ = attempt;
   return attempt;
 }
--- a/libs/gateway/src/details/attempts_in_flight.h
+++ b/libs/gateway/src/details/attempts_in_flight.h
@@ -36,7 +36,7 @@
   [[nodiscard]] std::shared_ptr<UpstreamAttempt> Find(int number) const;
   [[nodiscard]] DelegatedAttempt* FindDelegated(int number);
   [[nodiscard]] bool HasAttemptAt(const std::string& upstream) const;
-  /// Removes and returns the attempt; null if it is not in flight.
+  /// Removes, cancels and returns the attempt; null if it is not in flight.
   std::shared_ptr<UpstreamAttempt> Remove(int number);
   std::optional<DelegatedAttempt> RemoveDelegated(int number);
 
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -84,6 +84,11 @@
   owner_->OnEnd(*this, end);
 }
 
+void UpstreamAttempt::Cancel() {
+  if (!end_) end_ = HttpCallEnd::kCancelled;
+  if (call_) call_->Cancel();
+}
+
 void UpstreamAttempt::Release(UpstreamOutcome outcome, bool rejected,
                               TimePoint now) {
   const bool is_unused = rate_limit_ > 0 && !MayHaveBeenSent();
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -69,6 +69,8 @@
   void Start(int number);
   /// Ends the attempt, perhaps before its call has ended.
   void End(HttpCallEnd end);
+  /// Closes the connection; the owner hears no more of the attempt.
+  void Cancel();
   /// Gives up the place at the upstream, and the permit if it was not used.
   /// `rejected`: the upstream had no room.
   void Release(UpstreamOutcome outcome, bool rejected, TimePoint now);
--- a/libs/gateway/tests/gateway_silence_test.cc
+++ b/libs/gateway/tests/gateway_silence_test.cc
@@ -125,6 +125,30 @@
   }
 }
 
+// Guards against events that come twice, and a crash: an upstream that had been
+// overtaken kept its connection and went on sending.
+TEST_CASE("an upstream that was overtaken has no part in the stream any more") {
+  PausedStream stream;
+  bool first_closed = false;
+  auto* first = stream.a.At(0).socket;
+  QObject::connect(first, &QTcpSocket::disconnected, first,
+                   [&] { first_closed = true; });
+  RawUpstream b([](auto& connection) {
+    const auto size = MakeEvent(2).size() + MakeEvent(3).size();
+    connection.socket->write(QByteArray::fromStdString(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
+        "\r\n\r\n" + MakeEvent(2)));
+    QTimer::singleShot(800, connection.socket, [s = connection.socket] {
+      s->write(QByteArray::fromStdString(MakeEvent(3)));
+    });
+  });
+  stream.fixture.AddUpstream("b", b);
+  REQUIRE(stream.caller->WaitFor("id: 2", 1'800));
+  CHECK(WaitUntil([&] { return first_closed; }, 400));
+  CHECK(stream.Completes());
+  CHECK(stream.caller->Received().find("id: 3") != std::string::npos);
+}
+
 // Guards against an idempotent request that is refused, and its work thrown
 // away, since it left an upstream that would have answered after 1.2 s.
 TEST_CASE("a request whose upstream pauses is not lost to another upstream") {
