Test that an answer of an earlier era says nothing about the lease

A mutation that the tests did not see: LeaseElector::RecordAnswer without the line by which an answer of an earlier era counts as none. With it, a late answer of the era before a return names a holder, and the lease is written with a revision of that era, which may be another holder's by now.

Ruled out that the line is dead: the era is heard of between the call and its answer, which needs no fault but the return itself.

--- a/libs/placement/tests/lease_return_test.cc
+++ b/libs/placement/tests/lease_return_test.cc
@@ -322,4 +322,27 @@
   }
 }
 
+// Guards against a daemon that takes the lease on the word of an earlier era
+// (incident ONE): a revision of that era may be another holder's by now.
+TEST_CASE("an answer of an earlier era says nothing about the lease") {
+  ReturningStore site;
+  LeaseElector other("other", {});
+  auto now = kStart + Duration(100);
+  const auto read = other.NextCall(now);
+  REQUIRE(read);
+  REQUIRE_FALSE(read->is_write);
+  RestorableStore::Answer late;
+  SUBCASE("that tells the holder") { late = site.store.Read(kLease); }
+  SUBCASE("that tells of no lease") { late.object.version = {1, 0}; }
+  site.store.Restore();
+  other.ObserveEra(late.object.version.era, now);
+  other.ObserveEra(late.object.version.era + 1, now);
+  other.OnRead(late.status, late.object, now);
+  CHECK(other.seen_holder().empty());
+  now += 3 * kLifetime;
+  const auto next = other.NextCall(now);
+  REQUIRE(next);
+  CHECK_FALSE(next->is_write);
+}
+
 }  // namespace firmoor
