Name the upstream that answered in the line of a raced request

What operators saw: when the second attempt's complete answer was passed on, the `request` line had the `upstream` and `status` of the first, which had been cancelled: the last attempt that is kept for the log was the last one removed, and the overtaken one is removed after the winner.

The new file has the race of two attempts with sockets: each of them first, both at the same moment, before the first event; the caller leaves, the route's timeout and the end of the process while two are in flight; what callers are told when both end.

--- a/libs/gateway/src/details/attempts_in_flight.cc
+++ b/libs/gateway/src/details/attempts_in_flight.cc
@@ -37,8 +37,8 @@
   auto attempt = Find(number);
   if (!attempt) return nullptr;
   std::erase(attempts_, attempt);
+  if (attempt->end()) last_ended_ = attempt;
   attempt->Cancel();
-  last_removed_ = attempt;
   return attempt;
 }
 
@@ -68,7 +68,7 @@
 }
 
 const UpstreamAttempt* AttemptsInFlight::Shown() const {
-  return attempts_.empty() ? last_removed_.get() : attempts_.front().get();
+  return attempts_.empty() ? last_ended_.get() : attempts_.front().get();
 }
 
 std::string AttemptsInFlight::Describe(TimePoint now) const {
--- a/libs/gateway/src/details/attempts_in_flight.h
+++ b/libs/gateway/src/details/attempts_in_flight.h
@@ -50,7 +50,7 @@
   [[nodiscard]] bool IsSentToUpstream() const;
   /// Whether an upstream may have received the request.
   [[nodiscard]] bool IsSent() const;
-  /// The oldest attempt, else the last one that was removed; for logs.
+  /// The oldest attempt, else the last one that ended by itself; for logs.
   [[nodiscard]] const UpstreamAttempt* Shown() const;
   /// The attempts, and how many ms each has been silent.
   [[nodiscard]] std::string Describe(TimePoint now) const;
@@ -58,7 +58,7 @@
  private:
   std::vector<std::shared_ptr<UpstreamAttempt>> attempts_;
   std::map<int, DelegatedAttempt> delegated_;
-  std::shared_ptr<UpstreamAttempt> last_removed_;
+  std::shared_ptr<UpstreamAttempt> last_ended_;
 };
 
 }  // namespace firmoor::details
--- /dev/null
+++ b/libs/gateway/tests/gateway_silence_race_test.cc
@@ -0,0 +1,212 @@
+#include <doctest/doctest.h>
+
+#include <QTimer>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "silent_upstreams.h"
+
+namespace firmoor {
+namespace {
+
+constexpr int kNever = 60'000;
+
+void Write(RawUpstream& upstream, const std::string& bytes) {
+  upstream.At(0).socket->write(QByteArray::fromStdString(bytes));
+  upstream.At(0).socket->flush();
+}
+
+/// Sends event 1 of a stream of three; the test sends the others.
+void BeginStream(RawUpstream::Connection& connection) {
+  connection.socket->write(QByteArray::fromStdString(
+      "HTTP/1.1 200 OK\r\nContent-Length: " +
+      std::to_string(3 * MakeEvent(1).size()) + "\r\n\r\n" + MakeEvent(1)));
+}
+
+}  // namespace
+
+// Guards against LOST and ORDER: the attempts of a stream that has two at the
+// same time end each other, or both forward their events.
+TEST_CASE("of two attempts of a stream the first to go on has it") {
+  SUBCASE("the silent one, while the other one is as silent") {
+    RacedRequest request(SendEvents({{1, 0}, {2, 1'900}, {3, 1'950}}),
+                         SendEvents({{2, 800}, {3, 900}}));
+    request.StartStream();
+    REQUIRE(request.WaitForSecond());
+    CHECK(request.caller->WaitFor(kEnd, 700));
+    CHECK(HasEvents(*request.caller, {1, 2, 3}));
+    CHECK(WaitUntil([&] { return IsClosed(request.b.At(0)); }, kCancelMs));
+    CHECK(request.HasMetric("started", 1));
+    CHECK(request.HasMetric("overtaken", 1));
+    CHECK(request.HasMetric("took-over", 0));
+    const auto beside = request.log.OnlyLine("attempt-beside");
+    CHECK(beside["in_flight"].toString().startsWith("a:1"));
+    CHECK(beside["events"].toInt() == 1);
+    const auto overtaken = request.log.OnlyLine("attempt-overtaken");
+    CHECK(overtaken["upstream"].toString() == "b");
+    CHECK(overtaken["by"].toString() == "a");
+    CHECK(overtaken["may_have_left"].toBool());
+  }
+  // Guards against a cancelled attempt that stays connected: its late events
+  // ended the attempt that had taken over, and were forwarded twice.
+  SUBCASE("the second one, whatever the first one sends later") {
+    RacedRequest request(SendEvents({{1, 0}, {2, 1'900}, {3, 1'950}}),
+                         SendEvents({{2, 50}, {3, 700}}));
+    request.StartStream();
+    REQUIRE(request.caller->WaitFor("id: 2", 1'800));
+    CHECK(WaitUntil([&] { return IsClosed(request.a.At(0)); }, 200));
+    CHECK(request.caller->WaitFor(kEnd, 1'000));
+    CHECK(HasEvents(*request.caller, {1, 2, 3}));
+    CHECK(request.a.Requests() == 1);
+    CHECK(request.HasMetric("took-over", 1));
+    CHECK(request.HasMetric("overtaken", 0));
+    const auto overtaken = request.log.OnlyLine("attempt-overtaken");
+    CHECK(overtaken["upstream"].toString() == "a");
+    CHECK(overtaken["silent_ms"].toInt() >= 1'500);
+    const auto line = request.log.OnlyLine("request");
+    CHECK(line["upstream"].toString() == "b");
+    CHECK(line["beside"].toInt() == 1);
+    CHECK(line["sends"].toInt() == 2);
+  }
+  SUBCASE("one of them when both go on at the same moment") {
+    RacedRequest request(BeginStream, [](auto&) {});
+    request.StartStream();
+    REQUIRE(request.WaitForSecond());
+    const auto rest = MakeEvent(2) + MakeEvent(3);
+    Write(request.a, rest);
+    Write(request.b, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                         std::to_string(rest.size()) + "\r\n\r\n" + rest);
+    CHECK(request.caller->WaitFor(kEnd, 500));
+    RunFor(50);
+    CHECK(HasEvents(*request.caller, {1, 2, 3}));
+    CHECK(request.InFlight() == 0);
+  }
+  SUBCASE("the second one before the first event") {
+    RacedRequest request(SendEvents({{1, 1'200}}),
+                         SendEvents({{1, 50}, {2, 800}}));
+    request.Start("resumable");
+    REQUIRE(request.caller->WaitFor("id: 1", 1'000));
+    CHECK(request.caller->WaitFor(kEnd, 1'200));
+    CHECK(HasEvents(*request.caller, {1, 2}));
+  }
+  SUBCASE("the second one's complete answer") {
+    RacedRequest request(AnswerAfter(1'200, "200 OK", "of-a"),
+                         AnswerAfter(50, "200 OK", "of-b"));
+    request.Start("idempotent");
+    REQUIRE(request.caller->WaitFor("of-b", 1'000));
+    CHECK(WaitUntil([&] { return IsClosed(request.a.At(0)); }, kCancelMs));
+    CHECK(request.caller->Received().find("of-a") == std::string::npos);
+    // Guards against a line that names the upstream that did not answer.
+    const auto line = request.log.OnlyLine("request");
+    CHECK(line["upstream"].toString() == "b");
+    CHECK(line["status"].toInt() == 200);
+    CHECK(line["sends"].toInt() == 2);
+  }
+}
+
+// Guards against attempts that outlive their request.
+TEST_CASE("a request with two attempts in flight ends both") {
+  RacedRequest request(SendEvents({{1, 0}, {2, kNever}}),
+                       SendEvents({{2, kNever}}));
+  const auto set_timeout = [&](Duration timeout) {
+    request.Reconfigure([&](auto* content) {
+      for (auto& route : content->routes) route.timeout = timeout;
+    });
+  };
+
+  SUBCASE("when its caller leaves") {
+    request.StartStream();
+    REQUIRE(request.WaitForSecond());
+    request.caller->Leave();
+    CHECK(request.WaitBothClosed());
+    const auto line = request.log.OnlyLine("answer-cut");
+    CHECK(line["by"].toString() == "caller");
+    CHECK(line["beside"].toInt() == 1);
+    const auto running = line["running"].toString();
+    CHECK(running.startsWith("a:1"));
+    CHECK(running.contains(" b:"));
+  }
+  SUBCASE("at its route's timeout") {
+    set_timeout(Duration(2'000));
+    request.StartStream();
+    REQUIRE(request.WaitForSecond());
+    CHECK(request.caller->WaitClosed(800));
+    CHECK(request.WaitBothClosed());
+    CHECK(request.log.OnlyLine("answer-cut")["by"].toString() == "daemon");
+    const auto line = request.log.OnlyLine("request");
+    CHECK(line["code"].toString() == "upstream-timeout");
+    CHECK(line["running"].toString().contains(" b:"));
+  }
+  SUBCASE("when the process exits") {
+    request.StartStream();
+    REQUIRE(request.WaitForSecond());
+    request.fixture.gateway.EndRequests();
+    CHECK(request.caller->WaitClosed(kCancelMs));
+    CHECK(request.WaitBothClosed());
+  }
+  CHECK(WaitUntil(
+      [&] { return request.fixture.gateway.ActiveRequestCount() == 0; },
+      kCancelMs));
+  CHECK(HasEvents(*request.caller, {1}));
+  CHECK(request.InFlight() == 0);
+}
+
+// Guards against a caller that repeats a request which may have run, since
+// another attempt of it was rejected as not run.
+TEST_CASE("what callers are told of a request that has two attempts") {
+  const auto breaks_after = [](int ms) {
+    return [ms](auto& connection) {
+      QTimer::singleShot(ms, connection.socket,
+                         [s = connection.socket] { s->abort(); });
+    };
+  };
+  const auto is_not_run = [](RawClient& caller) {
+    return caller.Received().starts_with("HTTP/1.1 503") ||
+           caller.Received().find("Firmoor-Outcome: not-run") !=
+               std::string::npos;
+  };
+
+  SUBCASE("the first breaks before the second is rejected: unknown") {
+    RacedRequest request(
+        breaks_after(700),
+        AnswerAfter(300, "503 Service Unavailable\r\nNot-Run: 1", ""));
+    request.Start("idempotent");
+    REQUIRE(request.caller->WaitFor("HTTP/1.1 ", 2'000));
+    CHECK(request.b.Requests() == 1);
+    CHECK(!is_not_run(*request.caller));
+  }
+  SUBCASE("the first breaks after the second answered with an error: this") {
+    RacedRequest request(breaks_after(1'000),
+                         AnswerAfter(0, "500 Internal Server Error", "of-b"));
+    request.Start("idempotent");
+    CHECK(request.caller->WaitFor("of-b", 2'000));
+    CHECK(!is_not_run(*request.caller));
+    CHECK(request.HasMetric("dropped", 1));
+  }
+  SUBCASE("both are rejected: not run") {
+    RacedRequest request(
+        AnswerAfter(1'000, "503 Service Unavailable\r\nNot-Run: 1", ""),
+        RejectNotRun);
+    request.Start("idempotent");
+    REQUIRE(request.caller->WaitFor("HTTP/1.1 ", 2'000));
+    CHECK(request.b.Requests() == 1);
+    CHECK(is_not_run(*request.caller));
+  }
+  SUBCASE("the first is rejected and the second has no connection: not run") {
+    RacedRequest request(
+        AnswerAfter(1'000, "503 Service Unavailable\r\nNot-Run: 1", ""),
+        RejectNotRun);
+    request.StartAtFirst("idempotent");
+    Endpoint closed{"127.0.0.1", 0};
+    {
+      const RawUpstream gone([](auto&) {});
+      closed = gone.Address();
+    }
+    request.fixture.AddUpstream("b", closed);
+    REQUIRE(request.caller->WaitFor("HTTP/1.1 ", 2'000));
+    CHECK(is_not_run(*request.caller));
+  }
+}
+
+}  // namespace firmoor
