Tell no caller that a request did not run since its second attempt did not

What callers saw: an idempotent request is silent at a, b rejects it with 503 as not run, a breaks off: the caller got b's 503, which promises that the request did not run, though a may have run it.

Cause: a failure that one attempt answers with is kept while the other one is in flight, and sent if that one fails as well; a rejection (status 503) counted as such a failure. Now only an answer of an upstream that ran the request is kept.

gateway_silence_test, 'the first breaks after the second was rejected: unknown': 1 of 1 failing before, passes now. Ruled out: the other order, two rejections, a rejection and a refused connection, which have sections that passed before.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -218,7 +218,7 @@
       return ForwardAnswer(attempt);
     case RaceStep::kGoOn:
       ++context_->beside_counters.dropped;
-      if (attempt_end.failed && !answer_started_) {
+      if (attempt_end.failed && ran && !answer_started_) {
         failed_answer_ = HttpResponse{attempt.head()->status,
                                       attempt.head()->headers, attempt.body()};
       }
--- a/libs/gateway/tests/gateway_silence_race_test.cc
+++ b/libs/gateway/tests/gateway_silence_race_test.cc
@@ -167,6 +167,13 @@
                std::string::npos;
   };
 
+  SUBCASE("the first breaks after the second was rejected: unknown") {
+    RacedRequest request(breaks_after(1'000), RejectNotRun);
+    request.Start("idempotent");
+    REQUIRE(request.caller->WaitFor("HTTP/1.1 ", 2'000));
+    CHECK(request.b.Requests() == 1);
+    CHECK(!is_not_run(*request.caller));
+  }
   SUBCASE("the first breaks before the second is rejected: unknown") {
     RacedRequest request(
         breaks_after(700),
