Count the attempts in flight in the sends of a request's line

What operators saw: a request that ended at its timeout, or whose caller left, with two attempts in flight had `sends=0` in its line, which the runbook reads as sent to nobody. The count had only the attempts that had ended.

--- a/libs/gateway/src/details/attempts_in_flight.cc
+++ b/libs/gateway/src/details/attempts_in_flight.cc
@@ -53,14 +53,14 @@
   return delegated_.begin()->first;
 }
 
-bool AttemptsInFlight::IsSentToUpstream() const {
-  return std::any_of(
+int AttemptsInFlight::SentToUpstreams() const {
+  return static_cast<int>(std::count_if(
       attempts_.begin(), attempts_.end(),
-      [](const auto& attempt) { return attempt->MayHaveBeenSent(); });
+      [](const auto& attempt) { return attempt->MayHaveBeenSent(); }));
 }
 
 bool AttemptsInFlight::IsSent() const {
-  return IsSentToUpstream() ||
+  return SentToUpstreams() > 0 ||
          std::any_of(delegated_.begin(), delegated_.end(),
                      [](const auto& item) {
                        return item.second.stream->MayHaveBeenSent();
--- a/libs/gateway/src/details/attempts_in_flight.h
+++ b/libs/gateway/src/details/attempts_in_flight.h
@@ -46,8 +46,8 @@
   }
   /// Number of any delegated attempt; empty if there is none.
   [[nodiscard]] std::optional<int> AnyDelegated() const;
-  /// Whether an upstream may have received the request from this daemon.
-  [[nodiscard]] bool IsSentToUpstream() const;
+  /// Attempts whose upstream may have received the request from this daemon.
+  [[nodiscard]] int SentToUpstreams() const;
   /// Whether an upstream may have received the request.
   [[nodiscard]] bool IsSent() const;
   /// The oldest attempt, else the last one that ended by itself; for logs.
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -306,7 +306,7 @@
 
 void Exchange::GiveUp(ResultCode code, ResultCode code_if_not_run,
                       std::string message) {
-  const bool sent = attempts_.IsSentToUpstream();
+  const bool sent = attempts_.SentToUpstreams() > 0;
   const bool unknown = OutcomeSoFar() != RequestOutcome::kNotRun;
   if (sent && !IsStream()) CountUsage();
   Refuse(unknown ? code : code_if_not_run, std::move(message),
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -65,7 +65,7 @@
                                              : admission_.workspace->name)},
        {"service", Text(service_)},
        {"upstream", Text(attempt == nullptr ? "" : attempt->upstream().id)},
-       {"sends", race_.sends()},
+       {"sends", race_.sends() + attempts_.SentToUpstreams()},
        {"beside", started_beside_},
        {"running", Text(attempts_.Describe(now))},
        {"in_flight", static_cast<qint64>(
--- a/libs/gateway/tests/gateway_silence_race_test.cc
+++ b/libs/gateway/tests/gateway_silence_race_test.cc
@@ -137,6 +137,8 @@
     const auto line = request.log.OnlyLine("request");
     CHECK(line["code"].toString() == "upstream-timeout");
     CHECK(line["running"].toString().contains(" b:"));
+    // Guards against a line that does not count the attempts in flight.
+    CHECK(line["sends"].toInt() == 2);
   }
   SUBCASE("when the process exits") {
     request.StartStream();
