--- a/libs/gateway/src/details/attempts_in_flight.cc
+++ b/libs/gateway/src/details/attempts_in_flight.cc
@@ -37,8 +37,8 @@
   auto attempt = Find(number);
   if (!attempt) return nullptr;
   std::erase(attempts_, attempt);
+  if (attempt->end()) last_ended_ = attempt;
   attempt->Cancel();
-  last_removed_ = attempt;
   return attempt;
 }
 
@@ -53,14 +53,14 @@
   return delegated_.begin()->first;
 }
 
-bool AttemptsInFlight::IsSentToUpstream() const {
-  return std::any_of(
+int AttemptsInFlight::SentToUpstreams() const {
+  return static_cast<int>(std::count_if(
       attempts_.begin(), attempts_.end(),
-      [](const auto& attempt) { return attempt->MayHaveBeenSent(); });
+      [](const auto& attempt) { return attempt->MayHaveBeenSent(); }));
 }
 
 bool AttemptsInFlight::IsSent() const {
-  return IsSentToUpstream() ||
+  return SentToUpstreams() > 0 ||
          std::any_of(delegated_.begin(), delegated_.end(),
                      [](const auto& item) {
                        return item.second.stream->MayHaveBeenSent();
@@ -68,7 +68,7 @@
 }
 
 const UpstreamAttempt* AttemptsInFlight::Shown() const {
-  return attempts_.empty() ? last_removed_.get() : attempts_.front().get();
+  return attempts_.empty() ? last_ended_.get() : attempts_.front().get();
 }
 
 std::string AttemptsInFlight::Describe(TimePoint now) const {
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -218,7 +218,7 @@
       return ForwardAnswer(attempt);
     case RaceStep::kGoOn:
       ++context_->beside_counters.dropped;
-      if (attempt_end.failed && !answer_started_) {
+      if (attempt_end.failed && ran && !answer_started_) {
         failed_answer_ = HttpResponse{attempt.head()->status,
                                       attempt.head()->headers, attempt.body()};
       }
@@ -306,7 +306,7 @@
 
 void Exchange::GiveUp(ResultCode code, ResultCode code_if_not_run,
                       std::string message) {
-  const bool sent = attempts_.IsSentToUpstream();
+  const bool sent = attempts_.SentToUpstreams() > 0;
   const bool unknown = OutcomeSoFar() != RequestOutcome::kNotRun;
   if (sent && !IsStream()) CountUsage();
   Refuse(unknown ? code : code_if_not_run, std::move(message),
