Cancel the call of an attempt that another one has overtaken

What callers see: upstream a sends event 1 and pauses; b takes over with event 2; a goes on with event 2. The caller gets event 2 twice, b, which has the stream, is cancelled, and the stream gets no end.

Cause: AttemptsInFlight keeps the attempt that was removed last, for logs. An overtaken one is removed, but its call goes on, and its events reach Exchange, which takes each event for one of an attempt in flight. A move of a stream to another engine removes its source in the same way.

Found by reading Exchange for the model of AttemptRace, which is not at fault: it names the overtaken attempt.

--- a/libs/gateway/src/details/exchange_move.cc
+++ b/libs/gateway/src/details/exchange_move.cc
@@ -47,8 +47,9 @@
 void Exchange::StartMove(const std::string& source, TimePoint ends_at,
                          std::int64_t tokens_per_event) {
   // Of two attempts one is about to take over.
-  if (finished_ || attempts_.all().size() != 1 || race_.in_flight() != 1)
+  if (finished_ || attempts_.all().size() != 1 || race_.in_flight() != 1) {
     return;
+  }
   const auto attempt = attempts_.all().front();
   const auto& upstream = attempt->upstream();
   const bool is_streaming = upstream.id == source &&
@@ -113,6 +114,7 @@
                           const UpstreamEntry& upstream,
                           const std::string& handle) {
   attempts_.Remove(source->number());
+  source->Cancel();
   race_.OnCancelled(source->number(), true, false);
   TakeRetry();
   source->Release(UpstreamOutcome::kNeutral, false, MonotonicNow());
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -74,6 +74,8 @@
       LogOvertaken(by, attempt->upstream().id, sent,
                    now - attempt->last_byte_at());
       race_.OnCancelled(number, sent, attempt->Counts());
+      // Its object is kept for logs, and must not report anything more.
+      attempt->Cancel();
       attempt->Release(attempt->is_silent() ? UpstreamOutcome::kFailed
                                             : UpstreamOutcome::kNeutral,
                        false, now);
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -84,6 +84,13 @@
   owner_->OnEnd(*this, end);
 }
 
+void UpstreamAttempt::Cancel() {
+  if (end_) return;
+  end_ = HttpCallEnd::kCancelled;
+  was_sent_ = MayHaveBeenSent();
+  call_.reset();
+}
+
 void UpstreamAttempt::Release(UpstreamOutcome outcome, bool rejected,
                               TimePoint now) {
   const bool is_unused = rate_limit_ > 0 && !MayHaveBeenSent();
@@ -94,7 +101,7 @@
 }
 
 bool UpstreamAttempt::MayHaveBeenSent() const {
-  return call_ && call_->MayHaveBeenSent();
+  return was_sent_ || (call_ && call_->MayHaveBeenSent());
 }
 
 bool UpstreamAttempt::IsLeaving() const {
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -69,6 +69,9 @@
   void Start(int number);
   /// Ends the attempt, perhaps before its call has ended.
   void End(HttpCallEnd end);
+  /// Ends the call without a report to the owner. Not to be called from a
+  /// handler of this call, which it deletes.
+  void Cancel();
   /// Gives up the place at the upstream, and the permit if it was not used.
   /// `rejected`: the upstream had no room.
   void Release(UpstreamOutcome outcome, bool rejected, TimePoint now);
@@ -148,6 +151,7 @@
   bool is_mismatched_ = false;  ///< The response is to another request.
   /// Not sent, since the key or the upstream was no longer usable.
   bool send_cancelled_ = false;
+  bool was_sent_ = false;  ///< When it was cancelled.
   std::optional<HttpCallEnd> end_;
   std::unique_ptr<HttpCall> call_;
 };
--- a/libs/gateway/tests/gateway_silence_test.cc
+++ b/libs/gateway/tests/gateway_silence_test.cc
@@ -125,6 +125,30 @@
   }
 }
 
+// Guards against an attempt that goes on after another one has taken over: its
+// late event reached the caller a second time and cancelled the other attempt.
+TEST_CASE("a stream goes on at the upstream that took over only") {
+  constexpr int kAfterEventOfAMs = 800;
+  PausedStream stream;
+  RawUpstream b([](auto& connection) {
+    const auto size = MakeEvent(2).size() + MakeEvent(3).size();
+    connection.socket->write(QByteArray::fromStdString(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
+        "\r\n\r\n" + MakeEvent(2)));
+    QTimer::singleShot(kAfterEventOfAMs, connection.socket,
+                       [s = connection.socket] {
+                         s->write(QByteArray::fromStdString(MakeEvent(3)));
+                       });
+  });
+  stream.fixture.AddUpstream("b", b);
+  REQUIRE(stream.caller->WaitFor("id: 2"));
+  const auto* socket = stream.a.At(0).socket;
+  CHECK(WaitUntil([&] { return socket->state() != QTcpSocket::ConnectedState; },
+                  200));
+  CHECK(stream.Completes());
+  CHECK(stream.caller->Received().find("id: 3") != std::string::npos);
+}
+
 // Guards against an idempotent request that is refused, and its work thrown
 // away, since it left an upstream that would have answered after 1.2 s.
 TEST_CASE("a request whose upstream pauses is not lost to another upstream") {
