--- a/libs/gateway/tests/gateway_silence_test.cc
+++ b/libs/gateway/tests/gateway_silence_test.cc
@@ -194,6 +194,7 @@
   REQUIRE(caller->WaitFor("HTTP/1.1 ", 2'000));
   CHECK(b.Requests() == 1);
   CHECK(caller->Received().find("HTTP/1.1 503") == std::string::npos);
+  CHECK(caller->WaitFor("unknown", 200));
 }
 
 }  // namespace firmoor
