Give connections that wait the newest, longer time-outs

What callers saw: an operator raises the idle time-out; a caller goes by the newest limit and sends a request on a connection that has been idle for less than it, and finds the connection closed without an answer.

Cause: a connection kept the time-out that was in force when it began to wait, and HttpServer::SetLimits changed only later waits. The same held for the time-out of a request that is being read and for its maximum sizes, which the parser took when the previous request ended.

Now SetLimits extends the time-outs of connections that wait, counted from when they became idle or their request began to arrive. Time-outs that shrink leave a wait as it is, also after one that grew in the meantime: its caller may not know the shorter one yet. Sizes are taken at the first byte of a request.

http_test, "callers rely on limits that change while their connection waits": 8 of 43 assertions failed before (connection before its first request, between two requests, time since it became idle, a later shorter limit, request time-out, body too large before and now, header too long before); all pass now, 2.7 s. The sections on time-outs that shrink, and the one on a request that keeps the sizes it began with, passed before. Ruled out: the gateway's own shrinking, which never lowers the idle time-out it applies.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -110,8 +110,11 @@
   /// Starts to listen. Returns false if the endpoint cannot be bound.
   bool Start();
 
-  /// Replaces the limits. Open connections keep their current idle time-out
-  /// until their next response.
+  /// Replaces the limits. A connection that is idle, or a request that is being
+  /// read, gets time-outs that grow, from when it became idle or began to
+  /// arrive. It keeps time-outs that shrink, since its caller may rely on them;
+  /// the connection has the shorter ones from its next response on. Sizes apply
+  /// to requests that begin to arrive later.
   void SetLimits(HttpServerLimits limits);
 
   /// Closes each connection after its next response, so that callers reconnect
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <QHostAddress>
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -74,11 +75,26 @@
 void ServerConnection::ResetParser() {
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(context_->limits.header_bytes);
-  parser_->body_limit(context_->limits.body_bytes);
   expect_handled_ = false;
   phase_ = Phase::kReading;
-  timer_.start(context_->limits.idle_timeout);
+  StartTimeout(context_->limits.idle_timeout);
+}
+
+void ServerConnection::StartTimeout(Duration timeout) {
+  waiting_since_ = MonotonicNow();
+  timeout_ = timeout;
+  timer_.start(timeout);
+}
+
+void ServerConnection::ExtendTimeout() {
+  if (phase_ != Phase::kReading || closed_) return;
+  const auto& limits = context_->limits;
+  const auto newest =
+      parser_->got_some() ? limits.request_timeout : limits.idle_timeout;
+  if (newest <= timeout_) return;
+  timeout_ = newest;
+  const auto due = waiting_since_ + newest;
+  timer_.start(std::max(due - MonotonicNow(), Duration(0)));
 }
 
 void ServerConnection::ReadMore() {
@@ -90,7 +106,9 @@
                            boost::asio::buffer(bytes.data(), bytes.size()));
   buffer_.commit(bytes.size());
   if (!had_input && buffer_.size() > 0) {
-    timer_.start(context_->limits.request_timeout);
+    parser_->header_limit(context_->limits.header_bytes);
+    parser_->body_limit(context_->limits.body_bytes);
+    StartTimeout(context_->limits.request_timeout);
   }
   ParseBuffered();
 }
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -40,6 +40,8 @@
   ~ServerConnection();
 
   void Start();
+  /// Applies time-outs that grew to what the connection waits for.
+  void ExtendTimeout();
   void CloseIfIdle();
 
   void Send(const HttpResponse& response);
@@ -60,6 +62,7 @@
   enum class Phase { kReading, kHandling, kStreaming };
 
   void ResetParser();
+  void StartTimeout(Duration timeout);
   void ReadMore();
   void ParseBuffered();
   void HandleExpect();
@@ -77,6 +80,8 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   QTimer timer_;
+  TimePoint waiting_since_;
+  Duration timeout_{0};  ///< From `waiting_since_`.
   Phase phase_ = Phase::kReading;
   bool keep_alive_ = true;
   bool is_head_request_ = false;
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -173,6 +173,9 @@
 
 void HttpServer::SetLimits(HttpServerLimits limits) {
   impl_->context->limits = limits;
+  for (const auto& [key, connection] : impl_->connections) {
+    connection->ExtendTimeout();
+  }
 }
 
 void HttpServer::CloseAfterResponses() { impl_->context->closing = true; }
--- a/libs/http/tests/http_server_test.cc
+++ b/libs/http/tests/http_server_test.cc
@@ -205,6 +205,126 @@
   }
 }
 
+// Guards against connections that are closed by a shorter idle time-out than
+// the newest one, which their callers go by.
+TEST_CASE("callers rely on limits that change while their connection waits") {
+  HttpServerLimits limits;
+  limits.idle_timeout = Duration(200);
+  limits.request_timeout = Duration(200);
+  limits.body_bytes = 4;
+  Fixture fixture(limits);
+  RawClient client(fixture.server->Port());
+  REQUIRE(WaitUntil([&] { return fixture.server->ConnectionCount() == 1; }));
+  const std::string post =
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\n";
+  const auto set_times = [&](int idle_ms, int request_ms) {
+    limits.idle_timeout = Duration(idle_ms);
+    limits.request_timeout = Duration(request_ms);
+    fixture.server->SetLimits(limits);
+  };
+
+  SUBCASE("an idle time-out that grows holds for") {
+    SUBCASE("a connection before its first request") {
+      RunFor(50);
+      set_times(5'000, 200);
+      RunFor(400);
+      client.Send(kGet);
+      CHECK(fixture.WaitRequests(1));
+    }
+    SUBCASE("a connection between two requests") {
+      client.Send(kGet);
+      REQUIRE(fixture.WaitRequests(1));
+      fixture.responders[0]->Send({200, {}, "first"});
+      REQUIRE(client.WaitFor("first"));
+      set_times(5'000, 200);
+      RunFor(400);
+      client.Send(kGet);
+      CHECK(fixture.WaitRequests(2));
+    }
+    SUBCASE("the time since the connection became idle") {
+      RunFor(150);
+      set_times(400, 200);
+      CHECK_FALSE(client.WaitClosed(150));
+      CHECK(client.WaitClosed(200));
+      CHECK(fixture.server->CutCount(ConnectionCut::kIdle) == 1);
+    }
+    SUBCASE("a connection that still waits after a later one that is shorter") {
+      set_times(5'000, 200);
+      set_times(200, 200);
+      RunFor(400);
+      client.Send(kGet);
+      CHECK(fixture.WaitRequests(1));
+    }
+  }
+  SUBCASE("a request time-out that grows holds for the rest of a request") {
+    client.Send(kGet.substr(0, 10));
+    RunFor(50);
+    set_times(200, 5'000);
+    RunFor(400);
+    client.Send(kGet.substr(10));
+    CHECK(fixture.WaitRequests(1));
+  }
+  SUBCASE("time-outs that shrink leave the longer ones to") {
+    set_times(5'000, 5'000);
+    SUBCASE("a connection that is idle, until it was used") {
+      client.Send(kGet);
+      REQUIRE(fixture.WaitRequests(1));
+      fixture.responders[0]->Send({200, {}, "first"});
+      REQUIRE(client.WaitFor("first"));
+      set_times(100, 100);
+      RunFor(200);
+      client.Send(kGet);
+      REQUIRE(fixture.WaitRequests(2));
+      fixture.responders[1]->Send({200, {}, "second"});
+      REQUIRE(client.WaitFor("second"));
+      CHECK(client.WaitClosed(300));
+    }
+    SUBCASE("a request that arrives") {
+      client.Send(kGet.substr(0, 10));
+      RunFor(50);
+      set_times(100, 100);
+      RunFor(200);
+      client.Send(kGet.substr(10));
+      CHECK(fixture.WaitRequests(1));
+    }
+  }
+  SUBCASE("the newest limits of a request apply to") {
+    SUBCASE("a body that was too large before") {
+      limits.body_bytes = 6;
+      fixture.server->SetLimits(limits);
+      client.Send(post + "longer");
+      CHECK(fixture.WaitRequests(1));
+    }
+    SUBCASE("a body that is too large now") {
+      limits.body_bytes = 6;
+      fixture.server->SetLimits(limits);
+      client.Send(kGet);
+      REQUIRE(fixture.WaitRequests(1));
+      fixture.responders[0]->Send({200, {}, "first"});
+      REQUIRE(client.WaitFor("first"));
+      limits.body_bytes = 4;
+      fixture.server->SetLimits(limits);
+      client.Send(post + "longer");
+      CHECK(client.WaitFor("HTTP/1.1 413"));
+    }
+    SUBCASE("a header that was too long before") {
+      limits.header_bytes = 40'000;
+      fixture.server->SetLimits(limits);
+      client.Send("GET /a HTTP/1.1\r\nX: " + std::string(20'000, 'x') +
+                  "\r\n\r\n");
+      CHECK(fixture.WaitRequests(1));
+    }
+  }
+  SUBCASE("a request that arrives keeps the limits it began with") {
+    client.Send(post.substr(0, 10));
+    RunFor(50);
+    limits.body_bytes = 6;
+    fixture.server->SetLimits(limits);
+    client.Send(post.substr(10));
+    CHECK(client.WaitFor("HTTP/1.1 413"));
+  }
+}
+
 // Guards against a request that is cut off unread, because the idle time-out of
 // its connection was due first after a pause of the event loop.
 TEST_CASE("a request that arrives during a pause of the event loop") {
