Keep a reset from destroying the last response of a connection

What callers saw: a caller that is still sending when the server refuses its request (413, 408, 400), or that has sent a further request behind the last one of its connection, gets a reset instead of the refusal, or only a part of the response.

Cause: the socket was closed behind the last byte. Linux resets a connection that is closed with unread input, or that gets input after it was closed: bytes that were not sent yet are dropped, and the caller's next write fails, at which callers give up before they read.

Now LingeringClose writes all bytes, shuts down the write side, and discards input until the caller closes: for up to a second after the last byte was written, and up to 64 MiB. Cuts are counted as before, and ConnectionCount includes connections that linger, so a stop waits up to a second for callers that do not close when the server did.

Ruled out: idle connections that are closed without a response. They keep the immediate close, since a request that crosses it must not count as read.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -71,7 +71,9 @@
 
 /// HTTP/1.1 server on a Qt event loop. Boost.Beast validates the framing. Each
 /// connection dispatches one request at a time, so pipelined requests are
-/// processed sequentially. Not thread-safe.
+/// processed sequentially. Behind its last response, a connection discards
+/// input until the caller closes, for one second at most, since a reset would
+/// destroy what the caller has not read. Not thread-safe.
 ///
 ///     auto server = HttpServer::Builder()
 ///         .Listen({"127.0.0.1", 8080})
@@ -128,7 +130,8 @@
   /// Connections closed for `reason` since the start.
   [[nodiscard]] std::uint64_t CutCount(ConnectionCut reason) const;
 
-  /// Number of open connections.
+  /// Number of open connections, including those that are about to close behind
+  /// their last response.
   [[nodiscard]] std::size_t ConnectionCount() const;
 
   /// The port that the server listens on.
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -217,7 +217,9 @@
     // No response may follow one that carried `Connection: close`.
     phase_ = Phase::kReading;
     closed_ = true;
-    socket_->disconnectFromHost();
+    buffer_.clear();
+    lingering_close_.emplace(socket_);
+    lingering_close_->Start();
     if (socket_->state() == QAbstractSocket::UnconnectedState) {
       on_closed_(this);
     }
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "details/lingering_close.h"
 #include "http/http_server.h"
 
 namespace firmoor::details {
@@ -79,6 +80,7 @@
   std::function<void()> on_caller_disconnected_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  std::optional<LingeringClose> lingering_close_;
   QTimer timer_;
   TimePoint waiting_since_;
   Duration timeout_{0};  ///< From `waiting_since_`.
--- /dev/null
+++ b/libs/http/tests/http_server_close_test.cc
@@ -0,0 +1,146 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "http/http_server.h"
+#include "support/raw_socket.h"
+
+namespace firmoor {
+namespace {
+
+constexpr int kRepetitions = 10;
+constexpr std::size_t kMegabyte = 1'024 * 1'024;
+constexpr std::string_view kLastGet =
+    "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+constexpr std::string_view kPost = "POST /a HTTP/1.1\r\nHost: x\r\n";
+
+struct Fixture {
+  std::vector<std::shared_ptr<HttpResponder>> responders;
+  std::unique_ptr<HttpServer> server;
+
+  explicit Fixture(HttpServerLimits limits = {}) {
+    server = HttpServer::Builder()
+                 .Listen({"127.0.0.1", 0})
+                 .Limits(limits)
+                 .Handler([this](const HttpRequest&, auto responder) {
+                   responders.push_back(std::move(responder));
+                 })
+                 .ErrorResponse([](int status) {
+                   return HttpResponse{status, {}, "refused, not run"};
+                 })
+                 .Build();
+    REQUIRE(server->Start());
+  }
+  bool WaitRequests(std::size_t count) {
+    return WaitUntil([&] { return responders.size() >= count; });
+  }
+  bool WaitNoConnection(int timeout_ms) {
+    return WaitUntil([&] { return server->ConnectionCount() == 0; },
+                     timeout_ms);
+  }
+};
+
+std::string LargeBody(std::size_t bytes = 8 * kMegabyte) {
+  return std::string(bytes, 'x');
+}
+
+/// Number of `kRepetitions` connections on which `talk` returns true, so that
+/// a close that destroys the response only sometimes is seen.
+template <typename Talk>
+int CountComplete(std::uint16_t port, Talk talk) {
+  int complete = 0;
+  for (int i = 0; i < kRepetitions; ++i) {
+    RawClient client(port);
+    if (talk(client)) ++complete;
+  }
+  return complete;
+}
+
+bool GetsRefusal(RawClient& client, std::string_view status) {
+  if (!client.WaitClosed()) return false;
+  return client.Received().find(status) != std::string::npos &&
+         client.Received().ends_with("refused, not run");
+}
+
+}  // namespace
+
+// Guards against refusals and responses that are destroyed by a reset, because
+// the connection was closed while its caller still sent.
+TEST_CASE("callers that still send get the whole last response") {
+  HttpServerLimits limits;
+  limits.body_bytes = 1'000;
+  Fixture fixture(limits);
+  const auto port = fixture.server->Port();
+
+  SUBCASE("a body of a length that is too large") {
+    const std::string request = std::string(kPost) + "Content-Length: " +
+                                std::to_string(8 * kMegabyte) + "\r\n\r\n" +
+                                LargeBody();
+    CHECK(CountComplete(port, [&](RawClient& client) {
+            client.Send(request);
+            return GetsRefusal(client, "HTTP/1.1 413");
+          }) == kRepetitions);
+  }
+  SUBCASE("a chunked body that becomes too large") {
+    const std::string request = std::string(kPost) +
+                                "Transfer-Encoding: chunked\r\n\r\n800000\r\n" +
+                                LargeBody();
+    CHECK(CountComplete(port, [&](RawClient& client) {
+            client.Send(request);
+            return GetsRefusal(client, "HTTP/1.1 413");
+          }) == kRepetitions);
+  }
+  SUBCASE("invalid framing") {
+    const std::string request = std::string(kPost) +
+                                "Transfer-Encoding: chunked\r\n\r\nzz\r\n" +
+                                LargeBody();
+    CHECK(CountComplete(port, [&](RawClient& client) {
+            client.Send(request);
+            return GetsRefusal(client, "HTTP/1.1 400");
+          }) == kRepetitions);
+  }
+  SUBCASE("a body that takes too long") {
+    limits.body_bytes = 64 * kMegabyte;
+    limits.request_timeout = Duration(1);
+    fixture.server->SetLimits(limits);
+    const std::string request = std::string(kPost) + "Content-Length: " +
+                                std::to_string(limits.body_bytes) + "\r\n\r\n" +
+                                LargeBody();
+    CHECK(CountComplete(port, [&](RawClient& client) {
+            client.Send(request);
+            return GetsRefusal(client, "HTTP/1.1 408");
+          }) == kRepetitions);
+  }
+  SUBCASE("a pipelined request behind the last one") {
+    const std::string requests = std::string(kLastGet) + std::string(kPost) +
+                                 "Content-Length: 900000\r\n\r\n" +
+                                 LargeBody(900'000);
+    const std::string body = LargeBody();
+    std::size_t count = 0;
+    CHECK(CountComplete(port, [&](RawClient& client) {
+            client.Send(requests);
+            if (!fixture.WaitRequests(++count)) return false;
+            fixture.responders.back()->Send({200, {}, body});
+            return client.WaitClosed() && client.Received().ends_with(body);
+          }) == kRepetitions);
+    CHECK(fixture.responders.size() == kRepetitions);
+    CHECK(fixture.server->CutCount(ConnectionCut::kPipelined) == kRepetitions);
+  }
+  SUBCASE("a pipelined request that crosses the response") {
+    const std::string body = LargeBody();
+    std::size_t count = 0;
+    CHECK(CountComplete(port, [&](RawClient& client) {
+            client.Send(kLastGet);
+            if (!fixture.WaitRequests(++count)) return false;
+            fixture.responders.back()->Send({200, {}, body});
+            if (!client.WaitFor("HTTP/1.1 200")) return false;
+            client.Send(kLastGet);
+            return client.WaitClosed() && client.Received().ends_with(body);
+          }) == kRepetitions);
+    CHECK(fixture.responders.size() == kRepetitions);
+  }
+  CHECK(fixture.WaitNoConnection(500));
+}
+
+}  // namespace firmoor
--- /dev/null
+++ b/libs/http/tests/lingering_close_test.cc
@@ -0,0 +1,152 @@
+#include "details/lingering_close.h"
+
+#include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <QTcpServer>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/raw_socket.h"
+
+namespace firmoor::details {
+namespace {
+
+constexpr std::size_t kMegabyte = 1'024 * 1'024;
+
+/// A peer that reads, sends and closes only when it is told to.
+class StubbornPeer {
+ public:
+  explicit StubbornPeer(std::uint16_t port)
+      : descriptor_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(descriptor_, reinterpret_cast<sockaddr*>(&address),
+                      sizeof(address)) == 0);
+  }
+  ~StubbornPeer() { ::close(descriptor_); }
+  StubbornPeer(const StubbornPeer&) = delete;
+  StubbornPeer& operator=(const StubbornPeer&) = delete;
+
+  /// Bytes that the connection took without waiting.
+  std::size_t Send(std::size_t bytes) {
+    const std::vector<char> data(bytes, 'x');
+    const auto sent = ::send(descriptor_, data.data(), data.size(),
+                             MSG_DONTWAIT | MSG_NOSIGNAL);
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  }
+  std::string Receive() {
+    std::vector<char> data(kMegabyte);
+    const auto got =
+        ::recv(descriptor_, data.data(), data.size(), MSG_DONTWAIT);
+    return got > 0 ? std::string(data.data(), static_cast<std::size_t>(got))
+                   : std::string();
+  }
+  /// Whether the other end has closed in order, and all it sent was received.
+  bool HasEnded() {
+    char next = 0;
+    return ::recv(descriptor_, &next, 1, MSG_DONTWAIT | MSG_PEEK) == 0;
+  }
+
+ private:
+  int descriptor_;
+};
+
+struct Fixture {
+  QTcpServer listener;
+  std::unique_ptr<StubbornPeer> peer;
+  std::unique_ptr<QTcpSocket> socket;
+
+  Fixture() {
+    REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
+    peer = std::make_unique<StubbornPeer>(listener.serverPort());
+    REQUIRE(WaitUntil([this] { return listener.hasPendingConnections(); }));
+    socket.reset(listener.nextPendingConnection());
+    socket->setParent(nullptr);
+    socket->setReadBufferSize(64 * 1'024);
+  }
+  bool IsClosed() const {
+    return socket->state() == QAbstractSocket::UnconnectedState;
+  }
+  bool WaitClosed(int timeout_ms) {
+    return WaitUntil([this] { return IsClosed(); }, timeout_ms);
+  }
+};
+
+}  // namespace
+
+// Guards against bytes that a reset destroys, and against connections that stay
+// open, or go on to read, for as long as the peer likes.
+TEST_CASE("a socket that is closed behind its last bytes") {
+  Fixture fixture;
+  LingerBounds bounds{Duration(200), 64 * 1'024};
+
+  SUBCASE("tells the peer the end at once") {
+    bounds.time = Duration(10'000);
+    LingeringClose close(fixture.socket.get(), bounds);
+    fixture.socket->write("last");
+    close.Start();
+    REQUIRE(WaitUntil([&] { return fixture.peer->Receive() == "last"; }));
+    CHECK(WaitUntil([&] { return fixture.peer->HasEnded(); }, 1'000));
+    CHECK_FALSE(fixture.IsClosed());
+    SUBCASE("and is closed when the peer closes") {
+      fixture.peer.reset();
+      CHECK(fixture.WaitClosed(1'000));
+    }
+  }
+  SUBCASE("takes what a peer sends before it reads") {
+    bounds = {Duration(10'000), 8 * kMegabyte};
+    LingeringClose close(fixture.socket.get(), bounds);
+    fixture.socket->write("last");
+    close.Start();
+    std::size_t left = bounds.bytes;
+    CHECK(WaitUntil([&] {
+      left -= fixture.peer->Send(left);
+      return left == 0;
+    }));
+    CHECK(fixture.peer->Receive() == "last");
+    CHECK(fixture.peer->HasEnded());
+  }
+  SUBCASE("waits no longer than its time for a peer that never closes") {
+    LingeringClose close(fixture.socket.get(), bounds);
+    fixture.socket->write("last");
+    close.Start();
+    CHECK_FALSE(fixture.IsClosed());
+    CHECK(fixture.WaitClosed(1'000));
+  }
+  SUBCASE("reads no more than its bytes from a peer that sends without end") {
+    LingeringClose close(fixture.socket.get(), bounds);
+    fixture.socket->write("last");
+    close.Start();
+    std::size_t sent = 0;
+    CHECK(WaitUntil(
+        [&] {
+          sent += fixture.peer->Send(kMegabyte);
+          return fixture.IsClosed();
+        },
+        1'000));
+    // What the buffers of both ends hold.
+    CHECK(sent < 16 * kMegabyte);
+  }
+  SUBCASE("writes all bytes before its time begins") {
+    LingeringClose close(fixture.socket.get(), bounds);
+    const std::string body(32 * kMegabyte, 'x');
+    fixture.socket->write(body.data(), static_cast<qint64>(body.size()));
+    close.Start();
+    CHECK_FALSE(fixture.WaitClosed(400));
+    std::size_t received = 0;
+    CHECK(WaitUntil([&] {
+      received += fixture.peer->Receive().size();
+      return received == body.size();
+    }));
+    CHECK(fixture.WaitClosed(1'000));
+  }
+}
+
+}  // namespace firmoor::details
