Show that second attempts keep to budgets, limits and slots

Sections with sockets for a request that has two attempts: a budget of one retry, which is given back if it was not sent; the route's upstreams; permits, slots and the picker's load of both attempts; usage; a configuration that changes between the two; an upstream that paused and went on; a stream whose engine copies its KV cache for 1.9 s while the next engine rejects it.

--- /dev/null
+++ b/libs/gateway/tests/gateway_silence_limits_test.cc
@@ -0,0 +1,374 @@
+#include <doctest/doctest.h>
+
+#include <QTimer>
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "silent_upstreams.h"
+
+namespace firmoor {
+namespace {
+
+// Leaves each daemon one retry, or more than a request can use.
+constexpr std::size_t kManyDaemons = 1'000;
+constexpr std::size_t kOneDaemon = 1;
+
+/// The address of a port that refuses connections.
+Endpoint RefusingPort() {
+  const RawUpstream gone([](auto&) {});
+  return gone.Address();
+}
+
+/// Sends event 1, pauses for 1.9 s, and completes the stream with event 2.
+RawUpstream::Script PauseInStream() { return SendEvents({{1, 0}, {2, 1'900}}); }
+
+/// An upstream that announces a limit in each response; it holds responses back
+/// while it is silent.
+struct AnnouncingUpstream {
+  std::string announced;
+  bool is_silent = false;
+  std::vector<RawUpstream::Connection*> held;
+  RawUpstream upstream{[this](auto& connection) {
+    if (connection.received.starts_with("GET /report")) {
+      return SendResponse(connection, "404 None\r\n" + announced, "");
+    }
+    if (is_silent) return held.push_back(&connection);
+    SendResponse(connection, "200 OK\r\n" + announced, "served");
+  }};
+
+  explicit AnnouncingUpstream(std::string announcement)
+      : announced(std::move(announcement)) {}
+  void AnswerHeld() {
+    for (auto* connection : held) {
+      SendResponse(*connection, "200 OK\r\n" + announced, "late");
+    }
+    held.clear();
+  }
+};
+
+/// Two upstreams "a" and "b" whose announcements the gateway knows.
+struct AnnouncedFixture {
+  LogPipe log;
+  GatewayFixture fixture{true, log.input()};
+  AnnouncingUpstream a;
+  AnnouncingUpstream b;
+
+  explicit AnnouncedFixture(const std::string& announced)
+      : a(announced), b(announced) {
+    fixture.gateway.SeedSharedLimits(kOneDaemon, {});
+    for (auto* upstream : {&a, &b}) {
+      const std::string id = upstream == &a ? "a" : "b";
+      const std::string other = upstream == &a ? "b" : "a";
+      fixture.AddUpstream(id, upstream->upstream);
+      fixture.gateway.RemoveUpstream(other);
+      REQUIRE(fixture.SendRequest("once")->WaitFor("served"));
+    }
+    fixture.gateway.RemoveUpstream("b");
+    fixture.AddUpstream("a", a.upstream);
+  }
+  /// Applies a coordinator's reply with permits and slots for both.
+  void Grant(std::int64_t at_a, std::int64_t at_b) {
+    const auto now = MonotonicNow();
+    const auto report = fixture.gateway.ReportUpstreamLimits();
+    UpstreamLimitReply reply{1, 1, true, {}};
+    reply.grants_slots = true;
+    reply.number = report.number;
+    for (const auto& [id, count] : {std::pair("a", at_a), {"b", at_b}}) {
+      reply.upstreams[id] = {0, 2, Duration(0), count, Duration(5'000), 2};
+      reply.slots[id] = {0, count, true};
+    }
+    fixture.gateway.ApplyUpstreamLimits(reply, now);
+    fixture.gateway.SetSharedLimits({{}, 8});
+  }
+  [[nodiscard]] double InFlight() const {
+    return fixture.gateway.Loads().at("s").in_flight;
+  }
+  [[nodiscard]] std::size_t Beside() {
+    return log.Lines("attempt-beside").size();
+  }
+};
+
+}  // namespace
+
+// Guards against a storm of retries when upstreams pause, and against retries
+// that are lost though they were never sent.
+TEST_CASE("attempts beside a silent one keep to the retry budget") {
+  RacedRequest request(PauseInStream(), RejectNotRun);
+  request.fixture.gateway.SeedSharedLimits(kManyDaemons, {});
+
+  SUBCASE("with one retry there is one second attempt") {
+    request.Reconfigure([](auto* content) {
+      for (auto& route : content->routes) route.max_upstreams = 4;
+    });
+    request.StartStream();
+    RawUpstream c(RejectNotRun);
+    REQUIRE(request.WaitForSecond());
+    request.fixture.AddUpstream("c", c);
+    CHECK(request.caller->WaitFor(kEnd, 1'000));
+    CHECK(HasEvents(*request.caller, {1, 2}));
+    CHECK(request.b.Requests() + c.Requests() == 1);
+    CHECK(request.HasMetric("started", 1));
+    CHECK(request.HasMetric("dropped", 1));
+  }
+  SUBCASE("and it is given back if it was never sent") {
+    request.StartAtFirst("resumable");
+    request.fixture.AddUpstream("b", RefusingPort());
+    CHECK(request.caller->WaitFor(kEnd, 2'500));
+    const auto line = request.log.OnlyLine("attempt-failed");
+    CHECK(line["upstream"].toString() == "b");
+    CHECK(!line["may_have_left"].toBool());
+    // The next request that needs it has it.
+    RawUpstream sound(AnswerAfter(0, "200 OK", "sound"));
+    RawUpstream breaking([&](auto& connection) {
+      request.fixture.AddUpstream("d", sound);
+      connection.socket->abort();
+    });
+    request.fixture.gateway.RemoveUpstream("a");
+    request.fixture.gateway.RemoveUpstream("b");
+    request.fixture.AddUpstream("c", breaking);
+    const auto next = request.fixture.SendRequest("idempotent", "", "r2");
+    CHECK(next->WaitFor("sound", 500));
+  }
+}
+
+// Guards against requests that are sent to more upstreams than their route
+// allows.
+TEST_CASE("attempts beside a silent one keep to the route's upstreams") {
+  const auto check = [](int max_upstreams) {
+    RacedRequest request(PauseInStream(), RejectNotRun);
+    request.fixture.gateway.SeedSharedLimits(kOneDaemon, {});
+    request.Reconfigure([&](auto* content) {
+      for (auto& route : content->routes) route.max_upstreams = max_upstreams;
+    });
+    RawUpstream c(RejectNotRun);
+    RawUpstream d(RejectNotRun);
+    request.StartStream();
+    request.fixture.AddUpstream("c", c);
+    request.fixture.AddUpstream("d", d);
+    CHECK(request.caller->WaitFor(kEnd, 2'500));
+    CHECK(HasEvents(*request.caller, {1, 2}));
+    CHECK(request.b.Requests() + c.Requests() + d.Requests() ==
+          max_upstreams - 1);
+    CHECK(request.HasMetric("started", max_upstreams - 1));
+  };
+  SUBCASE("two") { check(2); }
+  SUBCASE("three, after the second attempt was dropped") { check(3); }
+}
+
+// Guards against upstreams that get more than they announced to accept, and
+// against places that stay taken.
+TEST_CASE("two attempts at upstreams that announce a limit") {
+  const auto start = [](AnnouncedFixture& fixture) {
+    fixture.a.is_silent = true;
+    auto caller = fixture.fixture.SendRequest("idempotent");
+    REQUIRE(WaitUntil([&] { return fixture.a.held.size() == 1; }));
+    return caller;
+  };
+
+  SUBCASE("of their rate: each has a permit") {
+    AnnouncedFixture fixture("Limit: 2");
+    fixture.Grant(1, 1);
+    const auto caller = start(fixture);
+    fixture.b.is_silent = true;
+    fixture.fixture.AddUpstream("b", fixture.b.upstream);
+    REQUIRE(WaitUntil([&] { return fixture.b.held.size() == 1; }, 900));
+    CHECK(fixture.InFlight() == 2);
+    fixture.b.AnswerHeld();
+    CHECK(caller->WaitFor("late", 500));
+    CHECK(fixture.InFlight() == 0);
+    const auto report = fixture.fixture.gateway.ReportUpstreamLimits();
+    CHECK(report.upstreams.at("a").returned == 0);
+    CHECK(report.upstreams.at("b").returned == 0);
+  }
+  SUBCASE(
+      "of their rate: none starts without a permit, and the first goes on") {
+    AnnouncedFixture fixture("Limit: 2");
+    fixture.Grant(1, 0);
+    const auto caller = start(fixture);
+    const auto before = fixture.b.upstream.Requests();
+    fixture.fixture.AddUpstream("b", fixture.b.upstream);
+    RunFor(800);
+    CHECK(fixture.b.upstream.Requests() == before);
+    CHECK(fixture.Beside() == 0);
+    fixture.a.AnswerHeld();
+    CHECK(caller->WaitFor("late", 500));
+  }
+  SUBCASE("of their rate: a permit that was not used is returned") {
+    AnnouncedFixture fixture("Limit: 2");
+    fixture.Grant(1, 1);
+    const auto caller = start(fixture);
+    fixture.fixture.AddUpstream("b", RefusingPort());
+    REQUIRE(WaitUntil(
+        [&] { return !fixture.log.Lines("attempt-failed").empty(); }, 900));
+    CHECK(fixture.InFlight() == 1);
+    fixture.a.AnswerHeld();
+    CHECK(caller->WaitFor("late", 500));
+    CHECK(fixture.InFlight() == 0);
+    const auto report = fixture.fixture.gateway.ReportUpstreamLimits();
+    CHECK(report.upstreams.at("a").returned == 0);
+    CHECK(report.upstreams.at("b").returned == 1);
+  }
+  SUBCASE("of their slots: each takes one until it ends") {
+    AnnouncedFixture fixture("Brittle: 1");
+    fixture.Grant(1, 1);
+    const auto caller = start(fixture);
+    fixture.b.is_silent = true;
+    fixture.fixture.AddUpstream("b", fixture.b.upstream);
+    REQUIRE(WaitUntil([&] { return fixture.b.held.size() == 1; }, 900));
+    const auto busy = fixture.fixture.gateway.ReportUpstreamLimits();
+    CHECK(busy.slots.at("a").in_flight == 1);
+    CHECK(busy.slots.at("b").in_flight == 1);
+    CHECK(fixture.InFlight() == 2);
+    fixture.b.AnswerHeld();
+    CHECK(caller->WaitFor("late", 500));
+    const auto idle = fixture.fixture.gateway.ReportUpstreamLimits();
+    for (const auto& [id, slots] : idle.slots) CHECK(slots.in_flight == 0);
+    CHECK(fixture.InFlight() == 0);
+  }
+  SUBCASE("of their slots: none starts without a slot, and the first goes on") {
+    AnnouncedFixture fixture("Brittle: 1");
+    fixture.Grant(1, 0);
+    const auto caller = start(fixture);
+    const auto before = fixture.b.upstream.Requests();
+    fixture.fixture.AddUpstream("b", fixture.b.upstream);
+    RunFor(800);
+    CHECK(fixture.b.upstream.Requests() == before);
+    CHECK(fixture.Beside() == 0);
+    fixture.a.AnswerHeld();
+    CHECK(caller->WaitFor("late", 500));
+    CHECK(fixture.InFlight() == 0);
+  }
+}
+
+// Guards against usage that is counted for each of two attempts.
+TEST_CASE("a request with two attempts counts once") {
+  const auto check = [](RacedRequest& request, std::string_view text) {
+    CHECK(request.caller->WaitFor(text, 2'500));
+    RunFor(50);
+    CHECK(request.UsageCount() == 1);
+  };
+  SUBCASE("when the second one answers") {
+    RacedRequest request(AnswerAfter(1'200, "200 OK", "of-a"),
+                         AnswerAfter(50, "200 OK", "of-b"));
+    request.fixture.RequireKeys(0, 0);
+    request.Start("idempotent", "Key: k\r\n");
+    check(request, "of-b");
+  }
+  SUBCASE("when the second one fails and the first answers") {
+    RacedRequest request(AnswerAfter(1'000, "200 OK", "of-a"),
+                         AnswerAfter(50, "500 Internal Server Error", "of-b"));
+    request.fixture.RequireKeys(0, 0);
+    request.Start("idempotent", "Key: k\r\n");
+    check(request, "of-a");
+  }
+  SUBCASE("when neither answers") {
+    RacedRequest request([](auto&) {}, [](auto&) {});
+    request.fixture.RequireKeys(0, 0);
+    request.Start("idempotent", "Key: k\r\nAllowed-Ms: 1000\r\n");
+    check(request, "HTTP/1.1 504");
+    CHECK(request.b.Requests() == 1);
+  }
+  SUBCASE("when a stream moves to the second one") {
+    RacedRequest request(PauseInStream(), SendEvents({{2, 50}}));
+    request.fixture.RequireKeys(0, 0);
+    request.StartStream("Key: k\r\n");
+    check(request, kEnd);
+  }
+}
+
+// Guards against LOST: the configuration changes while a request has two
+// attempts.
+TEST_CASE("a change of the configuration beside two attempts") {
+  RacedRequest request(PauseInStream(), RejectNotRun);
+  request.StartStream();
+
+  SUBCASE("that removes the route") {
+    request.Reconfigure([](auto* content) {
+      std::erase_if(content->routes, [](const auto& route) {
+        return route.name == "resumable";
+      });
+    });
+  }
+  SUBCASE("that shortens the timeouts, when the first is silent") {
+    REQUIRE(request.WaitForSecond());
+    request.Reconfigure([](auto* content) {
+      for (auto& route : content->routes) route.timeout = Duration(500);
+    });
+  }
+  SUBCASE("that moves the route to another service") {
+    request.Reconfigure([](auto* content) {
+      ServiceProfile service;
+      service.name = "t";
+      content->services.push_back(service);
+      for (auto& route : content->routes) route.services = {{"t", 1}};
+    });
+  }
+  CHECK(request.caller->WaitFor(kEnd, 2'500));
+  CHECK(HasEvents(*request.caller, {1, 2}));
+  CHECK(request.b.Requests() == 1);
+}
+
+// Guards against a sound upstream that is taken for a crashed or lost one since
+// it paused.
+TEST_CASE("an upstream that paused and went on is not suspected") {
+  RacedRequest request(PauseInStream(), SendEvents({{2, 5'000}}));
+  request.StartStream("Chunk: c\r\n");
+  CHECK(request.caller->WaitFor(kEnd, 2'500));
+  RunFor(200);
+  for (const std::string event :
+       {"upstream-broken", "quarantine-suspected", "quarantine",
+        "attempt-failed", "delegated"}) {
+    CAPTURE(event);
+    CHECK(request.log.Lines(QString::fromStdString(event)).empty());
+  }
+  // A silence has the links probed, which shows that they are sound.
+  for (const auto& line : request.log.Lines("upstream-links")) {
+    CHECK(line["after"].toString() != "unreachable");
+    CHECK(line["failed"].toString().isEmpty());
+  }
+  CHECK(request.fixture.gateway.ReportQuarantine().crashes.empty());
+  // It serves on.
+  request.fixture.gateway.RemoveUpstream("b");
+  const auto next = request.fixture.SendRequest("resumable", "", "r2");
+  CHECK(next->WaitFor("id: 1", 500));
+}
+
+// Guards against LOST: while an engine copied a KV cache for 1.9 s, the stream
+// was given up for an upstream that rejected it.
+TEST_CASE("a stream goes on from its copy after another upstream rejected it") {
+  RawUpstream::Connection* stream = nullptr;
+  RacedRequest request(
+      [&](auto& connection) {
+        if (connection.received.find("POST /move") != std::string::npos) {
+          stream->socket->abort();
+          QTimer::singleShot(1'900, connection.socket, [&connection] {
+            SendResponse(connection, "200 OK", "copy-7");
+          });
+          return;
+        }
+        if (connection.received.find("GET /report") != std::string::npos) {
+          return SendResponse(connection, "200 OK", "1800");
+        }
+        stream = &connection;
+        StartEventStream(connection, MakeEvent(1));
+      },
+      [](auto& connection) {
+        const bool moved =
+            connection.received.find("Copy: copy-7") != std::string::npos;
+        if (!moved) return RejectNotRun(connection);
+        SendResponse(connection, "200 OK", MakeEvent(2));
+      });
+  request.Reconfigure([](auto* content) {
+    for (auto& route : content->routes) route.timeout = Duration(6'000);
+  });
+  request.StartStream();
+  request.fixture.AddUpstream("a", request.a, true);
+  CHECK(request.caller->WaitFor(kEnd));
+  CHECK(HasEvents(*request.caller, {1, 2}));
+  CHECK(request.b.Requests() == 2);
+  CHECK(request.InFlight() == 0);
+}
+
+}  // namespace firmoor
