Count a request once that failed at another daemon and was answered here

What workspaces saw: a request is delegated, the other daemon pauses, an attempt starts here beside it; the other daemon's upstream runs it and answers 500, the attempt here answers 200. Usage had it twice: the other daemon counts what its upstream ran, and this one did not learn of it when it dropped the response.

gateway_silence_test, 'a request that fails at another daemon counts once': 2 before, 1 now.

--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -239,6 +239,8 @@
       refusal && refusal->outcome == RequestOutcome::kNotRun;
   const bool is_failure =
       refusal || answer_started_ || response.status >= kFirstServerError;
+  // The peer has counted it, as at the end of an attempt of this daemon.
+  if (!refusal || (!is_not_run && !IsStream())) usage_counted_ = true;
   if (is_failure && race_.in_flight() > 1) {
     ++context_->beside_counters.dropped;
     refusing_peers_.insert(peer);
