Cancel a second attempt whose version may differ from the stream's

What callers may have seen: a stream that is bound to a software version has a second attempt in flight, beside its silent upstream a; then a, or the upstream b of the second attempt, is registered anew under its id as another version that had started before the request. The events of b were forwarded behind those of a though one of them may be of the other version (ORDER).

Cause: the doubt was looked at only before an attempt starts. Registrations are looked at when they come: attempts that the caller has no events of end when theirs, or the writer's, version is in doubt. The writer's own attempt goes on.

Not covered: a delegated attempt in flight while the writer here falls into doubt.

--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -60,7 +60,8 @@
   }
 
   /// `upstream` is registered as another instance. If that one may have written
-  /// the stream, its version is not known for sure any more.
+  /// the stream, its version is not known for sure any more. Ends attempts
+  /// whose events may be of another version than those that the caller has.
   void OnUpstreamReplaced(const std::string& upstream);
 
   /// Tells the monitor of the links if the upstream has been silent for long.
--- a/libs/gateway/src/details/exchange_resume.cc
+++ b/libs/gateway/src/details/exchange_resume.cc
@@ -9,8 +9,6 @@
 
 // Callers may resume a stream a little later than their own time allows.
 constexpr Duration kRecordMargin{1'000};
-// Clocks of upstreams and daemons may differ by this much.
-constexpr std::int64_t kClockToleranceMs = 1'000;
 // Another daemon may reach one that holds the record.
 constexpr Duration kOtherDaemonRetryDelay{20};
 
@@ -83,8 +81,18 @@
 }
 
 void Exchange::OnUpstreamReplaced(const std::string& upstream) {
-  const bool wrote = writer_ && writer_->upstream.id == upstream;
-  if (!finished_ && version_ && wrote) RecordDoubt();
+  if (finished_ || !version_) return;
+  const auto self = shared_from_this();
+  if (writer_ && writer_->upstream.id == upstream) RecordDoubt();
+  const bool is_doubtful = IsVersionDoubtful();
+  const auto attempts = attempts_.all();
+  for (const auto& attempt : attempts) {
+    const bool wrote = writer_ && writer_->upstream == attempt->upstream() &&
+                       writer_->sent_at == attempt->sent_at();
+    if (!wrote && (is_doubtful || attempt->MayHaveReachedOtherVersion())) {
+      attempt->End(HttpCallEnd::kCancelled);
+    }
+  }
 }
 
 void Exchange::RecordDoubt() {
@@ -97,15 +105,8 @@
 }
 
 bool Exchange::IsVersionDoubtful() const {
-  if (!writer_) return false;
-  const auto& wrote = writer_->upstream;
-  const auto* entry = context_->catalog.Find(wrote.id);
-  const bool was_replaced = entry != nullptr &&
-                            entry->born_ms != wrote.born_ms &&
-                            entry->software_version != wrote.software_version;
-  return was_replaced && entry->born_ms <= context_->environment.true_time->At(
-                                               writer_->sent_at) +
-                                               kClockToleranceMs;
+  return writer_ && MayHaveReachedOtherVersion(*context_, writer_->upstream,
+                                               writer_->sent_at);
 }
 
 int Exchange::PriorityOfAttempt() const {
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -33,6 +33,20 @@
   return times;
 }
 
+bool MayHaveReachedOtherVersion(const GatewayContext& context,
+                                const UpstreamEntry& upstream,
+                                TimePoint sent_at) {
+  // Clocks of upstreams and daemons may differ by this much.
+  constexpr std::int64_t kClockToleranceMs = 1'000;
+  const auto* entry = context.catalog.Find(upstream.id);
+  const bool was_replaced =
+      entry != nullptr && entry->born_ms != upstream.born_ms &&
+      entry->software_version != upstream.software_version;
+  return was_replaced &&
+         entry->born_ms <=
+             context.environment.true_time->At(sent_at) + kClockToleranceMs;
+}
+
 UpstreamAttempt::UpstreamAttempt(GatewayContext* context,
                                  const ForwardRequest& request, Plan plan,
                                  Owner* owner)
@@ -117,6 +131,11 @@
   return entry != nullptr && entry->born_ms != plan_.upstream.born_ms;
 }
 
+bool UpstreamAttempt::MayHaveReachedOtherVersion() const {
+  return details::MayHaveReachedOtherVersion(*context_, plan_.upstream,
+                                             sent_at_);
+}
+
 bool UpstreamAttempt::IsSilentFor(Duration time, TimePoint now) const {
   return !end_ && MayHaveBeenSent() && now - last_byte_at_ >= time;
 }
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -30,6 +30,13 @@
 /// Time-outs of an attempt of a request that has `left` until it ends.
 HttpCallTimeouts AttemptTimeouts(const Route& route, Duration left);
 
+/// Whether a request that was sent to `upstream` at `sent_at` may have reached
+/// an instance of another software version, which is registered under its id
+/// now.
+bool MayHaveReachedOtherVersion(const GatewayContext& context,
+                                const UpstreamEntry& upstream,
+                                TimePoint sent_at);
+
 /// One attempt to serve a request at one upstream: its call, its place at the
 /// upstream, its permit, and what its end tells about the upstream.
 class UpstreamAttempt {
@@ -102,6 +109,7 @@
   [[nodiscard]] bool Counts() const;
   /// Whether another instance is registered under the upstream's id by now.
   [[nodiscard]] bool WasReplaced() const;
+  [[nodiscard]] bool MayHaveReachedOtherVersion() const;
   /// Whether the upstream has been silent for its time-out.
   [[nodiscard]] bool is_silent() const { return is_silent_; }
   /// Whether no byte has arrived for `time` since the request was sent.
--- /dev/null
+++ b/libs/gateway/tests/gateway_silence_version_test.cc
@@ -0,0 +1,104 @@
+#include <doctest/doctest.h>
+
+#include <QTimer>
+#include <string>
+
+#include "silent_upstreams.h"
+
+namespace firmoor {
+namespace {
+
+// Well before an attempt that was sent just now.
+constexpr std::int64_t kEarlierMs = 5'000;
+
+/// A stream whose upstream "a" of version 1 pauses after event 1, and whose
+/// second attempt at "b" sends event 2 when the test lets it.
+struct VersionedStream {
+  RacedRequest request{SendEvents({{1, 0}, {2, 1'900}}), [](auto&) {}};
+
+  VersionedStream() {
+    auto& fixture = request.fixture;
+    fixture.AddUpstream("a", request.a, false, "v1");
+    // The registration that this daemon has is the older one.
+    Register("a", 1, "v1");
+    request.caller = fixture.SendRequest("resumable");
+    REQUIRE(request.caller->WaitFor("id: 1"));
+  }
+  void AddSecond() {
+    request.fixture.AddUpstream("b", request.b, false, "v1");
+    Register("b", 1, "v1");
+  }
+  void Register(const std::string& id, std::int64_t born_ms,
+                const std::string& version) {
+    auto entry = *request.fixture.gateway.upstreams().Find(id);
+    entry.born_ms = born_ms;
+    entry.software_version = version;
+    request.fixture.gateway.ApplyUpstream(entry);
+  }
+  /// Has "b" send event 2 and the end of the stream.
+  void SendFromSecond() {
+    const auto event = MakeEvent(2);
+    SendResponse(WithRequest(request.b), "200 OK\r\nSeal: b", event);
+    WithRequest(request.b).socket->flush();
+  }
+};
+
+}  // namespace
+
+// Guards against streams that hold events of two software versions (ORDER),
+// joined by an attempt that started while the first upstream was silent.
+TEST_CASE("a second attempt of a stream that is bound to a software version") {
+  VersionedStream stream;
+  auto& request = stream.request;
+
+  SUBCASE("starts only at an upstream of this version") {
+    RawUpstream other(SendEvents({{2, 0}}));
+    for (const auto* id : {"c", "d"}) {
+      request.fixture.AddUpstream(id, other, false, "v2");
+    }
+    SUBCASE("or not at all") {
+      CHECK(request.caller->WaitFor(kEnd, 2'500));
+      CHECK(request.HasMetric("started", 0));
+    }
+    SUBCASE("which takes over") {
+      stream.AddSecond();
+      REQUIRE(request.WaitForSecond());
+      stream.SendFromSecond();
+      CHECK(request.caller->WaitFor(kEnd, 200));
+    }
+    CHECK(HasEvents(*request.caller, {1, 2}));
+    CHECK(other.Requests() == 0);
+  }
+  // The first events may be of the other version already.
+  SUBCASE("has no part in it when the first one turns out to be of another") {
+    stream.AddSecond();
+    REQUIRE(request.WaitForSecond());
+    stream.Register("a", WallClockMs() - kEarlierMs, "v2");
+    stream.SendFromSecond();
+    RunFor(100);
+    CHECK(HasEvents(*request.caller, {1}));
+    // The one that wrote them goes on.
+    CHECK(request.caller->WaitFor(kEnd, 700));
+    CHECK(HasEvents(*request.caller, {1, 2}));
+  }
+  SUBCASE("has no part in it when it turns out to run at another") {
+    stream.AddSecond();
+    REQUIRE(request.WaitForSecond());
+    stream.Register("b", WallClockMs() - kEarlierMs, "v2");
+    stream.SendFromSecond();
+    RunFor(100);
+    CHECK(HasEvents(*request.caller, {1}));
+    CHECK(request.caller->WaitFor(kEnd, 700));
+    CHECK(HasEvents(*request.caller, {1, 2}));
+  }
+  SUBCASE("goes on when the first one was replaced after it began") {
+    stream.AddSecond();
+    REQUIRE(request.WaitForSecond());
+    stream.Register("a", WallClockMs() + kEarlierMs, "v2");
+    stream.SendFromSecond();
+    CHECK(request.caller->WaitFor(kEnd, 200));
+    CHECK(HasEvents(*request.caller, {1, 2}));
+  }
+}
+
+}  // namespace firmoor
