Let a stream go on elsewhere while its move is silent

What callers saw (found in review): a stream whose leaving engine neither sent events nor answered the order to move had no end until its route's timeout, since a pending order kept further attempts from starting; resumed it elsewhere. And the end of a stream during a move that another upstream overtook was applied to the next move's source, whose stream was cut off.

Cause: the state of an order was three members, of which some outlived it. They are one optional Move now; an order that is silent for its time-out keeps no attempt from starting. An order that comes due while two attempts are in flight waits for one of them; a copy is not used at an upstream that an attempt beside it has already.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -172,14 +172,14 @@
 void Exchange::OnEnd(const UpstreamAttempt& attempt, HttpCallEnd end) {
   if (finished_) return;
   const auto self = shared_from_this();
-  if (move_call_ && moving_ == attempt.number()) {
+  if (move_ && move_->attempt == attempt.number()) {
     // Moving a request ends its stream; the response to the move decides
     // whether this is a failure.
     if (end != HttpCallEnd::kComplete) {
-      end_during_move_ = end;
+      move_->end = end;
       return;
     }
-    move_call_.reset();
+    move_.reset();
   }
   HandleEnd(attempt, end);
 }
@@ -285,6 +285,14 @@
   Finish(code, NameOf(outcome));
 }
 
+Duration Exchange::RemainingStreamTime(TimePoint now) const {
+  if (!answer_started_) return Duration(0);
+  auto timeout = admission_.route->timeout;
+  const auto* current = context_->table->Match(request_.host, request_.Path());
+  if (current != nullptr) timeout = std::max(timeout, current->timeout);
+  return started_at_ + timeout + kRouteTimeoutGrace - now;
+}
+
 void Exchange::OnTimeout() {
   const auto self = shared_from_this();
   if (finished_) return;
@@ -329,7 +337,7 @@
   if (std::exchange(finished_, true)) return;
   const auto now = MonotonicNow();
   timer_.stop();
-  move_call_.reset();
+  move_.reset();
   LogRequest(code, outcome, now);
   ReleaseAttempts();
   RequestSample sample;
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -78,6 +78,13 @@
               std::optional<Duration> retry_after);
 
  private:
+  /// An order to move the request, until it is answered.
+  struct Move {
+    int attempt = 0;  ///< Number of the attempt at the source.
+    std::unique_ptr<HttpCall> call;
+    std::optional<HttpCallEnd> end;  ///< Of the source's stream meanwhile.
+    bool is_silent = false;          ///< Not answered in time.
+  };
   /// The upstream that wrote the last event.
   struct Writer {
     UpstreamEntry upstream;
@@ -137,6 +144,8 @@
             const std::optional<KvCacheCopy>& copy = std::nullopt);
   [[nodiscard]] bool WillFinishBefore(TimePoint ends_at,
                                       std::int64_t tokens_per_event) const;
+  void ScheduleMove(const std::string& source, Duration wait, TimePoint ends_at,
+                    std::int64_t tokens_per_event);
   void StartMove(const std::string& source, TimePoint ends_at,
                  std::int64_t tokens_per_event);
   void OnMoveResult(const HttpFetchResult& result, const UpstreamEntry& target);
@@ -249,9 +258,7 @@
   std::set<std::string> refusing_peers_;  ///< Daemons that did not serve it.
   std::string last_peer_;    ///< Daemon that it was last delegated to.
   int unsent_attempts_ = 0;  ///< Attempts that found no connection.
-  std::unique_ptr<HttpCall> move_call_;
-  int moving_ = 0;  ///< Number of the attempt that is moved.
-  std::optional<HttpCallEnd> end_during_move_;
+  std::optional<Move> move_;
   std::set<std::string> tried_upstreams_;
   /// Upstreams left while they were silent, and for how many ms they were.
   std::string left_silent_;
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -339,7 +339,7 @@
 }
 
 void Exchange::ReportSilence(TimePoint now) const {
-  if (move_call_) return;
+  if (move_ && !move_->is_silent) return;
   for (const auto& attempt : attempts_.all()) {
     if (!attempt->IsSilentFor(kSilence, now)) continue;
     context_->links.OnSilence(attempt->upstream().id, attempt->last_byte_at());
@@ -347,7 +347,7 @@
 }
 
 void Exchange::OnLinksLost() {
-  if (finished_ || move_call_) return;
+  if (finished_ || (move_ && !move_->is_silent)) return;
   const auto self = shared_from_this();
   const auto now = MonotonicNow();
   const auto affected = attempts_.all();
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -113,7 +113,7 @@
        {"beside", started_beside_},
        {"started", answer_started_},
        {"left_silent", Text(left_silent_)},
-       {"moving", move_call_ != nullptr},
+       {"moving", move_.has_value()},
        {"events", static_cast<qint64>(events_)},
        {"silent_ms", Milliseconds(now - silent_since)},
        {"total_ms", Milliseconds(now - started_at_)},
--- a/libs/gateway/src/details/exchange_move.cc
+++ b/libs/gateway/src/details/exchange_move.cc
@@ -11,6 +11,8 @@
 // that most have finished and little is copied, but early enough to copy the KV
 // caches of a full batch one after the other (20 ms per prompt).
 constexpr Duration kMoveLeadTime{1'100};
+// Time after which a request with two attempts is looked at again.
+constexpr Duration kMoveRetryDelay{100};
 constexpr HttpCallTimeouts kMoveTimeouts{Duration(300), Duration(1'500),
                                          Duration(1'500)};
 
@@ -21,10 +23,14 @@
   if (finished_ || !attempts_.HasAttemptAt(upstream)) return;
   const auto wait =
       std::max(ends_at - MonotonicNow() - kMoveLeadTime, Duration(0));
-  QTimer::singleShot(wait, &timer_,
-                     [this, upstream, ends_at, tokens_per_event] {
-                       StartMove(upstream, ends_at, tokens_per_event);
-                     });
+  ScheduleMove(upstream, wait, ends_at, tokens_per_event);
+}
+
+void Exchange::ScheduleMove(const std::string& source, Duration wait,
+                            TimePoint ends_at, std::int64_t tokens_per_event) {
+  QTimer::singleShot(wait, &timer_, [this, source, ends_at, tokens_per_event] {
+    StartMove(source, ends_at, tokens_per_event);
+  });
 }
 
 bool Exchange::WillFinishBefore(TimePoint ends_at,
@@ -46,15 +52,20 @@
 
 void Exchange::StartMove(const std::string& source, TimePoint ends_at,
                          std::int64_t tokens_per_event) {
-  // Of two attempts one is about to take over.
-  if (finished_ || attempts_.all().size() != 1 || race_.in_flight() != 1) {
+  if (finished_) return;
+  if (race_.in_flight() > 1) {
+    // One of them is about to take over.
+    const bool has_time = MonotonicNow() + kMoveRetryDelay < ends_at;
+    if (has_time)
+      ScheduleMove(source, kMoveRetryDelay, ends_at, tokens_per_event);
     return;
   }
+  if (attempts_.all().empty()) return;
   const auto attempt = attempts_.all().front();
   const auto& upstream = attempt->upstream();
   const bool is_streaming = upstream.id == source &&
                             attempt->is_event_stream() && answer_started_ &&
-                            !move_call_;
+                            !move_;
   if (!is_streaming || WillFinishBefore(ends_at, tokens_per_event)) return;
   auto pick = MakePickRequest();
   pick.exclude = {source};
@@ -62,8 +73,9 @@
   // The order to move is a request to the upstream as well.
   if (!target || !context_->TakePermit(upstream)) return;
   const auto self = shared_from_this();
-  moving_ = attempt->number();
-  move_call_ = HttpFetch(
+  move_.emplace();
+  move_->attempt = attempt->number();
+  move_->call = HttpFetch(
       upstream.endpoint,
       context_->environment.dialect->EncodeMoveRequest(request_.id,
                                                        target->endpoint),
@@ -72,9 +84,10 @@
         OnMoveResult(result, target);
       },
       [this] {
-        // The engine may still be copying; its stream has ended before.
-        race_.OnSilent(moving_);
-        if (end_during_move_) StartBeside();
+        // The engine may still be copying.
+        move_->is_silent = true;
+        if (move_->end) race_.OnSilent(move_->attempt);
+        StartBeside();
         return false;
       });
 }
@@ -83,9 +96,8 @@
                             const UpstreamEntry& target) {
   if (finished_) return;
   const auto self = shared_from_this();
-  const auto call = std::move(move_call_);
-  const auto ended = std::exchange(end_during_move_, std::nullopt);
-  const auto source = attempts_.Find(moving_);
+  const auto move = std::exchange(move_, std::nullopt);
+  const auto source = attempts_.Find(move->attempt);
   if (!source) return;
   MoveResult moved;
   if (result.end == HttpCallEnd::kComplete) {
@@ -107,7 +119,7 @@
     return ContinueAt(source, can_move ? target : source->upstream(),
                       moved.handle);
   }
-  if (ended) HandleEnd(*source, *ended);
+  if (move->end) HandleEnd(*source, *move->end);
 }
 
 void Exchange::ContinueAt(const std::shared_ptr<UpstreamAttempt>& source,
@@ -115,8 +127,10 @@
                           const std::string& handle) {
   attempts_.Remove(source->number());
   race_.OnCancelled(source->number(), true, false);
-  TakeRetry();
   source->Release(UpstreamOutcome::kNeutral, false, MonotonicNow());
+  // An attempt beside the source goes on there already.
+  if (attempts_.HasAttemptAt(upstream.id)) return;
+  TakeRetry();
   Send(upstream, KvCacheCopy{source->upstream().endpoint, handle});
 }
 
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -18,7 +18,8 @@
 
 bool Exchange::MayStartBeside() const {
   const bool is_busy = finished_ || caller_disconnected_ ||
-                       probes_pending_ > 0 || (move_call_ && !end_during_move_);
+                       probes_pending_ > 0 ||
+                       (move_ && !move_->end && !move_->is_silent);
   if (is_busy || race_.in_flight() == 0) return false;
   if (!race_.MayStartBeside(MakeConditions())) return false;
   const bool is_held = !CanVerifyKey() || IsVersionDoubtful() ||
@@ -69,7 +70,7 @@
                    now - delegated->last_message_at);
       EndDelegation(number);
     } else if (const auto attempt = attempts_.Remove(number)) {
-      if (moving_ == number) move_call_.reset();
+      if (move_ && move_->attempt == number) move_.reset();
       const bool sent = attempt->MayHaveBeenSent();
       LogOvertaken(by, attempt->upstream().id, sent,
                    now - attempt->last_byte_at());
