Leave a silent upstream once another one has begun the next event; return retries

Found in review. It is cancelled 300 ms after the second has begun an event now. Before it has begun one, both are kept, as a request starts to run with its first token; whether the rule means that is open. (2) A retry taken for a second attempt that was never sent was given back only at the end of the request: with a daemon's share of one, another request whose upstream reset was answered 502 in 2 of 2 runs of the review's probe. (3) An overtaken upstream that was not silent may be tried again; a kept error of an upstream that ran an idempotent request is passed on also when the request ends by time.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -13,6 +13,10 @@
 // the response is not cut off before they do.
 constexpr Duration kDeadlineGrace{500};
 
+// An upstream that has begun the next event goes on with the stream; another
+// one that works on it for longer than 400 ms wastes its tokens.
+constexpr Duration kMaxOverlap{300};
+
 Duration EffectiveCallerTimeout(const ForwardRequest& request,
                                 const Route& route) {
   return request.caller_timeout
@@ -115,12 +119,21 @@
 }
 
 bool Exchange::MaySend(const UpstreamAttempt& attempt) {
-  return CanVerifyKey() && !(version_ && attempt.WasReplaced());
+  return !finished_ && CanVerifyKey() && !(version_ && attempt.WasReplaced());
 }
 
 void Exchange::OnByte(const UpstreamAttempt& attempt) {
-  race_.OnByte(attempt.number());
+  const int number = attempt.number();
+  race_.OnByte(number);
   if (attempt.head()) unsent_attempts_ = 0;
+  const bool goes_on =
+      answer_started_ && race_.in_flight() > 1 && attempt.HasPartialEvent();
+  if (!goes_on) return;
+  QTimer::singleShot(kMaxOverlap, &timer_, [this, number] {
+    const auto writing = attempts_.Find(number);
+    if (finished_ || !writing || !writing->HasPartialEvent()) return;
+    CancelOvertaken(number, writing->upstream().id, race_.OnNextPart(number));
+  });
 }
 
 void Exchange::OnEvents(const UpstreamAttempt& attempt,
@@ -244,10 +257,6 @@
 
 void Exchange::FailRequest(const AttemptDecision& decision) {
   if (answer_started_) return AbortStream(decision.code);
-  if (failed_answer_) {
-    responder_->Send(*failed_answer_);
-    return Finish(ResultCode::kOk, "failure-passed");
-  }
   const bool not_run = decision.outcome == RequestOutcome::kNotRun;
   // Status 503 promises that the request did not run, so it must not be used
   // when the outcome is unknown.
@@ -275,6 +284,10 @@
                       RequestOutcome outcome,
                       std::optional<Duration> retry_after) {
   if (answer_started_) return AbortStream(code);
+  if (failed_answer_) {
+    responder_->Send(*failed_answer_);
+    return Finish(ResultCode::kOk, "failure-passed");
+  }
   if (outcome != RequestOutcome::kNotRun) {
     const bool promises_not_run = InfoOf(code).http_status == 503;
     if (promises_not_run) code = ResultCode::kUpstreamOutcomeUnknown;
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -173,6 +173,8 @@
   /// Takes the retry from the budget that the next attempt needs. Returns
   /// whether it has one or needs none.
   bool TakeRetry();
+  /// Gives back what was taken from the budget for attempts that were not sent.
+  void ReturnUnusedRetries();
   /// Cancels the attempts that `winner` has overtaken. `by`: its upstream or
   /// daemon.
   void CancelOvertaken(int winner, const std::string& by,
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -39,11 +39,13 @@
 }
 
 void Exchange::StartBeside() {
-  if (!MayStartBeside() || !TakeRetry()) return;
-  ++started_beside_;
-  ++context_->beside_counters.started;
-  LogBeside();
-  TryNextUpstream();
+  if (MayStartBeside() && TakeRetry()) {
+    ++started_beside_;
+    ++context_->beside_counters.started;
+    LogBeside();
+    TryNextUpstream();
+  }
+  if (race_.in_flight() > 0) ReturnUnusedRetries();
 }
 
 void Exchange::GoOn() {
@@ -75,11 +77,14 @@
       LogOvertaken(by, attempt->upstream().id, sent,
                    now - attempt->last_byte_at());
       race_.OnCancelled(number, sent, attempt->Counts());
+      // One that was not silent may be tried again.
+      if (!attempt->is_silent()) tried_upstreams_.erase(attempt->upstream().id);
       attempt->Release(attempt->is_silent() ? UpstreamOutcome::kFailed
                                             : UpstreamOutcome::kNeutral,
                        false, now);
     }
   }
+  if (race_.in_flight() > 0) ReturnUnusedRetries();
 }
 
 RequestOutcome Exchange::OutcomeSoFar() const {
@@ -97,6 +102,10 @@
                       attempt->Counts());
     attempt->Release(UpstreamOutcome::kNeutral, false, now);
   }
+  ReturnUnusedRetries();
+}
+
+void Exchange::ReturnUnusedRetries() {
   while (race_.TakeUnusedRetry()) context_->BudgetOf(service_).Return();
 }
 
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -178,12 +178,12 @@
   last_byte_at_ = MonotonicNow();
   is_silent_ = false;
   context_->links.OnContact(plan_.upstream.id);
-  owner_->OnByte(*this);
   if (!is_event_stream_) {
     body_ += bytes;
-    return;
+    return owner_->OnByte(*this);
   }
   const auto events = FeedEvents(&relay_, bytes);
+  owner_->OnByte(*this);
   if (events.bytes.empty()) return;
   context_->picker.OnFirstEvent(&ticket_, last_byte_at_);
   owner_->OnEvents(*this, events);
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -96,6 +96,10 @@
   [[nodiscard]] const std::string& body() const { return body_; }
   /// Whether the response is forwarded by event.
   [[nodiscard]] bool is_event_stream() const { return is_event_stream_; }
+  /// Whether a part of the next event has arrived.
+  [[nodiscard]] bool HasPartialEvent() const {
+    return !end_ && is_event_stream_ && relay_.HasPartialEvent();
+  }
   /// This daemon's requests at the upstream when the attempt was sent.
   [[nodiscard]] std::int64_t requests_before() const { return in_flight_; }
   /// Prompt tokens estimated not to be cached.
--- a/libs/gateway/tests/gateway_silence_race_test.cc
+++ b/libs/gateway/tests/gateway_silence_race_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <QHostAddress>
+#include <QTcpServer>
 #include <QTimer>
 #include <string>
 #include <utility>
@@ -221,4 +223,63 @@
   }
 }
 
+// Guards against two upstreams that work on one stream at the same time: the
+// second had begun the next event, and the silent one was kept until its end.
+TEST_CASE("a silent upstream is left once another one has begun the event") {
+  GatewayFixture fixture;
+  RawUpstream a(
+      [](auto& connection) { StartEventStream(connection, MakeEvent(1)); });
+  RawUpstream b([](auto& connection) {
+    StartEventStream(connection, MakeEvent(2).substr(0, 5));
+  });
+  fixture.AddUpstream("a", a);
+  auto caller = fixture.SendRequest("resumable");
+  REQUIRE(caller->WaitFor("id: 1"));
+  const auto* first = a.At(0).socket;
+  fixture.AddUpstream("b", b);
+  REQUIRE(WaitUntil([&] { return b.Requests() == 1; }, 1'800));
+  CHECK(WaitUntil([&] { return first->state() != QTcpSocket::ConnectedState; },
+                  400));
+}
+
+// Guards against requests that are refused for want of a retry which another
+// request had taken and did not use.
+TEST_CASE("a retry that a second attempt did not use is free for others") {
+  GatewayFixture fixture;
+  fixture.gateway.SeedSharedLimits(1'000, {});  // Leaves each one retry.
+  RawUpstream a([](auto& connection) {
+    StartEventStream(connection, MakeEvent(1));
+    QTimer::singleShot(1'800, connection.socket, [s = connection.socket] {
+      s->write(QByteArray::fromStdString(MakeEvent(2)));
+    });
+  });
+  fixture.AddUpstream("a", a);
+  auto stream = fixture.SendRequest("resumable");
+  REQUIRE(stream->WaitFor("id: 1"));
+  const auto closed = [] {
+    QTcpServer listener;
+    REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
+    return Endpoint{"127.0.0.1", listener.serverPort()};
+  }();
+  fixture.AddUpstream("b", closed);
+  REQUIRE(stream->WaitFor("id: 2", 2'500));
+  fixture.AddUpstream("b", closed, true);
+  fixture.AddUpstream("a", a, true);
+  int requests = 0;
+  const auto break_first = [&](RawUpstream::Connection& connection) {
+    if (connection.received.find("POST /idempotent") == std::string::npos) {
+      return SendResponse(connection, "200 OK", "0/0");
+    }
+    if (++requests == 1) return connection.socket->abort();
+    SendResponse(connection, "200 OK", "answer");
+  };
+  RawUpstream c(break_first);
+  RawUpstream d(break_first);
+  fixture.AddUpstream("c", c);
+  fixture.AddUpstream("d", d);
+  auto other = fixture.SendRequest("idempotent", "", "r2");
+  CHECK(other->WaitFor("answer", 2'000));
+  CHECK(requests == 2);
+}
+
 }  // namespace firmoor
