Count a connection as idle only behind the last byte of its response

What callers saw: a caller that reads a response slowly loses its rest when the daemon stops to listen, or when the idle time-out is over, although the connection is kept and the response was complete at the server.

Cause: a kept connection counted as idle as soon as its response was handed to the socket, however much of it was still to be sent; StopListening and the idle time-out abort idle connections, which drops what is not sent.

Now the idle time begins anew with each part that the kernel takes, so only a caller that takes nothing for the whole idle time-out is cut. After StopListening a connection closes when it becomes idle. That also ends connections of streams whose head was sent before the stop, and could not say `Connection: close`: they stayed open for the idle time-out.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -64,7 +64,7 @@
   std::uint64_t body_bytes = 8 * 1024 * 1024;
   std::size_t connections = 12'000;
   Duration request_timeout{10'000};  ///< From the first byte to the last.
-  Duration idle_timeout{60'000};     ///< Between requests of one connection.
+  Duration idle_timeout{60'000};     ///< From the last byte sent.
 
   bool operator==(const HttpServerLimits&) const = default;
 };
@@ -124,7 +124,8 @@
   void CloseAfterResponses();
 
   /// Closes the listener and idle connections. Active requests continue, and
-  /// their connections close after the response.
+  /// their connections close after the response. A connection on which a
+  /// response is still being sent counts as idle only behind it.
   void StopListening();
 
   /// Connections closed for `reason` since the start.
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -61,13 +61,9 @@
                    [this] { ReadMore(); });
   QObject::connect(socket_, &QTcpSocket::disconnected, socket_,
                    [this] { OnDisconnected(); });
-  QObject::connect(&timer_, &QTimer::timeout, socket_, [this] {
-    if (parser_->got_some()) {
-      RejectInput(kRequestTimeout);
-    } else {
-      Abort(ConnectionCut::kIdle);
-    }
-  });
+  QObject::connect(socket_, &QTcpSocket::bytesWritten, socket_,
+                   [this] { OnBytesWritten(); });
+  QObject::connect(&timer_, &QTimer::timeout, socket_, [this] { OnTimeout(); });
   ResetParser();
   ReadMore();
 }
@@ -97,6 +93,29 @@
   timer_.start(std::max(due - MonotonicNow(), Duration(0)));
 }
 
+void ServerConnection::OnTimeout() {
+  const auto left = waiting_since_ + timeout_ - MonotonicNow();
+  if (left > Duration(0)) {
+    timer_.start(left);
+  } else if (parser_->got_some()) {
+    RejectInput(kRequestTimeout);
+  } else {
+    Abort(ConnectionCut::kIdle);
+  }
+}
+
+void ServerConnection::OnBytesWritten() {
+  if (!IsIdle()) return;
+  // The caller is still reading the last response.
+  waiting_since_ = MonotonicNow();
+  if (context_->stopped) CloseIfIdle();
+}
+
+bool ServerConnection::IsIdle() const {
+  return phase_ == Phase::kReading && !closed_ && !parser_->got_some() &&
+         buffer_.size() == 0 && socket_->bytesAvailable() == 0;
+}
+
 void ServerConnection::ReadMore() {
   if (phase_ != Phase::kReading || closed_) return;
   const bool had_input = parser_->got_some();
@@ -238,11 +257,7 @@
 }
 
 void ServerConnection::CloseIfIdle() {
-  const bool has_input = parser_->got_some() || buffer_.size() > 0 ||
-                         socket_->bytesAvailable() > 0;
-  if (phase_ == Phase::kReading && !has_input && !closed_) {
-    Abort(ConnectionCut::kStop);
-  }
+  if (IsIdle() && socket_->bytesToWrite() == 0) Abort(ConnectionCut::kStop);
 }
 
 std::size_t ServerConnection::UnsentBytes() const {
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -24,6 +24,7 @@
   HttpServer::Handler handler;
   HttpServer::ErrorResponse error_response;
   bool closing = false;  ///< Connections close after their next response.
+  bool stopped = false;  ///< Connections close as soon as they are idle.
   std::array<std::uint64_t, 5> cuts{};  ///< By `ConnectionCut`.
 
   void CountCut(ConnectionCut reason) {
@@ -64,6 +65,9 @@
 
   void ResetParser();
   void StartTimeout(Duration timeout);
+  void OnTimeout();
+  void OnBytesWritten();
+  [[nodiscard]] bool IsIdle() const;
   void ReadMore();
   void ParseBuffered();
   void HandleExpect();
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -182,6 +182,7 @@
 
 void HttpServer::StopListening() {
   impl_->listener.close();
+  impl_->context->stopped = true;
   CloseAfterResponses();
   std::vector<std::shared_ptr<details::ServerConnection>> open;
   for (const auto& [key, connection] : impl_->connections) {
--- a/libs/http/tests/http_server_close_test.cc
+++ b/libs/http/tests/http_server_close_test.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "http/http_server.h"
+#include "stubborn_peer.h"
 #include "support/raw_socket.h"
 
 namespace firmoor {
@@ -143,4 +144,74 @@
   CHECK(fixture.WaitNoConnection(500));
 }
 
+// Guards against responses that are cut off while their caller still reads,
+// because the connection, which is kept, counted as idle.
+TEST_CASE("callers that read slowly get a whole response") {
+  HttpServerLimits limits;
+  limits.idle_timeout = Duration(300);
+  Fixture fixture(limits);
+  StubbornPeer caller(fixture.server->Port());
+  caller.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(fixture.WaitRequests(1));
+  const std::string body = LargeBody(32 * kMegabyte);
+  fixture.responders[0]->Send({200, {}, body});
+  std::string received;
+  const auto reads_whole = [&](int pause_ms) {
+    while (received.size() < body.size() && !caller.HasEnded()) {
+      received += caller.Receive();
+      RunFor(pause_ms);
+    }
+    return received.ends_with(body);
+  };
+  const auto count = [&](ConnectionCut reason) {
+    return fixture.server->CutCount(reason);
+  };
+
+  SUBCASE("for longer than the idle time-out") {
+    CHECK(reads_whole(15));
+    CHECK(fixture.WaitNoConnection(1'000));
+    CHECK(count(ConnectionCut::kIdle) == 1);
+  }
+  SUBCASE("when the server stops to listen") {
+    fixture.server->StopListening();
+    SUBCASE("and closes the connection behind it") {
+      CHECK(reads_whole(1));
+      CHECK(fixture.WaitNoConnection(1'000));
+      CHECK(count(ConnectionCut::kStop) == 1);
+    }
+    SUBCASE("and the one to a request that crossed the stop") {
+      caller.Send(kLastGet);
+      CHECK(reads_whole(1));
+      REQUIRE(fixture.WaitRequests(2));
+      fixture.responders[1]->Send({200, {}, "second"});
+      CHECK(WaitUntil([&] {
+        received += caller.Receive();
+        return received.ends_with("second");
+      }));
+      CHECK(count(ConnectionCut::kStop) == 0);
+    }
+  }
+  SUBCASE("but not if they stop to read") {
+    CHECK(fixture.WaitNoConnection(1'000));
+    CHECK(count(ConnectionCut::kIdle) == 1);
+  }
+}
+
+// Guards against connections that outlast a stop by the idle time-out, since
+// the head of their last response could not say that they close.
+TEST_CASE("a stream that began before the server stopped ends its connection") {
+  Fixture fixture;
+  RawClient client(fixture.server->Port());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(fixture.WaitRequests(1));
+  fixture.responders[0]->StartStream(200, {});
+  fixture.responders[0]->Write("first");
+  REQUIRE(client.WaitFor("first"));
+  fixture.server->StopListening();
+  fixture.responders[0]->FinishStream();
+  CHECK(client.WaitClosed(1'000));
+  CHECK(client.Received().ends_with("0\r\n\r\n"));
+  CHECK(fixture.server->CutCount(ConnectionCut::kStop) == 1);
+}
+
 }  // namespace firmoor
