Tell in answer-cut again which attempts were left while silent

What operators saw: left_silent of answer-cut was always empty, since attempts are no longer left at their time-out but overtaken, and nothing set the field. It has the overtaken attempts now and for how long each had been silent.

--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -220,8 +220,8 @@
   void LogAttempt(const UpstreamAttempt& attempt, const AttemptEnd& end,
                   const AttemptRace::Decision& decision) const;
   void LogBeside() const;
-  void LogOvertaken(const std::string& by, const std::string& overtaken,
-                    bool sent, Duration silent) const;
+  void RecordOvertaken(const std::string& by, const std::string& overtaken,
+                       bool sent, Duration silent);
   void LogRequest(ResultCode code, std::string_view outcome,
                   TimePoint now) const;
   /// Logs that the caller's connection closes without a complete response, by
@@ -253,7 +253,7 @@
   int moving_ = 0;  ///< Number of the attempt that is moved.
   std::optional<HttpCallEnd> end_during_move_;
   std::set<std::string> tried_upstreams_;
-  /// Upstreams left while they were silent, and for how many ms they were.
+  /// Attempts that were overtaken, and for how many ms they had been silent.
   std::string left_silent_;
   /// Of these, those to which this daemon found no connection.
   std::set<std::string> unreached_upstreams_;
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -42,8 +42,11 @@
        {"budget", context_->BudgetOf(service_).available()}});
 }
 
-void Exchange::LogOvertaken(const std::string& by, const std::string& overtaken,
-                            bool sent, Duration silent) const {
+void Exchange::RecordOvertaken(const std::string& by,
+                               const std::string& overtaken, bool sent,
+                               Duration silent) {
+  left_silent_ += fmt::format("{}{}:{}", left_silent_.empty() ? "" : " ",
+                              overtaken, silent.count());
   context_->environment.log->Write("attempt-overtaken",
                                    {{"request", Text(request_.id)},
                                     {"upstream", Text(overtaken)},
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -64,15 +64,15 @@
   for (const int number : overtaken) {
     ++(winner > number ? counters.took_over : counters.overtaken);
     if (const auto* delegated = attempts_.FindDelegated(number)) {
-      LogOvertaken(by, delegated->peer.daemon,
-                   delegated->stream->MayHaveBeenSent(),
-                   now - delegated->last_message_at);
+      RecordOvertaken(by, delegated->peer.daemon,
+                      delegated->stream->MayHaveBeenSent(),
+                      now - delegated->last_message_at);
       EndDelegation(number);
     } else if (const auto attempt = attempts_.Remove(number)) {
       if (moving_ == number) move_call_.reset();
       const bool sent = attempt->MayHaveBeenSent();
-      LogOvertaken(by, attempt->upstream().id, sent,
-                   now - attempt->last_byte_at());
+      RecordOvertaken(by, attempt->upstream().id, sent,
+                      now - attempt->last_byte_at());
       race_.OnCancelled(number, sent, attempt->Counts());
       attempt->Release(attempt->is_silent() ? UpstreamOutcome::kFailed
                                             : UpstreamOutcome::kNeutral,
--- a/libs/gateway/tests/gateway_silence_race_test.cc
+++ b/libs/gateway/tests/gateway_silence_race_test.cc
@@ -108,6 +108,24 @@
   }
 }
 
+// Guards against a line that does not tell which upstream a broken stream had
+// left while it was silent.
+TEST_CASE("a stream that breaks off after its second attempt took over") {
+  RacedRequest request(SendEvents({{1, 0}, {2, kNever}}), [](auto& connection) {
+    StartEventStream(connection, MakeEvent(2));
+    QTimer::singleShot(100, connection.socket,
+                       [s = connection.socket] { s->abort(); });
+  });
+  request.StartStream();
+  REQUIRE(request.caller->WaitClosed(2'500));
+  CHECK(HasEvents(*request.caller, {1, 2}));
+  const auto line = request.log.OnlyLine("answer-cut");
+  CHECK(line["upstream"].toString() == "b");
+  CHECK(line["left_silent"].toString().startsWith("a:1"));
+  CHECK(line["beside"].toInt() == 1);
+  CHECK(line["running"].toString().isEmpty());
+}
+
 // Guards against attempts that outlive their request.
 TEST_CASE("a request with two attempts in flight ends both") {
   RacedRequest request(SendEvents({{1, 0}, {2, kNever}}),
