Forget the end of a stream whose move was overtaken

What callers saw: a stream ends at engine a, which copies its KV cache; an attempt at b takes over meanwhile; b is to move it as well and does not. The stream was broken off though b went on sending.

Cause: the end at a, which was kept until the response to the move, stayed set when the move was cancelled. The response to the move at b applied it to the attempt at b (attempt-failed upstream=b end=truncated 352 ms after it was sent, while its connection was open).

--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -69,7 +69,10 @@
                       now - delegated->last_message_at);
       EndDelegation(number);
     } else if (const auto attempt = attempts_.Remove(number)) {
-      if (moving_ == number) move_call_.reset();
+      if (moving_ == number) {
+        move_call_.reset();
+        end_during_move_.reset();
+      }
       const bool sent = attempt->MayHaveBeenSent();
       RecordOvertaken(by, attempt->upstream().id, sent,
                       now - attempt->last_byte_at());
--- a/libs/gateway/tests/gateway_silence_limits_test.cc
+++ b/libs/gateway/tests/gateway_silence_limits_test.cc
@@ -378,4 +378,46 @@
   CHECK(request.InFlight() == 0);
 }
 
+// Guards against LOST: the end of a stream at an engine that was overtaken
+// while it copied a KV cache counted as the end at the next engine, when this
+// one did not move it.
+TEST_CASE("a stream that is to move a second time goes on where it is") {
+  const auto is_for = [](const RawUpstream::Connection& connection,
+                         const char* head) {
+    return connection.received.find(head) != std::string::npos;
+  };
+  RawUpstream::Connection* stream = nullptr;
+  RacedRequest request(
+      [&](auto& connection) {
+        // The order to move stays without a response.
+        if (is_for(connection, "POST /move")) return stream->socket->abort();
+        if (is_for(connection, "GET /report")) {
+          return SendResponse(connection, "200 OK", "1200");
+        }
+        stream = &connection;
+        StartEventStream(connection, MakeEvent(1));
+      },
+      [&](auto& connection) {
+        if (is_for(connection, "POST /move")) {
+          return SendResponse(connection, "404 Not Found", "");
+        }
+        if (is_for(connection, "GET /report")) {
+          return SendResponse(connection, "200 OK", "1200");
+        }
+        SendEvents({{2, 0}, {3, 800}})(connection);
+      });
+  request.Reconfigure([](auto* content) {
+    for (auto& route : content->routes) route.timeout = Duration(6'000);
+  });
+  request.StartStream();
+  request.fixture.AddUpstream("a", request.a, true);
+  REQUIRE(request.caller->WaitFor("id: 2"));
+  RawUpstream c(RejectNotRun);
+  request.fixture.AddUpstream("c", c);
+  request.fixture.AddUpstream("b", request.b, true);
+  REQUIRE(WaitUntil([&] { return !request.log.Lines("move").empty(); }, 700));
+  CHECK(request.caller->WaitFor(kEnd, 1'500));
+  CHECK(HasEvents(*request.caller, {1, 2, 3}));
+}
+
 }  // namespace firmoor
