Don't pass on a rejection that came beside another attempt

What callers see: an idempotent request whose upstream a is silent is rejected by b (503, not run); then a breaks the connection and no further attempt may start. The caller gets b's 503, which promises that the request did not run, though a may have run it.

Cause: the answer of an attempt that failed beside another one is kept for the case that the request fails. A rejection is such an answer by its status.

Ruled out: a rejection through another daemon, which ForwardDelegatedResponse does not keep. Found by reading Exchange for the model of AttemptRace.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -218,7 +218,9 @@
       return ForwardAnswer(attempt);
     case RaceStep::kGoOn:
       ++context_->beside_counters.dropped;
-      if (attempt_end.failed && !answer_started_) {
+      // A rejection tells nothing of the attempts that go on.
+      if (attempt_end.failed && !attempt_end.declared_not_run &&
+          !answer_started_) {
         failed_answer_ = HttpResponse{attempt.head()->status,
                                       attempt.head()->headers, attempt.body()};
       }
--- a/libs/gateway/tests/gateway_silence_test.cc
+++ b/libs/gateway/tests/gateway_silence_test.cc
@@ -178,4 +178,23 @@
   }
 }
 
+// Guards against a request that is reported as not run, by the rejection of a
+// second upstream, though the first one may have run it.
+TEST_CASE("a rejection beside a silent upstream is not passed on") {
+  GatewayFixture fixture;
+  RawUpstream a([](auto& connection) {
+    QTimer::singleShot(kPauseBeforeHeadMs, connection.socket,
+                       [s = connection.socket] { s->abort(); });
+  });
+  fixture.AddUpstream("a", a);
+  auto caller = fixture.SendRequest("idempotent");
+  REQUIRE(WaitUntil([&] { return a.Requests() == 1; }));
+  RawUpstream b(Reject);
+  fixture.AddUpstream("b", b);
+  REQUIRE(caller->WaitFor("HTTP/1.1 ", 2'000));
+  CHECK(b.Requests() == 1);
+  CHECK(caller->Received().find("HTTP/1.1 503") == std::string::npos);
+  CHECK(caller->WaitFor("unknown", 200));
+}
+
 }  // namespace firmoor
