Try another upstream with an empty budget when nothing was sent

What callers see: while the retry budget of a service is empty, a request whose first upstream is not reached is refused (retry-budget-exhausted), though the next attempt is the first that arrives and needs no retry.

Cause: AttemptRace asked whether the budget has a retry, not whether the next attempt needs one; Exchange takes none in that case. The code before AttemptRace had the same fault.

attempt_race_test is new and reads through the decisions of AttemptRace.

--- a/libs/serving/src/attempt_race.cc
+++ b/libs/serving/src/attempt_race.cc
@@ -109,7 +109,7 @@
                              ? context.attempts
                              : conditions.max_attempts;
   context.time_left = conditions.time_left;
-  context.retry_allowed = has_retry_ || conditions.retry_available;
+  context.retry_allowed = !NeedsRetry() || conditions.retry_available;
   context.earlier_unknown = may_have_run_;
   return context;
 }
