Give back the retry of an attempt that turns out to be the first

What operators see: retries go missing from the budget. A request is passed to another daemon, which is silent for 300 ms, an attempt starts beside it with a retry, and the other daemon then refuses the request. One attempt has arrived and no repeat, but the retry was never given back. The same when both were not sent and a third is the first to arrive, or when a retry was taken but no upstream was left while another attempt's retry came back.

Cause: AttemptRace kept a retry with the attempt that was started with it. Which attempt is the first to arrive is known later. It now counts the retries taken against the attempts that were or may still be sent, less one.

attempt_race_test, "is left when the attempt turns out to be the first": 3 of 3 sections fail on the code before, all pass now. No request could exceed the budget by this; it fell short of it.

--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -98,7 +98,7 @@
                       attempt->Counts());
     attempt->Release(UpstreamOutcome::kNeutral, false, now);
   }
-  if (race_.TakeUnusedRetry()) context_->BudgetOf(service_).Return();
+  while (race_.TakeUnusedRetry()) context_->BudgetOf(service_).Return();
 }
 
 }  // namespace firmoor::details
--- a/libs/serving/include/serving/attempt_race.h
+++ b/libs/serving/include/serving/attempt_race.h
@@ -59,8 +59,8 @@
   /// Whether the next attempt is a repeat, which draws on the retry budget.
   [[nodiscard]] bool NeedsRetry() const;
   /// A retry was taken from the budget for the next attempt that is sent.
-  void AddRetry() { has_retry_ = true; }
-  /// Returns whether a retry was taken and not used, and forgets it.
+  void AddRetry() { ++retries_; }
+  /// Returns whether a retry was taken and not used, and forgets one.
   bool TakeUnusedRetry();
 
   /// Records a new attempt; returns its number. `counts`: towards the limit of
@@ -96,10 +96,12 @@
  private:
   struct InFlight {
     bool counts = true;
-    bool has_retry = false;
     bool is_silent = false;
   };
 
+  /// Attempts that were or may still be sent. All but one need a retry,
+  /// whichever of them is the first to be sent.
+  [[nodiscard]] int PossibleSends() const;
   [[nodiscard]] std::vector<int> Others(int attempt) const;
   /// Removes the attempt and records whether it was sent. Returns false if it
   /// is not in flight.
@@ -111,7 +113,7 @@
   int last_number_ = 0;
   int sends_ = 0;
   int counted_ = 0;  ///< Attempts that have ended.
-  bool has_retry_ = false;
+  int retries_ = 0;  ///< Taken from the budget and not forgotten.
   bool may_have_run_ = false;
 };
 
--- a/libs/serving/src/attempt_race.cc
+++ b/libs/serving/src/attempt_race.cc
@@ -1,7 +1,6 @@
 #include "serving/attempt_race.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "base/invariant.h"
 
@@ -12,17 +11,22 @@
                                           : NameOf(decision.attempt.step);
 }
 
-bool AttemptRace::NeedsRetry() const {
-  return !has_retry_ && (sends_ > 0 || !in_flight_.empty());
+bool AttemptRace::NeedsRetry() const { return retries_ < PossibleSends(); }
+
+bool AttemptRace::TakeUnusedRetry() {
+  if (retries_ < std::max(1, PossibleSends())) return false;
+  --retries_;
+  return true;
 }
 
-bool AttemptRace::TakeUnusedRetry() { return std::exchange(has_retry_, false); }
+int AttemptRace::PossibleSends() const {
+  return sends_ + static_cast<int>(in_flight_.size());
+}
 
 int AttemptRace::Start(bool counts) {
   FIRMOOR_INVARIANT(in_flight_.size() < kMaxInFlight,
                     "a request has two attempts in flight at most");
-  in_flight_[++last_number_] = {counts, std::exchange(has_retry_, false),
-                                false};
+  in_flight_[++last_number_] = {counts, false};
   return last_number_;
 }
 
@@ -54,8 +58,6 @@
   if (may_have_been_sent) {
     ++sends_;
     if (counts) ++counted_;
-  } else if (found->second.has_retry) {
-    has_retry_ = true;
   }
   in_flight_.erase(found);
   return true;
--- a/libs/serving/tests/attempt_race_test.cc
+++ b/libs/serving/tests/attempt_race_test.cc
@@ -261,6 +261,30 @@
     CHECK(race.TakeUnusedRetry());
     CHECK_FALSE(race.TakeUnusedRetry());
   }
+  // Guards against a retry that is kept from the budget though the attempt
+  // that took it was the only one that was sent.
+  SUBCASE("is left when the attempt turns out to be the first") {
+    const int first = StartAttempt(&race);
+    race.OnSilent(first);
+    const int second = StartAttempt(&race);
+    SUBCASE("and runs") {
+      race.OnEnd(first, kUnsent, true, conditions);
+      CHECK(CountUnusedRetries(race) == 1);
+    }
+    SUBCASE("and has ended") {
+      race.OnEnd(second, kTruncated, true, conditions);
+      race.OnEnd(first, kUnsent, true, conditions);
+      CHECK(CountUnusedRetries(race) == 1);
+      race.Start(true);
+      CHECK(CountUnusedRetries(race) == 0);
+    }
+    SUBCASE("after one that was not sent either") {
+      race.OnEnd(second, kUnsent, true, conditions);
+      race.OnEnd(first, kUnsent, true, conditions);
+      race.Start(true);
+      CHECK(CountUnusedRetries(race) == 1);
+    }
+  }
   SUBCASE("is left when the attempt is cancelled before it was sent") {
     race.OnSilent(StartAttempt(&race));
     race.OnCancelled(StartAttempt(&race), false, true);
