Log the upstream that answered rather than the one it overtook

What operators see: an idempotent request is answered 200 by b while a is silent; its line "request" says upstream a and status 0.

Cause: the line shows the attempt that was removed last, which is the overtaken one, since that is cancelled after the winner has ended.

An overtaken attempt is no longer kept.

--- a/libs/gateway/src/details/attempts_in_flight.cc
+++ b/libs/gateway/src/details/attempts_in_flight.cc
@@ -34,10 +34,14 @@
 }
 
 std::shared_ptr<UpstreamAttempt> AttemptsInFlight::Remove(int number) {
+  auto attempt = RemoveOvertaken(number);
+  if (attempt) last_removed_ = attempt;
+  return attempt;
+}
+
+std::shared_ptr<UpstreamAttempt> AttemptsInFlight::RemoveOvertaken(int number) {
   auto attempt = Find(number);
-  if (!attempt) return nullptr;
   std::erase(attempts_, attempt);
-  last_removed_ = attempt;
   return attempt;
 }
 
--- a/libs/gateway/src/details/attempts_in_flight.h
+++ b/libs/gateway/src/details/attempts_in_flight.h
@@ -36,8 +36,11 @@
   [[nodiscard]] std::shared_ptr<UpstreamAttempt> Find(int number) const;
   [[nodiscard]] DelegatedAttempt* FindDelegated(int number);
   [[nodiscard]] bool HasAttemptAt(const std::string& upstream) const;
-  /// Removes and returns the attempt; null if it is not in flight.
+  /// Removes and returns the attempt, which has ended; null if it is not in
+  /// flight.
   std::shared_ptr<UpstreamAttempt> Remove(int number);
+  /// The same for an attempt that was overtaken and is not shown in logs.
+  std::shared_ptr<UpstreamAttempt> RemoveOvertaken(int number);
   std::optional<DelegatedAttempt> RemoveDelegated(int number);
 
   [[nodiscard]] const std::vector<std::shared_ptr<UpstreamAttempt>>& all()
@@ -50,7 +53,7 @@
   [[nodiscard]] bool IsSentToUpstream() const;
   /// Whether an upstream may have received the request.
   [[nodiscard]] bool IsSent() const;
-  /// The oldest attempt, else the last one that was removed; for logs.
+  /// The oldest attempt, else the last one that has ended; for logs.
   [[nodiscard]] const UpstreamAttempt* Shown() const;
   /// The attempts, and how many ms each has been silent.
   [[nodiscard]] std::string Describe(TimePoint now) const;
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -68,13 +68,12 @@
                    delegated->stream->MayHaveBeenSent(),
                    now - delegated->last_message_at);
       EndDelegation(number);
-    } else if (const auto attempt = attempts_.Remove(number)) {
+    } else if (const auto attempt = attempts_.RemoveOvertaken(number)) {
       if (moving_ == number) move_call_.reset();
       const bool sent = attempt->MayHaveBeenSent();
       LogOvertaken(by, attempt->upstream().id, sent,
                    now - attempt->last_byte_at());
       race_.OnCancelled(number, sent, attempt->Counts());
-      // Its object is kept for logs, and must not report anything more.
       attempt->Cancel();
       attempt->Release(attempt->is_silent() ? UpstreamOutcome::kFailed
                                             : UpstreamOutcome::kNeutral,
--- a/libs/gateway/tests/gateway_silence_test.cc
+++ b/libs/gateway/tests/gateway_silence_test.cc
@@ -1,11 +1,13 @@
 #include <doctest/doctest.h>
 
+#include <QJsonObject>
 #include <QTcpServer>
 #include <QTimer>
 #include <memory>
 #include <string>
 
 #include "gateway_fixture.h"
+#include "log_pipe.h"
 
 namespace firmoor {
 namespace {
@@ -197,4 +199,23 @@
   CHECK(caller->WaitFor("unknown", 200));
 }
 
+// Guards against a log that names the cancelled upstream as the one that
+// answered.
+TEST_CASE("a request is logged with the upstream that answered it") {
+  LogPipe log;
+  GatewayFixture fixture(true, log.input());
+  RawUpstream a([](auto& connection) { PauseBeforeHead(connection, "of-a"); });
+  fixture.AddUpstream("a", a);
+  auto caller = fixture.SendRequest("idempotent");
+  REQUIRE(WaitUntil([&] { return a.Requests() == 1; }));
+  RawUpstream b(
+      [](auto& connection) { SendResponse(connection, "200 OK", "of-b"); });
+  fixture.AddUpstream("b", b);
+  REQUIRE(caller->WaitFor("of-b", 1'000));
+  const auto line = log.OnlyLine("request");
+  CHECK(line["upstream"].toString() == "b");
+  CHECK(line["status"].toInt() == 200);
+  CHECK(log.OnlyLine("attempt-overtaken")["request"].toString() == "r1");
+}
+
 }  // namespace firmoor
