Let the soak's replicas pause beside maintenance, and judge what is lost

Replicas now pause for 0.5 to 2 s as sound ones do: one, a zone (replicas and daemons have two) or the whole service; without events, without answers, or the host without reading (RelayHarm::kPaused; connections go on afterwards).

--- a/tests/support/include/support/relay.h
+++ b/tests/support/include/support/relay.h
@@ -25,6 +25,8 @@
   kSilentToward,  ///< Bytes toward the target are kept back.
   kSilentBack,    ///< Bytes from the target are kept back.
   kDelayed,       ///< Bytes arrive `kRelayDelay` later.
+  kPaused,        ///< As if the target's host paused: no byte either way and no
+                  ///< close; all goes on afterwards.
 };
 
 /// A round trip between regions and some queueing.
@@ -43,7 +45,8 @@
                          const Endpoint& target);
 
   /// Replaces the harms: by route and prefix of the source's address ("" for
-  /// all sources). Connections that were silent are closed when they heal.
+  /// all sources). Connections that were silent are closed when they heal;
+  /// those that were paused go on.
   struct Rule {
     std::string route;
     std::string source;
@@ -74,6 +77,8 @@
   void Move(const std::shared_ptr<Pair>& pair);
   void Pass(const std::shared_ptr<Pair>& pair, bool toward);
   void OnLeft(const std::shared_ptr<Pair>& pair);
+  /// After a pause.
+  void GoOn(const std::shared_ptr<Pair>& pair);
   static void Close(const std::shared_ptr<Pair>& pair);
   static void Abort(const std::shared_ptr<Pair>& pair);
 
