--- a/libs/gateway/src/details/attempts_in_flight.h
+++ b/libs/gateway/src/details/attempts_in_flight.h
@@ -25,6 +25,20 @@
   EventRelay relay;
 };
 
+/// An order to move a request to another engine, until it is answered.
+struct PendingMove {
+  int attempt = 0;  ///< Number of the attempt at the source.
+  std::unique_ptr<HttpCall> call;
+  std::optional<HttpCallEnd> end;  ///< Of the source's stream meanwhile.
+  bool is_silent = false;          ///< Not answered in time.
+};
+
+/// The upstream that wrote the last event of a stream.
+struct StreamWriter {
+  UpstreamEntry upstream;
+  TimePoint sent_at;
+};
+
 /// Attempts of one request that have not ended, by the numbers that
 /// `AttemptRace` gave them.
 class AttemptsInFlight {
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -9,28 +9,10 @@
 namespace firmoor::details {
 namespace {
 
-// Callers disconnect by themselves at their deadline, perhaps a little later;
-// the response is not cut off before they do.
-constexpr Duration kDeadlineGrace{500};
-
 // An upstream that has begun the next event goes on with the stream; another
 // one that works on it for longer than 400 ms wastes its tokens.
 constexpr Duration kMaxOverlap{300};
 
-Duration EffectiveCallerTimeout(const ForwardRequest& request,
-                                const Route& route) {
-  return request.caller_timeout
-             ? std::min(*request.caller_timeout, route.timeout)
-             : route.timeout;
-}
-
-/// Time after which a request fails that has no part of its response yet.
-Duration RequestTimeout(const ForwardRequest& request, const Route& route) {
-  const auto route_end = route.timeout + kRouteTimeoutGrace;
-  if (!request.caller_timeout) return route_end;
-  return std::min(*request.caller_timeout + kDeadlineGrace, route_end);
-}
-
 }  // namespace
 
 Exchange::Exchange(GatewayContext* context, ForwardRequest request,
@@ -145,7 +127,7 @@
   CountUsage();
   const bool is_new_writer =
       !writer_ || writer_->upstream != attempt.upstream();
-  writer_ = Writer{attempt.upstream(), attempt.sent_at()};
+  writer_ = StreamWriter{attempt.upstream(), attempt.sent_at()};
   if (!version_) {
     BindVersion();
   } else if (is_new_writer) {
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -12,6 +12,7 @@
 #include "details/attempts_in_flight.h"
 #include "details/delegated_response_writer.h"
 #include "details/gateway_context.h"
+#include "details/request_timeouts.h"
 #include "gateway/event_relay.h"
 #include "gateway/request_admission.h"
 #include "quarantine/suspect.h"
@@ -19,9 +20,6 @@
 
 namespace firmoor::details {
 
-/// Added to the route's timeout, which callers count from when they send.
-constexpr Duration kRouteTimeoutGrace{50};
-
 /// One caller's request, from its admission to its final response: sends it to
 /// upstreams as far as the attempt policy allows, to a second one while the
 /// first is silent, and forwards the response. Kept alive by the context until
@@ -78,19 +76,6 @@
               std::optional<Duration> retry_after);
 
  private:
-  /// An order to move the request, until it is answered.
-  struct Move {
-    int attempt = 0;  ///< Number of the attempt at the source.
-    std::unique_ptr<HttpCall> call;
-    std::optional<HttpCallEnd> end;  ///< Of the source's stream meanwhile.
-    bool is_silent = false;          ///< Not answered in time.
-  };
-  /// The upstream that wrote the last event.
-  struct Writer {
-    UpstreamEntry upstream;
-    TimePoint sent_at;
-  };
-
   [[nodiscard]] bool IsStream() const {
     return admission_.route->kind == RequestKind::kStream;
   }
@@ -253,14 +238,14 @@
   std::optional<Origin> origin_;
   AttemptRace race_;
   AttemptsInFlight attempts_;
-  std::optional<Writer> writer_;
+  std::optional<StreamWriter> writer_;
   /// Answer of an attempt that failed while another one was in flight.
   std::optional<HttpResponse> failed_answer_;
   int started_beside_ = 0;  ///< Attempts started beside a silent one.
   std::set<std::string> refusing_peers_;  ///< Daemons that did not serve it.
   std::string last_peer_;    ///< Daemon that it was last delegated to.
   int unsent_attempts_ = 0;  ///< Attempts that found no connection.
-  std::optional<Move> move_;
+  std::optional<PendingMove> move_;
   std::set<std::string> tried_upstreams_;
   /// Attempts that were overtaken, and for how many ms they had been silent.
   std::string left_silent_;
--- /dev/null
+++ b/libs/gateway/src/details/request_timeouts.h
@@ -0,0 +1,26 @@
+#ifndef FIRMOOR_GATEWAY_DETAILS_REQUEST_TIMEOUTS_H_
+#define FIRMOOR_GATEWAY_DETAILS_REQUEST_TIMEOUTS_H_
+
+#include "base/time.h"
+#include "gateway/dialect.h"
+#include "routing/route_table.h"
+
+namespace firmoor::details {
+
+/// Added to the route's timeout, which callers count from when they send.
+constexpr Duration kRouteTimeoutGrace{50};
+
+/// Callers disconnect by themselves at their deadline, perhaps a little later;
+/// the response is not cut off before they do.
+constexpr Duration kDeadlineGrace{500};
+
+/// The shorter of the caller's and the route's time.
+Duration EffectiveCallerTimeout(const ForwardRequest& request,
+                                const Route& route);
+
+/// Time after which a request fails that has no part of its response yet.
+Duration RequestTimeout(const ForwardRequest& request, const Route& route);
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_GATEWAY_DETAILS_REQUEST_TIMEOUTS_H_
