--- a/libs/gateway/src/details/exchange_move.cc
+++ b/libs/gateway/src/details/exchange_move.cc
@@ -56,8 +56,9 @@
   if (race_.in_flight() > 1) {
     // One of them is about to take over.
     const bool has_time = MonotonicNow() + kMoveRetryDelay < ends_at;
-    if (has_time)
+    if (has_time) {
       ScheduleMove(source, kMoveRetryDelay, ends_at, tokens_per_event);
+    }
     return;
   }
   if (attempts_.all().empty()) return;
