Close the listener before an idle daemon stops

Callers saw: a whole request that had been sent to an upstream got neither an answer nor a refusal; its connection was closed (LOST).

Cause: a daemon that drains stops early when 2.5 s are over and nothing is in work. It decided so, waited 50 ms for the last responses to reach the kernel, and ended. Its listener was open for these 50 ms: who connected then was served as before, and lost with the process. The load balancer has removed the daemon by then, but callers that chose it before, or that do not know yet, still come. By the logs: drain at 935.600 s, stop with nothing left at 938.344 s, and the request was lost 50 ms later.

Now it closes the listener for callers first, with those accepted who wait for it, serves whoever came in time, and stops when nothing is in work again. At the end of its drain time it closes the listener before it ends the requests.

--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -105,6 +105,7 @@
   std::int64_t store_returns = 0;  ///< From an older copy, as heard of.
   TimePoint drain_started;
   bool draining = false;
+  bool is_listener_closed = false;  ///< For callers.
 
   Impl(GatewayDaemonSettings daemon_settings, PlatformPorts platform_ports,
        EventLog* event_log, std::function<void()> stopped);
@@ -444,7 +445,14 @@
   const bool idle = elapsed >= kBalancerDetectionTime &&
                     gateway.ActiveRequestCount() == 0 &&
                     caller_server->ConnectionCount() == 0;
-  if (!idle && elapsed < settings.drain_time - kStopMargin) return;
+  const bool is_over = elapsed >= settings.drain_time - kStopMargin;
+  if (!idle && !is_over) return;
+  const bool may_have_accepted = !std::exchange(is_listener_closed, true);
+  if (may_have_accepted) {
+    log->Write("listener-closed", {{"idle", idle}});
+    caller_server->StopAccepting();
+  }
+  if (may_have_accepted && !is_over) return;
   drain_timer.stop();
   log->Write("stop", {{"requests_left",
                        static_cast<qint64>(gateway.ActiveRequestCount())},
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -123,6 +123,10 @@
   /// elsewhere. New connections are still accepted.
   void CloseAfterResponses();
 
+  /// Closes the listener after accepting the connections that wait for it. Open
+  /// connections close after their next response.
+  void StopAccepting();
+
   /// Closes the listener and idle connections. Active requests continue, and
   /// their connections close after the response. A connection on which a
   /// response is still being sent counts as idle only behind it.
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -180,10 +180,16 @@
 
 void HttpServer::CloseAfterResponses() { impl_->context->closing = true; }
 
-void HttpServer::StopListening() {
+void HttpServer::StopAccepting() {
+  // Connections that wait when the listener closes are reset.
+  while (impl_->listener.waitForNewConnection(0)) impl_->Accept();
   impl_->listener.close();
-  impl_->context->stopped = true;
   CloseAfterResponses();
+}
+
+void HttpServer::StopListening() {
+  StopAccepting();
+  impl_->context->stopped = true;
   std::vector<std::shared_ptr<details::ServerConnection>> open;
   for (const auto& [key, connection] : impl_->connections) {
     open.push_back(connection);
--- a/libs/http/tests/http_server_close_test.cc
+++ b/libs/http/tests/http_server_close_test.cc
@@ -214,4 +214,43 @@
   CHECK(fixture.server->CutCount(ConnectionCut::kStop) == 1);
 }
 
+TEST_CASE("a server that stops to accept serves who has connected before") {
+  Fixture fixture;
+  RawClient earlier(fixture.server->Port());
+  REQUIRE(WaitUntil([&] { return fixture.server->ConnectionCount() == 1; }));
+  const auto port = fixture.server->Port();
+  // The server's event loop does not run in between.
+  RawClient last(port);
+
+  SUBCASE("and sent a request that was not read") {
+    last.Send(kLastGet);
+    fixture.server->StopAccepting();
+    REQUIRE(fixture.WaitRequests(1));
+    fixture.responders[0]->Send({200, {}, "whole"});
+    CHECK(last.WaitFor("whole"));
+    CHECK(last.WaitClosed(1'000));
+  }
+  SUBCASE("and sends a request later") {
+    fixture.server->StopAccepting();
+    RunFor(50);
+    CHECK(fixture.server->ConnectionCount() == 2);
+    last.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    earlier.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(fixture.WaitRequests(2));
+    for (const auto& responder : fixture.responders) {
+      responder->Send({200, {}, "whole"});
+    }
+    for (auto* client : {&earlier, &last}) {
+      CHECK(client->WaitFor("Connection: close\r\n\r\nwhole"));
+      CHECK(client->WaitClosed(1'000));
+    }
+  }
+  SUBCASE("and nobody else") {
+    fixture.server->StopAccepting();
+    RawClient late(port);
+    CHECK(late.WaitClosed(100));
+    CHECK(fixture.server->ConnectionCount() == 2);
+  }
+}
+
 }  // namespace firmoor
