--- a/tests/support/include/support/lost_request_checker.h
+++ b/tests/support/include/support/lost_request_checker.h
@@ -62,6 +62,8 @@
     std::string id;
     std::size_t daemon = 0;
     Work work = Work::kStop;
+    TimePoint sent_at;
+    TimePoint ended_at;
 
     bool operator==(const Loss&) const = default;
   };
@@ -87,7 +89,7 @@
     ++on_kept_;
     const bool is_lost = request.is_passed_on && !request.is_complete &&
                          !request.is_begun && !request.is_broken_off;
-    if (is_lost) kept_.push_back({request.id, request.daemon, Work::kNone});
+    if (is_lost) kept_.push_back(LossOf(request, Work::kNone));
   }
   /// Requests judged by `OnKeptEnd`.
   [[nodiscard]] std::size_t on_kept() const { return on_kept_; }
@@ -106,12 +108,12 @@
     for (const auto& request : requests_) {
       if (!IsCut(request)) continue;
       if (IsLostToStop(request)) {
-        losses.push_back({request.id, request.daemon, Work::kStop});
+        losses.push_back(LossOf(request, Work::kStop));
       } else if (IsLostToReload(request)) {
-        losses.push_back({request.id, request.daemon, Work::kReload});
+        losses.push_back(LossOf(request, Work::kReload));
       } else if (CountsBesideChange(request) &&
                  IsCutMoreOftenBesideChanges(request.daemon)) {
-        losses.push_back({request.id, request.daemon, Work::kConfiguration});
+        losses.push_back(LossOf(request, Work::kConfiguration));
       }
     }
     if (kept_.size() > rule_.kept) {
@@ -135,6 +137,10 @@
     double cut = 0;
   };
 
+  static Loss LossOf(const Request& request, Work work) {
+    return {request.id, request.daemon, work, request.sent_at,
+            request.ended_at};
+  }
   [[nodiscard]] bool IsCut(const Request& request) const {
     const auto lasted = request.ended_at - request.sent_at;
     if (request.is_complete || request.is_broken_off) return false;
