Try upstreams again that accept no connection yet, rather than end a stream

Cause: an attempt that found no connection within 400 ms marked its upstream as tried, so that none was left and the request ended, although a connection that was never made carried nothing of the request.

Such upstreams are tried again after 100, 200 and then 400 ms until the request's time is over, if the request can not be refused as not run any more; while another attempt is silent, each time that its time-out expires. Other daemons are still asked first. The retry that was taken is kept for the attempt that is sent, and attempts that were not sent count neither towards the route's attempts nor the budget, as before. A request that nothing may have run is refused at once.

Ruled out: a longer time-out of the connection, since the next packet of a connection comes only after 1 and 3 s, and other upstreams would wait for it.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -35,9 +35,10 @@
                EffectiveCallerTimeout(request_, *admission.route)),
       origin_(std::move(origin)),
       race_(origin_ ? origin_->request.attempts : 0),
+      tried_(origin_ ? origin_->request.tried_upstreams
+                     : std::set<std::string>()),
       last_event_id_(request_.last_event_id) {
   if (origin_) {
-    tried_upstreams_ = origin_->request.tried_upstreams;
     version_ = origin_->request.version;
     usage_counted_ = origin_->request.usage_counted;
   }
@@ -93,7 +94,7 @@
   plan.call.to_engine = profile != nullptr && profile->engine.has_value();
   plan.call.last_event_id = last_event_id_;
   plan.call.copy = copy;
-  tried_upstreams_.insert(upstream.id);
+  tried_.Add(upstream.id);
   const auto attempt = std::make_shared<UpstreamAttempt>(context_, request_,
                                                          std::move(plan), this);
   attempts_.Add(attempt);
@@ -190,9 +191,7 @@
   attempt.RecordLinkEvidence(attempt_end);
   if (!attempt_end.may_have_been_sent) {
     ++unsent_attempts_;
-    if (!attempt.send_cancelled()) {
-      unreached_upstreams_.insert(attempt.upstream().id);
-    }
+    if (!attempt.send_cancelled()) tried_.OnUnreached(attempt.upstream().id);
   }
   const auto decision = race_.OnEnd(attempt.number(), attempt_end,
                                     attempt.Counts(), MakeConditions());
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -17,6 +17,7 @@
 #include "gateway/request_admission.h"
 #include "quarantine/suspect.h"
 #include "serving/attempt_race.h"
+#include "serving/tried_upstreams.h"
 
 namespace firmoor::details {
 
@@ -119,6 +120,10 @@
   void RefuseFurtherAttempt(ResultCode code, std::string message,
                             std::optional<Duration> retry_after);
   void RefuseWithoutUpstream(bool rate_limited);
+  /// Waits until upstreams that were not reached are to be tried again, if the
+  /// request has no other way left to be completed or refused as not run.
+  /// Returns whether it does.
+  bool AwaitUnreached();
   /// Rejects the request if what it holds crashes upstreams. Returns whether it
   /// did.
   bool RejectQuarantined();
@@ -187,8 +192,6 @@
   bool Delegate(TimePoint now);
   /// Starts another attempt beside a peer that does not respond.
   void CheckDelegation(int number);
-  /// Silence after which a peer that accepted the request has failed.
-  [[nodiscard]] Duration PeerSilenceBound() const;
   void OnDelegationMessage(int number, const QByteArray& bytes);
   void ForwardDelegatedEvents(int number, const std::string& bytes);
   void ForwardDelegatedResponse(int number, const HttpResponse& response);
@@ -246,11 +249,9 @@
   std::string last_peer_;    ///< Daemon that it was last delegated to.
   int unsent_attempts_ = 0;  ///< Attempts that found no connection.
   std::optional<PendingMove> move_;
-  std::set<std::string> tried_upstreams_;
+  TriedUpstreams tried_;
   /// Attempts that were overtaken, and for how many ms they had been silent.
   std::string left_silent_;
-  /// Of these, those to which this daemon found no connection.
-  std::set<std::string> unreached_upstreams_;
   std::string last_event_id_;  ///< Of the events that the caller has.
   std::size_t events_ = 0;     ///< Forwarded.
   /// Software version that wrote the stream so far; empty before its first
--- a/libs/gateway/src/details/exchange_choice.cc
+++ b/libs/gateway/src/details/exchange_choice.cc
@@ -28,7 +28,7 @@
   pick.chunks = request_.prompt_chunks;
   pick.prompt_tokens = request_.prompt_tokens.value_or(0);
   pick.output_tokens = request_.max_output_tokens;
-  pick.exclude = tried_upstreams_;
+  pick.exclude = tried_.excluded();
   pick.version = version_;
   return pick;
 }
@@ -111,6 +111,7 @@
     return Refuse(ResultCode::kStreamVersionGone, "", OutcomeSoFar(),
                   RetryDelay());
   }
+  if (AwaitUnreached()) return;
   if (rate_limited && context_->permits.slots().IsBrittle(service_)) {
     ++context_->slot_counters.refused;
     return Refuse(ResultCode::kOverloaded, "All slots are taken",
@@ -122,6 +123,26 @@
       "", OutcomeSoFar(), RetryDelay());
 }
 
+bool Exchange::AwaitUnreached() {
+  const bool may_refuse =
+      OutcomeSoFar() == RequestOutcome::kNotRun && !answer_started_;
+  const auto& unreached = tried_.unreached();
+  const bool is_listed =
+      std::any_of(unreached.begin(), unreached.end(), [&](const auto& id) {
+        const auto* entry = context_->catalog.Find(id);
+        return entry != nullptr && !entry->leaving &&
+               (!version_ || entry->software_version == *version_);
+      });
+  if (may_refuse || failed_answer_ || !is_listed) return false;
+  const auto wait = tried_.WaitForUnreached(ends_at_ - MonotonicNow());
+  if (!wait) return false;
+  QTimer::singleShot(*wait, &timer_, [this] {
+    const auto self = shared_from_this();
+    if (!finished_) GoOn();
+  });
+  return true;
+}
+
 bool Exchange::AwaitPermit(const std::vector<UpstreamEntry>& upstreams,
                            TimePoint now) {
   if (race_.in_flight() > 0) return false;
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -21,9 +21,6 @@
 // regions.
 constexpr Duration kAcceptTimeout{300};
 constexpr Duration kCheckPeriod{250};
-// Added to the time after which the peer itself gives up a silent upstream.
-constexpr Duration kPeerSilenceMargin{1'000};
-constexpr Duration kMinPeerSilence{1'500};
 // A request without a byte for this long says something about the links, as
 // upstreams answer or send an event far more often.
 constexpr Duration kSilence{500};
@@ -94,8 +91,7 @@
   message.request.last_event_id = last_event_id_;
   message.service = service_;
   message.version = version_;
-  message.tried_upstreams = tried_upstreams_;
-  for (const auto& id : unreached_upstreams_) message.tried_upstreams.erase(id);
+  message.tried_upstreams = tried_.ExcludedForPeers();
   message.attempts = race_.attempts();
   message.usage_counted = usage_counted_;
   const auto weak = weak_from_this();
@@ -148,7 +144,8 @@
   QTimer::singleShot(kCheckPeriod, &timer_,
                      [this, number] { CheckDelegation(number); });
   const auto now = MonotonicNow();
-  const auto bound = delegation->accepted ? PeerSilenceBound() : Duration(0);
+  const auto bound =
+      delegation->accepted ? PeerSilenceBound(*admission_.route) : Duration(0);
   if (now - delegation->last_message_at < bound) return;
   if (!std::exchange(delegation->is_silent, true) && !delegation->accepted) {
     context_->delegations.OnRefused(delegation->peer, service_,
@@ -159,13 +156,6 @@
   StartBeside();
 }
 
-Duration Exchange::PeerSilenceBound() const {
-  constexpr int kFirstByteTimeoutObjectives = 3;
-  return kPeerSilenceMargin +
-         std::max(kMinPeerSilence,
-                  admission_.route->objective * kFirstByteTimeoutObjectives);
-}
-
 void Exchange::OnDelegationMessage(int number, const QByteArray& bytes) {
   auto* delegation = attempts_.FindDelegated(number);
   if (finished_ || delegation == nullptr) return;
@@ -357,7 +347,7 @@
       attempt->End(HttpCallEnd::kNotConnected);
     } else if (attempt->IsSilentFor(kSilence, now)) {
       // Another daemon may reach the same upstream.
-      unreached_upstreams_.insert(attempt->upstream().id);
+      tried_.OnLinkLost(attempt->upstream().id);
       race_.OnSilent(attempt->number());
     }
   }
--- a/libs/gateway/src/details/exchange_move.cc
+++ b/libs/gateway/src/details/exchange_move.cc
@@ -35,19 +35,11 @@
 
 bool Exchange::WillFinishBefore(TimePoint ends_at,
                                 std::int64_t tokens_per_event) const {
-  const auto events = static_cast<double>(events_);
-  if (!first_event_ || events < 2 || request_.max_output_tokens <= 0) {
-    return false;
-  }
+  if (!first_event_) return false;
   const auto now = MonotonicNow();
-  const double expected_events =
-      request_.max_output_tokens /
-      static_cast<double>(std::max<std::int64_t>(1, tokens_per_event));
-  const double ms_per_event =
-      static_cast<double>((now - *first_event_).count()) / (events - 1);
-  const Duration remaining(static_cast<std::int64_t>(
-      std::max(0.0, expected_events - events) * ms_per_event));
-  return now + remaining < ends_at;
+  const auto remaining = RemainingGenerationTime(
+      request_, {events_, tokens_per_event, now - *first_event_});
+  return remaining && now + *remaining < ends_at;
 }
 
 void Exchange::StartMove(const std::string& source, TimePoint ends_at,
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -35,6 +35,7 @@
   if (finished_) return;
   const auto self = shared_from_this();
   race_.OnSilent(attempt.number());
+  tried_.ReadmitUnreached();
   StartBeside();
 }
 
@@ -78,7 +79,7 @@
                       now - attempt->last_byte_at());
       race_.OnCancelled(number, sent, attempt->Counts());
       // One that was not silent may be tried again.
-      if (!attempt->is_silent()) tried_upstreams_.erase(attempt->upstream().id);
+      if (!attempt->is_silent()) tried_.OnOvertaken(attempt->upstream().id);
       attempt->Release(attempt->is_silent() ? UpstreamOutcome::kFailed
                                             : UpstreamOutcome::kNeutral,
                        false, now);
--- a/libs/gateway/src/details/request_timeouts.cc
+++ b/libs/gateway/src/details/request_timeouts.cc
@@ -11,6 +11,27 @@
              : route.timeout;
 }
 
+std::optional<Duration> RemainingGenerationTime(
+    const ForwardRequest& request, const StreamProgress& progress) {
+  const auto events = static_cast<double>(progress.events);
+  if (events < 2 || request.max_output_tokens <= 0) return std::nullopt;
+  const double expected_events =
+      request.max_output_tokens /
+      static_cast<double>(std::max<std::int64_t>(1, progress.tokens_per_event));
+  const double ms_per_event =
+      static_cast<double>(progress.elapsed.count()) / (events - 1);
+  return Duration(static_cast<std::int64_t>(
+      std::max(0.0, expected_events - events) * ms_per_event));
+}
+
+Duration PeerSilenceBound(const Route& route) {
+  constexpr Duration kMargin{1'000};
+  constexpr Duration kMinSilence{1'500};
+  constexpr int kFirstByteTimeoutObjectives = 3;
+  return kMargin +
+         std::max(kMinSilence, route.objective * kFirstByteTimeoutObjectives);
+}
+
 Duration RequestTimeout(const ForwardRequest& request, const Route& route) {
   const auto route_end = route.timeout + kRouteTimeoutGrace;
   if (!request.caller_timeout) return route_end;
