--- a/libs/gateway/src/details/exchange_resume.cc
+++ b/libs/gateway/src/details/exchange_resume.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/text.h"
 #include "details/exchange.h"
 
 namespace firmoor::details {
@@ -26,24 +25,11 @@
 void Exchange::OnVersionResolved(const StreamVersions::Resolution& resolution) {
   if (finished_) return;
   const auto& decision = resolution.decision;
-  const auto& lookup = resolution.lookup;
-  context_->environment.log->Write(
-      "stream-version",
-      {{"request", Text(request_.id)},
-       {"stream", Text(request_.resumed_id)},
-       {"service", Text(service_)},
-       {"source", Text(NameOf(decision.source))},
-       {"version", Text(decision.version)},
-       {"record_age_ms", static_cast<qint64>(resolution.record_age.count())},
-       {"lookup_ms", static_cast<qint64>(resolution.duration.count())},
-       {"asked", static_cast<qint64>(lookup.asked)},
-       {"replied", static_cast<qint64>(lookup.replied)},
-       {"without_record", static_cast<qint64>(lookup.confident_misses)},
-       {"versions", static_cast<qint64>(resolution.view.recent.size())},
-       {"catalog_age_ms",
-        static_cast<qint64>(resolution.view.catalog_age.count())}});
+  context_->stream_versions.LogResolution(request_.id, request_.resumed_id,
+                                          service_, resolution);
   if (decision.source == VersionSource::kUnknown) {
-    const bool others_may_know = lookup.replied < lookup.asked;
+    const bool others_may_know =
+        resolution.lookup.replied < resolution.lookup.asked;
     return Refuse(
         ResultCode::kStreamVersionUnknown, "", RequestOutcome::kNotRun,
         others_may_know ? std::optional(kOtherDaemonRetryDelay) : std::nullopt);
--- a/libs/gateway/src/details/stream_versions.cc
+++ b/libs/gateway/src/details/stream_versions.cc
@@ -185,6 +185,29 @@
   return text;
 }
 
+void StreamVersions::LogResolution(const std::string& request,
+                                   const std::string& stream,
+                                   const std::string& service,
+                                   const Resolution& resolution) const {
+  const auto& decision = resolution.decision;
+  const auto& lookup = resolution.lookup;
+  log_->Write(
+      "stream-version",
+      {{"request", Text(request)},
+       {"stream", Text(stream)},
+       {"service", Text(service)},
+       {"source", Text(NameOf(decision.source))},
+       {"version", Text(decision.version)},
+       {"record_age_ms", static_cast<qint64>(resolution.record_age.count())},
+       {"lookup_ms", static_cast<qint64>(resolution.duration.count())},
+       {"asked", static_cast<qint64>(lookup.asked)},
+       {"replied", static_cast<qint64>(lookup.replied)},
+       {"without_record", static_cast<qint64>(lookup.confident_misses)},
+       {"versions", static_cast<qint64>(resolution.view.recent.size())},
+       {"catalog_age_ms",
+        static_cast<qint64>(resolution.view.catalog_age.count())}});
+}
+
 void StreamVersions::LogBadMessage(const Error& error) const {
   log_->Write("stream-record-bad", {{"reason", Text(error.message)}});
 }
--- a/libs/gateway/src/details/stream_versions.h
+++ b/libs/gateway/src/details/stream_versions.h
@@ -58,6 +58,11 @@
   void Resolve(const std::string& key, const std::string& service,
                Duration time_left, Done done);
 
+  /// Logs what was found out about `stream`, which `request` resumes.
+  void LogResolution(const std::string& request, const std::string& stream,
+                     const std::string& service,
+                     const Resolution& resolution) const;
+
   /// Serves another daemon's call; empty if `kind` is not one of this class.
   std::optional<QByteArray> Serve(std::string_view kind,
                                   const QByteArray& message);
