Do not take a comment for the next event of a stream

A part of a comment did the same after 300 ms.

Cause: EventRelay counted whatever an empty line ends as an event, and any incomplete bytes as the beginning of one.

Comments and empty lines are forwarded, but are no events: beside another attempt they are dropped, here and from another daemon, and they end none. Before the first event of a single attempt they begin the answer as before. A stream of comments only that the end of its connection delimits counts as cut now.

--- a/libs/gateway/include/gateway/event_relay.h
+++ b/libs/gateway/include/gateway/event_relay.h
@@ -17,7 +17,8 @@
   /// `last_event_id`: last event that the caller has; empty for a new stream.
   explicit EventRelay(std::string last_event_id);
 
-  /// Appends bytes of the stream and returns the events that they complete.
+  /// Appends bytes of the stream and returns the events and comments that they
+  /// complete.
   std::string Feed(std::string_view bytes);
 
   /// Drops the incomplete event before the stream resumes at another upstream.
@@ -25,9 +26,11 @@
 
   /// Whether the bytes so far end within an event.
   [[nodiscard]] bool HasPartialEvent() const { return !partial_.empty(); }
+  /// Whether they end within one of which more than a comment has arrived.
+  [[nodiscard]] bool HasBegunEvent() const;
   /// Id of the last forwarded event; at first the id given at construction.
   [[nodiscard]] const std::string& last_event_id() const { return last_id_; }
-  /// Number of forwarded events.
+  /// Number of forwarded events, without comments between them.
   [[nodiscard]] std::size_t events() const { return events_; }
 
  private:
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -110,18 +110,19 @@
   race_.OnByte(number);
   if (attempt.head()) unsent_attempts_ = 0;
   const bool goes_on =
-      answer_started_ && race_.in_flight() > 1 && attempt.HasPartialEvent();
+      answer_started_ && race_.in_flight() > 1 && attempt.HasBegunEvent();
   if (!goes_on) return;
   QTimer::singleShot(kMaxOverlap, &timer_, [this, number] {
     const auto writing = attempts_.Find(number);
-    if (finished_ || !writing || !writing->HasPartialEvent()) return;
+    if (finished_ || !writing || !writing->HasBegunEvent()) return;
     CancelOvertaken(number, writing->upstream().id, race_.OnNextPart(number));
   });
 }
 
 void Exchange::OnEvents(const UpstreamAttempt& attempt,
                         const NewEvents& events) {
-  if (finished_) return;
+  // A comment does not show that the upstream goes on with the stream.
+  if (finished_ || (events.count == 0 && race_.in_flight() > 1)) return;
   const auto self = shared_from_this();
   CancelOvertaken(attempt.number(), attempt.upstream().id,
                   race_.OnNextPart(attempt.number()));
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -197,6 +197,7 @@
   auto* delegation = attempts_.FindDelegated(number);
   if (!delegation->head) return OnDelegationBroken(number);
   const auto events = FeedEvents(&delegation->relay, bytes);
+  if (events.count == 0 && race_.in_flight() > 1) return;
   if (events.bytes.empty()) return;
   AdoptDelegation(number);
   ForwardEvents(events, MonotonicNow());
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -185,7 +185,9 @@
   const auto events = FeedEvents(&relay_, bytes);
   owner_->OnByte(*this);
   if (events.bytes.empty()) return;
-  context_->picker.OnFirstEvent(&ticket_, last_byte_at_);
+  if (events.count > 0) {
+    context_->picker.OnFirstEvent(&ticket_, last_byte_at_);
+  }
   owner_->OnEvents(*this, events);
 }
 
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -17,9 +17,9 @@
 
 /// Complete events of a stream that the caller does not have yet.
 struct NewEvents {
-  std::string bytes;
-  std::size_t count = 0;
-  std::string last_id;  ///< Id of the last one.
+  std::string bytes;      ///< With the comments between them.
+  std::size_t count = 0;  ///< 0: comments only.
+  std::string last_id;    ///< Id of the last one.
 
   bool operator==(const NewEvents&) const = default;
 };
@@ -97,8 +97,8 @@
   /// Whether the response is forwarded by event.
   [[nodiscard]] bool is_event_stream() const { return is_event_stream_; }
   /// Whether a part of the next event has arrived.
-  [[nodiscard]] bool HasPartialEvent() const {
-    return !end_ && is_event_stream_ && relay_.HasPartialEvent();
+  [[nodiscard]] bool HasBegunEvent() const {
+    return !end_ && is_event_stream_ && relay_.HasBegunEvent();
   }
   /// This daemon's requests at the upstream when the attempt was sent.
   [[nodiscard]] std::int64_t requests_before() const { return in_flight_; }
--- a/libs/gateway/src/event_relay.cc
+++ b/libs/gateway/src/event_relay.cc
@@ -32,6 +32,18 @@
   return {};
 }
 
+/// Whether `bytes` are comments and empty lines only.
+bool IsComment(std::string_view bytes) {
+  while (!bytes.empty()) {
+    const auto end = bytes.find('\n');
+    const auto line = bytes.substr(0, end);
+    bytes = end == std::string_view::npos ? "" : bytes.substr(end + 1);
+    const bool is_empty = line.empty() || line == "\r";
+    if (!is_empty && !line.starts_with(':')) return false;
+  }
+  return true;
+}
+
 /// Position after the empty line that ends the event starting at `from`.
 std::size_t FindEventEnd(std::string_view bytes, std::size_t from) {
   const auto plain = bytes.find("\n\n", from);
@@ -65,7 +77,7 @@
     const auto event = whole.substr(start, end - start);
     if (IsNew(event)) {
       forwarded += event;
-      ++events_;
+      if (!IsComment(event)) ++events_;
     }
     start = end;
   }
@@ -73,6 +85,8 @@
   return forwarded;
 }
 
+bool EventRelay::HasBegunEvent() const { return !IsComment(partial_); }
+
 void EventRelay::DiscardPartialEvent() { partial_.clear(); }
 
 }  // namespace firmoor
--- a/libs/gateway/tests/event_relay_test.cc
+++ b/libs/gateway/tests/event_relay_test.cc
@@ -44,6 +44,32 @@
   }
 }
 
+// Guards against a comment of a silent upstream that is taken for the stream's
+// next event.
+TEST_CASE("EventRelay forwards comments, which are no events") {
+  EventRelay relay("");
+  CHECK(relay.Feed(": ping\n\n") == ": ping\n\n");
+  CHECK(relay.Feed(":\r\n: ping\r\n\r\n") == ":\r\n: ping\r\n\r\n");
+  CHECK(relay.Feed("\n\n") == "\n\n");
+  CHECK(relay.events() == 0);
+
+  SUBCASE("a part of one begins no event") {
+    relay.Feed(": pi");
+    CHECK(relay.HasPartialEvent());
+    CHECK_FALSE(relay.HasBegunEvent());
+    relay.Feed("ng\n");
+    CHECK_FALSE(relay.HasBegunEvent());
+    relay.Feed("d");
+    CHECK(relay.HasBegunEvent());
+  }
+  SUBCASE("an event may hold one") {
+    const auto event = ": ping\n" + MakeEvent(1);
+    CHECK(relay.Feed(event) == event);
+    CHECK(relay.events() == 1);
+    CHECK_FALSE(relay.HasBegunEvent());
+  }
+}
+
 TEST_CASE("EventRelay resumes a stream that was interrupted within an event") {
   EventRelay relay("");
   relay.Feed(MakeEvents(1, 3) + "id: 4\nda");
--- a/libs/gateway/tests/gateway_silence_race_test.cc
+++ b/libs/gateway/tests/gateway_silence_race_test.cc
@@ -128,6 +128,19 @@
   CHECK(line["running"].toString().isEmpty());
 }
 
+// Guards against LOST: an upstream that sent only a comment was taken to go on
+// with the stream, and the attempt that would have gone on was cancelled.
+TEST_CASE("a comment of a silent upstream does not overtake another attempt") {
+  RacedRequest request(BeginStream, SendEvents({{2, 600}}));
+  request.StartStream();
+  REQUIRE(request.WaitForSecond());
+  SUBCASE("a whole one") { Write(request.a, ": ping\n\n"); }
+  SUBCASE("a part of one") { Write(request.a, ": pi"); }
+  CHECK(request.caller->WaitFor(kEnd, 1'000));
+  CHECK(HasEvents(*request.caller, {1, 2}));
+  CHECK(request.HasMetric("took-over", 1));
+}
+
 // Guards against attempts that outlive their request.
 TEST_CASE("a request with two attempts in flight ends both") {
   RacedRequest request(SendEvents({{1, 0}, {2, kNever}}),
