--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -35,9 +35,10 @@
                EffectiveCallerTimeout(request_, *admission.route)),
       origin_(std::move(origin)),
       race_(origin_ ? origin_->request.attempts : 0),
+      tried_(origin_ ? origin_->request.tried_upstreams
+                     : std::set<std::string>()),
       last_event_id_(request_.last_event_id) {
   if (origin_) {
-    tried_upstreams_ = origin_->request.tried_upstreams;
     version_ = origin_->request.version;
     usage_counted_ = origin_->request.usage_counted;
   }
@@ -93,7 +94,7 @@
   plan.call.to_engine = profile != nullptr && profile->engine.has_value();
   plan.call.last_event_id = last_event_id_;
   plan.call.copy = copy;
-  tried_upstreams_.insert(upstream.id);
+  tried_.Add(upstream.id);
   const auto attempt = std::make_shared<UpstreamAttempt>(context_, request_,
                                                          std::move(plan), this);
   attempts_.Add(attempt);
@@ -109,18 +110,19 @@
   race_.OnByte(number);
   if (attempt.head()) unsent_attempts_ = 0;
   const bool goes_on =
-      answer_started_ && race_.in_flight() > 1 && attempt.HasPartialEvent();
+      answer_started_ && race_.in_flight() > 1 && attempt.HasBegunEvent();
   if (!goes_on) return;
   QTimer::singleShot(kMaxOverlap, &timer_, [this, number] {
     const auto writing = attempts_.Find(number);
-    if (finished_ || !writing || !writing->HasPartialEvent()) return;
+    if (finished_ || !writing || !writing->HasBegunEvent()) return;
     CancelOvertaken(number, writing->upstream().id, race_.OnNextPart(number));
   });
 }
 
 void Exchange::OnEvents(const UpstreamAttempt& attempt,
                         const NewEvents& events) {
-  if (finished_) return;
+  // A comment does not show that the upstream goes on with the stream.
+  if (finished_ || (events.count == 0 && race_.in_flight() > 1)) return;
   const auto self = shared_from_this();
   CancelOvertaken(attempt.number(), attempt.upstream().id,
                   race_.OnNextPart(attempt.number()));
@@ -190,9 +192,7 @@
   attempt.RecordLinkEvidence(attempt_end);
   if (!attempt_end.may_have_been_sent) {
     ++unsent_attempts_;
-    if (!attempt.send_cancelled()) {
-      unreached_upstreams_.insert(attempt.upstream().id);
-    }
+    if (!attempt.send_cancelled()) tried_.OnUnreached(attempt.upstream().id);
   }
   const auto decision = race_.OnEnd(attempt.number(), attempt_end,
                                     attempt.Counts(), MakeConditions());
