Count what was admitted since the report that a grant answers

Callers saw nothing by themselves: a quota could be exceeded by about one grant a daemon until the next reply.

Cause: reports overlap when the reply takes longer than 100 ms, and QuotaAllowance::OnGrant took every reply for the one to the last report. What was admitted between the earlier report and the last one was forgotten.

Each report now has its number (that of GrantWaitList), and a reply is matched to its report. A reply to an earlier report than one that was answered is ignored.

Evidence: limits_test, "reports to the coordinator that overlap".

Ruled out: the coordinator's side counts each report whole and is not affected. How often reports overlap on a fleet was not measured.

--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -99,7 +99,7 @@
   for (auto& [workspace, quota] : quotas) {
     const auto grant = limits.quota_grants.find(workspace);
     if (grant != limits.quota_grants.end()) {
-      quota.OnGrant(grant->second, now);
+      quota.OnGrant(grant->second, now, report);
     } else if (quota.IsIdle(now)) {
       quota.OnOmitted(now);
     }
@@ -110,14 +110,14 @@
 
 std::map<std::string, QuotaUsage> GatewayContext::ReportQuotas(
     QuotaReportScope scope) {
-  grant_waiters.StartReport();
+  const auto number = grant_waiters.StartReport();
   std::map<std::string, QuotaUsage> uses;
   const auto now = MonotonicNow();
   for (auto& [workspace, quota] : quotas) {
     const bool is_reported = scope == QuotaReportScope::kNeeded
                                  ? quota.NeedsEarlyReport()
                                  : !quota.IsIdle(now);
-    if (is_reported) uses[workspace] = quota.Report(now);
+    if (is_reported) uses[workspace] = quota.Report(now, number);
   }
   return uses;
 }
--- a/libs/limits/include/limits/quota_allowance.h
+++ b/libs/limits/include/limits/quota_allowance.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "limits/grant_wait_list.h"
 #include "limits/quota_pool.h"
 
 namespace firmoor {
@@ -37,11 +38,14 @@
   /// enough tokens are available.
   std::optional<Duration> TakeOrWait(double tokens, TimePoint now);
 
-  /// Returns the usage for the coordinator. The next grant applies from this
-  /// moment.
-  QuotaUsage Report(TimePoint now);
-  /// Applies the reply to the last report.
-  void OnGrant(const QuotaGrant& grant, TimePoint now);
+  /// Returns the usage for the coordinator, in the report `number`. The reply
+  /// to it applies from this moment.
+  QuotaUsage Report(TimePoint now, ReportNumber number = 0);
+  /// Applies the reply to `report`, empty for the last one. Reports may
+  /// overlap; a reply to an earlier report than one that was answered is
+  /// ignored.
+  void OnGrant(const QuotaGrant& grant, TimePoint now,
+               std::optional<ReportNumber> report = std::nullopt);
   /// Whether this quota can be omitted from reports: no requests in the window,
   /// and the last grant was zero.
   [[nodiscard]] bool IsIdle(TimePoint now);
@@ -68,6 +72,14 @@
     TimePoint at;
     double tokens = 0;
   };
+  /// A report that was answered last, or may still be answered.
+  struct SentReport {
+    ReportNumber number = 0;
+    TimePoint at;
+    double admitted = 0;      ///< Tokens of the window, as reported.
+    double pending = 0;       ///< Tokens refused since the report before.
+    double total_before = 0;  ///< Tokens admitted before, since the start.
+  };
   /// Sum over the quota's window.
   struct WindowSum {
     std::deque<Entry> entries;
@@ -77,6 +89,13 @@
     void Prune(TimePoint oldest);
   };
 
+  /// Finds `report`, empty for the last one, and removes those before it.
+  /// Returns empty if a later one was answered.
+  std::optional<SentReport> FindSentReport(std::optional<ReportNumber> report);
+  /// Tokens admitted since `report`.
+  [[nodiscard]] double AdmittedSince(const SentReport& report) const {
+    return admitted_total_ - report.total_before;
+  }
   /// Refills the allowance for the time without a valid grant.
   void Accrue(TimePoint now);
   /// Estimated time until `tokens` are available.
@@ -92,14 +111,13 @@
   QuotaLimit limit_;
   Fallback fallback_;
   double level_ = 0;
-  double admitted_since_report_ = 0;
-  double reported_admitted_ = 0;  ///< As in the last report.
+  double admitted_total_ = 0;            ///< Tokens, since the start.
+  std::deque<SentReport> sent_reports_;  ///< In the order of their numbers.
   /// Admitted tokens in the last report that was answered.
   double admitted_before_grant_ = 0;
   std::optional<QuotaGrant> grant_;
   std::optional<double> prior_usage_;
-  double pending_ = 0;           ///< Tokens refused since the last report.
-  double reported_pending_ = 0;  ///< As in the last report.
+  double pending_ = 0;  ///< Tokens refused since the last report.
   /// Tokens of the last grant that was not made for pending requests; empty
   /// before the first one.
   std::optional<double> refill_;
--- a/libs/limits/src/quota_allowance.cc
+++ b/libs/limits/src/quota_allowance.cc
@@ -92,7 +92,7 @@
   requested_.Add(tokens, now);
   if (level_ + fallback_.max_overdraft >= tokens) {
     level_ -= tokens;
-    admitted_since_report_ += tokens;
+    admitted_total_ += tokens;
     admitted_.Add(tokens, now);
     const bool is_low = level_ < kLowFraction * tokens;
     needs_early_report_ =
@@ -127,16 +127,33 @@
          level_ + fallback_.max_overdraft + grant_->unassigned >= tokens;
 }
 
-QuotaUsage QuotaAllowance::Report(TimePoint now) {
+QuotaUsage QuotaAllowance::Report(TimePoint now, ReportNumber number) {
   admitted_.Prune(now - limit_.window);
   requested_.Prune(now - limit_.window);
-  admitted_since_report_ = 0;
   needs_early_report_ = false;
-  reported_admitted_ = admitted_.sum;
+  // Replies come much earlier than this.
+  while (!sent_reports_.empty() &&
+         sent_reports_.front().at < now - limit_.window) {
+    sent_reports_.pop_front();
+  }
+  const double pending = std::exchange(pending_, 0);
+  sent_reports_.push_back(
+      {number, now, admitted_.sum, pending, admitted_total_});
   const bool started_in_window = now - started_at_ < limit_.window;
-  reported_pending_ = std::exchange(pending_, 0);
-  return {reported_admitted_, requested_.sum, reported_pending_,
-          started_in_window};
+  return {admitted_.sum, requested_.sum, pending, started_in_window};
+}
+
+std::optional<QuotaAllowance::SentReport> QuotaAllowance::FindSentReport(
+    std::optional<ReportNumber> report) {
+  if (!report) {
+    return sent_reports_.empty() ? SentReport{} : sent_reports_.back();
+  }
+  while (!sent_reports_.empty() && sent_reports_.front().number < *report) {
+    sent_reports_.pop_front();
+  }
+  const bool is_found =
+      !sent_reports_.empty() && sent_reports_.front().number == *report;
+  return is_found ? std::optional(sent_reports_.front()) : std::nullopt;
 }
 
 bool QuotaAllowance::IsIdle(TimePoint now) {
@@ -147,19 +164,22 @@
 }
 
 void QuotaAllowance::OnOmitted(TimePoint now) {
-  level_ = -admitted_since_report_;
+  level_ = -AdmittedSince(*FindSentReport(std::nullopt));
   granted_at_ = now;
   accrued_at_ = now;
 }
 
-void QuotaAllowance::OnGrant(const QuotaGrant& grant, TimePoint now) {
+void QuotaAllowance::OnGrant(const QuotaGrant& grant, TimePoint now,
+                             std::optional<ReportNumber> report) {
+  const auto sent = FindSentReport(report);
+  if (!sent) return;
   grant_ = grant;
   // A grant above what was pending is the one that is made without it, too.
-  if (reported_pending_ == 0 || grant.tokens > reported_pending_) {
+  if (sent->pending == 0 || grant.tokens > sent->pending) {
     refill_ = grant.tokens;
   }
-  admitted_before_grant_ = reported_admitted_;
-  level_ = grant.tokens - admitted_since_report_;
+  admitted_before_grant_ = sent->admitted;
+  level_ = grant.tokens - AdmittedSince(*sent);
   granted_at_ = now;
   accrued_at_ = now;
 }
--- a/libs/limits/tests/quota_fleet_model.cc
+++ b/libs/limits/tests/quota_fleet_model.cc
@@ -153,7 +153,7 @@
     auto& allowance = daemon.allowances[i];
     const bool is_reported =
         is_early ? allowance.NeedsEarlyReport() : !allowance.IsIdle(now_);
-    if (is_reported) uses[i] = allowance.Report(now_);
+    if (is_reported) uses[i] = allowance.Report(now_, number);
   }
   if (is_early) {
     ++counts_.early_reports;
@@ -172,7 +172,7 @@
         auto& allowance = receiver.allowances[i];
         const auto grant = grants.find(i);
         if (grant != grants.end()) {
-          allowance.OnGrant(grant->second, now_);
+          allowance.OnGrant(grant->second, now_, number);
         } else if (allowance.IsIdle(now_)) {
           allowance.OnOmitted(now_);
         }
--- a/libs/limits/tests/quota_test.cc
+++ b/libs/limits/tests/quota_test.cc
@@ -158,6 +158,40 @@
   }
 }
 
+// Guards against a quota that is exceeded by a grant a daemon: the reply to a
+// report that a later one overlaps did not count what was admitted in between.
+TEST_CASE("reports to the coordinator that overlap") {
+  QuotaAllowance allowance(kLimit, {0.5, 0}, kStart - kLimit.window);
+  allowance.Report(kStart, 1);
+  allowance.OnGrant({100, 0}, kStart, 1);
+  const auto first = allowance.Report(kStart, 2);
+  CHECK_FALSE(allowance.TakeOrWait(80, kStart));
+  const auto second = allowance.Report(kStart + Duration(100), 3);
+  CHECK(first.admitted == 0);
+  CHECK(second.admitted == 80);
+  const auto at = kStart + Duration(110);
+
+  SUBCASE("the reply to the first counts what was admitted since") {
+    allowance.OnGrant({100, 0}, at, 2);
+    CHECK(allowance.level() == 20);
+    CHECK(allowance.TakeOrWait(30, at));
+    SUBCASE("and the reply to the second what was admitted since that") {
+      CHECK_FALSE(allowance.TakeOrWait(20, at));
+      allowance.OnGrant({50, 0}, at, 3);
+      CHECK(allowance.level() == 30);
+    }
+  }
+  SUBCASE("a reply to the first that comes last changes nothing") {
+    allowance.OnGrant({50, 0}, at, 3);
+    allowance.OnGrant({100, 0}, at, 2);
+    CHECK(allowance.level() == 50);
+  }
+  SUBCASE("a reply is for the last one if its report is not known") {
+    allowance.OnGrant({50, 0}, at);
+    CHECK(allowance.level() == 50);
+  }
+}
+
 TEST_CASE("a quota far above the demand (lumps of large prompts)") {
   Fleet fleet(8);
   int refused = 0;
