Leave connections alone that ended before a pause of the soak's relay

Ended connections stay in the relay's list until the next one is accepted; the new rules were applied to them too.

--- a/tests/support/src/relay.cc
+++ b/tests/support/src/relay.cc
@@ -137,6 +137,7 @@
 
 void Relay::SetRules(std::vector<Rule> rules) {
   rules_ = std::move(rules);
+  std::erase_if(pairs_, [](const auto& pair) { return pair->closed; });
   for (const auto& pair : std::vector(pairs_)) {
     const auto before = std::exchange(pair->harm, HarmOf(*pair));
     if (pair->harm != RelayHarm::kNone || before == pair->harm) continue;
@@ -150,6 +151,7 @@
 
 void Relay::GoOn(const std::shared_ptr<Pair>& pair) {
   Move(pair);
+  if (pair->closed) return;
   const auto has_left = [](const QTcpSocket* socket) {
     return socket->state() == QAbstractSocket::UnconnectedState;
   };
