Pass on an upstream's error when there is no other upstream to try

Cause: an answer that reports an error was kept only if another attempt of this daemon was in flight, and thrown away if the next step was a further attempt.

The last answer of an upstream that reports an error is kept in all cases and passed on if nothing else answers. Refusals of another daemon's gateway are not kept. The model of AttemptRace does the same.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -206,6 +206,9 @@
   if (caller_disconnected_) {
     return Finish(decision.attempt.code, "caller-left");
   }
+  if (attempt_end.failed && ran && !answer_started_) {
+    failed_answer_ = attempt.Answer();
+  }
   switch (decision.step) {
     case RaceStep::kPassAnswer:
       CancelOvertaken(attempt.number(), attempt.upstream().id,
@@ -213,10 +216,6 @@
       return ForwardAnswer(attempt);
     case RaceStep::kGoOn:
       ++context_->beside_counters.dropped;
-      if (attempt_end.failed && ran && !answer_started_) {
-        failed_answer_ = HttpResponse{attempt.head()->status,
-                                      attempt.head()->headers, attempt.body()};
-      }
       return StartBeside();
     case RaceStep::kTryNext:
       TakeRetry();
@@ -232,7 +231,7 @@
     if (!answer_started_) responder_->StartStream(head.status, head.headers);
     responder_->FinishStream();
   } else {
-    responder_->Send({head.status, head.headers, attempt.body()});
+    responder_->Send(attempt.Answer());
   }
   Finish(ResultCode::kOk, head.IsSuccess() ? "answered" : "failure-passed");
 }
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -242,7 +242,7 @@
   AttemptRace race_;
   AttemptsInFlight attempts_;
   std::optional<StreamWriter> writer_;
-  /// Answer of an attempt that failed while another one was in flight.
+  /// The last answer that reports an error, for when nothing else answers.
   std::optional<HttpResponse> failed_answer_;
   int started_beside_ = 0;  ///< Attempts started beside a silent one.
   std::set<std::string> refusing_peers_;  ///< Daemons that did not serve it.
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -234,6 +234,7 @@
   if (!refusal || (!is_not_run && !IsStream())) usage_counted_ = true;
   if (is_failure && race_.in_flight() > 1) {
     ++context_->beside_counters.dropped;
+    if (!refusal && !answer_started_) failed_answer_ = response;
     refusing_peers_.insert(peer);
     race_.OnCancelled(number, !is_not_run, true);
     EndDelegation(number);
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -92,8 +92,10 @@
   [[nodiscard]] const std::optional<UpstreamResponseHead>& head() const {
     return head_;
   }
-  /// Body of a response that is no event stream.
-  [[nodiscard]] const std::string& body() const { return body_; }
+  /// A complete response that is no event stream.
+  [[nodiscard]] HttpResponse Answer() const {
+    return {head_->status, head_->headers, body_};
+  }
   /// Whether the response is forwarded by event.
   [[nodiscard]] bool is_event_stream() const { return is_event_stream_; }
   /// Whether a part of the next event has arrived.
--- a/libs/gateway/tests/gateway_silence_delegation_test.cc
+++ b/libs/gateway/tests/gateway_silence_delegation_test.cc
@@ -176,6 +176,19 @@
     fleet.AnswerFromPeer();
     CHECK(fleet.caller->WaitFor("of-peer", 200));
   }
+  // Guards against an answer of the other daemon that is thrown away, though
+  // nothing else answers.
+  SUBCASE("gets the other daemon's error when nothing is left here") {
+    RawUpstream here([](auto& connection) {
+      QTimer::singleShot(300, connection.socket,
+                         [s = connection.socket] { s->abort(); });
+    });
+    add_here(here);
+    REQUIRE(WaitUntil([&] { return here.Requests() == 1; }, 3'000));
+    fleet.peer.responders.front()->Send(
+        Encoded(Kind::kResponse, 500, "error-of-peer"));
+    CHECK(fleet.caller->WaitFor("error-of-peer", 1'000));
+  }
   SUBCASE("is answered from here after the other daemon broke off") {
     RawUpstream here(AnswerAfter(300, "200 OK", "of-here"));
     add_here(here);
--- a/libs/gateway/tests/gateway_silence_race_test.cc
+++ b/libs/gateway/tests/gateway_silence_race_test.cc
@@ -229,6 +229,27 @@
     CHECK(!is_not_run(*request.caller));
     CHECK(request.HasMetric("dropped", 1));
   }
+  // Guards against an answer that is thrown away for a further attempt which
+  // finds no upstream.
+  SUBCASE("the only upstream answers with an error: this") {
+    RacedRequest request(AnswerAfter(0, "500 Internal Server Error", "of-a"),
+                         RejectNotRun);
+    request.StartAtFirst("idempotent");
+    CHECK(request.caller->WaitFor("of-a", 500));
+    const auto line = request.log.OnlyLine("request");
+    CHECK(line["outcome"].toString() == "failure-passed");
+  }
+  SUBCASE("the first breaks, and the last answers with an error: this") {
+    RacedRequest request(breaks_after(200),
+                         AnswerAfter(0, "500 Internal Server Error", "of-b"));
+    // Leaves it more retries than it can use.
+    request.fixture.gateway.SeedSharedLimits(1, {});
+    request.Reconfigure([](auto* content) {
+      for (auto& route : content->routes) route.max_upstreams = 4;
+    });
+    request.Start("idempotent");
+    CHECK(request.caller->WaitFor("of-b", 1'000));
+  }
   SUBCASE("both are rejected: not run") {
     RacedRequest request(
         AnswerAfter(1'000, "503 Service Unavailable\r\nNot-Run: 1", ""),
--- a/libs/serving/tests/attempt_race_model.cc
+++ b/libs/serving/tests/attempt_race_model.cc
@@ -256,6 +256,9 @@
   const auto decision =
       race_.OnEnd(NumberOf(attempt), end, true, MakeConditions());
   if (caller_left_) return Finish(RequestEnd::kCallerLeft);
+  if (end.failed && !end.declared_not_run && !answer_started_) {
+    failed_answer_ = AnswerOf(end);
+  }
   switch (decision.step) {
     case RaceStep::kPassAnswer:
       CancelOvertaken(attempt, decision.overtaken);
@@ -264,9 +267,6 @@
       }
       return Finish(AnswerOf(end));
     case RaceStep::kGoOn:
-      if (end.failed && !end.declared_not_run && !answer_started_) {
-        failed_answer_ = AnswerOf(end);
-      }
       return StartBeside();
     case RaceStep::kTryNext:
       if (!TakeRetry()) Violate("the next attempt has no retry");
@@ -278,13 +278,12 @@
 
 void RaceModel::FailRequest(const AttemptDecision& decision) {
   if (MayStartAnother()) Violate("the request fails while another may start");
-  if (answer_started_) return Finish(RequestEnd::kCut);
-  if (failed_answer_ != RequestEnd::kNone) return Finish(failed_answer_);
   Refuse(decision.outcome);
 }
 
 void RaceModel::Refuse(RequestOutcome outcome) {
   if (answer_started_) return Finish(RequestEnd::kCut);
+  if (failed_answer_ != RequestEnd::kNone) return Finish(failed_answer_);
   Finish(outcome == RequestOutcome::kNotRun ? RequestEnd::kNotRun
                                             : RequestEnd::kUnknown);
 }
--- a/libs/serving/tests/attempt_race_model.h
+++ b/libs/serving/tests/attempt_race_model.h
@@ -128,8 +128,7 @@
   int arrivals_ = 0;  ///< At upstreams.
   int events_ = 0;    ///< That the caller has.
   bool answer_started_ = false;
-  /// The end by the answer of an attempt that failed while another was in
-  /// flight.
+  /// The end by the last answer that reports an error.
   RequestEnd failed_answer_ = RequestEnd::kNone;
   bool caller_left_ = false;
   bool next_pick_is_lost_ = false;
