Try an upstream again that was overtaken while it was silent

What callers saw: both upstreams of a stream paused; the first went on, and broke off a little later.

Cause: an upstream that was overtaken while silent stayed excluded for the rest of the request. AttemptRace itself allows the attempt: it counts what was sent, which may have run, and nothing else.

Such upstreams are tried again when no other one is left (TriedUpstreams); those that were not silent at once, as before. Decided against: not counting an attempt that was overtaken, as its upstream received the request; a route with two attempts has had both then, which the test holds as well.

--- a/libs/gateway/src/details/exchange_choice.cc
+++ b/libs/gateway/src/details/exchange_choice.cc
@@ -78,8 +78,12 @@
   const auto now = MonotonicNow();
   context_->SyncPicker(now);
   without_permit_.clear();
-  const auto upstream =
+  auto upstream =
       context_->picker.Pick(MakePickRequest(), now, &without_permit_);
+  if (!upstream && race_.in_flight() == 0 && tried_.ReadmitOvertaken()) {
+    without_permit_.clear();
+    upstream = context_->picker.Pick(MakePickRequest(), now, &without_permit_);
+  }
   if (!upstream) {
     if (AwaitPermit(without_permit_, now)) return;
     if (without_permit_.empty() && LeaveLastToPeer(now)) return;
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -78,8 +78,7 @@
       RecordOvertaken(by, attempt->upstream().id, sent,
                       now - attempt->last_byte_at());
       race_.OnCancelled(number, sent, attempt->Counts());
-      // One that was not silent may be tried again.
-      if (!attempt->is_silent()) tried_.OnOvertaken(attempt->upstream().id);
+      tried_.OnOvertaken(attempt->upstream().id, attempt->is_silent());
       attempt->Release(attempt->is_silent() ? UpstreamOutcome::kFailed
                                             : UpstreamOutcome::kNeutral,
                        false, now);
--- a/libs/gateway/tests/gateway_silence_limits_test.cc
+++ b/libs/gateway/tests/gateway_silence_limits_test.cc
@@ -164,6 +164,48 @@
   three.CheckStarted(2);
 }
 
+// Guards against LOST: after a pause of both its upstreams a stream went on at
+// one of them, which broke off, and the other one was not tried again.
+TEST_CASE("an upstream that was overtaken while silent is tried again") {
+  const auto is_second = [](const RawUpstream::Connection& connection) {
+    return connection.received.find("From: 2") != std::string::npos;
+  };
+  RacedRequest request(
+      [](auto& connection) {
+        StartEventStream(connection, MakeEvent(1));
+        auto* socket = connection.socket;
+        QTimer::singleShot(2'400, socket, [socket] {
+          socket->write(QByteArray::fromStdString(MakeEvent(2)));
+          socket->flush();
+        });
+        QTimer::singleShot(2'700, socket, [socket] { socket->abort(); });
+      },
+      [&](auto& connection) {
+        if (is_second(connection)) SendEvents({{3, 0}})(connection);
+      });
+  request.fixture.gateway.SeedSharedLimits(kOneDaemon, {});
+  int max_upstreams = 3;
+  SUBCASE("within the attempts of its route") {}
+  SUBCASE("but not beyond") { max_upstreams = 2; }
+  request.Reconfigure([&](auto* content) {
+    for (auto& route : content->routes) {
+      route.max_upstreams = max_upstreams;
+      route.timeout = Duration(6'000);
+    }
+  });
+  request.StartStream();
+  REQUIRE(request.caller->WaitFor("id: 2", 3'000));
+  REQUIRE(request.b.Requests() == 1);
+  if (max_upstreams == 2) {
+    CHECK(request.caller->WaitClosed(1'000));
+    CHECK(request.b.Requests() == 1);
+    return;
+  }
+  CHECK(request.caller->WaitFor(kEnd, 1'000));
+  CHECK(HasEvents(*request.caller, {1, 2, 3}));
+  CHECK(request.b.Requests() == 2);
+}
+
 // Guards against upstreams that get more than they announced to accept, and
 // against places that stay taken.
 TEST_CASE("two attempts at upstreams that announce a limit") {
--- a/libs/serving/include/serving/tried_upstreams.h
+++ b/libs/serving/include/serving/tried_upstreams.h
@@ -24,8 +24,9 @@
   void OnUnreached(const std::string& upstream);
   /// The link of this daemon to the upstream may be lost.
   void OnLinkLost(const std::string& upstream);
-  /// An attempt at the upstream was overtaken that may be repeated.
-  void OnOvertaken(const std::string& upstream);
+  /// The attempt was overtaken. `was_silent`: for the upstream's time-out, so
+  /// that others are tried before it.
+  void OnOvertaken(const std::string& upstream, bool was_silent);
 
   /// Not to be tried now.
   [[nodiscard]] const std::set<std::string>& excluded() const {
@@ -39,6 +40,9 @@
     return unreached_;
   }
 
+  /// Upstreams that were overtaken while silent may be tried again, since no
+  /// other one is left. Returns whether there are any.
+  bool ReadmitOvertaken();
   /// Upstreams that were not reached may be tried again.
   void ReadmitUnreached();
   /// Time until they are to be tried again when no other upstream is left,
@@ -49,7 +53,8 @@
  private:
   std::set<std::string> excluded_;
   std::set<std::string> unreached_;
-  std::set<std::string> lost_;  ///< By `OnLinkLost`.
+  std::set<std::string> lost_;       ///< By `OnLinkLost`.
+  std::set<std::string> overtaken_;  ///< While silent.
   int waits_ = 0;
 };
 
--- a/libs/serving/src/tried_upstreams.cc
+++ b/libs/serving/src/tried_upstreams.cc
@@ -1,6 +1,7 @@
 #include "serving/tried_upstreams.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "serving/attempt_policy.h"
 
@@ -17,6 +18,7 @@
 void TriedUpstreams::Add(const std::string& upstream) {
   excluded_.insert(upstream);
   unreached_.erase(upstream);
+  overtaken_.erase(upstream);
 }
 
 void TriedUpstreams::OnUnreached(const std::string& upstream) {
@@ -27,8 +29,17 @@
   lost_.insert(upstream);
 }
 
-void TriedUpstreams::OnOvertaken(const std::string& upstream) {
-  excluded_.erase(upstream);
+void TriedUpstreams::OnOvertaken(const std::string& upstream, bool was_silent) {
+  if (was_silent) {
+    overtaken_.insert(upstream);
+  } else {
+    excluded_.erase(upstream);
+  }
+}
+
+bool TriedUpstreams::ReadmitOvertaken() {
+  for (const auto& upstream : overtaken_) excluded_.erase(upstream);
+  return !std::exchange(overtaken_, {}).empty();
 }
 
 std::set<std::string> TriedUpstreams::ExcludedForPeers() const {
