Do not crash when a stream ends since its upstream was replaced

A daemon ended by a segmentation fault, with all its requests, when an upstream was registered as an instance of another version and that ended a stream: its only attempt was cancelled since the version of its events is in doubt, and none may follow.

Cause: the loop over the requests was continued behind the request that the call had removed.

The loop runs over a copy, as those at lost links and at the stop do.

The other loops over the requests were read: two end no request, the move of streams starts by timers.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -35,7 +35,9 @@
 }
 
 void Gateway::Impl::OnUpstreamReplaced(const std::string& id) {
-  for (const auto& [key, exchange] : context.exchanges) {
+  // Requests may end.
+  const auto exchanges = context.exchanges;
+  for (const auto& [key, exchange] : exchanges) {
     exchange->OnUpstreamReplaced(id);
   }
 }
--- a/libs/gateway/tests/gateway_silence_version_test.cc
+++ b/libs/gateway/tests/gateway_silence_version_test.cc
@@ -1,7 +1,9 @@
 #include <doctest/doctest.h>
 
 #include <QTimer>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "silent_upstreams.h"
 
@@ -91,6 +93,27 @@
     CHECK(request.caller->WaitFor(kEnd, 700));
     CHECK(HasEvents(*request.caller, {1, 2}));
   }
+  // Guards against a daemon that crashes when a stream ends while the list of
+  // requests is told of a new version.
+  SUBCASE("ends with it when the first one broke off and may be of another") {
+    stream.AddSecond();
+    WithRequest(request.a).socket->abort();
+    REQUIRE(WaitUntil([&] { return request.b.Requests() == 1; }));
+    const auto others = [&] {
+      std::vector<std::unique_ptr<RawClient>> callers;
+      for (const auto* id : {"r2", "r3", "r4", "r5"}) {
+        callers.push_back(request.fixture.SendRequest("idempotent", "", id));
+      }
+      return callers;
+    }();
+    REQUIRE(WaitUntil([&] {
+      return request.fixture.gateway.ActiveRequestCount() == 1 + others.size();
+    }));
+    stream.Register("a", WallClockMs() - kEarlierMs, "v2");
+    CHECK(request.caller->WaitClosed(kCancelMs));
+    CHECK(HasEvents(*request.caller, {1}));
+    CHECK(request.fixture.gateway.ActiveRequestCount() == others.size());
+  }
   SUBCASE("goes on when the first one was replaced after it began") {
     stream.AddSecond();
     REQUIRE(request.WaitForSecond());
