Do not read a connection whose server has ended

A daemon's servers end with its process, so that no caller saw it; the soak's replicas and tests end theirs.

--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -142,10 +142,13 @@
   }
   if (parser_->is_done()) return DispatchRequest();
   if (parser_->is_header_done()) HandleExpect();
-  if (socket_->bytesAvailable() > 0) {
-    QMetaObject::invokeMethod(
-        socket_, [this] { ReadMore(); }, Qt::QueuedConnection);
-  }
+  if (socket_->bytesAvailable() > 0) QueueRead();
+}
+
+void ServerConnection::QueueRead() {
+  // Bound to the timer: the socket outlives this connection.
+  QMetaObject::invokeMethod(
+      &timer_, [this] { ReadMore(); }, Qt::QueuedConnection);
 }
 
 void ServerConnection::HandleExpect() {
@@ -246,8 +249,7 @@
   }
   ResetParser();
   // Queued, so that pipelined requests do not recurse through the handler.
-  QMetaObject::invokeMethod(
-      socket_, [this] { ReadMore(); }, Qt::QueuedConnection);
+  QueueRead();
 }
 
 void ServerConnection::Abort(ConnectionCut reason) {
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -69,6 +69,8 @@
   void OnBytesWritten();
   [[nodiscard]] bool IsIdle() const;
   void ReadMore();
+  /// Reads on from the event loop.
+  void QueueRead();
   void ParseBuffered();
   void HandleExpect();
   void DispatchRequest();
--- a/libs/http/tests/http_server_close_test.cc
+++ b/libs/http/tests/http_server_close_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <QTimer>
 #include <string>
 #include <vector>
 
@@ -276,4 +277,20 @@
   CHECK(client.WaitFor("whole"));
 }
 
+// Guards against a read of freed memory: the next read of a connection was
+// queued when its server ended.
+TEST_CASE("a server may end between two requests of a connection") {
+  Fixture fixture;
+  RawClient client(fixture.server->Port());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n" + std::string(kLastGet));
+  REQUIRE(fixture.WaitRequests(1));
+  // Within the event loop, so that what is deleted later goes.
+  QTimer::singleShot(0, [&fixture] {
+    fixture.responders[0]->Send({200, {}, "first"});
+    fixture.server.reset();
+  });
+  CHECK(client.WaitClosed(1'000));
+  CHECK(fixture.responders.size() == 1);
+}
+
 }  // namespace firmoor
