Hold the tokens of a quota that a silent daemon may still spend

Cause: QuotaPool forgot a daemon one window after its last report and granted its tokens to others. A daemon that is cut off goes on all the while. A new coordinator counted what it granted in its first replies, which are not applied while daemons have still to report, instead of what they held by the previous coordinator. A daemon omitted an idle quota before it had told that its last requests have left the window, so that they counted for two windows.

Now the coordinator holds what a silent daemon told and was granted for 12 s (two leases and their detection) and a window more; the daemon gives up what is left after 12 s, counted from its report. Reports tell what is held, grants for how long (one more item each, read both ways); earlier builds are held for one window as before. A daemon that restarts ends what its earlier instance held one window later. What unreported daemons may hold by the previous coordinator is kept 12 s longer.

The bound now is an eighth of the quota where all daemons are without a coordinator and a 32nd for a quarter of them: by kUnassignedFraction.

Mutations by hand, each found by quota_continuation_test or quota_gap_test: silent daemons held for one window (8 failed checks), what is held by the previous coordinator ignored (1), unreported daemons not counted longer (3), the earlier instance counted from its report (1) or again with each report (1), idle before it was told (1), no end after 12 s (1), the 12 s counted from the reply (1).

--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -20,10 +20,16 @@
 using details::EncodeQuarantineReply;
 using details::EncodeQuarantineReport;
 
+QCborValue EncodeOptional(const std::optional<double>& value) {
+  return value ? QCborValue(*value) : QCborValue(nullptr);
+}
+
 QCborMap EncodeGrants(const std::map<std::string, QuotaGrant>& grants) {
   QCborMap map;
   for (const auto& [workspace, grant] : grants) {
-    map[Text(workspace)] = QCborArray{grant.tokens, grant.unassigned};
+    map[Text(workspace)] =
+        QCborArray{grant.tokens, grant.unassigned,
+                   static_cast<qint64>(grant.continuation.count())};
   }
   return map;
 }
@@ -32,8 +38,9 @@
   std::map<std::string, QuotaGrant> grants;
   for (const auto& entry : value.toMap()) {
     const auto grant = entry.second.toArray();
-    grants[entry.first.toString().toStdString()] = {grant.at(0).toDouble(),
-                                                    grant.at(1).toDouble()};
+    grants[entry.first.toString().toStdString()] = {
+        grant.at(0).toDouble(), grant.at(1).toDouble(),
+        Duration(grant.at(2).toInteger(0))};
   }
   return grants;
 }
@@ -55,8 +62,9 @@
 QCborMap EncodeQuotas(const std::map<std::string, QuotaUsage>& quotas) {
   QCborMap map;
   for (const auto& [workspace, use] : quotas) {
-    map[Text(workspace)] = QCborArray{use.admitted, use.requested, use.pending,
-                                      use.started_in_window};
+    map[Text(workspace)] =
+        QCborArray{use.admitted, use.requested, use.pending,
+                   use.started_in_window, EncodeOptional(use.held)};
   }
   return map;
 }
@@ -64,10 +72,11 @@
 std::map<std::string, QuotaUsage> DecodeQuotas(const QCborValue& value) {
   std::map<std::string, QuotaUsage> quotas;
   for (const auto& entry : value.toMap()) {
-    const auto use = entry.second.toArray();
-    quotas[entry.first.toString().toStdString()] = {
-        use.at(0).toDouble(), use.at(1).toDouble(), use.at(2).toDouble(),
-        use.at(3).toBool()};
+    const auto items = entry.second.toArray();
+    QuotaUsage use{items.at(0).toDouble(), items.at(1).toDouble(),
+                   items.at(2).toDouble(), items.at(3).toBool()};
+    if (items.at(4).isDouble()) use.held = items.at(4).toDouble();
+    quotas[entry.first.toString().toStdString()] = use;
   }
   return quotas;
 }
@@ -95,10 +104,6 @@
   return usage;
 }
 
-QCborValue EncodeRate(const std::optional<double>& rate_per_s) {
-  return rate_per_s ? QCborValue(*rate_per_s) : QCborValue(nullptr);
-}
-
 /// Reads the run, rate and age of an announcement, the first three items.
 /// Returns false if they are invalid.
 template <typename Announcement>
@@ -115,7 +120,7 @@
     const std::map<std::string, BrittlenessReport>& brittle) {
   QCborMap map;
   for (const auto& [service, report] : brittle) {
-    map[Text(service)] = QCborArray{EncodeRate(report.rejection_tolerance),
+    map[Text(service)] = QCborArray{EncodeOptional(report.rejection_tolerance),
                                     static_cast<qint64>(report.age.count())};
   }
   return map;
@@ -206,7 +211,7 @@
   QCborMap upstreams;
   for (const auto& [id, report] : reports.upstreams) {
     upstreams[Text(id)] = QCborArray{static_cast<qint64>(report.born_ms),
-                                     EncodeRate(report.rate_per_s),
+                                     EncodeOptional(report.rate_per_s),
                                      static_cast<qint64>(report.age.count()),
                                      report.wanted_per_s,
                                      static_cast<qint64>(report.waiting),
@@ -250,7 +255,7 @@
   QCborMap upstreams;
   for (const auto& [id, grant] : reply.upstreams) {
     upstreams[Text(id)] = QCborArray{static_cast<qint64>(grant.born_ms),
-                                     EncodeRate(grant.rate_per_s),
+                                     EncodeOptional(grant.rate_per_s),
                                      static_cast<qint64>(grant.age.count()),
                                      static_cast<qint64>(grant.permits),
                                      static_cast<qint64>(grant.next_in.count()),
--- a/libs/gateway/tests/coordination_test.cc
+++ b/libs/gateway/tests/coordination_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <QCborArray>
+#include <QCborMap>
+#include <QCborValue>
 #include <cmath>
 
 namespace firmoor {
@@ -45,7 +48,7 @@
     reply.true_ms = 77;
     reply.store_era = 3;
     reply.limits_ready = true;
-    reply.limits.quota_grants["w"] = {0.5, 2};
+    reply.limits.quota_grants["w"] = {0.5, 2, Duration(12'000)};
     reply.limits.daemons = 4;
     reply.config_version = 7;
     reply.config_age_ms = 300;
@@ -58,6 +61,34 @@
             return CoordinatorReply::Decode(reply.Encode());
           })) == reply);
   }
+  SUBCASE("tell what a daemon goes on with, which earlier builds do not") {
+    auto report = Report("a", 5);
+    report.quotas["w"].held = 7;
+    CHECK(IsDecodedAsEncoded(report));
+    CHECK(IsDecodedAsEncoded(Report("a", 5)));
+    const auto shortened = [](const QByteArray& bytes, const char* member,
+                              qsizetype size) {
+      auto message = QCborValue::fromCbor(bytes).toMap();
+      auto quotas = message.value(QLatin1String(member)).toMap();
+      auto items = quotas.value(QLatin1String("w")).toArray();
+      while (items.size() > size) items.removeLast();
+      quotas[QLatin1String("w")] = items;
+      message[QLatin1String(member)] = quotas;
+      return message.toCborValue().toCbor();
+    };
+    const auto old_report = Capture([&] {
+      return DaemonReport::Decode(shortened(report.Encode(), "quotas", 4));
+    });
+    CHECK(std::get<DaemonReport>(old_report) == Report("a", 5));
+    CoordinatorReply reply;
+    reply.true_ms = 77;
+    reply.limits.quota_grants["w"] = {0.5, 2, Duration(12'000)};
+    const auto old_reply = Capture([&] {
+      return CoordinatorReply::Decode(shortened(reply.Encode(), "grants", 2));
+    });
+    CHECK(std::get<CoordinatorReply>(old_reply).limits.quota_grants.at("w") ==
+          QuotaGrant{0.5, 2, Duration(0)});
+  }
   SUBCASE("carry crashes, completed requests and verdicts") {
     const Suspect suspect{SuspectKind::kPromptChunk, std::string(32, 'a')};
     const Suspect other{SuspectKind::kPromptChunk, std::string(32, 'b')};
--- a/libs/limits/include/limits/quota_allowance.h
+++ b/libs/limits/include/limits/quota_allowance.h
@@ -103,6 +103,8 @@
   /// Tokens of this daemon's share that may have been admitted in the window
   /// before it started.
   [[nodiscard]] double PriorUsageInWindow(TimePoint now) const;
+  /// Tokens that the coordinator holds for this daemon in each window.
+  [[nodiscard]] double HeldTokens() const;
   /// Tokens that may be admitted in one window without the coordinator.
   [[nodiscard]] double Entitlement() const;
   /// Whether a report without pending requests may bring enough for one.
@@ -124,6 +126,7 @@
   bool needs_early_report_ = false;
   TimePoint started_at_;
   TimePoint granted_at_;
+  TimePoint continues_until_;  ///< At the rate that was granted last.
   TimePoint accrued_at_;
   WindowSum admitted_;
   WindowSum requested_;
--- a/libs/limits/include/limits/quota_pool.h
+++ b/libs/limits/include/limits/quota_pool.h
@@ -17,6 +17,12 @@
 /// since have been granted to other daemons.
 constexpr double kUnassignedFraction = 0.125;
 
+/// Time for which a daemon without a coordinator may go on at the rate that it
+/// was granted last, from its last report that was answered. Covers a
+/// coordinator that is lost twice in a row. A coordinator holds the tokens of a
+/// silent daemon for one window longer, since it may be one that is cut off.
+constexpr Duration kQuotaContinuation{12'000};
+
 /// Quota of a workspace over all daemons: in any span of `window`, at most the
 /// tokens of `rate_per_s` plus one `burst`.
 struct QuotaLimit {
@@ -46,6 +52,9 @@
   /// Whether the daemon started within the window, so that usage of its
   /// previous instance is not included.
   bool started_in_window = false;
+  /// Tokens in a window that the daemon goes on with if it gets no reply; empty
+  /// from an earlier build, which does not go on.
+  std::optional<double> held{};
 
   bool operator==(const QuotaUsage&) const = default;
 };
@@ -63,6 +72,9 @@
   double tokens = 0;
   /// Tokens left in the window that are not granted to any daemon.
   double unassigned = 0;
+  /// Time from the report for which the daemon may go on without a coordinator
+  /// at the rate that it had; zero from a coordinator of an earlier build.
+  Duration continuation{0};
 
   bool operator==(const QuotaGrant&) const = default;
 };
@@ -106,7 +118,20 @@
     double requested = 0;
     double allowance = 0;
     bool started_in_window = false;
+    double held = 0;  ///< By a grant of the previous coordinator.
+    bool continues = false;
+    bool has_ended = false;  ///< A later instance of the daemon has reported.
     TimePoint reported_at;
+    /// Until when the window may contain what the daemon admitted.
+    TimePoint counts_until;
+
+    /// Tokens in a window that are not available to others.
+    [[nodiscard]] double Committed() const;
+    /// Whether the last report was within the window.
+    [[nodiscard]] bool IsInWindow(const QuotaLimit& limit,
+                                  TimePoint now) const {
+      return now - reported_at < limit.window;
+    }
   };
 
   /// Totals over several daemons, in tokens. Updated with each report, so that
@@ -129,10 +154,11 @@
   /// Upper estimate of the fraction of the quota that known daemons which do
   /// not report to this coordinator may have used.
   [[nodiscard]] double MissingFraction(std::size_t reporting_daemons) const;
-  /// Removes daemons whose last report is older than the window.
-  void RemoveExpired(const QuotaLimit& limit, TimePoint now);
-  /// Counts the unused allowance of earlier instances as admitted.
-  void RetireEarlierInstances(const DaemonInstance& daemon);
+  /// Removes daemons that can have admitted nothing in the window.
+  void RemoveExpired(TimePoint now);
+  /// Counts the unused allowance of earlier instances as admitted, until now.
+  void RetireEarlierInstances(const DaemonInstance& daemon,
+                              const QuotaLimit& limit, TimePoint now);
   /// Totals without `daemon`.
   [[nodiscard]] Sums Others(const DaemonInstance& daemon) const;
   /// Tokens of the window that are not available for a grant: admitted, held by
@@ -147,7 +173,8 @@
                                         const QuotaLimit& limit, double left);
 
   std::map<DaemonInstance, DaemonState> daemons_;
-  std::set<std::pair<TimePoint, DaemonInstance>> by_age_;  ///< Oldest first.
+  /// By the time until which they count.
+  std::set<std::pair<TimePoint, DaemonInstance>> by_end_;
   Sums totals_;
   PriorQuotaState prior_;
   TimePoint prior_until_;
--- a/libs/limits/src/quota_allowance.cc
+++ b/libs/limits/src/quota_allowance.cc
@@ -47,6 +47,7 @@
 }
 
 void QuotaAllowance::Accrue(TimePoint now) {
+  const bool continues = grant_ && now < continues_until_;
   const auto from = std::max(accrued_at_, granted_at_ + kGrantLifetime);
   accrued_at_ = std::max(accrued_at_, now);
   if (now <= from) return;
@@ -58,6 +59,10 @@
   // Negative if overdrawn; refills only when the overdraft has left the window.
   const double left = Entitlement() - admitted_.sum - PriorUsageInWindow(now);
   const double full = std::min(limit_.burst * fallback_.share, left);
+  // The coordinator does not hold the allowance any longer.
+  const bool has_lapsed =
+      grant_ && grant_->continuation > Duration(0) && !continues;
+  if (has_lapsed) level_ = std::min(level_, std::max(0.0, full));
   if (level_ < full) level_ = std::min(full, level_ + rate * elapsed_s);
 }
 
@@ -77,11 +82,15 @@
   level_ = std::max(level_, std::min(limit_.burst * fallback_.share, left));
 }
 
+double QuotaAllowance::HeldTokens() const {
+  return admitted_before_grant_ + grant_->tokens;
+}
+
 double QuotaAllowance::Entitlement() const {
   if (!grant_) return limit_.PerWindow() * fallback_.share;
   // The entitlements of all daemons add up to what the coordinator knew,
   // however unevenly the quota was used.
-  return admitted_before_grant_ + grant_->tokens +
+  return HeldTokens() +
          grant_->unassigned * fallback_.share * kUnassignedFraction;
 }
 
@@ -140,7 +149,9 @@
   sent_reports_.push_back(
       {number, now, admitted_.sum, pending, admitted_total_});
   const bool started_in_window = now - started_at_ < limit_.window;
-  return {admitted_.sum, requested_.sum, pending, started_in_window};
+  const bool continues = grant_ && now < continues_until_;
+  return {admitted_.sum, requested_.sum, pending, started_in_window,
+          continues ? std::max(0.0, HeldTokens()) : 0};
 }
 
 std::optional<QuotaAllowance::SentReport> QuotaAllowance::FindSentReport(
@@ -159,8 +170,9 @@
 bool QuotaAllowance::IsIdle(TimePoint now) {
   admitted_.Prune(now - limit_.window);
   requested_.Prune(now - limit_.window);
-  return grant_ && grant_->tokens == 0 && admitted_.entries.empty() &&
-         requested_.entries.empty();
+  // The last report still counts for what it told.
+  return grant_ && grant_->tokens == 0 && admitted_before_grant_ == 0 &&
+         admitted_.entries.empty() && requested_.entries.empty();
 }
 
 void QuotaAllowance::OnOmitted(TimePoint now) {
@@ -179,6 +191,8 @@
     refill_ = grant.tokens;
   }
   admitted_before_grant_ = sent->admitted;
+  continues_until_ =
+      (sent_reports_.empty() ? now : sent->at) + grant.continuation;
   level_ = grant.tokens - AdmittedSince(*sent);
   granted_at_ = now;
   accrued_at_ = now;
--- a/libs/limits/src/quota_pool.cc
+++ b/libs/limits/src/quota_pool.cc
@@ -30,8 +30,12 @@
          burst;
 }
 
+double QuotaPool::DaemonState::Committed() const {
+  return std::max(admitted + std::max(0.0, allowance), held);
+}
+
 void QuotaPool::Sums::Add(const DaemonState& state) {
-  const double committed_now = state.admitted + std::max(0.0, state.allowance);
+  const double committed_now = state.Committed();
   admitted += state.admitted;
   requested += state.requested;
   committed += committed_now;
@@ -41,7 +45,7 @@
 }
 
 void QuotaPool::Sums::Remove(const DaemonState& state) {
-  const double committed_now = state.admitted + std::max(0.0, state.allowance);
+  const double committed_now = state.Committed();
   admitted -= state.admitted;
   requested -= state.requested;
   committed -= committed_now;
@@ -57,12 +61,12 @@
   const auto found = daemons_.find(daemon);
   if (found != daemons_.end()) {
     totals_.Remove(found->second);
-    by_age_.erase({found->second.reported_at, daemon});
+    by_end_.erase({found->second.counts_until, daemon});
     daemons_.erase(found);
   }
   if (!state) return;
   totals_.Add(*state);
-  by_age_.emplace(state->reported_at, daemon);
+  by_end_.emplace(state->counts_until, daemon);
   daemons_.emplace(daemon, *state);
 }
 
@@ -74,21 +78,28 @@
   return std::min(1.0, missing * kImbalanceFactor);
 }
 
-void QuotaPool::RemoveExpired(const QuotaLimit& limit, TimePoint now) {
-  while (!by_age_.empty() && now - by_age_.begin()->first >= limit.window) {
-    SetState(DaemonInstance(by_age_.begin()->second), std::nullopt);
+void QuotaPool::RemoveExpired(TimePoint now) {
+  while (!by_end_.empty() && now >= by_end_.begin()->first) {
+    SetState(DaemonInstance(by_end_.begin()->second), std::nullopt);
   }
 }
 
-void QuotaPool::RetireEarlierInstances(const DaemonInstance& daemon) {
+void QuotaPool::RetireEarlierInstances(const DaemonInstance& daemon,
+                                       const QuotaLimit& limit, TimePoint now) {
   std::vector<std::pair<DaemonInstance, DaemonState>> earlier;
   for (auto state = daemons_.lower_bound({daemon.daemon, ""});
        state != daemons_.end() && state->first.daemon == daemon.daemon;
        ++state) {
-    if (state->first != daemon) earlier.emplace_back(*state);
+    const bool is_earlier = state->first != daemon && !state->second.has_ended;
+    if (is_earlier) earlier.emplace_back(*state);
   }
   for (auto& [instance, state] : earlier) {
-    state.admitted += std::max(0.0, std::exchange(state.allowance, 0));
+    state.admitted = state.Committed();
+    state.allowance = 0;
+    state.held = 0;
+    state.has_ended = true;
+    // It may have gone on until its successor started.
+    if (state.continues) state.counts_until = now + limit.window;
     SetState(instance, state);
   }
 }
@@ -104,13 +115,14 @@
                                   std::size_t reporting_daemons,
                                   TimePoint now) const {
   const double all = others.committed + use.admitted;
-  if (now >= prior_until_) return all;
+  if (now >= prior_until_ + kQuotaContinuation) return all;
   const double new_daemons =
       others.committed_by_new + (use.started_in_window ? use.admitted : 0);
   // Daemons that do not report may use all that they hold.
   const double unreported = (prior_.admitted + prior_.outstanding) *
                             MissingFraction(reporting_daemons);
   // Usage that was handed over may be that of daemons that have ended.
+  if (now >= prior_until_) return all + unreported;
   return std::max(all + unreported, prior_.admitted + new_daemons);
 }
 
@@ -149,35 +161,48 @@
 QuotaGrant QuotaPool::Grant(const DaemonInstance& daemon, const QuotaUsage& use,
                             const QuotaLimit& limit,
                             std::size_t reporting_daemons, TimePoint now) {
-  RemoveExpired(limit, now);
-  RetireEarlierInstances(daemon);
+  RemoveExpired(now);
+  RetireEarlierInstances(daemon, limit, now);
   const auto others = Others(daemon);
   const double left =
       limit.PerWindow() - CommittedTokens(others, use, reporting_daemons, now);
   const double allowance = Allowance(others, use, limit, left);
-  SetState(daemon, DaemonState{use.admitted, use.requested, allowance,
-                               use.started_in_window, now});
-  return {allowance, std::max(0.0, left - allowance)};
+  const auto continuation = use.held ? kQuotaContinuation : Duration(0);
+  DaemonState state;
+  state.admitted = use.admitted;
+  state.requested = use.requested;
+  state.allowance = allowance;
+  // Until it has this reply, the daemon goes on with what it had of the
+  // previous coordinator.
+  const bool may_have_earlier_grant = now < prior_until_ + kQuotaContinuation;
+  if (may_have_earlier_grant) state.held = use.held.value_or(0);
+  state.started_in_window = use.started_in_window;
+  state.continues = use.held.has_value();
+  state.reported_at = now;
+  state.counts_until = now + continuation + limit.window;
+  SetState(daemon, state);
+  return {allowance, std::max(0.0, left - allowance), continuation};
 }
 
 double QuotaPool::Used(const QuotaLimit& limit, TimePoint now) const {
   double used = 0;
   for (const auto& [instance, state] : daemons_) {
-    if (now - state.reported_at < limit.window) used += state.admitted;
+    if (state.IsInWindow(limit, now)) used += state.admitted;
   }
   return now < prior_until_ ? std::max(used, prior_.admitted) : used;
 }
 
 double QuotaPool::Outstanding(const QuotaLimit& limit, TimePoint now) const {
   double outstanding = 0;
-  double admitted = 0;
+  double used = 0;
   for (const auto& [instance, state] : daemons_) {
-    if (now - state.reported_at >= limit.window) continue;
-    outstanding += std::max(0.0, state.allowance);
-    admitted += state.admitted;
+    if (now >= state.counts_until) continue;
+    outstanding += state.Committed() - state.admitted;
+    // A daemon that has been silent for a window may admit as much again.
+    (state.IsInWindow(limit, now) ? used : outstanding) += state.admitted;
   }
   const double unassigned =
-      std::max(0.0, limit.PerWindow() - admitted - outstanding);
+      std::max(0.0, limit.PerWindow() - used - outstanding);
   outstanding += unassigned * kUnassignedFraction;
   return now < prior_until_ ? std::max(outstanding, prior_.outstanding)
                             : outstanding;
--- /dev/null
+++ b/libs/limits/tests/quota_continuation_test.cc
@@ -0,0 +1,134 @@
+#include <doctest/doctest.h>
+
+#include "limits/quota_allowance.h"
+#include "limits/quota_pool.h"
+
+namespace firmoor {
+namespace {
+
+const TimePoint kStart{Duration(50'000)};
+constexpr QuotaLimit kLimit{100, 200,
+                            Duration(8'000)};  // 1,000 tokens per window.
+constexpr Duration kSecond{1'000};
+const DaemonInstance kDaemon{"a", "1"};
+const DaemonInstance kOther{"b", "1"};
+
+/// Tokens that the pool can still grant to another daemon.
+double FreeTokens(QuotaPool pool, TimePoint now) {
+  const auto grant = pool.Grant(kOther, {0, 1, 0, false, 0}, kLimit, 2, now);
+  return grant.tokens + grant.unassigned;
+}
+
+}  // namespace
+
+// Guards against a quota that is exceeded by daemons that are cut off from the
+// coordinator: after a window it granted to others what these went on with.
+TEST_CASE("the coordinator holds the tokens of a silent daemon") {
+  QuotaPool pool;
+  QuotaUsage use{300, 300, 0, false, 0};
+  const auto grant = pool.Grant(kDaemon, use, kLimit, 2, kStart);
+  const double free = 1'000 - 300 - grant.tokens;
+  CHECK(grant.continuation == kQuotaContinuation);
+
+  SUBCASE("while it may go on, and for a window more") {
+    const auto end = kStart + kQuotaContinuation + kLimit.window;
+    CHECK(FreeTokens(pool, end - Duration(1)) == free);
+    CHECK(FreeTokens(pool, end) == 1'000);
+    CHECK(pool.Outstanding(kLimit, end - Duration(1)) >= 300 + grant.tokens);
+  }
+  SUBCASE("for a window if it is of an earlier build, which does not go on") {
+    use.held.reset();
+    const auto earlier = pool.Grant(kDaemon, use, kLimit, 2, kStart);
+    CHECK(earlier.continuation == Duration(0));
+    CHECK(FreeTokens(pool, kStart + kLimit.window) == 1'000);
+  }
+  SUBCASE("for a window from the start of its next instance") {
+    const auto restarted = kStart + 6 * kSecond;
+    const DaemonInstance next{"a", "2"};
+    for (const auto at : {restarted, restarted + kSecond}) {
+      pool.Grant(next, {0, 0, 0, true, 0}, kLimit, 2, at);
+    }
+    const auto end = restarted + kLimit.window;
+    const auto is_held = [&](TimePoint at) {
+      return FreeTokens(pool, at) < 1'000 - 300 - grant.tokens + 1;
+    };
+    CHECK(is_held(end - Duration(1)));
+    CHECK_FALSE(is_held(end));
+  }
+}
+
+// Guards against a new coordinator that grants what a daemon goes on with until
+// the first reply.
+TEST_CASE("a new coordinator holds what the previous one granted") {
+  QuotaPool pool;
+  pool.SetPriorState({600, 100, 2}, kStart + kSecond);
+  const QuotaUsage use{200, 200, 0, false, 700};
+  SUBCASE("to a daemon that reports") {
+    pool.Grant(kDaemon, use, kLimit, 2, kStart);
+    CHECK(FreeTokens(pool, kStart + 2 * kSecond) == 300);
+  }
+  SUBCASE("to one that does not, for as long as this may go on") {
+    // One of two daemons may have used more than its half.
+    const auto end = kStart + kSecond + kQuotaContinuation;
+    const auto free = [](QuotaPool copy, TimePoint now) {
+      const auto grant =
+          copy.Grant(kOther, {0, 1, 0, false, 0}, kLimit, 1, now);
+      return grant.tokens + grant.unassigned;
+    };
+    CHECK(free(pool, end - Duration(1)) == 1'000 - 700 * 0.75);
+    CHECK(free(pool, end) == 1'000);
+  }
+}
+
+TEST_CASE("a daemon without a coordinator") {
+  QuotaAllowance allowance(kLimit, {0.5, 0}, kStart - kLimit.window);
+  allowance.Report(kStart, 1);
+  allowance.OnGrant({300, 0, kQuotaContinuation}, kStart, 1);
+  CHECK_FALSE(allowance.TakeOrWait(300, kStart));
+  allowance.Report(kStart + kSecond, 2);
+  allowance.OnGrant({100, 0, kQuotaContinuation}, kStart + kSecond, 2);
+  CHECK_FALSE(allowance.TakeOrWait(100, kStart + 2 * kSecond));
+
+  SUBCASE("reports what it goes on with") {
+    CHECK(allowance.Report(kStart + 2 * kSecond, 3).held == 400);
+  }
+  SUBCASE("counts the time from the report, not from the reply") {
+    allowance.Report(kStart + 2 * kSecond, 3);
+    allowance.OnGrant({100, 0, kQuotaContinuation}, kStart + 3 * kSecond, 3);
+    const auto end = kStart + 2 * kSecond + kQuotaContinuation;
+    CHECK(allowance.Report(end - Duration(1), 4).held == 500);
+    CHECK(allowance.Report(end, 5).held == 0);
+  }
+  SUBCASE("gives up what it has left when the time is over") {
+    allowance.Report(kStart + 3 * kSecond, 3);
+    allowance.OnGrant({500, 0, kQuotaContinuation}, kStart + 3 * kSecond, 3);
+    const auto end = kStart + 3 * kSecond + kQuotaContinuation;
+    // The equal share of the burst is left.
+    CHECK(allowance.TakeOrWait(101, end));
+    CHECK_FALSE(allowance.TakeOrWait(100, end));
+  }
+  SUBCASE("keeps its allowance if its coordinator is of an earlier build") {
+    allowance.Report(kStart + 3 * kSecond, 3);
+    allowance.OnGrant({500, 0}, kStart + 3 * kSecond, 3);
+    const auto end = kStart + 3 * kSecond + kQuotaContinuation;
+    CHECK_FALSE(allowance.TakeOrWait(500, end));
+  }
+}
+
+// Guards against an idle workspace whose last requests count for longer than
+// the window: a daemon omitted the quota before it had told that they are over.
+TEST_CASE("a quota is idle once a report has told so") {
+  QuotaAllowance allowance(kLimit, {0.5, 0}, kStart - kLimit.window);
+  allowance.Report(kStart, 1);
+  allowance.OnGrant({100, 0}, kStart, 1);
+  CHECK_FALSE(allowance.TakeOrWait(100, kStart));
+  allowance.Report(kStart + kSecond, 2);
+  allowance.OnGrant({0, 0}, kStart + kSecond, 2);
+  const auto end = kStart + kLimit.window + Duration(1);
+  CHECK_FALSE(allowance.IsIdle(end));
+  CHECK(allowance.Report(end, 3).admitted == 0);
+  allowance.OnGrant({0, 0}, end, 3);
+  CHECK(allowance.IsIdle(end));
+}
+
+}  // namespace firmoor
--- a/libs/limits/tests/quota_fleet_model.cc
+++ b/libs/limits/tests/quota_fleet_model.cc
@@ -21,7 +21,15 @@
 constexpr Duration kSameRegion{1};
 constexpr Duration kOtherRegion{20};
 
-double RequestsPerS(std::size_t daemons) {
+// The coordinator writes its state with each renewal of the lease.
+constexpr Duration kLease{3'000};
+constexpr Duration kRenewalPeriod{1'000};
+// A new coordinator grants nothing before every daemon may have reported twice.
+constexpr Duration kInitialReportWait{2'500};
+// Daemons wait for grants only while the coordinator replies.
+constexpr Duration kCoordinatorTimeout{2'500};
+
+double UsualRequestsPerS(std::size_t daemons) {
   return kRequestsPerDaemonAndS * static_cast<double>(daemons);
 }
 
@@ -34,24 +42,24 @@
 
 }  // namespace
 
-QuotaFleetModel::QuotaFleetModel(std::size_t daemons) {
+QuotaFleetModel::QuotaFleetModel(std::size_t daemons, std::uint32_t seed)
+    : random_(seed) {
   // A few workspaces are large.
-  std::vector<double> weights;
-  double sum = 0;
   for (std::size_t i = 0; i < kWorkspaces; ++i) {
-    weights.push_back(1.0 / static_cast<double>(i + 1));
-    sum += weights.back();
+    weights_.push_back(1.0 / static_cast<double>(i + 1));
+    usual_weight_ += weights_.back();
   }
-  choose_workspace_ = {weights.begin(), weights.end()};
-  for (const double weight : weights) {
+  choose_workspace_ = {weights_.begin(), weights_.end()};
+  for (const double weight : weights_) {
     Workspace workspace;
-    workspace.limit =
-        LimitFor(RequestsPerS(daemons) * kMeanTokens * weight / sum);
+    workspace.limit = LimitFor(UsualRequestsPerS(daemons) * kMeanTokens *
+                               weight / usual_weight_);
     workspaces_.push_back(std::move(workspace));
   }
   for (std::size_t i = 0; i < daemons; ++i) {
     Daemon daemon;
     daemon.latency = i % 2 == 0 ? kSameRegion : kOtherRegion;
+    daemon.replied_at = now_;
     for (const auto& workspace : workspaces_) {
       // The daemons have run idle for a full window.
       daemon.allowances.emplace_back(
@@ -61,8 +69,94 @@
     }
     daemons_.push_back(std::move(daemon));
   }
-  for (std::size_t i = 0; i < daemons; ++i) PlanReports(i);
+  for (std::size_t i = 0; i < daemons; ++i) {
+    reporting_.insert(i);
+    PlanReports(i);
+  }
+  coordinator_since_ = now_ - kInitialReportWait;
   At(now_ + kReportPeriod, [this] { PlanRequest(); });
+  At(now_, [this] { SaveHandoverState(); });
+}
+
+double QuotaFleetModel::RequestsPerS() const {
+  double weight = 0;
+  for (const double each : weights_) weight += each;
+  return UsualRequestsPerS(daemons_.size()) * weight / usual_weight_;
+}
+
+void QuotaFleetModel::SaveHandoverState() {
+  if (coordinator_ != 0) {
+    handed_over_at_ = now_;
+    for (auto& workspace : workspaces_) {
+      workspace.handed_over = {
+          workspace.pool.Used(workspace.limit, now_),
+          workspace.pool.Outstanding(workspace.limit, now_), daemons_.size()};
+    }
+  }
+  At(now_ + kRenewalPeriod, [this] { SaveHandoverState(); });
+}
+
+void QuotaFleetModel::LoseCoordinator() { coordinator_ = 0; }
+
+void QuotaFleetModel::StartCoordinator() {
+  coordinator_ = ++last_coordinator_;
+  coordinator_since_ = now_;
+  reporting_.clear();
+  for (auto& workspace : workspaces_) {
+    workspace.pool = {};
+    workspace.pool.SetPriorState(workspace.handed_over,
+                                 now_ - kLease + kWindow);
+  }
+  std::uniform_int_distribution<std::int64_t> delay(0, kReportPeriod.count());
+  for (auto& daemon : daemons_) {
+    daemon.finds_coordinator_at = now_ + Duration(delay(random_));
+  }
+}
+
+void QuotaFleetModel::Restart(std::size_t index) {
+  auto& daemon = daemons_[index];
+  daemon.instance_id += "'";
+  daemon.replied_at = {};
+  daemon.allowances.clear();
+  for (const auto& workspace : workspaces_) {
+    daemon.allowances.emplace_back(
+        workspace.limit,
+        QuotaAllowance::Fallback{1.0 / static_cast<double>(daemons_.size()), 0},
+        now_);
+    daemon.allowances.back().SetPriorUsage(workspace.handed_over.admitted,
+                                           now_);
+  }
+}
+
+void QuotaFleetModel::UseEarlierBuild(std::size_t count, bool and_next) {
+  earlier_build_ = count;
+  first_earlier_coordinator_ = and_next ? last_coordinator_ + 1 : 0;
+}
+
+bool QuotaFleetModel::CanContinue(std::size_t daemon) const {
+  const bool is_earlier_coordinator =
+      first_earlier_coordinator_ != 0 &&
+      last_coordinator_ >= first_earlier_coordinator_;
+  return daemon >= earlier_build_ && !is_earlier_coordinator;
+}
+
+void QuotaFleetModel::Heat(std::size_t workspaces, double factor) {
+  for (std::size_t i = 0; i < std::min(workspaces, weights_.size()); ++i) {
+    weights_[i] *= factor;
+  }
+  choose_workspace_ = {weights_.begin(), weights_.end()};
+}
+
+void QuotaFleetModel::Concentrate(std::size_t workspaces, std::size_t daemons) {
+  concentrated_workspaces_ = workspaces;
+  concentrated_daemons_ = daemons;
+}
+
+std::size_t QuotaFleetModel::Redirect(std::size_t daemon,
+                                      std::size_t workspace) const {
+  if (workspace < concentrated_workspaces_) daemon %= concentrated_daemons_;
+  return daemon < ended_ ? ended_ + daemon % (daemons_.size() - ended_)
+                         : daemon;
 }
 
 void QuotaFleetModel::At(TimePoint time, std::function<void()> work) {
@@ -94,9 +188,11 @@
 void QuotaFleetModel::PlanRequest() {
   std::uniform_int_distribution<std::size_t> daemon(0, daemons_.size() - 1);
   std::uniform_real_distribution<double> tokens(kMinTokens, kMaxTokens);
-  Start(std::make_shared<Request>(
-      Request{daemon(random_), choose_workspace_(random_), tokens(random_)}));
-  std::exponential_distribution<double> pause(RequestsPerS(daemons_.size()));
+  auto request = std::make_shared<Request>(
+      Request{daemon(random_), choose_workspace_(random_), tokens(random_)});
+  request->daemon = Redirect(request->daemon, request->workspace);
+  Start(request);
+  std::exponential_distribution<double> pause(RequestsPerS());
   At(now_ + DurationOfSeconds(pause(random_) + 0.0005),
      [this] { PlanRequest(); });
 }
@@ -110,6 +206,9 @@
   } else {
     ++counts_.waited;
     request->waits = true;
+    if (now_ - daemon.replied_at >= kCoordinatorTimeout) {
+      return Resume(request, false);
+    }
     daemon.waiters.Add([this, request] { Resume(request, true); });
     At(now_ + kGrantTimeout, [this, request] { Resume(request, false); });
   }
@@ -129,8 +228,10 @@
   } else {
     ++counts_.refused;
     auto& workspace = workspaces_[request->workspace];
-    const bool below_half = Used(&workspace) < workspace.limit.PerWindow() / 2;
-    if (below_half) ++counts_.refused_below_half;
+    const double used = Used(&workspace);
+    const double limit = workspace.limit.PerWindow();
+    if (used < limit / 2) ++counts_.refused_below_half;
+    if (used + request->tokens <= limit) ++counts_.refused_within;
   }
   if (allowance.NeedsEarlyReport()) RequestEarlyReport(request->daemon);
 }
@@ -147,6 +248,8 @@
 void QuotaFleetModel::Report(std::size_t index, bool is_early) {
   auto& daemon = daemons_[index];
   daemon.reported_at = now_;
+  // The first report that a coordinator gets names all quotas.
+  is_early = is_early && daemon.known_coordinator == coordinator_;
   const auto number = daemon.waiters.StartReport();
   std::map<std::size_t, QuotaUsage> uses;
   for (std::size_t i = 0; i < workspaces_.size(); ++i) {
@@ -159,33 +262,63 @@
     ++counts_.early_reports;
     counts_.early_quotas += static_cast<int>(uses.size());
   }
-  At(now_ + daemon.latency, [this, index, uses, number] {
-    std::map<std::size_t, QuotaGrant> grants;
-    for (const auto& [workspace, use] : uses) {
-      grants[workspace] = workspaces_[workspace].pool.Grant(
-          {std::to_string(index), ""}, use, workspaces_[workspace].limit,
-          daemons_.size(), now_);
+  const bool is_lost = index < cut_off_ || now_ < daemon.finds_coordinator_at;
+  if (is_lost) return;
+  const auto instance = daemon.instance_id;
+  At(now_ + daemon.latency,
+     [this, index, uses, number, instance, to = coordinator_] {
+       if (to == 0 || to != coordinator_) return;
+       const auto grants = MakeGrants(index, instance, uses);
+       daemons_[index].known_coordinator = to;
+       if (!CanDivide()) return;
+       At(now_ + daemons_[index].latency,
+          [this, index, grants, number] { OnReply(index, grants, number); });
+     });
+}
+
+bool QuotaFleetModel::CanDivide() const {
+  return reporting_.size() + 1 >= daemons_.size() ||
+         now_ - coordinator_since_ >= kInitialReportWait;
+}
+
+std::map<std::size_t, QuotaGrant> QuotaFleetModel::MakeGrants(
+    std::size_t daemon, const std::string& instance,
+    const std::map<std::size_t, QuotaUsage>& uses) {
+  reporting_.insert(daemon);
+  std::map<std::size_t, QuotaGrant> grants;
+  for (auto [workspace, use] : uses) {
+    if (!CanContinue(daemon)) use.held.reset();
+    grants[workspace] = workspaces_[workspace].pool.Grant(
+        {std::to_string(daemon), instance}, use, workspaces_[workspace].limit,
+        reporting_.size(), now_);
+  }
+  return grants;
+}
+
+void QuotaFleetModel::OnReply(std::size_t daemon,
+                              const std::map<std::size_t, QuotaGrant>& grants,
+                              ReportNumber number) {
+  auto& receiver = daemons_[daemon];
+  receiver.replied_at = now_;
+  for (std::size_t i = 0; i < workspaces_.size(); ++i) {
+    auto& allowance = receiver.allowances[i];
+    const auto grant = grants.find(i);
+    if (grant != grants.end()) {
+      allowance.OnGrant(grant->second, now_, number);
+    } else if (allowance.IsIdle(now_)) {
+      allowance.OnOmitted(now_);
     }
-    At(now_ + daemons_[index].latency, [this, index, grants, number] {
-      auto& receiver = daemons_[index];
-      for (std::size_t i = 0; i < workspaces_.size(); ++i) {
-        auto& allowance = receiver.allowances[i];
-        const auto grant = grants.find(i);
-        if (grant != grants.end()) {
-          allowance.OnGrant(grant->second, now_, number);
-        } else if (allowance.IsIdle(now_)) {
-          allowance.OnOmitted(now_);
-        }
-      }
-      receiver.waiters.OnReply(number);
-    });
-  });
+  }
+  receiver.waiters.OnReply(number);
 }
 
 void QuotaFleetModel::Admit(const Request& request) {
   auto& workspace = workspaces_[request.workspace];
   workspace.admitted.emplace_back(now_, request.tokens);
   workspace.used += request.tokens;
+  const double limit = workspace.limit.PerWindow();
+  counts_.max_excess =
+      std::max(counts_.max_excess, Used(&workspace) / limit - 1);
 }
 
 double QuotaFleetModel::Used(Workspace* workspace) {
--- /dev/null
+++ b/libs/limits/tests/quota_gap_test.cc
@@ -0,0 +1,113 @@
+#include <doctest/doctest.h>
+
+#include <cstddef>
+#include <string>
+
+#include "quota_fleet_model.h"
+
+namespace firmoor {
+namespace {
+
+constexpr std::size_t kFleetSizes[] = {8, 74, 295};
+constexpr std::size_t kAllWorkspaces = 1'000;
+constexpr double kHeat = 6;
+constexpr Duration kSecond{1'000};
+// A lease that nobody renews, and the time until the next daemon takes it.
+constexpr Duration kGap{5'500};
+// A cut for which the coordinator holds what the daemons may go on with.
+constexpr Duration kHeldCut{16'000};
+// Part of a quota by which the sum over all daemons may exceed it: each daemon
+// without a coordinator may use an eighth of its part of what was unassigned,
+// which may have been granted since.
+constexpr double kMaxExcess = kUnassignedFraction;
+constexpr double kMaxExcessOfQuarter = kMaxExcess / 4;
+
+void CheckSum(const std::string& scenario, std::size_t daemons,
+              const QuotaFleetModel& fleet, double max_excess = kMaxExcess) {
+  const double excess = fleet.counts().max_excess;
+  MESSAGE(daemons << " daemons, " << scenario << ": " << excess
+                  << " of a quota beyond it");
+  CAPTURE(daemons);
+  CHECK(excess <= max_excess);
+}
+
+}  // namespace
+
+// Guards against daemons that exceed a quota together while some of them have
+// no coordinator.
+TEST_CASE("a quota holds over all daemons, with and without a coordinator") {
+  for (const auto daemons : kFleetSizes) {
+    QuotaFleetModel fleet(daemons);
+    fleet.Run(12 * kSecond);
+
+    SUBCASE("when workspaces turn hot as the coordinator is lost twice") {
+      fleet.Heat(kAllWorkspaces, kHeat);
+      fleet.Run(kSecond / 2);
+      fleet.LoseCoordinator();
+      fleet.Run(kGap);
+      fleet.StartCoordinator();
+      fleet.Run(kSecond / 2);
+      fleet.LoseCoordinator();
+      fleet.Run(kGap);
+      fleet.StartCoordinator();
+      fleet.Run(10 * kSecond);
+      CheckSum("hot, lost twice", daemons, fleet);
+    }
+    SUBCASE("when they turn hot in the gap and daemons restart in it") {
+      fleet.LoseCoordinator();
+      fleet.Heat(kAllWorkspaces, kHeat);
+      fleet.Run(kSecond);
+      for (std::size_t i = 0; i < daemons / 4; ++i) fleet.Restart(i);
+      fleet.Run(kGap);
+      fleet.StartCoordinator();
+      fleet.Run(10 * kSecond);
+      CheckSum("hot, restarts in the gap", daemons, fleet);
+    }
+    SUBCASE("when daemons are cut off from a coordinator that goes on") {
+      fleet.Heat(kAllWorkspaces, kHeat);
+      fleet.CutOff(daemons / 4);
+      fleet.Run(kHeldCut);
+      CheckSum("hot, a quarter cut off", daemons, fleet, kMaxExcessOfQuarter);
+    }
+    SUBCASE("when these have half of a workspace's callers") {
+      fleet.Concentrate(kAllWorkspaces, daemons / 2);
+      fleet.Run(10 * kSecond);
+      fleet.Heat(kAllWorkspaces, kHeat);
+      fleet.CutOff(daemons / 4);
+      fleet.Run(kHeldCut);
+      CheckSum("hot, those of half of the callers cut off", daemons, fleet,
+               kMaxExcessOfQuarter);
+    }
+    SUBCASE("when daemons are cut off from the next coordinator, too") {
+      fleet.LoseCoordinator();
+      fleet.CutOff(daemons / 4);
+      fleet.Heat(kAllWorkspaces, kHeat);
+      fleet.Run(kGap);
+      fleet.StartCoordinator();
+      fleet.Run(kHeldCut - kGap);
+      CheckSum("hot, cut off from both coordinators", daemons, fleet,
+               kMaxExcessOfQuarter);
+    }
+    SUBCASE("beside daemons of an earlier build") {
+      fleet.UseEarlierBuild(daemons / 2, false);
+      fleet.Run(2 * kSecond);
+      fleet.Heat(kAllWorkspaces, kHeat);
+      fleet.LoseCoordinator();
+      fleet.Run(kGap);
+      fleet.StartCoordinator();
+      fleet.Run(10 * kSecond);
+      CheckSum("hot, half of an earlier build", daemons, fleet);
+    }
+    SUBCASE("and with a next coordinator of an earlier build") {
+      fleet.UseEarlierBuild(0, true);
+      fleet.Heat(kAllWorkspaces, kHeat);
+      fleet.LoseCoordinator();
+      fleet.Run(kGap);
+      fleet.StartCoordinator();
+      fleet.Run(10 * kSecond);
+      CheckSum("hot, an earlier build coordinates next", daemons, fleet);
+    }
+  }
+}
+
+}  // namespace firmoor
--- a/libs/limits/tests/quota_test.cc
+++ b/libs/limits/tests/quota_test.cc
@@ -153,8 +153,9 @@
   SUBCASE("reports admitted and requested tokens of the window") {
     CHECK_FALSE(allowance.TakeOrWait(60, kStart));
     CHECK(allowance.TakeOrWait(60, kStart));
-    CHECK(allowance.Report(kStart) == QuotaUsage{60, 120, 60, false});
-    CHECK(allowance.Report(kStart + Duration(8'001)) == QuotaUsage{});
+    CHECK(allowance.Report(kStart) == QuotaUsage{60, 120, 60, false, 0});
+    CHECK(allowance.Report(kStart + Duration(8'001)) ==
+          QuotaUsage{0, 0, 0, false, 0});
   }
 }
 
