--- a/libs/limits/include/limits/quota_allowance.h
+++ b/libs/limits/include/limits/quota_allowance.h
@@ -11,10 +11,12 @@
 namespace firmoor {
 
 /// Daemon side of a workspace's quota: an allowance that the coordinator renews
-/// every second. Without the coordinator, the allowance refills at an equal
-/// share of the quota's rate, up to what the daemon was entitled to in the
-/// window at its last grant. A daemon that has just started assumes that its
-/// previous instance used its share. Performs no I/O.
+/// every second. Without the coordinator, the daemon goes on for some time at
+/// the rate that it was granted last: what leaves the window may be admitted
+/// again. Later the allowance refills at an equal share of the quota's rate, up
+/// to what the daemon was entitled to in the window at its last grant. A daemon
+/// that has just started assumes that its previous instance used its share.
+/// Performs no I/O.
 class QuotaAllowance {
  public:
   /// Limits of a daemon. `share` applies without the coordinator only.
@@ -103,6 +105,8 @@
   /// Tokens of this daemon's share that may have been admitted in the window
   /// before it started.
   [[nodiscard]] double PriorUsageInWindow(TimePoint now) const;
+  /// Tokens that the coordinator holds for this daemon in each window.
+  [[nodiscard]] double HeldTokens() const;
   /// Tokens that may be admitted in one window without the coordinator.
   [[nodiscard]] double Entitlement() const;
   /// Whether a report without pending requests may bring enough for one.
@@ -124,6 +128,7 @@
   bool needs_early_report_ = false;
   TimePoint started_at_;
   TimePoint granted_at_;
+  TimePoint continues_until_;  ///< At the rate that was granted last.
   TimePoint accrued_at_;
   WindowSum admitted_;
   WindowSum requested_;
