End another daemon's part in a stream whose version falls into doubt

What callers saw: events of two software versions in one stream were possible: a stream of an upstream that was silent was delegated to another daemon for the version that its first events were taken to be of; then the upstream was registered as an instance of another version that may have written them.

Cause: only attempts of this daemon were ended when the version fell into doubt.

Delegated attempts end then, too. If none is in flight any more, the stream ends with stream-version-unknown, as without another daemon.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -279,21 +279,14 @@
   Finish(code, NameOf(outcome));
 }
 
-Duration Exchange::RemainingStreamTime(TimePoint now) const {
-  if (!answer_started_) return Duration(0);
-  auto timeout = admission_.route->timeout;
-  const auto* current = context_->table->Match(request_.host, request_.Path());
-  if (current != nullptr) timeout = std::max(timeout, current->timeout);
-  return started_at_ + timeout + kRouteTimeoutGrace - now;
-}
-
 void Exchange::OnTimeout() {
   const auto self = shared_from_this();
   if (finished_) return;
-  if (const auto remaining = RemainingStreamTime(MonotonicNow());
-      remaining > Duration(0)) {
-    timer_.start(remaining);
-    return;
+  const auto remaining =
+      started_at_ - MonotonicNow() +
+      StreamTimeout(request_, *admission_.route, *context_->table);
+  if (answer_started_ && remaining > Duration(0)) {
+    return timer_.start(remaining);
   }
   GiveUp(ResultCode::kUpstreamTimeout, ResultCode::kNoUpstream,
          "The time of the request is over");
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -204,15 +204,12 @@
   /// The response of the peer was cut: it may have served the request.
   void OnDelegationBroken(int number);
   void EndDelegation(int number);
+  void EndDelegations();
   void StartAnswer(int status, const HttpHeaders& headers, TimePoint now);
   void ForwardEvents(const NewEvents& events, TimePoint now);
   /// Ends the request whether or not an upstream still works on it.
   /// `code_if_not_run`: for a request that no upstream may have received.
   void GiveUp(ResultCode code, ResultCode code_if_not_run, std::string message);
-  /// Time that is left for a started stream; 0 or less when its route's timeout
-  /// has passed, of the configuration that it was admitted under and of the
-  /// newest one.
-  [[nodiscard]] Duration RemainingStreamTime(TimePoint now) const;
   void OnCallerDisconnected();
   void CountUsage();
   void Finish(ResultCode code, std::string_view outcome);
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -283,6 +283,10 @@
   context_->delegations.OnEnd(delegation->peer);
 }
 
+void Exchange::EndDelegations() {
+  while (const auto number = attempts_.AnyDelegated()) EndDelegation(*number);
+}
+
 void Exchange::OnPeerRefused(int number, PeerRefusal reason) {
   const auto* delegation = attempts_.FindDelegated(number);
   const auto peer = delegation->peer;
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -93,7 +93,7 @@
 }
 
 void Exchange::ReleaseAttempts() {
-  while (const auto number = attempts_.AnyDelegated()) EndDelegation(*number);
+  EndDelegations();
   const auto now = MonotonicNow();
   // They are deleted with this object, since a call of theirs may be on the
   // stack.
--- a/libs/gateway/src/details/exchange_resume.cc
+++ b/libs/gateway/src/details/exchange_resume.cc
@@ -79,6 +79,10 @@
       attempt->End(HttpCallEnd::kCancelled);
     }
   }
+  // Other daemons were asked for the version that is in doubt now.
+  if (finished_ || !is_doubtful || !attempts_.AnyDelegated()) return;
+  EndDelegations();
+  GoOn();
 }
 
 void Exchange::RecordDoubt() {
--- a/libs/gateway/src/details/request_timeouts.cc
+++ b/libs/gateway/src/details/request_timeouts.cc
@@ -11,6 +11,14 @@
              : route.timeout;
 }
 
+Duration StreamTimeout(const ForwardRequest& request, const Route& route,
+                       const RouteTable& newest) {
+  const auto* current = newest.Match(request.host, request.Path());
+  return kRouteTimeoutGrace + (current == nullptr
+                                   ? route.timeout
+                                   : std::max(route.timeout, current->timeout));
+}
+
 std::optional<Duration> RemainingGenerationTime(
     const ForwardRequest& request, const StreamProgress& progress) {
   const auto events = static_cast<double>(progress.events);
--- a/libs/gateway/src/details/request_timeouts.h
+++ b/libs/gateway/src/details/request_timeouts.h
@@ -22,6 +22,11 @@
 Duration EffectiveCallerTimeout(const ForwardRequest& request,
                                 const Route& route);
 
+/// Time after which a started stream fails: that of the route that it was
+/// admitted under, or of its route in the `newest` configuration if longer.
+Duration StreamTimeout(const ForwardRequest& request, const Route& route,
+                       const RouteTable& newest);
+
 /// What has arrived of a stream.
 struct StreamProgress {
   std::size_t events = 0;
--- a/libs/gateway/tests/gateway_silence_version_test.cc
+++ b/libs/gateway/tests/gateway_silence_version_test.cc
@@ -5,11 +5,15 @@
 #include <string>
 #include <vector>
 
+#include "delegation_fleet.h"
+#include "details/delegation_messages.h"
 #include "silent_upstreams.h"
 
 namespace firmoor {
 namespace {
 
+using details::DelegationReply;
+
 // Well before an attempt that was sent just now.
 constexpr std::int64_t kEarlierMs = 5'000;
 
@@ -45,6 +49,24 @@
   }
 };
 
+/// A daemon that accepts requests of others and then is silent.
+void AcceptAndWait(PeerStreamResponder& responder) {
+  DelegationReply reply;
+  reply.kind = DelegationReply::Kind::kAccepted;
+  responder.Send(reply.Encode());
+}
+
+/// Registers "a" at `daemon` as an instance that refuses connections.
+void RegisterClosed(Daemon& daemon, std::int64_t born_ms,
+                    const std::string& version) {
+  auto& gateway = daemon.fixture.gateway;
+  auto entry = *gateway.upstreams().Find("a");
+  entry.endpoint = ClosedPort();
+  entry.born_ms = born_ms;
+  entry.software_version = version;
+  gateway.ApplyUpstream(entry);
+}
+
 }  // namespace
 
 // Guards against streams that hold events of two software versions (ORDER),
@@ -124,4 +146,39 @@
   }
 }
 
+// Guards against streams that hold events of two software versions (ORDER),
+// joined by another daemon that had the request before the version was in
+// doubt.
+TEST_CASE("another daemon has no part in a stream of a doubtful version") {
+  Daemon sender("sender");
+  const ScriptedDaemon peer(AcceptAndWait);
+  RawUpstream a(SendEvents({{1, 0}, {2, 2'600}}));
+  Introduce(sender, {peer.Address()});
+  sender.fixture.AddUpstream("a", a, false, "v1");
+  const auto caller = sender.fixture.SendRequest("resumable");
+  REQUIRE(caller->WaitFor("id: 1"));
+  // The links are lost while the upstream is silent.
+  RegisterClosed(sender, 0, "v1");
+  REQUIRE(WaitUntil([&] { return peer.responders.size() == 1; }, 2'000));
+  bool goes_on = true;
+  SUBCASE("while the upstream that wrote it goes on") {}
+  SUBCASE("after the upstream that wrote it broke off") {
+    WithRequest(a).socket->abort();
+    RunFor(50);
+    goes_on = false;
+  }
+  RegisterClosed(sender, WallClockMs() - kEarlierMs, "v2");
+  CHECK(
+      WaitUntil([&] { return !peer.responders.front()->IsOpen(); }, kCancelMs));
+  if (goes_on) {
+    CHECK(caller->WaitFor(kEnd, 2'500));
+    CHECK(HasEvents(*caller, {1, 2}));
+  } else {
+    CHECK(caller->WaitClosed(kCancelMs));
+    CHECK(HasEvents(*caller, {1}));
+    const auto line = sender.log.OnlyLine("request");
+    CHECK(line["code"].toString() == "stream-version-unknown");
+  }
+}
+
 }  // namespace firmoor
