Count second attempts that another daemon refused or broke off

Cause: only the ends of this daemon's attempts, and of whole responses of other daemons, were counted.

Evidence: gateway_silence_test, two sections of the delegated requests, before: 0 instead of 1 in both; after: pass.

--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -300,6 +300,7 @@
        {"after_ms", static_cast<qint64>((now - delegation->sent_at).count())}});
   context_->delegations.OnRefused(peer, service_, reason, now);
   refusing_peers_.insert(peer.daemon);
+  if (race_.in_flight() > 1) ++context_->beside_counters.dropped;
   race_.OnCancelled(number, false, false);
   EndDelegation(number);
   GoOn();
@@ -331,6 +332,7 @@
   }
   if (decision.step == RaceStep::kFail) return FailRequest(decision.attempt);
   if (decision.step == RaceStep::kTryNext) TakeRetry();
+  if (decision.step == RaceStep::kGoOn) ++context_->beside_counters.dropped;
   GoOn();
 }
 
--- a/libs/gateway/tests/gateway_silence_delegation_test.cc
+++ b/libs/gateway/tests/gateway_silence_delegation_test.cc
@@ -35,6 +35,13 @@
   daemon.fixture.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
 }
 
+/// The value of the counter of second attempts.
+int CountBeside(Daemon& daemon, const std::string& end) {
+  const auto text = daemon.fixture.gateway.StreamMetrics();
+  const auto name = "firmoor_attempts_beside_total{end=\"" + end + "\"} ";
+  return std::stoi(text.substr(text.find(name) + name.size()));
+}
+
 /// The only daemon that the sender can delegate to has its request.
 struct DelegatedFixture {
   Daemon sender{"sender"};
@@ -101,6 +108,8 @@
     RunFor(100);
     fleet.AnswerFromPeer();
     CHECK(fleet.caller->WaitFor("of-peer", 200));
+    // Guards against a count without the attempts that daemons refused.
+    CHECK(CountBeside(fleet.sender, "dropped") == 1);
   }
   SUBCASE("by it, though it had not accepted it in time") {
     DelegatedFixture fleet(false);
@@ -195,6 +204,7 @@
     REQUIRE(WaitUntil([&] { return here.Requests() == 1; }, 3'000));
     fleet.peer.responders.front()->Abort();
     CHECK(fleet.caller->WaitFor("of-here", 1'000));
+    CHECK(CountBeside(fleet.sender, "dropped") == 1);
   }
   CHECK(fleet.sender.fixture.gateway.Loads().at("s").in_flight == 0);
 }
