--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -95,6 +95,7 @@
   plan.call.last_event_id = last_event_id_;
   plan.call.copy = copy;
   tried_.Add(upstream.id);
+  if (!copy) RecordStart();
   const auto attempt = std::make_shared<UpstreamAttempt>(context_, request_,
                                                          std::move(plan), this);
   attempts_.Add(attempt);
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -215,7 +215,8 @@
   void Finish(ResultCode code, std::string_view outcome);
   void LogAttempt(const UpstreamAttempt& attempt, const AttemptEnd& end,
                   const AttemptRace::Decision& decision) const;
-  void LogBeside() const;
+  /// Records an attempt that starts beside a silent one, if there is one.
+  void RecordStart();
   void RecordOvertaken(const std::string& by, const std::string& overtaken,
                        bool sent, Duration silent);
   void LogRequest(ResultCode code, std::string_view outcome,
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -107,6 +107,7 @@
   };
   auto stream = delegations.Open(*peer, message, std::move(handlers));
   if (!stream) return false;
+  RecordStart();
   *number = race_.Start(true);
   attempts_.Add(*number, {*peer,
                           std::move(stream),
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -31,7 +31,10 @@
        {"outcome", Text(NameOf(decision.attempt.outcome))}});
 }
 
-void Exchange::LogBeside() const {
+void Exchange::RecordStart() {
+  if (race_.in_flight() == 0) return;
+  ++started_beside_;
+  ++context_->beside_counters.started;
   context_->environment.log->Write(
       "attempt-beside",
       {{"request", Text(request_.id)},
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -41,9 +41,6 @@
 
 void Exchange::StartBeside() {
   if (MayStartBeside() && TakeRetry()) {
-    ++started_beside_;
-    ++context_->beside_counters.started;
-    LogBeside();
     TryNextUpstream();
   }
   if (race_.in_flight() > 0) ReturnUnusedRetries();
--- a/libs/gateway/tests/gateway_silence_delegation_test.cc
+++ b/libs/gateway/tests/gateway_silence_delegation_test.cc
@@ -35,6 +35,9 @@
   daemon.fixture.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
 }
 
+/// Sends event 1, pauses for 1.9 s, and completes the stream with event 2.
+RawUpstream::Script PauseInStream() { return SendEvents({{1, 0}, {2, 1'900}}); }
+
 /// The value of the counter of second attempts.
 int CountBeside(Daemon& daemon, const std::string& end) {
   const auto text = daemon.fixture.gateway.StreamMetrics();
@@ -209,6 +212,27 @@
   CHECK(fleet.sender.fixture.gateway.Loads().at("s").in_flight == 0);
 }
 
+// Guards against a line and a count of a second attempt that did not start.
+TEST_CASE("a second attempt that no daemon can be asked for is not counted") {
+  Daemon sender("sender");
+  const ScriptedDaemon peer([](auto&) {});
+  RawUpstream a(PauseInStream());
+  SetTimeouts(sender);
+  Introduce(sender, {peer.Address()});
+  sender.fixture.gateway.SetPeerStreamCall(nullptr);
+  sender.fixture.AddUpstream("a", a);
+  const auto caller = sender.fixture.SendRequest("resumable");
+  REQUIRE(caller->WaitFor("id: 1"));
+  // The links are lost while the upstream is silent.
+  sender.fixture.AddUpstream("a", ClosedPort());
+  CHECK(caller->WaitFor(kEnd, 2'500));
+  REQUIRE(sender.log.Lines("upstream-links").back()["after"].toString() ==
+          "unreachable");
+  CHECK(sender.log.Lines("attempt-beside").empty());
+  CHECK(CountBeside(sender, "started") == 0);
+  CHECK(sender.log.OnlyLine("request")["beside"].toInt() == 0);
+}
+
 // Guards against usage that is counted here and at another daemon, whose
 // upstream ran the request and failed.
 TEST_CASE("a request that fails at another daemon counts once") {
