--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -95,6 +95,7 @@
   plan.call.last_event_id = last_event_id_;
   plan.call.copy = copy;
   tried_.Add(upstream.id);
+  if (!copy) RecordStart();
   const auto attempt = std::make_shared<UpstreamAttempt>(context_, request_,
                                                          std::move(plan), this);
   attempts_.Add(attempt);
@@ -279,21 +280,14 @@
   Finish(code, NameOf(outcome));
 }
 
-Duration Exchange::RemainingStreamTime(TimePoint now) const {
-  if (!answer_started_) return Duration(0);
-  auto timeout = admission_.route->timeout;
-  const auto* current = context_->table->Match(request_.host, request_.Path());
-  if (current != nullptr) timeout = std::max(timeout, current->timeout);
-  return started_at_ + timeout + kRouteTimeoutGrace - now;
-}
-
 void Exchange::OnTimeout() {
   const auto self = shared_from_this();
   if (finished_) return;
-  if (const auto remaining = RemainingStreamTime(MonotonicNow());
-      remaining > Duration(0)) {
-    timer_.start(remaining);
-    return;
+  const auto remaining =
+      started_at_ - MonotonicNow() +
+      StreamTimeout(request_, *admission_.route, *context_->table);
+  if (answer_started_ && remaining > Duration(0)) {
+    return timer_.start(remaining);
   }
   GiveUp(ResultCode::kUpstreamTimeout, ResultCode::kNoUpstream,
          "The time of the request is over");
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -107,6 +107,7 @@
   };
   auto stream = delegations.Open(*peer, message, std::move(handlers));
   if (!stream) return false;
+  RecordStart();
   *number = race_.Start(true);
   attempts_.Add(*number, {*peer,
                           std::move(stream),
@@ -283,6 +284,10 @@
   context_->delegations.OnEnd(delegation->peer);
 }
 
+void Exchange::EndDelegations() {
+  while (const auto number = attempts_.AnyDelegated()) EndDelegation(*number);
+}
+
 void Exchange::OnPeerRefused(int number, PeerRefusal reason) {
   const auto* delegation = attempts_.FindDelegated(number);
   const auto peer = delegation->peer;
@@ -296,6 +301,7 @@
        {"after_ms", static_cast<qint64>((now - delegation->sent_at).count())}});
   context_->delegations.OnRefused(peer, service_, reason, now);
   refusing_peers_.insert(peer.daemon);
+  if (race_.in_flight() > 1) ++context_->beside_counters.dropped;
   race_.OnCancelled(number, false, false);
   EndDelegation(number);
   GoOn();
@@ -327,6 +333,7 @@
   }
   if (decision.step == RaceStep::kFail) return FailRequest(decision.attempt);
   if (decision.step == RaceStep::kTryNext) TakeRetry();
+  if (decision.step == RaceStep::kGoOn) ++context_->beside_counters.dropped;
   GoOn();
 }
 
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -41,9 +41,6 @@
 
 void Exchange::StartBeside() {
   if (MayStartBeside() && TakeRetry()) {
-    ++started_beside_;
-    ++context_->beside_counters.started;
-    LogBeside();
     TryNextUpstream();
   }
   if (race_.in_flight() > 0) ReturnUnusedRetries();
@@ -93,7 +90,7 @@
 }
 
 void Exchange::ReleaseAttempts() {
-  while (const auto number = attempts_.AnyDelegated()) EndDelegation(*number);
+  EndDelegations();
   const auto now = MonotonicNow();
   // They are deleted with this object, since a call of theirs may be on the
   // stack.
--- a/libs/gateway/tests/gateway_silence_delegation_test.cc
+++ b/libs/gateway/tests/gateway_silence_delegation_test.cc
@@ -35,6 +35,16 @@
   daemon.fixture.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
 }
 
+/// Sends event 1, pauses for 1.9 s, and completes the stream with event 2.
+RawUpstream::Script PauseInStream() { return SendEvents({{1, 0}, {2, 1'900}}); }
+
+/// The value of the counter of second attempts.
+int CountBeside(Daemon& daemon, const std::string& end) {
+  const auto text = daemon.fixture.gateway.StreamMetrics();
+  const auto name = "firmoor_attempts_beside_total{end=\"" + end + "\"} ";
+  return std::stoi(text.substr(text.find(name) + name.size()));
+}
+
 /// The only daemon that the sender can delegate to has its request.
 struct DelegatedFixture {
   Daemon sender{"sender"};
@@ -101,6 +111,8 @@
     RunFor(100);
     fleet.AnswerFromPeer();
     CHECK(fleet.caller->WaitFor("of-peer", 200));
+    // Guards against a count without the attempts that daemons refused.
+    CHECK(CountBeside(fleet.sender, "dropped") == 1);
   }
   SUBCASE("by it, though it had not accepted it in time") {
     DelegatedFixture fleet(false);
@@ -195,10 +207,32 @@
     REQUIRE(WaitUntil([&] { return here.Requests() == 1; }, 3'000));
     fleet.peer.responders.front()->Abort();
     CHECK(fleet.caller->WaitFor("of-here", 1'000));
+    CHECK(CountBeside(fleet.sender, "dropped") == 1);
   }
   CHECK(fleet.sender.fixture.gateway.Loads().at("s").in_flight == 0);
 }
 
+// Guards against a line and a count of a second attempt that did not start.
+TEST_CASE("a second attempt that no daemon can be asked for is not counted") {
+  Daemon sender("sender");
+  const ScriptedDaemon peer([](auto&) {});
+  RawUpstream a(PauseInStream());
+  SetTimeouts(sender);
+  Introduce(sender, {peer.Address()});
+  sender.fixture.gateway.SetPeerStreamCall(nullptr);
+  sender.fixture.AddUpstream("a", a);
+  const auto caller = sender.fixture.SendRequest("resumable");
+  REQUIRE(caller->WaitFor("id: 1"));
+  // The links are lost while the upstream is silent.
+  sender.fixture.AddUpstream("a", ClosedPort());
+  CHECK(caller->WaitFor(kEnd, 2'500));
+  REQUIRE(sender.log.Lines("upstream-links").back()["after"].toString() ==
+          "unreachable");
+  CHECK(sender.log.Lines("attempt-beside").empty());
+  CHECK(CountBeside(sender, "started") == 0);
+  CHECK(sender.log.OnlyLine("request")["beside"].toInt() == 0);
+}
+
 // Guards against usage that is counted here and at another daemon, whose
 // upstream ran the request and failed.
 TEST_CASE("a request that fails at another daemon counts once") {
