--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs ctest. Tests named in KNOWN-RED.txt are passed over and printed.
+# Runs ctest, on three quarters of the processors. Tests named in KNOWN-RED.txt
+# are passed over and printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 known=$(grep -vE '^(#|$| )' KNOWN-RED.txt | cut -d: -f1 | sort -u || true)
@@ -9,4 +10,5 @@
   grep -vE '^(#|$)' KNOWN-RED.txt
   exclude=(-E "^($(echo "$known" | paste -sd'|'))\$")
 fi
-ctest --test-dir build --output-on-failure -j 3 "${exclude[@]}"
+jobs=$(($(nproc) * 3 / 4))
+ctest --test-dir build --output-on-failure -j $((jobs < 3 ? 3 : jobs)) "${exclude[@]}"
