firmoord: Keep a silent upstream while no other may take over

Callers of firmoord lost an answer when its upstream was silent for stall_ms (5 s) and then went on: also one that nothing else could go on with, and one that must not run twice, whose outcome was then unknown.

Cause: Job::CallTimeouts ended the attempt after that silence, whatever was to follow. The time-out now asks first (HttpCall's EndIfSilent): the attempt ends only if DecideAttempt would send the request again, the budget has a retry, and the router has another upstream with room; else it is asked again after the next stall_ms, and Job::CheckDeadline ends it at the request's deadline. So that it is another one, an attempt after all were tried prefers any to the last.

Ruled out: a second attempt beside the silent one, as the gateway has it; an asynchronous request that may be repeated was tried again at the same silent upstream after stall_ms, and would now wait there for another one.

--- a/libs/config/include/config/configuration.h
+++ b/libs/config/include/config/configuration.h
@@ -34,7 +34,7 @@
   int priority = 0;                  ///< Of requests that match no operation.
   bool deduplicates_keys = false;    ///< Upstreams drop repeated keys.
   Duration deadline{30'000};         ///< Maximum duration of a request.
-  Duration stall_time{5'000};        ///< Idle timeout of an idempotent answer.
+  Duration stall_time{5'000};        ///< Silence until another takes over.
   Duration first_token_target{400};  ///< At the 95th percentile.
   Duration token_gap_target{27};     ///< At the 95th percentile.
   std::int64_t upstream_concurrency = 16;  ///< Requests at once per upstream.
--- a/libs/serving/include/serving/router.h
+++ b/libs/serving/include/serving/router.h
@@ -108,6 +108,8 @@
 
   /// The replica for `request`; nothing when none is usable and free.
   std::optional<Choice> Pick(const RouteRequest& request, TimePoint now);
+  /// Whether `Pick` would return a replica.
+  [[nodiscard]] bool CanPick(const RouteRequest& request, TimePoint now) const;
 
   /// Whether a replica that is full now has enough more of the prefix cached
   /// than `choice` to make waiting for it, up to `MaxPrefixWait`, worthwhile.
@@ -169,6 +171,8 @@
                                      const Replica& replica,
                                      const RouteRequest& request,
                                      TimePoint now) const;
+  [[nodiscard]] std::optional<Choice> FindBest(const RouteRequest& request,
+                                               TimePoint now) const;
   [[nodiscard]] std::optional<Choice> PickInPool(bool remote,
                                                  const RouteRequest& request,
                                                  TimePoint now,
--- a/libs/serving/src/details/job.h
+++ b/libs/serving/src/details/job.h
@@ -91,6 +91,10 @@
   void SendModel(const Vm& vm);
   HttpRequest UpstreamRequest() const;
   HttpCallTimeouts CallTimeouts() const;
+  std::optional<Router::Choice> PickUpstream(TimePoint now);
+  /// Whether another upstream may take over from the current one, which is
+  /// silent. Otherwise the attempt lasts until the deadline.
+  bool MayLeaveSilentUpstream() const;
   void OnModelHead(int status, const HttpHeaders& headers);
   void OnModelBody(std::string_view bytes);
   void OnToken(std::string text);
--- a/libs/serving/src/details/job_attempt.cc
+++ b/libs/serving/src/details/job_attempt.cc
@@ -40,12 +40,7 @@
 void Job::Send() {
   const auto now = MonotonicNow();
   phase_ = Phase::kSending;
-  route_.may_cross_region = context_->link.HasBalance(now);
-  auto choice = runtime_->router.Pick(route_, now);
-  if (!choice && !route_.exclude.empty()) {
-    route_.exclude.clear();
-    choice = runtime_->router.Pick(route_, now);
-  }
+  const auto choice = PickUpstream(now);
   const Vm* vm = choice ? context_->upstreams.Find(choice->id) : nullptr;
   if (vm == nullptr) {
     if (RetryAfterBackoff()) return;
@@ -81,6 +76,30 @@
   }
 }
 
+std::optional<Router::Choice> Job::PickUpstream(TimePoint now) {
+  route_.may_cross_region = context_->link.HasBalance(now);
+  auto choice = runtime_->router.Pick(route_, now);
+  if (choice || route_.exclude.empty()) return choice;
+  // One that was tried before, the last one only if there is no other.
+  route_.exclude = {upstream_};
+  choice = runtime_->router.Pick(route_, now);
+  if (choice) return choice;
+  route_.exclude.clear();
+  return runtime_->router.Pick(route_, now);
+}
+
+bool Job::MayLeaveSilentUpstream() const {
+  const AttemptEnd silent{HttpCallEnd::kTimedOut, true};
+  const bool has_retry = runtime_->retries.available() >= 1;
+  const auto step = DecideAttempt(silent, ContextFor(has_retry)).step;
+  if (step != NextStep::kRetryElsewhere && step != NextStep::kResumeElsewhere) {
+    return false;
+  }
+  auto others = route_;
+  others.exclude = {upstream_};
+  return runtime_->router.CanPick(others, MonotonicNow());
+}
+
 bool Job::WaitsForPrefix(const Router::Choice& choice, TimePoint now) {
   if (!spec_.model || priority_boost_ > 0) return false;
   if (!prefix_wait_deadline_) {
@@ -119,6 +138,7 @@
   request.body = spec_.request.body;
   call_ = HttpCall::Builder(vm.endpoint, std::move(request))
               .Timeouts(CallTimeouts())
+              .EndIfSilent([this] { return MayLeaveSilentUpstream(); })
               .Pool(spec_.traits.idempotent ? &context_->pool : nullptr)
               .OnHead([this](int status, const HttpHeaders& headers) {
                 OnFirstByte();
@@ -147,6 +167,7 @@
   attempt_.stream_complete = false;
   call_ = HttpCall::Builder(vm.endpoint, std::move(request))
               .Timeouts(CallTimeouts())
+              .EndIfSilent([this] { return MayLeaveSilentUpstream(); })
               .Pool(&context_->pool)
               .OnHead([this](int status, const HttpHeaders& headers) {
                 OnModelHead(status, headers);
--- a/libs/serving/src/router.cc
+++ b/libs/serving/src/router.cc
@@ -139,6 +139,15 @@
 std::optional<Router::Choice> Router::Pick(const RouteRequest& request,
                                            TimePoint now) {
   ++pick_count_;
+  return FindBest(request, now);
+}
+
+bool Router::CanPick(const RouteRequest& request, TimePoint now) const {
+  return FindBest(request, now).has_value();
+}
+
+std::optional<Router::Choice> Router::FindBest(const RouteRequest& request,
+                                               TimePoint now) const {
   const bool include_ejected = AllEjected(now);
   auto choice = PickInPool(false, request, now, include_ejected);
   if (choice || !request.may_cross_region) return choice;
