firmoord: Follow a request while its daemon is silent in its time

A caller that follows a request by its id at another daemon than the one that runs it lost its stream when that one did not answer 30 polls, some 3 s, though the request went on.

Cause: RemoteFollower counted a poll without an answer like one in which every daemon answers that it does not have the request, and knew no deadline. The progress that daemons pass on has the time left now, behind the answer's fields, where earlier builds do not look; while a daemon that may hold the request gives no answer, a started stream is kept until 3 s after the deadline. Beside a daemon of an earlier build, and when every daemon answers that it does not have the request, nothing changes.

Ruled out: the request's own maximum (600 s) as the bound, which needs no message: callers would wait on it for a daemon that is gone.

--- a/libs/serving/include/serving/request_record.h
+++ b/libs/serving/include/serving/request_record.h
@@ -3,6 +3,7 @@
 
 #include <QByteArray>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
   std::vector<std::string> tokens;  ///< From the requested index on.
   bool done = false;
   HttpResponse answer;  ///< When done.
+  /// Until the request's deadline; unset if done or told by an earlier build.
+  std::optional<Duration> time_left;
   /// When not found: a daemon that may hold the request gave no answer. Not
   /// part of the message.
   bool unanswered = false;
--- a/libs/serving/src/details/job.cc
+++ b/libs/serving/src/details/job.cc
@@ -322,7 +322,11 @@
     progress.tokens.assign(tokens_.begin() + static_cast<std::ptrdiff_t>(from),
                            tokens_.end());
   }
-  if (progress.done) progress.answer = answer_.http_answer;
+  if (progress.done) {
+    progress.answer = answer_.http_answer;
+  } else {
+    progress.time_left = std::max(TimeLeft(), Duration(0));
+  }
   return progress;
 }
 
--- a/libs/serving/src/details/remote_follower.cc
+++ b/libs/serving/src/details/remote_follower.cc
@@ -46,10 +46,13 @@
 }
 
 bool RemoteFollower::MayFindLater(bool unanswered) {
+  const auto now = MonotonicNow();
+  if (started_ && unanswered && answer_due_) {
+    return now < *answer_due_ + kMaxUnansweredWait;
+  }
   // No daemon reports a request while it is being handed over.
   if (started_) return ++misses_ < kMaxMisses;
   if (!unanswered) return false;
-  const auto now = MonotonicNow();
   if (!first_unanswered_) first_unanswered_ = now;
   return now - *first_unanswered_ < kMaxUnansweredWait;
 }
@@ -77,6 +80,7 @@
     return NotFound(!progress.found && progress.unanswered);
   }
   misses_ = 0;
+  if (progress.time_left) answer_due_ = MonotonicNow() + *progress.time_left;
   if (query_.stream) return SendProgress(progress);
   responder_->Send(progress.done ? progress.answer
                                  : MakeRunningAnswer(query_.id, kAccepted));
--- a/libs/serving/src/details/remote_follower.h
+++ b/libs/serving/src/details/remote_follower.h
@@ -40,6 +40,8 @@
   const DispatcherEnvironment* environment_;
   bool started_ = false;
   int misses_ = 0;  ///< Consecutive polls that did not find the request.
+  /// The request's deadline; unset if its daemon is of an earlier build.
+  std::optional<TimePoint> answer_due_;
   std::optional<TimePoint> first_unanswered_;
 };
 
--- a/libs/serving/src/request_record.cc
+++ b/libs/serving/src/request_record.cc
@@ -8,6 +8,7 @@
 
 constexpr qsizetype kRecordFields = 12;
 constexpr qsizetype kProgressFields = 5;
+constexpr qsizetype kAnswerFields = 3;
 
 QByteArray Bytes(const std::string& text) {
   return QByteArray::fromStdString(text);
@@ -99,8 +100,13 @@
 }
 
 QByteArray RequestProgress::Encode() const {
+  // Behind the answer, where earlier builds do not look.
+  auto fields_of_answer = EncodeAnswer(answer);
+  if (time_left) {
+    fields_of_answer.append(static_cast<qint64>(time_left->count()));
+  }
   const QCborArray array{found, Bytes(workspace), EncodeStrings(tokens), done,
-                         EncodeAnswer(answer)};
+                         fields_of_answer};
   return QCborValue(array).toCbor();
 }
 
@@ -110,10 +116,17 @@
     return Fail(ResultCode::kBadMessage,
                 "a request progress message must have 5 fields");
   }
-  return RequestProgress{array.at(0).toBool(), TextAt(array, 1),
-                         DecodeStrings(array.at(2).toArray()),
-                         array.at(3).toBool(),
-                         DecodeAnswer(array.at(4).toArray())};
+  RequestProgress progress;
+  progress.found = array.at(0).toBool();
+  progress.workspace = TextAt(array, 1);
+  progress.tokens = DecodeStrings(array.at(2).toArray());
+  progress.done = array.at(3).toBool();
+  const auto answer = array.at(4).toArray();
+  progress.answer = DecodeAnswer(answer);
+  if (answer.size() > kAnswerFields) {
+    progress.time_left = Duration(answer.at(kAnswerFields).toInteger());
+  }
+  return progress;
 }
 
 }  // namespace firmoor
--- a/libs/serving/tests/caller_list_test.cc
+++ b/libs/serving/tests/caller_list_test.cc
@@ -71,6 +71,7 @@
   Callers callers;
   std::optional<TimePoint> silent_until;
   bool found = true;
+  std::optional<Duration> time_left;
   const RemoteFollower::Query query{"r1", "w", true, 0};
   DispatcherEnvironment environment;
   environment.find_remote_request = [&](const std::string&, std::size_t from,
@@ -81,20 +82,42 @@
     progress.workspace = query.workspace;
     progress.done = silent_until.has_value();
     progress.answer.status = 200;
+    progress.time_left = time_left;
     if (from == 0) progress.tokens = {"one"};
     done(progress);
   };
   const auto caller = callers.Connect();
-  std::make_shared<RemoteFollower>(query, callers.responders[0], &environment)
-      ->Poll();
-  REQUIRE(caller->WaitFor("id: 1"));
+  const auto follow = [&] {
+    std::make_shared<RemoteFollower>(query, callers.responders[0], &environment)
+        ->Poll();
+    REQUIRE(caller->WaitFor("id: 1"));
+  };
 
+  // Guards against LOST: the stream was broken off after some missed polls
+  // though its request went on.
+  SUBCASE("gets its rest however long that one is silent in its time") {
+    time_left = Duration(20'000);
+    follow();
+    silent_until = MonotonicNow() + Duration(4'500);
+    REQUIRE(caller->WaitFor(kEnd, 6'000));
+    CHECK(caller->Received().find(kStreamEnd) != std::string::npos);
+  }
+  SUBCASE("sees the stream break off some time after the request's deadline") {
+    time_left = Duration(500);
+    follow();
+    silent_until = MonotonicNow() + Duration(60'000);
+    CHECK_FALSE(caller->WaitClosed(2'500));
+    CHECK(caller->WaitClosed(3'000));
+    CHECK(caller->Received().find(kEnd) == std::string::npos);
+  }
   SUBCASE("gets its rest when that one has been silent for two seconds") {
+    follow();
     silent_until = MonotonicNow() + Duration(2'000);
     REQUIRE(caller->WaitFor(kEnd, 3'000));
     CHECK(caller->Received().find(kStreamEnd) != std::string::npos);
   }
   SUBCASE("sees the stream break off when nobody knows the request") {
+    follow();
     found = false;
     CHECK(caller->WaitClosed(5'000));
     CHECK(caller->Received().find(kEnd) == std::string::npos);
--- a/libs/serving/tests/messages_test.cc
+++ b/libs/serving/tests/messages_test.cc
@@ -1,8 +1,11 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <QCborArray>
+#include <QCborValue>
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <optional>
 
 #include "serving/error_answer.h"
 #include "serving/model_request.h"
@@ -95,7 +98,8 @@
   const auto decoded =
       Capture([&] { return RequestRecord::Decode(record.Encode()); });
   CHECK(std::get<RequestRecord>(decoded) == record);
-  const RequestProgress tail{true, "salon", {"x"}, true, record.answer};
+  const RequestProgress tail{true, "salon",       {"x"},
+                             true, record.answer, Duration(1'234)};
   const auto again =
       Capture([&] { return RequestProgress::Decode(tail.Encode()); });
   CHECK(std::get<RequestProgress>(again) == tail);
@@ -103,6 +107,25 @@
   CHECK(std::holds_alternative<Error>(bad));
 }
 
+// Guards against daemons of an earlier build that do not find requests of this
+// one, and the reverse: their progress has no time left.
+TEST_CASE("request progress passes between builds") {
+  const RequestProgress running{true, "w", {"x"}, false, {}, Duration(1'234)};
+  const auto fields = QCborValue::fromCbor(running.Encode()).toArray();
+  REQUIRE(fields.size() == 5);
+  const auto answer = fields.at(4).toArray();
+  const auto earlier =
+      QCborValue(
+          QCborArray{fields.at(0), fields.at(1), fields.at(2), fields.at(3),
+                     QCborArray{answer.at(0), answer.at(1), answer.at(2)}})
+          .toCbor();
+  const auto decoded =
+      Capture([&] { return RequestProgress::Decode(earlier); });
+  auto expected = running;
+  expected.time_left = std::nullopt;
+  CHECK(std::get<RequestProgress>(decoded) == expected);
+}
+
 TEST_CASE("an error answer states the code, outcome and retry delay") {
   const auto answer = MakeErrorAnswer(
       {{ResultCode::kOverloaded, ""}, RequestOutcome::kNotRun, Duration(1'001)},
