Decide the steps of a drain in one pure function

Moved: NextDrainStep with a test of its own, and the encoding of quotas, which is unchanged on the wire (coordination_test).

--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -6,6 +6,7 @@
 
 #include "base/text.h"
 #include "details/quarantine_encoding.h"
+#include "details/quota_encoding.h"
 #include "gateway/coordination.h"
 #include "peer/peer_message.h"
 
@@ -17,34 +18,17 @@
 
 using details::DecodeQuarantineReply;
 using details::DecodeQuarantineReport;
+using details::DecodeQuotaGrants;
+using details::DecodeQuotaUses;
 using details::EncodeQuarantineReply;
 using details::EncodeQuarantineReport;
+using details::EncodeQuotaGrants;
+using details::EncodeQuotaUses;
 
 QCborValue EncodeOptional(const std::optional<double>& value) {
   return value ? QCborValue(*value) : QCborValue(nullptr);
 }
 
-QCborMap EncodeGrants(const std::map<std::string, QuotaGrant>& grants) {
-  QCborMap map;
-  for (const auto& [workspace, grant] : grants) {
-    map[Text(workspace)] =
-        QCborArray{grant.tokens, grant.unassigned,
-                   static_cast<qint64>(grant.continuation.count())};
-  }
-  return map;
-}
-
-std::map<std::string, QuotaGrant> DecodeGrants(const QCborValue& value) {
-  std::map<std::string, QuotaGrant> grants;
-  for (const auto& entry : value.toMap()) {
-    const auto grant = entry.second.toArray();
-    grants[entry.first.toString().toStdString()] = {
-        grant.at(0).toDouble(), grant.at(1).toDouble(),
-        Duration(grant.at(2).toInteger(0))};
-  }
-  return grants;
-}
-
 QCborMap EncodeTokens(const std::map<std::string, double>& tokens) {
   QCborMap map;
   for (const auto& [workspace, amount] : tokens) map[Text(workspace)] = amount;
@@ -59,28 +43,6 @@
   return tokens;
 }
 
-QCborMap EncodeQuotas(const std::map<std::string, QuotaUsage>& quotas) {
-  QCborMap map;
-  for (const auto& [workspace, use] : quotas) {
-    map[Text(workspace)] =
-        QCborArray{use.admitted, use.requested, use.pending,
-                   use.started_in_window, EncodeOptional(use.held)};
-  }
-  return map;
-}
-
-std::map<std::string, QuotaUsage> DecodeQuotas(const QCborValue& value) {
-  std::map<std::string, QuotaUsage> quotas;
-  for (const auto& entry : value.toMap()) {
-    const auto items = entry.second.toArray();
-    QuotaUsage use{items.at(0).toDouble(), items.at(1).toDouble(),
-                   items.at(2).toDouble(), items.at(3).toBool()};
-    if (items.at(4).isDouble()) use.held = items.at(4).toDouble();
-    quotas[entry.first.toString().toStdString()] = use;
-  }
-  return quotas;
-}
-
 QCborMap EncodeUsage(const UsageByWindow& usage) {
   QCborMap windows;
   for (const auto& [window, counts] : usage) {
@@ -349,7 +311,7 @@
                  {"directory", directory ? EncodeDirectoryPosition(*directory)
                                          : QCborValue(nullptr)},
                  {"usage", EncodeUsage(usage)},
-                 {"quotas", EncodeQuotas(quotas)},
+                 {"quotas", EncodeQuotaUses(quotas)},
                  {"loads", load_map},
                  {"upstream_limits", EncodeLimitReports(upstream_limits)},
                  {"quarantine", EncodeQuarantineReport(quarantine)}})
@@ -380,7 +342,7 @@
     report.directory = DecodeDirectoryPosition(position);
   }
   report.usage = DecodeUsage(map[QLatin1String("usage")]);
-  report.quotas = DecodeQuotas(map[QLatin1String("quotas")]);
+  report.quotas = DecodeQuotaUses(map[QLatin1String("quotas")]);
   for (const auto& entry : map[QLatin1String("loads")].toMap()) {
     const auto load = entry.second.toMap();
     report.loads[entry.first.toString().toStdString()] = {
@@ -461,7 +423,7 @@
                       {"lease_ms", static_cast<qint64>(lease_clock_ms)},
                       {"sources", EncodeEndpoints(sources)},
                       {"directory", EncodeDirectoryUpdate(directory)},
-                      {"grants", EncodeGrants(limits.quota_grants)},
+                      {"grants", EncodeQuotaGrants(limits.quota_grants)},
                       {"upstream_limits", EncodeLimitReply(upstream_limits)},
                       {"quarantine", EncodeQuarantineReply(quarantine)},
                       {"moved_to", Text(moved_to)},
@@ -485,7 +447,7 @@
   reply.moved_fencing = map[QLatin1String("moved_fencing")].toInteger();
   reply.sources = DecodeEndpoints(map[QLatin1String("sources")]);
   reply.directory = DecodeDirectoryUpdate(map[QLatin1String("directory")]);
-  reply.limits.quota_grants = DecodeGrants(map[QLatin1String("grants")]);
+  reply.limits.quota_grants = DecodeQuotaGrants(map[QLatin1String("grants")]);
   reply.limits.daemons =
       static_cast<std::size_t>(map[QLatin1String("daemons")].toInteger(1));
   BOOST_LEAF_ASSIGN(reply.upstream_limits,
--- /dev/null
+++ b/libs/gateway/src/details/drain_steps.cc
@@ -0,0 +1,20 @@
+#include "details/drain_steps.h"
+
+namespace firmoor::details {
+namespace {
+
+// The load balancer removes a daemon after two failed probes, one second apart.
+constexpr Duration kBalancerDetectionTime{2'500};
+
+}  // namespace
+
+DrainStep NextDrainStep(const DrainProgress& progress) {
+  if (progress.elapsed >= progress.time - kStopMargin) return DrainStep::kStop;
+  const bool is_idle = progress.elapsed >= kBalancerDetectionTime &&
+                       progress.requests == 0 && progress.connections == 0;
+  if (!is_idle) return DrainStep::kServe;
+  return progress.is_listener_closed ? DrainStep::kStop
+                                     : DrainStep::kCloseListener;
+}
+
+}  // namespace firmoor::details
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -11,6 +11,7 @@
 #include "base/supervisor.h"
 #include "base/text.h"
 #include "details/connection_metrics.h"
+#include "details/drain_steps.h"
 #include "details/gateway_settings.h"
 #include "details/quarantine_endpoint.h"
 #include "dissemination/kind_relay.h"
@@ -28,11 +29,9 @@
 
 // Timeouts of long polls for changes. They may be long since keep-alive probes
 // detect dead connections.
-constexpr Duration kConfigurationPollTimeout{10'000};
-constexpr Duration kUpstreamPollTimeout{10'000};
-// Batches changes of upstreams, many of which occur together. Short compared
-// with the time for which a leaving upstream still accepts requests (2.5 s and
-// more).
+constexpr Duration kPollTimeout{10'000};
+// Batches changes of upstreams. Short compared with the time for which a
+// leaving upstream still accepts requests (2.5 s and more).
 constexpr Duration kUpstreamBatchDelay{400};
 // Interval at which the coordinator confirms with the store that its
 // configuration is current; it passes the confirmation on in its replies. Other
@@ -51,11 +50,6 @@
 // Delay before a version announced by the coordinator is requested: a daemon
 // that reads from other daemons receives it a little later.
 constexpr Duration kVersionCheckDelay{400};
-// The load balancer removes a daemon after two failed probes, one second apart.
-constexpr Duration kBalancerDetectionTime{2'500};
-// The process stops this long before it would be killed.
-constexpr Duration kStopMargin{700};
-constexpr Duration kDrainCheckInterval{100};
 // For the last responses to reach the kernel.
 constexpr Duration kLastResponseTime{50};
 // Lower limit of the time for receiving a request, since callers may send a
@@ -140,10 +134,9 @@
       gateway(GatewaySettingsOf(settings),
               {ports.dialect, log, &metrics, &true_time}),
       relay(BuildRelay()),
-      configuration(relay.get(), ports.configuration_kind,
-                    kConfigurationPollTimeout, Duration(0),
-                    ConfigurationHooks()),
-      upstreams(relay.get(), ports.upstream_kind, kUpstreamPollTimeout,
+      configuration(relay.get(), ports.configuration_kind, kPollTimeout,
+                    Duration(0), ConfigurationHooks()),
+      upstreams(relay.get(), ports.upstream_kind, kPollTimeout,
                 kUpstreamBatchDelay, UpstreamHooks()),
       coordinator(
           {settings.daemon, instance_id, settings.availability_zone,
@@ -442,18 +435,17 @@
 }
 
 void GatewayDaemon::Impl::CheckDrain() {
-  const auto elapsed = MonotonicNow() - drain_started;
-  const bool idle = elapsed >= kBalancerDetectionTime &&
-                    gateway.ActiveRequestCount() == 0 &&
-                    caller_server->ConnectionCount() == 0;
-  const bool is_over = elapsed >= settings.drain_time - kStopMargin;
-  if (!idle && !is_over) return;
-  const bool may_have_accepted = !std::exchange(is_listener_closed, true);
-  if (may_have_accepted) {
-    log->Write("listener-closed", {{"idle", idle}});
+  using details::DrainStep;
+  const auto step = details::NextDrainStep(
+      {MonotonicNow() - drain_started, settings.drain_time,
+       gateway.ActiveRequestCount(), caller_server->ConnectionCount(),
+       is_listener_closed});
+  if (step == DrainStep::kServe) return;
+  if (!std::exchange(is_listener_closed, true)) {
+    log->Write("listener-closed", {{"idle", step != DrainStep::kStop}});
     caller_server->StopAccepting();
   }
-  if (may_have_accepted && !is_over) return;
+  if (step == DrainStep::kCloseListener) return;
   drain_timer.stop();
   log->Write("stop", {{"requests_left",
                        static_cast<qint64>(gateway.ActiveRequestCount())},
@@ -491,8 +483,8 @@
       {{"requests", static_cast<qint64>(impl_->gateway.ActiveRequestCount())}});
   impl_->caller_server->CloseAfterResponses();
   impl_->gateway.StartDrain(impl_->drain_started + impl_->settings.drain_time -
-                            kStopMargin);
-  impl_->drain_timer.start(kDrainCheckInterval);
+                            details::kStopMargin);
+  impl_->drain_timer.start(details::kDrainCheckInterval);
 }
 
 void GatewayDaemon::ApplySettings(const GatewayDaemonSettings& settings) {
