--- a/libs/serving/tests/attempt_race_model.cc
+++ b/libs/serving/tests/attempt_race_model.cc
@@ -175,8 +175,8 @@
 
 bool RaceModel::HasUpstream() const {
   // One that was overtaken is tried again when no other is left.
-  const auto again = CountInFlight() == 0 ? overtaken_ : 0;
-  return attempts_.size() < static_cast<std::size_t>(setup_.upstreams + again);
+  const int again = CountInFlight() == 0 ? overtaken_ : 0;
+  return static_cast<int>(attempts_.size()) < setup_.upstreams + again;
 }
 
 void RaceModel::TryNext() {
