Let the coordinator's own daemon report early

Callers saw: requests at the daemon that is the coordinator were refused with 429 within their quota (and waited for permits and slots, or went without a retry) unless a regular report was due within 300 ms.

Cause: ReportEarly makes none while the coordinator counts as lost, by replies that were missed; the coordinator's own daemon, which applies its replies directly, never resets that number.

Found by reading, while looking how waiting requests get their grants.

--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -83,7 +83,9 @@
 }
 
 void CoordinatorService::Impl::ReportEarly() {
-  if (HasLostCoordinator() || early_report_timer.isActive()) return;
+  // The coordinator's own daemon gets its replies directly.
+  const bool is_lost = !(coordinator && HoldsLease()) && HasLostCoordinator();
+  if (is_lost || early_report_timer.isActive()) return;
   const auto wait = reported_at + kMinReportInterval - MonotonicNow();
   // Goes through the event loop even when due, since the reply must not change
   // the quota while a request is being admitted.
--- a/libs/gateway/tests/coordinator_fixture.h
+++ b/libs/gateway/tests/coordinator_fixture.h
@@ -147,9 +147,9 @@
   CoordinatorService coordination;
 
   Daemon(const std::string& name, std::uint16_t port, ObjectStore* store,
-         CloudApi* cloud)
+         CloudApi* cloud, const Dialect* dialect = nullptr)
       : own_store(store, &store_era),
-        gateway(GatewaySettings{}, {nullptr, &log, &metrics, &true_time}),
+        gateway(GatewaySettings{}, {dialect, &log, &metrics, &true_time}),
         coordination({name,
                       name + "/1",
                       "east-1",
