Let daemons of tests end with the test that started them

What such a daemon does to tests beside it looks like a fault of the code: a second coordinator, a lease that never returns.

--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -14,6 +14,7 @@
 
 #include "config/config_log.h"
 #include "config/configuration.h"
+#include "support/child_process.h"
 
 namespace firmoor {
 namespace {
@@ -241,9 +242,7 @@
       node.name, node.zone, node.region);
   for (const auto& [section, keys] : sections) {
     file << "[" << section << "]\n";
-    for (const auto& [key, value] : keys) {
-      file << key << " = " << value << "\n";
-    }
+    for (const auto& [key, value] : keys) file << key << " = " << value << "\n";
   }
 }
 
@@ -265,8 +264,9 @@
         directory_.filePath(QString::fromStdString(node->name + ".log")),
         QIODevice::Append);
   }
-  const auto path = std::string(kBinaries) + "/" + node->program;
-  node->process->start(QString::fromStdString(path), node->arguments);
+  EndWithThisProcess(node->process.get());
+  node->process->start(kBinaries + QString::fromStdString("/" + node->program),
+                       node->arguments);
   REQUIRE(node->process->waitForStarted());
 }
 
