--- a/libs/gateway/src/request_admission.cc
+++ b/libs/gateway/src/request_admission.cc
@@ -33,7 +33,7 @@
 bool AcceptsWhileDraining(const Route& route, const DrainState& drain,
                           TimePoint now) {
   if (route.kind == RequestKind::kStream) {
-    return now - drain.started_at < kStreamDrainWindow;
+    return now < drain.ends_at && now - drain.started_at < kStreamDrainWindow;
   }
   return drain.ends_at - now > route.timeout / kTimeoutDivisor;
 }
--- a/libs/gateway/tests/request_admission_test.cc
+++ b/libs/gateway/tests/request_admission_test.cc
@@ -110,6 +110,14 @@
     CHECK(takes(2'000));
     CHECK_FALSE(takes(3'000));
   }
+  // Guards against a stream that is sent to an upstream just before the process
+  // ends.
+  SUBCASE("no streams any more once it ends what is left") {
+    route.kind = RequestKind::kStream;
+    const DrainState brief{kStart, kStart + Duration(1'300)};
+    CHECK(AcceptsWhileDraining(route, brief, kStart + Duration(1'299)));
+    CHECK_FALSE(AcceptsWhileDraining(route, brief, kStart + Duration(1'300)));
+  }
 }
 
 TEST_CASE("MakeGatewayRefusal sets Retry-After in fractions of a second") {
