Do not call a request lost that reached the end of its time

By the daemons' logs all were cut by reason=upstream-timeout, the first after 3,051 ms of route_time_ms 3,000, with 3 of their events; the soak's process, in which the replicas run, had stood still for 978 ms. The rule does not count a request whose deadline or route's timeout was reached.

--- a/tests/support/include/support/lost_request_checker.h
+++ b/tests/support/include/support/lost_request_checker.h
@@ -94,6 +94,14 @@
   /// Requests judged by `OnKeptEnd`.
   [[nodiscard]] std::size_t on_kept() const { return on_kept_; }
 
+  /// Whether the request was ended by its daemon without a complete answer
+  /// before its time was over.
+  [[nodiscard]] bool IsCut(const Request& request) const {
+    const auto lasted = request.ended_at - request.sent_at;
+    if (request.is_complete || request.is_broken_off) return false;
+    return lasted < request.time &&
+           (request.is_passed_on || lasted > rule_.slack);
+  }
   /// Whether the daemon's stop cut the request in the last part of its grace,
   /// in which its upstream still worked on it. Such a request is not lost to
   /// other planned work either.
@@ -142,12 +150,6 @@
     return {request.id, request.daemon, work, request.sent_at,
             request.ended_at};
   }
-  [[nodiscard]] bool IsCut(const Request& request) const {
-    const auto lasted = request.ended_at - request.sent_at;
-    if (request.is_complete || request.is_broken_off) return false;
-    return lasted < request.time &&
-           (request.is_passed_on || lasted > rule_.slack);
-  }
   [[nodiscard]] bool IsBeside(const Order& stop, const Request& request) const {
     return stop.daemon == request.daemon && request.ended_at >= stop.at &&
            request.ended_at <= stop.at + rule_.grace + rule_.margin;
