Leave the busiest daemon its share when a new coordinator hears of it

What callers saw: 429 to callers within their quota, up to 31 of 480 requests, in the two seconds after the coordinator handed over its lease.

Cause: a new coordinator knows from its predecessor how much was admitted, but counted that only as a lower bound of everything that is committed. Daemons with few requests that reported first were taken for the only ones with requests and got most of what the window had left, so that the busy daemon got nothing or a negative allowance until they reported again a second later. And if the busy daemon reported first, its own usage was counted twice: in its report, and among what daemons that do not report might have used.

Evidence: with logs of all daemons, in one failed run the busy daemon found the new coordinator last, at 1,002 ms, and got an allowance of -5.8; in another it reported first and got -18.5. The case of the unit test gives 0, -7.9 and -340 tokens where 67.5 are needed until the next report.

Now the first report of each daemon is subtracted from the state that was handed over, in admitted tokens and in tokens held. What no report contains yet counts as admitted and requested by one more daemon.

Ruled out: the hand-over itself (4 to 6 ms without a coordinator in each of the failed runs) and late grants (their age was 0 to 4 ms).

--- a/libs/limits/include/limits/quota_pool.h
+++ b/libs/limits/include/limits/quota_pool.h
@@ -139,8 +139,7 @@
   struct Sums {
     double admitted = 0;
     double requested = 0;
-    double committed = 0;         ///< Admitted, or held as allowance.
-    double committed_by_new = 0;  ///< Of daemons that started in the window.
+    double committed = 0;  ///< Admitted, or held as allowance.
     std::size_t count = 0;
     std::size_t active_count = 0;  ///< Daemons with requests in the window.
 
@@ -161,12 +160,16 @@
                               const QuotaLimit& limit, TimePoint now);
   /// Totals without `daemon`.
   [[nodiscard]] Sums Others(const DaemonInstance& daemon) const;
-  /// Tokens of the window that are not available for a grant: admitted, held by
-  /// other daemons, or possibly used by daemons that do not report.
-  [[nodiscard]] double CommittedTokens(const Sums& others,
-                                       const QuotaUsage& use,
-                                       std::size_t reporting_daemons,
-                                       TimePoint now) const;
+  /// Subtracts what the daemon's first report contains from the state that was
+  /// handed over.
+  void RecordFirstReport(const DaemonInstance& daemon, const QuotaUsage& use);
+  /// Tokens of the window that the previous coordinator knew to be admitted and
+  /// that no daemon has reported to this one.
+  [[nodiscard]] double UnreportedPriorTokens(TimePoint now) const;
+  /// Upper estimate of the tokens that daemons which do not report may go on
+  /// with.
+  [[nodiscard]] double UnreportedPriorHolds(std::size_t reporting_daemons,
+                                            TimePoint now) const;
   /// Allowance of the reporting daemon if `left` tokens are available.
   [[nodiscard]] static double Allowance(const Sums& others,
                                         const QuotaUsage& use,
@@ -178,6 +181,11 @@
   Sums totals_;
   PriorQuotaState prior_;
   TimePoint prior_until_;
+  /// The part of the prior state that daemons have reported since, in tokens.
+  struct {
+    double admitted = 0;
+    double held = 0;  ///< That they go on with if they get no reply.
+  } prior_reported_;
 };
 
 }  // namespace firmoor
--- a/libs/limits/src/quota_pool.cc
+++ b/libs/limits/src/quota_pool.cc
@@ -35,21 +35,17 @@
 }
 
 void QuotaPool::Sums::Add(const DaemonState& state) {
-  const double committed_now = state.Committed();
   admitted += state.admitted;
   requested += state.requested;
-  committed += committed_now;
-  if (state.started_in_window) committed_by_new += committed_now;
+  committed += state.Committed();
   if (state.requested > 0) ++active_count;
   ++count;
 }
 
 void QuotaPool::Sums::Remove(const DaemonState& state) {
-  const double committed_now = state.Committed();
   admitted -= state.admitted;
   requested -= state.requested;
-  committed -= committed_now;
-  if (state.started_in_window) committed_by_new -= committed_now;
+  committed -= state.Committed();
   if (state.requested > 0) --active_count;
   --count;
   // Discard accumulated rounding errors.
@@ -111,19 +107,25 @@
   return sums;
 }
 
-double QuotaPool::CommittedTokens(const Sums& others, const QuotaUsage& use,
-                                  std::size_t reporting_daemons,
-                                  TimePoint now) const {
-  const double all = others.committed + use.admitted;
-  if (now >= prior_until_ + kQuotaContinuation) return all;
-  const double new_daemons =
-      others.committed_by_new + (use.started_in_window ? use.admitted : 0);
-  // Daemons that do not report may use all that they hold.
-  const double unreported = (prior_.admitted + prior_.outstanding) *
-                            MissingFraction(reporting_daemons);
-  // Usage that was handed over may be that of daemons that have ended.
-  if (now >= prior_until_) return all + unreported;
-  return std::max(all + unreported, prior_.admitted + new_daemons);
+void QuotaPool::RecordFirstReport(const DaemonInstance& daemon,
+                                  const QuotaUsage& use) {
+  // What a new daemon has admitted is not part of the state handed over.
+  if (use.started_in_window || daemons_.contains(daemon)) return;
+  prior_reported_.admitted += use.admitted;
+  prior_reported_.held += std::max(use.admitted, use.held.value_or(0));
+}
+
+double QuotaPool::UnreportedPriorTokens(TimePoint now) const {
+  if (now >= prior_until_) return 0;
+  return std::max(0.0, prior_.admitted - prior_reported_.admitted);
+}
+
+double QuotaPool::UnreportedPriorHolds(std::size_t reporting_daemons,
+                                       TimePoint now) const {
+  if (now >= prior_until_ + kQuotaContinuation) return 0;
+  const double all = prior_.admitted + prior_.outstanding;
+  return std::min(std::max(0.0, all - prior_reported_.held),
+                  all * MissingFraction(reporting_daemons));
 }
 
 double QuotaPool::Allowance(const Sums& others, const QuotaUsage& use,
@@ -163,9 +165,16 @@
                             std::size_t reporting_daemons, TimePoint now) {
   RemoveExpired(now);
   RetireEarlierInstances(daemon, limit, now);
-  const auto others = Others(daemon);
-  const double left =
-      limit.PerWindow() - CommittedTokens(others, use, reporting_daemons, now);
+  RecordFirstReport(daemon, use);
+  auto others = Others(daemon);
+  // Usage that was handed over may be that of daemons that have ended, or that
+  // report later and need their share as well.
+  const double unreported = UnreportedPriorTokens(now);
+  others.admitted += unreported;
+  others.requested += unreported;
+  others.committed +=
+      std::max(unreported, UnreportedPriorHolds(reporting_daemons, now));
+  const double left = limit.PerWindow() - others.committed - use.admitted;
   const double allowance = Allowance(others, use, limit, left);
   const auto continuation = use.held ? kQuotaContinuation : Duration(0);
   DaemonState state;
@@ -211,6 +220,7 @@
 void QuotaPool::SetPriorState(const PriorQuotaState& prior, TimePoint until) {
   prior_ = prior;
   prior_until_ = until;
+  prior_reported_ = {};
 }
 
 }  // namespace firmoor
--- a/libs/limits/tests/quota_continuation_test.cc
+++ b/libs/limits/tests/quota_continuation_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <string>
+
 #include "limits/quota_allowance.h"
 #include "limits/quota_pool.h"
 
@@ -154,4 +156,45 @@
   CHECK(allowance.IsIdle(end));
 }
 
+// Guards against callers within their quota that get 429 after a change of the
+// coordinator: daemons with few requests that reported first got what the one
+// with most of them needed.
+TEST_CASE("a new coordinator hears of the busiest daemon") {
+  constexpr int kQuietDaemons = 3;
+  const QuotaUsage busy{540, 540, 0, false, 640};
+  const double per_second = 540.0 / 8;
+  QuotaPool pool;
+  // Of 1,000 tokens, 600 are admitted: 20 at each of three daemons, and the
+  // rest at the busy one.
+  pool.SetPriorState({600, 200, kQuietDaemons + 1}, kStart + 5 * kSecond);
+  for (int i = 0; i < kQuietDaemons; ++i) {
+    pool.Grant({std::to_string(i), "1"}, {20, 20, 0, false, 30}, kLimit,
+               static_cast<std::size_t>(i + 1), kStart);
+  }
+  const auto report = [&](const QuotaUsage& use, TimePoint now) {
+    return pool.Grant(kDaemon, use, kLimit, kQuietDaemons + 1, now);
+  };
+
+  SUBCASE("last: it gets what it needs until its next report") {
+    CHECK(report(busy, kStart).tokens >= per_second);
+  }
+  SUBCASE("a second later, when it has admitted more") {
+    const QuotaUsage later{590, 590, 0, false, 640};
+    CHECK(report(later, kStart + kSecond).tokens >= per_second);
+  }
+  SUBCASE("or first") {
+    QuotaPool other;
+    other.SetPriorState({600, 200, kQuietDaemons + 1}, kStart + 5 * kSecond);
+    const auto grant = other.Grant(kDaemon, busy, kLimit, 1, kStart);
+    CHECK(grant.tokens >= per_second);
+  }
+  SUBCASE("and keeps what no report contains until it leaves the window") {
+    const QuotaUsage quieter{240, 240, 0, false, 340};
+    const auto grant = report(quieter, kStart);
+    CHECK(grant.tokens + grant.unassigned <= 1'000 - 600);
+    const auto end = kStart + 5 * kSecond + kQuotaContinuation;
+    CHECK(FreeTokens(pool, end) > 1'000 - 600);
+  }
+}
+
 }  // namespace firmoor
