Let one test at a time have a port

Seen: one of 98 runs of hand_over_process_test, eight side by side, did not start: "Cannot listen on 127.0.0.1:20452: The bound address is already in use."

Cause: a test looks for a port that is free by listening on it for a moment, and starts its daemon later. Another test that looks in between finds the same port.

Ruled out: an outgoing connection of another process; 20452 lies below the range for these.

--- a/libs/gateway/tests/coordinator_fixture.h
+++ b/libs/gateway/tests/coordinator_fixture.h
@@ -12,6 +12,7 @@
 
 #include "gateway/coordinator_service.h"
 #include "support/raw_socket.h"
+#include "support/reserved_port.h"
 #include "support/restorable_store.h"
 
 namespace firmoor {
@@ -180,12 +181,6 @@
   }
 };
 
-inline std::uint16_t FreePort() {
-  QTcpServer probe;
-  probe.listen(QHostAddress(QHostAddress::LocalHost), 0);
-  return probe.serverPort();
-}
-
 }  // namespace firmoor
 
 #endif  // FIRMOOR_GATEWAY_TESTS_COORDINATOR_FIXTURE_H_
--- a/libs/gateway/tests/coordinator_return_test.cc
+++ b/libs/gateway/tests/coordinator_return_test.cc
@@ -29,8 +29,9 @@
 TEST_CASE("the store of two daemons returns from an older copy") {
   MemoryStore store;
   RecordingCloudApi cloud;
-  auto first = std::make_unique<Daemon>("first", FreePort(), &store, &cloud);
-  auto second = std::make_unique<Daemon>("second", FreePort(), &store, &cloud);
+  auto first = std::make_unique<Daemon>("first", ReservePort(), &store, &cloud);
+  auto second =
+      std::make_unique<Daemon>("second", ReservePort(), &store, &cloud);
   REQUIRE(first->coordination.Start());
   REQUIRE(second->coordination.Start());
   REQUIRE(WaitUntil([&] { return !cloud.reports.empty(); }, 8'000));
--- a/libs/gateway/tests/coordinator_service_test.cc
+++ b/libs/gateway/tests/coordinator_service_test.cc
@@ -12,8 +12,9 @@
 TEST_CASE("two daemons elect one coordinator") {
   MemoryStore store;
   RecordingCloudApi cloud;
-  auto first = std::make_unique<Daemon>("first", FreePort(), &store, &cloud);
-  auto second = std::make_unique<Daemon>("second", FreePort(), &store, &cloud);
+  auto first = std::make_unique<Daemon>("first", ReservePort(), &store, &cloud);
+  auto second =
+      std::make_unique<Daemon>("second", ReservePort(), &store, &cloud);
   REQUIRE(first->coordination.Start());
   REQUIRE(second->coordination.Start());
   REQUIRE(WaitUntil([&] {
@@ -75,8 +76,9 @@
 TEST_CASE("a coordinator that drains hands the lease over") {
   MemoryStore store;
   RecordingCloudApi cloud;
-  auto first = std::make_unique<Daemon>("first", FreePort(), &store, &cloud);
-  auto second = std::make_unique<Daemon>("second", FreePort(), &store, &cloud);
+  auto first = std::make_unique<Daemon>("first", ReservePort(), &store, &cloud);
+  auto second =
+      std::make_unique<Daemon>("second", ReservePort(), &store, &cloud);
   REQUIRE(first->coordination.Start());
   REQUIRE(second->coordination.Start());
   REQUIRE(WaitUntil([&] {
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -4,10 +4,8 @@
 #include <fmt/format.h>
 #include <signal.h>
 
-#include <QCoreApplication>
 #include <QJsonArray>
 #include <QJsonDocument>
-#include <QTcpServer>
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
@@ -15,6 +13,7 @@
 #include "config/config_log.h"
 #include "config/configuration.h"
 #include "support/child_process.h"
+#include "support/reserved_port.h"
 
 namespace firmoor {
 namespace {
@@ -74,22 +73,6 @@
   return WaitUntil([this] { return done(); }, timeout_ms);
 }
 
-std::uint16_t Cluster::FreePort(const std::string& address) {
-  // Below the range from which the system takes ports for outgoing
-  // connections, since those could take one before its process listens.
-  constexpr int kFirstPort = 10'000;
-  constexpr int kPorts = 20'000;
-  static int next = static_cast<int>(QCoreApplication::applicationPid()) * 97;
-  for (int tries = 0; tries < kPorts; ++tries) {
-    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
-    QTcpServer probe;
-    if (probe.listen(QHostAddress(QString::fromStdString(address)), port)) {
-      return port;
-    }
-  }
-  return 0;
-}
-
 Cluster::Cluster(ClusterShape shape) : shape_(std::move(shape)) {
   std::vector<std::unique_ptr<Node>> single;
   platform_.reset();
@@ -145,7 +128,7 @@
   node->zone = std::move(zone);
   node->region = std::move(region);
   node->program = std::move(program);
-  node->endpoint = {"127.0.0.1", FreePort("127.0.0.1")};
+  node->endpoint = {"127.0.0.1", ReservePort()};
   node->arguments << "--listen"
                   << QString::fromStdString(node->endpoint.ToString());
   list->push_back(std::move(node));
@@ -158,13 +141,13 @@
                        zone.name, zone.region, "apps/firmoord/firmoord");
   // One loopback address for each daemon tells the relay who speaks.
   const auto address = fmt::format("127.0.{}.{}", zone_index + 1, index + 1);
-  node->endpoint = {address, FreePort(address)};
-  node->operators = {address, FreePort(address)};
-  node->observe = {address, FreePort(address)};
-  node->peers = {address, FreePort(address)};
+  node->endpoint = {address, ReservePort(address)};
+  node->operators = {address, ReservePort(address)};
+  node->observe = {address, ReservePort(address)};
+  node->peers = {address, ReservePort(address)};
   node->peers_advertised = node->peers;
   if (shape_.relay) {
-    node->peers_advertised = {"127.0.0.1", FreePort("127.0.0.1")};
+    node->peers_advertised = {"127.0.0.1", ReservePort()};
   }
   const auto file =
       directory_.filePath(QString::fromStdString(node->name + ".toml"));
@@ -193,7 +176,7 @@
     add(daemon->name, daemon->peers_advertised, daemon->peers);
   }
   for (const auto& zone : shape_.zones) {
-    const Endpoint listen{"127.0.0.1", FreePort("127.0.0.1")};
+    const Endpoint listen{"127.0.0.1", ReservePort()};
     platform_routes_[zone.name] = listen;
     add("platform-" + zone.name, listen, platform_->endpoint);
   }
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -163,7 +163,6 @@
   void StartRelay();
   void SendCuts();
   Endpoint PlatformFor(const std::string& zone) const;
-  static std::uint16_t FreePort(const std::string& address);
 
   ClusterShape shape_;
   QTemporaryDir directory_;
