Let a draining daemon leave an expired lease to others

By the logs the coordinator was lost at 20.9 s, and the lease was taken at 25.2 s by a daemon that had drained since 21.6 s and stopped at 25.9 s, so that it expired once more and the verdict came 2 s after the next one was taken at 28.4 s.

Cause: an expired lease goes to whoever asks first, also if it is about to stop; and such a holder can't hand over, as its term is younger than a lease.

Now a draining daemon waits a lease longer before it takes one, in which any daemon that stays does; if there is none it takes it then. The only daemon of a fleet does not wait.

The new case fails without the wait (the draining daemon holds the lease within 3.2 s) and passes with it.

--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -199,9 +199,12 @@
 void CoordinatorService::Impl::PollLease() {
   if (!running) return;
   if (coordinator) lease.SetHandoverState(MakeHandoverState().Encode());
-  lease.SetStagger(LeaseStagger(env.gateway->SharingDaemonCount(),
-                                settings.cores, settings.instance_id));
-  if (coordinator && env.gateway->IsDraining()) TryHandOver();
+  const auto daemons = env.gateway->SharingDaemonCount();
+  const bool drains = env.gateway->IsDraining();
+  lease.SetStagger(
+      LeaseStagger(daemons, settings.cores, settings.instance_id) +
+      (drains ? DrainingStagger(daemons, settings.lease) : Duration(0)));
+  if (coordinator && drains) TryHandOver();
   const auto call = lease.NextCall(MonotonicNow());
   if (coordinator) {
     ReportUsage();
--- a/libs/gateway/tests/coordinator_service_test.cc
+++ b/libs/gateway/tests/coordinator_service_test.cc
@@ -122,4 +122,35 @@
   }
 }
 
+// Guards against a lease that is taken by a daemon that stops soon after, so
+// that the fleet has no coordinator twice (soak seed 1041).
+TEST_CASE("a daemon that drains leaves an expired lease to others") {
+  MemoryStore store;
+  RecordingCloudApi cloud;
+  const auto make = [&](const char* name) {
+    auto daemon = std::make_unique<Daemon>(name, ReservePort(), &store, &cloud);
+    REQUIRE(daemon->coordination.Start());
+    return daemon;
+  };
+  const auto holder = make("holder");
+  REQUIRE(WaitUntil([&] { return holder->coordination.IsHolder(); }, 9'000));
+  const auto draining = make("draining");
+  RunFor(2'500);
+  draining->gateway.StartDrain(MonotonicNow() + Duration(20'000));
+
+  SUBCASE("to one that stays") {
+    const auto other = make("other");
+    RunFor(2'500);
+    holder->coordination.Stop();
+    CHECK(WaitUntil([&] { return other->coordination.IsHolder(); }, 3'500));
+    CHECK(!draining->coordination.IsHolder());
+  }
+  SUBCASE("and takes it a lease later if there is none") {
+    holder->coordination.Stop();
+    RunFor(3'200);
+    CHECK(!draining->coordination.IsHolder());
+    CHECK(WaitUntil([&] { return draining->coordination.IsHolder(); }, 3'000));
+  }
+}
+
 }  // namespace firmoor
--- a/libs/placement/include/placement/lease_stagger.h
+++ b/libs/placement/include/placement/lease_stagger.h
@@ -16,6 +16,11 @@
 Duration LeaseStagger(std::size_t daemons, double cores,
                       std::string_view instance_id);
 
+/// Returns how much longer a daemon waits that is about to stop: `lifetime` of
+/// the lease, in which one that stays takes it. Zero for the only daemon.
+/// Performs no I/O.
+Duration DrainingStagger(std::size_t daemons, Duration lifetime);
+
 }  // namespace firmoor
 
 #endif  // FIRMOOR_PLACEMENT_LEASE_STAGGER_H_
--- a/libs/placement/src/lease_stagger.cc
+++ b/libs/placement/src/lease_stagger.cc
@@ -34,4 +34,8 @@
   return Duration(1 + static_cast<std::int64_t>(slow_vm_delay + jitter));
 }
 
+Duration DrainingStagger(std::size_t daemons, Duration lifetime) {
+  return daemons > 1 ? lifetime : Duration(0);
+}
+
 }  // namespace firmoor
--- a/libs/placement/tests/placement_test.cc
+++ b/libs/placement/tests/placement_test.cc
@@ -213,6 +213,10 @@
     CHECK(wait(0.12) - wait(1) >= Duration(700));
     CHECK(wait(0.01) - wait(1) == Duration(900));
   }
+  SUBCASE("is a lease longer before a stop, but not for the only daemon") {
+    CHECK(DrainingStagger(2, Duration(3'000)) == Duration(3'000));
+    CHECK(DrainingStagger(1, Duration(3'000)) == Duration(0));
+  }
 }
 
 TEST_CASE("hundreds of daemons compete for one lease (coordinator lost)") {
