Give tests closed ports that no listener gets

Cause: the port of an upstream that refuses connections was one that the system had just given to a listener and that was free again. The next listener of the same test, the upstream that must not be reached, got the same port: 85 of 120,000 such pairs of a listener that is closed and the next one were equal (6 processes, each 20,000), and the test has 18 sections, so that 1.3 % of its runs are expected to fail.

--- a/libs/gateway/tests/delegation_fleet.h
+++ b/libs/gateway/tests/delegation_fleet.h
@@ -16,6 +16,7 @@
 #include "gateway_fixture.h"
 #include "log_pipe.h"
 #include "peer/peer_node.h"
+#include "support/reserved_port.h"
 
 namespace firmoor {
 
@@ -25,11 +26,7 @@
 constexpr int kPromptlyMs = 300;
 
 /// The address of a port that refuses connections.
-inline Endpoint ClosedPort() {
-  QTcpServer listener;
-  REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
-  return {"127.0.0.1", listener.serverPort()};
-}
+inline Endpoint ClosedPort() { return {"127.0.0.1", ReservePort()}; }
 
 /// A port whose connections are never established: its queue of connections is
 /// full.
--- a/libs/gateway/tests/gateway_connect_pause_test.cc
+++ b/libs/gateway/tests/gateway_connect_pause_test.cc
@@ -7,6 +7,7 @@
 
 #include "gateway_fixture.h"
 #include "support/packet_drop.h"
+#include "support/reserved_port.h"
 
 namespace firmoor {
 namespace {
@@ -63,9 +64,7 @@
   const auto caller = fixture.SendRequest("resumable");
   REQUIRE(caller->WaitFor("id: 1"));
   QTcpServer starting;
-  REQUIRE(starting.listen(QHostAddress(QHostAddress::LocalHost), 0));
-  const auto port = starting.serverPort();
-  starting.close();
+  const auto port = ReservePort();
   fixture.AddUpstream("b", Endpoint{"127.0.0.1", port});
   RunFor(2'000);
   REQUIRE(starting.listen(QHostAddress(QHostAddress::LocalHost), port));
--- a/libs/gateway/tests/gateway_silence_race_test.cc
+++ b/libs/gateway/tests/gateway_silence_race_test.cc
@@ -1,13 +1,13 @@
 #include <doctest/doctest.h>
 
 #include <QHostAddress>
-#include <QTcpServer>
 #include <QTimer>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "silent_upstreams.h"
+#include "support/reserved_port.h"
 
 namespace firmoor {
 namespace {
@@ -308,11 +308,7 @@
   fixture.AddUpstream("a", a);
   auto stream = fixture.SendRequest("resumable");
   REQUIRE(stream->WaitFor("id: 1"));
-  const auto closed = [] {
-    QTcpServer listener;
-    REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
-    return Endpoint{"127.0.0.1", listener.serverPort()};
-  }();
+  const Endpoint closed{"127.0.0.1", ReservePort()};
   fixture.AddUpstream("b", closed);
   REQUIRE(stream->WaitFor("id: 2", 2'500));
   fixture.AddUpstream("b", closed, true);
--- a/libs/gateway/tests/gateway_silence_test.cc
+++ b/libs/gateway/tests/gateway_silence_test.cc
@@ -1,13 +1,13 @@
 #include <doctest/doctest.h>
 
 #include <QJsonObject>
-#include <QTcpServer>
 #include <QTimer>
 #include <memory>
 #include <string>
 
 #include "gateway_fixture.h"
 #include "log_pipe.h"
+#include "support/reserved_port.h"
 
 namespace firmoor {
 namespace {
@@ -91,13 +91,7 @@
     CHECK(stream.Completes());
   }
   SUBCASE("that refuses the connection") {
-    Endpoint closed{"127.0.0.1", 0};
-    {
-      QTcpServer listener;
-      REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
-      closed.port = listener.serverPort();
-    }
-    stream.fixture.AddUpstream("b", closed);
+    stream.fixture.AddUpstream("b", Endpoint{"127.0.0.1", ReservePort()});
     CHECK(stream.Completes());
   }
   SUBCASE("that is silent before its head") {
