Trust what was handed over only if nothing was granted since

The first report of a daemon that got 400 tokens since then was subtracted from it whole, so that 150 seemed to be held elsewhere where a daemon that was cut off went on with 500: up to 1,350 of 1,000 tokens.

A daemon that started in the window is subtracted up to what the previous coordinator had granted it, so that its usage does not count twice. And a second hand-over passes on what no daemon has reported since the first: 600 of 800 tokens were told before.

A draining daemon read the lease as late as it might take it, and so found the next coordinator up to 3 s later than before (by reading, from the review). It now reads it as before and only the write waits.

--- a/libs/gateway/include/gateway/coordination.h
+++ b/libs/gateway/include/gateway/coordination.h
@@ -198,6 +198,8 @@
   TimePoint started_at_;
   CoordinatorHandoverState previous_;
   TimePoint previous_until_;
+  /// The previous coordinator handed over and has granted nothing since.
+  bool is_previous_final_ = false;
   std::map<std::string, QuotaPool> quotas_;  ///< By workspace.
   UpstreamLimitDivider upstream_limits_;
   QuarantineAuthority quarantine_;
--- a/libs/gateway/src/coordination.cc
+++ b/libs/gateway/src/coordination.cc
@@ -54,7 +54,8 @@
   };
   found->second.SetPriorState(
       {tokens_of(previous_.used_tokens),
-       tokens_of(previous_.outstanding_tokens), previous_.daemons},
+       tokens_of(previous_.outstanding_tokens), previous_.daemons,
+       is_previous_final_},
       previous_until_);
   return found->second;
 }
@@ -207,6 +208,7 @@
 }
 
 void Coordinator::OnNotice(const HandOverNotice& notice) {
+  is_previous_final_ = true;
   expected_daemons_ = notice.reporting;
   for (const auto& [instance, windows] : notice.ended_usage) {
     usage_.OnReport(instance, windows);
--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -201,9 +201,9 @@
   if (coordinator) lease.SetHandoverState(MakeHandoverState().Encode());
   const auto daemons = env.gateway->SharingDaemonCount();
   const bool drains = env.gateway->IsDraining();
-  lease.SetStagger(
-      LeaseStagger(daemons, settings.cores, settings.instance_id) +
-      (drains ? DrainingStagger(daemons, settings.lease) : Duration(0)));
+  lease.SetStagger(LeaseStagger(daemons, settings.cores, settings.instance_id));
+  lease.SetTakeoverDelay(drains ? DrainingTakeoverDelay(daemons, settings.lease)
+                                : Duration(0));
   if (coordinator && drains) TryHandOver();
   const auto call = lease.NextCall(MonotonicNow());
   if (coordinator) {
--- a/libs/limits/include/limits/quota_pool.h
+++ b/libs/limits/include/limits/quota_pool.h
@@ -84,6 +84,8 @@
   double admitted = 0;      ///< Tokens admitted by all daemons in the window.
   double outstanding = 0;   ///< Tokens granted but not used yet.
   std::size_t daemons = 0;  ///< Known daemons.
+  /// Whether its coordinator has granted nothing since.
+  bool is_final = false;
 
   bool operator==(const PriorQuotaState&) const = default;
 };
@@ -139,7 +141,8 @@
   struct Sums {
     double admitted = 0;
     double requested = 0;
-    double committed = 0;  ///< Admitted, or held as allowance.
+    double committed = 0;         ///< Admitted, or held as allowance.
+    double committed_by_new = 0;  ///< Of daemons that started in the window.
     std::size_t count = 0;
     std::size_t active_count = 0;  ///< Daemons with requests in the window.
 
@@ -163,13 +166,19 @@
   /// Subtracts what the daemon's first report contains from the state that was
   /// handed over.
   void RecordFirstReport(const DaemonInstance& daemon, const QuotaUsage& use);
-  /// Tokens of the window that the previous coordinator knew to be admitted and
-  /// that no daemon has reported to this one.
-  [[nodiscard]] double UnreportedPriorTokens(TimePoint now) const;
+  /// Tokens of the window that a previous coordinator that granted nothing
+  /// since knew to be admitted, and that no daemon has reported to this one.
+  [[nodiscard]] double UnreportedTokens(TimePoint now) const;
   /// Upper estimate of the tokens that daemons which do not report may go on
   /// with.
-  [[nodiscard]] double UnreportedPriorHolds(std::size_t reporting_daemons,
-                                            TimePoint now) const;
+  [[nodiscard]] double UnreportedHolds(std::size_t reporting_daemons,
+                                       TimePoint now) const;
+  /// Tokens of the window that are not available for a grant: admitted, held by
+  /// other daemons, or possibly used by daemons that do not report.
+  [[nodiscard]] double CommittedTokens(const Sums& others,
+                                       const QuotaUsage& use,
+                                       std::size_t reporting_daemons,
+                                       TimePoint now) const;
   /// Allowance of the reporting daemon if `left` tokens are available.
   [[nodiscard]] static double Allowance(const Sums& others,
                                         const QuotaUsage& use,
--- a/libs/limits/src/quota_pool.cc
+++ b/libs/limits/src/quota_pool.cc
@@ -35,17 +35,21 @@
 }
 
 void QuotaPool::Sums::Add(const DaemonState& state) {
+  const double committed_now = state.Committed();
   admitted += state.admitted;
   requested += state.requested;
-  committed += state.Committed();
+  committed += committed_now;
+  if (state.started_in_window) committed_by_new += committed_now;
   if (state.requested > 0) ++active_count;
   ++count;
 }
 
 void QuotaPool::Sums::Remove(const DaemonState& state) {
+  const double committed_now = state.Committed();
   admitted -= state.admitted;
   requested -= state.requested;
-  committed -= state.Committed();
+  committed -= committed_now;
+  if (state.started_in_window) committed_by_new -= committed_now;
   if (state.requested > 0) --active_count;
   --count;
   // Discard accumulated rounding errors.
@@ -109,23 +113,40 @@
 
 void QuotaPool::RecordFirstReport(const DaemonInstance& daemon,
                                   const QuotaUsage& use) {
-  // What a new daemon has admitted is not part of the state handed over.
-  if (use.started_in_window || daemons_.contains(daemon)) return;
-  prior_reported_.admitted += use.admitted;
-  prior_reported_.held += std::max(use.admitted, use.held.value_or(0));
+  if (daemons_.contains(daemon)) return;
+  const double held = use.held.value_or(use.admitted);
+  // The previous coordinator knew of a new daemon's usage if it granted it.
+  prior_reported_.admitted +=
+      use.started_in_window ? std::min(use.admitted, held) : use.admitted;
+  prior_reported_.held += held;
 }
 
-double QuotaPool::UnreportedPriorTokens(TimePoint now) const {
-  if (now >= prior_until_) return 0;
+double QuotaPool::UnreportedTokens(TimePoint now) const {
+  if (!prior_.is_final || now >= prior_until_) return 0;
   return std::max(0.0, prior_.admitted - prior_reported_.admitted);
 }
 
-double QuotaPool::UnreportedPriorHolds(std::size_t reporting_daemons,
-                                       TimePoint now) const {
+double QuotaPool::UnreportedHolds(std::size_t reporting_daemons,
+                                  TimePoint now) const {
   if (now >= prior_until_ + kQuotaContinuation) return 0;
   const double all = prior_.admitted + prior_.outstanding;
-  return std::min(std::max(0.0, all - prior_reported_.held),
-                  all * MissingFraction(reporting_daemons));
+  const double estimate = all * MissingFraction(reporting_daemons);
+  return prior_.is_final ? std::clamp(all - prior_reported_.held, 0.0, estimate)
+                         : estimate;
+}
+
+double QuotaPool::CommittedTokens(const Sums& others, const QuotaUsage& use,
+                                  std::size_t reporting_daemons,
+                                  TimePoint now) const {
+  const double all = others.committed + use.admitted;
+  // Daemons that do not report may use all that they hold.
+  const double held = UnreportedHolds(reporting_daemons, now);
+  if (now >= prior_until_) return all + held;
+  // Usage that was handed over may be that of daemons that have ended.
+  const double new_daemons =
+      others.committed_by_new + (use.started_in_window ? use.admitted : 0);
+  return std::max(all + std::max(held, UnreportedTokens(now)),
+                  prior_.admitted + new_daemons);
 }
 
 double QuotaPool::Allowance(const Sums& others, const QuotaUsage& use,
@@ -167,14 +188,13 @@
   RetireEarlierInstances(daemon, limit, now);
   RecordFirstReport(daemon, use);
   auto others = Others(daemon);
-  // Usage that was handed over may be that of daemons that have ended, or that
-  // report later and need their share as well.
-  const double unreported = UnreportedPriorTokens(now);
+  const double left =
+      limit.PerWindow() - CommittedTokens(others, use, reporting_daemons, now);
+  // Daemons that report later need their shares as well.
+  const double unreported = UnreportedTokens(now);
   others.admitted += unreported;
   others.requested += unreported;
-  others.committed +=
-      std::max(unreported, UnreportedPriorHolds(reporting_daemons, now));
-  const double left = limit.PerWindow() - others.committed - use.admitted;
+  others.committed += unreported;
   const double allowance = Allowance(others, use, limit, left);
   const auto continuation = use.held ? kQuotaContinuation : Duration(0);
   DaemonState state;
@@ -198,7 +218,9 @@
   for (const auto& [instance, state] : daemons_) {
     if (state.IsInWindow(limit, now)) used += state.admitted;
   }
-  return now < prior_until_ ? std::max(used, prior_.admitted) : used;
+  return now < prior_until_
+             ? std::max(used + UnreportedTokens(now), prior_.admitted)
+             : used;
 }
 
 double QuotaPool::Outstanding(const QuotaLimit& limit, TimePoint now) const {
--- a/libs/limits/tests/quota_continuation_test.cc
+++ b/libs/limits/tests/quota_continuation_test.cc
@@ -156,6 +156,29 @@
   CHECK(allowance.IsIdle(end));
 }
 
+// Guards against a quota that is granted again while a daemon that is cut off
+// goes on with its part: the state handed over was older than a large grant,
+// which was taken for that part.
+TEST_CASE("a state that is older than the last grants") {
+  QuotaPool pool;
+  // One daemon had 100 and got 400 more since; the other one has 400 and may
+  // use 100 more.
+  pool.SetPriorState({500, 150, 3}, kStart + 5 * kSecond);
+  const QuotaUsage use{500, 900, 400, false, 500};
+  CHECK(pool.Grant(kDaemon, use, kLimit, 1, kStart).tokens <= 0);
+}
+
+// Guards against a second hand-over that forgets what no daemon had reported
+// after the first one.
+TEST_CASE("usage of an ended daemon is handed over twice") {
+  QuotaPool pool;
+  pool.SetPriorState({600, 0, 2, true}, kStart + 8 * kSecond);
+  pool.Grant(kDaemon, {300, 300, 0, false, 300}, kLimit, 2, kStart);
+  const QuotaUsage later{500, 500, 0, false, 500};
+  pool.Grant(kDaemon, later, kLimit, 2, kStart + 3 * kSecond);
+  CHECK(pool.Used(kLimit, kStart + 3 * kSecond) == 800);
+}
+
 // Guards against callers within their quota that get 429 after a change of the
 // coordinator: daemons with few requests that reported first got what the one
 // with most of them needed.
@@ -166,7 +189,7 @@
   QuotaPool pool;
   // Of 1,000 tokens, 600 are admitted: 20 at each of three daemons, and the
   // rest at the busy one.
-  pool.SetPriorState({600, 200, kQuietDaemons + 1}, kStart + 5 * kSecond);
+  pool.SetPriorState({600, 200, kQuietDaemons + 1, true}, kStart + 5 * kSecond);
   for (int i = 0; i < kQuietDaemons; ++i) {
     pool.Grant({std::to_string(i), "1"}, {20, 20, 0, false, 30}, kLimit,
                static_cast<std::size_t>(i + 1), kStart);
@@ -184,7 +207,8 @@
   }
   SUBCASE("or first") {
     QuotaPool other;
-    other.SetPriorState({600, 200, kQuietDaemons + 1}, kStart + 5 * kSecond);
+    other.SetPriorState({600, 200, kQuietDaemons + 1, true},
+                        kStart + 5 * kSecond);
     const auto grant = other.Grant(kDaemon, busy, kLimit, 1, kStart);
     CHECK(grant.tokens >= per_second);
   }
--- a/libs/limits/tests/quota_fleet_model.cc
+++ b/libs/limits/tests/quota_fleet_model.cc
@@ -75,7 +75,7 @@
   }
   coordinator_since_ = now_ - kInitialReportWait;
   At(now_ + kReportPeriod, [this] { PlanRequest(); });
-  At(now_, [this] { SaveHandoverState(); });
+  At(now_, [this] { RenewLease(); });
 }
 
 double QuotaFleetModel::RequestsPerS() const {
@@ -84,16 +84,18 @@
   return UsualRequestsPerS(daemons_.size()) * weight / usual_weight_;
 }
 
-void QuotaFleetModel::SaveHandoverState() {
-  if (coordinator_ != 0) {
-    handed_over_at_ = now_;
-    for (auto& workspace : workspaces_) {
-      workspace.handed_over = {
-          workspace.pool.Used(workspace.limit, now_),
-          workspace.pool.Outstanding(workspace.limit, now_), daemons_.size()};
-    }
+void QuotaFleetModel::SaveHandoverState(bool is_final) {
+  handed_over_at_ = now_;
+  for (auto& workspace : workspaces_) {
+    workspace.handed_over = {workspace.pool.Used(workspace.limit, now_),
+                             workspace.pool.Outstanding(workspace.limit, now_),
+                             daemons_.size(), is_final};
   }
-  At(now_ + kRenewalPeriod, [this] { SaveHandoverState(); });
+}
+
+void QuotaFleetModel::RenewLease() {
+  if (coordinator_ != 0) SaveHandoverState();
+  At(now_ + kRenewalPeriod, [this] { RenewLease(); });
 }
 
 void QuotaFleetModel::LoseCoordinator() { coordinator_ = 0; }
@@ -104,8 +106,8 @@
   reporting_.clear();
   for (auto& workspace : workspaces_) {
     workspace.pool = {};
-    workspace.pool.SetPriorState(workspace.handed_over,
-                                 now_ - kLease + kWindow);
+    const auto age = workspace.handed_over.is_final ? Duration(0) : kLease;
+    workspace.pool.SetPriorState(workspace.handed_over, now_ - age + kWindow);
   }
   std::uniform_int_distribution<std::int64_t> delay(0, kReportPeriod.count());
   for (auto& daemon : daemons_) {
@@ -113,6 +115,15 @@
   }
 }
 
+void QuotaFleetModel::HandOver() {
+  SaveHandoverState(true);
+  StartCoordinator();
+  // A daemon that reports to the previous one is told.
+  for (auto& daemon : daemons_) {
+    daemon.finds_coordinator_at = now_ + 2 * daemon.latency;
+  }
+}
+
 void QuotaFleetModel::Restart(std::size_t index) {
   auto& daemon = daemons_[index];
   daemon.instance_id += "'";
--- a/libs/limits/tests/quota_fleet_model.h
+++ b/libs/limits/tests/quota_fleet_model.h
@@ -47,6 +47,8 @@
   void LoseCoordinator();
   /// Starts the next coordinator, which the daemons find within a second.
   void StartCoordinator();
+  /// The coordinator hands over to the next one, with what it knows now.
+  void HandOver();
   /// Cuts the first `count` daemons off from every coordinator.
   void CutOff(std::size_t count) { cut_off_ = count; }
   /// Ends the first `count` daemons; the others get their requests.
@@ -110,7 +112,8 @@
   [[nodiscard]] std::size_t Redirect(std::size_t daemon,
                                      std::size_t workspace) const;
   [[nodiscard]] double RequestsPerS() const;
-  void SaveHandoverState();
+  void SaveHandoverState(bool is_final = false);
+  void RenewLease();
   void Admit(const Request& request);
   double Used(Workspace* workspace);
 
--- a/libs/limits/tests/quota_gap_test.cc
+++ b/libs/limits/tests/quota_gap_test.cc
@@ -15,6 +15,8 @@
 // A lease that nobody renews, and the time until the next daemon takes it.
 constexpr Duration kGap{5'500};
 // A cut for which the coordinator holds what the daemons may go on with.
+// The lease, with what is handed over, is renewed more seldom.
+constexpr Duration kBetweenRenewals{900};
 constexpr Duration kHeldCut{16'000};
 // Part of a quota by which the sum over all daemons may exceed it: each daemon
 // without a coordinator may use an eighth of its part of what was unassigned,
@@ -116,6 +118,36 @@
       CheckSum("hot, cut off from both coordinators", daemons, fleet,
                kMaxExcessOfQuarter);
     }
+    SUBCASE("when what was handed over is older than a large grant") {
+      fleet.Heat(kAllWorkspaces, kHeat);
+      fleet.Run(kBetweenRenewals);
+      fleet.LoseCoordinator();
+      fleet.CutOff(daemons / 4);
+      fleet.Run(kGap);
+      fleet.StartCoordinator();
+      fleet.Run(kHeldCut - kGap);
+      CheckSum("hot between two renewals, a quarter cut off", daemons, fleet,
+               kMaxExcessOfQuarter);
+    }
+    SUBCASE("when coordinators hand over and daemons restart meanwhile") {
+      fleet.Heat(kAllWorkspaces, kHeat);
+      for (std::size_t i = 0; i < daemons / 4; ++i) fleet.Restart(i);
+      fleet.Run(kSecond);
+      fleet.HandOver();
+      fleet.Run(4 * kSecond);
+      fleet.HandOver();
+      fleet.Run(10 * kSecond);
+      CheckSum("hot, handed over twice", daemons, fleet);
+    }
+    SUBCASE("when one hands over beside daemons that are cut off") {
+      fleet.Heat(kAllWorkspaces, kHeat);
+      fleet.Run(kSecond);
+      fleet.CutOff(daemons / 4);
+      fleet.HandOver();
+      fleet.Run(kHeldCut);
+      CheckSum("hot, handed over, a quarter cut off", daemons, fleet,
+               kMaxExcessOfQuarter);
+    }
     SUBCASE("beside daemons of an earlier build") {
       fleet.UseEarlierBuild(daemons / 2, false);
       fleet.Run(2 * kSecond);
--- a/libs/placement/include/placement/lease_elector.h
+++ b/libs/placement/include/placement/lease_elector.h
@@ -82,6 +82,10 @@
   /// daemon waits a different time, so that they do not all write at once.
   void SetStagger(Duration stagger) { stagger_ = stagger; }
 
+  /// Sets how much longer this daemon leaves an expired lease to others. It
+  /// reads the lease meanwhile.
+  void SetTakeoverDelay(Duration delay) { takeover_delay_ = delay; }
+
   /// Sets whether the whole system starts for the first time: nobody can have
   /// held the lease, so it is taken at once where it is absent, until the store
   /// returns from a copy.
@@ -229,6 +233,7 @@
   TimePoint acquired_at_;
   TimePoint next_call_;
   Duration stagger_{0};
+  Duration takeover_delay_{0};
   TimePoint read_at_;
   TimePoint absent_since_;  ///< Valid if there is no lease object.
   bool is_store_lost_ = false;
--- a/libs/placement/src/lease_elector.cc
+++ b/libs/placement/src/lease_elector.cc
@@ -183,7 +183,8 @@
   const auto available_at = std::max(now, AvailableAt(now));
   if (stagger_ > Duration(0)) {
     next_call_ = IsLeaseObsolete() ? now + timing_.renewal_interval + stagger_
-                                   : available_at;
+                                   : std::max(now + kRetryDelay,
+                                              available_at - takeover_delay_);
   }
   next_call_ = std::min(next_call_, available_at);
 }
@@ -306,8 +307,10 @@
           : unchanged_end;
   // The staggers of all daemons pass while the store is away, so they start
   // again when it is back.
-  return stagger_ == Duration(0) ? end
-                                 : std::max(end, store_regained_at_) + stagger_;
+  const auto taken_by_others =
+      stagger_ == Duration(0) ? end
+                              : std::max(end, store_regained_at_) + stagger_;
+  return taken_by_others + takeover_delay_;
 }
 
 void LeaseElector::OnHolderClock(const LeaseClock& clock, TimePoint now) {
--- a/libs/placement/src/lease_stagger.cc
+++ b/libs/placement/src/lease_stagger.cc
@@ -34,7 +34,7 @@
   return Duration(1 + static_cast<std::int64_t>(slow_vm_delay + jitter));
 }
 
-Duration DrainingStagger(std::size_t daemons, Duration lifetime) {
+Duration DrainingTakeoverDelay(std::size_t daemons, Duration lifetime) {
   return daemons > 1 ? lifetime : Duration(0);
 }
 
--- a/libs/placement/tests/lease_hand_over_test.cc
+++ b/libs/placement/tests/lease_hand_over_test.cc
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <optional>
+
 #include "placement/lease_elector.h"
 
 namespace firmoor {
@@ -93,4 +96,45 @@
   }
 }
 
+// Guards against a draining daemon that finds the next coordinator seconds
+// late, since it does not read the lease while it leaves it to others.
+TEST_CASE("a daemon that leaves an expired lease to others") {
+  auto holder = MakeElector("a", "a/1");
+  REQUIRE(holder.NextCall(kStart));
+  holder.OnRead(StoreStatus::kNotFound, {}, kStart);
+  const auto lease = holder.NextCall(kStart);
+  REQUIRE(lease);
+  auto other = MakeElector("b", "b/1");
+  other.SetTakeoverDelay(kTiming.lifetime);
+  Duration stagger(0);
+  SUBCASE("in a small fleet") {}
+  SUBCASE("in a large fleet") { stagger = Duration(400); }
+  other.SetStagger(stagger);
+  Read(&other, lease->value, 1, kStart);
+
+  const auto expired = kStart + kTiming.lifetime + stagger;
+  auto now = kStart;
+  auto last_read = expired;
+  std::optional<LeaseElector::Call> write;
+  while (!write && now < expired + 2 * kTiming.lifetime) {
+    now += Duration(10);
+    const auto call = other.NextCall(now);
+    if (!call) continue;
+    if (call->is_write) {
+      write = call;
+      break;
+    }
+    CHECK(now - std::max(last_read, expired) <= Duration(500));
+    last_read = now;
+    StoredObject object;
+    object.value = lease->value;
+    object.version = {0, 1};
+    other.OnRead(StoreStatus::kOk, object, now);
+  }
+  REQUIRE(write);
+  CHECK(now - last_read <= Duration(500));
+  CHECK(now >= expired + kTiming.lifetime);
+  CHECK(now <= expired + kTiming.lifetime + Duration(500));
+}
+
 }  // namespace firmoor
--- a/libs/placement/tests/placement_test.cc
+++ b/libs/placement/tests/placement_test.cc
@@ -214,8 +214,8 @@
     CHECK(wait(0.01) - wait(1) == Duration(900));
   }
   SUBCASE("is a lease longer before a stop, but not for the only daemon") {
-    CHECK(DrainingStagger(2, Duration(3'000)) == Duration(3'000));
-    CHECK(DrainingStagger(1, Duration(3'000)) == Duration(0));
+    CHECK(DrainingTakeoverDelay(2, Duration(3'000)) == Duration(3'000));
+    CHECK(DrainingTakeoverDelay(1, Duration(3'000)) == Duration(0));
   }
 }
 
