Send responses to other daemons wholly before an idle daemon stops

What callers saw: 502 from a daemon that had passed their request on, although the daemon that served it had the whole answer. That a stream is cut in the same way follows from the code and was not run.

Cause: a request that another daemon passed on ends here when its answer is complete (Exchange::Finish, Http2Connection::FinishSeries), whatever the other daemon has taken of it: what exceeds the stream's window of 4 MB waits in the stream, the rest at the socket. An idle daemon that drains then stops within 150 ms (kDrainCheckInterval, kLastResponseTime), and PeerNode::Stop aborts the connections.

Now a connection knows whether a completed series was not wholly handed to the kernel, and the daemon does not stop for being idle until then. Its listener closes as before, and the last margin stays as it is.

New sections of peer_test show when a series counts as unsent: not while it is in work, nor when its client has left.

Ruled out: that the request counts as active until the last byte is sent (it does not), and that kLastResponseTime covers it: it waits 50 ms, whatever is left. By reading, small responses are not affected.

Remains: what the kernel holds when the process ends is sent by the kernel, unless the other daemon sends something on that connection meanwhile. Not measured.

--- a/libs/gateway/include/gateway/coordinator_service.h
+++ b/libs/gateway/include/gateway/coordinator_service.h
@@ -71,6 +71,8 @@
 
   /// Whether this daemon runs the coordinator.
   [[nodiscard]] bool IsHolder() const;
+  /// Whether a complete response to another daemon is not wholly sent.
+  [[nodiscard]] bool HasUnsentResponse() const;
 
   /// The store returned from an older copy, see `StoreEra`.
   void OnStoreReturned(std::int64_t era);
--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -437,4 +437,8 @@
   return impl_->coordinator.has_value();
 }
 
+bool CoordinatorService::HasUnsentResponse() const {
+  return impl_->peers->HasUnsentSeries();
+}
+
 }  // namespace firmoor
--- a/libs/gateway/src/details/drain_steps.cc
+++ b/libs/gateway/src/details/drain_steps.cc
@@ -13,8 +13,8 @@
   const bool is_idle = progress.elapsed >= kBalancerDetectionTime &&
                        progress.requests == 0 && progress.connections == 0;
   if (!is_idle) return DrainStep::kServe;
-  return progress.is_listener_closed ? DrainStep::kStop
-                                     : DrainStep::kCloseListener;
+  if (!progress.is_listener_closed) return DrainStep::kCloseListener;
+  return progress.has_unsent_response ? DrainStep::kServe : DrainStep::kStop;
 }
 
 }  // namespace firmoor::details
--- a/libs/gateway/src/details/drain_steps.h
+++ b/libs/gateway/src/details/drain_steps.h
@@ -26,12 +26,15 @@
   std::size_t requests = 0;     ///< In work.
   std::size_t connections = 0;  ///< Of callers.
   bool is_listener_closed = false;
+  /// A complete response to another daemon is not wholly sent.
+  bool has_unsent_response = false;
 
   bool operator==(const DrainProgress&) const = default;
 };
 
 /// A daemon that has nothing left stops early, but closes its listener first:
-/// callers may still connect until then. Performs no I/O.
+/// callers may still connect until then. What other daemons wait for does not
+/// keep the listener open. Performs no I/O.
 DrainStep NextDrainStep(const DrainProgress& progress);
 
 }  // namespace firmoor::details
--- a/libs/gateway/src/details/gateway_settings.cc
+++ b/libs/gateway/src/details/gateway_settings.cc
@@ -8,6 +8,9 @@
 // A watch of the store may miss changes for a second before it is disconnected,
 // and a request takes some time to reach its upstream.
 constexpr Duration kFreshnessMargin{1'300};
+// Lower limit of the time for receiving a request, since callers may send a
+// long body over a slow link.
+constexpr Duration kMinRequestTimeout{10'000};
 
 }  // namespace
 
@@ -26,6 +29,16 @@
   return gateway;
 }
 
+HttpServerLimits ServerLimitsOf(const CallerLimits& limits,
+                                Duration idle_timeout) {
+  HttpServerLimits server;
+  server.header_bytes = limits.header_bytes;
+  server.body_bytes = limits.body_bytes;
+  server.request_timeout = std::max(limits.header_time, kMinRequestTimeout);
+  server.idle_timeout = idle_timeout;
+  return server;
+}
+
 void CopyReloadableSettings(const GatewayDaemonSettings& from,
                             GatewayDaemonSettings* to) {
   to->drain_time = from.drain_time;
--- a/libs/gateway/src/details/gateway_settings.h
+++ b/libs/gateway/src/details/gateway_settings.h
@@ -5,12 +5,18 @@
 
 #include "gateway/daemon_settings.h"
 #include "gateway/gateway.h"
+#include "http/http_server.h"
+#include "routing/route_table.h"
 
 namespace firmoor::details {
 
 /// What the gateway of a daemon needs of the daemon's settings.
 GatewaySettings GatewaySettingsOf(const GatewayDaemonSettings& settings);
 
+/// What the server for callers needs of the configuration's limits.
+HttpServerLimits ServerLimitsOf(const CallerLimits& limits,
+                                Duration idle_timeout);
+
 /// Copies the times and limits that a running daemon may change.
 void CopyReloadableSettings(const GatewayDaemonSettings& from,
                             GatewayDaemonSettings* to);
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -52,9 +52,6 @@
 constexpr Duration kVersionCheckDelay{400};
 // For the last responses to reach the kernel.
 constexpr Duration kLastResponseTime{50};
-// Lower limit of the time for receiving a request, since callers may send a
-// long body over a slow link.
-constexpr Duration kMinRequestTimeout{10'000};
 // Callers measure idle time from when they sent, and may still use an earlier
 // configuration's limit.
 constexpr Duration kIdleTimeoutMargin{2'000};
@@ -263,12 +260,7 @@
   const auto& limits = gateway.routes()->content().limits;
   max_idle_time =
       std::max(max_idle_time, limits.idle_timeout + kIdleTimeoutMargin);
-  HttpServerLimits applied;
-  applied.header_bytes = limits.header_bytes;
-  applied.body_bytes = limits.body_bytes;
-  applied.request_timeout = std::max(limits.header_time, kMinRequestTimeout);
-  applied.idle_timeout = max_idle_time;
-  caller_server->SetLimits(applied);
+  caller_server->SetLimits(details::ServerLimitsOf(limits, max_idle_time));
 }
 
 KindWatcher::Hooks GatewayDaemon::Impl::UpstreamHooks() {
@@ -439,7 +431,7 @@
   const auto step = details::NextDrainStep(
       {MonotonicNow() - drain_started, settings.drain_time,
        gateway.ActiveRequestCount(), caller_server->ConnectionCount(),
-       is_listener_closed});
+       is_listener_closed, coordinator.HasUnsentResponse()});
   if (step == DrainStep::kServe) return;
   if (!std::exchange(is_listener_closed, true)) {
     log->Write("listener-closed", {{"idle", step != DrainStep::kStop}});
--- a/libs/gateway/tests/drain_steps_test.cc
+++ b/libs/gateway/tests/drain_steps_test.cc
@@ -32,9 +32,17 @@
       CHECK(NextDrainStep(progress) == DrainStep::kServe);
     }
   }
+  // Guards against callers of another daemon that get a part of their answer.
+  SUBCASE("does not stop while a response to another daemon is not sent") {
+    progress.has_unsent_response = true;
+    CHECK(NextDrainStep(progress) == DrainStep::kCloseListener);
+    progress.is_listener_closed = true;
+    CHECK(NextDrainStep(progress) == DrainStep::kServe);
+  }
   SUBCASE("stops before it would be killed, whatever is left") {
     progress.requests = 1;
     progress.connections = 1;
+    progress.has_unsent_response = true;
     progress.elapsed = progress.time - kStopMargin - Duration(1);
     CHECK(NextDrainStep(progress) == DrainStep::kServe);
     progress.elapsed = progress.time - kStopMargin;
--- a/libs/peer/include/peer/peer_node.h
+++ b/libs/peer/include/peer/peer_node.h
@@ -74,6 +74,9 @@
                                          const QByteArray& message,
                                          PeerStream::Handlers handlers);
 
+  /// Whether a series that this node completed was not wholly handed to the
+  /// kernel: `Stop` would cut it.
+  [[nodiscard]] bool HasUnsentSeries() const;
   [[nodiscard]] Traffic traffic() const;
   [[nodiscard]] std::uint16_t Port() const;
 
--- a/libs/peer/src/details/http2_connection.cc
+++ b/libs/peer/src/details/http2_connection.cc
@@ -180,6 +180,7 @@
     const auto length = nghttp2_session_mem_send(session_, &data);
     if (length <= 0) break;
     hooks_.traffic->sent += static_cast<std::uint64_t>(length);
+    written_ += static_cast<std::uint64_t>(length);
     socket_->write(reinterpret_cast<const char*>(data), length);
   }
   const bool ended = nghttp2_session_want_read(session_) == 0 &&
@@ -256,6 +257,7 @@
   auto stream = std::move(found->second);
   self->streams_.erase(found);
   if (stream.is_series) {
+    if (error == NGHTTP2_NO_ERROR) self->series_end_ = self->written_;
     const bool is_cancelled = error != NGHTTP2_NO_ERROR || !stream.is_finished;
     if (is_cancelled && stream.on_cancelled) {
       self->Defer(std::move(stream.on_cancelled));
--- a/libs/peer/src/details/http2_connection.h
+++ b/libs/peer/src/details/http2_connection.h
@@ -70,6 +70,9 @@
   [[nodiscard]] bool IsSeriesOpen(std::int32_t stream_id) const;
   [[nodiscard]] std::size_t UnsentBytes(std::int32_t stream_id) const;
 
+  /// Server: whether a completed series was not wholly handed to the kernel.
+  [[nodiscard]] bool HasUnsentSeries() const;
+
   [[nodiscard]] bool IsIdle() const { return streams_.empty(); }
   void Close();
 
@@ -145,6 +148,8 @@
   std::map<std::int32_t, Stream> streams_;
   std::map<std::uint64_t, QueuedCall> queued_calls_;  ///< By call id.
   std::uint64_t next_call_ = 1;
+  std::uint64_t written_ = 0;     ///< Bytes passed to the socket.
+  std::uint64_t series_end_ = 0;  ///< Of them, up to the last completed series.
   std::vector<std::function<void()>> deferred_;
   bool in_session_ = false;  ///< nghttp2 is processing what was received.
   bool connected_ = false;
--- a/libs/peer/src/details/http2_series.cc
+++ b/libs/peer/src/details/http2_series.cc
@@ -217,6 +217,15 @@
                                   found->second.sent + socket_->bytesToWrite());
 }
 
+bool Http2Connection::HasUnsentSeries() const {
+  if (closed_) return false;
+  const auto waiting = static_cast<std::uint64_t>(socket_->bytesToWrite());
+  return written_ < series_end_ + waiting ||
+         std::any_of(streams_.begin(), streams_.end(), [](const auto& item) {
+           return item.second.is_series && item.second.is_finished;
+         });
+}
+
 void Http2Connection::Defer(std::function<void()> action) {
   deferred_.push_back(std::move(action));
 }
--- a/libs/peer/src/peer_node.cc
+++ b/libs/peer/src/peer_node.cc
@@ -4,6 +4,7 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -267,6 +268,13 @@
   return std::unique_ptr<PeerStream>(new PeerStream(stream));
 }
 
+bool PeerNode::HasUnsentSeries() const {
+  const auto& servers = impl_->servers;
+  return std::any_of(servers.begin(), servers.end(), [](const auto& entry) {
+    return entry.second->HasUnsentSeries();
+  });
+}
+
 PeerNode::Traffic PeerNode::traffic() const { return impl_->traffic; }
 
 std::uint16_t PeerNode::Port() const { return impl_->listener.serverPort(); }
--- a/libs/peer/tests/peer_stream_test.cc
+++ b/libs/peer/tests/peer_stream_test.cc
@@ -318,6 +318,33 @@
     RunFor(20);
     CHECK(call.messages.empty());
   }
+  // Guards against a node that stops before its complete responses are sent.
+  SUBCASE("is unsent until the client has taken it") {
+    CHECK(!server.node->HasUnsentSeries());
+    call.stream->SetPaused(true);
+    (void)server.Responder();
+    send_all();
+    RunFor(20);
+    // Whoever serves the call knows that it is not complete.
+    CHECK(!server.node->HasUnsentSeries());
+    server.Responder().Finish();
+    RunFor(300);
+    CHECK(server.node->HasUnsentSeries());
+    SUBCASE("and complete then") {
+      call.stream->SetPaused(false);
+      check_all();
+      CHECK(call.WaitEnd());
+    }
+    SUBCASE("or has left") { call.stream.reset(); }
+    CHECK(WaitUntil([&] { return !server.node->HasUnsentSeries(); }));
+  }
+  SUBCASE("is unsent while its end waits at the socket") {
+    server.Responder().Send(QByteArray(1'000'000, 's'));
+    server.Responder().Finish();
+    CHECK(server.node->HasUnsentSeries());
+    REQUIRE(call.WaitEnd());
+    CHECK(!server.node->HasUnsentSeries());
+  }
   // Guards against a pause that is lost when the stream is not connected yet.
   SUBCASE("is paused from the start if it was before it was connected") {
     REQUIRE(!call.stream->MayHaveBeenSent());
