Let an idle coordinator hand over before it stops

What callers saw: nothing was measured for callers; the fleet had no coordinator until the lease expired, so no new grants, verdicts or directory.

Cause: a coordinator that is told to stop within a lease after it took the lease can't hand it over yet (LeaseElector::HandOver), and an idle daemon stops 2.6 s after the order. A lease that was handed over just before that had the same effect: the daemons that had not reported since lost the coordinator although there was another one.

Now an idle daemon does not stop while it coordinates and other daemons share the limits, while its hand-over is in flight, and for 1.25 s after the new holder coordinates, in which every daemon reports once and hears of it. The listener closes as before, and the last margin stays as it is.

The case of drain_steps_test fails with the new field alone (kStop for kServe).

Remains: if no daemon may get the lease (all others drain or run for less than 3 s), or the store does not answer, an idle coordinator now stays until its drain time is over and then leaves the gap as before.

--- a/libs/gateway/include/gateway/coordinator_service.h
+++ b/libs/gateway/include/gateway/coordinator_service.h
@@ -71,6 +71,9 @@
 
   /// Whether this daemon runs the coordinator.
   [[nodiscard]] bool IsHolder() const;
+  /// Whether this daemon should not stop yet, as others would be without a
+  /// coordinator or not know the new one.
+  [[nodiscard]] bool HasToHandOver() const;
   /// Whether a complete response to another daemon is not wholly sent.
   [[nodiscard]] bool HasUnsentResponse() const;
 
--- a/libs/gateway/src/coordinator_hand_over.cc
+++ b/libs/gateway/src/coordinator_hand_over.cc
@@ -20,6 +20,8 @@
 constexpr Duration kAwaitGrantInterval{250};
 // By then a coordinator divides the limits however many daemons report.
 constexpr Duration kAwaitGrantFor{3'000};
+// Every daemon reports once a second, and hears of the new coordinator then.
+constexpr Duration kTellMovedFor{1'250};
 
 QByteArray Accepted() { return "ok"; }
 
@@ -84,7 +86,7 @@
     EndHandOver();
     return OnLeaseChanged();
   }
-  hand_over->is_accepted = true;
+  hand_over->accepted_at = MonotonicNow();
   const auto reply = MovedReply();
   for (const auto& waiting : std::exchange(hand_over->waiting, {})) {
     waiting(reply);
@@ -117,7 +119,7 @@
   if (coordinates) return reply(OnReport(*report));
   // An earlier build would take the reply for a coordinator's.
   if (!report->uptime) return reply({});
-  if (hand_over->is_accepted) return reply(MovedReply());
+  if (hand_over->accepted_at) return reply(MovedReply());
   hand_over->waiting.push_back(reply);
 }
 
@@ -184,4 +186,12 @@
   }
 }
 
+bool CoordinatorService::HasToHandOver() const {
+  if (impl_->env.gateway->SharingDaemonCount() <= 1) return false;
+  const auto& hand_over = impl_->hand_over;
+  if (!hand_over) return IsHolder();
+  return !hand_over->accepted_at ||
+         MonotonicNow() - *hand_over->accepted_at < kTellMovedFor;
+}
+
 }  // namespace firmoor
--- a/libs/gateway/src/details/coordinator_service_impl.h
+++ b/libs/gateway/src/details/coordinator_service_impl.h
@@ -53,7 +53,7 @@
     TimePoint duties_ended;  ///< When this daemon stopped to coordinate.
     HandOverNotice notice;
     bool is_notified = false;
-    bool is_accepted = false;  ///< The new holder coordinates.
+    std::optional<TimePoint> accepted_at;  ///< The new holder coordinates.
     /// For the reports that arrived since, until the new holder coordinates.
     std::vector<PeerNode::Reply> waiting;
   };
--- a/libs/gateway/src/details/drain_steps.cc
+++ b/libs/gateway/src/details/drain_steps.cc
@@ -14,7 +14,9 @@
                        progress.requests == 0 && progress.connections == 0;
   if (!is_idle) return DrainStep::kServe;
   if (!progress.is_listener_closed) return DrainStep::kCloseListener;
-  return progress.has_unsent_response ? DrainStep::kServe : DrainStep::kStop;
+  const bool is_needed =
+      progress.has_unsent_response || progress.has_to_hand_over;
+  return is_needed ? DrainStep::kServe : DrainStep::kStop;
 }
 
 }  // namespace firmoor::details
--- a/libs/gateway/src/details/drain_steps.h
+++ b/libs/gateway/src/details/drain_steps.h
@@ -28,6 +28,8 @@
   bool is_listener_closed = false;
   /// A complete response to another daemon is not wholly sent.
   bool has_unsent_response = false;
+  /// It coordinates and may hand that over, or its hand-over is in flight.
+  bool has_to_hand_over = false;
 
   bool operator==(const DrainProgress&) const = default;
 };
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -431,7 +431,8 @@
   const auto step = details::NextDrainStep(
       {MonotonicNow() - drain_started, settings.drain_time,
        gateway.ActiveRequestCount(), caller_server->ConnectionCount(),
-       is_listener_closed, coordinator.HasUnsentResponse()});
+       is_listener_closed, coordinator.HasUnsentResponse(),
+       coordinator.HasToHandOver()});
   if (step == DrainStep::kServe) return;
   if (!std::exchange(is_listener_closed, true)) {
     log->Write("listener-closed", {{"idle", step != DrainStep::kStop}});
--- a/libs/gateway/tests/drain_steps_test.cc
+++ b/libs/gateway/tests/drain_steps_test.cc
@@ -39,7 +39,15 @@
     progress.is_listener_closed = true;
     CHECK(NextDrainStep(progress) == DrainStep::kServe);
   }
+  // Guards against a fleet without a coordinator until the lease expires.
+  SUBCASE("does not stop while it can hand over that it coordinates") {
+    progress.has_to_hand_over = true;
+    CHECK(NextDrainStep(progress) == DrainStep::kCloseListener);
+    progress.is_listener_closed = true;
+    CHECK(NextDrainStep(progress) == DrainStep::kServe);
+  }
   SUBCASE("stops before it would be killed, whatever is left") {
+    progress.has_to_hand_over = true;
     progress.requests = 1;
     progress.connections = 1;
     progress.has_unsent_response = true;
