Do not call a request not run that was sent before its hand-over

What callers saw: "not-run" (3001 no-upstream) for an idempotent request that had been sent to an upstream, which may have run it.

Cause: a draining daemon stops the attempt of a request that it offers to its peers, and kept no note that it had been sent. If all peers refuse and no upstream is left, or if the daemon that adopts it finds none, the request ended as if nothing had been sent.

Now an attempt that is stopped after it may have been sent counts as an earlier one with unknown outcome, also in the record for the other daemon.

Ruled out for requests that must not run twice: they are handed over only if they were not sent.

--- a/libs/serving/src/details/job.cc
+++ b/libs/serving/src/details/job.cc
@@ -279,6 +279,7 @@
     return std::nullopt;
   }
   StopAttempt();
+  record.earlier_unknown = earlier_unknown_;
   phase_ = Phase::kMoved;
   ended_at_ = MonotonicNow();
   Trace("detach", {{"tokens", static_cast<qint64>(tokens_.size())}});
--- a/libs/serving/src/details/job_attempt.cc
+++ b/libs/serving/src/details/job_attempt.cc
@@ -360,6 +360,7 @@
 void Job::StopAttempt() {
   if (!call_) return;
   runtime_->router.OnEnd(&ticket_);
+  if (call_->MayHaveBeenSent()) earlier_unknown_ = true;
   call_.reset();
 }
 
--- a/libs/serving/tests/dispatcher_silence_test.cc
+++ b/libs/serving/tests/dispatcher_silence_test.cc
@@ -221,4 +221,24 @@
   }
 }
 
+// Guards against a false not-run: the attempt of a request was sent and stopped
+// for a hand-over, which another daemon refused; then no upstream was left.
+TEST_CASE("a request that was sent before its hand-over may have run") {
+  DispatcherFixture fixture;
+  PausingUpstream silent("", "late", 60'000);
+  fixture.AddUpstream("a", "desk", silent);
+  const auto caller = fixture.Send(kRepeatable);
+  REQUIRE(WaitUntil([&] { return silent.requests() == 1; }));
+  const auto records = fixture.dispatcher.DetachForHandover(true);
+  REQUIRE(records.size() == 1);
+  CHECK(records.front().earlier_unknown);
+  // The list with the upstream of another service only.
+  fixture.dispatcher.ApplyVmList(
+      {{"b", "assist", "a", "home", silent.Address()}});
+  fixture.dispatcher.FinishHandover(records.front().id,
+                                    Dispatcher::HandoverResult::kRefused);
+  REQUIRE(caller->WaitFor("Firmoor-Code: 3001"));
+  CHECK(caller->WaitFor("Firmoor-Outcome: unknown", 500));
+}
+
 }  // namespace firmoor
