Answer requests that are left at the end of firmoord's drain

What callers saw: their connection was closed without an answer when the daemon that served them reached the end of its drain, e.g. with an upstream that was silent for longer, or a stream without a peer to hand it to.

Cause: Drain::Finish ended the process with whatever was still attached.

Now requests are ended 0.6 s before the end of drain_ms. Callers get upstream-unknown (3003, outcome unknown) if the request may have been sent; draining (2004) otherwise, "not-run" unless an earlier request with the same Idempotency-Key may have run; and peer-unreachable, unknown, if an offer to another daemon is not confirmed. Streams get it as an event. The outcome of a held key is recorded. The daemon then waits, for 0.5 s at most, until answers are read and outcomes stored. An idle daemon does not wait. What to say is a pure function, DecideAtStop.

The process now ends within drain_ms (2 s after a second signal); before, it ended 0.1 s later.

Not covered: who follows, through this daemon, a request that another one holds (RemoteFollower).

--- a/apps/firmoord/src/drain.cc
+++ b/apps/firmoord/src/drain.cc
@@ -14,9 +14,14 @@
 // drain time.
 constexpr int kHandoverTimeDivisor = 3;
 constexpr Duration kMinHandoverTime{1'000};
-constexpr Duration kImmediateHandoverTime{2'000};
+constexpr Duration kImmediateDrainTime{2'000};
 constexpr Duration kOfferTimeout{1'000};
-constexpr int kLeaveDelayMs = 100;
+constexpr Duration kLeaveDelay{100};
+// For callers to read the answers to requests that end with the daemon, and for
+// outcomes to be recorded; short, since the VM may be taken away.
+constexpr Duration kLastAnswerTime{500};
+// Requests end this long before the process must end.
+constexpr Duration kEndTime = kLastAnswerTime + kLeaveDelay;
 
 }  // namespace
 
@@ -32,13 +37,13 @@
     if (is_immediate_) return;
     kLog.Warn("Second stop request; handing over the remaining requests now.");
     is_immediate_ = true;
-    deadline_ = std::min(deadline_, now + kImmediateHandoverTime);
+    deadline_ = std::min(deadline_, now + kImmediateDrainTime - kEndTime);
     handover_start_ = now;
     if (!is_listener_closed_) CloseListener();
     return;
   }
   has_started_ = true;
-  deadline_ = now + settings_.drain_time;
+  deadline_ = now + settings_.drain_time - kEndTime;
   handover_start_ =
       deadline_ -
       std::max(settings_.drain_time / kHandoverTimeDivisor, kMinHandoverTime);
@@ -59,7 +64,7 @@
 }
 
 void Drain::Poll() {
-  if (has_finished_) return;
+  if (has_finished_) return WaitForAnswers();
   const auto now = MonotonicNow();
   if (pending_offers_ == 0) StartHandovers(now >= handover_start_);
   const bool idle = pending_offers_ == 0 &&
@@ -112,11 +117,20 @@
 
 void Drain::Finish() {
   has_finished_ = true;
-  timer_.stop();
   kLog.Info("Drain finished; {} requests are still active.",
             parts_.dispatcher->ActiveRequestCount());
+  answers_due_ = MonotonicNow() + kLastAnswerTime;
+  parts_.dispatcher->EndRequests();
+  WaitForAnswers();
+}
+
+void Drain::WaitForAnswers() {
+  const bool done = parts_.claims->UnrecordedOutcomes() == 0 &&
+                    parts_.callers->ConnectionCount() == 0;
+  if (!done && MonotonicNow() < answers_due_) return;
+  timer_.stop();
   parts_.fleet->Leave();
-  QTimer::singleShot(kLeaveDelayMs, &timer_, [this] { on_finished_(); });
+  QTimer::singleShot(kLeaveDelay, &timer_, [this] { on_finished_(); });
 }
 
 }  // namespace firmoor
--- a/apps/firmoord/src/drain.h
+++ b/apps/firmoord/src/drain.h
@@ -16,8 +16,10 @@
 
 /// Shuts the daemon down gracefully: readiness fails, the listener closes,
 /// short requests finish locally, and the remaining ones are handed over to a
-/// peer, the nearest first. A second stop request, for example when the VM is
-/// reclaimed earlier than announced, starts the hand-over at once.
+/// peer, the nearest first. Callers whose requests are left at the end get an
+/// error that tells whether their request may have run. A second stop request,
+/// for example when the VM is reclaimed earlier than announced, starts the
+/// hand-over at once.
 class Drain {
  public:
   struct Parts {
@@ -41,13 +43,15 @@
   void OfferToNext(const std::shared_ptr<const RequestRecord>& record,
                    std::vector<Member> candidates);
   void Finish();
+  void WaitForAnswers();
 
   Settings settings_;
   Parts parts_;
   std::function<void()> on_finished_;
   QTimer timer_;
-  TimePoint deadline_;
+  TimePoint deadline_;  ///< Of requests, a little before the process's.
   TimePoint handover_start_;
+  TimePoint answers_due_;
   bool has_started_ = false;
   bool is_listener_closed_ = false;
   bool is_immediate_ = false;
--- a/libs/serving/include/serving/attempt_policy.h
+++ b/libs/serving/include/serving/attempt_policy.h
@@ -75,6 +75,26 @@
 AttemptDecision DecideAttempt(const AttemptEnd& end,
                               const AttemptContext& context);
 
+/// What is known of a request without an answer when its daemon stops.
+struct StopContext {
+  bool may_have_run = false;  ///< An attempt was sent without a known end.
+  bool key_unknown = false;   ///< An earlier request with its key may have run.
+
+  bool operator==(const StopContext&) const = default;
+};
+
+/// The failure that such a request is answered with.
+struct StopDecision {
+  ResultCode code = ResultCode::kInternal;
+  RequestOutcome outcome = RequestOutcome::kUnknown;
+
+  bool operator==(const StopDecision&) const = default;
+};
+
+/// Decides the answer to a request that the daemon can neither end nor hand
+/// over before it stops. Performs no I/O.
+StopDecision DecideAtStop(const StopContext& context);
+
 }  // namespace firmoor
 
 #endif  // FIRMOOR_SERVING_ATTEMPT_POLICY_H_
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -77,6 +77,9 @@
   /// other daemon may run it; any other continues here.
   enum class HandoverResult { kAdopted, kRefused, kUnconfirmed };
   void FinishHandover(const std::string& id, HandoverResult end);
+  /// Ends all requests, since the daemon stops. Callers that wait get an error
+  /// that tells whether their request may have run.
+  void EndRequests();
   /// Takes over a request from another daemon. Returns false when this daemon
   /// is draining or does not accept the request.
   bool Adopt(const RequestRecord& record);
--- a/libs/serving/src/attempt_policy.cc
+++ b/libs/serving/src/attempt_policy.cc
@@ -90,4 +90,12 @@
   return decision;
 }
 
+StopDecision DecideAtStop(const StopContext& context) {
+  if (context.may_have_run) {
+    return {ResultCode::kUpstreamOutcomeUnknown, RequestOutcome::kUnknown};
+  }
+  return {ResultCode::kDraining, context.key_unknown ? RequestOutcome::kUnknown
+                                                     : RequestOutcome::kNotRun};
+}
+
 }  // namespace firmoor
--- a/libs/serving/src/details/job.cc
+++ b/libs/serving/src/details/job.cc
@@ -18,6 +18,12 @@
 constexpr Duration kNoUpstreamRetryAfter{1'000};
 constexpr Duration kStoreUnavailableRetryAfter{2'000};
 constexpr Duration kUnknownRetryAfter{5'000};
+// Other daemons serve at once; callers need only be kept from a tight loop.
+constexpr Duration kStopRetryAfter{1'000};
+constexpr const char* kStoppedBeforeAnswer =
+    "The daemon stopped before the upstream had answered.";
+constexpr const char* kStoppedBeforeSent =
+    "The daemon stopped before the request was sent.";
 constexpr const char* kEarlierMayHaveRun =
     "Nothing was sent for this request, but whether an earlier request with "
     "its Idempotency-Key ran cannot be told now.";
@@ -300,6 +306,21 @@
   context_->on_ended(this);
 }
 
+void Job::EndAtStop() {
+  if (IsDone()) return;
+  // The daemon that the request was offered to may have adopted it.
+  if (WasDetached()) return EndAfterHandover(false);
+  StopAttempt();
+  const bool key_unknown = spec_.claim && !claim_held_;
+  const auto decision = DecideAtStop({earlier_unknown_, key_unknown});
+  if (earlier_unknown_) {
+    return Fail(decision.code, decision.outcome, std::nullopt,
+                kStoppedBeforeAnswer);
+  }
+  Fail(decision.code, decision.outcome, kStopRetryAfter,
+       key_unknown ? kEarlierMayHaveRun : kStoppedBeforeSent);
+}
+
 void Job::Restore(const RequestRecord& record) {
   tokens_ = record.tokens;
   claim_held_ = record.claim_held;
--- a/libs/serving/src/details/job.h
+++ b/libs/serving/src/details/job.h
@@ -67,6 +67,9 @@
   /// redirected; otherwise they get an unknown outcome, since the other daemon
   /// may have adopted the request.
   void EndAfterHandover(bool confirmed);
+  /// Ends the job, if it has not ended, since the daemon stops: its callers get
+  /// an error that tells whether it may have run.
+  void EndAtStop();
   /// Restores the state that another daemon handed over.
   void Restore(const RequestRecord& record);
 
--- a/libs/serving/src/dispatcher_handover.cc
+++ b/libs/serving/src/dispatcher_handover.cc
@@ -36,6 +36,11 @@
   impl_->Submit(job, runtime);
 }
 
+void Dispatcher::EndRequests() {
+  const auto active = impl_->active_jobs;
+  for (const auto& [number, job] : active) job->EndAtStop();
+}
+
 bool Dispatcher::Adopt(const RequestRecord& record) {
   if (impl_->draining) return false;
   if (impl_->jobs.contains(record.id)) return true;
--- a/libs/serving/tests/attempt_policy_test.cc
+++ b/libs/serving/tests/attempt_policy_test.cc
@@ -110,6 +110,18 @@
   CHECK(holds);
 }
 
+TEST_CASE("a daemon that stops claims not-run only for what was not sent") {
+  CHECK(DecideAtStop({}) ==
+        StopDecision{ResultCode::kDraining, RequestOutcome::kNotRun});
+  CHECK(DecideAtStop({.key_unknown = true}) ==
+        StopDecision{ResultCode::kDraining, RequestOutcome::kUnknown});
+  for (const bool key_unknown : {false, true}) {
+    CHECK(DecideAtStop({.may_have_run = true, .key_unknown = key_unknown}) ==
+          StopDecision{ResultCode::kUpstreamOutcomeUnknown,
+                       RequestOutcome::kUnknown});
+  }
+}
+
 TEST_CASE("a retry budget limits retries to a ratio of the requests") {
   RetryBudget budget(0.2, 10);
   int retries = 0;
--- a/tests/process/graceful_test.cc
+++ b/tests/process/graceful_test.cc
@@ -309,4 +309,73 @@
   }));
 }
 
+// Guards against requests that ended without an answer: the daemon stopped at
+// the end of its drain while their callers waited.
+TEST_CASE("requests left at the end of a drain are answered") {
+  ClusterShape shape;
+  shape.zones = {{"east", "home", 1, 1, 1}};
+  shape.settings["times.drain_ms"] = "1500";
+  shape.configuration = {
+      {"services",
+       QJsonObject{{"desk", QJsonObject{{"upstream_concurrency", 1}}}}}};
+  Cluster cluster(shape);
+  REQUIRE(cluster.WaitReady());
+  auto* daemon = &cluster.daemon(0);
+
+  SUBCASE("that were sent: whether they ran is unknown") {
+    Exchange booking(daemon->endpoint, cluster.Booking("", "w", "silent"));
+    REQUIRE(WaitUntil([&] { return cluster.RunsOf("w") == 1; }));
+    cluster.Terminate(daemon);
+    REQUIRE(booking.Wait(5'000));
+    CHECK(booking.result().end == HttpCallEnd::kComplete);
+    CHECK(CodeOf(booking.result()) == 3003);
+    CHECK(OutcomeOf(booking.result()) == "unknown");
+  }
+  SUBCASE("that were not sent: they did not run") {
+    Exchange first(daemon->endpoint, cluster.Booking("", "w", "silent"));
+    REQUIRE(WaitUntil([&] { return cluster.RunsOf("w") == 1; }));
+    Exchange second(daemon->endpoint, cluster.Booking("", "w2"));
+    Exchange keyed(daemon->endpoint, cluster.Booking("k", "w3"));
+    REQUIRE(WaitUntil(
+        [&] { return cluster.Status(0).value("in_work").toInteger() == 3; }));
+    cluster.Terminate(daemon);
+    for (auto* exchange : {&second, &keyed}) {
+      REQUIRE(exchange->Wait(5'000));
+      CHECK(exchange->result().end == HttpCallEnd::kComplete);
+      CHECK(CodeOf(exchange->result()) == 2004);
+    }
+    CHECK(OutcomeOf(second.result()) == "not-run");
+    // An earlier request with the key may have run.
+    CHECK(OutcomeOf(keyed.result()) == "unknown");
+    CHECK_FALSE(cluster.HasRun("w2"));
+    CHECK_FALSE(cluster.HasRun("w3"));
+  }
+  SUBCASE("that were sent with a key: the outcome is recorded") {
+    Exchange booking(daemon->endpoint, cluster.Booking("k", "w", "silent"));
+    REQUIRE(WaitUntil([&] { return cluster.RunsOf("w") == 1; }));
+    cluster.Terminate(daemon);
+    REQUIRE(booking.Wait(5'000));
+    CHECK(CodeOf(booking.result()) == 3003);
+    REQUIRE(cluster.WaitEnded(daemon));
+    cluster.Start(daemon);
+    REQUIRE(WaitUntil([&] { return cluster.Status(0)["ready"].toBool(); }));
+    CHECK(CodeOf(cluster.Ask(0, cluster.Booking("k", "w"))) == 4003);
+    CHECK(cluster.RunsOf("w") == 1);
+    cluster.Terminate(daemon);
+  }
+  SUBCASE("streams: the caller is told that its stream is not whole") {
+    Exchange stream(daemon->endpoint,
+                    cluster.Completion("consent letter", 1'500, true));
+    REQUIRE(
+        WaitUntil([&] { return StreamedWords(stream.body()).size() > 20; }));
+    cluster.Terminate(daemon);
+    REQUIRE(stream.Wait(5'000));
+    CHECK(stream.result().end == HttpCallEnd::kComplete);
+    CHECK(stream.body().find("event: error") != std::string::npos);
+    CHECK(stream.body().find("upstream-unknown") != std::string::npos);
+  }
+  REQUIRE(cluster.WaitEnded(daemon, 3'000));
+  CHECK(daemon->process->exitCode() == 0);
+}
+
 }  // namespace firmoor
