--- a/libs/serving/tests/dispatcher_silence_test.cc
+++ b/libs/serving/tests/dispatcher_silence_test.cc
@@ -241,4 +241,19 @@
   CHECK(caller->WaitFor("Firmoor-Outcome: unknown", 500));
 }
 
+// Guards against a hand-over without an answer: the daemon stopped before it
+// was confirmed, and the caller's connection was closed.
+TEST_CASE("a stop amid a hand-over leaves the outcome unknown") {
+  DispatcherFixture fixture;
+  PausingUpstream silent("", "late", 60'000);
+  fixture.AddUpstream("a", "desk", silent);
+  const auto caller = fixture.Send(kRepeatable);
+  REQUIRE(WaitUntil([&] { return silent.requests() == 1; }));
+  REQUIRE(fixture.dispatcher.DetachForHandover(true).size() == 1);
+  fixture.dispatcher.EndRequests();
+  REQUIRE(caller->WaitFor("Firmoor-Code: 6001"));
+  CHECK(caller->WaitFor("Firmoor-Outcome: unknown", 500));
+  CHECK(fixture.dispatcher.ActiveRequestCount() == 0);
+}
+
 }  // namespace firmoor
