Serve connected callers while firmoord drains

What callers saw: a reset of a request that was on its way on an idle connection when the daemon's drain closed the listener.

Cause: Drain::CloseListener called HttpServer::StopListening, which closes idle connections at once (after one more read). An idle caller hears that the daemon stops only with its next response.

Now the listener closes alone (StopAccepting), and who is connected is served, with `Connection: close`, until the hand-over starts; then requests get draining (2004). Asynchronous requests get draining as soon as the listener is closed, since no other daemon might be there to answer for them. Idle connections stay as long as there is other work, and for a second after the listener at least (kIdleConnectionTime); then, or at the end, they are read once more and closed. The decision is a pure function, NextDrainStep.

Without open connections it ends as before.

A request that is sent in the moment in which an idle connection is closed at last may still be reset, as by any server that closes one.

--- a/apps/firmoord/src/drain.cc
+++ b/apps/firmoord/src/drain.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "drain_step.h"
 
 namespace firmoor {
 namespace {
@@ -57,7 +58,8 @@
 
 void Drain::CloseListener() {
   is_listener_closed_ = true;
-  parts_.callers->StopListening();
+  listener_closed_at_ = MonotonicNow();
+  parts_.callers->StopAccepting();
   parts_.dispatcher->StartDrain();
   timer_.start(kPollIntervalMs);
   Poll();
@@ -66,12 +68,21 @@
 void Drain::Poll() {
   if (has_finished_) return WaitForAnswers();
   const auto now = MonotonicNow();
-  if (pending_offers_ == 0) StartHandovers(now >= handover_start_);
-  const bool idle = pending_offers_ == 0 &&
-                    parts_.dispatcher->ActiveRequestCount() == 0 &&
-                    parts_.claims->UnrecordedOutcomes() == 0 &&
-                    parts_.callers->ConnectionCount() == 0;
-  if (idle || now >= deadline_) Finish();
+  const bool hands_over = now >= handover_start_;
+  if (hands_over) parts_.dispatcher->RefuseRequests();
+  if (pending_offers_ == 0) StartHandovers(hands_over);
+  const bool has_work = pending_offers_ > 0 ||
+                        parts_.dispatcher->ActiveRequestCount() > 0 ||
+                        parts_.claims->UnrecordedOutcomes() > 0;
+  switch (NextDrainStep({now - listener_closed_at_, deadline_ - now, has_work,
+                         parts_.callers->ConnectionCount()})) {
+    case DrainStep::kServe:
+      return;
+    case DrainStep::kCloseIdle:
+      return parts_.callers->StopListening();
+    case DrainStep::kFinish:
+      return Finish();
+  }
 }
 
 void Drain::StartHandovers(bool include_attached) {
@@ -120,7 +131,10 @@
   kLog.Info("Drain finished; {} requests are still active.",
             parts_.dispatcher->ActiveRequestCount());
   answers_due_ = MonotonicNow() + kLastAnswerTime;
+  parts_.dispatcher->RefuseRequests();
   parts_.dispatcher->EndRequests();
+  // Reads idle connections once more, and answers what has arrived.
+  parts_.callers->StopListening();
   WaitForAnswers();
 }
 
--- a/apps/firmoord/src/drain.h
+++ b/apps/firmoord/src/drain.h
@@ -15,7 +15,8 @@
 namespace firmoor {
 
 /// Shuts the daemon down gracefully: readiness fails, the listener closes,
-/// short requests finish locally, and the remaining ones are handed over to a
+/// callers that are connected are served until the hand-over starts, short
+/// requests finish locally, and the remaining ones are handed over to a
 /// peer, the nearest first. Callers whose requests are left at the end get an
 /// error that tells whether their request may have run. A second stop request,
 /// for example when the VM is reclaimed earlier than announced, starts the
@@ -51,6 +52,7 @@
   QTimer timer_;
   TimePoint deadline_;  ///< Of requests, a little before the process's.
   TimePoint handover_start_;
+  TimePoint listener_closed_at_;
   TimePoint answers_due_;
   bool has_started_ = false;
   bool is_listener_closed_ = false;
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -62,8 +62,11 @@
   void Handle(const HttpRequest& request,
               const std::shared_ptr<HttpResponder>& responder);
 
-  /// Refuses new requests from now on.
+  /// From now on, accepts no asynchronous request and adopts none, since it
+  /// might not find another daemon any more.
   void StartDrain();
+  /// Refuses all new requests from now on.
+  void RefuseRequests();
   /// Number of requests that have no final answer yet.
   [[nodiscard]] std::size_t ActiveRequestCount() const;
   /// Cancels the attempts that are safe to cancel and returns the records of
--- a/libs/serving/src/details/dispatcher_impl.h
+++ b/libs/serving/src/details/dispatcher_impl.h
@@ -52,6 +52,7 @@
   std::unordered_map<std::uint64_t, details::ServiceRuntime*> runtime_by_number;
   mutable std::uint64_t next_number = 1;
   bool draining = false;
+  bool refusing = false;  ///< All requests, not only asynchronous ones.
   details::UpstreamPoller poller;
   details::FreezeGuard freeze_guard;
   QTimer timer;
--- a/libs/serving/src/dispatcher.cc
+++ b/libs/serving/src/dispatcher.cc
@@ -175,7 +175,7 @@
   if (request.Path().starts_with(kRequestsPrefix)) {
     return AnswerRequestQuery(request, responder, *workspace);
   }
-  if (draining) {
+  if (refusing) {
     return SendNotAccepting(responder.get(), request, ResultCode::kDraining);
   }
   auto checked = Capture([&] {
@@ -186,6 +186,9 @@
     return SendFailure(responder.get(), *error);
   }
   auto& spec = std::get<details::JobSpec>(checked);
+  if (draining && spec.async) {
+    return SendNotAccepting(responder.get(), request, ResultCode::kDraining);
+  }
   if (spec.claim) spec.claim->owner = context.environment.incarnation;
   auto* runtime = RuntimeOf(*details::ServiceOf(spec));
   FIRMOOR_PRECONDITION(runtime != nullptr,
@@ -373,6 +376,11 @@
 
 void Dispatcher::StartDrain() { impl_->draining = true; }
 
+void Dispatcher::RefuseRequests() {
+  impl_->draining = true;
+  impl_->refusing = true;
+}
+
 std::size_t Dispatcher::ActiveRequestCount() const {
   return impl_->active_jobs.size();
 }
--- a/tests/process/graceful_test.cc
+++ b/tests/process/graceful_test.cc
@@ -378,4 +378,68 @@
   CHECK(daemon->process->exitCode() == 0);
 }
 
+// Guards against requests that were reset on their way: a daemon closed idle
+// connections when its drain began.
+TEST_CASE("connected callers are served while a daemon drains") {
+  ClusterShape shape;
+  shape.zones = {{"east", "home", 1, 1, 1}};
+  Cluster cluster(shape);
+  REQUIRE(cluster.WaitReady());
+  auto* daemon = &cluster.daemon(0);
+  RawClient caller(daemon->endpoint);
+  const auto send = [](RawClient* from, const std::string& headers = "") {
+    from->Send(
+        "GET /services/desk/schedule HTTP/1.1\r\nHost: h\r\n"
+        "Authorization: Bearer " +
+        std::string(kTestToken) + "\r\n" + headers + "\r\n");
+  };
+  const auto stop_listening = [&] {
+    cluster.Terminate(daemon);
+    REQUIRE(WaitUntil([&] {
+      return cluster.Ask(0, {"GET", "/", {}, {}}).end ==
+             HttpCallEnd::kNotConnected;
+    }));
+  };
+  send(&caller);
+  REQUIRE(caller.WaitFor("GET /schedule run 1"));
+
+  SUBCASE("on an idle connection") {
+    stop_listening();
+    RunFor(200);
+    send(&caller);
+    CHECK(caller.WaitFor("Connection: close"));
+    CHECK(caller.Received().find("GET /schedule run 2") != std::string::npos);
+    CHECK(caller.WaitClosed(500));
+    CHECK(cluster.WaitEnded(daemon, 1'500));
+  }
+  SUBCASE("but do not keep an idle daemon with an idle connection") {
+    stop_listening();
+    CHECK(cluster.WaitEnded(daemon, 2'500));  // Of 6 s.
+    CHECK(caller.WaitClosed(100));
+  }
+  SUBCASE("unless their request needs another daemon later") {
+    stop_listening();
+    send(&caller, "Prefer: respond-async\r\n");
+    CHECK(caller.WaitFor("Firmoor-Code: 2004"));
+    CHECK(cluster.RunsOf("") == 1);
+  }
+  SUBCASE("beside other work, until that is handed over") {
+    Exchange booking(daemon->endpoint, cluster.Booking("", "w", "late:4300"));
+    REQUIRE(WaitUntil([&] { return cluster.RunsOf("w") == 1; }));
+    RawClient second(daemon->endpoint);
+    stop_listening();
+    RunFor(2'000);
+    send(&caller);
+    CHECK(caller.WaitFor("run 2"));
+    RunFor(1'600);
+    send(&second);
+    CHECK(second.WaitFor("Firmoor-Code: 2004"));
+    CHECK(second.Received().find("not-run") != std::string::npos);
+    REQUIRE(booking.Wait());
+    CHECK(booking.result().answer.status == 200);
+  }
+  REQUIRE(cluster.WaitEnded(daemon));
+  CHECK(daemon->process->exitCode() == 0);
+}
+
 }  // namespace firmoor
--- a/tests/support/include/support/raw_socket.h
+++ b/tests/support/include/support/raw_socket.h
@@ -42,8 +42,11 @@
 /// A client that sends exact bytes and collects what comes back.
 class RawClient {
  public:
-  explicit RawClient(std::uint16_t port) {
-    socket_.connectToHost(QHostAddress(QHostAddress::LocalHost), port);
+  explicit RawClient(std::uint16_t port)
+      : RawClient(Endpoint{"127.0.0.1", port}) {}
+  explicit RawClient(const Endpoint& to) {
+    socket_.connectToHost(QHostAddress(QString::fromStdString(to.address)),
+                          to.port);
     socket_.waitForConnected(1'000);
   }
   void Send(std::string_view bytes) {
