--- a/apps/firmoord/src/drain.cc
+++ b/apps/firmoord/src/drain.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "drain_step.h"
 
 namespace firmoor {
 namespace {
@@ -14,9 +15,14 @@
 // drain time.
 constexpr int kHandoverTimeDivisor = 3;
 constexpr Duration kMinHandoverTime{1'000};
-constexpr Duration kImmediateHandoverTime{2'000};
+constexpr Duration kImmediateDrainTime{2'000};
 constexpr Duration kOfferTimeout{1'000};
-constexpr int kLeaveDelayMs = 100;
+constexpr Duration kLeaveDelay{100};
+// For callers to read the answers to requests that end with the daemon, and for
+// outcomes to be recorded; short, since the VM may be taken away.
+constexpr Duration kLastAnswerTime{500};
+// Requests end this long before the process must end.
+constexpr Duration kEndTime = kLastAnswerTime + kLeaveDelay;
 
 }  // namespace
 
@@ -32,13 +38,13 @@
     if (is_immediate_) return;
     kLog.Warn("Second stop request; handing over the remaining requests now.");
     is_immediate_ = true;
-    deadline_ = std::min(deadline_, now + kImmediateHandoverTime);
+    deadline_ = std::min(deadline_, now + kImmediateDrainTime - kEndTime);
     handover_start_ = now;
     if (!is_listener_closed_) CloseListener();
     return;
   }
   has_started_ = true;
-  deadline_ = now + settings_.drain_time;
+  deadline_ = now + settings_.drain_time - kEndTime;
   handover_start_ =
       deadline_ -
       std::max(settings_.drain_time / kHandoverTimeDivisor, kMinHandoverTime);
@@ -52,21 +58,31 @@
 
 void Drain::CloseListener() {
   is_listener_closed_ = true;
-  parts_.callers->StopListening();
+  listener_closed_at_ = MonotonicNow();
+  parts_.callers->StopAccepting();
   parts_.dispatcher->StartDrain();
   timer_.start(kPollIntervalMs);
   Poll();
 }
 
 void Drain::Poll() {
-  if (has_finished_) return;
+  if (has_finished_) return WaitForAnswers();
   const auto now = MonotonicNow();
-  if (pending_offers_ == 0) StartHandovers(now >= handover_start_);
-  const bool idle = pending_offers_ == 0 &&
-                    parts_.dispatcher->ActiveRequestCount() == 0 &&
-                    parts_.claims->UnrecordedOutcomes() == 0 &&
-                    parts_.callers->ConnectionCount() == 0;
-  if (idle || now >= deadline_) Finish();
+  const bool hands_over = now >= handover_start_;
+  if (hands_over) parts_.dispatcher->RefuseRequests();
+  if (pending_offers_ == 0) StartHandovers(hands_over);
+  const bool has_work = pending_offers_ > 0 ||
+                        parts_.dispatcher->ActiveRequestCount() > 0 ||
+                        parts_.claims->UnrecordedOutcomes() > 0;
+  switch (NextDrainStep({now - listener_closed_at_, deadline_ - now, has_work,
+                         parts_.callers->ConnectionCount()})) {
+    case DrainStep::kServe:
+      return;
+    case DrainStep::kCloseIdle:
+      return parts_.callers->StopListening();
+    case DrainStep::kFinish:
+      return Finish();
+  }
 }
 
 void Drain::StartHandovers(bool include_attached) {
@@ -112,11 +128,23 @@
 
 void Drain::Finish() {
   has_finished_ = true;
-  timer_.stop();
   kLog.Info("Drain finished; {} requests are still active.",
             parts_.dispatcher->ActiveRequestCount());
+  answers_due_ = MonotonicNow() + kLastAnswerTime;
+  parts_.dispatcher->RefuseRequests();
+  parts_.dispatcher->EndRequests();
+  // Reads idle connections once more, and answers what has arrived.
+  parts_.callers->StopListening();
+  WaitForAnswers();
+}
+
+void Drain::WaitForAnswers() {
+  const bool done = parts_.claims->UnrecordedOutcomes() == 0 &&
+                    parts_.callers->ConnectionCount() == 0;
+  if (!done && MonotonicNow() < answers_due_) return;
+  timer_.stop();
   parts_.fleet->Leave();
-  QTimer::singleShot(kLeaveDelayMs, &timer_, [this] { on_finished_(); });
+  QTimer::singleShot(kLeaveDelay, &timer_, [this] { on_finished_(); });
 }
 
 }  // namespace firmoor
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -62,8 +62,11 @@
   void Handle(const HttpRequest& request,
               const std::shared_ptr<HttpResponder>& responder);
 
-  /// Refuses new requests from now on.
+  /// From now on, accepts no asynchronous request and adopts none, since it
+  /// might not find another daemon any more.
   void StartDrain();
+  /// Refuses all new requests from now on.
+  void RefuseRequests();
   /// Number of requests that have no final answer yet.
   [[nodiscard]] std::size_t ActiveRequestCount() const;
   /// Cancels the attempts that are safe to cancel and returns the records of
@@ -77,6 +80,9 @@
   /// other daemon may run it; any other continues here.
   enum class HandoverResult { kAdopted, kRefused, kUnconfirmed };
   void FinishHandover(const std::string& id, HandoverResult end);
+  /// Ends all requests, since the daemon stops. Callers that wait get an error
+  /// that tells whether their request may have run.
+  void EndRequests();
   /// Takes over a request from another daemon. Returns false when this daemon
   /// is draining or does not accept the request.
   bool Adopt(const RequestRecord& record);
