--- a/libs/gateway/tests/delegation_fleet.h
+++ b/libs/gateway/tests/delegation_fleet.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "details/delegation_messages.h"
 #include "gateway_fixture.h"
 #include "log_pipe.h"
 #include "peer/peer_node.h"
@@ -21,15 +22,6 @@
 
 // Daemons that share the limits, at most.
 constexpr std::size_t kDaemons = 3;
-// Requests that nobody can serve are refused within this time.
-constexpr int kPromptlyMs = 300;
-
-/// The address of a port that refuses connections.
-inline Endpoint ClosedPort() {
-  QTcpServer listener;
-  REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
-  return {"127.0.0.1", listener.serverPort()};
-}
 
 /// A port whose connections are never established: its queue of connections is
 /// full.
@@ -105,16 +97,7 @@
   void Die() { node->Stop(); }
   /// Applies the current configuration again as the next version.
   void RenewConfiguration() {
-    auto content = fixture.gateway.routes()->content();
-    ++content.version;
-    fixture.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
-  }
-  [[nodiscard]] std::int64_t UsageCount() {
-    std::int64_t sum = 0;
-    for (const auto& [window, counts] : fixture.gateway.ledger().windows()) {
-      for (const auto& [workspace, count] : counts) sum += count;
-    }
-    return sum;
+    fixture.Reconfigure([](auto*) {});
   }
   [[nodiscard]] double QuotaUsed() {
     double sum = 0;
@@ -162,6 +145,20 @@
   std::unique_ptr<PeerNode> node_;
 };
 
+/// A message of a daemon that got a request of another; streams are of version
+/// "v1".
+inline QByteArray EncodedReply(details::DelegationReply::Kind kind,
+                               int status = 0, const std::string& body = "") {
+  details::DelegationReply reply;
+  reply.kind = kind;
+  reply.response.status = status;
+  reply.response.body = body;
+  if (kind == details::DelegationReply::Kind::kStreamStart) {
+    reply.version = "v1";
+  }
+  return reply.Encode();
+}
+
 /// Tells `daemon` that these are the other daemons.
 inline void Introduce(Daemon& daemon, const std::vector<PeerAddress>& others) {
   DirectoryUpdate update;
@@ -191,16 +188,6 @@
   return caller.Received().starts_with("HTTP/1.1 " + std::to_string(status));
 }
 
-/// The ids of the events in what a caller received, in order.
-inline std::vector<int> EventIds(const std::string& received) {
-  std::vector<int> ids;
-  for (std::size_t at = 0;
-       (at = received.find("\nid: ", at)) != std::string::npos; ++at) {
-    ids.push_back(std::stoi(received.substr(at + 5)));
-  }
-  return ids;
-}
-
 }  // namespace firmoor
 
 #endif  // FIRMOOR_GATEWAY_TESTS_DELEGATION_FLEET_H_
--- a/libs/gateway/tests/engine_choice_test.cc
+++ b/libs/gateway/tests/engine_choice_test.cc
@@ -14,7 +14,7 @@
  public:
   explicit ReportingEngine(std::string load)
       : load_(std::move(load)), upstream_([this](auto& connection) {
-          if (connection.received.find("GET /report") != std::string::npos) {
+          if (HasReceived(connection, "GET /report")) {
             ++probes_;
             return SendResponse(connection, "200 OK", load_);
           }
--- a/libs/gateway/tests/gateway_availability_test.cc
+++ b/libs/gateway/tests/gateway_availability_test.cc
@@ -76,7 +76,7 @@
   REQUIRE(first->WaitFor("id: 1"));
   fixture.AddUpstream("b", staying);
   for (int i = 0; i < 8; ++i) {
-    CHECK(fixture.SendRequest("stream")->WaitFor("0\r\n\r\n"));
+    CHECK(fixture.SendRequest("stream")->WaitFor(kEnd));
   }
   CHECK(leaving.Requests() == 1);
 }
--- a/libs/gateway/tests/gateway_connect_pause_test.cc
+++ b/libs/gateway/tests/gateway_connect_pause_test.cc
@@ -33,8 +33,7 @@
   GatewayFixture fixture;
   RawUpstream breaking([](auto& connection) {
     StartEventStream(connection, MakeEvent(1));
-    QTimer::singleShot(300, connection.socket,
-                       [s = connection.socket] { s->abort(); });
+    BreakAfter(300)(connection);
   });
   QTcpServer pausing;
   REQUIRE(pausing.listen(QHostAddress(QHostAddress::LocalHost), 0));
@@ -53,10 +52,7 @@
 // refused the connection once, and was not tried again.
 TEST_CASE("a second attempt that found no connection is made again") {
   GatewayFixture fixture;
-  auto content = fixture.gateway.routes()->content();
-  ++content.version;
-  for (auto& route : content.routes) route.timeout = Duration(6'000);
-  fixture.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+  fixture.SetTimeouts(Duration(6'000));
   RawUpstream silent(
       [](auto& connection) { StartEventStream(connection, MakeEvent(1)); });
   fixture.AddUpstream("a", silent);
--- a/libs/gateway/tests/gateway_cut_log_test.cc
+++ b/libs/gateway/tests/gateway_cut_log_test.cc
@@ -6,6 +6,7 @@
 
 #include "gateway_fixture.h"
 #include "log_pipe.h"
+#include "silent_upstreams.h"
 
 namespace firmoor {
 namespace {
@@ -60,9 +61,7 @@
   SUBCASE("when the upstream that replaced a silent one did not serve it") {
     RawUpstream silent(
         [](auto& connection) { StartEventStream(connection, MakeEvent(1)); });
-    RawUpstream other([](auto& connection) {
-      SendResponse(connection, "503 Service Unavailable\r\nNot-Run: 1", "");
-    });
+    RawUpstream other(RejectNotRun);
     fixture.AddUpstream("a", silent);
     auto caller = fixture.SendRequest("resumable");
     REQUIRE(caller->WaitFor("id: 1"));
@@ -106,7 +105,7 @@
     });
     CHECK(fixture.SendRequest("stream")->WaitFor("HTTP/1.1 503"));
     fixture.AddUpstream("a", good);
-    CHECK(fixture.SendRequest("stream")->WaitFor("0\r\n\r\n"));
+    CHECK(fixture.SendRequest("stream")->WaitFor(kEnd));
     CHECK(log.OnlyLine("answer-cut").isEmpty());
   }
 }
@@ -120,7 +119,7 @@
   const auto check_cut = [&](RawClient* caller, const QString& reason) {
     stream.BreakOff();
     CHECK(caller->WaitClosed(500));
-    CHECK(caller->Received().find("0\r\n\r\n") == std::string::npos);
+    CHECK(caller->Received().find(kEnd) == std::string::npos);
     CHECK(stream.other.Requests() == 0);
     const auto line = log.OnlyLine("answer-cut");
     CHECK(line["by"].toString() == "daemon");
@@ -174,13 +173,11 @@
   BreakingStream stream;
   const auto caller = stream.Begin(&fixture, "Key: k\r\n");
   fixture.AddUpstream("b", stream.other, false, "v1");
-  auto content = fixture.gateway.routes()->content();
-  ++content.version;
-  content.workspaces.front().keys = {"other"};
-  fixture.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+  fixture.Reconfigure(
+      [](auto* content) { content->workspaces.front().keys = {"other"}; });
   fixture.gateway.ConfirmRoutes(MonotonicNow());
   stream.BreakOff();
-  CHECK(caller->WaitFor("0\r\n\r\n"));
+  CHECK(caller->WaitFor(kEnd));
   CHECK(caller->Received().find("id: 2") != std::string::npos);
   const auto next = fixture.SendRequest("resumable", "Key: k\r\n");
   REQUIRE(next->WaitFor("HTTP/1.1 "));
--- a/libs/gateway/tests/gateway_delegation_broken_test.cc
+++ b/libs/gateway/tests/gateway_delegation_broken_test.cc
@@ -11,17 +11,7 @@
 namespace {
 
 using details::DelegatedRequest;
-using details::DelegationReply;
-using Kind = DelegationReply::Kind;
-
-QByteArray Encoded(Kind kind, int status = 0, const std::string& body = "") {
-  DelegationReply reply;
-  reply.kind = kind;
-  reply.response.status = status;
-  reply.response.body = body;
-  if (kind == Kind::kStreamStart) reply.version = "v1";
-  return reply.Encode();
-}
+using Kind = details::DelegationReply::Kind;
 
 /// Sends the messages and cuts the series.
 ScriptedDaemon::Script SendAndBreak(const std::vector<QByteArray>& messages) {
@@ -81,14 +71,14 @@
     }
   };
   SUBCASE("before it accepted it") { check({}); }
-  SUBCASE("after it accepted it") { check({Encoded(Kind::kAccepted)}); }
+  SUBCASE("after it accepted it") { check({EncodedReply(Kind::kAccepted)}); }
   SUBCASE("with a message that cannot be read") { check({"no map"}); }
   // Guards against streams that lack events, or end without any.
   SUBCASE("with a part of a stream that did not begin") {
-    check({Encoded(Kind::kEvents, 0, MakeEvent(1))});
+    check({EncodedReply(Kind::kEvents, 0, MakeEvent(1))});
   }
   SUBCASE("with the end of a stream that did not begin") {
-    check({Encoded(Kind::kStreamEnd)});
+    check({EncodedReply(Kind::kStreamEnd)});
   }
 }
 
@@ -190,7 +180,7 @@
     SendResponse(connection, "200 OK", MakeEvent(3) + MakeEvent(4));
   });
   const auto check_whole = [&](RawClient& caller) {
-    REQUIRE(caller.WaitFor("0\r\n\r\n"));
+    REQUIRE(caller.WaitFor(kEnd));
     CHECK(EventIds(caller.Received()) == std::vector<int>{1, 2, 3, 4});
     CHECK(rest_from == "2");
     CHECK(requests == 2);
@@ -199,7 +189,9 @@
     CHECK(sender.fixture.gateway.ActiveRequestCount() == 0);
     // Guards against usage that is counted once for each daemon that a stream
     // was served through.
-    CHECK(sender.UsageCount() + first.UsageCount() + second.UsageCount() == 1);
+    CHECK(sender.fixture.UsageCount() + first.fixture.UsageCount() +
+              second.fixture.UsageCount() ==
+          1);
   };
   // The engine refuses new connections of the sender, and breaks the present
   // one.
@@ -236,7 +228,7 @@
     SUBCASE("or ends at once if there is none") {
       cut_sender_off();
       CHECK(caller->WaitClosed(kPromptlyMs));
-      CHECK(caller->Received().find("0\r\n\r\n") == std::string::npos);
+      CHECK(caller->Received().find(kEnd) == std::string::npos);
       CHECK(EventIds(caller->Received()) == std::vector<int>{1, 2});
       CHECK(other.Requests() == 0);
     }
@@ -264,17 +256,17 @@
 TEST_CASE("a reply that a daemon may not send") {
   Daemon sender("sender");
   sender.fixture.AddUpstream("a", ClosedPort());
-  std::vector<QByteArray> messages = {Encoded(Kind::kAccepted)};
+  std::vector<QByteArray> messages = {EncodedReply(Kind::kAccepted)};
   SUBCASE("a response within a stream") {
-    messages.push_back(Encoded(Kind::kStreamStart, 200));
-    messages.push_back(Encoded(Kind::kEvents, 0, MakeEvent(1)));
-    messages.push_back(Encoded(Kind::kResponse, 200, "answer"));
+    messages.push_back(EncodedReply(Kind::kStreamStart, 200));
+    messages.push_back(EncodedReply(Kind::kEvents, 0, MakeEvent(1)));
+    messages.push_back(EncodedReply(Kind::kResponse, 200, "answer"));
     const ScriptedDaemon peer(SendAndBreak(messages));
     Introduce(sender, {peer.Address()});
     const auto caller = sender.fixture.SendRequest("stream");
     REQUIRE(caller->WaitClosed());
     CHECK(caller->Received().find("answer") == std::string::npos);
-    CHECK(caller->Received().find("0\r\n\r\n") == std::string::npos);
+    CHECK(caller->Received().find(kEnd) == std::string::npos);
     CHECK(!sender.log.OnlyLine("answer-cut").isEmpty());
   }
   SUBCASE("a message that cannot be read") {
--- a/libs/gateway/tests/gateway_delegation_test.cc
+++ b/libs/gateway/tests/gateway_delegation_test.cc
@@ -115,7 +115,7 @@
     }
     send(MakeEvent(4) + MakeEvent(5));
     stream->socket->write("0\r\n\r\n");
-    REQUIRE(caller->WaitFor("0\r\n\r\n"));
+    REQUIRE(caller->WaitFor(kEnd));
     CHECK(caller->Received().starts_with("HTTP/1.1 200"));
     CHECK(HeadOf(caller->Received()).find("Seal: s9") != std::string::npos);
     CHECK(EventIds(caller->Received()) == std::vector<int>{1, 2, 3, 4, 5});
@@ -162,8 +162,8 @@
       CHECK(caller->Received().starts_with("HTTP/1.1 200"));
       CHECK(sender.QuotaUsed() == 1);
       CHECK(helper.QuotaUsed() == 0);
-      CHECK(sender.UsageCount() == 0);
-      CHECK(helper.UsageCount() == 1);
+      CHECK(sender.fixture.UsageCount() == 0);
+      CHECK(helper.fixture.UsageCount() == 1);
       CHECK(sender.log.OnlyLine("request")["workspace"].toString() == "w");
       CHECK(helper.log.OnlyLine("request")["workspace"].toString() == "w");
     }
@@ -173,15 +173,12 @@
       CHECK(sender.log.Lines("delegated").empty());
     }
     SUBCASE("is rejected by a helper that knows that the key was revoked") {
-      auto content = helper.fixture.gateway.routes()->content();
-      ++content.version;
-      content.workspaces[0].keys = {"other"};
-      helper.fixture.gateway.SetRoutes(
-          std::make_shared<const RouteTable>(content));
+      helper.fixture.Reconfigure(
+          [](auto* content) { content->workspaces[0].keys = {"other"}; });
       const auto caller = sender.fixture.SendRequest(route, "Key: k\r\n");
       CHECK(WaitStatus(*caller, 401));
       CHECK(upstream.Requests() == 0);
-      CHECK(helper.UsageCount() == 0);
+      CHECK(helper.fixture.UsageCount() == 0);
     }
   };
   SUBCASE("that may be repeated") { check("idempotent"); }
@@ -197,7 +194,7 @@
   RawUpstream::Connection* running = nullptr;
   RawUpstream upstream([&](auto& connection) {
     running = &connection;
-    if (connection.received.find("/stream/") != std::string::npos) {
+    if (HasReceived(connection, "/stream/")) {
       StartEventStream(connection, MakeEvent(1));
     }
   });
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -3,9 +3,13 @@
 
 #include <doctest/doctest.h>
 
+#include <QTcpServer>
+#include <QTimer>
 #include <cctype>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "gateway/gateway.h"
 #include "http/http_server.h"
@@ -13,6 +17,12 @@
 
 namespace firmoor {
 
+/// The end of a response in the caller's connection.
+constexpr std::string_view kEnd = "0\r\n\r\n";
+// Requests that nobody can serve, and streams that cannot go on, end within
+// this time.
+constexpr int kPromptlyMs = 300;
+
 /// A minimal dialect with headers for an id, a key and the caller's timeout.
 class TestDialect : public Dialect {
  public:
@@ -125,6 +135,37 @@
   connection.socket->flush();
 }
 
+/// Breaks the connection off `at_ms` after the request.
+inline RawUpstream::Script BreakAfter(int at_ms) {
+  return [at_ms](auto& connection) {
+    QTimer::singleShot(at_ms, connection.socket,
+                       [s = connection.socket] { s->abort(); });
+  };
+}
+
+/// Whether a request with this text came on the connection.
+inline bool HasReceived(const RawUpstream::Connection& connection,
+                        std::string_view text) {
+  return connection.received.find(text) != std::string::npos;
+}
+
+/// The ids of the events in what a caller received, in order.
+inline std::vector<int> EventIds(const std::string& received) {
+  std::vector<int> ids;
+  for (std::size_t at = 0;
+       (at = received.find("\nid: ", at)) != std::string::npos; ++at) {
+    ids.push_back(std::stoi(received.substr(at + 5)));
+  }
+  return ids;
+}
+
+/// The address of a port that refuses connections.
+inline Endpoint ClosedPort() {
+  QTcpServer listener;
+  REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
+  return {"127.0.0.1", listener.serverPort()};
+}
+
 /// A gateway behind an HTTP server, with routes to one service.
 struct GatewayFixture {
   TestDialect dialect;
@@ -160,15 +201,34 @@
   /// Makes all routes require the key "k" of a workspace with this quota in
   /// requests; a rate of 0 means no quota.
   void RequireKeys(double rate_per_s, double burst) {
+    Reconfigure([&](auto* content) {
+      for (auto& route : content->routes) route.is_public = false;
+      WorkspaceProfile workspace;
+      workspace.name = "w";
+      workspace.keys = {"k"};
+      workspace.rate_per_s = rate_per_s;
+      workspace.burst = burst;
+      content->workspaces = {workspace};
+    });
+  }
+  /// Sets the timeout of all routes.
+  void SetTimeouts(Duration timeout) {
+    Reconfigure([&](auto* content) {
+      for (auto& route : content->routes) route.timeout = timeout;
+    });
+  }
+  /// Sets how many upstreams a request of any route may be sent to.
+  void SetMaxUpstreams(int count) {
+    Reconfigure([&](auto* content) {
+      for (auto& route : content->routes) route.max_upstreams = count;
+    });
+  }
+  /// Applies a configuration that differs by `change` from the current one.
+  template <typename Change>
+  void Reconfigure(const Change& change) {
     auto content = gateway.routes()->content();
     ++content.version;
-    for (auto& route : content.routes) route.is_public = false;
-    WorkspaceProfile workspace;
-    workspace.name = "w";
-    workspace.keys = {"k"};
-    workspace.rate_per_s = rate_per_s;
-    workspace.burst = burst;
-    content.workspaces = {workspace};
+    change(&content);
     gateway.SetRoutes(std::make_shared<const RouteTable>(content));
   }
   void Listen() {
@@ -196,6 +256,14 @@
     entry.software_version = version;
     gateway.ApplyUpstream(entry);
   }
+  /// The requests that the usage ledger counts.
+  [[nodiscard]] std::int64_t UsageCount() {
+    std::int64_t sum = 0;
+    for (const auto& [window, counts] : gateway.ledger().windows()) {
+      for (const auto& [workspace, count] : counts) sum += count;
+    }
+    return sum;
+  }
   [[nodiscard]] std::unique_ptr<RawClient> SendRequest(
       const std::string& route, const std::string& extra = "",
       const std::string& id = "r1") {
--- a/libs/gateway/tests/gateway_limits_test.cc
+++ b/libs/gateway/tests/gateway_limits_test.cc
@@ -51,13 +51,6 @@
 TEST_CASE("usage counts a request that an upstream started to run") {
   GatewayFixture fixture;
   fixture.RequireKeys(0, 0);
-  const auto counted = [&] {
-    std::int64_t sum = 0;
-    for (const auto& [window, counts] : fixture.gateway.ledger().windows()) {
-      for (const auto& [name, count] : counts) sum += count;
-    }
-    return sum;
-  };
   const auto ask = [&](const std::string& route) {
     auto caller = fixture.SendRequest(route, "Key: k\r\n");
     REQUIRE(caller->WaitFor("HTTP/1.1 "));
@@ -70,7 +63,7 @@
     });
     fixture.AddUpstream("a", failing);
     ask("stream");
-    CHECK(counted() == 1);
+    CHECK(fixture.UsageCount() == 1);
   }
   SUBCASE("once, when it is sent to two upstreams") {
     RawUpstream failing([](auto& connection) {
@@ -80,7 +73,7 @@
     fixture.AddUpstream("b", failing);
     ask("resumable");
     CHECK(failing.Requests() == 2);
-    CHECK(counted() == 1);
+    CHECK(fixture.UsageCount() == 1);
   }
   SUBCASE("but not one that the upstream declared not run") {
     RawUpstream full([](auto& connection) {
@@ -88,7 +81,7 @@
     });
     fixture.AddUpstream("a", full);
     ask("stream");
-    CHECK(counted() == 0);
+    CHECK(fixture.UsageCount() == 0);
   }
 }
 
--- a/libs/gateway/tests/gateway_silence_delegation_test.cc
+++ b/libs/gateway/tests/gateway_silence_delegation_test.cc
@@ -1,6 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <QTimer>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,32 +11,13 @@
 namespace firmoor {
 namespace {
 
-using details::DelegationReply;
-using Kind = DelegationReply::Kind;
+using Kind = details::DelegationReply::Kind;
 
 constexpr Duration kTimeout{6'000};
 // A peer that accepted the request is silent after this, and its sender has
 // looked again.
 constexpr int kPeerSilentMs = 2'800;
 
-QByteArray Encoded(Kind kind, int status = 0, const std::string& body = "") {
-  DelegationReply reply;
-  reply.kind = kind;
-  reply.response.status = status;
-  reply.response.body = body;
-  return reply.Encode();
-}
-
-void SetTimeouts(Daemon& daemon) {
-  auto content = daemon.fixture.gateway.routes()->content();
-  ++content.version;
-  for (auto& route : content.routes) route.timeout = kTimeout;
-  daemon.fixture.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
-}
-
-/// Sends event 1, pauses for 1.9 s, and completes the stream with event 2.
-RawUpstream::Script PauseInStream() { return SendEvents({{1, 0}, {2, 1'900}}); }
-
 /// The value of the counter of second attempts.
 int CountBeside(Daemon& daemon, const std::string& end) {
   const auto text = daemon.fixture.gateway.StreamMetrics();
@@ -54,16 +34,19 @@
 
   explicit DelegatedFixture(bool accepts)
       : peer([accepts](auto& responder) {
-          if (accepts) responder.Send(Encoded(Kind::kAccepted));
+          if (accepts) responder.Send(EncodedReply(Kind::kAccepted));
         }) {
-    for (auto* daemon : {&sender, &other}) SetTimeouts(*daemon);
+    for (auto* daemon : {&sender, &other}) {
+      daemon->fixture.SetTimeouts(kTimeout);
+    }
     sender.fixture.AddUpstream("a", ClosedPort());
     Introduce(sender, {peer.Address()});
     caller = sender.fixture.SendRequest("idempotent");
     REQUIRE(WaitUntil([&] { return peer.messages.size() == 1; }));
   }
   void AnswerFromPeer() {
-    peer.responders.front()->Send(Encoded(Kind::kResponse, 200, "of-peer"));
+    peer.responders.front()->Send(
+        EncodedReply(Kind::kResponse, 200, "of-peer"));
     peer.responders.front()->Finish();
   }
   /// Whether a second attempt starts, at the sender or at another daemon.
@@ -121,7 +104,7 @@
     REQUIRE(WaitUntil(
         [&] { return !fleet.sender.log.Lines("delegation-refused").empty(); },
         1'500));
-    fleet.peer.responders.front()->Send(Encoded(Kind::kAccepted));
+    fleet.peer.responders.front()->Send(EncodedReply(Kind::kAccepted));
     RunFor(50);
     fleet.AnswerFromPeer();
     CHECK(fleet.caller->WaitFor("of-peer", 200));
@@ -191,14 +174,11 @@
   // Guards against an answer of the other daemon that is thrown away, though
   // nothing else answers.
   SUBCASE("gets the other daemon's error when nothing is left here") {
-    RawUpstream here([](auto& connection) {
-      QTimer::singleShot(300, connection.socket,
-                         [s = connection.socket] { s->abort(); });
-    });
+    RawUpstream here(BreakAfter(300));
     add_here(here);
     REQUIRE(WaitUntil([&] { return here.Requests() == 1; }, 3'000));
     fleet.peer.responders.front()->Send(
-        Encoded(Kind::kResponse, 500, "error-of-peer"));
+        EncodedReply(Kind::kResponse, 500, "error-of-peer"));
     CHECK(fleet.caller->WaitFor("error-of-peer", 1'000));
   }
   SUBCASE("is answered from here after the other daemon broke off") {
@@ -217,7 +197,7 @@
   Daemon sender("sender");
   const ScriptedDaemon peer([](auto&) {});
   RawUpstream a(PauseInStream());
-  SetTimeouts(sender);
+  sender.fixture.SetTimeouts(kTimeout);
   Introduce(sender, {peer.Address()});
   sender.fixture.gateway.SetPeerStreamCall(nullptr);
   sender.fixture.AddUpstream("a", a);
@@ -240,7 +220,7 @@
   Daemon helper("helper");
   for (auto* daemon : {&sender, &helper}) {
     daemon->fixture.RequireKeys(0, 0);
-    SetTimeouts(*daemon);
+    daemon->fixture.SetTimeouts(kTimeout);
   }
   Introduce({&sender, &helper});
   sender.fixture.AddUpstream("a", ClosedPort());
@@ -254,8 +234,8 @@
   sender.fixture.gateway.RemoveUpstream("a");
   REQUIRE(WaitUntil([&] { return here.Requests() == 1; }, kPeerSilentMs + 200));
   CHECK(caller->WaitFor("of-here", 2'000));
-  CHECK(helper.UsageCount() == 1);
-  CHECK(sender.UsageCount() + helper.UsageCount() == 1);
+  CHECK(helper.fixture.UsageCount() == 1);
+  CHECK(sender.fixture.UsageCount() + helper.fixture.UsageCount() == 1);
 }
 
 }  // namespace firmoor
--- a/libs/gateway/tests/gateway_silence_limits_test.cc
+++ b/libs/gateway/tests/gateway_silence_limits_test.cc
@@ -21,9 +21,6 @@
   return gone.Address();
 }
 
-/// Sends event 1, pauses for 1.9 s, and completes the stream with event 2.
-RawUpstream::Script PauseInStream() { return SendEvents({{1, 0}, {2, 1'900}}); }
-
 /// An upstream that announces a limit in each response; it holds responses back
 /// while it is silent.
 struct AnnouncingUpstream {
@@ -99,9 +96,7 @@
   request.fixture.gateway.SeedSharedLimits(kManyDaemons, {});
 
   SUBCASE("with one retry there is one second attempt") {
-    request.Reconfigure([](auto* content) {
-      for (auto& route : content->routes) route.max_upstreams = 4;
-    });
+    request.fixture.SetMaxUpstreams(4);
     request.StartStream();
     RawUpstream c(RejectNotRun);
     REQUIRE(request.WaitForSecond());
@@ -143,9 +138,7 @@
 
     explicit Limited(int max_upstreams) {
       request.fixture.gateway.SeedSharedLimits(kOneDaemon, {});
-      request.Reconfigure([&](auto* content) {
-        for (auto& route : content->routes) route.max_upstreams = max_upstreams;
-      });
+      request.fixture.SetMaxUpstreams(max_upstreams);
       request.StartStream();
       request.fixture.AddUpstream("c", c);
       request.fixture.AddUpstream("d", d);
@@ -167,9 +160,6 @@
 // Guards against LOST: after a pause of both its upstreams a stream went on at
 // one of them, which broke off, and the other one was not tried again.
 TEST_CASE("an upstream that was overtaken while silent is tried again") {
-  const auto is_second = [](const RawUpstream::Connection& connection) {
-    return connection.received.find("From: 2") != std::string::npos;
-  };
   RacedRequest request(
       [](auto& connection) {
         StartEventStream(connection, MakeEvent(1));
@@ -180,19 +170,17 @@
         });
         QTimer::singleShot(2'700, socket, [socket] { socket->abort(); });
       },
-      [&](auto& connection) {
-        if (is_second(connection)) SendEvents({{3, 0}})(connection);
+      [](auto& connection) {
+        if (HasReceived(connection, "From: 2")) {
+          SendEvents({{3, 0}})(connection);
+        }
       });
   request.fixture.gateway.SeedSharedLimits(kOneDaemon, {});
   int max_upstreams = 3;
   SUBCASE("within the attempts of its route") {}
   SUBCASE("but not beyond") { max_upstreams = 2; }
-  request.Reconfigure([&](auto* content) {
-    for (auto& route : content->routes) {
-      route.max_upstreams = max_upstreams;
-      route.timeout = Duration(6'000);
-    }
-  });
+  request.fixture.SetMaxUpstreams(max_upstreams);
+  request.fixture.SetTimeouts(Duration(6'000));
   request.StartStream();
   REQUIRE(request.caller->WaitFor("id: 2", 3'000));
   REQUIRE(request.b.Requests() == 1);
@@ -215,14 +203,29 @@
     REQUIRE(WaitUntil([&] { return fixture.a.held.size() == 1; }));
     return caller;
   };
-
-  SUBCASE("of their rate: each has a permit") {
-    AnnouncedFixture fixture("Limit: 2");
+  const auto start_both = [&](AnnouncedFixture& fixture) {
     fixture.Grant(1, 1);
-    const auto caller = start(fixture);
+    auto caller = start(fixture);
     fixture.b.is_silent = true;
     fixture.fixture.AddUpstream("b", fixture.b.upstream);
     REQUIRE(WaitUntil([&] { return fixture.b.held.size() == 1; }, 900));
+    return caller;
+  };
+  const auto check_first_goes_on = [&](AnnouncedFixture& fixture) {
+    fixture.Grant(1, 0);
+    const auto caller = start(fixture);
+    const auto before = fixture.b.upstream.Requests();
+    fixture.fixture.AddUpstream("b", fixture.b.upstream);
+    RunFor(800);
+    CHECK(fixture.b.upstream.Requests() == before);
+    CHECK(fixture.Beside() == 0);
+    fixture.a.AnswerHeld();
+    CHECK(caller->WaitFor("late", 500));
+  };
+
+  SUBCASE("of their rate: each has a permit") {
+    AnnouncedFixture fixture("Limit: 2");
+    const auto caller = start_both(fixture);
     CHECK(fixture.InFlight() == 2);
     fixture.b.AnswerHeld();
     CHECK(caller->WaitFor("late", 500));
@@ -234,15 +237,7 @@
   SUBCASE(
       "of their rate: none starts without a permit, and the first goes on") {
     AnnouncedFixture fixture("Limit: 2");
-    fixture.Grant(1, 0);
-    const auto caller = start(fixture);
-    const auto before = fixture.b.upstream.Requests();
-    fixture.fixture.AddUpstream("b", fixture.b.upstream);
-    RunFor(800);
-    CHECK(fixture.b.upstream.Requests() == before);
-    CHECK(fixture.Beside() == 0);
-    fixture.a.AnswerHeld();
-    CHECK(caller->WaitFor("late", 500));
+    check_first_goes_on(fixture);
   }
   SUBCASE("of their rate: a permit that was not used is returned") {
     AnnouncedFixture fixture("Limit: 2");
@@ -261,11 +256,7 @@
   }
   SUBCASE("of their slots: each takes one until it ends") {
     AnnouncedFixture fixture("Brittle: 1");
-    fixture.Grant(1, 1);
-    const auto caller = start(fixture);
-    fixture.b.is_silent = true;
-    fixture.fixture.AddUpstream("b", fixture.b.upstream);
-    REQUIRE(WaitUntil([&] { return fixture.b.held.size() == 1; }, 900));
+    const auto caller = start_both(fixture);
     const auto busy = fixture.fixture.gateway.ReportUpstreamLimits();
     CHECK(busy.slots.at("a").in_flight == 1);
     CHECK(busy.slots.at("b").in_flight == 1);
@@ -278,15 +269,7 @@
   }
   SUBCASE("of their slots: none starts without a slot, and the first goes on") {
     AnnouncedFixture fixture("Brittle: 1");
-    fixture.Grant(1, 0);
-    const auto caller = start(fixture);
-    const auto before = fixture.b.upstream.Requests();
-    fixture.fixture.AddUpstream("b", fixture.b.upstream);
-    RunFor(800);
-    CHECK(fixture.b.upstream.Requests() == before);
-    CHECK(fixture.Beside() == 0);
-    fixture.a.AnswerHeld();
-    CHECK(caller->WaitFor("late", 500));
+    check_first_goes_on(fixture);
     CHECK(fixture.InFlight() == 0);
   }
 }
@@ -296,7 +279,7 @@
   const auto check = [](RacedRequest& request, std::string_view text) {
     CHECK(request.caller->WaitFor(text, 2'500));
     RunFor(50);
-    CHECK(request.UsageCount() == 1);
+    CHECK(request.fixture.UsageCount() == 1);
   };
   SUBCASE("when the second one answers") {
     RacedRequest request(AnswerAfter(1'200, "200 OK", "of-a"),
@@ -336,12 +319,12 @@
   for (auto* request : {&removed, &shortened, &moved}) request->StartStream();
 
   // The route is gone.
-  removed.Reconfigure([](auto* content) {
+  removed.fixture.Reconfigure([](auto* content) {
     std::erase_if(content->routes,
                   [](const auto& route) { return route.name == "resumable"; });
   });
   // The route has another service.
-  moved.Reconfigure([](auto* content) {
+  moved.fixture.Reconfigure([](auto* content) {
     ServiceProfile service;
     service.name = "t";
     content->services.push_back(service);
@@ -349,9 +332,7 @@
   });
   // The timeouts are shorter than the time that has passed.
   REQUIRE(shortened.WaitForSecond());
-  shortened.Reconfigure([](auto* content) {
-    for (auto& route : content->routes) route.timeout = Duration(500);
-  });
+  shortened.fixture.SetTimeouts(Duration(500));
   for (auto* request : {&removed, &shortened, &moved}) {
     CHECK(request->caller->WaitFor(kEnd, 1'000));
     CHECK(HasEvents(*request->caller, {1, 2}));
@@ -390,28 +371,25 @@
   RawUpstream::Connection* stream = nullptr;
   RacedRequest request(
       [&](auto& connection) {
-        if (connection.received.find("POST /move") != std::string::npos) {
+        if (HasReceived(connection, "POST /move")) {
           stream->socket->abort();
           QTimer::singleShot(1'900, connection.socket, [&connection] {
             SendResponse(connection, "200 OK", "copy-7");
           });
           return;
         }
-        if (connection.received.find("GET /report") != std::string::npos) {
+        if (HasReceived(connection, "GET /report")) {
           return SendResponse(connection, "200 OK", "1800");
         }
         stream = &connection;
         StartEventStream(connection, MakeEvent(1));
       },
       [](auto& connection) {
-        const bool moved =
-            connection.received.find("Copy: copy-7") != std::string::npos;
+        const bool moved = HasReceived(connection, "Copy: copy-7");
         if (!moved) return RejectNotRun(connection);
         SendResponse(connection, "200 OK", MakeEvent(2));
       });
-  request.Reconfigure([](auto* content) {
-    for (auto& route : content->routes) route.timeout = Duration(6'000);
-  });
+  request.fixture.SetTimeouts(Duration(6'000));
   request.StartStream();
   request.fixture.AddUpstream("a", request.a, true);
   CHECK(request.caller->WaitFor(kEnd));
@@ -424,33 +402,29 @@
 // while it copied a KV cache counted as the end at the next engine, when this
 // one did not move it.
 TEST_CASE("a stream that is to move a second time goes on where it is") {
-  const auto is_for = [](const RawUpstream::Connection& connection,
-                         const char* head) {
-    return connection.received.find(head) != std::string::npos;
-  };
   RawUpstream::Connection* stream = nullptr;
   RacedRequest request(
       [&](auto& connection) {
         // The order to move stays without a response.
-        if (is_for(connection, "POST /move")) return stream->socket->abort();
-        if (is_for(connection, "GET /report")) {
+        if (HasReceived(connection, "POST /move")) {
+          return stream->socket->abort();
+        }
+        if (HasReceived(connection, "GET /report")) {
           return SendResponse(connection, "200 OK", "1200");
         }
         stream = &connection;
         StartEventStream(connection, MakeEvent(1));
       },
       [&](auto& connection) {
-        if (is_for(connection, "POST /move")) {
+        if (HasReceived(connection, "POST /move")) {
           return SendResponse(connection, "404 Not Found", "");
         }
-        if (is_for(connection, "GET /report")) {
+        if (HasReceived(connection, "GET /report")) {
           return SendResponse(connection, "200 OK", "1200");
         }
         SendEvents({{2, 0}, {3, 800}})(connection);
       });
-  request.Reconfigure([](auto* content) {
-    for (auto& route : content->routes) route.timeout = Duration(6'000);
-  });
+  request.fixture.SetTimeouts(Duration(6'000));
   request.StartStream();
   request.fixture.AddUpstream("a", request.a, true);
   REQUIRE(request.caller->WaitFor("id: 2"));
--- a/libs/gateway/tests/gateway_silence_race_test.cc
+++ b/libs/gateway/tests/gateway_silence_race_test.cc
@@ -1,7 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <QHostAddress>
-#include <QTcpServer>
 #include <QTimer>
 #include <string>
 #include <utility>
@@ -115,8 +113,7 @@
 TEST_CASE("a stream that breaks off after its second attempt took over") {
   RacedRequest request(SendEvents({{1, 0}, {2, kNever}}), [](auto& connection) {
     StartEventStream(connection, MakeEvent(2));
-    QTimer::singleShot(100, connection.socket,
-                       [s = connection.socket] { s->abort(); });
+    BreakAfter(100)(connection);
   });
   request.StartStream();
   REQUIRE(request.caller->WaitClosed(2'500));
@@ -145,11 +142,6 @@
 TEST_CASE("a request with two attempts in flight ends both") {
   RacedRequest request(SendEvents({{1, 0}, {2, kNever}}),
                        SendEvents({{2, kNever}}));
-  const auto set_timeout = [&](Duration timeout) {
-    request.Reconfigure([&](auto* content) {
-      for (auto& route : content->routes) route.timeout = timeout;
-    });
-  };
 
   SUBCASE("when its caller leaves") {
     request.StartStream();
@@ -164,7 +156,7 @@
     CHECK(running.contains(" b:"));
   }
   SUBCASE("at its route's timeout") {
-    set_timeout(Duration(2'000));
+    request.fixture.SetTimeouts(Duration(2'000));
     request.StartStream();
     REQUIRE(request.WaitForSecond());
     CHECK(request.caller->WaitClosed(800));
@@ -193,12 +185,6 @@
 // Guards against a caller that repeats a request which may have run, since
 // another attempt of it was rejected as not run.
 TEST_CASE("what callers are told of a request that has two attempts") {
-  const auto breaks_after = [](int ms) {
-    return [ms](auto& connection) {
-      QTimer::singleShot(ms, connection.socket,
-                         [s = connection.socket] { s->abort(); });
-    };
-  };
   const auto is_not_run = [](RawClient& caller) {
     return caller.Received().starts_with("HTTP/1.1 503") ||
            caller.Received().find("Firmoor-Outcome: not-run") !=
@@ -206,23 +192,21 @@
   };
 
   SUBCASE("the first breaks after the second was rejected: unknown") {
-    RacedRequest request(breaks_after(1'000), RejectNotRun);
+    RacedRequest request(BreakAfter(1'000), RejectNotRun);
     request.Start("idempotent");
     REQUIRE(request.caller->WaitFor("HTTP/1.1 ", 2'000));
     CHECK(request.b.Requests() == 1);
     CHECK(!is_not_run(*request.caller));
   }
   SUBCASE("the first breaks before the second is rejected: unknown") {
-    RacedRequest request(
-        breaks_after(700),
-        AnswerAfter(300, "503 Service Unavailable\r\nNot-Run: 1", ""));
+    RacedRequest request(BreakAfter(700), AnswerAfter(300, kNotRun, ""));
     request.Start("idempotent");
     REQUIRE(request.caller->WaitFor("HTTP/1.1 ", 2'000));
     CHECK(request.b.Requests() == 1);
     CHECK(!is_not_run(*request.caller));
   }
   SUBCASE("the first breaks after the second answered with an error: this") {
-    RacedRequest request(breaks_after(1'000),
+    RacedRequest request(BreakAfter(1'000),
                          AnswerAfter(0, "500 Internal Server Error", "of-b"));
     request.Start("idempotent");
     CHECK(request.caller->WaitFor("of-b", 2'000));
@@ -240,29 +224,23 @@
     CHECK(line["outcome"].toString() == "failure-passed");
   }
   SUBCASE("the first breaks, and the last answers with an error: this") {
-    RacedRequest request(breaks_after(200),
+    RacedRequest request(BreakAfter(200),
                          AnswerAfter(0, "500 Internal Server Error", "of-b"));
     // Leaves it more retries than it can use.
     request.fixture.gateway.SeedSharedLimits(1, {});
-    request.Reconfigure([](auto* content) {
-      for (auto& route : content->routes) route.max_upstreams = 4;
-    });
+    request.fixture.SetMaxUpstreams(4);
     request.Start("idempotent");
     CHECK(request.caller->WaitFor("of-b", 1'000));
   }
   SUBCASE("both are rejected: not run") {
-    RacedRequest request(
-        AnswerAfter(1'000, "503 Service Unavailable\r\nNot-Run: 1", ""),
-        RejectNotRun);
+    RacedRequest request(AnswerAfter(1'000, kNotRun, ""), RejectNotRun);
     request.Start("idempotent");
     REQUIRE(request.caller->WaitFor("HTTP/1.1 ", 2'000));
     CHECK(request.b.Requests() == 1);
     CHECK(is_not_run(*request.caller));
   }
   SUBCASE("the first is rejected and the second has no connection: not run") {
-    RacedRequest request(
-        AnswerAfter(1'000, "503 Service Unavailable\r\nNot-Run: 1", ""),
-        RejectNotRun);
+    RacedRequest request(AnswerAfter(1'000, kNotRun, ""), RejectNotRun);
     request.StartAtFirst("idempotent");
     Endpoint closed{"127.0.0.1", 0};
     {
@@ -308,18 +286,14 @@
   fixture.AddUpstream("a", a);
   auto stream = fixture.SendRequest("resumable");
   REQUIRE(stream->WaitFor("id: 1"));
-  const auto closed = [] {
-    QTcpServer listener;
-    REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
-    return Endpoint{"127.0.0.1", listener.serverPort()};
-  }();
+  const auto closed = ClosedPort();
   fixture.AddUpstream("b", closed);
   REQUIRE(stream->WaitFor("id: 2", 2'500));
   fixture.AddUpstream("b", closed, true);
   fixture.AddUpstream("a", a, true);
   int requests = 0;
   const auto break_first = [&](RawUpstream::Connection& connection) {
-    if (connection.received.find("POST /idempotent") == std::string::npos) {
+    if (!HasReceived(connection, "POST /idempotent")) {
       return SendResponse(connection, "200 OK", "0/0");
     }
     if (++requests == 1) return connection.socket->abort();
--- a/libs/gateway/tests/gateway_silence_test.cc
+++ b/libs/gateway/tests/gateway_silence_test.cc
@@ -1,52 +1,23 @@
 #include <doctest/doctest.h>
 
 #include <QJsonObject>
-#include <QTcpServer>
-#include <QTimer>
 #include <memory>
 #include <string>
 
-#include "gateway_fixture.h"
 #include "log_pipe.h"
+#include "silent_upstreams.h"
 
 namespace firmoor {
 namespace {
 
-constexpr std::string_view kEnd = "0\r\n\r\n";
-// The gateway tries another upstream after 1,500 ms between two events, or
-// after three objectives (600 ms) before the head.
-constexpr int kPauseInStreamMs = 1'900;
+// The gateway tries another upstream after three objectives (600 ms) before the
+// head.
 constexpr int kPauseBeforeHeadMs = 1'200;
 
-/// Sends event 1, pauses, and completes the stream with event 2.
-void PauseInStream(RawUpstream::Connection& connection,
-                   int pause_ms = kPauseInStreamMs) {
-  const auto size = MakeEvent(1).size() + MakeEvent(2).size();
-  connection.socket->write(QByteArray::fromStdString(
-      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
-      "\r\n\r\n" + MakeEvent(1)));
-  QTimer::singleShot(pause_ms, connection.socket, [s = connection.socket] {
-    s->write(QByteArray::fromStdString(MakeEvent(2)));
-  });
-}
-
-/// Pauses before the head of a complete response.
-void PauseBeforeHead(RawUpstream::Connection& connection,
-                     const std::string& body,
-                     int pause_ms = kPauseBeforeHeadMs) {
-  QTimer::singleShot(pause_ms, connection.socket, [&connection, body] {
-    SendResponse(connection, "200 OK", body);
-  });
-}
-
-void Reject(RawUpstream::Connection& connection) {
-  SendResponse(connection, "503 Service Unavailable\r\nNot-Run: 1", "");
-}
-
 /// A stream whose upstream "a" pauses after event 1, when "b" is added.
 struct PausedStream {
   GatewayFixture fixture;
-  RawUpstream a{[](auto& connection) { PauseInStream(connection); }};
+  RawUpstream a{PauseInStream()};
   std::unique_ptr<RawClient> caller;
 
   PausedStream() {
@@ -73,7 +44,7 @@
   PausedStream stream;
 
   SUBCASE("that rejects it") {
-    RawUpstream b(Reject);
+    RawUpstream b(RejectNotRun);
     stream.fixture.AddUpstream("b", b);
     CHECK(stream.Completes());
     CHECK(b.Requests() == 1);
@@ -91,19 +62,11 @@
     CHECK(stream.Completes());
   }
   SUBCASE("that refuses the connection") {
-    Endpoint closed{"127.0.0.1", 0};
-    {
-      QTcpServer listener;
-      REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
-      closed.port = listener.serverPort();
-    }
-    stream.fixture.AddUpstream("b", closed);
+    stream.fixture.AddUpstream("b", ClosedPort());
     CHECK(stream.Completes());
   }
   SUBCASE("that is silent before its head") {
-    RawUpstream b([](auto& connection) {
-      PauseBeforeHead(connection, MakeEvent(2), kPauseInStreamMs);
-    });
+    RawUpstream b(AnswerAfter(kPauseInStreamMs, "200 OK", MakeEvent(2)));
     stream.fixture.AddUpstream("b", b);
     CHECK(stream.Completes());
     CHECK(b.Requests() == 1);
@@ -119,8 +82,7 @@
   SUBCASE("that breaks off within the next event") {
     RawUpstream b([](auto& connection) {
       StartEventStream(connection, "id: 2\nda");
-      QTimer::singleShot(100, connection.socket,
-                         [s = connection.socket] { s->abort(); });
+      BreakAfter(100)(connection);
     });
     stream.fixture.AddUpstream("b", b);
     CHECK(stream.Completes());
@@ -135,15 +97,7 @@
   auto* first = stream.a.At(0).socket;
   QObject::connect(first, &QTcpSocket::disconnected, first,
                    [&] { first_closed = true; });
-  RawUpstream b([](auto& connection) {
-    const auto size = MakeEvent(2).size() + MakeEvent(3).size();
-    connection.socket->write(QByteArray::fromStdString(
-        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
-        "\r\n\r\n" + MakeEvent(2)));
-    QTimer::singleShot(800, connection.socket, [s = connection.socket] {
-      s->write(QByteArray::fromStdString(MakeEvent(3)));
-    });
-  });
+  RawUpstream b(SendEvents({{2, 0}, {3, 800}}));
   stream.fixture.AddUpstream("b", b);
   REQUIRE(stream.caller->WaitFor("id: 2", 1'800));
   CHECK(WaitUntil([&] { return first_closed; }, 400));
@@ -155,13 +109,13 @@
 // away, since it left an upstream that would have answered after 1.2 s.
 TEST_CASE("a request whose upstream pauses is not lost to another upstream") {
   GatewayFixture fixture;
-  RawUpstream a([](auto& connection) { PauseBeforeHead(connection, "of-a"); });
+  RawUpstream a(AnswerAfter(kPauseBeforeHeadMs, "200 OK", "of-a"));
   fixture.AddUpstream("a", a);
   auto caller = fixture.SendRequest("idempotent");
   REQUIRE(WaitUntil([&] { return a.Requests() == 1; }));
 
   SUBCASE("that rejects it") {
-    RawUpstream b(Reject);
+    RawUpstream b(RejectNotRun);
     fixture.AddUpstream("b", b);
     CHECK(caller->WaitFor("of-a", 2'000));
     CHECK(b.Requests() == 1);
@@ -184,14 +138,11 @@
 // second upstream, though the first one may have run it.
 TEST_CASE("a rejection beside a silent upstream is not passed on") {
   GatewayFixture fixture;
-  RawUpstream a([](auto& connection) {
-    QTimer::singleShot(kPauseBeforeHeadMs, connection.socket,
-                       [s = connection.socket] { s->abort(); });
-  });
+  RawUpstream a(BreakAfter(kPauseBeforeHeadMs));
   fixture.AddUpstream("a", a);
   auto caller = fixture.SendRequest("idempotent");
   REQUIRE(WaitUntil([&] { return a.Requests() == 1; }));
-  RawUpstream b(Reject);
+  RawUpstream b(RejectNotRun);
   fixture.AddUpstream("b", b);
   REQUIRE(caller->WaitFor("HTTP/1.1 ", 2'000));
   CHECK(b.Requests() == 1);
@@ -204,7 +155,7 @@
 TEST_CASE("a request is logged with the upstream that answered it") {
   LogPipe log;
   GatewayFixture fixture(true, log.input());
-  RawUpstream a([](auto& connection) { PauseBeforeHead(connection, "of-a"); });
+  RawUpstream a(AnswerAfter(kPauseBeforeHeadMs, "200 OK", "of-a"));
   fixture.AddUpstream("a", a);
   auto caller = fixture.SendRequest("idempotent");
   REQUIRE(WaitUntil([&] { return a.Requests() == 1; }));
--- a/libs/gateway/tests/gateway_silence_version_test.cc
+++ b/libs/gateway/tests/gateway_silence_version_test.cc
@@ -1,6 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <QTimer>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,15 +11,13 @@
 namespace firmoor {
 namespace {
 
-using details::DelegationReply;
-
 // Well before an attempt that was sent just now.
 constexpr std::int64_t kEarlierMs = 5'000;
 
 /// A stream whose upstream "a" of version 1 pauses after event 1, and whose
 /// second attempt at "b" sends event 2 when the test lets it.
 struct VersionedStream {
-  RacedRequest request{SendEvents({{1, 0}, {2, 1'900}}), [](auto&) {}};
+  RacedRequest request{PauseInStream(), [](auto&) {}};
 
   VersionedStream() {
     auto& fixture = request.fixture;
@@ -51,9 +48,7 @@
 
 /// A daemon that accepts requests of others and then is silent.
 void AcceptAndWait(PeerStreamResponder& responder) {
-  DelegationReply reply;
-  reply.kind = DelegationReply::Kind::kAccepted;
-  responder.Send(reply.Encode());
+  responder.Send(EncodedReply(details::DelegationReply::Kind::kAccepted));
 }
 
 /// Registers "a" at `daemon` as an instance that refuses connections.
@@ -152,7 +147,7 @@
 TEST_CASE("another daemon has no part in a stream of a doubtful version") {
   Daemon sender("sender");
   const ScriptedDaemon peer(AcceptAndWait);
-  RawUpstream a(SendEvents({{1, 0}, {2, 2'600}}));
+  RawUpstream a(PauseInStream(2'600));
   Introduce(sender, {peer.Address()});
   sender.fixture.AddUpstream("a", a, false, "v1");
   const auto caller = sender.fixture.SendRequest("resumable");
--- a/libs/gateway/tests/gateway_stop_test.cc
+++ b/libs/gateway/tests/gateway_stop_test.cc
@@ -11,7 +11,7 @@
 TEST_CASE("the requests in work end before the process exits") {
   GatewayFixture fixture(false);
   RawUpstream busy([](auto& connection) {
-    if (connection.received.find("POST /stream") == std::string::npos) return;
+    if (!HasReceived(connection, "POST /stream")) return;
     StartEventStream(connection, MakeEvent(1));
   });
 
@@ -39,7 +39,7 @@
     REQUIRE(caller->WaitFor("id: 1"));
     fixture.gateway.EndRequests();
     CHECK(caller->WaitClosed(500));
-    CHECK(caller->Received().find("0\r\n\r\n") == std::string::npos);
+    CHECK(caller->Received().find(kEnd) == std::string::npos);
   }
   CHECK(fixture.gateway.ActiveRequestCount() == 0);
 }
--- a/libs/gateway/tests/gateway_stream_time_test.cc
+++ b/libs/gateway/tests/gateway_stream_time_test.cc
@@ -6,42 +6,12 @@
 #include <optional>
 #include <string>
 
-#include "gateway_fixture.h"
+#include "silent_upstreams.h"
 #include "support/packet_drop.h"
 
 namespace firmoor {
 namespace {
 
-/// Sends event 1, falls silent and then sends event 2, which completes the
-/// stream.
-RawUpstream::Script PauseBetweenEvents(int silent_ms) {
-  return [silent_ms](auto& connection) {
-    const auto size = MakeEvent(1).size() + MakeEvent(2).size();
-    connection.socket->write(QByteArray::fromStdString(
-        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
-        "\r\n\r\n" + MakeEvent(1)));
-    QTimer::singleShot(silent_ms, connection.socket, [s = connection.socket] {
-      s->write(QByteArray::fromStdString(MakeEvent(2)));
-    });
-  };
-}
-
-/// Falls silent before the first byte of a complete response.
-RawUpstream::Script PauseBeforeResponse(int silent_ms) {
-  return [silent_ms](auto& connection) {
-    QTimer::singleShot(silent_ms, connection.socket, [&connection] {
-      SendResponse(connection, "200 OK", MakeEvent(1) + MakeEvent(2));
-    });
-  };
-}
-
-void SetTimeouts(GatewayFixture* fixture, Duration timeout) {
-  auto content = fixture->gateway.routes()->content();
-  ++content.version;
-  for (auto& route : content.routes) route.timeout = timeout;
-  fixture->gateway.SetRoutes(std::make_shared<const RouteTable>(content));
-}
-
 /// Checks that the caller's connection closes, no sooner than after `from_ms`,
 /// and that its request has ended when a timer of `until_ms` fires. Both are
 /// timers of one event loop, so that a pause of the process delays both.
@@ -57,15 +27,13 @@
   CHECK(*left == 0);
 }
 
-constexpr std::string_view kEnd = "0\r\n\r\n";
-
 }  // namespace
 
 // Guards against LOST: the only upstream of a stream paused for over 1.5 s, and
 // the gateway broke the answer off though nothing else could go on with it.
 TEST_CASE("a stream survives the silence of its upstream") {
   GatewayFixture fixture;
-  RawUpstream pausing(PauseBetweenEvents(1'900));
+  RawUpstream pausing(PauseInStream());
   fixture.AddUpstream("a", pausing);
 
   SUBCASE("when there is no other upstream") {
@@ -75,7 +43,7 @@
     CHECK(pausing.Requests() == 1);
   }
   SUBCASE("when the others leave") {
-    RawUpstream other(PauseBetweenEvents(0));
+    RawUpstream other(PauseInStream(0));
     fixture.AddUpstream("b", other, true);
     auto caller = fixture.SendRequest("resumable");
     REQUIRE(caller->WaitFor("id: 1"));
@@ -83,11 +51,8 @@
     CHECK(other.Requests() == 0);
   }
   SUBCASE("when its attempts are used up") {
-    RawUpstream other(PauseBetweenEvents(0));
-    auto content = fixture.gateway.routes()->content();
-    ++content.version;
-    for (auto& route : content.routes) route.max_upstreams = 1;
-    fixture.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
+    RawUpstream other(PauseInStream(0));
+    fixture.SetMaxUpstreams(1);
     auto caller = fixture.SendRequest("resumable");
     REQUIRE(caller->WaitFor("id: 1"));
     fixture.AddUpstream("b", other);
@@ -101,8 +66,7 @@
   }
   SUBCASE("and goes on elsewhere if it can") {
     RawUpstream other([](auto& connection) {
-      const bool resumed =
-          connection.received.find("From: 1") != std::string::npos;
+      const bool resumed = HasReceived(connection, "From: 1");
       SendResponse(connection, "200 OK", resumed ? MakeEvent(2) : "wrong");
     });
     auto caller = fixture.SendRequest("resumable");
@@ -118,7 +82,7 @@
 // longer than three times the objective for the first byte.
 TEST_CASE("a request waits for the first byte of its only upstream") {
   GatewayFixture fixture;
-  RawUpstream slow(PauseBeforeResponse(1'200));
+  RawUpstream slow(AnswerAfter(1'200, "200 OK", MakeEvent(1) + MakeEvent(2)));
   fixture.AddUpstream("a", slow);
 
   SUBCASE("of a stream") {
@@ -140,7 +104,7 @@
   GatewayFixture fixture;
 
   SUBCASE("and not at its caller's, even if silent for longer than a second") {
-    RawUpstream pausing(PauseBetweenEvents(1'900));
+    RawUpstream pausing(PauseInStream());
     fixture.AddUpstream("a", pausing);
     auto caller = fixture.SendRequest("stream", "Allowed-Ms: 400\r\n");
     REQUIRE(caller->WaitFor("id: 1"));
@@ -160,24 +124,24 @@
 // configuration while the newest one gives its route longer.
 TEST_CASE("a stream that outlasts its route's earlier timeout") {
   GatewayFixture fixture;
-  RawUpstream pausing(PauseBetweenEvents(1'500));
+  RawUpstream pausing(PauseInStream(1'500));
   fixture.AddUpstream("a", pausing);
 
   SUBCASE("goes on if the route has a longer one now") {
-    SetTimeouts(&fixture, Duration(1'000));
+    fixture.SetTimeouts(Duration(1'000));
     auto caller = fixture.SendRequest("stream");
     REQUIRE(caller->WaitFor("id: 1"));
-    SetTimeouts(&fixture, Duration(3'000));
+    fixture.SetTimeouts(Duration(3'000));
     CHECK(caller->WaitFor(kEnd, 2'000));
   }
   SUBCASE("keeps its time if the route has a shorter one now") {
     auto caller = fixture.SendRequest("stream");
     REQUIRE(caller->WaitFor("id: 1"));
-    SetTimeouts(&fixture, Duration(500));
+    fixture.SetTimeouts(Duration(500));
     CHECK(caller->WaitFor(kEnd, 2'000));
   }
   SUBCASE("ends at it if the route has not changed") {
-    SetTimeouts(&fixture, Duration(1'000));
+    fixture.SetTimeouts(Duration(1'000));
     auto caller = fixture.SendRequest("stream");
     REQUIRE(caller->WaitFor("id: 1"));
     CheckEndsWithin(&fixture, caller.get(), 800, 1'300);
@@ -188,11 +152,11 @@
 // over 1.5 s to copy its KV cache before it responded to the order to move.
 TEST_CASE("a stream waits for the response to its move") {
   GatewayFixture fixture;
-  SetTimeouts(&fixture, Duration(6'000));
+  fixture.SetTimeouts(Duration(6'000));
   RawUpstream::Connection* stream = nullptr;
   bool responds = true;
   RawUpstream leaving([&](auto& connection) {
-    if (connection.received.find("POST /move") != std::string::npos) {
+    if (HasReceived(connection, "POST /move")) {
       stream->socket->abort();
       QTimer::singleShot(1'900, connection.socket, [&] {
         if (!responds) return connection.socket->abort();
@@ -200,15 +164,14 @@
       });
       return;
     }
-    if (connection.received.find("GET /report") != std::string::npos) {
+    if (HasReceived(connection, "GET /report")) {
       return SendResponse(connection, "200 OK", "1800");
     }
     stream = &connection;
     StartEventStream(connection, MakeEvent(1) + MakeEvent(2));
   });
   RawUpstream other([](auto& connection) {
-    const bool moved =
-        connection.received.find("Copy: copy-7") != std::string::npos;
+    const bool moved = HasReceived(connection, "Copy: copy-7");
     SendResponse(connection, "200 OK", moved ? MakeEvent(3) : "wrong");
   });
   fixture.AddUpstream("a", leaving);
--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -104,8 +104,7 @@
 
   SUBCASE("resumes elsewhere after the last event if it is resumable") {
     RawUpstream rest([](auto& connection) {
-      const bool resumed =
-          connection.received.find("From: 2") != std::string::npos;
+      const bool resumed = HasReceived(connection, "From: 2");
       SendResponse(connection, "200 OK",
                    resumed ? MakeEvent(3) + MakeEvent(4) : "wrong");
     });
@@ -117,14 +116,14 @@
     const auto& received = caller->Received();
     CHECK(received.find("id: 3") == received.rfind("id: 3"));
     CHECK(received.find("da\r\n") == std::string::npos);
-    CHECK(caller->WaitFor("0\r\n\r\n"));
+    CHECK(caller->WaitFor(kEnd));
   }
   SUBCASE("is aborted towards the caller if it is not") {
     fixture.AddUpstream("a", breaking);
     auto caller = fixture.SendRequest("stream");
     REQUIRE(caller->WaitFor("id: 2"));
     CHECK(caller->WaitClosed());
-    CHECK(caller->Received().find("0\r\n\r\n") == std::string::npos);
+    CHECK(caller->Received().find(kEnd) == std::string::npos);
   }
 }
 
@@ -134,23 +133,22 @@
   RawUpstream::Connection* stream = nullptr;
   RawUpstream leaving([&](auto& connection) {
     // The requests arrive one after the other on one kept-alive connection.
-    if (connection.received.find("POST /move") != std::string::npos) {
+    if (HasReceived(connection, "POST /move")) {
       if (move_answer != "404 No Run") stream->socket->abort();
       return SendResponse(connection, move_answer, "copy-7");
     }
-    if (connection.received.find("Copy: copy-7") != std::string::npos) {
+    if (HasReceived(connection, "Copy: copy-7")) {
       return SendResponse(connection, "200 OK", MakeEvent(3));
     }
-    if (connection.received.find("GET /report") != std::string::npos) {
+    if (HasReceived(connection, "GET /report")) {
       return SendResponse(connection, "200 OK", "1800");
     }
     stream = &connection;
     StartEventStream(connection, MakeEvent(1) + MakeEvent(2));
   });
   RawUpstream other([](auto& connection) {
-    const bool moved =
-        connection.received.find("Copy: copy-7") != std::string::npos &&
-        connection.received.find("From: 2") != std::string::npos;
+    const bool moved = HasReceived(connection, "Copy: copy-7") &&
+                       HasReceived(connection, "From: 2");
     SendResponse(connection, "200 OK", moved ? MakeEvent(3) : "wrong");
   });
   fixture.AddUpstream("a", leaving);
@@ -160,13 +158,13 @@
 
   SUBCASE("continues at another engine even if it is not resumable") {
     fixture.AddUpstream("a", leaving, true);
-    REQUIRE(caller->WaitFor("0\r\n\r\n"));
+    REQUIRE(caller->WaitFor(kEnd));
     CHECK(caller->Received().find("id: 3") != std::string::npos);
   }
   SUBCASE("continues at the same engine if it stopped but was not copied") {
     move_answer = "503 No Room";
     fixture.AddUpstream("a", leaving, true);
-    REQUIRE(caller->WaitFor("0\r\n\r\n"));
+    REQUIRE(caller->WaitFor(kEnd));
     CHECK(caller->Received().find("id: 3") != std::string::npos);
     CHECK(other.Requests() == 0);
   }
--- a/libs/gateway/tests/gateway_upstream_limits_test.cc
+++ b/libs/gateway/tests/gateway_upstream_limits_test.cc
@@ -147,11 +147,11 @@
   GatewayFixture fixture;
   int moves = 0;
   RawUpstream source([&](auto& connection) {
-    if (connection.received.find("/move") != std::string::npos) {
+    if (HasReceived(connection, "/move")) {
       ++moves;
       return SendResponse(connection, "200 OK", "h1");
     }
-    if (connection.received.find("/report") != std::string::npos) {
+    if (HasReceived(connection, "/report")) {
       return SendResponse(connection, "200 OK", "1500");
     }
     connection.socket->write(QByteArray::fromStdString(
--- a/libs/gateway/tests/gateway_version_test.cc
+++ b/libs/gateway/tests/gateway_version_test.cc
@@ -10,8 +10,6 @@
 namespace firmoor {
 namespace {
 
-// A stream that cannot go on ends within this time.
-constexpr int kPromptlyMs = 300;
 constexpr int kSlots = 4;
 
 /// Whether the latest request on a kept-alive connection asks for a report.
@@ -44,15 +42,12 @@
   };
 
   SUBCASE("before its first event is sent to any other") {
-    RawUpstream breaking([](auto& connection) {
-      QTimer::singleShot(50, connection.socket,
-                         [s = connection.socket] { s->abort(); });
-    });
+    RawUpstream breaking(BreakAfter(50));
     fixture.AddUpstream("a", breaking, false, "v1");
     const auto caller = fixture.SendRequest("resumable");
     REQUIRE(WaitUntil([&] { return breaking.Requests() == 1; }));
     add_others();
-    CHECK(caller->WaitFor("0\r\n\r\n"));
+    CHECK(caller->WaitFor(kEnd));
     CHECK(other.Requests() == 1);
   }
   SUBCASE("after its first event") {
@@ -67,13 +62,13 @@
     add_others();
     SUBCASE("goes on at one of its version") {
       fixture.AddUpstream("e", same, false, "v1");
-      CHECK(caller->WaitFor("0\r\n\r\n"));
+      CHECK(caller->WaitFor(kEnd));
       CHECK(same.Requests() == 1);
       CHECK(other.Requests() == 0);
     }
     SUBCASE("ends at once when none of its version is left") {
       CHECK(caller->WaitClosed(kPromptlyMs));
-      CHECK(caller->Received().find("0\r\n\r\n") == std::string::npos);
+      CHECK(caller->Received().find(kEnd) == std::string::npos);
       CHECK(other.Requests() == 0);
     }
     SUBCASE("ends at once when its version is about to leave") {
@@ -123,7 +118,7 @@
     entry.born_ms = WallClockMs() + 5'000;
     fixture.gateway.ApplyUpstream(entry);
     stream->socket->abort();
-    CHECK(caller->WaitFor("0\r\n\r\n"));
+    CHECK(caller->WaitFor(kEnd));
     CHECK(same.Requests() == 1);
   }
 }
@@ -135,12 +130,12 @@
   int moves = 0;
   RawUpstream::Connection* stream = nullptr;
   RawUpstream leaving([&](auto& connection) {
-    if (connection.received.find("POST /move") != std::string::npos) {
+    if (HasReceived(connection, "POST /move")) {
       ++moves;
       stream->socket->abort();
       return SendResponse(connection, "200 OK", "copy-7");
     }
-    if (connection.received.find("GET /report") != std::string::npos) {
+    if (HasReceived(connection, "GET /report")) {
       return SendResponse(connection, "200 OK", "1800");
     }
     stream = &connection;
@@ -157,7 +152,7 @@
     fixture.AddUpstream("c", same, false, "v1");
     fixture.AddUpstream("d", other, false, "v2");
     fixture.AddUpstream("a", leaving, true, "v1");
-    CHECK(caller->WaitFor("0\r\n\r\n"));
+    CHECK(caller->WaitFor(kEnd));
     CHECK(same.Requests() == 1);
   }
   SUBCASE("stays when there is none") {
--- a/libs/gateway/tests/silent_upstreams.h
+++ b/libs/gateway/tests/silent_upstreams.h
@@ -14,10 +14,12 @@
 
 namespace firmoor {
 
-/// The end of a response in the caller's connection.
-constexpr std::string_view kEnd = "0\r\n\r\n";
 /// A cancelled attempt's connection closes within this time.
 constexpr int kCancelMs = 400;
+// The gateway tries another upstream after 1,500 ms between two events.
+constexpr int kPauseInStreamMs = 1'900;
+/// The head of a response to a request that was not run.
+constexpr const char* kNotRun = "503 Service Unavailable\r\nNot-Run: 1";
 
 /// When an upstream sends the event with this id, after it got the request.
 struct TimedEvent {
@@ -44,6 +46,11 @@
   };
 }
 
+/// Sends event 1, pauses, and completes the stream with event 2.
+inline RawUpstream::Script PauseInStream(int pause_ms = kPauseInStreamMs) {
+  return SendEvents({{1, 0}, {2, pause_ms}});
+}
+
 /// Sends a whole response after `at_ms`.
 inline RawUpstream::Script AnswerAfter(int at_ms, const std::string& head,
                                        const std::string& body) {
@@ -56,7 +63,7 @@
 
 /// Rejects each request as not run.
 inline void RejectNotRun(RawUpstream::Connection& connection) {
-  SendResponse(connection, "503 Service Unavailable\r\nNot-Run: 1", "");
+  SendResponse(connection, kNotRun, "");
 }
 
 /// The first connection that brought a request; others only test the link.
@@ -73,13 +80,7 @@
 
 /// Whether the ids of the events in what a caller received are these.
 inline bool HasEvents(RawClient& caller, const std::vector<int>& ids) {
-  const auto& text = caller.Received();
-  std::vector<int> found;
-  for (std::size_t at = 0; (at = text.find("\nid: ", at)) != std::string::npos;
-       ++at) {
-    found.push_back(std::stoi(text.substr(at + 5)));
-  }
-  return found == ids;
+  return EventIds(caller.Received()) == ids;
 }
 
 /// A request to upstream "a", beside which another attempt starts at "b" if "a"
@@ -123,21 +124,6 @@
                "firmoor_attempts_beside_total{end=\"" + end + "\"} " +
                std::to_string(count) + "\n") != std::string::npos;
   }
-  /// Applies a configuration that differs by `change` from the current one.
-  template <typename Change>
-  void Reconfigure(const Change& change) {
-    auto content = fixture.gateway.routes()->content();
-    ++content.version;
-    change(&content);
-    fixture.gateway.SetRoutes(std::make_shared<const RouteTable>(content));
-  }
-  [[nodiscard]] std::int64_t UsageCount() {
-    std::int64_t sum = 0;
-    for (const auto& [window, counts] : fixture.gateway.ledger().windows()) {
-      for (const auto& [workspace, count] : counts) sum += count;
-    }
-    return sum;
-  }
   /// Requests at the service's upstreams, as the picker counts them.
   [[nodiscard]] double InFlight() const {
     const auto loads = fixture.gateway.Loads();
