Take closed ports of the silence tests from one function

Cause: gateway_silence_limits_test.cc (RefusingPort) and gateway_silence_race_test.cc each had a further way to get the address of a port that refuses connections, without a check that there was one.

Both use ClosedPort of gateway_fixture.h, which requires that it could listen. So three assertions more run, and none less: two in gateway_silence_limits_test.cc, one in gateway_silence_race_test.cc.

--- a/libs/gateway/tests/gateway_silence_limits_test.cc
+++ b/libs/gateway/tests/gateway_silence_limits_test.cc
@@ -15,12 +15,6 @@
 constexpr std::size_t kManyDaemons = 1'000;
 constexpr std::size_t kOneDaemon = 1;
 
-/// The address of a port that refuses connections.
-Endpoint RefusingPort() {
-  const RawUpstream gone([](auto&) {});
-  return gone.Address();
-}
-
 /// An upstream that announces a limit in each response; it holds responses back
 /// while it is silent.
 struct AnnouncingUpstream {
@@ -109,7 +103,7 @@
   }
   SUBCASE("and it is given back if it was never sent") {
     request.StartAtFirst("resumable");
-    request.fixture.AddUpstream("b", RefusingPort());
+    request.fixture.AddUpstream("b", ClosedPort());
     CHECK(request.caller->WaitFor(kEnd, 2'500));
     const auto line = request.log.OnlyLine("attempt-failed");
     CHECK(line["upstream"].toString() == "b");
@@ -243,7 +237,7 @@
     AnnouncedFixture fixture("Limit: 2");
     fixture.Grant(1, 1);
     const auto caller = start(fixture);
-    fixture.fixture.AddUpstream("b", RefusingPort());
+    fixture.fixture.AddUpstream("b", ClosedPort());
     REQUIRE(WaitUntil(
         [&] { return !fixture.log.Lines("attempt-failed").empty(); }, 900));
     CHECK(fixture.InFlight() == 1);
--- a/libs/gateway/tests/gateway_silence_race_test.cc
+++ b/libs/gateway/tests/gateway_silence_race_test.cc
@@ -242,12 +242,7 @@
   SUBCASE("the first is rejected and the second has no connection: not run") {
     RacedRequest request(AnswerAfter(1'000, kNotRun, ""), RejectNotRun);
     request.StartAtFirst("idempotent");
-    Endpoint closed{"127.0.0.1", 0};
-    {
-      const RawUpstream gone([](auto&) {});
-      closed = gone.Address();
-    }
-    request.fixture.AddUpstream("b", closed);
+    request.fixture.AddUpstream("b", ClosedPort());
     REQUIRE(request.caller->WaitFor("HTTP/1.1 ", 2'000));
     CHECK(is_not_run(*request.caller));
   }
