Set up the gateway's test daemons in one place

DaemonPair (coordinator_fixture.h), SenderAndHelper (gateway_delegation_broken_test.cc) and FirstWindow (store_restore_test.cc) hold that now; the latter two as doctest fixtures, so that the cases read as before.

A fault found by it: coordinator_fixture.h and delegation_fleet.h both defined firmoor::Daemon, and gateway_test links both. With DaemonPair the first trial of gateway_delegation_broken_test.cc ended by a segmentation fault in CoordinatorService::Stop(), called by ~Daemon() of the other type. Before, the binary had one ~Daemon(), that of delegation_fleet.h by its place; that the coordinator's was inlined then is presumed, not looked at. The coordinator's type is CoordinatorDaemon now, and the binary has both destructors.

--- a/libs/gateway/tests/coordinator_fixture.h
+++ b/libs/gateway/tests/coordinator_fixture.h
@@ -1,6 +1,8 @@
 #ifndef FIRMOOR_GATEWAY_TESTS_COORDINATOR_FIXTURE_H_
 #define FIRMOOR_GATEWAY_TESTS_COORDINATOR_FIXTURE_H_
 
+#include <doctest/doctest.h>
+
 #include <QTimer>
 #include <cstdint>
 #include <functional>
@@ -138,7 +140,7 @@
 }
 
 /// One daemon's coordinator service, with short times.
-struct Daemon {
+struct CoordinatorDaemon {
   StoreEra store_era;
   DisconnectableStore own_store;
   TrueTime true_time{WallClockMs(), MonotonicNow()};
@@ -147,8 +149,9 @@
   Gateway gateway;
   CoordinatorService coordination;
 
-  Daemon(const std::string& name, std::uint16_t port, ObjectStore* store,
-         CloudApi* cloud, const Dialect* dialect = nullptr)
+  CoordinatorDaemon(const std::string& name, std::uint16_t port,
+                    ObjectStore* store, CloudApi* cloud,
+                    const Dialect* dialect = nullptr)
       : own_store(store, &store_era),
         gateway(GatewaySettings{}, {dialect, &log, &metrics, &true_time}),
         coordination({name,
@@ -181,6 +184,32 @@
   }
 };
 
+/// Two daemons of one store and one cloud, which elect a coordinator.
+struct DaemonPair {
+  MemoryStore store;
+  RecordingCloudApi cloud;
+  CoordinatorDaemon first{"first", ReservePort(), &store, &cloud};
+  CoordinatorDaemon second{"second", ReservePort(), &store, &cloud};
+
+  DaemonPair() {
+    REQUIRE(first.coordination.Start());
+    REQUIRE(second.coordination.Start());
+  }
+  [[nodiscard]] bool WaitHolder() {
+    return WaitUntil([this] {
+      return first.coordination.IsHolder() || second.coordination.IsHolder();
+    });
+  }
+  /// The one that is the coordinator now.
+  [[nodiscard]] CoordinatorDaemon& Holder() {
+    return first.coordination.IsHolder() ? first : second;
+  }
+  /// The one that is not the coordinator now.
+  [[nodiscard]] CoordinatorDaemon& Standby() {
+    return first.coordination.IsHolder() ? second : first;
+  }
+};
+
 }  // namespace firmoor
 
 #endif  // FIRMOOR_GATEWAY_TESTS_COORDINATOR_FIXTURE_H_
--- a/libs/gateway/tests/coordinator_own_grant_test.cc
+++ b/libs/gateway/tests/coordinator_own_grant_test.cc
@@ -14,7 +14,7 @@
   MemoryStore store;
   RecordingCloudApi cloud;
   TestDialect dialect;
-  Daemon daemon("only", ReservePort(), &store, &cloud, &dialect);
+  CoordinatorDaemon daemon("only", ReservePort(), &store, &cloud, &dialect);
   RawUpstream upstream([](auto& connection) {
     SendResponse(connection, "200 OK\r\nId: r1", "fine");
   });
--- a/libs/gateway/tests/coordinator_return_test.cc
+++ b/libs/gateway/tests/coordinator_return_test.cc
@@ -1,7 +1,6 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <memory>
 
 #include "coordinator_fixture.h"
 #include "placement/fencing_number.h"
@@ -27,30 +26,26 @@
 // number another daemon gets, after the store returned from an older copy
 // (incident ONE).
 TEST_CASE("the store of two daemons returns from an older copy") {
-  MemoryStore store;
-  RecordingCloudApi cloud;
-  auto first = std::make_unique<Daemon>("first", ReservePort(), &store, &cloud);
-  auto second =
-      std::make_unique<Daemon>("second", ReservePort(), &store, &cloud);
-  REQUIRE(first->coordination.Start());
-  REQUIRE(second->coordination.Start());
+  DaemonPair pair;
+  auto& store = pair.store;
+  auto& cloud = pair.cloud;
   REQUIRE(WaitUntil([&] { return !cloud.reports.empty(); }, 8'000));
-  auto& holder = first->coordination.IsHolder() ? first : second;
-  auto& standby = first->coordination.IsHolder() ? second : first;
+  auto& holder = pair.Holder();
+  auto& standby = pair.Standby();
   store.content.TakeSnapshot();
   // Requests of windows that the copy does not have, some of them counted late.
   const auto count = [&] {
-    holder->gateway.ledger().Count("w", holder->true_time.At(MonotonicNow()));
-    holder->gateway.ledger().Count(
-        "w", holder->true_time.At(MonotonicNow()) - 1'000);
+    holder.gateway.ledger().Count("w", holder.true_time.At(MonotonicNow()));
+    holder.gateway.ledger().Count("w",
+                                  holder.true_time.At(MonotonicNow()) - 1'000);
   };
   for (int i = 0; i < 10; ++i) {
     count();
     RunFor(150);
   }
   // A draining coordinator does not wait for daemons that do not report.
-  const auto report_at_once = [](Daemon* daemon) {
-    daemon->gateway.StartDrain(MonotonicNow() + Duration(8'000));
+  const auto report_at_once = [](CoordinatorDaemon& daemon) {
+    daemon.gateway.StartDrain(MonotonicNow() + Duration(8'000));
   };
   const auto calls = cloud.holders.size();
   const auto number = cloud.holders.back().fencing;
@@ -64,17 +59,17 @@
     CHECK(cloud.holders.back().daemon == cloud.holders[calls - 1].daemon);
   }
   SUBCASE("and its coordinator has stopped") {
-    holder->coordination.Stop();
-    REQUIRE(WaitUntil([&] { return standby->coordination.IsHolder(); }, 9'000));
-    report_at_once(standby.get());
+    holder.coordination.Stop();
+    REQUIRE(WaitUntil([&] { return standby.coordination.IsHolder(); }, 9'000));
+    report_at_once(standby);
     REQUIRE(WaitUntil([&] { return cloud.reports.size() > windows; }, 4'000));
     CHECK(cloud.holders.back().fencing > number);
   }
   SUBCASE("and its coordinator, which is cut off from it, learns of that") {
-    holder->own_store.Disconnect();
-    standby->store_era.Observe(store.content.era());
-    REQUIRE(WaitUntil([&] { return standby->coordination.IsHolder(); }, 9'000));
-    report_at_once(standby.get());
+    holder.own_store.Disconnect();
+    standby.store_era.Observe(store.content.era());
+    REQUIRE(WaitUntil([&] { return standby.coordination.IsHolder(); }, 9'000));
+    report_at_once(standby);
     REQUIRE(WaitUntil([&] { return cloud.reports.size() > windows; }, 4'000));
   }
   CHECK(AreNumbersSound(cloud.holders));
--- a/libs/gateway/tests/gateway_delegation_broken_test.cc
+++ b/libs/gateway/tests/gateway_delegation_broken_test.cc
@@ -27,15 +27,23 @@
              std::string::npos;
 }
 
+/// A daemon that reaches no upstream, and one that can serve its requests.
+struct SenderAndHelper {
+  Daemon sender{"sender"};
+  Daemon helper{"helper"};
+  RawUpstream upstream{
+      [](auto& connection) { SendResponse(connection, "200 OK", "answer"); }};
+
+  SenderAndHelper() {
+    sender.fixture.AddUpstream("a", ClosedPort());
+    helper.fixture.AddUpstream("a", upstream);
+  }
+};
+
 }  // namespace
 
-TEST_CASE("a daemon that breaks off a request of another") {
-  Daemon sender("sender");
-  Daemon helper("helper");
-  sender.fixture.AddUpstream("a", ClosedPort());
-  RawUpstream upstream(
-      [](auto& connection) { SendResponse(connection, "200 OK", "answer"); });
-  helper.fixture.AddUpstream("a", upstream);
+TEST_CASE_FIXTURE(SenderAndHelper,
+                  "a daemon that breaks off a request of another") {
   const auto check = [&](const std::vector<QByteArray>& messages) {
     const ScriptedDaemon breaking(SendAndBreak(messages));
     const auto check_log = [&](const QJsonObject& line, const QString& next) {
@@ -82,13 +90,8 @@
   }
 }
 
-TEST_CASE("a daemon that stands still with a request of another") {
-  Daemon sender("sender");
-  Daemon helper("helper");
-  sender.fixture.AddUpstream("a", ClosedPort());
-  RawUpstream upstream(
-      [](auto& connection) { SendResponse(connection, "200 OK", "answer"); });
-  helper.fixture.AddUpstream("a", upstream);
+TEST_CASE_FIXTURE(SenderAndHelper,
+                  "a daemon that stands still with a request of another") {
   const ScriptedDaemon still([](auto&) {});
 
   SUBCASE("leaves one that may be repeated to others, in time") {
--- a/libs/gateway/tests/store_restore_test.cc
+++ b/libs/gateway/tests/store_restore_test.cc
@@ -79,6 +79,18 @@
   return NextFencing(0, {store.era(), 0});
 }
 
+/// A coordinator that has reported a window, and a copy of the store after it.
+struct FirstWindow {
+  RestorableStore store;
+  ReportedUsage reported;
+  Reporter first{100, {FirstNumber(store), false, true}};
+
+  FirstWindow() {
+    first.Run(&store, &reported, kNow + kWindowMs + 1'000);
+    store.TakeSnapshot();
+  }
+};
+
 /// Makes the calls of an elector that are due.
 void Poll(LeaseElector* elector, RestorableStore* store, TimePoint now) {
   while (const auto call = elector->NextCall(now)) {
@@ -96,12 +108,8 @@
 
 // Guards against two reports of one window with different counts: the store
 // returned from a copy that did not have the first one (incident ONE).
-TEST_CASE("usage when the store returns from an older copy") {
-  RestorableStore store;
-  ReportedUsage reported;
-  Reporter first(100, {FirstNumber(store), false, true});
-  first.Run(&store, &reported, kNow + kWindowMs + 1'000);
-  store.TakeSnapshot();
+TEST_CASE_FIXTURE(FirstWindow,
+                  "usage when the store returns from an older copy") {
   first.Run(&store, &reported, kNow + 2 * kWindowMs + 1'000);
   first.Run(&store, &reported, kNow + 3 * kWindowMs + 1'000);
   REQUIRE(reported.windows.contains(200'002));
@@ -169,12 +177,7 @@
 // Guards against a write without an answer that is carried out after another
 // write of the same window with different counts: its expected revision was
 // given out again in the next era (incident ONE).
-TEST_CASE("a late write of usage in the next era") {
-  RestorableStore store;
-  ReportedUsage reported;
-  Reporter first(100, {FirstNumber(store), false, true});
-  first.Run(&store, &reported, kNow + kWindowMs + 1'000);
-  store.TakeSnapshot();
+TEST_CASE_FIXTURE(FirstWindow, "a late write of usage in the next era") {
   const auto late = first.reporter.Next(kNow + 2 * kWindowMs + 1'000);
   const auto* write = std::get_if<UsageReporter::WriteState>(&*late);
   REQUIRE(write);
@@ -205,12 +208,7 @@
 // Guards against a report that is read while the store returns and is judged by
 // the number of the term before: it was trusted, and what had been sent since
 // was summed again (incident ONE, found in its review).
-TEST_CASE("usage that is read when the store returns") {
-  RestorableStore store;
-  ReportedUsage reported;
-  Reporter first(100, {FirstNumber(store), false, true});
-  first.Run(&store, &reported, kNow + kWindowMs + 1'000);
-  store.TakeSnapshot();
+TEST_CASE_FIXTURE(FirstWindow, "usage that is read when the store returns") {
   first.Run(&store, &reported, kNow + 2 * kWindowMs + 1'000);
   Reporter second(99, {FirstNumber(store) + 1, false, false});
   second.era_known_since_ms = kNow + 2 * kWindowMs + 4'000;
@@ -229,12 +227,8 @@
 // Guards against a window that is reported again because its report in the
 // present era was replaced by a late write of an earlier one (incident ONE,
 // found in its review).
-TEST_CASE("usage whose report is replaced by a late write") {
-  RestorableStore store;
-  ReportedUsage reported;
-  Reporter first(100, {FirstNumber(store), false, true});
-  first.Run(&store, &reported, kNow + kWindowMs + 1'000);
-  store.TakeSnapshot();
+TEST_CASE_FIXTURE(FirstWindow,
+                  "usage whose report is replaced by a late write") {
   const auto late = first.reporter.Next(kNow + 2 * kWindowMs + 1'000);
   store.Restore();
   Reporter second(99, {FirstNumber(store), true, false});
