Let streams go on whose connection gets no new calls

Seen: by reading only, in a review. One HTTP/2 connection to a peer carries all that a daemon sends there. Two consecutive calls of 500 ms or more without an answer, or two streams released without a message after 250 ms or more, closed it with everything in flight. So a peer that pauses for about a second, as a sound server may, made this daemon break the requests that it served: one that may run once ended "unknown", a stream that can't be resumed was cut.

Now such a connection gets no new calls (the next one opens another), and what is open on it goes on until it ends or its owner gives it up; then the connection is closed. The count belongs to the connection, so that a late end on an earlier one no longer changes the count of its successor. Any part of an answer sets it back, and a call without an answer counts only if nothing came on the connection for 250 ms. The release of a stream that had a message earlier no longer sets it back: it is no sign of life. A connection that was never established is still closed at once; what waits for it was not sent.

Dead connections: delegated requests end by the timer of their exchange (RequestTimeout; checked by reading), calls by their time-outs. All are closed at Stop. A request at a peer that is cut off without a reset therefore waits for its own time-out, or for PeerSilenceBound where another attempt may start, and no longer ends with the second unanswered call.

Ruled out: a longer count or time-out, which moves the length of the pause that breaks requests, but not the breaking.

--- a/libs/peer/include/peer/peer_node.h
+++ b/libs/peer/include/peer/peer_node.h
@@ -15,7 +15,9 @@
 
 /// Remote calls between daemons: HTTP/2 streams (nghttp2) over TCP with CBOR
 /// messages. Keeps one connection to each peer while it is in use and closes it
-/// when idle. Outgoing connections are bound to the address of the listener.
+/// when idle. A connection whose calls are not answered gets no new ones; what
+/// is open on it goes on, and few such connections are kept to a peer. Outgoing
+/// connections are bound to the address of the listener.
 /// Not thread-safe; callbacks run in the event loop.
 class PeerNode {
  public:
--- a/libs/peer/src/details/http2_connection.cc
+++ b/libs/peer/src/details/http2_connection.cc
@@ -185,7 +185,7 @@
   const bool ended = nghttp2_session_want_read(session_) == 0 &&
                      nghttp2_session_want_write(session_) == 0;
   RunDeferred();
-  if (ended) Close();
+  if (ended || (retired_ && IsIdle())) Close();
 }
 
 int Http2Connection::OnHeader(nghttp2_session*, const nghttp2_frame* frame,
@@ -213,6 +213,8 @@
                             std::int32_t stream_id, const std::uint8_t* data,
                             std::size_t length, void* user) {
   auto* self = Self(user);
+  self->heard_at_ = MonotonicNow();
+  self->OnAnswered();
   const auto found = self->streams_.find(stream_id);
   self->ConsumeData(stream_id,
                     found == self->streams_.end() ? nullptr : &found->second,
@@ -338,6 +340,12 @@
   OnDisconnected();
 }
 
+void Http2Connection::Retire() {
+  retired_ = true;
+  // What waits for a connection was not sent, which its owners hear at once.
+  if (!connected_ || IsIdle()) Close();
+}
+
 void Http2Connection::OnDisconnected() {
   if (closed_) return;
   closed_ = true;
--- a/libs/peer/src/details/http2_connection.h
+++ b/libs/peer/src/details/http2_connection.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "peer/peer_node.h"
 #include "peer/peer_stream.h"
 
@@ -72,6 +73,17 @@
 
   [[nodiscard]] bool IsIdle() const { return streams_.empty(); }
   void Close();
+  /// Client: closes the connection once its last stream has ended. No calls may
+  /// be started after it.
+  void Retire();
+
+  /// Client: consecutive calls without an answer, as the owner counts them. A
+  /// part of any answer sets it back.
+  void CountUnanswered() { ++unanswered_; }
+  void OnAnswered() { unanswered_ = 0; }
+  [[nodiscard]] int unanswered() const { return unanswered_; }
+  /// When the last part of an answer came; the epoch before the first.
+  [[nodiscard]] TimePoint heard_at() const { return heard_at_; }
 
  private:
   struct Stream {
@@ -146,8 +158,11 @@
   std::map<std::uint64_t, QueuedCall> queued_calls_;  ///< By call id.
   std::uint64_t next_call_ = 1;
   std::vector<std::function<void()>> deferred_;
+  int unanswered_ = 0;
+  TimePoint heard_at_;
   bool in_session_ = false;  ///< nghttp2 is processing what was received.
   bool connected_ = false;
+  bool retired_ = false;
   bool closed_ = false;
 };
 
--- a/libs/peer/src/peer_node.cc
+++ b/libs/peer/src/peer_node.cc
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "details/http2_connection.h"
 #include "details/peer_stream_impl.h"
+#include "details/retired_connections.h"
 
 namespace firmoor {
 namespace {
@@ -19,15 +20,17 @@
 constexpr Logger kLog("peer");
 constexpr Duration kIdleTimeout{30'000};
 // A connection is considered broken after this many consecutive calls without a
-// response; it is closed, and the next call opens a new one.
+// response: the next call opens a new one. What is open on it goes on, since
+// the peer may only have paused.
 constexpr int kMaxUnansweredCalls = 2;
 // Calls with a shorter time-out say nothing about the connection: daemons stand
 // still for longer on a busy machine.
 constexpr Duration kMinJudgedTimeout{500};
-
 // Streams released without a message after less than this say nothing either:
 // their owner may have left.
 constexpr Duration kMinStreamWait{250};
+// Neither do calls while messages of others come at least this often.
+constexpr Duration kMinSilence{250};
 
 using details::Http2Connection;
 using ConnectionPtr = std::shared_ptr<Http2Connection>;
@@ -35,9 +38,12 @@
 struct Client {
   ConnectionPtr connection;
   TimePoint last_used;
-  int unanswered = 0;  ///< Consecutive calls.
 };
 
+bool IsSilent(const Http2Connection& connection) {
+  return MonotonicNow() - connection.heard_at() >= kMinSilence;
+}
+
 }  // namespace
 
 struct PeerNode::Builder::Impl {
@@ -49,6 +55,7 @@
   QTimer idle_timer;
   Traffic traffic;
   std::map<Endpoint, Client> clients;
+  details::RetiredConnections retired;
   std::unordered_map<Http2Connection*, ConnectionPtr> servers;
   bool stopped = true;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -58,8 +65,11 @@
   void OnClosed(Http2Connection* connection);
   ConnectionPtr Connect(const Endpoint& peer);
   void CloseIdle();
-  /// Closes the connection to `peer` if it has not answered repeatedly.
   void OnStreamReleased(const Endpoint& peer, const PeerStream::Impl& stream);
+  /// Uses the connection to `peer` for no new calls if it has not answered
+  /// repeatedly.
+  void RetireIfUnanswered(const Endpoint& peer,
+                          const ConnectionPtr& connection);
   void DeferDestruction(ConnectionPtr connection);
 };
 
@@ -90,6 +100,9 @@
     DeferDestruction(std::move(found->second));
     servers.erase(found);
   }
+  if (auto found = retired.Remove(connection)) {
+    DeferDestruction(std::move(found));
+  }
   std::erase_if(clients, [&](auto& entry) {
     if (entry.second.connection.get() != connection) return false;
     DeferDestruction(std::move(entry.second.connection));
@@ -126,20 +139,27 @@
 
 void PeerNode::Builder::Impl::OnStreamReleased(const Endpoint& peer,
                                                const PeerStream::Impl& stream) {
-  const auto found = clients.find(peer);
   const auto connection = stream.connection.lock();
-  if (found == clients.end() || found->second.connection != connection) return;
-  if (stream.call->has_reply) {
-    found->second.unanswered = 0;
-    return;
-  }
+  if (!connection || stream.call->has_reply) return;
   const bool is_judged = MonotonicNow() - stream.opened_at >= kMinStreamWait;
-  if (!is_judged || ++found->second.unanswered < kMaxUnansweredCalls) return;
-  // Queued, since the release may happen within a callback of the connection.
+  if (!is_judged || !IsSilent(*connection)) return;
+  connection->CountUnanswered();
+  RetireIfUnanswered(peer, connection);
+}
+
+void PeerNode::Builder::Impl::RetireIfUnanswered(
+    const Endpoint& peer, const ConnectionPtr& connection) {
+  if (connection->unanswered() < kMaxUnansweredCalls) return;
+  const auto found = clients.find(peer);
+  if (found == clients.end() || found->second.connection != connection) return;
+  clients.erase(found);
+  retired.Add(peer, connection);
+  // Queued, since this may happen within a callback of a connection.
   QMetaObject::invokeMethod(
       &idle_timer,
-      [weak = std::weak_ptr(connection)] {
-        if (const auto locked = weak.lock()) locked->Close();
+      [this, peer, weak = std::weak_ptr(connection)] {
+        if (const auto locked = weak.lock()) locked->Retire();
+        for (const auto& excess : retired.Excess(peer)) excess->Close();
       },
       Qt::QueuedConnection);
 }
@@ -207,6 +227,9 @@
   for (const auto& [peer, client] : impl_->clients) {
     if (client.connection) connections.push_back(client.connection);
   }
+  for (const auto& connection : impl_->retired.All()) {
+    connections.push_back(connection);
+  }
   for (const auto& connection : connections) connection->Close();
 }
 
@@ -220,15 +243,17 @@
   timer->setSingleShot(true);
   const auto call = connection->Call(
       kind, message,
-      [impl, peer, timer, judged = timeout >= kMinJudgedTimeout,
+      [timer, judged = timeout >= kMinJudgedTimeout,
+       weak = std::weak_ptr(connection),
        done = std::move(done)](PeerStatus status, const QByteArray& body) {
         timer->stop();
         timer->disconnect();
-        const auto found = impl->clients.find(peer);
-        if (found != impl->clients.end()) {
-          auto& count = found->second.unanswered;
-          const bool is_unanswered = status == PeerStatus::kNoResponse;
-          count = is_unanswered ? count + (judged ? 1 : 0) : 0;
+        if (const auto locked = weak.lock()) {
+          if (status != PeerStatus::kNoResponse) {
+            locked->OnAnswered();
+          } else if (judged && IsSilent(*locked)) {
+            locked->CountUnanswered();
+          }
         }
         done(status, body);
       });
@@ -237,12 +262,7 @@
                      const auto locked = weak.lock();
                      if (!locked) return;
                      locked->Cancel(call);
-                     const auto found = impl->clients.find(peer);
-                     if (found == impl->clients.end()) return;
-                     if (found->second.connection == locked &&
-                         found->second.unanswered >= kMaxUnansweredCalls) {
-                       locked->Close();
-                     }
+                     impl->RetireIfUnanswered(peer, locked);
                    });
   timer->start(timeout);
 }
--- a/libs/peer/tests/peer_stream_fixture.h
+++ b/libs/peer/tests/peer_stream_fixture.h
@@ -16,7 +16,7 @@
 namespace firmoor {
 
 /// A peer node that collects the calls which are to be answered by a series of
-/// messages, and answers plain calls at once.
+/// messages, and answers plain calls at once, but those of the kind "hold".
 struct StreamNode {
   struct Call {
     std::string kind;
@@ -26,6 +26,7 @@
   };
 
   std::vector<std::unique_ptr<Call>> calls;
+  std::vector<PeerNode::Reply> held_replies;
   std::unique_ptr<PeerNode> node;
 
   explicit StreamNode(const std::string& token = "secret",
@@ -33,8 +34,9 @@
     PeerNode::Builder builder;
     builder.Listen({"127.0.0.1", 0})
         .Token(token)
-        .Handler([](const std::string& kind, const QByteArray& message,
-                    const PeerNode::Reply& reply) {
+        .Handler([this](const std::string& kind, const QByteArray& message,
+                        const PeerNode::Reply& reply) {
+          if (kind == "hold") return held_replies.push_back(reply);
           reply(QByteArray(kind.c_str()) + ":" + message);
         });
     if (serves_streams) {
