--- a/libs/gateway/src/coordination.cc
+++ b/libs/gateway/src/coordination.cc
@@ -52,11 +52,10 @@
     const auto entry = tokens.find(workspace);
     return entry == tokens.end() ? 0 : entry->second;
   };
-  found->second.SetPriorState(
-      {tokens_of(previous_.used_tokens),
-       tokens_of(previous_.outstanding_tokens), previous_.daemons,
-       is_previous_final_},
-      previous_until_);
+  found->second.SetPriorState({tokens_of(previous_.used_tokens),
+                               tokens_of(previous_.outstanding_tokens),
+                               previous_.daemons, is_previous_final_},
+                              previous_until_);
   return found->second;
 }
 
--- a/libs/placement/include/placement/lease_stagger.h
+++ b/libs/placement/include/placement/lease_stagger.h
@@ -16,9 +16,9 @@
 Duration LeaseStagger(std::size_t daemons, double cores,
                       std::string_view instance_id);
 
-/// Returns how much longer a daemon that is about to stop leaves an expired lease
-/// to others: `lifetime` of the lease, in which one that stays takes it. Zero
-/// for the only daemon. Performs no I/O.
+/// Returns how much longer a daemon that is about to stop leaves an expired
+/// lease to others: `lifetime` of the lease, in which one that stays takes it.
+/// Zero for the only daemon. Performs no I/O.
 Duration DrainingTakeoverDelay(std::size_t daemons, Duration lifetime);
 
 }  // namespace firmoor
