--- a/tests/support/include/support/reserved_port.h
+++ b/tests/support/include/support/reserved_port.h
@@ -39,11 +39,9 @@
   return false;
 }
 
-/// Reserves a port that is free at `address`; 0 if there is none. Until a
-/// program listens on it, it refuses connections: the system gives it to no
-/// other listener either. It lies below
-/// the range from which the system takes ports for outgoing connections, since
-/// those could take one before its program listens.
+/// Reserves a port that is free at `address`; 0 if there is none. It refuses
+/// connections until a program listens on it: it lies below the range from
+/// which the system takes ports for outgoing connections and for listeners.
 inline std::uint16_t ReservePort(const std::string& address = "127.0.0.1") {
   constexpr int kFirstPort = 10'000;
   constexpr int kPorts = 20'000;
