--- a/libs/gateway/tests/gateway_silence_limits_test.cc
+++ b/libs/gateway/tests/gateway_silence_limits_test.cc
@@ -310,7 +310,9 @@
   RacedRequest removed(PauseInStream(), RejectNotRun);
   RacedRequest shortened(PauseInStream(), RejectNotRun);
   RacedRequest moved(PauseInStream(), RejectNotRun);
-  for (auto* request : {&removed, &shortened, &moved}) request->StartStream();
+  RacedRequest unserved(PauseInStream(), RejectNotRun);
+  const auto requests = {&removed, &shortened, &moved, &unserved};
+  for (auto* request : requests) request->StartStream();
 
   // The route is gone.
   removed.fixture.Reconfigure([](auto* content) {
@@ -324,10 +326,16 @@
     content->services.push_back(service);
     for (auto& route : content->routes) route.services = {{"t", 1}};
   });
+  // The service is gone, with all of its routes.
+  REQUIRE(unserved.WaitForSecond());
+  unserved.fixture.Reconfigure([](auto* content) {
+    content->routes.clear();
+    content->services.clear();
+  });
   // The timeouts are shorter than the time that has passed.
   REQUIRE(shortened.WaitForSecond());
   shortened.fixture.SetTimeouts(Duration(500));
-  for (auto* request : {&removed, &shortened, &moved}) {
+  for (auto* request : requests) {
     CHECK(request->caller->WaitFor(kEnd, 1'000));
     CHECK(HasEvents(*request->caller, {1, 2}));
     CHECK(request->b.Requests() == 1);
