--- a/libs/limits/tests/quota_continuation_test.cc
+++ b/libs/limits/tests/quota_continuation_test.cc
@@ -192,7 +192,7 @@
   pool.SetPriorState({600, 200, kQuietDaemons + 1, true}, kStart + 5 * kSecond);
   for (int i = 0; i < kQuietDaemons; ++i) {
     pool.Grant({std::to_string(i), "1"}, {20, 20, 0, false, 30}, kLimit,
-               static_cast<std::size_t>(i + 1), kStart);
+               static_cast<std::size_t>(i) + 1, kStart);
   }
   const auto report = [&](const QuotaUsage& use, TimePoint now) {
     return pool.Grant(kDaemon, use, kLimit, kQuietDaemons + 1, now);
