Bound what peers announce and send

It is one of a family: collected answers, chunk lines, trailers and unfinished events were kept without a bound.

Fix: bodies grow with the bytes that arrive. A request that may have run is never called not run for it.

--- a/apps/firmoord/src/placement_service.h
+++ b/apps/firmoord/src/placement_service.h
@@ -13,7 +13,7 @@
 #include "config/configuration.h"
 #include "config/settings.h"
 #include "fleet.h"
-#include "http/http_call.h"
+#include "http/http_fetch.h"
 #include "placement/lease_elector.h"
 #include "placement/planner.h"
 #include "platform/object_store.h"
--- a/libs/gateway/include/gateway/event_relay.h
+++ b/libs/gateway/include/gateway/event_relay.h
@@ -28,6 +28,11 @@
   [[nodiscard]] bool HasPartialEvent() const { return !partial_.empty(); }
   /// Whether they end within one of which more than a comment has arrived.
   [[nodiscard]] bool HasBegunEvent() const;
+  /// Whether more of an incomplete event has arrived than any event may have,
+  /// which would otherwise be kept without a bound.
+  [[nodiscard]] bool IsEventTooLong() const {
+    return partial_.size() > kMaxEventBytes;
+  }
   /// Id of the last forwarded event; at first the id given at construction.
   [[nodiscard]] const std::string& last_event_id() const { return last_id_; }
   /// Number of forwarded events, without comments between them.
@@ -36,6 +41,9 @@
  private:
   [[nodiscard]] bool IsNew(std::string_view event);
 
+  // An event holds some tokens and their framing.
+  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
   std::string partial_;
   std::string last_id_;
   std::size_t events_ = 0;
--- a/libs/gateway/src/details/exchange_move.cc
+++ b/libs/gateway/src/details/exchange_move.cc
@@ -68,6 +68,14 @@
   const auto self = shared_from_this();
   move_.emplace();
   move_->attempt = attempt->number();
+  HttpFetchOptions options;
+  options.end_if_silent = [this] {
+    // The engine may still be copying.
+    move_->is_silent = true;
+    if (move_->end) race_.OnSilent(move_->attempt);
+    StartBeside();
+    return false;
+  };
   move_->call = HttpFetch(
       upstream.endpoint,
       context_->environment.dialect->EncodeMoveRequest(request_.id,
@@ -76,13 +84,7 @@
       [this, target = *target](const HttpFetchResult& result) {
         OnMoveResult(result, target);
       },
-      [this] {
-        // The engine may still be copying.
-        move_->is_silent = true;
-        if (move_->end) race_.OnSilent(move_->attempt);
-        StartBeside();
-        return false;
-      });
+      std::move(options));
 }
 
 void Exchange::OnMoveResult(const HttpFetchResult& result,
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -18,7 +18,8 @@
 #include "details/stream_versions.h"
 #include "gateway/gateway.h"
 #include "gateway/request_admission.h"
-#include "http/http_call.h"
+#include "http/body_budget.h"
+#include "http/http_fetch.h"
 #include "limits/grant_wait_list.h"
 #include "limits/quota_allowance.h"
 #include "limits/rate_meter.h"
@@ -35,6 +36,11 @@
 /// plus the minimum interval between two reports.
 constexpr Duration kGrantTimeout{300};
 
+/// Memory for responses that are collected until they are complete. Most are a
+/// few KB, which the free part holds.
+constexpr BodyBudget::Limits kAnswerBudget{
+    kMaxCollectedBodyBytes, 3 * kMaxCollectedBodyBytes, 64 * 1024};
+
 /// Effects of the rate limits that upstreams announce, since the start.
 struct UpstreamLimitCounters {
   std::uint64_t permitted = 0;  ///< Requests sent with a permit.
@@ -71,6 +77,7 @@
   LinkMonitor links;
   Delegations delegations;
   HttpConnectionPool pool;
+  BodyBudget answer_budget{kAnswerBudget};
   SharedLimits shared;
   /// Time of the coordinator's last reply.
   std::optional<TimePoint> shared_limits_received_at;
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -57,6 +57,7 @@
       in_flight_(context->picker.InFlight(plan_.upstream.id)),
       sent_at_(MonotonicNow()),
       last_byte_at_(sent_at_),
+      body_share_(&context->answer_budget),
       relay_(plan_.call.last_event_id) {
   ticket_ = context_->StartAttempt(plan_.upstream, plan_.pick, sent_at_);
   prefill_tokens_ = ticket_.prefill_tokens;
@@ -169,6 +170,7 @@
     context_->ApplyBrittleness(plan_.upstream, *head_, request_.id);
   }
   is_event_stream_ = !is_mismatched_ && plan_.is_stream && head_->IsSuccess();
+  if (!is_event_stream_) call_->LimitBody(kMaxCollectedBodyBytes);
   is_silent_ = false;
   owner_->OnByte(*this);
 }
@@ -179,10 +181,12 @@
   is_silent_ = false;
   context_->links.OnContact(plan_.upstream.id);
   if (!is_event_stream_) {
+    if (!body_share_.Grow(bytes.size())) return call_->LimitBody(0);
     body_ += bytes;
     return owner_->OnByte(*this);
   }
   const auto events = FeedEvents(&relay_, bytes);
+  if (relay_.IsEventTooLong()) return call_->LimitBody(0);
   owner_->OnByte(*this);
   if (events.bytes.empty()) return;
   if (events.count > 0) {
@@ -222,6 +226,7 @@
     case HttpCallEnd::kNoResponse:
     case HttpCallEnd::kTruncated:
     case HttpCallEnd::kMalformed:
+    case HttpCallEnd::kTooLarge:
     case HttpCallEnd::kTimedOut:
       return UpstreamOutcome::kFailed;
     case HttpCallEnd::kCancelled:
@@ -272,6 +277,7 @@
       return context_->links.OnBroken(plan_.upstream.id);
     case HttpCallEnd::kComplete:
     case HttpCallEnd::kMalformed:
+    case HttpCallEnd::kTooLarge:
     case HttpCallEnd::kCancelled:
       return;
   }
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -158,6 +158,7 @@
   std::optional<TimePoint> head_at_;
   std::optional<UpstreamResponseHead> head_;
   std::string body_;
+  BodyBudget::Share body_share_;  ///< Of the memory for `body_`.
   EventRelay relay_;
   bool is_event_stream_ = false;
   bool is_silent_ = false;
--- a/libs/gateway/tests/event_relay_test.cc
+++ b/libs/gateway/tests/event_relay_test.cc
@@ -70,6 +70,22 @@
   }
 }
 
+// Guards against an event without end that is kept until memory runs out.
+TEST_CASE("EventRelay tells when an event is longer than any may be") {
+  EventRelay relay("");
+  const std::string part(512 * 1024, 'x');
+  relay.Feed(MakeEvents(1, 2) + "id: 3\ndata: " + part);
+  CHECK_FALSE(relay.IsEventTooLong());
+  SUBCASE("by its unfinished bytes") {
+    relay.Feed(part);
+    CHECK(relay.IsEventTooLong());
+  }
+  SUBCASE("and not when it ends") {
+    relay.Feed("\n\n" + part);
+    CHECK_FALSE(relay.IsEventTooLong());
+  }
+}
+
 TEST_CASE("EventRelay resumes a stream that was interrupted within an event") {
   EventRelay relay("");
   relay.Feed(MakeEvents(1, 3) + "id: 4\nda");
--- a/libs/gateway/tests/gateway_test.cc
+++ b/libs/gateway/tests/gateway_test.cc
@@ -59,6 +59,34 @@
   }
 }
 
+// Guards against an answer that ends the process (review/1), or that is said
+// not to have run.
+TEST_CASE("an answer that announces more than is ever collected") {
+  GatewayFixture fixture;
+  RawUpstream boasting([](auto& connection) {
+    connection.socket->write(
+        "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 1000000000000000\r\n\r\n"
+        "a part");
+  });
+  fixture.AddUpstream("a", boasting);
+
+  SUBCASE("has an unknown outcome") {
+    auto caller = fixture.SendRequest("once");
+    REQUIRE(caller->WaitFor("HTTP/1.1 "));
+    CHECK(caller->Received().starts_with("HTTP/1.1 502"));
+    CHECK(boasting.Requests() == 1);
+  }
+  SUBCASE("is replaced by another upstream's if the request may be repeated") {
+    RawUpstream good([](auto& connection) {
+      SendResponse(connection, "200 OK\r\nId: r1", "fine");
+    });
+    fixture.AddUpstream("b", good);
+    for (int i = 0; i < 4; ++i) {
+      CHECK(fixture.SendRequest("idempotent")->WaitFor("fine"));
+    }
+  }
+}
+
 TEST_CASE("a confirmation of the configuration by another daemon") {
   GatewayFixture fixture;
   const auto asked_at = MonotonicNow() + Duration(60'000);
--- a/libs/http/include/http/http_call.h
+++ b/libs/http/include/http/http_call.h
@@ -2,6 +2,7 @@
 #define FIRMOOR_HTTP_HTTP_CALL_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -23,6 +24,7 @@
   kMalformed,     ///< The response is not valid HTTP.
   kTimedOut,      ///< A time-out of `HttpCallTimeouts` expired.
   kCancelled,     ///< `HttpCall::Cancel` was called.
+  kTooLarge,      ///< The body is longer than `HttpCall::LimitBody` allows.
 };
 
 /// "complete", "not-connected" and so on, for logs.
@@ -94,6 +96,8 @@
     /// Reuses an idle connection of `pool` if there is one and returns it
     /// afterwards. Without a pool the call opens a connection and closes it.
     Builder& Pool(HttpConnectionPool* pool);
+    /// See `HttpCall::LimitBody`.
+    Builder& LimitBody(std::uint64_t max_bytes);
     Builder& OnHead(std::function<void(int, const HttpHeaders&)> handler);
     Builder& OnBody(std::function<void(std::string_view)> handler);
     /// Called exactly once, after all other handlers. The handler may delete
@@ -112,6 +116,12 @@
   /// Closes the connection; `OnEnd` gets `kCancelled`.
   void Cancel();
 
+  /// Ends the call with `kTooLarge` when the body is, or is announced to be,
+  /// longer than `max_bytes`. Without a limit the body may be endless, since
+  /// it is passed on and not kept. May be called in `OnHead` and `OnBody`, and
+  /// applies after the handler has returned.
+  void LimitBody(std::uint64_t max_bytes);
+
   /// Closes the connection at the end of the call instead of pooling it, for
   /// instance because a response to another request arrived on it.
   void DisableReuse();
@@ -135,24 +145,6 @@
   std::shared_ptr<Builder::Impl> impl_;
 };
 
-/// Runs a call and collects the complete response.
-///
-/// `done` receives how the call ended, whether the request may have been sent,
-/// and the response, which is complete only with `HttpCallEnd::kComplete`.
-/// Deleting the returned call cancels it without a callback. `end_if_silent`:
-/// see `HttpCall::Builder::EndIfSilent`.
-struct HttpFetchResult {
-  HttpCallEnd end = HttpCallEnd::kNotConnected;
-  bool may_have_been_sent = false;
-  HttpResponse answer;
-};
-
-std::unique_ptr<HttpCall> HttpFetch(const Endpoint& endpoint,
-                                    HttpRequest request, HttpCallTimeouts times,
-                                    HttpConnectionPool* pool,
-                                    std::function<void(HttpFetchResult)> done,
-                                    std::function<bool()> end_if_silent = {});
-
 }  // namespace firmoor
 
 #endif  // FIRMOOR_HTTP_HTTP_CALL_H_
--- /dev/null
+++ b/libs/http/src/details/growing_string_body.h
@@ -0,0 +1,48 @@
+#ifndef FIRMOOR_HTTP_DETAILS_GROWING_STRING_BODY_H_
+#define FIRMOOR_HTTP_DETAILS_GROWING_STRING_BODY_H_
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/optional.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace firmoor::details {
+
+/// A Boost.Beast body that grows with the bytes that arrive. In contrast to
+/// `string_body` it reserves nothing for the length that the peer announces.
+struct GrowingStringBody {
+  using value_type = std::string;
+
+  class reader {
+   public:
+    template <bool is_request, class Fields>
+    reader(boost::beast::http::header<is_request, Fields>&, value_type& body)
+        : body_(body) {}
+    void init(const boost::optional<std::uint64_t>&,
+              boost::beast::error_code& error) {
+      error = {};
+    }
+    template <class ConstBuffers>
+    std::size_t put(const ConstBuffers& buffers,
+                    boost::beast::error_code& error) {
+      error = {};
+      std::size_t taken = 0;
+      for (const auto& buffer : boost::beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+        taken += buffer.size();
+      }
+      return taken;
+    }
+    void finish(boost::beast::error_code& error) { error = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_HTTP_DETAILS_GROWING_STRING_BODY_H_
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -26,7 +26,7 @@
   return too_large ? kPayloadTooLarge : kBadRequest;
 }
 
-HttpRequest ToRequest(http::request<http::string_body> message) {
+HttpRequest ToRequest(http::request<GrowingStringBody> message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -6,13 +6,13 @@
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "details/growing_string_body.h"
 #include "details/lingering_close.h"
 #include "http/http_server.h"
 
@@ -59,8 +59,7 @@
   [[nodiscard]] std::string CallerAddress() const;
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<GrowingStringBody>;
   enum class Phase { kReading, kHandling, kStreaming };
 
   void ResetParser();
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -9,15 +9,14 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <charconv>
-#include <map>
 #include <optional>
 #include <utility>
-#include <vector>
 
 #include "base/invariant.h"
 #include "details/dead_peer_detection.h"
+#include "details/growing_string_body.h"
+#include "details/idle_connections.h"
 #include "details/reset_detector.h"
 
 namespace firmoor {
@@ -27,8 +26,9 @@
 namespace http = boost::beast::http;
 
 constexpr qint64 kReadBytes = 64 * 1024;
-constexpr std::size_t kMaxIdlePerEndpoint = 16;
 constexpr Duration kReadGrace{20};
+// Bounds the head, and each line that frames a chunk, with its extensions or
+// the trailer.
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
 // Idle connections are reused for up to this time, or for a fraction of the
 // time-out that the server announces, since the server may start counting
@@ -54,15 +54,6 @@
   return text;
 }
 
-struct SocketDeleter {
-  void operator()(QTcpSocket* socket) const {
-    socket->disconnect();
-    socket->abort();
-    socket->deleteLater();
-  }
-};
-using SocketPtr = std::unique_ptr<QTcpSocket, SocketDeleter>;
-
 /// How long a connection may be reused, given the server's Keep-Alive header.
 Duration IdleTimeoutFrom(std::string_view keep_alive) {
   constexpr std::string_view kName = "timeout=";
@@ -79,60 +70,15 @@
   return std::min(kIdleTimeout, Duration(static_cast<std::int64_t>(usable)));
 }
 
-/// A pooled connection that no call uses.
-struct IdleConnection {
-  SocketPtr socket;
-  TimePoint usable_until;
-};
-
 }  // namespace
 
-struct HttpConnectionPool::Impl {
-  std::map<Endpoint, std::vector<IdleConnection>> idle;
-
-  SocketPtr Take(const Endpoint& endpoint) {
-    auto& sockets = idle[endpoint];
-    while (!sockets.empty()) {
-      IdleConnection connection = std::move(sockets.back());
-      sockets.pop_back();
-      const bool usable =
-          connection.socket->state() == QAbstractSocket::ConnectedState &&
-          connection.socket->bytesAvailable() == 0 &&
-          MonotonicNow() < connection.usable_until;
-      if (usable) return std::move(connection.socket);
-    }
-    idle.erase(endpoint);
-    return nullptr;
-  }
-
-  void Keep(const Endpoint& endpoint, SocketPtr socket, Duration idle_timeout) {
-    auto& sockets = idle[endpoint];
-    const auto now = MonotonicNow();
-    std::erase_if(sockets, [now](const IdleConnection& connection) {
-      return now >= connection.usable_until;
-    });
-    if (sockets.size() >= kMaxIdlePerEndpoint || idle_timeout <= Duration(0)) {
-      return;
-    }
-    socket->disconnect();
-    sockets.push_back({std::move(socket), now + idle_timeout});
-  }
-};
-
 std::string_view NameOf(HttpCallEnd end) {
   constexpr std::string_view kNames[] = {
       "complete",  "not-connected", "no-answer", "truncated",
-      "malformed", "silent",        "cancelled"};
+      "malformed", "silent",        "cancelled", "too-large"};
   return kNames[static_cast<int>(end)];
 }
 
-HttpConnectionPool::HttpConnectionPool() : impl_(std::make_unique<Impl>()) {}
-HttpConnectionPool::~HttpConnectionPool() = default;
-
-void HttpConnectionPool::Forget(const Endpoint& endpoint) {
-  impl_->idle.erase(endpoint);
-}
-
 struct HttpCall::Builder::Impl
     : std::enable_shared_from_this<HttpCall::Builder::Impl> {
   Endpoint endpoint;
@@ -146,11 +92,13 @@
   std::function<void(std::string_view)> on_body;
   std::function<void(HttpCallEnd)> on_end;
 
-  SocketPtr socket;
+  details::SocketPtr socket;
   QTimer timer;
   QTimer total_timer;
   beast::flat_buffer buffer;
-  std::optional<http::response_parser<http::string_body>> parser;
+  std::optional<http::response_parser<details::GrowingStringBody>> parser;
+  std::optional<std::uint64_t> max_body_bytes;
+  std::uint64_t body_bytes = 0;
   bool reused = false;
   bool may_have_been_sent = false;
   bool head_delivered = false;
@@ -278,6 +226,9 @@
     if (error == http::error::need_more) break;
   }
   if (ended) return;
+  if (buffer.size() > kMaxResponseHeaderBytes && !parser->is_done()) {
+    return End(HttpCallEnd::kMalformed);
+  }
   if (parser->is_done()) return End(HttpCallEnd::kComplete);
   RestartTimer();
 }
@@ -295,13 +246,22 @@
         {std::string(field.name_string()), std::string(field.value())});
   }
   if (on_head) on_head(parser->get().result_int(), headers);
+  const auto announced = parser->content_length();
+  const bool has_body = request.method != "HEAD";
+  if (has_body && max_body_bytes && announced && *announced > *max_body_bytes) {
+    End(HttpCallEnd::kTooLarge);
+  }
 }
 
 void HttpCall::Builder::Impl::DeliverBody() {
   if (ended || !head_delivered) return;
   std::string bytes;
   bytes.swap(parser->get().body());
+  body_bytes += bytes.size();
   if (!bytes.empty() && on_body) on_body(bytes);
+  if (!ended && max_body_bytes && body_bytes > *max_body_bytes) {
+    End(HttpCallEnd::kTooLarge);
+  }
 }
 
 void HttpCall::Builder::Impl::OnClosed() {
@@ -375,6 +335,11 @@
   return *this;
 }
 
+HttpCall::Builder& HttpCall::Builder::LimitBody(std::uint64_t max_bytes) {
+  impl_->max_body_bytes = max_bytes;
+  return *this;
+}
+
 HttpCall::Builder& HttpCall::Builder::OnHead(
     std::function<void(int, const HttpHeaders&)> handler) {
   impl_->on_head = std::move(handler);
@@ -418,6 +383,10 @@
 
 void HttpCall::Cancel() { impl_->End(HttpCallEnd::kCancelled); }
 
+void HttpCall::LimitBody(std::uint64_t max_bytes) {
+  impl_->max_body_bytes = max_bytes;
+}
+
 void HttpCall::DisableReuse() { impl_->pool = nullptr; }
 
 void HttpCall::SetPaused(bool paused) {
@@ -442,26 +411,4 @@
 
 bool HttpCall::MayHaveBeenSent() const { return impl_->may_have_been_sent; }
 
-std::unique_ptr<HttpCall> HttpFetch(const Endpoint& endpoint,
-                                    HttpRequest request,
-                                    HttpCallTimeouts timeouts,
-                                    HttpConnectionPool* pool,
-                                    std::function<void(HttpFetchResult)> done,
-                                    std::function<bool()> end_if_silent) {
-  const auto response = std::make_shared<HttpResponse>();
-  return HttpCall::Builder(endpoint, std::move(request))
-      .Timeouts(timeouts)
-      .Pool(pool)
-      .EndIfSilent(std::move(end_if_silent))
-      .OnHead([response](int status, const HttpHeaders& headers) {
-        response->status = status;
-        response->headers = headers;
-      })
-      .OnBody([response](std::string_view bytes) { response->body += bytes; })
-      .OnEnd([response, done = std::move(done)](HttpCallEnd end) {
-        done({end, end != HttpCallEnd::kNotConnected, std::move(*response)});
-      })
-      .Start();
-}
-
 }  // namespace firmoor
--- a/libs/http/tests/http_call_test.cc
+++ b/libs/http/tests/http_call_test.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "http/http_fetch.h"
 #include "support/raw_socket.h"
 
 namespace firmoor {
--- a/libs/platform/src/vm_list.cc
+++ b/libs/platform/src/vm_list.cc
@@ -7,13 +7,15 @@
 #include <utility>
 
 #include "base/log.h"
-#include "http/http_call.h"
+#include "http/http_fetch.h"
 
 namespace firmoor {
 namespace {
 
 constexpr Logger kLog("vm-list");
 constexpr int kOk = 200;
+// 10,000 VMs with a few hundred bytes each.
+constexpr std::uint64_t kMaxListBytes = 8 * 1024 * 1024;
 constexpr HttpCallTimeouts kTimeouts{Duration(500), Duration(1'000),
                                      Duration(1'000)};
 
@@ -58,9 +60,12 @@
 
   void Poll() {
     if (call) return;
+    HttpFetchOptions options;
+    options.max_body_bytes = kMaxListBytes;
     call = HttpFetch(
         endpoint, {"GET", "/vms", {}, {}}, kTimeouts, &pool,
-        [this](const HttpFetchResult& result) { OnResponse(result); });
+        [this](const HttpFetchResult& result) { OnResponse(result); },
+        std::move(options));
   }
 
   void OnResponse(const HttpFetchResult& result) {
--- a/libs/serving/src/attempt_policy.cc
+++ b/libs/serving/src/attempt_policy.cc
@@ -13,6 +13,7 @@
     case HttpCallEnd::kComplete:
     case HttpCallEnd::kTruncated:
     case HttpCallEnd::kMalformed:
+    case HttpCallEnd::kTooLarge:
       return ResultCode::kUpstreamIncomplete;
     case HttpCallEnd::kNotConnected:
       return ResultCode::kNoUpstream;
--- a/libs/serving/src/details/job_attempt.cc
+++ b/libs/serving/src/details/job_attempt.cc
@@ -140,6 +140,7 @@
               .Timeouts(CallTimeouts())
               .EndIfSilent([this] { return MayLeaveSilentUpstream(); })
               .Pool(spec_.traits.idempotent ? &context_->pool : nullptr)
+              .LimitBody(kMaxCollectedBodyBytes)
               .OnHead([this](int status, const HttpHeaders& headers) {
                 OnFirstByte();
                 upstream_answer_.status = status;
@@ -182,6 +183,7 @@
   upstream_answer_.headers = headers;
   attempt_.declared_not_run = !HeaderValue(headers, kNotRunHeader).empty();
   attempt_.overloaded = status == kTooManyRequests || status == kUnavailable;
+  if (status != kOk) call_->LimitBody(kMaxCollectedBodyBytes);
 }
 
 void Job::OnModelBody(std::string_view bytes) {
--- a/libs/serving/src/details/serving_context.h
+++ b/libs/serving/src/details/serving_context.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "http/body_budget.h"
 #include "http/http_call.h"
 #include "metrics/service_metrics.h"
 #include "serving/claim_store.h"
--- a/libs/serving/src/details/upstream_poller.h
+++ b/libs/serving/src/details/upstream_poller.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "http/http_call.h"
+#include "http/http_fetch.h"
 #include "platform/vm_list.h"
 #include "serving/router.h"
 
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "http/http_call.h"
+#include "http/http_fetch.h"
 #include "support/raw_socket.h"
 
 namespace firmoor {
--- a/tests/standins/engine_standin.cc
+++ b/tests/standins/engine_standin.cc
@@ -21,7 +21,7 @@
 #include "base/log.h"
 #include "command_line.h"
 #include "emulator/engine_model.h"
-#include "http/http_call.h"
+#include "http/http_fetch.h"
 #include "serving/prefix_chunks.h"
 
 namespace firmoor {
