End one connection when an exception leaves its handler

Handlers of callers' connections, calls, and messages of other daemons run behind a barrier now: the exception is logged with what it left, counted in firmoor_caught_exceptions_total, and its connection is closed (`failed` in firmoor_connections_cut_total; an upstream's call ends as malformed, which promises nothing). Callbacks of nghttp2 have one of their own, as no exception may pass through C code. Not covered: timers of a request that belong to no connection.

--- a/libs/gateway/src/details/connection_metrics.cc
+++ b/libs/gateway/src/details/connection_metrics.cc
@@ -8,7 +8,8 @@
   std::string text;
   for (const auto reason :
        {ConnectionCut::kIdle, ConnectionCut::kConnections, ConnectionCut::kStop,
-        ConnectionCut::kAborted, ConnectionCut::kPipelined}) {
+        ConnectionCut::kAborted, ConnectionCut::kPipelined,
+        ConnectionCut::kFailed}) {
     text += fmt::format("firmoor_connections_cut_total{{reason=\"{}\"}} {}\n",
                         NameOf(reason), server.CutCount(reason));
   }
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/exception_barrier.h"
 #include "base/random_id.h"
 #include "base/supervisor.h"
 #include "base/text.h"
@@ -418,12 +419,14 @@
              "firmoor_upstreams {}\nfirmoor_requests_in_work {}\n"
              "firmoor_connections {}\nfirmoor_coordinator {}\n"
              "firmoor_log_dropped_total {}\nfirmoor_store_era {}\n"
-             "firmoor_store_returns_total {}\n",
+             "firmoor_store_returns_total {}\n"
+             "firmoor_caught_exceptions_total {}\n",
              routes == nullptr ? -1 : routes->version(),
              age ? age->count() : -1, gateway.upstreams().all().size(),
              gateway.RateLimitedUpstreamCount(), gateway.ActiveRequestCount(),
              caller_server->ConnectionCount(), coordinator.IsHolder() ? 1 : 0,
-             log->dropped(), ports.store_era->current(), store_returns);
+             log->dropped(), ports.store_era->current(), store_returns,
+             CaughtExceptionCount());
 }
 
 void GatewayDaemon::Impl::CheckDrain() {
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -53,6 +53,7 @@
   kStop,         ///< Idle when the server stopped to listen.
   kAborted,      ///< `HttpResponder::Abort`.
   kPipelined,    ///< Bytes followed the last request of the connection.
+  kFailed,       ///< An exception left a handler of the connection.
 };
 
 /// "idle", "connections" and so on, for logs and metrics.
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -9,6 +9,8 @@
 #include <boost/beast/http/status.hpp>
 #include <utility>
 
+#include "base/exception_barrier.h"
+
 namespace firmoor::details {
 namespace {
 
@@ -58,14 +60,22 @@
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   socket_->setReadBufferSize(kReadBytes);
   QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
-                   [this] { ReadMore(); });
+                   [this] { Run(&ServerConnection::ReadMore); });
   QObject::connect(socket_, &QTcpSocket::disconnected, socket_,
-                   [this] { OnDisconnected(); });
+                   [this] { Run(&ServerConnection::OnDisconnected); });
   QObject::connect(socket_, &QTcpSocket::bytesWritten, socket_,
-                   [this] { OnBytesWritten(); });
-  QObject::connect(&timer_, &QTimer::timeout, socket_, [this] { OnTimeout(); });
+                   [this] { Run(&ServerConnection::OnBytesWritten); });
+  QObject::connect(&timer_, &QTimer::timeout, socket_,
+                   [this] { Run(&ServerConnection::OnTimeout); });
   ResetParser();
-  ReadMore();
+  Run(&ServerConnection::ReadMore);
+}
+
+void ServerConnection::Run(Handler handler) {
+  const auto self = shared_from_this();
+  RunWithBarrier(
+      "a caller's connection", [this, handler] { (this->*handler)(); },
+      [this] { Abort(ConnectionCut::kFailed); });
 }
 
 void ServerConnection::ResetParser() {
@@ -149,7 +159,8 @@
 void ServerConnection::QueueRead() {
   // Bound to the timer: the socket outlives this connection.
   QMetaObject::invokeMethod(
-      &timer_, [this] { ReadMore(); }, Qt::QueuedConnection);
+      &timer_, [this] { Run(&ServerConnection::ReadMore); },
+      Qt::QueuedConnection);
 }
 
 void ServerConnection::HandleExpect() {
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -25,7 +25,7 @@
   HttpServer::ErrorResponse error_response;
   bool closing = false;  ///< Connections close after their next response.
   bool stopped = false;  ///< Connections close as soon as they are idle.
-  std::array<std::uint64_t, 5> cuts{};  ///< By `ConnectionCut`.
+  std::array<std::uint64_t, 6> cuts{};  ///< By `ConnectionCut`.
 
   void CountCut(ConnectionCut reason) {
     ++cuts.at(static_cast<std::size_t>(reason));
@@ -59,9 +59,13 @@
   [[nodiscard]] std::string CallerAddress() const;
 
  private:
+  using Handler = void (ServerConnection::*)();
   using Parser = boost::beast::http::request_parser<GrowingStringBody>;
   enum class Phase { kReading, kHandling, kStreaming };
 
+  /// Runs a handler of an event; an exception that leaves it closes this
+  /// connection.
+  void Run(Handler handler);
   void ResetParser();
   void StartTimeout(Duration timeout);
   void OnTimeout();
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/exception_barrier.h"
 #include "base/invariant.h"
 #include "details/dead_peer_detection.h"
 #include "details/growing_string_body.h"
@@ -109,11 +110,14 @@
   details::ResetDetector
       reset_detector;  ///< Of a response delimited by the close.
 
+  /// Runs a handler of an event; an exception that leaves it ends the call.
+  void Run(void (Impl::*handler)());
   void Start();
   void ResetParser();
   void Connect();
   void SendRequest();
   void OnTimeout();
+  void OnTotalTimeout() { End(HttpCallEnd::kTimedOut); }
   void RestartTimer();
   void Read();
   void Parse();
@@ -123,6 +127,13 @@
   void End(HttpCallEnd end);
 };
 
+void HttpCall::Builder::Impl::Run(void (Impl::*handler)()) {
+  const auto self = shared_from_this();
+  RunWithBarrier(
+      "a call's connection", [this, handler] { (this->*handler)(); },
+      [this] { End(HttpCallEnd::kMalformed); });
+}
+
 void HttpCall::Builder::Impl::ResetParser() {
   parser.emplace();
   parser->eager(true);
@@ -134,10 +145,11 @@
 void HttpCall::Builder::Impl::Start() {
   ResetParser();
   timer.setSingleShot(true);
-  QObject::connect(&timer, &QTimer::timeout, &timer, [this] { OnTimeout(); });
+  QObject::connect(&timer, &QTimer::timeout, &timer,
+                   [this] { Run(&Impl::OnTimeout); });
   total_timer.setSingleShot(true);
   QObject::connect(&total_timer, &QTimer::timeout, &total_timer,
-                   [this] { End(HttpCallEnd::kTimedOut); });
+                   [this] { Run(&Impl::OnTotalTimeout); });
   if (pool != nullptr) socket = pool->impl_->Take(endpoint);
   if (socket) {
     reused = true;
@@ -150,7 +162,7 @@
 void HttpCall::Builder::Impl::Connect() {
   socket.reset(new QTcpSocket());
   QObject::connect(socket.get(), &QTcpSocket::connected, &timer,
-                   [this] { SendRequest(); });
+                   [this] { Run(&Impl::SendRequest); });
   QObject::connect(socket.get(), &QTcpSocket::errorOccurred, &timer, [this] {
     if (!may_have_been_sent) End(HttpCallEnd::kNotConnected);
   });
@@ -162,9 +174,9 @@
 void HttpCall::Builder::Impl::SendRequest() {
   if (send_if && !send_if()) return End(HttpCallEnd::kNotConnected);
   QObject::connect(socket.get(), &QTcpSocket::readyRead, &timer,
-                   [this] { Read(); });
+                   [this] { Run(&Impl::Read); });
   QObject::connect(socket.get(), &QTcpSocket::disconnected, &timer,
-                   [this] { OnClosed(); });
+                   [this] { Run(&Impl::OnClosed); });
   details::EnableDeadPeerDetection(socket->socketDescriptor(),
                                    timeouts.host_silent);
   socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
@@ -400,7 +412,7 @@
   QMetaObject::invokeMethod(
       &impl_->timer,
       [state = impl_] {
-        if (!state->ended) state->Read();
+        if (!state->ended) state->Run(&Builder::Impl::Read);
       },
       Qt::QueuedConnection);
 }
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -20,8 +20,8 @@
 }  // namespace
 
 std::string_view NameOf(ConnectionCut reason) {
-  constexpr std::string_view kNames[] = {"idle", "connections", "stop",
-                                         "aborted", "pipelined"};
+  constexpr std::string_view kNames[] = {"idle",    "connections", "stop",
+                                         "aborted", "pipelined",   "failed"};
   return kNames[static_cast<int>(reason)];
 }
 
--- a/libs/peer/src/details/http2_connection.cc
+++ b/libs/peer/src/details/http2_connection.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/exception_barrier.h"
 #include "base/log.h"
 
 namespace firmoor::details {
@@ -71,7 +72,7 @@
 
 void Http2Connection::Start() {
   QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
-                   [this] { Receive(); });
+                   [this] { RunReceive(); });
   QObject::connect(socket_, &QTcpSocket::disconnected, socket_,
                    [this] { OnDisconnected(); });
   QObject::connect(socket_, &QTcpSocket::errorOccurred, socket_, [this] {
@@ -155,6 +156,18 @@
   }
 }
 
+void Http2Connection::RunReceive() {
+  const auto self = shared_from_this();
+  RunWithBarrier(
+      "a daemon's connection", [this] { Receive(); }, [this] { Close(); });
+}
+
+void Http2Connection::RunInCallback(const std::function<void()>& handler) {
+  RunWithBarrier("a message of a daemon", handler, [this] {
+    Defer([self = shared_from_this()] { self->Close(); });
+  });
+}
+
 void Http2Connection::Receive() {
   const auto self = shared_from_this();
   const QByteArray bytes = socket_->readAll();
@@ -246,7 +259,8 @@
   const bool carries_message =
       frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
   if (self->role_ == Role::kServer && ends_stream && carries_message) {
-    self->HandleRequest(frame->hd.stream_id);
+    self->RunInCallback(
+        [self, id = frame->hd.stream_id] { self->HandleRequest(id); });
   }
   return 0;
 }
@@ -275,7 +289,9 @@
   const auto failure = stream.refused || error == NGHTTP2_REFUSED_STREAM
                            ? PeerStatus::kNotSent
                            : PeerStatus::kNoResponse;
-  stream.done(is_complete ? PeerStatus::kOk : failure, stream.received);
+  self->RunInCallback([&] {
+    stream.done(is_complete ? PeerStatus::kOk : failure, stream.received);
+  });
   return 0;
 }
 
--- a/libs/peer/src/details/http2_connection.h
+++ b/libs/peer/src/details/http2_connection.h
@@ -133,6 +133,11 @@
 
   void OnConnected();
   void Submit(QueuedCall queued);
+  /// Receives; an exception that leaves a handler closes the connection.
+  void RunReceive();
+  /// Runs a handler within a callback of nghttp2, through which no exception
+  /// may pass.
+  void RunInCallback(const std::function<void()>& handler);
   void Receive();
   void Flush();
   void HandleRequest(std::int32_t stream_id);
