Refuse requests whose end is ambiguous

Cause: Boost.Beast takes a request without a length and without chunked as one without a body, and nobody looked at Transfer-Encoding; the rest was parsed as the next request. Other forms of the family: a quoted, repeated or listed chunked, a repeated or signed length, a folded line, white space before a colon. Ruled out: bytes behind a request that was refused are discarded.

Fix: HeadScanner accepts three forms before the parser sees a byte (no length, one Content-Length, chunked alone) and refuses all others with 400 and a close. Chunk extensions and trailers of requests are bounded like the head.

--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -79,9 +79,11 @@
 }
 
 void ServerConnection::ResetParser() {
+  head_scanner_.emplace(HeadScanner::Message::kRequest);
   parser_.emplace();
   parser_->eager(true);
   expect_handled_ = false;
+  is_reading_request_ = false;
   phase_ = Phase::kReading;
   StartTimeout(context_->limits.idle_timeout);
 }
@@ -95,8 +97,7 @@
 void ServerConnection::ExtendTimeout() {
   if (phase_ != Phase::kReading || closed_) return;
   const auto& limits = context_->limits;
-  const auto newest =
-      parser_->got_some() ? limits.request_timeout : limits.idle_timeout;
+  const auto newest = HasInput() ? limits.request_timeout : limits.idle_timeout;
   if (newest <= timeout_) return;
   timeout_ = newest;
   const auto due = waiting_since_ + newest;
@@ -107,7 +108,7 @@
   const auto left = waiting_since_ + timeout_ - MonotonicNow();
   if (left > Duration(0)) return timer_.start(left);
   const auto self = shared_from_this();
-  const bool had_input = parser_->got_some();
+  const bool had_input = HasInput();
   // Reads what has arrived since the event loop last looked at the socket.
   socket_->waitForReadyRead(0);
   if (IsIdle()) return Abort(ConnectionCut::kIdle);
@@ -123,20 +124,21 @@
 }
 
 bool ServerConnection::IsIdle() const {
-  return phase_ == Phase::kReading && !closed_ && !parser_->got_some() &&
-         buffer_.size() == 0 && socket_->bytesAvailable() == 0;
+  return phase_ == Phase::kReading && !closed_ && !HasInput() &&
+         socket_->bytesAvailable() == 0;
 }
 
 void ServerConnection::ReadMore() {
   if (phase_ != Phase::kReading || closed_) return;
-  const bool had_input = parser_->got_some();
   const QByteArray bytes = socket_->read(kReadBytes);
   const auto space = buffer_.prepare(bytes.size());
   boost::asio::buffer_copy(space,
                            boost::asio::buffer(bytes.data(), bytes.size()));
   buffer_.commit(bytes.size());
-  if (!had_input && buffer_.size() > 0) {
-    parser_->header_limit(context_->limits.header_bytes);
+  if (!is_reading_request_ && buffer_.size() > 0) {
+    is_reading_request_ = true;
+    header_bytes_ = context_->limits.header_bytes;
+    parser_->header_limit(header_bytes_);
     parser_->body_limit(context_->limits.body_bytes);
     StartTimeout(context_->limits.request_timeout);
   }
@@ -144,6 +146,7 @@
 }
 
 void ServerConnection::ParseBuffered() {
+  if (!parser_->got_some() && !AcceptHead()) return;
   beast::error_code error;
   while (buffer_.size() > 0 && !parser_->is_done()) {
     const auto used = parser_->put(buffer_.data(), error);
@@ -152,10 +155,30 @@
     if (error) return RejectInput(StatusOf(error));
   }
   if (parser_->is_done()) return DispatchRequest();
+  // What is left is a part of the line that frames a chunk, or of the trailer.
+  if (buffer_.size() > header_bytes_) return RejectInput(kPayloadTooLarge);
   if (parser_->is_header_done()) HandleExpect();
   if (socket_->bytesAvailable() > 0) QueueRead();
 }
 
+bool ServerConnection::AcceptHead() {
+  const auto bytes = buffer_.cdata();
+  const auto result = head_scanner_->Scan(
+      {static_cast<const char*>(bytes.data()), bytes.size()});
+  if (result == HeadScanner::Result::kInvalid) {
+    RejectInput(kBadRequest);
+  } else if (head_scanner_->size() > header_bytes_ ||
+             (result == HeadScanner::Result::kIncomplete &&
+              buffer_.size() > header_bytes_)) {
+    RejectInput(kPayloadTooLarge);
+  } else if (result == HeadScanner::Result::kIncomplete) {
+    if (socket_->bytesAvailable() > 0) QueueRead();
+  } else {
+    return true;
+  }
+  return false;
+}
+
 void ServerConnection::QueueRead() {
   // Bound to the timer: the socket outlives this connection.
   QMetaObject::invokeMethod(
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "details/growing_string_body.h"
+#include "details/head_scanner.h"
 #include "details/lingering_close.h"
 #include "http/http_server.h"
 
@@ -75,6 +76,13 @@
   /// Reads on from the event loop.
   void QueueRead();
   void ParseBuffered();
+  /// Whether the parser may have the buffered bytes: they hold a whole head
+  /// whose framing is accepted. Rejects the request if it is not.
+  bool AcceptHead();
+  /// Whether a part of a request has arrived.
+  [[nodiscard]] bool HasInput() const {
+    return parser_->got_some() || buffer_.size() > 0;
+  }
   void HandleExpect();
   void DispatchRequest();
   void RejectInput(int status);
@@ -88,12 +96,15 @@
   std::function<void(ServerConnection*)> on_closed_;
   std::function<void()> on_caller_disconnected_;
   boost::beast::flat_buffer buffer_;
+  std::optional<HeadScanner> head_scanner_;
   std::optional<Parser> parser_;
   std::optional<LingeringClose> lingering_close_;
   QTimer timer_;
   TimePoint waiting_since_;
   Duration timeout_{0};  ///< From `waiting_since_`.
   Phase phase_ = Phase::kReading;
+  std::uint32_t header_bytes_ = 0;  ///< Limit of the request's head.
+  bool is_reading_request_ = false;
   bool keep_alive_ = true;
   bool is_head_request_ = false;
   bool is_chunked_ = true;
