Take no answer whose end is ambiguous

HttpCall holds its head back until the same scanner has accepted it; otherwise the call ends as malformed, which promises nothing. This covers requests, probes, moves, the store and the cloud alike.

response_framing_test failed in two of its three cases without the change (five of nine ambiguous answers, and one start that is no HTTP/1) and passes with it.

--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -17,6 +17,7 @@
 #include "base/invariant.h"
 #include "details/dead_peer_detection.h"
 #include "details/growing_string_body.h"
+#include "details/head_scanner.h"
 #include "details/idle_connections.h"
 #include "details/reset_detector.h"
 
@@ -97,6 +98,7 @@
   QTimer timer;
   QTimer total_timer;
   beast::flat_buffer buffer;
+  std::optional<details::HeadScanner> head_scanner;
   std::optional<http::response_parser<details::GrowingStringBody>> parser;
   std::optional<std::uint64_t> max_body_bytes;
   std::uint64_t body_bytes = 0;
@@ -120,6 +122,9 @@
   void OnTotalTimeout() { End(HttpCallEnd::kTimedOut); }
   void RestartTimer();
   void Read();
+  /// Whether the parser may have the buffered bytes: they hold a whole head
+  /// whose framing is accepted. Ends the call if it is not.
+  bool AcceptHead();
   void Parse();
   void DeliverHead();
   void DeliverBody();
@@ -135,6 +140,7 @@
 }
 
 void HttpCall::Builder::Impl::ResetParser() {
+  head_scanner.emplace(details::HeadScanner::Message::kResponse);
   parser.emplace();
   parser->eager(true);
   parser->header_limit(kMaxResponseHeaderBytes);
@@ -221,9 +227,19 @@
   }
 }
 
+bool HttpCall::Builder::Impl::AcceptHead() {
+  using Result = details::HeadScanner::Result;
+  const auto bytes = buffer.cdata();
+  const auto result = head_scanner->Scan(
+      {static_cast<const char*>(bytes.data()), bytes.size()});
+  if (result == Result::kInvalid) End(HttpCallEnd::kMalformed);
+  return result == Result::kComplete;
+}
+
 void HttpCall::Builder::Impl::Parse() {
   beast::error_code error;
   while (!ended && buffer.size() > 0 && !parser->is_done()) {
+    if (!parser->got_some() && !AcceptHead()) break;
     const auto used = parser->put(buffer.data(), error);
     buffer.consume(used);
     if (error && error != http::error::need_more) {
