--- a/apps/firmoord/src/main.cc
+++ b/apps/firmoord/src/main.cc
@@ -1,6 +1,4 @@
 #include <signal.h>
-#include <sys/signalfd.h>
-#include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <QCoreApplication>
@@ -10,6 +8,7 @@
 
 #include "base/invariant.h"
 #include "base/log.h"
+#include "base/signal_descriptor.h"
 #include "config/settings.h"
 #include "daemon.h"
 
@@ -28,38 +27,20 @@
   return levels.at(name);
 }
 
-/// Returns a descriptor that becomes readable on SIGTERM and SIGINT.
-int OpenStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
-}
-
-void ConsumeSignals(int descriptor) {
-  signalfd_siginfo info;
-  while (read(descriptor, &info, sizeof(info)) == sizeof(info)) {
-  }
-}
-
-int RunDaemon(const Settings& settings, int argc, char** argv) {
+int RunDaemon(const Settings& settings, const SignalDescriptor& signals,
+              int argc, char** argv) {
   const QCoreApplication application(argc, argv);
-  const int descriptor = OpenStopSignals();
   Daemon daemon(settings, [] { QCoreApplication::quit(); });
-  QSocketNotifier notifier(descriptor, QSocketNotifier::Read);
+  QSocketNotifier notifier(signals.descriptor(), QSocketNotifier::Read);
   QObject::connect(&notifier, &QSocketNotifier::activated, &notifier, [&] {
-    ConsumeSignals(descriptor);
+    signals.Read([](int) {});
     daemon.RequestStop();
   });
   if (!daemon.Start()) return InfoOf(ResultCode::kInternal).exit_code;
-  const int code = QCoreApplication::exec();
-  close(descriptor);
-  return code;
+  return QCoreApplication::exec();
 }
 
-int Main(int argc, char** argv) {
+int Main(const SignalDescriptor& signals, int argc, char** argv) {
   CLI::App app("Serves language models and plain services on reclaimable VMs.",
                "firmoord");
   std::string file;
@@ -83,10 +64,14 @@
   }
   Logger::SetLevel(ParseLogLevel(settings.log_level));
   InvariantMonitor::SetFatal(fatal_invariants);
-  return RunDaemon(settings, argc, argv);
+  return RunDaemon(settings, signals, argc, argv);
 }
 
 }  // namespace
 }  // namespace firmoor
 
-int main(int argc, char** argv) { return firmoor::Main(argc, argv); }
+int main(int argc, char** argv) {
+  // Before anything that takes time: until then a signal ends the process.
+  const firmoor::SignalDescriptor signals({SIGTERM, SIGINT});
+  return firmoor::Main(signals, argc, argv);
+}
