Wait for a port that is in use at the start

What was seen: a port of the settings in use at the moment of a start ended the process with code 62, with no further try (FAULT); an outgoing connection of any process that drew this local port is enough.

Cause: the supervisor gave up at the first part that did not start. Ruled out: connections of a predecessor in TIME_WAIT, since listeners reuse addresses.

A part that may be retried is tried again with a backoff up to a second, logged as start-delayed, until the process is stopped; the parts behind it wait, so that the daemon is out of rotation meanwhile, and metrics are last. Other reasons end the process as before.

--- a/libs/base/src/supervisor.cc
+++ b/libs/base/src/supervisor.cc
@@ -2,6 +2,7 @@
 
 #include <QObject>
 #include <QTimer>
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -14,6 +15,10 @@
 constexpr Logger kLog("supervisor");
 constexpr int kFirstBackoffMs = 100;
 constexpr int kDefaultRestartBudget = 5;
+// Tries to start a part again soon at first, since most ports are free within
+// a moment, and then often enough for a load balancer's probes.
+constexpr std::chrono::milliseconds kFirstRetryDelay{50};
+constexpr std::chrono::milliseconds kMaxRetryDelay{1'000};
 
 }  // namespace
 
@@ -28,7 +33,9 @@
   std::vector<Entry> entries;
   int restart_budget = kDefaultRestartBudget;
   std::function<void(const std::string&)> on_give_up;
+  std::function<void(const Supervisor::Retry&)> on_retry;
   QObject timer_context;
+  QTimer retry_timer;
 };
 
 Supervisor::Builder::Builder(std::string name)
@@ -55,6 +62,12 @@
   return *this;
 }
 
+Supervisor::Builder& Supervisor::Builder::OnRetry(
+    std::function<void(const Retry&)> handler) {
+  impl_->on_retry = std::move(handler);
+  return *this;
+}
+
 std::unique_ptr<Supervisor> Supervisor::Builder::Build() {
   return std::unique_ptr<Supervisor>(new Supervisor(std::move(impl_)));
 }
@@ -67,12 +80,42 @@
 bool Supervisor::Start() {
   for (std::size_t i = 0; i < impl_->entries.size(); ++i) {
     if (StartPart(i)) continue;
+    const auto& may_retry = impl_->entries[i].part.may_retry;
+    if (may_retry && may_retry()) {
+      RetryLater(i, 1);
+      return true;
+    }
     Stop();
     return false;
   }
   return true;
 }
 
+void Supervisor::StartFrom(std::size_t index, int attempts) {
+  for (std::size_t i = index; i < impl_->entries.size(); ++i) {
+    if (!StartPart(i)) return RetryLater(i, i == index ? attempts + 1 : 1);
+  }
+}
+
+void Supervisor::RetryLater(std::size_t index, int attempts) {
+  const auto doublings = std::min(attempts - 1, 10);
+  const auto delay =
+      std::min(kFirstRetryDelay * (1 << doublings), kMaxRetryDelay);
+  if (impl_->on_retry) {
+    impl_->on_retry({impl_->entries[index].part.name, attempts, delay});
+  }
+  impl_->retry_timer.disconnect();
+  impl_->retry_timer.setSingleShot(true);
+  QObject::connect(&impl_->retry_timer, &QTimer::timeout, &impl_->timer_context,
+                   [this, index, attempts] { StartFrom(index, attempts); });
+  impl_->retry_timer.start(delay);
+}
+
+bool Supervisor::IsStarted() const {
+  return std::all_of(impl_->entries.begin(), impl_->entries.end(),
+                     [](const auto& entry) { return entry.running; });
+}
+
 bool Supervisor::StartPart(std::size_t index) {
   auto& entry = impl_->entries[index];
   entry.running = entry.part.start();
@@ -83,6 +126,7 @@
 }
 
 void Supervisor::Stop() {
+  impl_->retry_timer.stop();
   for (auto it = impl_->entries.rbegin(); it != impl_->entries.rend(); ++it) {
     if (!it->running) continue;
     it->running = false;
--- a/libs/base/tests/base_test.cc
+++ b/libs/base/tests/base_test.cc
@@ -97,6 +97,39 @@
     CHECK_FALSE(supervisor->Start());
     CHECK(events.back() == "stop first");
   }
+  SUBCASE("starts a part later that may be retried, and then those behind") {
+    bool is_busy = true;
+    std::vector<Supervisor::Retry> retries;
+    auto busy = part("busy", nullptr);
+    busy.start = [&] { return !is_busy; };
+    busy.may_retry = [] { return true; };
+    const auto waiting = Supervisor::Builder("waiting")
+                             .Part(part("first", nullptr))
+                             .Part(busy)
+                             .Part(part("last", nullptr))
+                             .OnRetry([&](const Supervisor::Retry& retry) {
+                               retries.push_back(retry);
+                             })
+                             .Build();
+    REQUIRE(waiting->Start());
+    wait(250);
+    CHECK(retries.size() >= 2);
+    CHECK(retries.back().part == "busy");
+    CHECK_FALSE(waiting->IsStarted());
+    CHECK(events == std::vector<std::string>{"start first"});
+    SUBCASE("when it can") {
+      is_busy = false;
+      wait(1'100);
+      CHECK(waiting->IsStarted());
+      CHECK(events.back() == "start last");
+    }
+    SUBCASE("unless it is stopped before") {
+      waiting->Stop();
+      is_busy = false;
+      wait(1'100);
+      CHECK(events.back() == "stop first");
+    }
+  }
   SUBCASE("restarts a failed part and then gives up") {
     REQUIRE(supervisor->Start());
     supervisor->ReportFailure("second");
--- a/libs/gateway/include/gateway/coordinator_service.h
+++ b/libs/gateway/include/gateway/coordinator_service.h
@@ -67,6 +67,8 @@
 
   /// Returns false when the peer endpoint cannot be bound.
   bool Start();
+  /// Whether the last `Start` failed because the peer endpoint is in use.
+  [[nodiscard]] bool IsAddressInUse() const;
   void Stop();
 
   /// Whether this daemon runs the coordinator.
--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -393,6 +393,10 @@
   return true;
 }
 
+bool CoordinatorService::IsAddressInUse() const {
+  return impl_->peers->IsAddressInUse();
+}
+
 void CoordinatorService::Stop() {
   if (!std::exchange(impl_->running, false)) return;
   impl_->alive.reset();
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -15,6 +15,7 @@
 #include "details/drain_steps.h"
 #include "details/gateway_settings.h"
 #include "details/quarantine_endpoint.h"
+#include "details/supervised_parts.h"
 #include "dissemination/kind_relay.h"
 #include "gateway/coordinator_service.h"
 #include "gateway/gateway.h"
@@ -61,11 +62,6 @@
   return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
 }
 
-Supervisor::Part MakePart(std::string name, std::function<bool()> start,
-                          std::function<void()> stop) {
-  return {std::move(name), std::move(start), std::move(stop)};
-}
-
 }  // namespace
 
 struct GatewayDaemon::Impl {
@@ -337,36 +333,30 @@
 }
 
 void GatewayDaemon::Impl::BuildTree() {
-  const auto server = [](std::string name, HttpServer* http) {
-    return MakePart(
-        std::move(name), [http] { return http->Start(); },
-        [http] { http->StopListening(); });
-  };
-  const auto follower = [](std::string name, KindWatcher* kind) {
-    return MakePart(
-        std::move(name),
-        [kind] {
-          kind->Start();
-          return true;
-        },
-        [kind] { kind->Stop(); });
-  };
+  using details::FollowerPart;
+  using details::ServerPart;
   root = Supervisor::Builder("gateway")
-             .Part(follower("configuration", &configuration))
-             .Part(follower("upstreams", &upstreams))
-             .Part(MakePart(
-                 "proofs",
-                 [this] {
-                   confirmation_timer.start(kConfirmationCheckInterval);
-                   return true;
-                 },
-                 [this] { confirmation_timer.stop(); }))
-             .Part(MakePart(
-                 "duties", [this] { return coordinator.Start(); },
-                 [this] { coordinator.Stop(); }))
-             .Part(server("callers", caller_server.get()))
-             .Part(server("ready", ready_server.get()))
-             .Part(server("metrics", metrics_server.get()))
+             .Part(FollowerPart("configuration", &configuration))
+             .Part(FollowerPart("upstreams", &upstreams))
+             .Part({"proofs",
+                    [this] {
+                      confirmation_timer.start(kConfirmationCheckInterval);
+                      return true;
+                    },
+                    [this] { confirmation_timer.stop(); }})
+             .Part({"duties", [this] { return coordinator.Start(); },
+                    [this] { coordinator.Stop(); },
+                    [this] { return coordinator.IsAddressInUse(); }})
+             .Part(ServerPart("callers", caller_server.get()))
+             .Part(ServerPart("ready", ready_server.get()))
+             .Part(ServerPart("metrics", metrics_server.get()))
+             .OnRetry([this](const Supervisor::Retry& retry) {
+               log->Write(
+                   "start-delayed",
+                   {{"part", Text(retry.part)},
+                    {"attempts", retry.attempts},
+                    {"retry_ms", static_cast<qint64>(retry.delay.count())}});
+             })
              .Build();
 }
 
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -113,6 +113,10 @@
   /// Starts to listen. Returns false if the endpoint cannot be bound.
   bool Start();
 
+  /// Whether the last `Start` failed because the endpoint is in use, by a
+  /// listener or as the local end of a connection of any process.
+  [[nodiscard]] bool IsAddressInUse() const;
+
   /// Replaces the limits. A connection that is idle, or a request that is being
   /// read, gets time-outs that grow, from when it became idle or began to
   /// arrive. It keeps time-outs that shrink, since its caller may rely on them;
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -171,6 +171,10 @@
   return listening;
 }
 
+bool HttpServer::IsAddressInUse() const {
+  return impl_->listener.serverError() == QAbstractSocket::AddressInUseError;
+}
+
 void HttpServer::SetLimits(HttpServerLimits limits) {
   impl_->context->limits = limits;
   for (const auto& [key, connection] : impl_->connections) {
--- a/libs/peer/include/peer/peer_node.h
+++ b/libs/peer/include/peer/peer_node.h
@@ -60,6 +60,8 @@
   ~PeerNode();
 
   bool Start();
+  /// Whether the last `Start` failed because the endpoint is in use.
+  [[nodiscard]] bool IsAddressInUse() const;
   /// Closes the listener and all connections; open calls end with
   /// `kNoResponse`, or `kNotSent` while still connecting.
   void Stop();
--- a/libs/peer/src/peer_node.cc
+++ b/libs/peer/src/peer_node.cc
@@ -205,6 +205,10 @@
 
 PeerNode::~PeerNode() { Stop(); }
 
+bool PeerNode::IsAddressInUse() const {
+  return impl_->listener.serverError() == QAbstractSocket::AddressInUseError;
+}
+
 bool PeerNode::Start() {
   const QHostAddress address(QString::fromStdString(impl_->endpoint.address));
   if (!impl_->listener.listen(address, impl_->endpoint.port)) {
