Claim no end that only a close has shown

What callers saw: a stream whose upstream died between two events ended as complete, when the upstream had sent neither a length nor chunks (ORDER). An answer that is no stream got a Content-Length in the same way.

Cause: the kernel closes the connections of a process that dies in order, as a complete response of this form ends, and the gateway's own framing then claimed the end. Ruled out: cuts within an event and resets were seen before; joined events of two runs did not occur.

Such a response is passed on in the same form, ended by a close, or by a reset when it is cut. Before its end counts, the upstream's endpoint is asked for a connection: if nobody listens the process has died and the response is incomplete. A resumable stream is asked for what follows at another upstream, as far as attempts and the retry budget allow.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -137,20 +137,27 @@
     RecordDoubt();
   }
   const auto now = MonotonicNow();
-  StartAnswer(attempt.head()->status, attempt.head()->headers, now);
+  StartAnswer(attempt.head()->status, attempt.head()->headers,
+              attempt.EndsWithConnection(), now);
   ForwardEvents(events, now);
 }
 
 void Exchange::StartAnswer(int status, const HttpHeaders& headers,
-                           TimePoint now) {
+                           bool until_close, TimePoint now) {
   if (std::exchange(answer_started_, true)) return;
   first_event_ = now;
   last_event_ = now;
   if (origin_) origin_->writer->SetVersion(version_.value_or(""));
-  responder_->StartStream(status, headers);
+  answers_until_close_ = until_close;
+  if (until_close) {
+    responder_->StartStreamUntilClose(status, headers);
+  } else {
+    responder_->StartStream(status, headers);
+  }
 }
 
 void Exchange::ForwardEvents(const NewEvents& events, TimePoint now) {
+  if (events.count > 0) is_end_unverified_ = false;
   longest_pause_ = std::max(longest_pause_, now - last_event_);
   last_event_ = now;
   last_event_id_ = events.last_id;
@@ -195,6 +202,10 @@
     ++unsent_attempts_;
     if (!attempt.send_cancelled()) tried_.OnUnreached(attempt.upstream().id);
   }
+  const bool has_unverified_end =
+      end == HttpCallEnd::kComplete && attempt_end.stream_complete &&
+      !attempt_end.end_verified && attempt.is_event_stream();
+  is_end_unverified_ = is_end_unverified_ || has_unverified_end;
   const auto decision = race_.OnEnd(attempt.number(), attempt_end,
                                     attempt.Counts(), MakeConditions());
   // Usage counts a stream at its first event, or when it fails without one.
@@ -228,9 +239,18 @@
 
 void Exchange::ForwardAnswer(const UpstreamAttempt& attempt) {
   const auto& head = *attempt.head();
+  const bool has_more_to_verify =
+      !attempt.DescribeEnd(HttpCallEnd::kComplete, answer_started_, events_)
+           .end_verified;
   if (attempt.is_event_stream()) {
+    if (has_more_to_verify) return FinishUnverifiedStream();
     if (!answer_started_) responder_->StartStream(head.status, head.headers);
     responder_->FinishStream();
+  } else if (has_more_to_verify && head.IsSuccess()) {
+    const auto answer = attempt.Answer();
+    responder_->StartStreamUntilClose(answer.status, answer.headers);
+    responder_->Write(answer.body);
+    responder_->FinishStream();
   } else {
     responder_->Send(attempt.Answer());
   }
@@ -254,7 +274,20 @@
   return context_->RetryDelay(service_, request_.id, MonotonicNow());
 }
 
+void Exchange::FinishUnverifiedStream() {
+  if (!answers_until_close_) {
+    // The marked end of the caller's response would say that it is complete.
+    is_end_unverified_ = false;
+    return AbortStream(ResultCode::kUpstreamIncomplete);
+  }
+  responder_->FinishStream();
+  Finish(ResultCode::kOk, "answered-until-close");
+}
+
 void Exchange::AbortStream(ResultCode code) {
+  if (is_end_unverified_ && answers_until_close_) {
+    return FinishUnverifiedStream();
+  }
   LogCut("daemon", InfoOf(code).name);
   // Finish first: the closed connection is otherwise taken for a caller that
   // disconnected.
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -205,7 +205,13 @@
   void OnDelegationBroken(int number);
   void EndDelegation(int number);
   void EndDelegations();
-  void StartAnswer(int status, const HttpHeaders& headers, TimePoint now);
+  /// `until_close`: the upstream's response ends with its connection, so the
+  /// caller's does as well.
+  void StartAnswer(int status, const HttpHeaders& headers, bool until_close,
+                   TimePoint now);
+  /// Ends a stream of which nothing shows that it is complete, without saying
+  /// that it is.
+  void FinishUnverifiedStream();
   void ForwardEvents(const NewEvents& events, TimePoint now);
   /// Ends the request whether or not an upstream still works on it.
   /// `code_if_not_run`: for a request that no upstream may have received.
@@ -260,6 +266,9 @@
   Duration longest_pause_{0};  ///< Between two events.
   bool usage_counted_ = false;
   bool answer_started_ = false;
+  bool answers_until_close_ = false;
+  /// The events that the caller has may be all, but nothing shows it.
+  bool is_end_unverified_ = false;
   bool caller_disconnected_ = false;
   double quota_tokens_ = 0;  ///< Charged to the workspace's quota.
   bool waiting_for_quota_ = false;
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -217,7 +217,7 @@
   // The peer counts a stream before it sends the head.
   usage_counted_ = true;
   writer_.reset();
-  StartAnswer(delegation->head->status, delegation->head->headers,
+  StartAnswer(delegation->head->status, delegation->head->headers, false,
               MonotonicNow());
   if (!version_) version_ = delegation->version;
 }
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/connect_probe.h"
+
 namespace firmoor::details {
 
 NewEvents FeedEvents(EventRelay* relay, std::string_view bytes) {
@@ -81,7 +83,7 @@
         OnHead(status, headers);
       })
       .OnBody([this](std::string_view bytes) { OnBody(bytes); })
-      .OnEnd([this](HttpCallEnd end) { End(end); });
+      .OnEnd([this](HttpCallEnd end) { OnCallEnd(end); });
   if (plan_.may_repeat) builder.Pool(&context_->pool);
   call_ = builder.Start();
 }
@@ -93,6 +95,27 @@
   return !send_cancelled_;
 }
 
+void UpstreamAttempt::OnCallEnd(HttpCallEnd end) {
+  const bool is_unverified = end == HttpCallEnd::kComplete && !end_ && head_ &&
+                             head_->IsSuccess() && !is_mismatched_ &&
+                             EndsWithConnection() && !relay_.HasPartialEvent();
+  if (!is_unverified) return End(end);
+  ProbeUpstream();
+}
+
+void UpstreamAttempt::ProbeUpstream() {
+  // A refusal takes a round trip.
+  constexpr Duration kProbeTimeout{300};
+  ProbeConnect(
+      plan_.upstream.endpoint, kProbeTimeout,
+      [this, weak = std::weak_ptr(alive_)](ConnectResult result) {
+        if (weak.expired()) return;
+        // One that leaves may exit behind its last response.
+        const bool has_died = result == ConnectResult::kRefused && !IsLeaving();
+        End(has_died ? HttpCallEnd::kTruncated : HttpCallEnd::kComplete);
+      });
+}
+
 void UpstreamAttempt::End(HttpCallEnd end) {
   if (end_) return;
   end_ = end;
@@ -210,6 +233,10 @@
   const bool may_be_cut = forwarded_events == 0 && call_->IsDelimitedByClose();
   described.stream_complete =
       !is_event_stream_ || !(relay_.HasPartialEvent() || may_be_cut);
+  // One that was asked for what follows and has nothing says so.
+  const bool has_nothing_more =
+      is_event_stream_ && forwarded_events > 0 && relay_.events() == 0;
+  described.end_verified = !EndsWithConnection() || has_nothing_more;
   return described;
 }
 
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -96,6 +96,11 @@
   [[nodiscard]] HttpResponse Answer() const {
     return {head_->status, head_->headers, body_};
   }
+  /// Whether the end of the connection is the only sign that the response is
+  /// complete.
+  [[nodiscard]] bool EndsWithConnection() const {
+    return call_ && call_->IsDelimitedByClose();
+  }
   /// Whether the response is forwarded by event.
   [[nodiscard]] bool is_event_stream() const { return is_event_stream_; }
   /// Whether a part of the next event has arrived.
@@ -137,6 +142,10 @@
  private:
   void OnHead(int status, const HttpHeaders& headers);
   void OnBody(std::string_view bytes);
+  void OnCallEnd(HttpCallEnd end);
+  /// Finds out whether the upstream lives whose response ended with its
+  /// connection, before the attempt ends.
+  void ProbeUpstream();
   bool MaySend();
   [[nodiscard]] bool IsLeaving() const;
   /// Whether the request may be sent under the rate limit of the upstream,
@@ -167,6 +176,7 @@
   bool send_cancelled_ = false;
   std::optional<HttpCallEnd> end_;
   std::unique_ptr<HttpCall> call_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace firmoor::details
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -28,9 +28,11 @@
   void Send(const HttpResponse& response) override;
   /// Starts a response that is sent in chunks.
   void StartStream(int status, const HttpHeaders& headers) override;
+  void StartStreamUntilClose(int status, const HttpHeaders& headers) override;
   void Write(std::string_view bytes) override;
   void FinishStream() override;
-  /// Closes the connection.
+  /// Closes the connection, by a reset if its orderly close would end the
+  /// response.
   void Abort() override;
   [[nodiscard]] bool IsOpen() const override;
   void OnCallerDisconnected(std::function<void()> handler) override;
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/exception_barrier.h"
+#include "details/reset_on_close.h"
 
 namespace firmoor::details {
 namespace {
@@ -250,6 +251,12 @@
             is_chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
 }
 
+void ServerConnection::StartStreamUntilClose(int status,
+                                             const HttpHeaders& headers) {
+  is_chunked_ = false;
+  StartStream(status, headers);
+}
+
 void ServerConnection::Write(std::string_view bytes) {
   if (phase_ != Phase::kStreaming || closed_ || bytes.empty()) return;
   if (is_head_request_) return;
@@ -290,6 +297,9 @@
 void ServerConnection::Abort(ConnectionCut reason) {
   if (closed_) return;
   context_->CountCut(reason);
+  if (phase_ == Phase::kStreaming && !is_chunked_) {
+    ResetOnClose(socket_->socketDescriptor());
+  }
   socket_->abort();
 }
 
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -49,6 +49,7 @@
 
   void Send(const HttpResponse& response);
   void StartStream(int status, const HttpHeaders& headers);
+  void StartStreamUntilClose(int status, const HttpHeaders& headers);
   void Write(std::string_view bytes);
   void FinishStream();
   void Abort(ConnectionCut reason);
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -39,6 +39,13 @@
   }
 }
 
+void HttpResponder::StartStreamUntilClose(int status,
+                                          const HttpHeaders& headers) {
+  if (const auto connection = connection_.lock()) {
+    connection->StartStreamUntilClose(status, headers);
+  }
+}
+
 void HttpResponder::Write(std::string_view bytes) {
   if (const auto connection = connection_.lock()) connection->Write(bytes);
 }
--- a/libs/http/tests/http_server_close_test.cc
+++ b/libs/http/tests/http_server_close_test.cc
@@ -293,4 +293,37 @@
   CHECK(fixture.responders.size() == 1);
 }
 
+// Guards against a response that seems complete, since it ends with its
+// connection and that one was closed in order when it was cut.
+TEST_CASE("a response that ends with its connection") {
+  std::shared_ptr<HttpResponder> responder;
+  const auto server =
+      HttpServer::Builder()
+          .Listen({"127.0.0.1", 0})
+          .Handler([&](const HttpRequest&, const auto& of_request) {
+            responder = of_request;
+          })
+          .Build();
+  REQUIRE(server->Start());
+  StubbornPeer caller(server->Port());
+  caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(WaitUntil([&] { return responder != nullptr; }));
+  responder->StartStreamUntilClose(200, {});
+  responder->Write("part");
+  std::string received;
+  REQUIRE(WaitUntil([&] {
+    received += caller.Receive();
+    return received.ends_with("part");
+  }));
+  CHECK(received.find("chunked") == std::string::npos);
+  SUBCASE("is closed in order when it is complete") {
+    responder->FinishStream();
+    CHECK(WaitUntil([&] { return caller.HasEnded(); }));
+  }
+  SUBCASE("is reset when it is cut") {
+    responder->Abort();
+    CHECK(WaitUntil([&] { return caller.WasReset(); }));
+  }
+}
+
 }  // namespace firmoor
--- a/libs/http/tests/stubborn_peer.h
+++ b/libs/http/tests/stubborn_peer.h
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -54,6 +55,12 @@
     char next = 0;
     return ::recv(descriptor_, &next, 1, MSG_DONTWAIT | MSG_PEEK) == 0;
   }
+  /// Whether the other end has reset the connection.
+  bool WasReset() {
+    char next = 0;
+    return ::recv(descriptor_, &next, 1, MSG_DONTWAIT | MSG_PEEK) < 0 &&
+           errno == ECONNRESET;
+  }
 
  private:
   int descriptor_;
--- a/libs/serving/include/serving/attempt_policy.h
+++ b/libs/serving/include/serving/attempt_policy.h
@@ -22,8 +22,11 @@
   bool may_have_been_sent = false;  ///< Request bytes may have been sent.
   bool declared_not_run = false;    ///< The upstream reported it not executed.
   bool stream_complete = true;      ///< False: a stream lacks its end marker.
-  bool overloaded = false;          ///< The upstream asked to retry later.
-  bool failed = false;              ///< The complete answer reports an error.
+  /// False: the response ended with its connection, as it does when its
+  /// upstream dies.
+  bool end_verified = true;
+  bool overloaded = false;  ///< The upstream asked to retry later.
+  bool failed = false;      ///< The complete answer reports an error.
 
   bool operator==(const AttemptEnd&) const = default;
 };
--- a/libs/serving/src/attempt_policy.cc
+++ b/libs/serving/src/attempt_policy.cc
@@ -73,6 +73,13 @@
   if (is_complete && retry_failed_answer) {
     return {NextStep::kRetryElsewhere, CodeForEnd(end), attempt_outcome};
   }
+  // Another upstream tells whether anything follows what the caller has.
+  const bool may_verify = !end.end_verified && context.answer_started &&
+                          context.resumable && context.idempotent &&
+                          MayRetry(context);
+  if (is_complete && may_verify) {
+    return {NextStep::kResumeElsewhere, CodeForEnd(end), attempt_outcome};
+  }
   if (is_complete) {
     return {NextStep::kPassAnswer, ResultCode::kOk, attempt_outcome};
   }
--- a/tests/support/include/support/raw_socket.h
+++ b/tests/support/include/support/raw_socket.h
@@ -103,6 +103,14 @@
     return total;
   }
   [[nodiscard]] std::size_t Connections() const { return connections_.size(); }
+  /// As a process that dies: nobody listens any more, and all connections close
+  /// in order.
+  void Die() {
+    listener_.close();
+    for (const auto& connection : connections_) {
+      connection->socket->disconnectFromHost();
+    }
+  }
   Connection& At(std::size_t index) { return *connections_.at(index); }
 
  private:
