--- a/libs/base/include/base/signal_descriptor.h
+++ b/libs/base/include/base/signal_descriptor.h
@@ -20,7 +20,7 @@
 /// be created before anything that takes time, and before threads start.
 class SignalDescriptor {
  public:
-  explicit SignalDescriptor(std::initializer_list<int> signals);
+  SignalDescriptor(std::initializer_list<int> signals);
   ~SignalDescriptor();
   SignalDescriptor(const SignalDescriptor&) = delete;
   SignalDescriptor& operator=(const SignalDescriptor&) = delete;
--- a/libs/http/src/details/growing_string_body.h
+++ b/libs/http/src/details/growing_string_body.h
@@ -16,7 +16,8 @@
 struct GrowingStringBody {
   using value_type = std::string;
 
-  class reader {
+  // Boost.Beast finds the class by this name.
+  class reader {  // NOLINT(readability-identifier-naming)
    public:
     template <bool is_request, class Fields>
     reader(boost::beast::http::header<is_request, Fields>&, value_type& body)
