Look at each byte of a stream once

Cause: EventRelay looked for the end of each event with two searches, one of which ran to the end of all bytes read whenever the stream has one kind of line end. 256 KB of three-byte comments were looked at 2,863,770,295 times (a copy of the old searches that counts). The same family: each piece of an unfinished event restarted the search, HasBegunEvent read it all again, the last id was parsed for each event, and firmoord's SseParser had the same searches.

Why it works: EventScanner, used by both, finds lines in one pass and keeps its position; 262,144 bytes are looked at 262,144 times in any pieces. Ruled out: an overloaded machine or a frozen process (the case's other processes go on), and the bytes alone (the process responds at 400 Mbit/s).

--- a/libs/gateway/include/gateway/event_relay.h
+++ b/libs/gateway/include/gateway/event_relay.h
@@ -3,9 +3,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "serving/event_scanner.h"
+
 namespace firmoor {
 
 /// Forwards a stream of server-sent events, unchanged and only in complete
@@ -27,7 +30,7 @@
   /// Whether the bytes so far end within an event.
   [[nodiscard]] bool HasPartialEvent() const { return !partial_.empty(); }
   /// Whether they end within one of which more than a comment has arrived.
-  [[nodiscard]] bool HasBegunEvent() const;
+  [[nodiscard]] bool HasBegunEvent() const { return scanner_.HasBegunEvent(); }
   /// Whether more of an incomplete event has arrived than any event may have,
   /// which would otherwise be kept without a bound.
   [[nodiscard]] bool IsEventTooLong() const {
@@ -37,15 +40,22 @@
   [[nodiscard]] const std::string& last_event_id() const { return last_id_; }
   /// Number of forwarded events, without comments between them.
   [[nodiscard]] std::size_t events() const { return events_; }
+  /// See `EventScanner::examined_bytes`.
+  [[nodiscard]] std::uint64_t examined_bytes() const {
+    return scanner_.examined_bytes();
+  }
 
  private:
-  [[nodiscard]] bool IsNew(std::string_view event);
+  /// Whether the caller does not have the event with this id yet.
+  [[nodiscard]] bool IsNew(std::string_view id);
 
   // An event holds some tokens and their framing.
   static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
+  EventScanner scanner_;
   std::string partial_;
   std::string last_id_;
+  std::optional<std::int64_t> last_number_;  ///< `last_id_`, if it is one.
   std::size_t events_ = 0;
 };
 
--- a/libs/gateway/src/event_relay.cc
+++ b/libs/gateway/src/event_relay.cc
@@ -1,8 +1,6 @@
 #include "gateway/event_relay.h"
 
-#include <algorithm>
 #include <charconv>
-#include <optional>
 #include <utility>
 
 namespace firmoor {
@@ -16,77 +14,38 @@
   return value;
 }
 
-/// Value of the event's `id` field; empty when it has none.
-std::string_view EventIdOf(std::string_view event) {
-  constexpr std::string_view kField = "id:";
-  while (!event.empty()) {
-    const auto end = event.find('\n');
-    auto line = event.substr(0, end);
-    event = end == std::string_view::npos ? "" : event.substr(end + 1);
-    if (!line.starts_with(kField)) continue;
-    line.remove_prefix(kField.size());
-    if (line.starts_with(' ')) line.remove_prefix(1);
-    if (line.ends_with('\r')) line.remove_suffix(1);
-    return line;
-  }
-  return {};
-}
-
-/// Whether `bytes` are comments and empty lines only.
-bool IsComment(std::string_view bytes) {
-  while (!bytes.empty()) {
-    const auto end = bytes.find('\n');
-    const auto line = bytes.substr(0, end);
-    bytes = end == std::string_view::npos ? "" : bytes.substr(end + 1);
-    const bool is_empty = line.empty() || line == "\r";
-    if (!is_empty && !line.starts_with(':')) return false;
-  }
-  return true;
-}
-
-/// Position after the empty line that ends the event starting at `from`.
-std::size_t FindEventEnd(std::string_view bytes, std::size_t from) {
-  const auto plain = bytes.find("\n\n", from);
-  const auto crlf = bytes.find("\n\r\n", from);
-  if (plain == crlf) return std::string_view::npos;
-  return plain < crlf ? plain + 2 : crlf + 3;
-}
-
 }  // namespace
 
 EventRelay::EventRelay(std::string last_event_id)
-    : last_id_(std::move(last_event_id)) {}
+    : last_id_(std::move(last_event_id)), last_number_(ParseNumber(last_id_)) {}
 
-bool EventRelay::IsNew(std::string_view event) {
-  const auto id = EventIdOf(event);
+bool EventRelay::IsNew(std::string_view id) {
   const auto number = ParseNumber(id);
-  const auto last = ParseNumber(last_id_);
-  if (number && last && *number <= *last) return false;
-  if (!id.empty()) last_id_ = std::string(id);
+  if (number && last_number_ && *number <= *last_number_) return false;
+  if (id.empty()) return true;
+  last_id_ = std::string(id);
+  last_number_ = number;
   return true;
 }
 
 std::string EventRelay::Feed(std::string_view bytes) {
   partial_ += bytes;
-  const std::string_view whole = partial_;
+  std::string_view rest = partial_;
   std::string forwarded;
-  std::size_t start = 0;
-  for (;;) {
-    const auto end = FindEventEnd(partial_, start);
-    if (end == std::string::npos) break;
-    const auto event = whole.substr(start, end - start);
-    if (IsNew(event)) {
-      forwarded += event;
-      if (!IsComment(event)) ++events_;
+  while (const auto event = scanner_.Next(rest)) {
+    if (IsNew(event->id)) {
+      forwarded += rest.substr(0, event->size);
+      if (!event->is_comment) ++events_;
     }
-    start = end;
+    rest.remove_prefix(event->size);
   }
-  partial_.erase(0, start);
+  partial_.erase(0, partial_.size() - rest.size());
   return forwarded;
 }
 
-bool EventRelay::HasBegunEvent() const { return !IsComment(partial_); }
-
-void EventRelay::DiscardPartialEvent() { partial_.clear(); }
+void EventRelay::DiscardPartialEvent() {
+  partial_.clear();
+  scanner_.Reset();
+}
 
 }  // namespace firmoor
--- a/libs/gateway/tests/event_relay_test.cc
+++ b/libs/gateway/tests/event_relay_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace firmoor {
@@ -86,6 +87,28 @@
   }
 }
 
+// Guards against comments without end that stop the event loop: the relay
+// looked for the end of each in all bytes that had arrived (review/2).
+TEST_CASE("EventRelay looks at each byte once") {
+  constexpr std::size_t kReadBytes = 64 * 1024;
+  std::string unit;
+  std::size_t piece = kReadBytes;
+  SUBCASE("in comments") { unit = ":\n\n"; }
+  SUBCASE("in events that the caller has") { unit = "id: 123\r\n\r\n"; }
+  SUBCASE("in an event without end, in small pieces") {
+    unit = "a\n";
+    piece = 16;
+  }
+  std::string stream;
+  while (stream.size() < 4 * kReadBytes) stream += unit;
+  EventRelay relay("9");
+  for (std::size_t at = 0; at < stream.size(); at += piece) {
+    relay.Feed(std::string_view(stream).substr(at, piece));
+  }
+  CHECK(relay.HasBegunEvent() == (unit == "a\n"));
+  CHECK(relay.examined_bytes() == stream.size());
+}
+
 TEST_CASE("EventRelay resumes a stream that was interrupted within an event") {
   EventRelay relay("");
   relay.Feed(MakeEvents(1, 3) + "id: 4\nda");
--- a/libs/serving/include/serving/sse_parser.h
+++ b/libs/serving/include/serving/sse_parser.h
@@ -1,10 +1,13 @@
 #ifndef FIRMOOR_SERVING_SSE_PARSER_H_
 #define FIRMOOR_SERVING_SSE_PARSER_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "serving/event_scanner.h"
+
 namespace firmoor {
 
 /// Incremental parser that extracts the data of events from a server-sent
@@ -16,8 +19,13 @@
 
   /// Whether an event exceeded the size limit; the stream is then unusable.
   [[nodiscard]] bool overflowed() const { return overflowed_; }
+  /// See `EventScanner::examined_bytes`.
+  [[nodiscard]] std::uint64_t examined_bytes() const {
+    return scanner_.examined_bytes();
+  }
 
  private:
+  EventScanner scanner_;
   std::string buffer_;
   bool overflowed_ = false;
 };
--- a/libs/serving/src/sse_parser.cc
+++ b/libs/serving/src/sse_parser.cc
@@ -28,19 +28,13 @@
 std::vector<std::string> SseParser::Feed(std::string_view bytes) {
   std::vector<std::string> events;
   buffer_ += bytes;
-  const std::string_view buffered = buffer_;
-  std::size_t start = 0;
-  for (;;) {
-    auto end = buffer_.find("\n\n", start);
-    const auto crlf = buffer_.find("\n\r\n", start);
-    const std::size_t skip = crlf < end ? 3 : 2;
-    end = std::min(end, crlf);
-    if (end == std::string::npos) break;
-    auto data = JoinDataLines(buffered.substr(start, end - start));
+  std::string_view rest = buffer_;
+  while (const auto event = scanner_.Next(rest)) {
+    auto data = JoinDataLines(rest.substr(0, event->size));
     if (!data.empty()) events.push_back(std::move(data));
-    start = end + skip;
+    rest.remove_prefix(event->size);
   }
-  buffer_.erase(0, start);
+  buffer_.erase(0, buffer_.size() - rest.size());
   overflowed_ = overflowed_ || buffer_.size() > kMaxEventBytes;
   return events;
 }
