Tell when and why the event loop was late

EventLoopMonitor records how late a timer of 100 ms runs (firmoor_event_loop_delay_seconds) and writes event-loop-delay from 250 ms on: the handler of a connection that ran longest, measured by RunWithBarrier, and the processor time used meanwhile give the cause: a handler, other work of the process, or no processor. GapHistogram became DurationHistogram of libs/metrics, LogPipe moved to the tests' support, so that both have one copy.

--- a/libs/gateway/src/details/coordinator_service_impl.h
+++ b/libs/gateway/src/details/coordinator_service_impl.h
@@ -9,11 +9,11 @@
 #include <utility>
 #include <vector>
 
-#include "details/gap_histogram.h"
 #include "details/holder_name.h"
 #include "gateway/autoscaler.h"
 #include "gateway/coordinator_service.h"
 #include "gateway/usage_reporter.h"
+#include "metrics/duration_histogram.h"
 #include "peer/peer_node.h"
 #include "placement/lease_elector.h"
 
@@ -85,7 +85,8 @@
   std::int64_t known_fencing = 0;        ///< Of the coordinator it reports to.
   /// Sending time of the first report that no coordinator has received.
   std::optional<TimePoint> gap_since;
-  details::GapHistogram gaps;
+  DurationHistogram gaps{"firmoor_coordinator_gap_seconds",
+                         {0.0, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0}};
   TimePoint started_at = MonotonicNow();
   TimePoint awaits_grants_until;
   QTimer report_timer;
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -20,6 +20,7 @@
 #include "gateway/coordinator_service.h"
 #include "gateway/gateway.h"
 #include "http/http_server.h"
+#include "metrics/event_loop_monitor.h"
 #include "platform/kind_watcher.h"
 #include "serving/error_answer.h"
 
@@ -71,6 +72,7 @@
   std::function<void()> on_stopped;
   std::string instance_id;
   ServiceMetrics metrics;
+  EventLoopMonitor loop_monitor;
   TrueTime true_time;
   Gateway gateway;
   std::unique_ptr<KindRelay> relay;
@@ -124,6 +126,7 @@
       log(event_log),
       on_stopped(std::move(stopped)),
       instance_id(settings.daemon + "/" + NewRandomId()),
+      loop_monitor(log),
       true_time(WallClockMs(), MonotonicNow()),
       gateway(GatewaySettingsOf(settings),
               {ports.dialect, log, &metrics, &true_time}),
@@ -400,9 +403,10 @@
 std::string GatewayDaemon::Impl::MetricsText() const {
   const auto age = gateway.freshness().Age(MonotonicNow());
   const auto* routes = gateway.routes();
-  return metrics.PrometheusText() + gateway.UpstreamLimitMetrics() +
-         gateway.QuarantineMetrics() + gateway.StreamMetrics() +
-         gateway.LinkMetrics() + coordinator.MetricsText() +
+  return metrics.PrometheusText() + loop_monitor.PrometheusText() +
+         gateway.UpstreamLimitMetrics() + gateway.QuarantineMetrics() +
+         gateway.StreamMetrics() + gateway.LinkMetrics() +
+         coordinator.MetricsText() +
          details::ConnectionCutMetrics(*caller_server) +
          fmt::format(
              "firmoor_config_version {}\nfirmoor_config_age_ms {}\n"
@@ -458,6 +462,7 @@
                      {"zone", Text(impl_->settings.availability_zone)},
                      {"first_start", impl_->settings.is_first_start},
                      {"callers", Text(impl_->settings.callers.ToString())}});
+  impl_->loop_monitor.Start();
   return impl_->root->Start();
 }
 
--- a/libs/gateway/tests/delegation_fleet.h
+++ b/libs/gateway/tests/delegation_fleet.h
@@ -15,8 +15,8 @@
 
 #include "details/delegation_messages.h"
 #include "gateway_fixture.h"
-#include "log_pipe.h"
 #include "peer/peer_node.h"
+#include "support/log_pipe.h"
 
 namespace firmoor {
 
--- a/libs/gateway/tests/gateway_cut_log_test.cc
+++ b/libs/gateway/tests/gateway_cut_log_test.cc
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "gateway_fixture.h"
-#include "log_pipe.h"
 #include "silent_upstreams.h"
+#include "support/log_pipe.h"
 
 namespace firmoor {
 namespace {
--- a/libs/gateway/tests/gateway_quarantine_test.cc
+++ b/libs/gateway/tests/gateway_quarantine_test.cc
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "gateway_fixture.h"
-#include "log_pipe.h"
+#include "support/log_pipe.h"
 
 namespace firmoor {
 namespace {
--- a/libs/gateway/tests/gateway_silence_test.cc
+++ b/libs/gateway/tests/gateway_silence_test.cc
@@ -4,8 +4,8 @@
 #include <memory>
 #include <string>
 
-#include "log_pipe.h"
 #include "silent_upstreams.h"
+#include "support/log_pipe.h"
 
 namespace firmoor {
 namespace {
--- a/libs/gateway/tests/log_pipe.h
+++ b/tests/support/include/support/log_pipe.h
@@ -1,5 +1,5 @@
-#ifndef FIRMOOR_GATEWAY_TESTS_LOG_PIPE_H_
-#define FIRMOOR_GATEWAY_TESTS_LOG_PIPE_H_
+#ifndef FIRMOOR_SUPPORT_LOG_PIPE_H_
+#define FIRMOOR_SUPPORT_LOG_PIPE_H_
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
@@ -58,4 +58,4 @@
 
 }  // namespace firmoor
 
-#endif  // FIRMOOR_GATEWAY_TESTS_LOG_PIPE_H_
+#endif  // FIRMOOR_SUPPORT_LOG_PIPE_H_
