Read a stream only as fast as its caller takes it

Cause: nothing paused an upstream for its caller, and a stream between daemons had a window of 4 MB and kept what it had sent until it ran empty.

Between daemons the stream pauses in the same way, with a window of 256 KiB. A paused attempt is not silent. A long message that arrives in parts is no longer copied with each read.

--- a/libs/gateway/src/details/attempts_in_flight.cc
+++ b/libs/gateway/src/details/attempts_in_flight.cc
@@ -48,6 +48,15 @@
   return std::move(node.mapped());
 }
 
+void AttemptsInFlight::SetPaused(bool paused) {
+  for (const auto& attempt : attempts_) {
+    if (attempt->head()) attempt->SetPaused(paused);
+  }
+  for (const auto& [number, attempt] : delegated_) {
+    if (attempt.head) attempt.stream->SetPaused(paused);
+  }
+}
+
 std::optional<int> AttemptsInFlight::AnyDelegated() const {
   if (delegated_.empty()) return std::nullopt;
   return delegated_.begin()->first;
--- a/libs/gateway/src/details/attempts_in_flight.h
+++ b/libs/gateway/src/details/attempts_in_flight.h
@@ -54,6 +54,9 @@
   std::shared_ptr<UpstreamAttempt> Remove(int number);
   std::optional<DelegatedAttempt> RemoveDelegated(int number);
 
+  /// Stops or resumes reading the attempts whose responses have begun.
+  void SetPaused(bool paused);
+
   [[nodiscard]] const std::vector<std::shared_ptr<UpstreamAttempt>>& all()
       const {
     return attempts_;
--- a/libs/gateway/src/details/delegated_response_writer.cc
+++ b/libs/gateway/src/details/delegated_response_writer.cc
@@ -61,6 +61,16 @@
 
 void DelegatedResponseWriter::Abort() { responder_->Abort(); }
 
+void DelegatedResponseWriter::Discard() { responder_->Abort(); }
+
+std::size_t DelegatedResponseWriter::UnsentBytes() const {
+  return responder_->UnsentBytes();
+}
+
+void DelegatedResponseWriter::OnSent(std::function<void()> handler) {
+  responder_->OnSent(std::move(handler));
+}
+
 bool DelegatedResponseWriter::IsOpen() const { return responder_->IsOpen(); }
 
 void DelegatedResponseWriter::OnCallerDisconnected(
--- a/libs/gateway/src/details/delegated_response_writer.h
+++ b/libs/gateway/src/details/delegated_response_writer.h
@@ -1,6 +1,7 @@
 #ifndef FIRMOOR_GATEWAY_DETAILS_DELEGATED_RESPONSE_WRITER_H_
 #define FIRMOOR_GATEWAY_DETAILS_DELEGATED_RESPONSE_WRITER_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,6 +32,9 @@
   void Write(std::string_view bytes) override;
   void FinishStream() override;
   void Abort() override;
+  void Discard() override;
+  [[nodiscard]] std::size_t UnsentBytes() const override;
+  void OnSent(std::function<void()> handler) override;
   [[nodiscard]] bool IsOpen() const override;
   void OnCallerDisconnected(std::function<void()> handler) override;
 
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -33,6 +33,7 @@
       started_at_(MonotonicNow()),
       ends_at_(started_at_ +
                EffectiveCallerTimeout(request_, *admission.route)),
+      flow_(&context->caller_flows),
       origin_(std::move(origin)),
       race_(origin_ ? origin_->request.attempts : 0),
       tried_(origin_ ? origin_->request.tried_upstreams
@@ -44,6 +45,9 @@
   }
   timer_.setSingleShot(true);
   QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { OnTimeout(); });
+  stall_timer_.setSingleShot(true);
+  QObject::connect(&stall_timer_, &QTimer::timeout, &stall_timer_,
+                   [this] { OnStallTimer(); });
 }
 
 void Exchange::Start() {
@@ -163,6 +167,7 @@
   last_event_id_ = events.last_id;
   events_ += events.count;
   responder_->Write(events.bytes);
+  UpdateFlow();
 }
 
 void Exchange::CountUsage() {
@@ -358,6 +363,8 @@
   if (std::exchange(finished_, true)) return;
   const auto now = MonotonicNow();
   timer_.stop();
+  stall_timer_.stop();
+  flow_.End();
   move_.reset();
   LogRequest(code, outcome, now);
   ReleaseAttempts();
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "details/attempts_in_flight.h"
+#include "details/caller_flow.h"
 #include "details/delegated_response_writer.h"
 #include "details/gateway_context.h"
 #include "details/request_timeouts.h"
@@ -213,6 +214,11 @@
   /// that it is.
   void FinishUnverifiedStream();
   void ForwardEvents(const NewEvents& events, TimePoint now);
+  /// Pauses the upstreams of a caller that takes the stream more slowly than
+  /// they send, or lets them go on.
+  void UpdateFlow();
+  /// Ends a stream whose caller has taken nothing for too long.
+  void OnStallTimer();
   /// Ends the request whether or not an upstream still works on it.
   /// `code_if_not_run`: for a request that no upstream may have received.
   void GiveUp(ResultCode code, ResultCode code_if_not_run, std::string message);
@@ -242,6 +248,8 @@
   TimePoint started_at_;
   TimePoint ends_at_;
   QTimer timer_;
+  QTimer stall_timer_;
+  CallerFlow flow_;
   std::optional<Origin> origin_;
   AttemptRace race_;
   AttemptsInFlight attempts_;
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -145,6 +145,8 @@
   QTimer::singleShot(kCheckPeriod, &timer_,
                      [this, number] { CheckDelegation(number); });
   const auto now = MonotonicNow();
+  // A peer that is not read is not silent.
+  if (flow_.is_paused()) delegation->last_message_at = now;
   const auto bound =
       delegation->accepted ? PeerSilenceBound(*admission_.route) : Duration(0);
   if (now - delegation->last_message_at < bound) return;
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "details/caller_flow.h"
 #include "details/delegations.h"
 #include "details/link_monitor.h"
 #include "details/request_quarantine.h"
@@ -78,6 +79,7 @@
   Delegations delegations;
   HttpConnectionPool pool;
   BodyBudget answer_budget{kAnswerBudget};
+  CallerFlowTotals caller_flows;
   SharedLimits shared;
   /// Time of the coordinator's last reply.
   std::optional<TimePoint> shared_limits_received_at;
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -127,6 +127,14 @@
   if (call_) call_->Cancel();
 }
 
+void UpstreamAttempt::SetPaused(bool paused) {
+  if (end_ || is_paused_ == paused) return;
+  is_paused_ = paused;
+  // Silence counts from the moment at which the upstream is read again.
+  if (!paused) last_byte_at_ = MonotonicNow();
+  call_->SetPaused(paused);
+}
+
 void UpstreamAttempt::Release(UpstreamOutcome outcome, bool rejected,
                               TimePoint now) {
   const bool is_unused = rate_limit_ > 0 && !MayHaveBeenSent();
@@ -161,7 +169,8 @@
 }
 
 bool UpstreamAttempt::IsSilentFor(Duration time, TimePoint now) const {
-  return !end_ && MayHaveBeenSent() && now - last_byte_at_ >= time;
+  return !end_ && !is_paused_ && MayHaveBeenSent() &&
+         now - last_byte_at_ >= time;
 }
 
 bool UpstreamAttempt::EnsurePermit() {
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -78,6 +78,9 @@
   void End(HttpCallEnd end);
   /// Closes the connection; the owner hears no more of the attempt.
   void Cancel();
+  /// Stops or resumes reading the response, for a caller that takes it slowly.
+  /// Meanwhile the attempt is not silent.
+  void SetPaused(bool paused);
   /// Gives up the place at the upstream, and the permit if it was not used.
   /// `rejected`: the upstream had no room.
   void Release(UpstreamOutcome outcome, bool rejected, TimePoint now);
@@ -171,6 +174,7 @@
   EventRelay relay_;
   bool is_event_stream_ = false;
   bool is_silent_ = false;
+  bool is_paused_ = false;
   bool is_mismatched_ = false;  ///< The response is to another request.
   /// Not sent, since the key or the upstream was no longer usable.
   bool send_cancelled_ = false;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -296,7 +296,7 @@
     text += fmt::format("firmoor_attempts_beside_total{{end=\"{}\"}} {}\n", end,
                         count);
   }
-  return text;
+  return text + context.caller_flows.Metrics();
 }
 
 void Gateway::SetSharedLimits(const SharedLimits& limits,
--- a/libs/gateway/tests/event_relay_test.cc
+++ b/libs/gateway/tests/event_relay_test.cc
@@ -101,9 +101,10 @@
   }
   std::string stream;
   while (stream.size() < 4 * kReadBytes) stream += unit;
+  const std::string_view bytes = stream;
   EventRelay relay("9");
   for (std::size_t at = 0; at < stream.size(); at += piece) {
-    relay.Feed(std::string_view(stream).substr(at, piece));
+    relay.Feed(bytes.substr(at, piece));
   }
   CHECK(relay.HasBegunEvent() == (unit == "a\n"));
   CHECK(relay.examined_bytes() == stream.size());
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -35,11 +35,11 @@
   /// response.
   void Abort() override;
   [[nodiscard]] bool IsOpen() const override;
+  void Discard() override;
+  [[nodiscard]] std::size_t UnsentBytes() const override;
+  void OnSent(std::function<void()> handler) override;
   void OnCallerDisconnected(std::function<void()> handler) override;
 
-  /// Bytes not yet accepted by the kernel, to limit buffering for slow readers.
-  [[nodiscard]] std::size_t UnsentBytes() const;
-
   /// The caller's "address:port", for logs.
   [[nodiscard]] std::string CallerAddress() const;
 
@@ -56,6 +56,7 @@
   kAborted,      ///< `HttpResponder::Abort`.
   kPipelined,    ///< Bytes followed the last request of the connection.
   kFailed,       ///< An exception left a handler of the connection.
+  kStalled,      ///< `HttpResponder::Discard`: the caller took no bytes.
 };
 
 /// "idle", "connections" and so on, for logs and metrics.
--- a/libs/http/include/http/response_writer.h
+++ b/libs/http/include/http/response_writer.h
@@ -37,6 +37,17 @@
   /// Breaks the response off, so that the receiver sees that it is incomplete.
   virtual void Abort() = 0;
 
+  /// Breaks the response off and discards what the receiver has not taken.
+  virtual void Discard() = 0;
+
+  /// Bytes of the response that the kernel has not taken, to limit buffering
+  /// for slow receivers.
+  [[nodiscard]] virtual std::size_t UnsentBytes() const = 0;
+
+  /// Sets a handler that is called from the event loop after the kernel has
+  /// taken bytes, until the response is complete or broken off.
+  virtual void OnSent(std::function<void()> handler) = 0;
+
   /// Whether the receiver is connected and the response is incomplete.
   [[nodiscard]] virtual bool IsOpen() const = 0;
 
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -11,6 +11,7 @@
 
 #include "base/exception_barrier.h"
 #include "details/reset_on_close.h"
+#include "details/unsent_limit.h"
 
 namespace firmoor::details {
 namespace {
@@ -60,6 +61,7 @@
 void ServerConnection::Start() {
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   socket_->setReadBufferSize(kReadBytes);
+  LimitUnsentBytes(socket_->socketDescriptor());
   QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
                    [this] { Run(&ServerConnection::ReadMore); });
   QObject::connect(socket_, &QTcpSocket::disconnected, socket_,
@@ -118,6 +120,11 @@
 }
 
 void ServerConnection::OnBytesWritten() {
+  if (phase_ == Phase::kStreaming && on_sent_) {
+    // Copied, since the handler may replace it.
+    const auto handler = on_sent_;
+    handler();
+  }
   if (!IsIdle()) return;
   // The caller is still reading the last response.
   waiting_since_ = MonotonicNow();
@@ -274,6 +281,7 @@
 
 void ServerConnection::FinishResponse() {
   on_caller_disconnected_ = nullptr;
+  on_sent_ = nullptr;
   if (!keep_alive_) {
     if (buffer_.size() > 0 || socket_->bytesAvailable() > 0) {
       context_->CountCut(ConnectionCut::kPipelined);
@@ -297,7 +305,8 @@
 void ServerConnection::Abort(ConnectionCut reason) {
   if (closed_) return;
   context_->CountCut(reason);
-  if (phase_ == Phase::kStreaming && !is_chunked_) {
+  const bool would_end = phase_ == Phase::kStreaming && !is_chunked_;
+  if (would_end || reason == ConnectionCut::kStalled) {
     ResetOnClose(socket_->socketDescriptor());
   }
   socket_->abort();
@@ -313,6 +322,10 @@
   return closed_ ? 0 : static_cast<std::size_t>(socket_->bytesToWrite());
 }
 
+void ServerConnection::SetSentHandler(std::function<void()> handler) {
+  if (!closed_) on_sent_ = std::move(handler);
+}
+
 void ServerConnection::SetCallerDisconnectedHandler(
     std::function<void()> handler) {
   on_caller_disconnected_ = std::move(handler);
@@ -328,6 +341,7 @@
   timer_.stop();
   closed_ = true;
   const auto self = shared_from_this();
+  on_sent_ = nullptr;
   const auto handler = std::exchange(on_caller_disconnected_, nullptr);
   if (handler) handler();
   phase_ = Phase::kReading;
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -26,7 +26,7 @@
   HttpServer::ErrorResponse error_response;
   bool closing = false;  ///< Connections close after their next response.
   bool stopped = false;  ///< Connections close as soon as they are idle.
-  std::array<std::uint64_t, 6> cuts{};  ///< By `ConnectionCut`.
+  std::array<std::uint64_t, 7> cuts{};  ///< By `ConnectionCut`.
 
   void CountCut(ConnectionCut reason) {
     ++cuts.at(static_cast<std::size_t>(reason));
@@ -58,6 +58,7 @@
   }
   [[nodiscard]] std::size_t UnsentBytes() const;
   void SetCallerDisconnectedHandler(std::function<void()> handler);
+  void SetSentHandler(std::function<void()> handler);
   [[nodiscard]] std::string CallerAddress() const;
 
  private:
@@ -96,6 +97,7 @@
   std::shared_ptr<ServerConnectionContext> context_;
   std::function<void(ServerConnection*)> on_closed_;
   std::function<void()> on_caller_disconnected_;
+  std::function<void()> on_sent_;
   boost::beast::flat_buffer buffer_;
   std::optional<HeadScanner> head_scanner_;
   std::optional<Parser> parser_;
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -424,7 +424,8 @@
     impl_->timer.stop();
     return;
   }
-  impl_->timer.start(impl_->timeouts.idle);
+  impl_->in_grace = false;
+  impl_->RestartTimer();
   QMetaObject::invokeMethod(
       &impl_->timer,
       [state = impl_] {
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -21,7 +21,8 @@
 
 std::string_view NameOf(ConnectionCut reason) {
   constexpr std::string_view kNames[] = {"idle",    "connections", "stop",
-                                         "aborted", "pipelined",   "failed"};
+                                         "aborted", "pipelined",   "failed",
+                                         "stalled"};
   return kNames[static_cast<int>(reason)];
 }
 
@@ -65,6 +66,18 @@
   return connection && connection->IsResponding();
 }
 
+void HttpResponder::Discard() {
+  if (const auto connection = connection_.lock()) {
+    connection->Abort(ConnectionCut::kStalled);
+  }
+}
+
+void HttpResponder::OnSent(std::function<void()> handler) {
+  if (const auto connection = connection_.lock()) {
+    connection->SetSentHandler(std::move(handler));
+  }
+}
+
 std::size_t HttpResponder::UnsentBytes() const {
   const auto connection = connection_.lock();
   return connection ? connection->UnsentBytes() : 0;
--- a/libs/peer/include/peer/peer_stream.h
+++ b/libs/peer/include/peer/peer_stream.h
@@ -66,6 +66,9 @@
   [[nodiscard]] bool IsOpen() const;
   /// Bytes that were not yet handed to the kernel, to limit buffering.
   [[nodiscard]] std::size_t UnsentBytes() const;
+  /// Sets a handler that is called from the event loop after bytes were handed
+  /// to the kernel, until the series is finished or cut.
+  void OnSent(std::function<void()> handler);
   /// Sets a handler that is called once if the client cancels the call or its
   /// connection breaks before `Finish`.
   void OnCancelled(std::function<void()> handler);
--- a/libs/peer/src/details/http2_connection.cc
+++ b/libs/peer/src/details/http2_connection.cc
@@ -14,7 +14,11 @@
 
 constexpr Logger kLog("peer");
 constexpr std::uint32_t kMaxStreams = 1'000;
-constexpr std::uint32_t kWindowBytes = 4 * 1024 * 1024;
+// Of a connection, and of one stream: what is kept of it while it is paused.
+constexpr std::uint32_t kConnectionWindowBytes = 4 * 1024 * 1024;
+constexpr std::uint32_t kStreamWindowBytes = 256 * 1024;
+// Sent bytes of a series are removed once they are as many.
+constexpr qsizetype kMaxSentBytes = 64 * 1024;
 constexpr qsizetype kMaxMessageBytes = 16 * 1024 * 1024;
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
@@ -73,6 +77,8 @@
 void Http2Connection::Start() {
   QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
                    [this] { RunReceive(); });
+  QObject::connect(socket_, &QTcpSocket::bytesWritten, socket_,
+                   [this] { NotifySent(); });
   QObject::connect(socket_, &QTcpSocket::disconnected, socket_,
                    [this] { OnDisconnected(); });
   QObject::connect(socket_, &QTcpSocket::errorOccurred, socket_, [this] {
@@ -91,11 +97,11 @@
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   const std::array<nghttp2_settings_entry, 2> settings = {
       {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams},
-       {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kWindowBytes}}};
+       {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindowBytes}}};
   nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings.data(),
                           settings.size());
   nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0,
-                                        kWindowBytes);
+                                        kConnectionWindowBytes);
   auto queued_calls = std::exchange(queued_calls_, {});
   for (auto& [call, queued] : queued_calls) Submit(std::move(queued));
   Flush();
@@ -316,6 +322,9 @@
     stream.sent = 0;
     return static_cast<ssize_t>(count);
   }
+  if (stream.is_series && stream.sent >= kMaxSentBytes) {
+    stream.to_send.remove(0, std::exchange(stream.sent, 0));
+  }
   if (count == left) *flags |= NGHTTP2_DATA_FLAG_EOF;
   return static_cast<ssize_t>(count);
 }
--- a/libs/peer/src/details/http2_connection.h
+++ b/libs/peer/src/details/http2_connection.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,7 @@
   void FinishSeries(std::int32_t stream_id);
   void AbortSeries(std::int32_t stream_id);
   void OnSeriesCancelled(std::int32_t stream_id, std::function<void()> handler);
+  void OnSeriesSent(std::int32_t stream_id, std::function<void()> handler);
   [[nodiscard]] bool IsSeriesOpen(std::int32_t stream_id) const;
   [[nodiscard]] std::size_t UnsentBytes(std::int32_t stream_id) const;
 
@@ -104,6 +106,7 @@
     bool is_series = false;      ///< Server, of a series.
     bool is_finished = false;    ///< Server: no more messages will follow.
     std::function<void()> on_cancelled;  ///< Server, of a series.
+    std::function<void()> on_sent;       ///< Server, of a series.
   };
   /// A call that was made before the connection was established.
   struct QueuedCall {
@@ -154,6 +157,8 @@
   /// session must not be used from its own callbacks.
   void Defer(std::function<void()> action);
   void RunDeferred();
+  /// Calls the handlers of `awaiting_sent_` once the call stack has unwound.
+  void NotifySent();
   void SendResponse(std::int32_t stream_id, int status,
                     const QByteArray& message);
   void OnDisconnected();
@@ -164,6 +169,8 @@
   nghttp2_session* session_ = nullptr;
   std::map<std::int32_t, Stream> streams_;
   std::map<std::uint64_t, QueuedCall> queued_calls_;  ///< By call id.
+  std::set<std::int32_t> awaiting_sent_;  ///< Streams with an `on_sent`.
+  bool notifies_sent_ = false;            ///< A notification is queued.
   std::uint64_t next_call_ = 1;
   std::uint64_t written_ = 0;     ///< Bytes passed to the socket.
   std::uint64_t series_end_ = 0;  ///< Of them, up to the last completed series.
--- a/libs/peer/src/details/http2_series.cc
+++ b/libs/peer/src/details/http2_series.cc
@@ -109,7 +109,12 @@
   Deliver(series, &received);
   // The handlers may have ended this call or others.
   stream = FindCall(call);
-  if (stream != nullptr) stream->received.prepend(received);
+  if (stream == nullptr) return;
+  if (stream->received.isEmpty()) {
+    stream->received = std::move(received);
+  } else {
+    stream->received.prepend(received);
+  }
 }
 
 void Http2Connection::CloseSeries(Stream stream, std::uint32_t error) {
@@ -205,6 +210,40 @@
   if (found != streams_.end()) found->second.on_cancelled = std::move(handler);
 }
 
+void Http2Connection::OnSeriesSent(std::int32_t stream_id,
+                                   std::function<void()> handler) {
+  const auto found = streams_.find(stream_id);
+  if (found == streams_.end()) return;
+  found->second.on_sent = std::move(handler);
+  if (found->second.on_sent) {
+    awaiting_sent_.insert(stream_id);
+  } else {
+    awaiting_sent_.erase(stream_id);
+  }
+}
+
+void Http2Connection::NotifySent() {
+  if (awaiting_sent_.empty() || std::exchange(notifies_sent_, true)) return;
+  QMetaObject::invokeMethod(
+      socket_,
+      [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self) return;
+        self->notifies_sent_ = false;
+        for (const auto id : std::set(self->awaiting_sent_)) {
+          const auto found = self->streams_.find(id);
+          if (found == self->streams_.end()) {
+            self->awaiting_sent_.erase(id);
+            continue;
+          }
+          // Copied, since the handler may replace it.
+          const auto handler = found->second.on_sent;
+          if (handler && !found->second.is_finished) handler();
+        }
+      },
+      Qt::QueuedConnection);
+}
+
 bool Http2Connection::IsSeriesOpen(std::int32_t stream_id) const {
   const auto found = streams_.find(stream_id);
   return !closed_ && found != streams_.end() && !found->second.is_finished;
--- a/libs/peer/src/peer_stream.cc
+++ b/libs/peer/src/peer_stream.cc
@@ -61,6 +61,12 @@
   return connection ? connection->UnsentBytes(stream_id_) : 0;
 }
 
+void PeerStreamResponder::OnSent(std::function<void()> handler) {
+  if (const auto connection = connection_.lock()) {
+    connection->OnSeriesSent(stream_id_, std::move(handler));
+  }
+}
+
 void PeerStreamResponder::OnCancelled(std::function<void()> handler) {
   if (const auto connection = connection_.lock()) {
     connection->OnSeriesCancelled(stream_id_, std::move(handler));
--- a/libs/peer/tests/peer_stream_test.cc
+++ b/libs/peer/tests/peer_stream_test.cc
@@ -308,6 +308,22 @@
     REQUIRE(call.WaitEnd());
     CHECK(*call.end == PeerStatus::kOk);
   }
+  // Guards against a server that does not hear when it may send on, and against
+  // sent bytes of a stream that never runs empty, which were kept.
+  SUBCASE("tells the server when its bytes were sent") {
+    call.stream->SetPaused(true);
+    send_all();
+    int notices = 0;
+    server.Responder().OnSent([&] { ++notices; });
+    RunFor(kCancelMs);
+    const auto held = server.Responder().UnsentBytes();
+    CHECK(held > kMaxHeldBytes / 2);
+    const int before = notices;
+    call.stream->SetPaused(false);
+    REQUIRE(WaitUntil([&] { return server.Responder().UnsentBytes() == 0; }));
+    CHECK(WaitUntil([&] { return notices > before; }));
+    check_all();
+  }
   SUBCASE("may be cancelled") {
     call.stream->SetPaused(true);
     (void)server.Responder();
--- a/libs/serving/tests/event_scanner_test.cc
+++ b/libs/serving/tests/event_scanner_test.cc
@@ -104,9 +104,10 @@
   }
   std::string stream;
   while (stream.size() < kBytes) stream += unit;
+  const std::string_view bytes = stream;
   SseParser parser;
   for (std::size_t at = 0; at < stream.size(); at += piece) {
-    parser.Feed(std::string_view(stream).substr(at, piece));
+    parser.Feed(bytes.substr(at, piece));
   }
   CHECK(parser.examined_bytes() == stream.size());
 }
