Pass on no success that bears neither id nor seal

Cause: an answer without a request's id was taken for the one that is due, and Boost.Beast takes any three digits for a status.

A response's status must be 100 to 599. Ruled out: refusals, which bear no id on the wire examples, are read as before.

--- a/libs/gateway/include/gateway/dialect.h
+++ b/libs/gateway/include/gateway/dialect.h
@@ -89,8 +89,11 @@
 /// Head of an upstream's response, decoded from the wire.
 struct UpstreamResponseHead {
   int status = 0;
-  HttpHeaders headers;            ///< Headers that are forwarded to the caller.
-  std::string request_id;         ///< Empty when the response names none.
+  HttpHeaders headers;     ///< Headers that are forwarded to the caller.
+  std::string request_id;  ///< Empty when the response names none.
+  /// A success that does not say which request it answers, or that lacks its
+  /// upstream's signature: bytes of no request.
+  bool is_unattributed = false;
   bool declared_not_run = false;  ///< The request did not and will not run.
   bool wrong_upstream = false;    ///< Another upstream now has the address.
   bool leaving = false;  ///< The upstream shuts down and takes no new requests.
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -192,7 +192,8 @@
   }
   head_ = context_->environment.dialect->DecodeResponseHead(status, headers);
   const auto& answered = head_->request_id;
-  is_mismatched_ = !answered.empty() && answered != request_.id;
+  is_mismatched_ =
+      head_->is_unattributed || (!answered.empty() && answered != request_.id);
   if (is_mismatched_) call_->DisableReuse();
   context_->ApplyResponseHead(plan_.upstream, *head_, request_.id);
   // Such a response may be of another upstream, or an earlier one.
--- a/libs/http/src/details/head_scanner.cc
+++ b/libs/http/src/details/head_scanner.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view kResponsePrefix = "HTTP/1.";
+constexpr std::size_t kStatusAt = std::string_view("HTTP/1.1 ").size();
+constexpr std::size_t kStatusDigits = 3;
 // Digits of the largest length that fits into 64 bits with any value.
 constexpr std::size_t kMaxLengthDigits = 19;
 
@@ -31,6 +33,15 @@
   return value.substr(first, value.find_last_not_of(kSpace) - first + 1);
 }
 
+/// Whether the line has a status of three digits, from 100 to 599.
+bool HasStatus(std::string_view status_line) {
+  if (status_line.size() <= kStatusAt + kStatusDigits) return false;
+  const auto status = status_line.substr(kStatusAt, kStatusDigits);
+  return status_line[kStatusAt - 1] == ' ' && status[0] >= '1' &&
+         status[0] <= '5' && IsDigit(status[1]) && IsDigit(status[2]) &&
+         status_line[kStatusAt + kStatusDigits] == ' ';
+}
+
 bool IsLength(std::string_view value) {
   return !value.empty() && value.size() <= kMaxLengthDigits &&
          std::all_of(value.begin(), value.end(), IsDigit);
@@ -76,9 +87,10 @@
 
 bool HeadScanner::ScanStartLine(std::string_view line) {
   has_start_line_ = true;
-  is_http_1_0_ = message_ == Message::kRequest ? line.ends_with("HTTP/1.0")
-                                               : line.starts_with("HTTP/1.0");
-  return !line.empty();
+  const bool is_request = message_ == Message::kRequest;
+  is_http_1_0_ =
+      is_request ? line.ends_with("HTTP/1.0") : line.starts_with("HTTP/1.0");
+  return is_request ? !line.empty() : HasStatus(line);
 }
 
 bool HeadScanner::ScanField(std::string_view line) {
--- a/libs/http/tests/response_framing_test.cc
+++ b/libs/http/tests/response_framing_test.cc
@@ -47,6 +47,30 @@
   }
 }
 
+// Guards against a status of no meaning that is passed on to a caller
+// (review/4).
+TEST_CASE("a response needs a status from 100 to 599") {
+  for (const std::string status :
+       {"020", "000", "099", "600", "999", "20", "2000", "2x0", "", " 200"}) {
+    CAPTURE(status);
+    CHECK(FetchFrom("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok")
+              .end == HttpCallEnd::kMalformed);
+  }
+  for (const std::string line :
+       {"HTTP/1.1 100 a\r\n\r\nHTTP/1.1 200 \r\n", "HTTP/1.0 599 \r\n"}) {
+    CAPTURE(line);
+    CHECK(FetchFrom(line + "Content-Length: 2\r\n\r\nok").end ==
+          HttpCallEnd::kComplete);
+  }
+}
+
+// Guards against chunks that an HTTP/1.0 peer does not know.
+TEST_CASE("a response of HTTP/1.0 has no chunks") {
+  CHECK(FetchFrom("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "2\r\nok\r\n0\r\n\r\n")
+            .end == HttpCallEnd::kMalformed);
+}
+
 TEST_CASE("each form of framing gives the whole body") {
   SUBCASE("with a length") {
     const auto result =
