Take interim answers for no beginning of an answer

Cause: each read restarted the time of the first byte, and the grace time behind it. Now both start anew only after the head of the final answer, as HttpCallTimeouts says.

http_test -tc="interim*" failed before (no end within 5 s) and passes; all of http_test passes. gateway_test was not run again for this change alone.

--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -214,7 +214,6 @@
 }
 
 void HttpCall::Builder::Impl::Read() {
-  in_grace = false;
   if (ended || paused) return;
   const auto self = shared_from_this();
   while (!ended && !paused && socket->bytesAvailable() > 0) {
@@ -258,6 +257,9 @@
     return End(HttpCallEnd::kMalformed);
   }
   if (parser->is_done()) return End(HttpCallEnd::kComplete);
+  // Interim responses and parts of a head are no beginning of a response.
+  if (!head_delivered) return;
+  in_grace = false;
   RestartTimer();
 }
 
--- a/libs/http/tests/http_call_limits_test.cc
+++ b/libs/http/tests/http_call_limits_test.cc
@@ -105,6 +105,16 @@
   }
 }
 
+// Guards against interim responses without end that hold a caller's request:
+// each read of them restarted the time of the first byte.
+TEST_CASE("interim responses do not begin a response") {
+  EndlessUpstream upstream("", "HTTP/1.1 100 Continue\r\n\r\n");
+  const auto started = MonotonicNow();
+  Fetch fetch(upstream.upstream.Address());
+  CHECK(fetch.WaitEnd() == HttpCallEnd::kTimedOut);
+  CHECK(MonotonicNow() - started < kTimeouts.first_byte * 2);
+}
+
 // Guards against responses without end that are kept until memory runs out.
 TEST_CASE("a response without end is not kept beyond a limit") {
   const std::string head = "HTTP/1.1 500 Failed\r\n";
