Know of a freeze before the first check of deadlines

Cause: FreezeGuard took the first iteration for one without a gap. A daemon on a busy machine is ready before its timer of 20 ms first ran; if it is frozen then, the first check after the wake finds all deadlines passed and cancels calls whose answers were not read yet.

--- a/libs/serving/src/details/dispatcher_impl.h
+++ b/libs/serving/src/details/dispatcher_impl.h
@@ -54,7 +54,7 @@
   bool draining = false;
   bool refusing = false;  ///< All requests, not only asynchronous ones.
   details::UpstreamPoller poller;
-  details::FreezeGuard freeze_guard;
+  details::FreezeGuard freeze_guard{MonotonicNow()};
   QTimer timer;
 };
 
--- a/libs/serving/src/details/freeze_guard.h
+++ b/libs/serving/src/details/freeze_guard.h
@@ -1,8 +1,6 @@
 #ifndef FIRMOOR_SERVING_DETAILS_FREEZE_GUARD_H_
 #define FIRMOOR_SERVING_DETAILS_FREEZE_GUARD_H_
 
-#include <optional>
-
 #include "base/time.h"
 
 namespace firmoor::details {
@@ -19,16 +17,18 @@
   /// Iterations further apart than this mean that the process was suspended.
   static constexpr Duration kFreezeThreshold{500};
 
+  /// `started_at`: when the first iteration is waited for.
+  explicit FreezeGuard(TimePoint started_at) : last_iteration_(started_at) {}
+
   /// Call once per iteration with the current time.
   bool MayCheckDeadlines(TimePoint now) {
-    const bool was_frozen =
-        last_iteration_ && now - *last_iteration_ > kFreezeThreshold;
+    const bool was_frozen = now - last_iteration_ > kFreezeThreshold;
     last_iteration_ = now;
     return !was_frozen;
   }
 
  private:
-  std::optional<TimePoint> last_iteration_;
+  TimePoint last_iteration_;
 };
 
 }  // namespace firmoor::details
