Start no time-out in a call that is paused

A stream whose caller reads nothing got a second attempt after 1.45 s if there was another upstream: a retry, a place at an engine, and the same pause there.

Cause: the pause is set by the receiver of the bytes within the read that delivers them; the end of that read started the idle time-out again.

--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -210,6 +210,8 @@
 }
 
 void HttpCall::Builder::Impl::RestartTimer() {
+  // Also called by the read in which the receiver of the bytes paused the call.
+  if (paused) return;
   timer.start(head_delivered ? timeouts.idle : timeouts.first_byte);
 }
 
--- a/libs/http/tests/http_call_test.cc
+++ b/libs/http/tests/http_call_test.cc
@@ -248,6 +248,41 @@
   }
 }
 
+// Guards against a stream that is taken for silent, and sent to a second
+// upstream, since its own caller reads slowly: the pause begins within the read
+// whose end starts the idle time-out.
+TEST_CASE("a call that is paused by the receiver of its bytes") {
+  RawUpstream upstream([](auto& connection) {
+    connection.socket->write(
+        "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\npart");
+  });
+  std::optional<HttpCallEnd> end;
+  std::string received;
+  std::unique_ptr<HttpCall> call;
+  call = HttpCall::Builder(upstream.Address(), {"GET", "/", {}, {}})
+             .Timeouts({Duration(300), Duration(300), Duration(100)})
+             .OnBody([&](std::string_view bytes) {
+               received += bytes;
+               call->SetPaused(true);
+             })
+             .OnEnd([&](HttpCallEnd ended) { end = ended; })
+             .Start();
+  REQUIRE(WaitUntil([&] { return !received.empty(); }));
+  RunFor(500);
+  REQUIRE_FALSE(end);
+
+  SUBCASE("has its time-out again when it is read again") {
+    call->SetPaused(false);
+    CHECK(WaitUntil([&] { return end.has_value(); }, 1'000));
+    CHECK(end == HttpCallEnd::kTimedOut);
+  }
+  SUBCASE("gets the rest when it is read again") {
+    call->SetPaused(false);
+    upstream.At(0).socket->write("rest");
+    CHECK(WaitUntil([&] { return received == "partrest"; }, 1'000));
+  }
+}
+
 TEST_CASE("an unsolicited response never reaches a later call") {
   // The upstream sends a second, unsolicited response on the pooled connection.
   RawUpstream upstream([](auto& connection) {
