Give up a closed connection whose peer takes nothing

A caller that asks for the last answer of a connection and reads nothing kept the connection and the answer, up to 8 MiB, for as long as it liked: LingeringClose bounded the time behind the last byte written only.

lingering_close_test, "a socket that is closed while its peer does not read", fails without the time-out (not closed after 2 s, with 300 ms allowed to stall); a peer that goes on, however slowly, is kept.

--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -290,7 +290,7 @@
     phase_ = Phase::kReading;
     closed_ = true;
     buffer_.clear();
-    lingering_close_.emplace(socket_);
+    lingering_close_.emplace(socket_, [this] { CutStalled(); });
     lingering_close_->Start();
     if (socket_->state() == QAbstractSocket::UnconnectedState) {
       on_closed_(this);
@@ -312,6 +312,13 @@
   socket_->abort();
 }
 
+void ServerConnection::CutStalled() {
+  const auto self = shared_from_this();
+  context_->CountCut(ConnectionCut::kStalled);
+  ResetOnClose(socket_->socketDescriptor());
+  socket_->abort();
+}
+
 void ServerConnection::CloseIfIdle() {
   // Reads a request that has arrived since the event loop last ran.
   if (IsIdle()) socket_->waitForReadyRead(0);
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -92,6 +92,8 @@
                  std::string_view framing);
   void FinishResponse();
   void OnDisconnected();
+  /// Closes the connection of a caller that takes nothing of its response.
+  void CutStalled();
 
   QTcpSocket* socket_;
   std::shared_ptr<ServerConnectionContext> context_;
--- a/libs/http/tests/lingering_close_test.cc
+++ b/libs/http/tests/lingering_close_test.cc
@@ -19,6 +19,7 @@
   QTcpServer listener;
   std::unique_ptr<StubbornPeer> peer;
   std::unique_ptr<QTcpSocket> socket;
+  int stalls = 0;
 
   Fixture() {
     REQUIRE(listener.listen(QHostAddress(QHostAddress::LocalHost), 0));
@@ -28,6 +29,10 @@
     socket->setParent(nullptr);
     socket->setReadBufferSize(64 * 1'024);
   }
+  void OnStalled() {
+    ++stalls;
+    socket->abort();
+  }
   bool IsClosed() const {
     return socket->state() == QAbstractSocket::UnconnectedState;
   }
@@ -46,7 +51,8 @@
 
   SUBCASE("tells the peer the end at once") {
     bounds.time = Duration(10'000);
-    LingeringClose close(fixture.socket.get(), bounds);
+    LingeringClose close(
+        fixture.socket.get(), [&] { fixture.OnStalled(); }, bounds);
     fixture.socket->write("last");
     close.Start();
     REQUIRE(WaitUntil([&] { return fixture.peer->Receive() == "last"; }));
@@ -59,7 +65,8 @@
   }
   SUBCASE("takes what a peer sends before it reads") {
     bounds = {Duration(10'000), 8 * kMegabyte};
-    LingeringClose close(fixture.socket.get(), bounds);
+    LingeringClose close(
+        fixture.socket.get(), [&] { fixture.OnStalled(); }, bounds);
     fixture.socket->write("last");
     close.Start();
     std::size_t left = bounds.bytes;
@@ -71,14 +78,16 @@
     CHECK(fixture.peer->HasEnded());
   }
   SUBCASE("waits no longer than its time for a peer that never closes") {
-    LingeringClose close(fixture.socket.get(), bounds);
+    LingeringClose close(
+        fixture.socket.get(), [&] { fixture.OnStalled(); }, bounds);
     fixture.socket->write("last");
     close.Start();
     CHECK_FALSE(fixture.IsClosed());
     CHECK(fixture.WaitClosed(1'000));
   }
   SUBCASE("reads no more than its bytes from a peer that sends without end") {
-    LingeringClose close(fixture.socket.get(), bounds);
+    LingeringClose close(
+        fixture.socket.get(), [&] { fixture.OnStalled(); }, bounds);
     fixture.socket->write("last");
     close.Start();
     std::size_t sent = 0;
@@ -92,7 +101,8 @@
     CHECK(sent < 16 * kMegabyte);
   }
   SUBCASE("writes all bytes before its time begins") {
-    LingeringClose close(fixture.socket.get(), bounds);
+    LingeringClose close(
+        fixture.socket.get(), [&] { fixture.OnStalled(); }, bounds);
     const std::string body(32 * kMegabyte, 'x');
     fixture.socket->write(body.data(), static_cast<qint64>(body.size()));
     close.Start();
@@ -103,6 +113,33 @@
       return received == body.size();
     }));
     CHECK(fixture.WaitClosed(1'000));
+    CHECK(fixture.stalls == 0);
+  }
+}
+
+// Guards against a connection, with all that was written to it, that is kept
+// for as long as its peer takes nothing.
+TEST_CASE("a socket that is closed while its peer does not read") {
+  Fixture fixture;
+  LingerBounds bounds;
+  bounds.stall = Duration(300);
+  LingeringClose close(
+      fixture.socket.get(), [&] { fixture.OnStalled(); }, bounds);
+  const std::string body(32 * kMegabyte, 'x');
+  fixture.socket->write(body.data(), static_cast<qint64>(body.size()));
+  close.Start();
+
+  SUBCASE("is given up after a time") {
+    CHECK(fixture.WaitClosed(2'000));
+    CHECK(fixture.stalls == 1);
+  }
+  SUBCASE("is kept while the peer goes on, however slowly") {
+    for (int i = 0; i < 10; ++i) {
+      RunFor(100);
+      fixture.peer->Receive();
+    }
+    CHECK_FALSE(fixture.IsClosed());
+    CHECK(fixture.stalls == 0);
   }
 }
 
