Read the next request once most of the last answer is taken

A caller may send requests ahead on one connection and read nothing: each was read and answered as soon as the last answer was handed over, so any number of answers waited in the memory of the process.

A connection now reads its next request once less than 64 KiB of the last answer wait. A caller that takes nothing for the idle time-out meanwhile is cut off, counted as `stalled`.

http_server_close_test, "requests that are sent ahead wait until responses are taken", fails without it: 60 of 60 requests with answers of 1 MB at once (fewer than 20 allowed, for the kernel's buffers), and a connection that nothing ends.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -56,7 +56,7 @@
   kAborted,      ///< `HttpResponder::Abort`.
   kPipelined,    ///< Bytes followed the last request of the connection.
   kFailed,       ///< An exception left a handler of the connection.
-  kStalled,      ///< `HttpResponder::Discard`: the caller took no bytes.
+  kStalled,      ///< The caller took no bytes of a response.
 };
 
 /// "idle", "connections" and so on, for logs and metrics.
@@ -75,7 +75,8 @@
 
 /// HTTP/1.1 server on a Qt event loop. Boost.Beast validates the framing. Each
 /// connection dispatches one request at a time, so pipelined requests are
-/// processed sequentially. Behind its last response, a connection discards
+/// processed sequentially, and only once the caller has taken most of the last
+/// response. Behind its last response, a connection discards
 /// input until the caller closes, for one second at most, since a reset would
 /// destroy what the caller has not read. Not thread-safe.
 ///
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -20,6 +20,9 @@
 namespace http = boost::beast::http;
 
 constexpr qint64 kReadBytes = 64 * 1024;
+// The next request of a connection waits while more of the last response has
+// not been taken.
+constexpr qint64 kMaxUnsentBytes = 64 * 1024;
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
@@ -115,6 +118,10 @@
   // Reads what has arrived since the event loop last looked at the socket.
   socket_->waitForReadyRead(0);
   if (IsIdle()) return Abort(ConnectionCut::kIdle);
+  // After a standstill the caller may have taken bytes unnoticed.
+  if (IsHeldBack()) {
+    return socket_->flush() ? StartTimeout(timeout_) : CutStalled();
+  }
   const bool is_incomplete = phase_ == Phase::kReading && !closed_;
   if (is_incomplete && had_input) RejectInput(kRequestTimeout);
 }
@@ -125,6 +132,12 @@
     const auto handler = on_sent_;
     handler();
   }
+  const bool has_next = buffer_.size() > 0 || socket_->bytesAvailable() > 0;
+  if (phase_ == Phase::kReading && !closed_ && !is_reading_request_ &&
+      has_next) {
+    waiting_since_ = MonotonicNow();
+    return QueueRead();
+  }
   if (!IsIdle()) return;
   // The caller is still reading the last response.
   waiting_since_ = MonotonicNow();
@@ -136,8 +149,13 @@
          socket_->bytesAvailable() == 0;
 }
 
+bool ServerConnection::IsHeldBack() const {
+  return phase_ == Phase::kReading && !closed_ && !is_reading_request_ &&
+         socket_->bytesToWrite() > kMaxUnsentBytes;
+}
+
 void ServerConnection::ReadMore() {
-  if (phase_ != Phase::kReading || closed_) return;
+  if (phase_ != Phase::kReading || closed_ || IsHeldBack()) return;
   const QByteArray bytes = socket_->read(kReadBytes);
   const auto space = buffer_.prepare(bytes.size());
   boost::asio::buffer_copy(space,
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -74,6 +74,9 @@
   void OnTimeout();
   void OnBytesWritten();
   [[nodiscard]] bool IsIdle() const;
+  /// Whether the next request waits until the caller has taken most of the last
+  /// response.
+  [[nodiscard]] bool IsHeldBack() const;
   void ReadMore();
   /// Reads on from the event loop.
   void QueueRead();
--- a/libs/http/tests/http_server_close_test.cc
+++ b/libs/http/tests/http_server_close_test.cc
@@ -198,6 +198,53 @@
   }
 }
 
+// Guards against a caller that fills the memory of the process with responses
+// to requests that it sends one behind another and whose responses it does not
+// read.
+TEST_CASE("requests that are sent ahead wait until responses are taken") {
+  constexpr std::size_t kRequests = 60;
+  HttpServerLimits limits;
+  limits.idle_timeout = Duration(400);
+  Fixture fixture(limits);
+  const auto body = LargeBody(kMegabyte);
+  StubbornPeer caller(fixture.server->Port());
+  std::string requests;
+  for (std::size_t i = 1; i < kRequests; ++i) {
+    requests += "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+  }
+  caller.Send(requests + std::string(kLastGet));
+  std::size_t answered = 0;
+  const auto answer_all = [&] {
+    for (; answered < fixture.responders.size(); ++answered) {
+      fixture.responders[answered]->Send({200, {}, body});
+    }
+  };
+  CHECK_FALSE(WaitUntil(
+      [&] {
+        answer_all();
+        return fixture.responders.size() == kRequests;
+      },
+      200));
+  // What the kernel's buffers of both ends hold.
+  CHECK(answered < 20);
+
+  SUBCASE("and are answered once the caller reads") {
+    std::size_t received = 0;
+    CHECK(WaitUntil([&] {
+      answer_all();
+      received += caller.Receive().size();
+      return caller.HasEnded();
+    }));
+    CHECK(answered == kRequests);
+    CHECK(received > kRequests * body.size());
+    CHECK(fixture.server->CutCount(ConnectionCut::kStalled) == 0);
+  }
+  SUBCASE("or lost with the connection of a caller that takes nothing") {
+    CHECK(fixture.WaitNoConnection(3'000));
+    CHECK(fixture.server->CutCount(ConnectionCut::kStalled) == 1);
+  }
+}
+
 // Guards against connections that outlast a stop by the idle time-out, since
 // the head of their last response could not say that they close.
 TEST_CASE("a stream that began before the server stopped ends its connection") {
