Let firmoord's callers tell that they have read

firmoord asked each 20 ms whether a slow caller of a stream had read, by a limit of its own, and kept a caller that takes nothing, and its place at an engine, until the request's deadline.

CallerFlow moves from libs/gateway to libs/serving, so that both programs have one mechanism: 128 KiB and 32 KiB, 24 MiB for all, 30 s without a byte taken. firmoord's job is told by the socket, and checks for stalled callers with its deadlines, so that a standstill cuts off nobody. Its metrics page has the same firmoor_caller_* lines.

caller_list_test, "a caller that takes its tokens slowly", cannot be built before: that a stalled caller is cut off is new. That memory stays bounded was tested before (overload_test).

--- a/apps/firmoord/src/daemon.cc
+++ b/apps/firmoord/src/daemon.cc
@@ -254,7 +254,7 @@
 
 std::string Daemon::MetricsText() const {
   const auto traffic = fleet_->traffic();
-  return metrics_.PrometheusText() +
+  return metrics_.PrometheusText() + dispatcher_->CallerFlowMetrics() +
          fmt::format(
              "firmoor_config_version {}\nfirmoor_members {}\n"
              "firmoor_requests_in_work {}\nfirmoor_broken_invariants_total {}\n"
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "details/attempts_in_flight.h"
-#include "details/caller_flow.h"
 #include "details/delegated_response_writer.h"
 #include "details/gateway_context.h"
 #include "details/request_timeouts.h"
@@ -18,6 +17,7 @@
 #include "gateway/request_admission.h"
 #include "quarantine/suspect.h"
 #include "serving/attempt_race.h"
+#include "serving/caller_flow.h"
 #include "serving/tried_upstreams.h"
 
 namespace firmoor::details {
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -12,7 +12,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "details/caller_flow.h"
 #include "details/delegations.h"
 #include "details/link_monitor.h"
 #include "details/request_quarantine.h"
@@ -27,6 +26,7 @@
 #include "limits/retry_schedule.h"
 #include "limits/upstream_permits.h"
 #include "routing/upstream_picker.h"
+#include "serving/caller_flow.h"
 #include "serving/retry_budget.h"
 
 namespace firmoor::details {
--- a/libs/gateway/src/details/caller_flow.h
+++ b/libs/serving/include/serving/caller_flow.h
@@ -1,5 +1,5 @@
-#ifndef FIRMOOR_GATEWAY_DETAILS_CALLER_FLOW_H_
-#define FIRMOOR_GATEWAY_DETAILS_CALLER_FLOW_H_
+#ifndef FIRMOOR_SERVING_CALLER_FLOW_H_
+#define FIRMOOR_SERVING_CALLER_FLOW_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -7,7 +7,7 @@
 
 #include "base/time.h"
 
-namespace firmoor::details {
+namespace firmoor {
 
 /// Streams whose callers take them more slowly than they arrive.
 struct CallerFlowTotals {
@@ -61,6 +61,6 @@
   TimePoint taken_at_;
 };
 
-}  // namespace firmoor::details
+}  // namespace firmoor
 
-#endif  // FIRMOOR_GATEWAY_DETAILS_CALLER_FLOW_H_
+#endif  // FIRMOOR_SERVING_CALLER_FLOW_H_
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -94,6 +94,9 @@
   /// Number of running and waiting requests by service.
   [[nodiscard]] std::map<std::string, double> Demand() const;
 
+  /// Streams whose callers take them slowly, in the Prometheus text format.
+  [[nodiscard]] std::string CallerFlowMetrics() const;
+
   /// State of services, upstreams and requests for the operator endpoint.
   [[nodiscard]] QJsonObject Status() const;
 
--- a/libs/gateway/src/details/caller_flow.cc
+++ b/libs/serving/src/caller_flow.cc
@@ -1,10 +1,10 @@
-#include "details/caller_flow.h"
+#include "serving/caller_flow.h"
 
 #include <fmt/format.h>
 
 #include <utility>
 
-namespace firmoor::details {
+namespace firmoor {
 
 std::string CallerFlowTotals::Metrics() const {
   return fmt::format(
@@ -47,4 +47,4 @@
   return is_paused_ ? now - taken_at_ : Duration(0);
 }
 
-}  // namespace firmoor::details
+}  // namespace firmoor
--- a/libs/serving/src/details/caller_list.cc
+++ b/libs/serving/src/details/caller_list.cc
@@ -13,17 +13,18 @@
 
 constexpr int kOk = 200;
 constexpr int kSeeOther = 303;
-constexpr std::size_t kSlowCallerBytes = 256 * 1024;
 constexpr Duration kUnconfirmedRetryAfter{5'000};
 
 }  // namespace
 
-CallerList::CallerList(std::string request_id, const ModelRequest* model)
-    : request_id_(std::move(request_id)), model_(model) {}
+CallerList::CallerList(std::string request_id, const ModelRequest* model,
+                       CallerFlowTotals* flows)
+    : request_id_(std::move(request_id)), model_(model), flows_(flows) {}
 
 void CallerList::Add(std::shared_ptr<HttpResponder> responder, bool stream,
                      std::size_t from) {
-  callers_.push_back({std::move(responder), stream, false, from});
+  callers_.push_back({std::move(responder), stream, false, from,
+                      std::make_unique<CallerFlow>(flows_)});
 }
 
 void CallerList::StartStream(Caller* caller) const {
@@ -104,11 +105,27 @@
   });
 }
 
-bool CallerList::IsSlow() const {
-  return std::any_of(
-      callers_.begin(), callers_.end(), [](const Caller& caller) {
-        return caller.responder->UnsentBytes() > kSlowCallerBytes;
-      });
+bool CallerList::IsPaused(TimePoint now) {
+  bool is_paused = false;
+  for (auto& caller : callers_) {
+    caller.flow->Update(caller.responder->UnsentBytes(), now);
+    is_paused = is_paused || caller.flow->is_paused();
+  }
+  return is_paused;
+}
+
+void CallerList::CutStalled(TimePoint now) {
+  std::vector<std::shared_ptr<HttpResponder>> stalled;
+  for (const auto& caller : callers_) {
+    if (caller.flow->StalledFor(now) >= CallerFlow::kMaxStall) {
+      stalled.push_back(caller.responder);
+    }
+  }
+  // Each removes its caller from the list.
+  for (const auto& responder : stalled) {
+    ++flows_->stalled;
+    responder->Discard();
+  }
 }
 
 }  // namespace firmoor::details
--- a/libs/serving/src/details/caller_list.h
+++ b/libs/serving/src/details/caller_list.h
@@ -6,7 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "http/http_server.h"
+#include "serving/caller_flow.h"
 #include "serving/model_request.h"
 
 namespace firmoor::details {
@@ -21,8 +23,10 @@
 /// token stream.
 class CallerList {
  public:
-  /// `model` is null for plain services and must outlive the list.
-  CallerList(std::string request_id, const ModelRequest* model);
+  /// `model` is null for plain services and must outlive the list, as must
+  /// `flows`.
+  CallerList(std::string request_id, const ModelRequest* model,
+             CallerFlowTotals* flows);
 
   /// A streaming caller gets the tokens from index `from` on.
   void Add(std::shared_ptr<HttpResponder> responder, bool stream,
@@ -46,8 +50,11 @@
   /// Removes callers whose connection is closed.
   void RemoveDisconnected();
 
-  /// Whether the unsent bytes of any caller exceed the limit.
-  [[nodiscard]] bool IsSlow() const;
+  /// Whether the request is not to be read on, since a caller takes the tokens
+  /// more slowly than they arrive.
+  bool IsPaused(TimePoint now);
+  /// Cuts off the callers that have taken nothing for too long.
+  void CutStalled(TimePoint now);
   [[nodiscard]] bool empty() const { return callers_.empty(); }
 
  private:
@@ -56,6 +63,7 @@
     bool stream = false;
     bool started = false;
     std::size_t next = 0;  ///< Index of the next token to send.
+    std::unique_ptr<CallerFlow> flow;
   };
 
   void StartStream(Caller* caller) const;
@@ -66,6 +74,7 @@
 
   std::string request_id_;
   const ModelRequest* model_;
+  CallerFlowTotals* flows_;
   std::vector<Caller> callers_;
 };
 
--- a/libs/serving/src/details/job.cc
+++ b/libs/serving/src/details/job.cc
@@ -36,7 +36,8 @@
     : spec_(std::move(spec)),
       runtime_(runtime),
       context_(context),
-      callers_(spec_.id, spec_.model ? &*spec_.model : nullptr) {
+      callers_(spec_.id, spec_.model ? &*spec_.model : nullptr,
+               &context->caller_flows) {
   timer_.setSingleShot(true);
   if (!spec_.model) return;
   route_.chunks = PrefixChunks(spec_.model->prompt);
@@ -111,6 +112,11 @@
   }
 }
 
+void Job::CutStalledCallers(TimePoint now) {
+  const auto self = shared_from_this();
+  callers_.CutStalled(now);
+}
+
 void Job::RequestClaim() {
   phase_ = Phase::kClaiming;
   if (claim_wait_deadline_ == TimePoint()) {
@@ -185,6 +191,9 @@
   responder->OnCallerDisconnected([weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->OnCallerDisconnected();
   });
+  responder->OnSent([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->UpdateFlow();
+  });
   callers_.Add(responder, stream, from);
   callers_.SendTokens(tokens_);
   if (IsDone()) callers_.Finish(tokens_, answer_);
@@ -192,6 +201,7 @@
 
 void Job::OnCallerDisconnected() {
   callers_.RemoveDisconnected();
+  UpdateFlow();
   const bool wanted =
       !callers_.empty() || spec_.async || !spec_.traits.idempotent;
   if (wanted || IsDone() || WasDetached()) return;
--- a/libs/serving/src/details/job.h
+++ b/libs/serving/src/details/job.h
@@ -52,6 +52,9 @@
   /// still claiming its key.
   void CheckDeadline(TimePoint now);
 
+  /// Cuts off callers of the stream that have taken nothing for too long.
+  void CutStalledCallers(TimePoint now);
+
   /// Adds a caller. A streaming caller gets the tokens from index `from` on.
   void Attach(const std::shared_ptr<HttpResponder>& responder, bool stream,
               std::size_t from);
@@ -115,7 +118,8 @@
   /// without a limit on attempts. Returns false if the request does not qualify
   /// or too little time is left.
   bool RetryAfterBackoff();
-  void PauseForSlowCallers();
+  /// Reads the upstream only as fast as the callers take the tokens.
+  void UpdateFlow();
   void Fail(ResultCode code, RequestOutcome outcome,
             std::optional<Duration> retry_after = std::nullopt,
             std::string message = "");
--- a/libs/serving/src/details/job_attempt.cc
+++ b/libs/serving/src/details/job_attempt.cc
@@ -17,7 +17,6 @@
 constexpr Duration kInitialBackoff{500};
 constexpr Duration kMaxBackoff{10'000};
 constexpr int kMaxBackoffDoublings = 5;
-constexpr int kSlowCallerPollMs = 20;
 constexpr int kPrefixPollMs = 20;
 constexpr const char* kNotRunHeader = "Not-Run";
 
@@ -207,7 +206,7 @@
   }
   if (sse_.overflowed() && call_) return call_->Cancel();
   callers_.SendTokens(tokens_);
-  PauseForSlowCallers();
+  UpdateFlow();
 }
 
 void Job::OnFirstByte() {
@@ -231,13 +230,10 @@
   tokens_.push_back(std::move(text));
 }
 
-void Job::PauseForSlowCallers() {
-  if (!call_) return;
-  const bool slow = callers_.IsSlow();
-  call_->SetPaused(slow);
-  if (!slow) return;
-  QTimer::singleShot(kSlowCallerPollMs, &timer_,
-                     [this] { PauseForSlowCallers(); });
+void Job::UpdateFlow() {
+  const bool is_paused = callers_.IsPaused(MonotonicNow());
+  // An attempt without a first byte has a time-out that must go on.
+  if (call_ && (first_byte_seen_ || !is_paused)) call_->SetPaused(is_paused);
 }
 
 void Job::OnAttemptEnd(HttpCallEnd end) {
--- a/libs/serving/src/details/serving_context.h
+++ b/libs/serving/src/details/serving_context.h
@@ -8,6 +8,7 @@
 #include "http/body_budget.h"
 #include "http/http_call.h"
 #include "metrics/service_metrics.h"
+#include "serving/caller_flow.h"
 #include "serving/claim_store.h"
 #include "serving/dispatcher.h"
 #include "serving/link_budget.h"
@@ -28,6 +29,7 @@
   UpstreamTable upstreams;
   HttpConnectionPool pool;
   LinkBudget link;
+  CallerFlowTotals caller_flows;
   /// Called when a job has ended. Its answer may be retained for later queries.
   std::function<void(Job*)> on_ended;
   /// Whether a claim's owner may still record its outcome.
--- a/libs/serving/src/dispatcher.cc
+++ b/libs/serving/src/dispatcher.cc
@@ -264,7 +264,10 @@
   if (!freeze_guard.MayCheckDeadlines(now)) return;
   std::vector<JobPtr> active;
   for (const auto& [number, job] : active_jobs) active.push_back(job);
-  for (const auto& job : active) job->CheckDeadline(now);
+  for (const auto& job : active) {
+    job->CheckDeadline(now);
+    job->CutStalledCallers(now);
+  }
   for (auto& [name, runtime] : runtimes) Advance(runtime.get());
   EvictAnswers(now);
 }
@@ -381,6 +384,10 @@
   impl_->refusing = true;
 }
 
+std::string Dispatcher::CallerFlowMetrics() const {
+  return impl_->context.caller_flows.Metrics();
+}
+
 std::size_t Dispatcher::ActiveRequestCount() const {
   return impl_->active_jobs.size();
 }
--- a/libs/gateway/tests/caller_flow_test.cc
+++ b/libs/serving/tests/caller_flow_test.cc
@@ -1,4 +1,4 @@
-#include "details/caller_flow.h"
+#include "serving/caller_flow.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -6,7 +6,7 @@
 #include <memory>
 #include <vector>
 
-namespace firmoor::details {
+namespace firmoor {
 namespace {
 
 using Step = CallerFlow::Step;
@@ -85,4 +85,4 @@
   });
 }
 
-}  // namespace firmoor::details
+}  // namespace firmoor
--- a/libs/serving/tests/caller_list_test.cc
+++ b/libs/serving/tests/caller_list_test.cc
@@ -10,6 +10,7 @@
 #include "details/remote_follower.h"
 #include "serving/sse_parser.h"
 #include "support/raw_socket.h"
+#include "support/slow_client.h"
 
 namespace firmoor::details {
 namespace {
@@ -39,12 +40,50 @@
 
 }  // namespace
 
+// Guards against a caller that holds its place at an engine for as long as it
+// likes, and against a stream that is not read on once its caller has read.
+TEST_CASE("a caller that takes its tokens slowly") {
+  Callers callers;
+  ModelRequest model;
+  CallerFlowTotals flows;
+  CallerList list("r1", &model, &flows);
+  SlowClient caller({"127.0.0.1", callers.server->Port()});
+  caller.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(WaitUntil([&] { return callers.responders.size() == 1; }));
+  list.Add(callers.responders[0], true, 0);
+  // More than the kernel's buffers hold.
+  const std::vector<std::string> tokens(16, std::string(1'000'000, 'x'));
+  const auto now = MonotonicNow();
+  CHECK_FALSE(list.IsPaused(now));
+  list.SendTokens(tokens);
+  RunFor(100);
+  REQUIRE(list.IsPaused(now));
+
+  SUBCASE("gets further ones once it has read") {
+    REQUIRE(WaitUntil([&] {
+      caller.Read(1'000'000);
+      return !list.IsPaused(now);
+    }));
+    list.CutStalled(now + CallerFlow::kMaxStall);
+    CHECK(callers.responders[0]->IsOpen());
+    CHECK(flows.stalled == 0);
+  }
+  SUBCASE("is cut off when it takes nothing for long") {
+    list.CutStalled(now + CallerFlow::kMaxStall - Duration(1));
+    CHECK(callers.responders[0]->IsOpen());
+    list.CutStalled(now + CallerFlow::kMaxStall);
+    CHECK_FALSE(callers.responders[0]->IsOpen());
+    CHECK(flows.stalled == 1);
+  }
+}
+
 // Guards against LOST: callers of a started stream got neither its rest nor an
 // error when the daemon that was to take the request over did not confirm it.
 TEST_CASE("the callers of a request whose hand-over is not confirmed") {
   Callers callers;
   ModelRequest model;
-  CallerList list("r1", &model);
+  CallerFlowTotals flows;
+  CallerList list("r1", &model, &flows);
   const auto caller = callers.Connect();
   list.Add(callers.responders[0], true, 0);
 
