Keep whole answers in the budget until they are taken

Cause: BodyBudget bounds what is collected, but the share of an answer was given back when it was handed to its connection, whose buffer then held it; an answer that another daemon sent whole was in no budget.

The connection, or the stream to another daemon, now keeps the share until all is taken or the receiver has left.

The body budget's tests take the time as a parameter now; their checks are unchanged.

--- a/libs/gateway/src/details/delegated_response_writer.cc
+++ b/libs/gateway/src/details/delegated_response_writer.cc
@@ -33,6 +33,11 @@
   responder_->Finish();
 }
 
+void DelegatedResponseWriter::HoldUntilTaken(
+    std::shared_ptr<BodyBudget::Share> share) {
+  responder_->Keep(std::move(share));
+}
+
 void DelegatedResponseWriter::Send(const HttpResponse& response) {
   auto reply = ReplyOf(Kind::kResponse);
   reply.response = response;
--- a/libs/gateway/src/details/delegated_response_writer.h
+++ b/libs/gateway/src/details/delegated_response_writer.h
@@ -27,6 +27,7 @@
   /// Software version that writes the stream; set before `StartStream`.
   void SetVersion(std::string version) { version_ = std::move(version); }
 
+  void HoldUntilTaken(std::shared_ptr<BodyBudget::Share> share) override;
   void Send(const HttpResponse& response) override;
   void StartStream(int status, const HttpHeaders& headers) override;
   void Write(std::string_view bytes) override;
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -253,10 +253,12 @@
     responder_->FinishStream();
   } else if (has_more_to_verify && head.IsSuccess()) {
     const auto answer = attempt.Answer();
+    responder_->HoldUntilTaken(attempt.body_share());
     responder_->StartStreamUntilClose(answer.status, answer.headers);
     responder_->Write(answer.body);
     responder_->FinishStream();
   } else {
+    responder_->HoldUntilTaken(attempt.body_share());
     responder_->Send(attempt.Answer());
   }
   Finish(ResultCode::kOk, head.IsSuccess() ? "answered" : "failure-passed");
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -258,6 +258,10 @@
     return Refuse(refusal->code, "", RequestOutcome::kUnknown, std::nullopt);
   }
   CancelOvertaken(number, peer, race_.OnNextPart(number));
+  const auto share =
+      std::make_shared<BodyBudget::Share>(context_->answer_budget);
+  share->Take(response.body.size(), MonotonicNow());
+  responder_->HoldUntilTaken(share);
   responder_->Send(response);
   if (refusal) return Finish(refusal->code, NameOf(refusal->outcome));
   Finish(ResultCode::kOk,
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -78,7 +78,9 @@
   LinkMonitor links;
   Delegations delegations;
   HttpConnectionPool pool;
-  BodyBudget answer_budget{kAnswerBudget};
+  /// Shared with responses that are still being sent when this ends.
+  std::shared_ptr<BodyBudget> answer_budget =
+      std::make_shared<BodyBudget>(kAnswerBudget);
   CallerFlowTotals caller_flows;
   SharedLimits shared;
   /// Time of the coordinator's last reply.
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -59,7 +59,7 @@
       in_flight_(context->picker.InFlight(plan_.upstream.id)),
       sent_at_(MonotonicNow()),
       last_byte_at_(sent_at_),
-      body_share_(&context->answer_budget),
+      body_share_(std::make_shared<BodyBudget::Share>(context->answer_budget)),
       relay_(plan_.call.last_event_id) {
   ticket_ = context_->StartAttempt(plan_.upstream, plan_.pick, sent_at_);
   prefill_tokens_ = ticket_.prefill_tokens;
@@ -214,7 +214,9 @@
   is_silent_ = false;
   context_->links.OnContact(plan_.upstream.id);
   if (!is_event_stream_) {
-    if (!body_share_.Grow(bytes.size())) return call_->LimitBody(0);
+    if (!body_share_->Grow(bytes.size(), last_byte_at_)) {
+      return call_->LimitBody(0);
+    }
     body_ += bytes;
     return owner_->OnByte(*this);
   }
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -99,6 +99,10 @@
   [[nodiscard]] HttpResponse Answer() const {
     return {head_->status, head_->headers, body_};
   }
+  /// What that takes of the memory for responses.
+  [[nodiscard]] const std::shared_ptr<BodyBudget::Share>& body_share() const {
+    return body_share_;
+  }
   /// Whether the end of the connection is the only sign that the response is
   /// complete.
   [[nodiscard]] bool EndsWithConnection() const {
@@ -170,7 +174,8 @@
   std::optional<TimePoint> head_at_;
   std::optional<UpstreamResponseHead> head_;
   std::string body_;
-  BodyBudget::Share body_share_;  ///< Of the memory for `body_`.
+  /// Of the memory for `body_`.
+  std::shared_ptr<BodyBudget::Share> body_share_;
   EventRelay relay_;
   bool is_event_stream_ = false;
   bool is_silent_ = false;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -296,6 +296,10 @@
     text += fmt::format("firmoor_attempts_beside_total{{end=\"{}\"}} {}\n", end,
                         count);
   }
+  text += fmt::format(
+      "firmoor_answers_held_bytes {}\nfirmoor_answers_gave_way_total {}\n",
+      context.answer_budget->shared_bytes_in_use(),
+      context.answer_budget->gave_way());
   return text + context.caller_flows.Metrics();
 }
 
--- a/libs/http/include/http/body_budget.h
+++ b/libs/http/include/http/body_budget.h
@@ -2,6 +2,12 @@
 #define FIRMOOR_HTTP_BODY_BUDGET_H_
 
 #include <cstddef>
+#include <functional>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "base/time.h"
 
 namespace firmoor {
 
@@ -10,8 +16,10 @@
 constexpr std::size_t kMaxCollectedBodyBytes = 8 * 1024 * 1024;
 
 /// Limits the memory of bodies that a process collects before it passes them
-/// on, each and in all. A body up to `free_bytes` needs nothing of what all
-/// share, so that large ones cannot keep small ones out. Pure.
+/// on, each and in all, until their receivers have taken them. A body up to
+/// `free_bytes` needs nothing of what all share, so that large ones cannot keep
+/// small ones out. If the memory is short, receivers that take nothing give way
+/// to bodies that arrive. Pure.
 class BodyBudget {
  public:
   struct Limits {
@@ -22,21 +30,38 @@
     bool operator==(const Limits&) const = default;
   };
 
-  /// What one body takes of the budget, until it is destroyed. The budget must
-  /// outlive it.
+  /// Time without a byte taken after which a receiver gives way. One that reads
+  /// takes bytes more often, unless its link is slow.
+  static constexpr Duration kMinStall{1'000};
+
+  /// What one body takes of the budget, until it is destroyed.
   class Share {
    public:
-    explicit Share(BodyBudget* budget) : budget_(budget) {}
+    explicit Share(std::shared_ptr<BodyBudget> budget)
+        : budget_(std::move(budget)) {}
     ~Share();
     Share(const Share&) = delete;
     Share& operator=(const Share&) = delete;
 
     /// Takes `bytes` more. Returns false, and takes none, beyond a limit.
-    bool Grow(std::size_t bytes);
+    bool Grow(std::size_t bytes, TimePoint now);
+    /// Takes `bytes` of a body that has arrived whole, also beyond a limit.
+    void Take(std::size_t bytes, TimePoint now);
+    /// The body is complete and passed on. `give_way` is called, at most once,
+    /// if the memory is needed; it breaks the passing on off and is to destroy
+    /// the share.
+    void StartDelivery(std::function<void()> give_way, TimePoint now);
+    /// The receiver has taken bytes.
+    void OnTaken(TimePoint now) { taken_at_ = now; }
+    /// Whether it takes anything of what all share.
+    [[nodiscard]] bool IsLarge() const;
 
    private:
-    BodyBudget* budget_;
+    friend class BodyBudget;
+    std::shared_ptr<BodyBudget> budget_;
     std::size_t bytes_ = 0;
+    TimePoint taken_at_;
+    std::function<void()> give_way_;
   };
 
   explicit BodyBudget(Limits limits) : limits_(limits) {}
@@ -44,11 +69,18 @@
   /// Of all bodies, beyond their `free_bytes`.
   [[nodiscard]] std::size_t shared_bytes_in_use() const { return in_use_; }
 
+  /// Bodies that were broken off since their receivers took nothing.
+  [[nodiscard]] std::size_t gave_way() const { return gave_way_; }
+
  private:
   [[nodiscard]] std::size_t SharedPart(std::size_t bytes) const;
+  /// Makes room for `bytes`, if receivers that take nothing can give way.
+  bool MakeRoom(std::size_t bytes, TimePoint now);
 
   Limits limits_;
   std::size_t in_use_ = 0;
+  std::size_t gave_way_ = 0;
+  std::set<Share*> deliveries_;  ///< That can give way.
 };
 
 }  // namespace firmoor
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -24,6 +24,7 @@
  public:
   explicit HttpResponder(std::weak_ptr<details::ServerConnection> connection);
 
+  void HoldUntilTaken(std::shared_ptr<BodyBudget::Share> share) override;
   /// The connection then reads its next request.
   void Send(const HttpResponse& response) override;
   /// Starts a response that is sent in chunks.
--- a/libs/http/include/http/response_writer.h
+++ b/libs/http/include/http/response_writer.h
@@ -3,8 +3,10 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string_view>
 
+#include "http/body_budget.h"
 #include "http/message.h"
 
 namespace firmoor {
@@ -15,6 +17,10 @@
  public:
   virtual ~ResponseWriter() = default;
 
+  /// Keeps `share`, which the body of the next complete response takes of a
+  /// budget, until the receiver has taken the response or left.
+  virtual void HoldUntilTaken(std::shared_ptr<BodyBudget::Share> share) = 0;
+
   /// Sends a complete response.
   virtual void Send(const HttpResponse& response) = 0;
 
--- a/libs/http/src/body_budget.cc
+++ b/libs/http/src/body_budget.cc
@@ -1,24 +1,70 @@
 #include "http/body_budget.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace firmoor {
 
-BodyBudget::Share::~Share() { budget_->in_use_ -= budget_->SharedPart(bytes_); }
+BodyBudget::Share::~Share() {
+  budget_->deliveries_.erase(this);
+  budget_->in_use_ -= budget_->SharedPart(bytes_);
+}
 
-bool BodyBudget::Share::Grow(std::size_t bytes) {
+bool BodyBudget::Share::Grow(std::size_t bytes, TimePoint now) {
   const auto& limits = budget_->limits_;
   if (bytes > limits.body_bytes || bytes_ > limits.body_bytes - bytes) {
     return false;
   }
   const auto more =
       budget_->SharedPart(bytes_ + bytes) - budget_->SharedPart(bytes_);
-  if (more > limits.shared_bytes - budget_->in_use_) return false;
+  if (!budget_->MakeRoom(more, now)) return false;
   budget_->in_use_ += more;
   bytes_ += bytes;
   return true;
 }
 
+void BodyBudget::Share::Take(std::size_t bytes, TimePoint now) {
+  const auto more =
+      budget_->SharedPart(bytes_ + bytes) - budget_->SharedPart(bytes_);
+  budget_->MakeRoom(more, now);
+  budget_->in_use_ += more;
+  bytes_ += bytes;
+}
+
+void BodyBudget::Share::StartDelivery(std::function<void()> give_way,
+                                      TimePoint now) {
+  taken_at_ = now;
+  give_way_ = std::move(give_way);
+  if (IsLarge()) budget_->deliveries_.insert(this);
+}
+
+bool BodyBudget::Share::IsLarge() const {
+  return budget_->SharedPart(bytes_) > 0;
+}
+
 std::size_t BodyBudget::SharedPart(std::size_t bytes) const {
   return bytes > limits_.free_bytes ? bytes - limits_.free_bytes : 0;
 }
 
+bool BodyBudget::MakeRoom(std::size_t bytes, TimePoint now) {
+  const auto has_room = [&] {
+    return bytes == 0 || (in_use_ <= limits_.shared_bytes &&
+                          bytes <= limits_.shared_bytes - in_use_);
+  };
+  while (!has_room()) {
+    const auto slowest =
+        std::min_element(deliveries_.begin(), deliveries_.end(),
+                         [](const Share* left, const Share* right) {
+                           return left->taken_at_ < right->taken_at_;
+                         });
+    if (slowest == deliveries_.end()) return false;
+    if (now - (*slowest)->taken_at_ < kMinStall) return false;
+    const auto give_way = std::move((*slowest)->give_way_);
+    deliveries_.erase(slowest);
+    ++gave_way_;
+    give_way();
+  }
+  return true;
+}
+
 }  // namespace firmoor
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -132,6 +132,7 @@
     const auto handler = on_sent_;
     handler();
   }
+  UpdateHeldShare();
   const bool has_next = buffer_.size() > 0 || socket_->bytesAvailable() > 0;
   if (phase_ == Phase::kReading && !closed_ && !is_reading_request_ &&
       has_next) {
@@ -257,6 +258,23 @@
   socket_->write(head.data(), static_cast<qint64>(head.size()));
 }
 
+void ServerConnection::HoldUntilTaken(
+    std::shared_ptr<BodyBudget::Share> share) {
+  if (phase_ == Phase::kReading || closed_) return;
+  held_share_ = std::move(share);
+  held_share_->StartDelivery(
+      [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) self->CutStalled();
+      },
+      MonotonicNow());
+}
+
+void ServerConnection::UpdateHeldShare() {
+  if (!held_share_) return;
+  if (socket_->bytesToWrite() == 0) return held_share_.reset();
+  held_share_->OnTaken(MonotonicNow());
+}
+
 void ServerConnection::Send(const HttpResponse& response) {
   if (phase_ != Phase::kHandling || closed_) return;
   WriteHead(response.status, response.headers,
@@ -300,6 +318,7 @@
 void ServerConnection::FinishResponse() {
   on_caller_disconnected_ = nullptr;
   on_sent_ = nullptr;
+  if (socket_->bytesToWrite() == 0) held_share_.reset();
   if (!keep_alive_) {
     if (buffer_.size() > 0 || socket_->bytesAvailable() > 0) {
       context_->CountCut(ConnectionCut::kPipelined);
@@ -367,6 +386,7 @@
   closed_ = true;
   const auto self = shared_from_this();
   on_sent_ = nullptr;
+  held_share_.reset();
   const auto handler = std::exchange(on_caller_disconnected_, nullptr);
   if (handler) handler();
   phase_ = Phase::kReading;
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -47,6 +47,8 @@
   void ExtendTimeout();
   void CloseIfIdle();
 
+  /// Keeps `share` until the caller has taken the response or has left.
+  void HoldUntilTaken(std::shared_ptr<BodyBudget::Share> share);
   void Send(const HttpResponse& response);
   void StartStream(int status, const HttpHeaders& headers);
   void StartStreamUntilClose(int status, const HttpHeaders& headers);
@@ -73,6 +75,8 @@
   void StartTimeout(Duration timeout);
   void OnTimeout();
   void OnBytesWritten();
+  /// Releases what is held for the caller once it has taken all.
+  void UpdateHeldShare();
   [[nodiscard]] bool IsIdle() const;
   /// Whether the next request waits until the caller has taken most of the last
   /// response.
@@ -107,6 +111,7 @@
   std::optional<HeadScanner> head_scanner_;
   std::optional<Parser> parser_;
   std::optional<LingeringClose> lingering_close_;
+  std::shared_ptr<BodyBudget::Share> held_share_;
   QTimer timer_;
   TimePoint waiting_since_;
   Duration timeout_{0};  ///< From `waiting_since_`.
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -30,6 +30,12 @@
     std::weak_ptr<details::ServerConnection> connection)
     : connection_(std::move(connection)) {}
 
+void HttpResponder::HoldUntilTaken(std::shared_ptr<BodyBudget::Share> share) {
+  if (const auto connection = connection_.lock()) {
+    connection->HoldUntilTaken(std::move(share));
+  }
+}
+
 void HttpResponder::Send(const HttpResponse& response) {
   if (const auto connection = connection_.lock()) connection->Send(response);
 }
--- a/libs/http/tests/http_call_limits_test.cc
+++ b/libs/http/tests/http_call_limits_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -13,6 +15,7 @@
 constexpr HttpCallTimeouts kTimeouts{Duration(1'000), Duration(1'000),
                                      Duration(1'000)};
 constexpr std::uint64_t kLimitBytes = 100 * 1024;
+constexpr TimePoint kStart{Duration(1'000'000)};
 
 /// A response head with `fields`, and then the same bytes without end.
 struct EndlessUpstream {
@@ -155,34 +158,85 @@
 
 // Guards against large bodies that together take the memory of the process.
 TEST_CASE("bodies that are collected share a budget") {
-  BodyBudget budget({100, 50, 20});
+  const auto budget =
+      std::make_shared<BodyBudget>(BodyBudget::Limits{100, 50, 20});
   SUBCASE("and each has a limit of its own") {
-    BodyBudget::Share body(&budget);
-    CHECK(body.Grow(70));
-    CHECK_FALSE(body.Grow(1));
-    CHECK(budget.shared_bytes_in_use() == 50);
+    BodyBudget::Share body(budget);
+    CHECK(body.Grow(70, kStart));
+    CHECK_FALSE(body.Grow(1, kStart));
+    CHECK(budget->shared_bytes_in_use() == 50);
   }
   SUBCASE("that large ones cannot take from small ones") {
-    BodyBudget::Share large(&budget);
-    REQUIRE(large.Grow(70));
-    BodyBudget::Share small(&budget);
-    CHECK(small.Grow(20));
-    CHECK_FALSE(small.Grow(1));
+    BodyBudget::Share large(budget);
+    REQUIRE(large.Grow(70, kStart));
+    BodyBudget::Share small(budget);
+    CHECK(small.Grow(20, kStart));
+    CHECK_FALSE(small.Grow(1, kStart));
   }
   SUBCASE("that a body gives back at its end") {
     {
-      BodyBudget::Share large(&budget);
-      REQUIRE(large.Grow(70));
+      BodyBudget::Share large(budget);
+      REQUIRE(large.Grow(70, kStart));
     }
-    CHECK(budget.shared_bytes_in_use() == 0);
-    BodyBudget::Share next(&budget);
-    CHECK(next.Grow(70));
+    CHECK(budget->shared_bytes_in_use() == 0);
+    BodyBudget::Share next(budget);
+    CHECK(next.Grow(70, kStart));
   }
   SUBCASE("and a size that overflows is refused") {
-    BodyBudget::Share body(&budget);
-    REQUIRE(body.Grow(1));
-    CHECK_FALSE(body.Grow(static_cast<std::size_t>(-1)));
+    BodyBudget::Share body(budget);
+    REQUIRE(body.Grow(1, kStart));
+    CHECK_FALSE(body.Grow(static_cast<std::size_t>(-1), kStart));
   }
 }
 
+// Guards against responses that fill the memory of the process while their
+// receivers do not read: they were in no budget once they were passed on.
+TEST_CASE("a body that is passed on stays in the budget until it is taken") {
+  const auto budget =
+      std::make_shared<BodyBudget>(BodyBudget::Limits{100, 50, 20});
+  // Large bodies by their name, as a connection holds them.
+  std::map<std::string, std::unique_ptr<BodyBudget::Share>> held;
+  const auto pass_on = [&](const std::string& name, TimePoint now) {
+    auto share = std::make_unique<BodyBudget::Share>(budget);
+    REQUIRE(share->Grow(45, now));
+    share->StartDelivery([&held, name] { held.erase(name); }, now);
+    held[name] = std::move(share);
+  };
+  pass_on("first", kStart);
+  pass_on("second", kStart + Duration(500));
+  BodyBudget::Share next(budget);
+
+  SUBCASE("and is kept from others while its receiver reads") {
+    held["first"]->OnTaken(kStart + Duration(1'000));
+    CHECK_FALSE(next.Grow(45, kStart + Duration(1'400)));
+    CHECK(held.size() == 2);
+    CHECK(budget->gave_way() == 0);
+  }
+  SUBCASE("but gives way when its receiver takes nothing") {
+    SUBCASE("the one first that has taken nothing for longest") {
+      CHECK(next.Grow(45, kStart + Duration(1'400)));
+      CHECK_FALSE(held.contains("first"));
+      CHECK(held.contains("second"));
+      CHECK(budget->gave_way() == 1);
+    }
+    SUBCASE("and as many as are needed") {
+      CHECK(next.Grow(70, kStart + Duration(5'000)));
+      CHECK(held.empty());
+      CHECK(budget->shared_bytes_in_use() == 50);
+    }
+    SUBCASE("not for a body that needs nothing of what all share") {
+      CHECK(next.Grow(20, kStart + Duration(5'000)));
+      CHECK(held.size() == 2);
+    }
+  }
+  SUBCASE("and counts beyond the limit if it arrived whole") {
+    next.Take(90, kStart + Duration(600));
+    CHECK(budget->shared_bytes_in_use() == 120);
+    BodyBudget::Share small(budget);
+    CHECK(small.Grow(20, kStart + Duration(600)));
+    CHECK_FALSE(small.Grow(1, kStart + Duration(600)));
+  }
+  CHECK(budget->shared_bytes_in_use() <= 120);
+}
+
 }  // namespace firmoor
--- a/libs/peer/include/peer/peer_stream.h
+++ b/libs/peer/include/peer/peer_stream.h
@@ -58,6 +58,9 @@
                       std::int32_t stream_id);
   ~PeerStreamResponder();
 
+  /// Keeps `resource` until all messages are handed to the kernel or the call
+  /// has ended.
+  void Keep(std::shared_ptr<const void> resource);
   void Send(const QByteArray& message);
   /// Completes the series.
   void Finish();
--- a/libs/peer/src/details/http2_connection.h
+++ b/libs/peer/src/details/http2_connection.h
@@ -65,6 +65,8 @@
   void SetSeriesPaused(std::uint64_t call, bool paused);
 
   /// Server: operations on the response to such a call.
+  void KeepForSeries(std::int32_t stream_id,
+                     std::shared_ptr<const void> resource);
   void SendMessage(std::int32_t stream_id, const QByteArray& message);
   void FinishSeries(std::int32_t stream_id);
   void AbortSeries(std::int32_t stream_id);
@@ -107,6 +109,7 @@
     bool is_finished = false;    ///< Server: no more messages will follow.
     std::function<void()> on_cancelled;  ///< Server, of a series.
     std::function<void()> on_sent;       ///< Server, of a series.
+    std::shared_ptr<const void> kept;    ///< Server, until the stream ends.
   };
   /// A call that was made before the connection was established.
   struct QueuedCall {
--- a/libs/peer/src/details/http2_series.cc
+++ b/libs/peer/src/details/http2_series.cc
@@ -174,6 +174,12 @@
   });
 }
 
+void Http2Connection::KeepForSeries(std::int32_t stream_id,
+                                    std::shared_ptr<const void> resource) {
+  const auto found = streams_.find(stream_id);
+  if (found != streams_.end()) found->second.kept = std::move(resource);
+}
+
 void Http2Connection::SendMessage(std::int32_t stream_id,
                                   const QByteArray& message) {
   const auto found = streams_.find(stream_id);
--- a/libs/peer/src/peer_stream.cc
+++ b/libs/peer/src/peer_stream.cc
@@ -33,6 +33,12 @@
 
 PeerStreamResponder::~PeerStreamResponder() { Abort(); }
 
+void PeerStreamResponder::Keep(std::shared_ptr<const void> resource) {
+  if (const auto connection = connection_.lock()) {
+    connection->KeepForSeries(stream_id_, std::move(resource));
+  }
+}
+
 void PeerStreamResponder::Send(const QByteArray& message) {
   if (const auto connection = connection_.lock()) {
     connection->SendMessage(stream_id_, message);
--- a/tests/support/include/support/slow_client.h
+++ b/tests/support/include/support/slow_client.h
@@ -22,8 +22,13 @@
 /// meanwhile, up to the socket's buffer.
 class SlowClient {
  public:
-  explicit SlowClient(const Endpoint& to)
+  /// `buffer_bytes`: of the socket; 0 for the system's default.
+  explicit SlowClient(const Endpoint& to, int buffer_bytes = 0)
       : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    if (buffer_bytes > 0) {
+      ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                   sizeof(buffer_bytes));
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(to.port);
@@ -50,16 +55,20 @@
           ::recv(socket_, bytes.data(),
                  std::min(bytes.size(), most - received.size()), 0);
       was_reset_ = was_reset_ || (size < 0 && errno == ECONNRESET);
+      has_ended_ = has_ended_ || size == 0;
       if (size <= 0) break;
       received.append(bytes.data(), static_cast<std::size_t>(size));
     }
     return received;
   }
   [[nodiscard]] bool was_reset() const { return was_reset_; }
+  /// Whether the other end has closed in order, behind all that was read.
+  [[nodiscard]] bool has_ended() const { return has_ended_; }
 
  private:
   int socket_;
   bool was_reset_ = false;
+  bool has_ended_ = false;
 };
 
 }  // namespace firmoor
