Cut off no answer whose caller has taken bytes after all

When memory is short, the answer whose caller has taken nothing for a second gives way. After a standstill of the process all callers seem to have taken nothing, as the socket's news of it are read later. The socket is asked first: if the kernel takes bytes now, the caller reads and its answer stays.

--- a/libs/http/include/http/body_budget.h
+++ b/libs/http/include/http/body_budget.h
@@ -47,10 +47,11 @@
     bool Grow(std::size_t bytes, TimePoint now);
     /// Takes `bytes` of a body that has arrived whole, also beyond a limit.
     void Take(std::size_t bytes, TimePoint now);
-    /// The body is complete and passed on. `give_way` is called, at most once,
-    /// if the memory is needed; it breaks the passing on off and is to destroy
-    /// the share.
-    void StartDelivery(std::function<void()> give_way, TimePoint now);
+    /// The body is complete and passed on. `give_way` is called if the memory
+    /// is needed and the receiver seems to take nothing. It breaks the passing
+    /// on off and destroys the share, or returns false if the receiver has
+    /// taken bytes after all, as after a standstill of the process.
+    void StartDelivery(std::function<bool()> give_way, TimePoint now);
     /// The receiver has taken bytes.
     void OnTaken(TimePoint now) { taken_at_ = now; }
     /// Whether it takes anything of what all share.
@@ -61,7 +62,7 @@
     std::shared_ptr<BodyBudget> budget_;
     std::size_t bytes_ = 0;
     TimePoint taken_at_;
-    std::function<void()> give_way_;
+    std::function<bool()> give_way_;
   };
 
   explicit BodyBudget(Limits limits) : limits_(limits) {}
--- a/libs/http/src/body_budget.cc
+++ b/libs/http/src/body_budget.cc
@@ -31,7 +31,7 @@
   bytes_ += bytes;
 }
 
-void BodyBudget::Share::StartDelivery(std::function<void()> give_way,
+void BodyBudget::Share::StartDelivery(std::function<bool()> give_way,
                                       TimePoint now) {
   taken_at_ = now;
   give_way_ = std::move(give_way);
@@ -52,17 +52,22 @@
                           bytes <= limits_.shared_bytes - in_use_);
   };
   while (!has_room()) {
-    const auto slowest =
+    const auto found =
         std::min_element(deliveries_.begin(), deliveries_.end(),
                          [](const Share* left, const Share* right) {
                            return left->taken_at_ < right->taken_at_;
                          });
-    if (slowest == deliveries_.end()) return false;
-    if (now - (*slowest)->taken_at_ < kMinStall) return false;
-    const auto give_way = std::move((*slowest)->give_way_);
-    deliveries_.erase(slowest);
-    ++gave_way_;
-    give_way();
+    if (found == deliveries_.end()) return false;
+    auto* const slowest = *found;
+    if (now - slowest->taken_at_ < kMinStall) return false;
+    // Copied, since it may destroy the share.
+    const auto give_way = slowest->give_way_;
+    if (give_way()) {
+      ++gave_way_;
+      deliveries_.erase(slowest);
+    } else if (deliveries_.contains(slowest)) {
+      slowest->taken_at_ = now;
+    }
   }
   return true;
 }
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -264,11 +264,19 @@
   held_share_ = std::move(share);
   held_share_->StartDelivery(
       [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) self->CutStalled();
+        const auto self = weak.lock();
+        return !self || self->GiveWay();
       },
       MonotonicNow());
 }
 
+bool ServerConnection::GiveWay() {
+  const auto self = shared_from_this();
+  if (socket_->flush()) return false;
+  CutStalled();
+  return true;
+}
+
 void ServerConnection::UpdateHeldShare() {
   if (!held_share_) return;
   if (socket_->bytesToWrite() == 0) return held_share_.reset();
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -75,6 +75,9 @@
   void StartTimeout(Duration timeout);
   void OnTimeout();
   void OnBytesWritten();
+  /// Closes the connection, since memory is short and the caller has taken
+  /// nothing for a while. Returns false if it has taken bytes meanwhile.
+  bool GiveWay();
   /// Releases what is held for the caller once it has taken all.
   void UpdateHeldShare();
   [[nodiscard]] bool IsIdle() const;
--- a/libs/http/tests/http_call_limits_test.cc
+++ b/libs/http/tests/http_call_limits_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "http/body_budget.h"
@@ -196,10 +197,14 @@
       std::make_shared<BodyBudget>(BodyBudget::Limits{100, 50, 20});
   // Large bodies by their name, as a connection holds them.
   std::map<std::string, std::unique_ptr<BodyBudget::Share>> held;
+  std::set<std::string> reading;  // Though the budget was not told of it.
   const auto pass_on = [&](const std::string& name, TimePoint now) {
     auto share = std::make_unique<BodyBudget::Share>(budget);
     REQUIRE(share->Grow(45, now));
-    share->StartDelivery([&held, name] { held.erase(name); }, now);
+    const auto give_way = [&held, &reading, name] {
+      return !reading.contains(name) && held.erase(name) > 0;
+    };
+    share->StartDelivery(give_way, now);
     held[name] = std::move(share);
   };
   pass_on("first", kStart);
@@ -219,6 +224,13 @@
       CHECK(held.contains("second"));
       CHECK(budget->gave_way() == 1);
     }
+    SUBCASE("unless it has taken bytes after all") {
+      reading = {"first"};
+      CHECK_FALSE(next.Grow(45, kStart + Duration(1'400)));
+      CHECK(held.size() == 2);
+      CHECK(next.Grow(45, kStart + Duration(1'600)));
+      CHECK(held.contains("first"));
+    }
     SUBCASE("and as many as are needed") {
       CHECK(next.Grow(70, kStart + Duration(5'000)));
       CHECK(held.empty());
