Show that each ambiguous head is refused for itself

A mutation that takes Transfer-Encoding: chunked in HTTP/1.0 (HeadScanner::ScanField) turned the test of responses red, but none of requests: the request that followed the head in the test is no chunk, so it was refused with 400 all the same, and the property picks heads at random. The new case scans each head alone: 1 of 44 checks fails with the mutation, none without it; http_test passes (864 assertions).

--- a/libs/http/tests/request_framing_test.cc
+++ b/libs/http/tests/request_framing_test.cc
@@ -123,6 +123,16 @@
   }
 }
 
+// Guards against a head that is refused only since its body happens not to be
+// one of chunks, such as a coding of HTTP/1.1 in a request of HTTP/1.0.
+TEST_CASE("each ambiguous head is refused for itself") {
+  for (const auto& head : AmbiguousHeads()) {
+    CAPTURE(head);
+    HeadScanner scanner(HeadScanner::Message::kRequest);
+    CHECK(scanner.Scan(head) == Result::kInvalid);
+  }
+}
+
 TEST_CASE("a chunked body with ambiguous lines is refused") {
   RecordingServer server;
   const std::string head = Post("Transfer-Encoding: chunked\r\n");
