Tell in the log by what a stream's end is known

For each stream the request line now has the id of the last event, the form of its end towards the caller (marked, closed, reset) and by what it is known to be complete (the upstream's framing, another upstream, another daemon, nothing); a reset names the reason in its code. The same is counted as firmoor_stream_ends_total, and answer-cut has the last event.

No behaviour changes. Ruled out: a line when the process is killed; a stream without a request line ended with its daemon, as docs/OPERATIONS.md says.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -250,6 +250,9 @@
   if (attempt.is_event_stream()) {
     if (has_more_to_verify) return FinishUnverifiedStream();
     if (!answer_started_) responder_->StartStream(head.status, head.headers);
+    RecordStreamEnd(StreamEndForm::kMarked, attempt.EndsWithConnection()
+                                                ? StreamEndBasis::kOtherUpstream
+                                                : StreamEndBasis::kFraming);
     responder_->FinishStream();
   } else if (has_more_to_verify && head.IsSuccess()) {
     const auto answer = attempt.Answer();
@@ -281,12 +284,18 @@
   return context_->RetryDelay(service_, request_.id, MonotonicNow());
 }
 
+void Exchange::RecordStreamEnd(StreamEndForm form, StreamEndBasis basis) {
+  stream_end_ = StreamEnd{form, basis};
+  context_->stream_ends.Count(form, basis);
+}
+
 void Exchange::FinishUnverifiedStream() {
   if (!answers_until_close_) {
     // The marked end of the caller's response would say that it is complete.
     is_end_unverified_ = false;
     return AbortStream(ResultCode::kUpstreamIncomplete);
   }
+  RecordStreamEnd(StreamEndForm::kClosed, StreamEndBasis::kNothing);
   responder_->FinishStream();
   Finish(ResultCode::kOk, "answered-until-close");
 }
@@ -296,6 +305,7 @@
     return FinishUnverifiedStream();
   }
   LogCut("daemon", InfoOf(code).name);
+  RecordStreamEnd(StreamEndForm::kReset, StreamEndBasis::kNothing);
   // Finish first: the closed connection is otherwise taken for a caller that
   // disconnected.
   Finish(code, "broken-off");
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -210,6 +210,8 @@
   /// caller's does as well.
   void StartAnswer(int status, const HttpHeaders& headers, bool until_close,
                    TimePoint now);
+  /// Records how the stream ends towards its caller.
+  void RecordStreamEnd(StreamEndForm form, StreamEndBasis basis);
   /// Ends a stream of which nothing shows that it is complete, without saying
   /// that it is.
   void FinishUnverifiedStream();
@@ -273,6 +275,11 @@
   TimePoint last_event_;
   Duration longest_pause_{0};  ///< Between two events.
   bool usage_counted_ = false;
+  struct StreamEnd {
+    StreamEndForm form;
+    StreamEndBasis basis;
+  };
+  std::optional<StreamEnd> stream_end_;  ///< Unset before it has ended.
   bool answer_started_ = false;
   bool answers_until_close_ = false;
   /// The events that the caller has may be all, but nothing shows it.
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -209,6 +209,7 @@
 void Exchange::FinishDelegatedStream(int number) {
   if (!attempts_.FindDelegated(number)->head) return OnDelegationBroken(number);
   AdoptDelegation(number);
+  RecordStreamEnd(StreamEndForm::kMarked, StreamEndBasis::kOtherDaemon);
   responder_->FinishStream();
   Finish(ResultCode::kOk, "answered");
 }
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -98,6 +98,9 @@
        {"longest_pause_ms", static_cast<qint64>(longest_pause_.count())},
        {"total_ms", static_cast<qint64>((now - started_at_).count())},
        {"events", static_cast<qint64>(events_)},
+       {"last_event", Text(last_event_id_)},
+       {"stream_end", Text(stream_end_ ? NameOf(stream_end_->form) : "")},
+       {"end_known_by", Text(stream_end_ ? NameOf(stream_end_->basis) : "")},
        {"config", static_cast<qint64>(table_->version())},
        {"config_age_ms", age ? static_cast<qint64>(age->count()) : -1}});
 }
@@ -121,6 +124,7 @@
        {"left_silent", Text(left_silent_)},
        {"moving", move_.has_value()},
        {"events", static_cast<qint64>(events_)},
+       {"last_event", Text(last_event_id_)},
        {"silent_ms", Milliseconds(now - silent_since)},
        {"total_ms", Milliseconds(now - started_at_)},
        {"caller_time_ms", Milliseconds(ends_at_ - started_at_)},
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -15,6 +15,7 @@
 #include "details/delegations.h"
 #include "details/link_monitor.h"
 #include "details/request_quarantine.h"
+#include "details/stream_ends.h"
 #include "details/stream_versions.h"
 #include "gateway/gateway.h"
 #include "gateway/request_admission.h"
@@ -98,6 +99,7 @@
   UpstreamLimitCounters limit_counters;
   SlotCounters slot_counters;
   BesideCounters beside_counters;
+  StreamEndCounters stream_ends;
   /// Requests that wait for a slot of a brittle upstream, by service; may hold
   /// some that wait no more.
   std::map<std::string, std::deque<std::weak_ptr<Exchange>>> slot_waiters;
--- /dev/null
+++ b/libs/gateway/src/details/stream_ends.cc
@@ -0,0 +1,37 @@
+#include "details/stream_ends.h"
+
+#include <fmt/format.h>
+
+namespace firmoor::details {
+
+std::string_view NameOf(StreamEndForm form) {
+  constexpr std::string_view kNames[] = {"marked", "closed", "reset"};
+  return kNames[static_cast<int>(form)];
+}
+
+std::string_view NameOf(StreamEndBasis basis) {
+  constexpr std::string_view kNames[] = {"nothing", "framing", "other-upstream",
+                                         "earlier-streams", "other-daemon"};
+  return kNames[static_cast<int>(basis)];
+}
+
+void StreamEndCounters::Count(StreamEndForm form, StreamEndBasis basis) {
+  ++counts_.at(static_cast<std::size_t>(form))
+        .at(static_cast<std::size_t>(basis));
+}
+
+std::string StreamEndCounters::Metrics() const {
+  std::string text;
+  for (std::size_t form = 0; form < kForms; ++form) {
+    for (std::size_t basis = 0; basis < kBases; ++basis) {
+      text += fmt::format(
+          "firmoor_stream_ends_total{{end=\"{}\",known_by=\"{}\"}} {}\n",
+          NameOf(static_cast<StreamEndForm>(form)),
+          NameOf(static_cast<StreamEndBasis>(basis)),
+          counts_.at(form).at(basis));
+    }
+  }
+  return text;
+}
+
+}  // namespace firmoor::details
--- /dev/null
+++ b/libs/gateway/src/details/stream_ends.h
@@ -0,0 +1,48 @@
+#ifndef FIRMOOR_GATEWAY_DETAILS_STREAM_ENDS_H_
+#define FIRMOOR_GATEWAY_DETAILS_STREAM_ENDS_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace firmoor::details {
+
+/// How a stream ended towards its caller.
+enum class StreamEndForm {
+  kMarked,  ///< Its framing says that it is complete.
+  kClosed,  ///< Its connection was closed in order, which says nothing.
+  kReset,   ///< It was broken off.
+};
+
+/// By what the gateway knows that a stream is complete.
+enum class StreamEndBasis {
+  kNothing,
+  kFraming,         ///< The upstream's framing marks the end.
+  kOtherUpstream,   ///< Another upstream had nothing that follows.
+  kEarlierStreams,  ///< Streams that ended alike were complete.
+  kOtherDaemon,     ///< The daemon that it was delegated to says so.
+};
+
+/// "marked", "closed" or "reset", for logs and metrics.
+std::string_view NameOf(StreamEndForm form);
+/// "nothing", "framing" and so on, for logs and metrics.
+std::string_view NameOf(StreamEndBasis basis);
+
+/// Counts the ends of streams towards callers since the start.
+class StreamEndCounters {
+ public:
+  void Count(StreamEndForm form, StreamEndBasis basis);
+  /// Prometheus text.
+  [[nodiscard]] std::string Metrics() const;
+
+ private:
+  static constexpr std::size_t kForms = 3;
+  static constexpr std::size_t kBases = 5;
+
+  std::array<std::array<std::uint64_t, kBases>, kForms> counts_{};
+};
+
+}  // namespace firmoor::details
+
+#endif  // FIRMOOR_GATEWAY_DETAILS_STREAM_ENDS_H_
