Say that a stream is complete only by evidence

What callers saw (ORDER): streams that ended as complete before their last event. Cause, one class in two places: the end of a connection was taken for a statement of the process behind it.

A response without length and chunks was passed on in that form, so that the kernel of a gateway that is killed ended it in order. An end that the retry budget did not pay to verify was passed on as an orderly close, and as complete through another daemon. CloseDelimitedStreams now judges such an end by what is known of the software that wrote it: verified streams since the last cut, whether it marks other ends, their age. Software that is believed ends its streams as complete and is verified in samples; of other software the end is verified first of all, else the stream is broken off and its caller verifies it by coming back, which is no retry.

A caller that came back to an upstream that answers with a head only and closes had its stream refused as cut; it is complete now.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -13,6 +13,15 @@
 // one that works on it for longer than 400 ms wastes its tokens.
 constexpr Duration kMaxOverlap{300};
 
+StreamEndBasis BasisOf(const UpstreamAttempt& attempt,
+                       EndCredibility credibility) {
+  if (attempt.HasNothingMore()) return StreamEndBasis::kOtherUpstream;
+  if (credibility == EndCredibility::kShown) return StreamEndBasis::kFraming;
+  return credibility == EndCredibility::kUnproven
+             ? StreamEndBasis::kClose
+             : StreamEndBasis::kEarlierStreams;
+}
+
 }  // namespace
 
 Exchange::Exchange(GatewayContext* context, ForwardRequest request,
@@ -141,27 +150,25 @@
     RecordDoubt();
   }
   const auto now = MonotonicNow();
-  StartAnswer(attempt.head()->status, attempt.head()->headers,
-              attempt.EndsWithConnection(), now);
+  StartAnswer(attempt.head()->status, attempt.head()->headers, now);
   ForwardEvents(events, now);
 }
 
 void Exchange::StartAnswer(int status, const HttpHeaders& headers,
-                           bool until_close, TimePoint now) {
+                           TimePoint now) {
   if (std::exchange(answer_started_, true)) return;
   first_event_ = now;
   last_event_ = now;
   if (origin_) origin_->writer->SetVersion(version_.value_or(""));
-  answers_until_close_ = until_close;
-  if (until_close) {
-    responder_->StartStreamUntilClose(status, headers);
-  } else {
-    responder_->StartStream(status, headers);
-  }
+  // Always with a marked end, so that a daemon that is killed says nothing.
+  responder_->StartStream(status, headers);
 }
 
 void Exchange::ForwardEvents(const NewEvents& events, TimePoint now) {
-  if (events.count > 0) is_end_unverified_ = false;
+  if (events.count > 0 && unverified_end_) {
+    context_->close_delimited_streams->OnCut(unverified_end_->writer, now);
+    unverified_end_.reset();
+  }
   longest_pause_ = std::max(longest_pause_, now - last_event_);
   last_event_ = now;
   last_event_id_ = events.last_id;
@@ -207,10 +214,7 @@
     ++unsent_attempts_;
     if (!attempt.send_cancelled()) tried_.OnUnreached(attempt.upstream().id);
   }
-  const bool has_unverified_end =
-      end == HttpCallEnd::kComplete && attempt_end.stream_complete &&
-      !attempt_end.end_verified && attempt.is_event_stream();
-  is_end_unverified_ = is_end_unverified_ || has_unverified_end;
+  RecordCompletion(attempt, attempt_end, now);
   const auto decision = race_.OnEnd(attempt.number(), attempt_end,
                                     attempt.Counts(), MakeConditions());
   // Usage counts a stream at its first event, or when it fails without one.
@@ -223,14 +227,16 @@
   if (caller_disconnected_) {
     return Finish(decision.attempt.code, "caller-left");
   }
-  if (attempt_end.failed && ran && !answer_started_) {
+  const bool is_doubtful = !attempt.is_event_stream() &&
+                           attempt_end.credibility == EndCredibility::kDue;
+  if ((attempt_end.failed || is_doubtful) && ran && !answer_started_) {
     failed_answer_ = attempt.Answer();
   }
   switch (decision.step) {
     case RaceStep::kPassAnswer:
       CancelOvertaken(attempt.number(), attempt.upstream().id,
                       decision.overtaken);
-      return ForwardAnswer(attempt);
+      return ForwardAnswer(attempt, attempt_end);
     case RaceStep::kGoOn:
       ++context_->beside_counters.dropped;
       return StartBeside();
@@ -242,28 +248,40 @@
   }
 }
 
-void Exchange::ForwardAnswer(const UpstreamAttempt& attempt) {
+void Exchange::RecordCompletion(const UpstreamAttempt& attempt,
+                                const AttemptEnd& end, TimePoint now) {
+  const bool is_complete = end.end == HttpCallEnd::kComplete &&
+                           end.stream_complete && !end.failed &&
+                           attempt.is_event_stream();
+  if (!is_complete) return;
+  if (end.credibility != EndCredibility::kShown) {
+    const bool is_trusted = end.credibility == EndCredibility::kTrusted ||
+                            end.credibility == EndCredibility::kDue;
+    unverified_end_ = UnverifiedEnd{attempt.writer(), is_trusted};
+  } else if (attempt.HasNothingMore()) {
+    // A caller that resumes a stream at its end verifies it as well.
+    if (!unverified_end_) {
+      unverified_end_ = UnverifiedEnd{attempt.writer(), false};
+    }
+    OnNothingMore(now);
+  }
+}
+
+void Exchange::OnNothingMore(TimePoint now) {
+  if (!unverified_end_) return;
+  context_->close_delimited_streams->OnWhole(unverified_end_->writer, now);
+  unverified_end_.reset();
+}
+
+void Exchange::ForwardAnswer(const UpstreamAttempt& attempt,
+                             const AttemptEnd& end) {
   const auto& head = *attempt.head();
-  const bool has_more_to_verify =
-      !attempt.DescribeEnd(HttpCallEnd::kComplete, answer_started_, events_)
-           .end_verified;
   if (attempt.is_event_stream()) {
-    if (has_more_to_verify) return FinishUnverifiedStream();
     if (!answer_started_) responder_->StartStream(head.status, head.headers);
-    RecordStreamEnd(StreamEndForm::kMarked, attempt.EndsWithConnection()
-                                                ? StreamEndBasis::kOtherUpstream
-                                                : StreamEndBasis::kFraming);
-    responder_->FinishStream();
-  } else if (has_more_to_verify && head.IsSuccess()) {
-    const auto answer = attempt.Answer();
-    responder_->HoldUntilTaken(attempt.body_share());
-    responder_->StartStreamUntilClose(answer.status, answer.headers);
-    responder_->Write(answer.body);
-    responder_->FinishStream();
-  } else {
-    responder_->HoldUntilTaken(attempt.body_share());
-    responder_->Send(attempt.Answer());
+    return FinishStream(BasisOf(attempt, end.credibility));
   }
+  responder_->HoldUntilTaken(attempt.body_share());
+  responder_->Send(attempt.Answer());
   Finish(ResultCode::kOk, head.IsSuccess() ? "answered" : "failure-passed");
 }
 
@@ -289,21 +307,15 @@
   context_->stream_ends.Count(form, basis);
 }
 
-void Exchange::FinishUnverifiedStream() {
-  if (!answers_until_close_) {
-    // The marked end of the caller's response would say that it is complete.
-    is_end_unverified_ = false;
-    return AbortStream(ResultCode::kUpstreamIncomplete);
-  }
-  RecordStreamEnd(StreamEndForm::kClosed, StreamEndBasis::kNothing);
+void Exchange::FinishStream(StreamEndBasis basis) {
+  RecordStreamEnd(StreamEndForm::kMarked, basis);
   responder_->FinishStream();
-  Finish(ResultCode::kOk, "answered-until-close");
+  Finish(ResultCode::kOk, "answered");
 }
 
 void Exchange::AbortStream(ResultCode code) {
-  if (is_end_unverified_ && answers_until_close_) {
-    return FinishUnverifiedStream();
-  }
+  const bool is_trusted = unverified_end_ && unverified_end_->is_trusted;
+  if (is_trusted) return FinishStream(StreamEndBasis::kEarlierStreams);
   LogCut("daemon", InfoOf(code).name);
   RecordStreamEnd(StreamEndForm::kReset, StreamEndBasis::kNothing);
   // Finish first: the closed connection is otherwise taken for a caller that
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -172,7 +172,7 @@
                        const std::vector<int>& overtaken);
   /// Gives up the places of all attempts in flight.
   void ReleaseAttempts();
-  void ForwardAnswer(const UpstreamAttempt& attempt);
+  void ForwardAnswer(const UpstreamAttempt& attempt, const AttemptEnd& end);
   void FailRequest(const AttemptDecision& decision);
   [[nodiscard]] Duration RetryDelay() const;
   void AbortStream(ResultCode code);
@@ -206,15 +206,17 @@
   void OnDelegationBroken(int number);
   void EndDelegation(int number);
   void EndDelegations();
-  /// `until_close`: the upstream's response ends with its connection, so the
-  /// caller's does as well.
-  void StartAnswer(int status, const HttpHeaders& headers, bool until_close,
-                   TimePoint now);
+  void StartAnswer(int status, const HttpHeaders& headers, TimePoint now);
+  /// Records what the end of an attempt says about the one before it, and
+  /// whether the stream may be complete now.
+  void RecordCompletion(const UpstreamAttempt& attempt, const AttemptEnd& end,
+                        TimePoint now);
+  /// Records that nothing follows the events of a stream whose end was doubted.
+  void OnNothingMore(TimePoint now);
   /// Records how the stream ends towards its caller.
   void RecordStreamEnd(StreamEndForm form, StreamEndBasis basis);
-  /// Ends a stream of which nothing shows that it is complete, without saying
-  /// that it is.
-  void FinishUnverifiedStream();
+  /// Ends a stream as complete.
+  void FinishStream(StreamEndBasis basis);
   void ForwardEvents(const NewEvents& events, TimePoint now);
   /// Pauses the upstreams of a caller that takes the stream more slowly than
   /// they send, or lets them go on.
@@ -281,9 +283,13 @@
   };
   std::optional<StreamEnd> stream_end_;  ///< Unset before it has ended.
   bool answer_started_ = false;
-  bool answers_until_close_ = false;
-  /// The events that the caller has may be all, but nothing shows it.
-  bool is_end_unverified_ = false;
+  /// The end of a stream of which only its close shows that it is complete.
+  struct UnverifiedEnd {
+    CloseDelimitedStreams::Writer writer;
+    bool is_trusted;  ///< It is complete unless something follows it.
+  };
+  /// Set while the events that the caller has may be all.
+  std::optional<UnverifiedEnd> unverified_end_;
   bool caller_disconnected_ = false;
   double quota_tokens_ = 0;  ///< Charged to the workspace's quota.
   bool waiting_for_quota_ = false;
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -209,9 +209,8 @@
 void Exchange::FinishDelegatedStream(int number) {
   if (!attempts_.FindDelegated(number)->head) return OnDelegationBroken(number);
   AdoptDelegation(number);
-  RecordStreamEnd(StreamEndForm::kMarked, StreamEndBasis::kOtherDaemon);
-  responder_->FinishStream();
-  Finish(ResultCode::kOk, "answered");
+  OnNothingMore(MonotonicNow());
+  FinishStream(StreamEndBasis::kOtherDaemon);
 }
 
 void Exchange::AdoptDelegation(int number) {
@@ -220,7 +219,7 @@
   // The peer counts a stream before it sends the head.
   usage_counted_ = true;
   writer_.reset();
-  StartAnswer(delegation->head->status, delegation->head->headers, false,
+  StartAnswer(delegation->head->status, delegation->head->headers,
               MonotonicNow());
   if (!version_) version_ = delegation->version;
 }
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -28,6 +28,7 @@
 #include "limits/upstream_permits.h"
 #include "routing/upstream_picker.h"
 #include "serving/caller_flow.h"
+#include "serving/close_delimited_streams.h"
 #include "serving/retry_budget.h"
 
 namespace firmoor::details {
@@ -100,6 +101,11 @@
   SlotCounters slot_counters;
   BesideCounters beside_counters;
   StreamEndCounters stream_ends;
+  /// Shared with probes that outlast this.
+  std::shared_ptr<CloseDelimitedStreams> close_delimited_streams =
+      std::make_shared<CloseDelimitedStreams>();
+  /// The same of collected responses, of which only marked ends are known.
+  CloseDelimitedStreams close_delimited_answers;
   /// Requests that wait for a slot of a brittle upstream, by service; may hold
   /// some that wait no more.
   std::map<std::string, std::deque<std::weak_ptr<Exchange>>> slot_waiters;
--- a/libs/gateway/src/details/stream_ends.cc
+++ b/libs/gateway/src/details/stream_ends.cc
@@ -5,13 +5,14 @@
 namespace firmoor::details {
 
 std::string_view NameOf(StreamEndForm form) {
-  constexpr std::string_view kNames[] = {"marked", "closed", "reset"};
+  constexpr std::string_view kNames[] = {"marked", "reset"};
   return kNames[static_cast<int>(form)];
 }
 
 std::string_view NameOf(StreamEndBasis basis) {
-  constexpr std::string_view kNames[] = {"nothing", "framing", "other-upstream",
-                                         "earlier-streams", "other-daemon"};
+  constexpr std::string_view kNames[] = {"nothing",        "framing",
+                                         "other-upstream", "earlier-streams",
+                                         "close",          "other-daemon"};
   return kNames[static_cast<int>(basis)];
 }
 
--- a/libs/gateway/src/details/stream_ends.h
+++ b/libs/gateway/src/details/stream_ends.h
@@ -11,7 +11,6 @@
 /// How a stream ended towards its caller.
 enum class StreamEndForm {
   kMarked,  ///< Its framing says that it is complete.
-  kClosed,  ///< Its connection was closed in order, which says nothing.
   kReset,   ///< It was broken off.
 };
 
@@ -21,6 +20,7 @@
   kFraming,         ///< The upstream's framing marks the end.
   kOtherUpstream,   ///< Another upstream had nothing that follows.
   kEarlierStreams,  ///< Streams that ended alike were complete.
+  kClose,           ///< The upstream, which runs, closed its connection.
   kOtherDaemon,     ///< The daemon that it was delegated to says so.
 };
 
@@ -37,8 +37,8 @@
   [[nodiscard]] std::string Metrics() const;
 
  private:
-  static constexpr std::size_t kForms = 3;
-  static constexpr std::size_t kBases = 5;
+  static constexpr std::size_t kForms = 2;
+  static constexpr std::size_t kBases = 6;
 
   std::array<std::array<std::uint64_t, kBases>, kForms> counts_{};
 };
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -6,6 +6,12 @@
 #include "http/connect_probe.h"
 
 namespace firmoor::details {
+namespace {
+
+// A refusal takes a round trip.
+constexpr Duration kProbeTimeout{300};
+
+}  // namespace
 
 NewEvents FeedEvents(EventRelay* relay, std::string_view bytes) {
   const auto before = relay->events();
@@ -101,13 +107,27 @@
   const bool is_unverified = end == HttpCallEnd::kComplete && !end_ && head_ &&
                              head_->IsSuccess() && !is_mismatched_ &&
                              EndsWithConnection() && !relay_.HasPartialEvent();
-  if (!is_unverified) return End(end);
-  ProbeUpstream();
+  if (is_unverified) return ProbeUpstream();
+  const bool has_ended =
+      end == HttpCallEnd::kComplete || end == HttpCallEnd::kTruncated;
+  const bool is_cut =
+      has_ended && !end_ && is_event_stream_ && EndsWithConnection();
+  if (is_cut) ObserveCut();
+  End(end);
+}
+
+void UpstreamAttempt::ObserveCut() const {
+  // One that leaves may exit amid a response.
+  if (IsLeaving()) return;
+  ProbeConnect(plan_.upstream.endpoint, kProbeTimeout,
+               [streams = context_->close_delimited_streams,
+                writer = writer()](ConnectResult result) {
+                 if (result != ConnectResult::kConnected) return;
+                 streams->OnCut(writer, MonotonicNow());
+               });
 }
 
 void UpstreamAttempt::ProbeUpstream() {
-  // A refusal takes a round trip.
-  constexpr Duration kProbeTimeout{300};
   ProbeConnect(
       plan_.upstream.endpoint, kProbeTimeout,
       [this, weak = std::weak_ptr(alive_)](ConnectResult result) {
@@ -208,6 +228,11 @@
   }
   is_event_stream_ = !is_mismatched_ && plan_.is_stream && head_->IsSuccess();
   if (!is_event_stream_) call_->LimitBody(kMaxCollectedBodyBytes);
+  const bool is_marked_answer = !is_mismatched_ && !is_event_stream_ &&
+                                head_->IsSuccess() && !EndsWithConnection();
+  if (is_marked_answer) {
+    context_->close_delimited_answers.OnMarked(writer(), *head_at_);
+  }
   is_silent_ = false;
   owner_->OnByte(*this);
 }
@@ -225,6 +250,10 @@
   if (relay_.IsEventTooLong()) return call_->LimitBody(0);
   owner_->OnByte(*this);
   if (events.bytes.empty()) return;
+  const bool is_first = events.count > 0 && events.count == relay_.events();
+  if (is_first && !EndsWithConnection()) {
+    context_->close_delimited_streams->OnMarked(writer(), last_byte_at_);
+  }
   if (events.count > 0) {
     context_->picker.OnFirstEvent(&ticket_, last_byte_at_);
   }
@@ -262,16 +291,37 @@
         head_->IsFailure() || (answer_started && !is_event_stream_);
   }
   // An engine that crashes at its first token has sent a head only.
-  const bool may_be_cut = forwarded_events == 0 && call_->IsDelimitedByClose();
+  const bool may_be_cut =
+      forwarded_events == 0 && EndsWithConnection() && !HasNothingMore();
   described.stream_complete =
       !is_event_stream_ || !(relay_.HasPartialEvent() || may_be_cut);
-  // One that was asked for what follows and has nothing says so.
-  const bool has_nothing_more =
-      is_event_stream_ && forwarded_events > 0 && relay_.events() == 0;
-  described.end_verified = !EndsWithConnection() || has_nothing_more;
+  const bool seems_complete =
+      end == HttpCallEnd::kComplete && described.stream_complete;
+  if (seems_complete) described.credibility = JudgeEnd();
   return described;
 }
 
+EndCredibility UpstreamAttempt::JudgeEnd() const {
+  if (!EndsWithConnection() || !head_->IsSuccess()) {
+    return EndCredibility::kShown;
+  }
+  const auto now = MonotonicNow();
+  if (!is_event_stream_) {
+    // What a request that must not run again has returned is passed on.
+    const auto& answers = context_->close_delimited_answers;
+    return answers.EvidenceOf(writer(), now).marks_ends
+               ? EndCredibility::kDue
+               : EndCredibility::kTrusted;
+  }
+  auto& streams = *context_->close_delimited_streams;
+  if (!HasNothingMore()) return streams.Judge(writer(), now);
+  // Two responses that end behind the same event, unless the software marks
+  // the ends of others: a cut before the first event looks alike.
+  return streams.EvidenceOf(writer(), now).marks_ends
+             ? EndCredibility::kSuspicious
+             : EndCredibility::kShown;
+}
+
 UpstreamOutcome UpstreamAttempt::OutcomeFor(const AttemptEnd& end) const {
   const bool wrong = head_ && head_->wrong_upstream;
   if (wrong || send_cancelled_) return UpstreamOutcome::kNeutral;
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -109,6 +109,15 @@
   [[nodiscard]] bool EndsWithConnection() const {
     return call_ && call_->IsDelimitedByClose();
   }
+  /// Whether the upstream was asked what follows an event, and had nothing.
+  [[nodiscard]] bool HasNothingMore() const {
+    return is_event_stream_ && !plan_.call.last_event_id.empty() &&
+           relay_.events() == 0;
+  }
+  /// The software that writes the response.
+  [[nodiscard]] CloseDelimitedStreams::Writer writer() const {
+    return {plan_.upstream.service, plan_.upstream.software_version};
+  }
   /// Whether the response is forwarded by event.
   [[nodiscard]] bool is_event_stream() const { return is_event_stream_; }
   /// Whether a part of the next event has arrived.
@@ -159,6 +168,10 @@
   /// Finds out whether the upstream lives whose response ended with its
   /// connection, before the attempt ends.
   void ProbeUpstream();
+  /// Records that a stream which only its close ends was cut, if its upstream
+  /// lives.
+  void ObserveCut() const;
+  [[nodiscard]] EndCredibility JudgeEnd() const;
   bool MaySend();
   [[nodiscard]] bool IsLeaving() const;
   /// Whether the request may be sent under the rate limit of the upstream,
--- a/libs/gateway/tests/gateway_delegation_broken_test.cc
+++ b/libs/gateway/tests/gateway_delegation_broken_test.cc
@@ -282,4 +282,24 @@
   }
 }
 
+// Guards against a stream that ends as complete since another daemon, which
+// served it, took the close of its upstream's connection for its end (incident
+// ORDER).
+TEST_CASE("a stream through another daemon that only its close ends") {
+  Daemon sender{"sender"};
+  Daemon helper{"helper"};
+  RawUpstream closing([](auto& connection) {
+    connection.socket->write(QByteArray::fromStdString(
+        "HTTP/1.1 200 OK\r\n\r\n" + MakeEvent(1) + MakeEvent(2)));
+    connection.socket->disconnectFromHost();
+  });
+  sender.fixture.AddUpstream("a", ClosedPort());
+  helper.fixture.AddUpstream("a", closing);
+  Introduce({&sender, &helper});
+  auto caller = sender.fixture.SendRequest("resumable");
+  REQUIRE(caller->WaitClosed());
+  CHECK(EventIds(caller->Received()) == std::vector{1, 2});
+  CHECK(caller->Received().find(kEnd) == std::string::npos);
+}
+
 }  // namespace firmoor
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -27,9 +27,12 @@
   void HoldUntilTaken(std::shared_ptr<BodyBudget::Share> share) override;
   /// The connection then reads its next request.
   void Send(const HttpResponse& response) override;
-  /// Starts a response that is sent in chunks.
+  /// Starts a response that is sent in chunks, or to a caller of HTTP/1.0 as
+  /// `StartStreamUntilClose` does.
   void StartStream(int status, const HttpHeaders& headers) override;
-  void StartStreamUntilClose(int status, const HttpHeaders& headers) override;
+  /// Starts a response that ends with the connection, so that its end does not
+  /// say whether it is complete.
+  void StartStreamUntilClose(int status, const HttpHeaders& headers);
   void Write(std::string_view bytes) override;
   void FinishStream() override;
   /// Closes the connection, by a reset if its orderly close would end the
--- a/libs/http/include/http/response_writer.h
+++ b/libs/http/include/http/response_writer.h
@@ -27,13 +27,6 @@
   /// Starts a response of unknown length.
   virtual void StartStream(int status, const HttpHeaders& headers) = 0;
 
-  /// Starts a response that ends with the connection, so that its end does not
-  /// say whether it is complete. Writers without such a form start a response
-  /// of unknown length.
-  virtual void StartStreamUntilClose(int status, const HttpHeaders& headers) {
-    StartStream(status, headers);
-  }
-
   /// Sends a part of a started response.
   virtual void Write(std::string_view bytes) = 0;
 
--- a/libs/serving/include/serving/attempt_policy.h
+++ b/libs/serving/include/serving/attempt_policy.h
@@ -7,6 +7,7 @@
 #include "base/result_code.h"
 #include "base/time.h"
 #include "http/http_call.h"
+#include "serving/close_delimited_streams.h"
 
 namespace firmoor {
 
@@ -22,9 +23,8 @@
   bool may_have_been_sent = false;  ///< Request bytes may have been sent.
   bool declared_not_run = false;    ///< The upstream reported it not executed.
   bool stream_complete = true;      ///< False: a stream lacks its end marker.
-  /// False: the response ended with its connection, as it does when its
-  /// upstream dies.
-  bool end_verified = true;
+  /// That a response which ended is complete.
+  EndCredibility credibility = EndCredibility::kShown;
   bool overloaded = false;  ///< The upstream asked to retry later.
   bool failed = false;      ///< The complete answer reports an error.
 
--- /dev/null
+++ b/libs/serving/include/serving/close_delimited_streams.h
@@ -0,0 +1,97 @@
+#ifndef FIRMOOR_SERVING_CLOSE_DELIMITED_STREAMS_H_
+#define FIRMOOR_SERVING_CLOSE_DELIMITED_STREAMS_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+
+namespace firmoor {
+
+/// How far the end of a response shows that the response is complete.
+enum class EndCredibility {
+  kShown,      ///< By its framing, or by another upstream.
+  kTrusted,    ///< Only by its close, but such responses were complete.
+  kDue,        ///< As `kTrusted`, but verified if another attempt may start.
+  kUnproven,   ///< Only by its close, and little is known of such responses.
+  kSuspicious  ///< The same, although something speaks against it.
+};
+
+/// "shown", "trusted" and so on, for logs.
+std::string_view NameOf(EndCredibility credibility);
+
+/// What is known of event streams whose end is marked by nothing but the close
+/// of their connection (close-delimited, RFC 9112 section 6.3), by the software
+/// that writes them.
+///
+/// An orderly close is an upstream's own statement that its response is
+/// complete, but also what is seen when a process or a proxy gives up. Software
+/// is believed once enough of its streams were verified as complete since the
+/// last one that was not. Software that marks the ends of other streams needs
+/// more of them, and each cut stream doubles their number. Performs no I/O.
+class CloseDelimitedStreams {
+ public:
+  /// Writer of streams.
+  struct Writer {
+    std::string service;
+    std::string software_version;  ///< Empty: none is announced.
+
+    auto operator<=>(const Writer&) const = default;
+  };
+  /// What was observed of a writer, for decisions and logs.
+  struct Evidence {
+    std::uint32_t whole = 0;     ///< Verified as complete since the last cut.
+    std::uint32_t required = 0;  ///< `whole` from which on it is believed.
+    std::uint32_t cuts = 0;      ///< Recently.
+    bool marks_ends = false;     ///< Of other streams, recently.
+
+    bool operator==(const Evidence&) const = default;
+  };
+
+  /// Verified streams that are required of software of which nothing else is
+  /// known: with none of 32 cut, fewer than one of ten is, at 95 %.
+  static constexpr std::uint32_t kMinWhole = 32;
+  /// Observations that are not renewed are forgotten after this time.
+  static constexpr Duration kMemory{10 * 60 * 1'000};
+  /// One of this many believed ends is due to be verified.
+  static constexpr std::uint32_t kDuePeriod = 32;
+  /// Writers that are remembered, those observed last.
+  static constexpr std::size_t kMaxWriters = 256;
+
+  /// A stream has an end that its framing marks.
+  void OnMarked(const Writer& writer, TimePoint now);
+  /// Nothing followed a stream that ended with its connection.
+  void OnWhole(const Writer& writer, TimePoint now);
+  /// Events are missing behind a close although the upstream runs.
+  void OnCut(const Writer& writer, TimePoint now);
+  /// Judges a stream whose connection was closed in order between two events.
+  [[nodiscard]] EndCredibility Judge(const Writer& writer, TimePoint now);
+
+  [[nodiscard]] Evidence EvidenceOf(const Writer& writer, TimePoint now) const;
+  [[nodiscard]] std::size_t size() const { return records_.size(); }
+
+ private:
+  struct Record {
+    std::uint32_t whole = 0;
+    std::uint32_t cuts = 0;
+    std::uint32_t believed = 0;  ///< Ends since the last that was due.
+    TimePoint cut_at;
+    TimePoint marked_at;
+    bool has_marked = false;
+    TimePoint observed_at;
+  };
+
+  [[nodiscard]] static Evidence Assess(const Record& record, TimePoint now);
+  /// The record of `writer`, without what is too old; makes room for it.
+  Record& Observe(const Writer& writer, TimePoint now);
+
+  std::map<Writer, Record> records_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_SERVING_CLOSE_DELIMITED_STREAMS_H_
--- a/libs/serving/src/attempt_policy.cc
+++ b/libs/serving/src/attempt_policy.cc
@@ -32,6 +32,29 @@
          context.time_left >= kMinTimeForAttempt && context.retry_allowed;
 }
 
+/// What follows a response that seems to be complete.
+enum class EndStep { kPass, kAskAgain, kFail };
+
+EndStep StepAfterEnd(const AttemptEnd& end, const AttemptContext& context) {
+  const bool may_ask_again = context.idempotent && MayRetry(context) &&
+                             (!context.answer_started || context.resumable);
+  switch (end.credibility) {
+    case EndCredibility::kShown:
+    case EndCredibility::kTrusted:
+      return EndStep::kPass;
+    case EndCredibility::kDue:
+      return may_ask_again ? EndStep::kAskAgain : EndStep::kPass;
+    case EndCredibility::kUnproven:
+      if (may_ask_again) return EndStep::kAskAgain;
+      // Its caller can ask what follows, which is no retry.
+      return context.answer_started && context.resumable ? EndStep::kFail
+                                                         : EndStep::kPass;
+    case EndCredibility::kSuspicious:
+      return may_ask_again ? EndStep::kAskAgain : EndStep::kFail;
+  }
+  return EndStep::kFail;
+}
+
 ResultCode FailureCode(const AttemptEnd& end, const AttemptContext& context) {
   const bool only_budget = context.attempts < context.max_attempts &&
                            context.time_left >= kMinTimeForAttempt &&
@@ -73,15 +96,17 @@
   if (is_complete && retry_failed_answer) {
     return {NextStep::kRetryElsewhere, CodeForEnd(end), attempt_outcome};
   }
-  // Another upstream tells whether anything follows what the caller has.
-  const bool may_verify = !end.end_verified && context.answer_started &&
-                          context.resumable && context.idempotent &&
-                          MayRetry(context);
-  if (is_complete && may_verify) {
-    return {NextStep::kResumeElsewhere, CodeForEnd(end), attempt_outcome};
-  }
   if (is_complete) {
-    return {NextStep::kPassAnswer, ResultCode::kOk, attempt_outcome};
+    const auto step = StepAfterEnd(end, context);
+    if (step == EndStep::kPass) {
+      return {NextStep::kPassAnswer, ResultCode::kOk, attempt_outcome};
+    }
+    if (step == EndStep::kFail) {
+      return {NextStep::kFail, FailureCode(end, context), attempt_outcome};
+    }
+    return {context.answer_started ? NextStep::kResumeElsewhere
+                                   : NextStep::kRetryElsewhere,
+            CodeForEnd(end), attempt_outcome};
   }
   const auto outcome =
       context.earlier_unknown ? RequestOutcome::kUnknown : attempt_outcome;
--- a/libs/serving/tests/attempt_policy_test.cc
+++ b/libs/serving/tests/attempt_policy_test.cc
@@ -70,6 +70,44 @@
     AttemptEnd end{HttpCallEnd::kComplete, true, false, false};
     CHECK(DecideAttempt(end, context).step == NextStep::kRetryElsewhere);
   }
+  SUBCASE("of a response whose end is in doubt") {
+    AttemptEnd end{HttpCallEnd::kComplete, true};
+    context.idempotent = true;
+    context.answer_started = true;
+    context.resumable = true;
+    const auto step_of = [&](EndCredibility credibility) {
+      end.credibility = credibility;
+      return DecideAttempt(end, context).step;
+    };
+    SUBCASE("asks another upstream what follows") {
+      CHECK(step_of(EndCredibility::kSuspicious) == NextStep::kResumeElsewhere);
+      CHECK(step_of(EndCredibility::kUnproven) == NextStep::kResumeElsewhere);
+      CHECK(step_of(EndCredibility::kDue) == NextStep::kResumeElsewhere);
+    }
+    SUBCASE("does not if earlier ones were complete") {
+      CHECK(step_of(EndCredibility::kTrusted) == NextStep::kPassAnswer);
+      CHECK(step_of(EndCredibility::kShown) == NextStep::kPassAnswer);
+    }
+    SUBCASE("leaves it to the caller if the retry budget is exhausted") {
+      context.retry_allowed = false;
+      CHECK(step_of(EndCredibility::kSuspicious) == NextStep::kFail);
+      CHECK(step_of(EndCredibility::kUnproven) == NextStep::kFail);
+      CHECK(DecideAttempt(end, context).code ==
+            ResultCode::kRetryBudgetExhausted);
+      CHECK(step_of(EndCredibility::kDue) == NextStep::kPassAnswer);
+    }
+    SUBCASE("takes the upstream's word if nobody can resume it") {
+      context.resumable = false;
+      CHECK(step_of(EndCredibility::kUnproven) == NextStep::kPassAnswer);
+      CHECK(step_of(EndCredibility::kSuspicious) == NextStep::kFail);
+    }
+    SUBCASE("asks again for an answer that is no stream") {
+      context.answer_started = false;
+      CHECK(step_of(EndCredibility::kDue) == NextStep::kRetryElsewhere);
+      context.idempotent = false;
+      CHECK(step_of(EndCredibility::kDue) == NextStep::kPassAnswer);
+    }
+  }
   SUBCASE("reports an exhausted retry budget") {
     context.idempotent = true;
     context.retry_allowed = false;
--- /dev/null
+++ b/libs/serving/tests/close_delimited_streams_test.cc
@@ -0,0 +1,113 @@
+#include "serving/close_delimited_streams.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace firmoor {
+namespace {
+
+using Streams = CloseDelimitedStreams;
+
+const Streams::Writer kWriter{"s", "v1"};
+constexpr Duration kInstant{1};
+
+/// Streams of `kWriter` at a time that advances with each of them.
+struct Fixture {
+  Streams streams;
+  TimePoint now{Duration(1'000'000)};
+
+  void SeeWhole(std::uint32_t count) {
+    for (std::uint32_t i = 0; i < count; ++i) streams.OnWhole(kWriter, now);
+  }
+  EndCredibility Judge(const Streams::Writer& writer = kWriter) {
+    return streams.Judge(writer, now);
+  }
+  bool IsBelieved() {
+    const auto credibility = Judge();
+    return credibility == EndCredibility::kTrusted ||
+           credibility == EndCredibility::kDue;
+  }
+};
+
+}  // namespace
+
+// Guards against streams that end as complete because their connection was
+// closed in order (incident ORDER).
+TEST_CASE("the close of a stream's connection is believed by evidence") {
+  Fixture fixture;
+
+  SUBCASE("of which there is none at first") {
+    CHECK(fixture.Judge() == EndCredibility::kUnproven);
+    fixture.SeeWhole(Streams::kMinWhole - 1);
+    CHECK(fixture.Judge() == EndCredibility::kUnproven);
+  }
+  SUBCASE("once enough streams were whole") {
+    fixture.SeeWhole(Streams::kMinWhole);
+    CHECK(fixture.IsBelieved());
+
+    SUBCASE("and some are still verified") {
+      int due = 0;
+      for (std::uint32_t i = 0; i < 4 * Streams::kDuePeriod; ++i) {
+        due += fixture.Judge() == EndCredibility::kDue ? 1 : 0;
+      }
+      CHECK(due == 4);
+    }
+    SUBCASE("but not after one that was cut") {
+      fixture.streams.OnCut(kWriter, fixture.now);
+      CHECK(fixture.Judge() == EndCredibility::kSuspicious);
+      fixture.SeeWhole(Streams::kMinWhole);
+      CHECK(fixture.Judge() == EndCredibility::kSuspicious);
+      fixture.SeeWhole(Streams::kMinWhole);
+      CHECK(fixture.IsBelieved());
+
+      SUBCASE("and after each further one later") {
+        for (int cut = 0; cut < 40; ++cut) {
+          fixture.streams.OnCut(kWriter, fixture.now);
+        }
+        fixture.SeeWhole(128 * Streams::kMinWhole);
+        CHECK_FALSE(fixture.IsBelieved());
+        fixture.SeeWhole(128 * Streams::kMinWhole);
+        CHECK(fixture.IsBelieved());
+      }
+    }
+    SUBCASE("but not while the software marks the ends of others") {
+      fixture.streams.OnMarked(kWriter, fixture.now);
+      CHECK(fixture.Judge() == EndCredibility::kSuspicious);
+      fixture.SeeWhole(3 * Streams::kMinWhole);
+      CHECK(fixture.IsBelieved());
+    }
+    SUBCASE("of that software only") {
+      CHECK(fixture.Judge({"s", "v2"}) == EndCredibility::kUnproven);
+      CHECK(fixture.Judge({"t", "v1"}) == EndCredibility::kUnproven);
+    }
+  }
+  SUBCASE("that is not too old") {
+    fixture.SeeWhole(Streams::kMinWhole);
+    fixture.now += Streams::kMemory;
+    CHECK(fixture.Judge() == EndCredibility::kUnproven);
+  }
+}
+
+TEST_CASE("what speaks against a software is forgotten when it is over") {
+  Fixture fixture;
+  SUBCASE("a cut") { fixture.streams.OnCut(kWriter, fixture.now); }
+  SUBCASE("marked ends") { fixture.streams.OnMarked(kWriter, fixture.now); }
+  fixture.now += Streams::kMemory - kInstant;
+  CHECK(fixture.Judge() == EndCredibility::kSuspicious);
+  fixture.now += kInstant;
+  CHECK(fixture.Judge() == EndCredibility::kUnproven);
+}
+
+TEST_CASE("the number of remembered writers is bounded") {
+  Fixture fixture;
+  fixture.SeeWhole(Streams::kMinWhole);
+  for (std::size_t i = 0; i < 2 * Streams::kMaxWriters; ++i) {
+    fixture.now += kInstant;
+    fixture.streams.OnMarked({"s", std::to_string(i)}, fixture.now);
+    CHECK(fixture.streams.size() <= Streams::kMaxWriters);
+  }
+  CHECK(fixture.Judge() == EndCredibility::kUnproven);
+}
+
+}  // namespace firmoor
