Wait for the answer to a move before a close ends the stream

Cause: an orderly close during a move counted as the end unless it was an error. Now the answer to the order decides; if that is lost, the stream counts as cut.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -192,7 +192,7 @@
   if (move_ && move_->attempt == attempt.number()) {
     // Moving a request ends its stream; the response to the move decides
     // whether this is a failure.
-    if (end != HttpCallEnd::kComplete) {
+    if (end != HttpCallEnd::kComplete || attempt.EndsWithConnection()) {
       move_->end = end;
       return;
     }
--- a/libs/gateway/src/details/exchange_move.cc
+++ b/libs/gateway/src/details/exchange_move.cc
@@ -114,7 +114,11 @@
     return ContinueAt(source, can_move ? target : source->upstream(),
                       moved.handle);
   }
-  if (move->end) HandleEnd(*source, *move->end);
+  if (!move->end) return;
+  // The order may have stopped a stream that only its close ends.
+  const bool may_be_stopped =
+      result.end != HttpCallEnd::kComplete && source->EndsWithConnection();
+  HandleEnd(*source, may_be_stopped ? HttpCallEnd::kTruncated : *move->end);
 }
 
 void Exchange::ContinueAt(const std::shared_ptr<UpstreamAttempt>& source,
--- a/libs/gateway/tests/gateway_silence_move_test.cc
+++ b/libs/gateway/tests/gateway_silence_move_test.cc
@@ -77,4 +77,47 @@
   CHECK(caller->Received().find("id: 6") != std::string::npos);
 }
 
+// Guards against a stream that ends as complete since the order to move it
+// closed its connection, which marks the end of such a stream (incident ORDER).
+TEST_CASE("a stream that only its close ends and that a move stops") {
+  GatewayFixture fixture;
+  fixture.SetTimeouts(Duration(6'000));
+  fixture.SetMaxUpstreams(3);
+  RawUpstream::Connection* stream = nullptr;
+  RawUpstream::Connection* order = nullptr;
+  RawUpstream leaving([&](auto& connection) {
+    if (HasReceived(connection, "POST /move")) {
+      order = &connection;
+      return stream->socket->disconnectFromHost();
+    }
+    if (ReportsShutdown(connection)) return;
+    stream = &connection;
+    connection.socket->write(QByteArray::fromStdString(
+        "HTTP/1.1 200 OK\r\n\r\n" + MakeEvent(1) + MakeEvent(2)));
+  });
+  RawUpstream other([](auto& connection) {
+    SendResponse(connection, "200 OK", MakeEvent(3));
+  });
+  fixture.AddUpstream("a", leaving);
+  auto caller = fixture.SendRequest("resumable");
+  REQUIRE(caller->WaitFor("id: 2"));
+  fixture.AddUpstream("b", other);
+  fixture.AddUpstream("a", leaving, true);
+  REQUIRE(WaitUntil([&] { return order != nullptr; }));
+  RunFor(kPromptlyMs);
+  CHECK(caller->Received().find(kEnd) == std::string::npos);
+  CHECK(other.Requests() == 0);
+
+  SUBCASE("goes on with its copy") {
+    SendResponse(*order, "200 OK", "handle");
+    CHECK(caller->WaitFor("id: 3"));
+    CHECK(caller->WaitFor(kEnd));
+  }
+  SUBCASE("goes on elsewhere if the order is lost") {
+    order->socket->abort();
+    CHECK(caller->WaitFor("id: 3"));
+    CHECK(caller->WaitFor(kEnd));
+  }
+}
+
 }  // namespace firmoor
