Join two runs of a stream only where their place is known

EventRelay compared ids only where both are numbers, passed on events without ids after a resumption and noticed no gap; a stream without ids was begun anew behind what the caller had.

PROTOCOL.md promises increasing ids, not consecutive ones. So an event that cannot be placed behind the last one ends the attempt as malformed; a gap does so only in a stream whose numbers have been consecutive so far (EventSequence); a stream whose last event has no id is not resumed. Ids that are no numbers have no order: only the one that the caller has is dropped.

--- a/libs/gateway/include/gateway/event_relay.h
+++ b/libs/gateway/include/gateway/event_relay.h
@@ -14,7 +14,7 @@
 /// Forwards a stream of server-sent events, unchanged and only in complete
 /// events, so that a stream that was interrupted within an event can resume at
 /// another upstream after the last forwarded event. Drops events that the
-/// caller already has. Pure.
+/// caller already has, by their increasing ids. Pure.
 class EventRelay {
  public:
   /// `last_event_id`: last event that the caller has; empty for a new stream.
@@ -36,7 +36,11 @@
   [[nodiscard]] bool IsEventTooLong() const {
     return partial_.size() > kMaxEventBytes;
   }
-  /// Id of the last forwarded event; at first the id given at construction.
+  /// Whether an upstream that was asked to resume the stream has sent an event
+  /// whose place in it cannot be told. It and what follows are not forwarded.
+  [[nodiscard]] bool HasMisplacedEvent() const { return is_misplaced_; }
+  /// Id of the last forwarded event, behind which the stream can be resumed;
+  /// at first the id given at construction. Empty if the event has none.
   [[nodiscard]] const std::string& last_event_id() const { return last_id_; }
   /// Number of forwarded events, without comments between them.
   [[nodiscard]] std::size_t events() const { return events_; }
@@ -46,8 +50,11 @@
   }
 
  private:
-  /// Whether the caller does not have the event with this id yet.
-  [[nodiscard]] bool IsNew(std::string_view id);
+  enum class Place { kNew, kForwarded, kUnknown };
+
+  /// Whether the event with this id, empty without one, is the first that the
+  /// caller does not have.
+  [[nodiscard]] Place PlaceOf(std::string_view id) const;
 
   // An event holds some tokens and their framing.
   static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
@@ -57,8 +64,13 @@
   std::string last_id_;
   std::optional<std::int64_t> last_number_;  ///< `last_id_`, if it is one.
   std::size_t events_ = 0;
+  bool is_resumed_ = false;
+  bool is_misplaced_ = false;
 };
 
+/// The number that an event's id is; empty if it is none.
+std::optional<std::int64_t> NumberOfEvent(std::string_view id);
+
 }  // namespace firmoor
 
 #endif  // FIRMOOR_GATEWAY_EVENT_RELAY_H_
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -138,11 +138,14 @@
   // A comment does not show that the upstream goes on with the stream.
   if (finished_ || (events.count == 0 && race_.in_flight() > 1)) return;
   const auto self = shared_from_this();
+  const bool is_new_writer =
+      !writer_ || writer_->upstream != attempt.upstream();
+  if (is_new_writer && !sequence_.MayFollow(events.count, events.last_id)) {
+    return attempts_.Find(attempt.number())->End(HttpCallEnd::kMalformed);
+  }
   CancelOvertaken(attempt.number(), attempt.upstream().id,
                   race_.OnNextPart(attempt.number()));
   CountUsage();
-  const bool is_new_writer =
-      !writer_ || writer_->upstream != attempt.upstream();
   writer_ = StreamWriter{attempt.upstream(), attempt.sent_at()};
   if (!version_) {
     BindVersion();
@@ -173,6 +176,7 @@
   last_event_ = now;
   last_event_id_ = events.last_id;
   events_ += events.count;
+  sequence_.Add(events.count, events.last_id);
   responder_->Write(events.bytes);
   UpdateFlow();
 }
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -14,6 +14,7 @@
 #include "details/gateway_context.h"
 #include "details/request_timeouts.h"
 #include "gateway/event_relay.h"
+#include "gateway/event_sequence.h"
 #include "gateway/request_admission.h"
 #include "quarantine/suspect.h"
 #include "serving/attempt_race.h"
@@ -270,6 +271,7 @@
   std::string left_silent_;
   std::string last_event_id_;  ///< Of the events that the caller has.
   std::size_t events_ = 0;     ///< Forwarded.
+  EventSequence sequence_;     ///< Of those.
   /// Software version that wrote the stream so far; empty before its first
   /// event.
   std::optional<std::string> version_;
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -248,6 +248,7 @@
   }
   const auto events = FeedEvents(&relay_, bytes);
   if (relay_.IsEventTooLong()) return call_->LimitBody(0);
+  if (relay_.HasMisplacedEvent()) return End(HttpCallEnd::kMalformed);
   owner_->OnByte(*this);
   if (events.bytes.empty()) return;
   const bool is_first = events.count > 0 && events.count == relay_.events();
--- a/libs/gateway/src/event_relay.cc
+++ b/libs/gateway/src/event_relay.cc
@@ -4,28 +4,30 @@
 #include <utility>
 
 namespace firmoor {
-namespace {
 
-std::optional<std::int64_t> ParseNumber(std::string_view text) {
+std::optional<std::int64_t> NumberOfEvent(std::string_view id) {
   std::int64_t value = 0;
-  const auto* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, value);
+  const auto* end = id.data() + id.size();
+  const auto parsed = std::from_chars(id.data(), end, value);
   if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
   return value;
 }
 
-}  // namespace
-
 EventRelay::EventRelay(std::string last_event_id)
-    : last_id_(std::move(last_event_id)), last_number_(ParseNumber(last_id_)) {}
-
-bool EventRelay::IsNew(std::string_view id) {
-  const auto number = ParseNumber(id);
-  if (number && last_number_ && *number <= *last_number_) return false;
-  if (id.empty()) return true;
-  last_id_ = std::string(id);
-  last_number_ = number;
-  return true;
+    : last_id_(std::move(last_event_id)),
+      last_number_(NumberOfEvent(last_id_)),
+      is_resumed_(!last_id_.empty()) {}
+
+EventRelay::Place EventRelay::PlaceOf(std::string_view id) const {
+  const auto number = NumberOfEvent(id);
+  if (number && last_number_) {
+    return *number > *last_number_ ? Place::kNew : Place::kForwarded;
+  }
+  if (!is_resumed_ || events_ > 0) return Place::kNew;
+  // Ids that are no numbers have no order.
+  const bool is_comparable = !id.empty() && !number && !last_number_;
+  if (!is_comparable) return Place::kUnknown;
+  return id == last_id_ ? Place::kForwarded : Place::kNew;
 }
 
 std::string EventRelay::Feed(std::string_view bytes) {
@@ -33,9 +35,16 @@
   std::string_view rest = partial_;
   std::string forwarded;
   while (const auto event = scanner_.Next(rest)) {
-    if (IsNew(event->id)) {
+    const auto place = event->is_comment ? Place::kNew : PlaceOf(event->id);
+    is_misplaced_ = is_misplaced_ || place == Place::kUnknown;
+    if (place == Place::kNew && !is_misplaced_) {
       forwarded += rest.substr(0, event->size);
-      if (!event->is_comment) ++events_;
+      if (!event->is_comment) {
+        ++events_;
+        last_id_ = std::string(event->id);
+        const auto number = NumberOfEvent(event->id);
+        if (number) last_number_ = number;
+      }
     }
     rest.remove_prefix(event->size);
   }
--- a/libs/gateway/tests/event_relay_test.cc
+++ b/libs/gateway/tests/event_relay_test.cc
@@ -122,6 +122,44 @@
   }
 }
 
+// Guards against two runs that are joined at the wrong place, since ids were
+// compared only where both are numbers (incident ORDER).
+TEST_CASE("EventRelay joins another run only where it knows the place") {
+  SUBCASE("not at an event without an id") {
+    EventRelay relay("5");
+    CHECK(relay.Feed("data: x\n\n" + MakeEvent(6)).empty());
+    CHECK(relay.HasMisplacedEvent());
+    CHECK(relay.events() == 0);
+  }
+  SUBCASE("not at an id of another kind") {
+    EventRelay relay("5");
+    CHECK(relay.Feed("id: a\ndata: x\n\n").empty());
+    CHECK(relay.HasMisplacedEvent());
+    EventRelay other("a");
+    CHECK(other.Feed(MakeEvent(6)).empty());
+    CHECK(other.HasMisplacedEvent());
+  }
+  SUBCASE("behind the event with the same id, if ids have no order") {
+    EventRelay relay("a");
+    CHECK(relay.Feed("id: a\ndata: x\n\nid: b\ndata: y\n\n") ==
+          "id: b\ndata: y\n\n");
+    CHECK_FALSE(relay.HasMisplacedEvent());
+  }
+  SUBCASE("behind the events that the caller has") {
+    EventRelay relay("5");
+    CHECK(relay.Feed(": ping\n\n" + MakeEvents(4, 7)) ==
+          ": ping\n\n" + MakeEvents(6, 7));
+    CHECK_FALSE(relay.HasMisplacedEvent());
+  }
+  SUBCASE("nowhere behind an event without an id") {
+    EventRelay relay("");
+    relay.Feed(MakeEvents(1, 2) + "data: x\n\n");
+    CHECK(relay.last_event_id().empty());
+    relay.Feed(MakeEvent(3));
+    CHECK(relay.last_event_id() == "3");
+  }
+}
+
 TEST_CASE(
     "EventRelay forwards each event once, wherever streams are interrupted") {
   rc::check([](const std::vector<std::uint8_t>& cuts) {
--- a/libs/gateway/tests/gateway_stream_end_test.cc
+++ b/libs/gateway/tests/gateway_stream_end_test.cc
@@ -208,6 +208,58 @@
   }
 }
 
+// Guards against two runs that are joined at the wrong place (incident ORDER).
+TEST_CASE("a stream that breaks off and goes on at another upstream") {
+  GatewayFixture fixture;
+  std::string begun;
+  RawUpstream breaking([&](auto& connection) {
+    StartEventStream(connection, begun);
+    QTimer::singleShot(50, connection.socket,
+                       [s = connection.socket] { s->abort(); });
+  });
+  fixture.AddUpstream("a", breaking);
+  std::string added;
+  RawUpstream other(
+      [&](auto& connection) { SendResponse(connection, "200 OK", added); });
+  const auto play = [&] {
+    auto caller = fixture.SendRequest("resumable");
+    REQUIRE(caller->WaitFor("data: x"));
+    fixture.AddUpstream("b", other);
+    caller->WaitClosed(2 * kPromptlyMs);
+    return caller->Received();
+  };
+
+  SUBCASE("is complete if that one has the next event") {
+    begun = MakeEvent(1) + MakeEvent(2) + MakeEvent(3);
+    added = MakeEvent(4);
+    const auto received = play();
+    CHECK(EventIds(received) == std::vector{1, 2, 3, 4});
+    CHECK(received.ends_with(kEnd));
+  }
+  SUBCASE("is broken off if that one leaves events out") {
+    begun = MakeEvent(1) + MakeEvent(2) + MakeEvent(3);
+    added = MakeEvent(5);
+    const auto received = play();
+    CHECK(EventIds(received) == std::vector{1, 2, 3});
+    CHECK_FALSE(ClaimsEnd(received));
+  }
+  SUBCASE("is broken off if that one sends events without ids") {
+    begun = MakeEvent(1) + MakeEvent(2);
+    added = "data: y\n\n" + MakeEvent(3);
+    const auto received = play();
+    CHECK(received.find("data: y") == std::string::npos);
+    CHECK_FALSE(ClaimsEnd(received));
+  }
+  SUBCASE("does not if its events have no ids") {
+    begun = "data: x\n\n";
+    added = "data: x\n\ndata: y\n\n";
+    const auto received = play();
+    CHECK(other.Requests() == 0);
+    CHECK(received.find("data: y") == std::string::npos);
+    CHECK_FALSE(ClaimsEnd(received));
+  }
+}
+
 // Guards against a part of an answer that is passed on with a length.
 TEST_CASE("an answer that ends with its connection") {
   GatewayFixture fixture;
