--- a/libs/http/include/http/http_fetch.h
+++ b/libs/http/include/http/http_fetch.h
@@ -15,6 +15,13 @@
   HttpCallEnd end = HttpCallEnd::kNotConnected;
   bool may_have_been_sent = false;
   HttpResponse answer;
+
+  /// Whether the response has a length or chunks. The end of any other one is
+  /// an orderly close, as when its sender dies.
+  [[nodiscard]] bool IsEndMarked() const {
+    return !HeaderValue(answer.headers, "Content-Length").empty() ||
+           !HeaderValue(answer.headers, "Transfer-Encoding").empty();
+  }
 };
 
 /// What a fetch may do beyond its time-outs.
