Mend what the review of killed gateways found

- A response that resumes a stream and is closed before its first new event counted as "nothing more" also if its upstream leaves or died, or had sent events that the caller has.
It has to be marked, or its upstream known to run and to stay, and no event may have arrived.
- A replica that leaves may exit amid a stream; its close was trusted.
- A trusted end was taken while another attempt was within the next event.
- The check for gaps ran on each message of a delegated stream, and not on a second run at the same upstream; events without ids failed it.
- A collected answer was held back and asked for again each time; the failure of the second attempt could replace it.
It is passed on, as at the beginning.
- Resets, which are no statement, doubled the evidence asked for each time.

--- a/libs/gateway/include/gateway/dialect.h
+++ b/libs/gateway/include/gateway/dialect.h
@@ -66,9 +66,10 @@
 
 /// An engine's response to the order to move a running request.
 struct MoveResult {
-  bool stopped = false;  ///< It has stopped and can continue elsewhere.
-  bool copied = false;   ///< Its KV cache was copied to the target.
-  std::string handle;    ///< Empty when the request was not stopped.
+  bool stopped = false;    ///< It has stopped and can continue elsewhere.
+  bool copied = false;     ///< Its KV cache was copied to the target.
+  std::string handle;      ///< Empty when the request was not stopped.
+  bool has_ended = false;  ///< It does not run there, and was not stopped.
 
   bool operator==(const MoveResult&) const = default;
 };
--- a/libs/gateway/include/gateway/event_relay.h
+++ b/libs/gateway/include/gateway/event_relay.h
@@ -36,6 +36,8 @@
   [[nodiscard]] bool IsEventTooLong() const {
     return partial_.size() > kMaxEventBytes;
   }
+  /// Whether an event has arrived, also one that the caller has.
+  [[nodiscard]] bool has_received_event() const { return has_received_event_; }
   /// Whether an upstream that was asked to resume the stream has sent an event
   /// whose place in it cannot be told. It and what follows are not forwarded.
   [[nodiscard]] bool HasMisplacedEvent() const { return is_misplaced_; }
@@ -65,6 +67,7 @@
   std::optional<std::int64_t> last_number_;  ///< `last_id_`, if it is one.
   std::size_t events_ = 0;
   bool is_resumed_ = false;
+  bool has_received_event_ = false;
   bool is_misplaced_ = false;
 };
 
--- a/libs/gateway/include/gateway/event_sequence.h
+++ b/libs/gateway/include/gateway/event_sequence.h
@@ -14,7 +14,7 @@
 class EventSequence {
  public:
   /// Whether `count` events, of which the last one is `last_id`, may follow
-  /// those that were added.
+  /// those that were added. An event without an id tells nothing.
   [[nodiscard]] bool MayFollow(std::size_t count,
                                std::string_view last_id) const;
   void Add(std::size_t count, std::string_view last_id);
--- a/libs/gateway/src/details/attempts_in_flight.cc
+++ b/libs/gateway/src/details/attempts_in_flight.cc
@@ -48,6 +48,12 @@
   return std::move(node.mapped());
 }
 
+bool AttemptsInFlight::HasBegunEvent() const {
+  return std::any_of(
+      attempts_.begin(), attempts_.end(),
+      [](const auto& attempt) { return attempt->HasBegunEvent(); });
+}
+
 void AttemptsInFlight::SetPaused(bool paused) {
   for (const auto& attempt : attempts_) {
     if (attempt->head()) attempt->SetPaused(paused);
--- a/libs/gateway/src/details/attempts_in_flight.h
+++ b/libs/gateway/src/details/attempts_in_flight.h
@@ -54,6 +54,9 @@
   std::shared_ptr<UpstreamAttempt> Remove(int number);
   std::optional<DelegatedAttempt> RemoveDelegated(int number);
 
+  /// Whether a part of the next event of any has arrived.
+  [[nodiscard]] bool HasBegunEvent() const;
+
   /// Stops or resumes reading the attempts whose responses have begun.
   void SetPaused(bool paused);
 
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -140,7 +140,10 @@
   const auto self = shared_from_this();
   const bool is_new_writer =
       !writer_ || writer_->upstream != attempt.upstream();
-  if (is_new_writer && !sequence_.MayFollow(events.count, events.last_id)) {
+  const bool is_new_run =
+      is_new_writer || writer_->sent_at != attempt.sent_at();
+  if (is_new_run && !sequence_.MayFollow(events.count, events.last_id)) {
+    OnMoreFollows(MonotonicNow());
     return attempts_.Find(attempt.number())->End(HttpCallEnd::kMalformed);
   }
   CancelOvertaken(attempt.number(), attempt.upstream().id,
@@ -168,10 +171,7 @@
 }
 
 void Exchange::ForwardEvents(const NewEvents& events, TimePoint now) {
-  if (events.count > 0 && unverified_end_) {
-    context_->close_delimited_streams->OnCut(unverified_end_->writer, now);
-    unverified_end_.reset();
-  }
+  if (events.count > 0) OnMoreFollows(now);
   longest_pause_ = std::max(longest_pause_, now - last_event_);
   last_event_ = now;
   last_event_id_ = events.last_id;
@@ -193,6 +193,9 @@
 void Exchange::OnEnd(const UpstreamAttempt& attempt, HttpCallEnd end) {
   if (finished_) return;
   const auto self = shared_from_this();
+  const bool may_be_stopped = end == HttpCallEnd::kComplete &&
+                              attempt.EndsWithConnection() &&
+                              attempt.number() == ordered_attempt_;
   if (move_ && move_->attempt == attempt.number()) {
     // Moving a request ends its stream; the response to the move decides
     // whether this is a failure.
@@ -202,7 +205,7 @@
     }
     move_.reset();
   }
-  HandleEnd(attempt, end);
+  HandleEnd(attempt, may_be_stopped ? HttpCallEnd::kTruncated : end);
 }
 
 void Exchange::HandleEnd(const UpstreamAttempt& attempt, HttpCallEnd end) {
@@ -231,9 +234,7 @@
   if (caller_disconnected_) {
     return Finish(decision.attempt.code, "caller-left");
   }
-  const bool is_doubtful = !attempt.is_event_stream() &&
-                           attempt_end.credibility == EndCredibility::kDue;
-  if ((attempt_end.failed || is_doubtful) && ran && !answer_started_) {
+  if (attempt_end.failed && ran && !answer_started_) {
     failed_answer_ = attempt.Answer();
   }
   switch (decision.step) {
@@ -257,15 +258,20 @@
   const bool is_complete = end.end == HttpCallEnd::kComplete &&
                            end.stream_complete && !end.failed &&
                            attempt.is_event_stream();
+  if (attempt.HasPartialEvent()) OnMoreFollows(now);
+  // Its events could not be placed, so nothing is known of what follows.
+  const bool is_misplaced = end.end == HttpCallEnd::kMalformed;
+  if (is_misplaced && unverified_end_) unverified_end_->is_trusted = false;
   if (!is_complete) return;
   if (end.credibility != EndCredibility::kShown) {
     const bool is_trusted = end.credibility == EndCredibility::kTrusted ||
                             end.credibility == EndCredibility::kDue;
-    unverified_end_ = UnverifiedEnd{attempt.writer(), is_trusted};
+    unverified_end_ =
+        UnverifiedEnd{attempt.writer(), is_trusted, attempt.IsEndCredible()};
   } else if (attempt.HasNothingMore()) {
     // A caller that resumes a stream at its end verifies it as well.
     if (!unverified_end_) {
-      unverified_end_ = UnverifiedEnd{attempt.writer(), false};
+      unverified_end_ = UnverifiedEnd{attempt.writer(), false, true};
     }
     OnNothingMore(now);
   }
@@ -277,6 +283,14 @@
   unverified_end_.reset();
 }
 
+void Exchange::OnMoreFollows(TimePoint now) {
+  if (!unverified_end_) return;
+  if (unverified_end_->is_alive) {
+    context_->close_delimited_streams->OnCut(unverified_end_->writer, now);
+  }
+  unverified_end_.reset();
+}
+
 void Exchange::ForwardAnswer(const UpstreamAttempt& attempt,
                              const AttemptEnd& end) {
   const auto& head = *attempt.head();
@@ -318,7 +332,8 @@
 }
 
 void Exchange::AbortStream(ResultCode code) {
-  const bool is_trusted = unverified_end_ && unverified_end_->is_trusted;
+  const bool is_trusted = unverified_end_ && unverified_end_->is_trusted &&
+                          !attempts_.HasBegunEvent();
   if (is_trusted) return FinishStream(StreamEndBasis::kEarlierStreams);
   LogCut("daemon", InfoOf(code).name);
   RecordStreamEnd(StreamEndForm::kReset, StreamEndBasis::kNothing);
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -82,6 +82,11 @@
   [[nodiscard]] bool IsStream() const {
     return admission_.route->kind == RequestKind::kStream;
   }
+  /// Whether it is known where another run goes on: events without ids cannot
+  /// be told from its own.
+  [[nodiscard]] bool HasPlace() const {
+    return events_ == 0 || !last_event_id_.empty();
+  }
   /// Finds out which software version began the resumed stream.
   void ResolveVersion();
   void OnVersionResolved(const StreamVersions::Resolution& resolution);
@@ -214,6 +219,8 @@
                         TimePoint now);
   /// Records that nothing follows the events of a stream whose end was doubted.
   void OnNothingMore(TimePoint now);
+  /// Records that something does.
+  void OnMoreFollows(TimePoint now);
   /// Records how the stream ends towards its caller.
   void RecordStreamEnd(StreamEndForm form, StreamEndBasis basis);
   /// Ends a stream as complete.
@@ -266,6 +273,8 @@
   std::string last_peer_;    ///< Daemon that it was last delegated to.
   int unsent_attempts_ = 0;  ///< Attempts that found no connection.
   std::optional<PendingMove> move_;
+  /// Attempt that its upstream may stop, as it was ordered to move it.
+  int ordered_attempt_ = 0;
   TriedUpstreams tried_;
   /// Attempts that were overtaken, and for how many ms they had been silent.
   std::string left_silent_;
@@ -289,6 +298,7 @@
   struct UnverifiedEnd {
     CloseDelimitedStreams::Writer writer;
     bool is_trusted;  ///< It is complete unless something follows it.
+    bool is_alive;    ///< The upstream runs, and stays.
   };
   /// Set while the events that the caller has may be all.
   std::optional<UnverifiedEnd> unverified_end_;
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -201,9 +201,14 @@
   if (!delegation->head) return OnDelegationBroken(number);
   const auto events = FeedEvents(&delegation->relay, bytes);
   if (events.count == 0 && race_.in_flight() > 1) return;
-  const bool is_misplaced = delegation->relay.HasMisplacedEvent() ||
-                            !sequence_.MayFollow(events.count, events.last_id);
-  if (is_misplaced) return OnDelegationBroken(number);
+  const bool is_first = events.count == delegation->relay.events();
+  const bool is_misplaced =
+      delegation->relay.HasMisplacedEvent() ||
+      (is_first && !sequence_.MayFollow(events.count, events.last_id));
+  if (is_misplaced) {
+    OnMoreFollows(MonotonicNow());
+    return OnDelegationBroken(number);
+  }
   if (events.bytes.empty()) return;
   AdoptDelegation(number);
   ForwardEvents(events, MonotonicNow());
--- a/libs/gateway/src/details/exchange_move.cc
+++ b/libs/gateway/src/details/exchange_move.cc
@@ -58,7 +58,7 @@
   const auto& upstream = attempt->upstream();
   const bool is_streaming = upstream.id == source &&
                             attempt->is_event_stream() && answer_started_ &&
-                            !move_;
+                            HasPlace() && !move_;
   if (!is_streaming || WillFinishBefore(ends_at, tokens_per_event)) return;
   auto pick = MakePickRequest();
   pick.exclude = {source};
@@ -68,6 +68,7 @@
   const auto self = shared_from_this();
   move_.emplace();
   move_->attempt = attempt->number();
+  ordered_attempt_ = attempt->number();
   HttpFetchOptions options;
   options.end_if_silent = [this] {
     // The engine may still be copying.
@@ -106,6 +107,8 @@
                                     {"stopped", moved.stopped},
                                     {"copied", moved.copied},
                                     {"events", static_cast<qint64>(events_)}});
+  // Any other answer leaves open whether the order stops the stream.
+  if (moved.has_ended) ordered_attempt_ = 0;
   if (moved.stopped) {
     const auto* entry = context_->catalog.Find(target.id);
     const bool was_replaced =
@@ -115,10 +118,7 @@
                       moved.handle);
   }
   if (!move->end) return;
-  // The order may have stopped a stream that only its close ends.
-  const bool may_be_stopped =
-      result.end != HttpCallEnd::kComplete && source->EndsWithConnection();
-  HandleEnd(*source, may_be_stopped ? HttpCallEnd::kTruncated : *move->end);
+  OnEnd(*source, *move->end);
 }
 
 void Exchange::ContinueAt(const std::shared_ptr<UpstreamAttempt>& source,
--- a/libs/gateway/src/details/exchange_race.cc
+++ b/libs/gateway/src/details/exchange_race.cc
@@ -8,9 +8,7 @@
   AttemptRace::Conditions conditions;
   conditions.idempotent = admission_.route->MayRepeat();
   conditions.answer_started = answer_started_;
-  // Events without ids cannot be told from those of another run.
-  const bool has_place = events_ == 0 || !last_event_id_.empty();
-  conditions.resumable = admission_.route->is_resumable && has_place;
+  conditions.resumable = admission_.route->is_resumable && HasPlace();
   conditions.max_attempts = std::max(1, admission_.route->max_upstreams);
   conditions.may_run_again = MayRunAgain();
   conditions.time_left = ends_at_ - MonotonicNow();
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -104,8 +104,6 @@
   /// Shared with probes that outlast this.
   std::shared_ptr<CloseDelimitedStreams> close_delimited_streams =
       std::make_shared<CloseDelimitedStreams>();
-  /// The same of collected responses, of which only marked ends are known.
-  CloseDelimitedStreams close_delimited_answers;
   /// Requests that wait for a slot of a brittle upstream, by service; may hold
   /// some that wait no more.
   std::map<std::string, std::deque<std::weak_ptr<Exchange>>> slot_waiters;
--- a/libs/gateway/src/details/stream_ends.h
+++ b/libs/gateway/src/details/stream_ends.h
@@ -24,7 +24,7 @@
   kOtherDaemon,     ///< The daemon that it was delegated to says so.
 };
 
-/// "marked", "closed" or "reset", for logs and metrics.
+/// "marked" or "reset", for logs and metrics.
 std::string_view NameOf(StreamEndForm form);
 /// "nothing", "framing" and so on, for logs and metrics.
 std::string_view NameOf(StreamEndBasis basis);
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -112,19 +112,22 @@
       end == HttpCallEnd::kComplete || end == HttpCallEnd::kTruncated;
   const bool is_cut =
       has_ended && !end_ && is_event_stream_ && EndsWithConnection();
-  if (is_cut) ObserveCut();
+  if (is_cut) ObserveCut(end);
   End(end);
 }
 
-void UpstreamAttempt::ObserveCut() const {
+void UpstreamAttempt::ObserveCut(HttpCallEnd end) const {
   // One that leaves may exit amid a response.
   if (IsLeaving()) return;
-  ProbeConnect(plan_.upstream.endpoint, kProbeTimeout,
-               [streams = context_->close_delimited_streams,
-                writer = writer()](ConnectResult result) {
-                 if (result != ConnectResult::kConnected) return;
-                 streams->OnCut(writer, MonotonicNow());
-               });
+  ProbeConnect(
+      plan_.upstream.endpoint, kProbeTimeout,
+      [streams = context_->close_delimited_streams, writer = writer(),
+       was_closed = end == HttpCallEnd::kComplete](ConnectResult result) {
+        if (result != ConnectResult::kConnected) return;
+        const auto now = MonotonicNow();
+        if (was_closed) return streams->OnCut(writer, now);
+        streams->OnReset(writer, now);
+      });
 }
 
 void UpstreamAttempt::ProbeUpstream() {
@@ -132,6 +135,7 @@
       plan_.upstream.endpoint, kProbeTimeout,
       [this, weak = std::weak_ptr(alive_)](ConnectResult result) {
         if (weak.expired()) return;
+        is_alive_ = result == ConnectResult::kConnected && !IsLeaving();
         // One that leaves may exit behind its last response.
         const bool has_died = result == ConnectResult::kRefused && !IsLeaving();
         End(has_died ? HttpCallEnd::kTruncated : HttpCallEnd::kComplete);
@@ -228,11 +232,6 @@
   }
   is_event_stream_ = !is_mismatched_ && plan_.is_stream && head_->IsSuccess();
   if (!is_event_stream_) call_->LimitBody(kMaxCollectedBodyBytes);
-  const bool is_marked_answer = !is_mismatched_ && !is_event_stream_ &&
-                                head_->IsSuccess() && !EndsWithConnection();
-  if (is_marked_answer) {
-    context_->close_delimited_answers.OnMarked(writer(), *head_at_);
-  }
   is_silent_ = false;
   owner_->OnByte(*this);
 }
@@ -303,19 +302,20 @@
 }
 
 EndCredibility UpstreamAttempt::JudgeEnd() const {
-  if (!EndsWithConnection() || !head_->IsSuccess()) {
-    return EndCredibility::kShown;
-  }
+  // A collected response is passed on as the platform's contract has it: its
+  // request may have run, and nothing else tells what it returned.
+  const bool needs_mark =
+      is_event_stream_ && EndsWithConnection() && head_->IsSuccess();
+  if (!needs_mark) return EndCredibility::kShown;
   const auto now = MonotonicNow();
-  if (!is_event_stream_) {
-    // What a request that must not run again has returned is passed on.
-    const auto& answers = context_->close_delimited_answers;
-    return answers.EvidenceOf(writer(), now).marks_ends
-               ? EndCredibility::kDue
-               : EndCredibility::kTrusted;
-  }
   auto& streams = *context_->close_delimited_streams;
-  if (!HasNothingMore()) return streams.Judge(writer(), now);
+  if (!HasNothingMore()) {
+    const auto credibility = streams.Judge(writer(), now);
+    const bool is_trusted = credibility == EndCredibility::kTrusted ||
+                            credibility == EndCredibility::kDue;
+    // One that exits may do so amid a stream.
+    return is_trusted && !is_alive_ ? EndCredibility::kUnproven : credibility;
+  }
   // Two responses that end behind the same event, unless the software marks
   // the ends of others: a cut before the first event looks alike.
   return streams.EvidenceOf(writer(), now).marks_ends
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -112,7 +112,12 @@
   /// Whether the upstream was asked what follows an event, and had nothing.
   [[nodiscard]] bool HasNothingMore() const {
     return is_event_stream_ && !plan_.call.last_event_id.empty() &&
-           relay_.events() == 0;
+           !relay_.has_received_event() && IsEndCredible();
+  }
+  /// Whether the end of the response is marked, or its upstream is known to run
+  /// and to stay.
+  [[nodiscard]] bool IsEndCredible() const {
+    return !EndsWithConnection() || is_alive_;
   }
   /// The software that writes the response.
   [[nodiscard]] CloseDelimitedStreams::Writer writer() const {
@@ -120,6 +125,10 @@
   }
   /// Whether the response is forwarded by event.
   [[nodiscard]] bool is_event_stream() const { return is_event_stream_; }
+  /// Whether the response has ended within an event.
+  [[nodiscard]] bool HasPartialEvent() const {
+    return is_event_stream_ && relay_.HasBegunEvent();
+  }
   /// Whether a part of the next event has arrived.
   [[nodiscard]] bool HasBegunEvent() const {
     return !end_ && is_event_stream_ && relay_.HasBegunEvent();
@@ -170,7 +179,7 @@
   void ProbeUpstream();
   /// Records that a stream which only its close ends was cut, if its upstream
   /// lives.
-  void ObserveCut() const;
+  void ObserveCut(HttpCallEnd end) const;
   [[nodiscard]] EndCredibility JudgeEnd() const;
   bool MaySend();
   [[nodiscard]] bool IsLeaving() const;
@@ -201,6 +210,7 @@
   bool is_event_stream_ = false;
   bool is_silent_ = false;
   bool is_paused_ = false;
+  bool is_alive_ = false;       ///< At the end of the response.
   bool is_mismatched_ = false;  ///< The response is to another request.
   /// Not sent, since the key or the upstream was no longer usable.
   bool send_cancelled_ = false;
--- a/libs/gateway/src/event_relay.cc
+++ b/libs/gateway/src/event_relay.cc
@@ -36,6 +36,7 @@
   std::string forwarded;
   while (const auto event = scanner_.Next(rest)) {
     const auto place = event->is_comment ? Place::kNew : PlaceOf(event->id);
+    has_received_event_ = has_received_event_ || !event->is_comment;
     is_misplaced_ = is_misplaced_ || place == Place::kUnknown;
     if (place == Place::kNew && !is_misplaced_) {
       forwarded += rest.substr(0, event->size);
--- a/libs/gateway/src/event_sequence.cc
+++ b/libs/gateway/src/event_sequence.cc
@@ -12,8 +12,9 @@
 
 bool EventSequence::MayFollow(std::size_t count,
                               std::string_view last_id) const {
-  const bool can_tell = events_ >= kMinEvents && is_consecutive_;
-  return !can_tell || count == 0 || IsNext(count, last_id);
+  const bool can_tell =
+      events_ >= kMinEvents && is_consecutive_ && count > 0 && !last_id.empty();
+  return !can_tell || IsNext(count, last_id);
 }
 
 void EventSequence::Add(std::size_t count, std::string_view last_id) {
--- a/libs/gateway/tests/event_relay_test.cc
+++ b/libs/gateway/tests/event_relay_test.cc
@@ -151,6 +151,14 @@
           ": ping\n\n" + MakeEvents(6, 7));
     CHECK_FALSE(relay.HasMisplacedEvent());
   }
+  SUBCASE("which are events as well") {
+    EventRelay relay("5");
+    relay.Feed(": ping\n\n");
+    CHECK_FALSE(relay.has_received_event());
+    CHECK(relay.Feed(MakeEvents(1, 3)).empty());
+    CHECK(relay.events() == 0);
+    CHECK(relay.has_received_event());
+  }
   SUBCASE("nowhere behind an event without an id") {
     EventRelay relay("");
     relay.Feed(MakeEvents(1, 2) + "data: x\n\n");
--- a/libs/gateway/tests/gateway_silence_move_test.cc
+++ b/libs/gateway/tests/gateway_silence_move_test.cc
@@ -113,6 +113,12 @@
     CHECK(caller->WaitFor("id: 3"));
     CHECK(caller->WaitFor(kEnd));
   }
+  SUBCASE("goes on elsewhere if its answer is none") {
+    order->socket->write("HTTP/1.1 200 OK\r\n\r\n");
+    order->socket->disconnectFromHost();
+    CHECK(caller->WaitFor("id: 3"));
+    CHECK(caller->WaitFor(kEnd));
+  }
   SUBCASE("goes on elsewhere if the order is lost") {
     order->socket->abort();
     CHECK(caller->WaitFor("id: 3"));
--- a/libs/serving/include/serving/close_delimited_streams.h
+++ b/libs/serving/include/serving/close_delimited_streams.h
@@ -68,6 +68,9 @@
   void OnWhole(const Writer& writer, TimePoint now);
   /// Events are missing behind a close although the upstream runs.
   void OnCut(const Writer& writer, TimePoint now);
+  /// A stream was reset although the upstream runs. That is no statement, and
+  /// may be the network's doing, so further ones ask for no further streams.
+  void OnReset(const Writer& writer, TimePoint now);
   /// Judges a stream whose connection was closed in order between two events.
   [[nodiscard]] EndCredibility Judge(const Writer& writer, TimePoint now);
 
--- a/libs/serving/src/close_delimited_streams.cc
+++ b/libs/serving/src/close_delimited_streams.cc
@@ -79,6 +79,13 @@
   record.cut_at = now;
 }
 
+void CloseDelimitedStreams::OnReset(const Writer& writer, TimePoint now) {
+  auto& record = Observe(writer, now);
+  record.whole = 0;
+  record.cuts = std::max(record.cuts, 1U);
+  record.cut_at = now;
+}
+
 EndCredibility CloseDelimitedStreams::Judge(const Writer& writer,
                                             TimePoint now) {
   const auto evidence = EvidenceOf(writer, now);
--- a/libs/serving/tests/close_delimited_streams_test.cc
+++ b/libs/serving/tests/close_delimited_streams_test.cc
@@ -71,6 +71,14 @@
         CHECK(fixture.IsBelieved());
       }
     }
+    SUBCASE("but not after one that was reset") {
+      for (int reset = 0; reset < 40; ++reset) {
+        fixture.streams.OnReset(kWriter, fixture.now);
+      }
+      CHECK(fixture.Judge() == EndCredibility::kSuspicious);
+      fixture.SeeWhole(2 * Streams::kMinWhole);
+      CHECK(fixture.IsBelieved());
+    }
     SUBCASE("but not while the software marks the ends of others") {
       fixture.streams.OnMarked(kWriter, fixture.now);
       CHECK(fixture.Judge() == EndCredibility::kSuspicious);
