Tell what a probe behind an unmarked end found out

What was missing: by the request line an early end is known by 'close' or 'earlier-streams', but not what made its upstream count as alive.

No behaviour changes.

--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/text.h"
 #include "http/connect_probe.h"
 
 namespace firmoor::details {
@@ -133,8 +134,10 @@
 void UpstreamAttempt::ProbeUpstream() {
   ProbeConnect(
       plan_.upstream.endpoint, kProbeTimeout,
-      [this, weak = std::weak_ptr(alive_)](ConnectResult result) {
+      [this, weak = std::weak_ptr(alive_),
+       closed_at = MonotonicNow()](ConnectResult result) {
         if (weak.expired()) return;
+        LogUnmarkedEnd(NameOf(result), MonotonicNow() - closed_at);
         is_alive_ = result == ConnectResult::kConnected && !IsLeaving();
         // One that leaves may exit behind its last response.
         const bool has_died = result == ConnectResult::kRefused && !IsLeaving();
@@ -142,6 +145,19 @@
       });
 }
 
+void UpstreamAttempt::LogUnmarkedEnd(std::string_view probe,
+                                     Duration probe_time) const {
+  context_->environment.log->Write(
+      "unmarked-end", {{"request", Text(request_.id)},
+                       {"upstream", Text(plan_.upstream.id)},
+                       {"born_ms", static_cast<qint64>(plan_.upstream.born_ms)},
+                       {"probe", Text(probe)},
+                       {"probe_ms", static_cast<qint64>(probe_time.count())},
+                       {"leaving", IsLeaving()},
+                       {"stream", is_event_stream_},
+                       {"events", static_cast<qint64>(relay_.events())}});
+}
+
 void UpstreamAttempt::End(HttpCallEnd end) {
   if (end_) return;
   end_ = end;
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -177,6 +177,8 @@
   /// Finds out whether the upstream lives whose response ended with its
   /// connection, before the attempt ends.
   void ProbeUpstream();
+  /// Tells what the probe found out about a response without a marked end.
+  void LogUnmarkedEnd(std::string_view probe, Duration probe_time) const;
   /// Records that a stream which only its close ends was cut, if its upstream
   /// lives.
   void ObserveCut(HttpCallEnd end) const;
--- a/libs/http/include/http/connect_probe.h
+++ b/libs/http/include/http/connect_probe.h
@@ -2,6 +2,7 @@
 #define FIRMOOR_HTTP_CONNECT_PROBE_H_
 
 #include <functional>
+#include <string_view>
 
 #include "base/time.h"
 #include "http/message.h"
@@ -15,6 +16,9 @@
   kTimedOut,  ///< Or another error on the way.
 };
 
+/// "connected", "refused" or "timed-out", for logs.
+std::string_view NameOf(ConnectResult result);
+
 /// Opens a connection to `endpoint`, closes it again without sending anything,
 /// and calls `done` once from the event loop.
 void ProbeConnect(const Endpoint& endpoint, Duration timeout,
--- a/libs/http/src/connect_probe.cc
+++ b/libs/http/src/connect_probe.cc
@@ -8,6 +8,11 @@
 
 namespace firmoor {
 
+std::string_view NameOf(ConnectResult result) {
+  constexpr std::string_view kNames[] = {"connected", "refused", "timed-out"};
+  return kNames[static_cast<int>(result)];
+}
+
 void ProbeConnect(const Endpoint& endpoint, Duration timeout,
                   std::function<void(ConnectResult)> done) {
   // Deletes itself when it has ended.
