Ask the upstream itself whether it runs behind an unmarked end

What callers saw (ORDER): streams that ended as complete before their last event when upstreams without marked ends died behind a proxy.

Cause, of the class of the incident before (the state of a connection is taken for a statement of the process behind it): an upstream counted as alive if something accepted a connection at its address. A proxy does, whether or not its upstream runs, and it closes what it cannot pass on in order. So the cut stream was complete where the software was believed or nobody could resume it, and cuts by crashes counted as evidence against software that ends its streams in order.

Now the upstream is asked for its report (AskUpstream), and the instance that was meant has to answer. Streams of one that does not are asked for elsewhere or broken off; a collected answer of one that is gone has an unknown outcome, also behind a proxy. No message between daemons and nothing stored changes; the call is sent only behind an end without a mark.

Ruled out: crashes alone, proxies alone and marked ends, each played without an early end on the commit before.

Existing sections whose upstreams live answer for their report now; a stand-in that does not would be one that is gone. Their checks are unchanged.

--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -4,12 +4,11 @@
 #include <utility>
 
 #include "base/text.h"
-#include "http/connect_probe.h"
 
 namespace firmoor::details {
 namespace {
 
-// A refusal takes a round trip.
+// An upstream answers within a round trip and a step of its engine.
 constexpr Duration kProbeTimeout{300};
 
 }  // namespace
@@ -120,11 +119,11 @@
 void UpstreamAttempt::ObserveCut(HttpCallEnd end) const {
   // One that leaves may exit amid a response.
   if (IsLeaving()) return;
-  ProbeConnect(
-      plan_.upstream.endpoint, kProbeTimeout,
+  AskUpstream(
+      context_, plan_.upstream, kProbeTimeout,
       [streams = context_->close_delimited_streams, writer = writer(),
-       was_closed = end == HttpCallEnd::kComplete](ConnectResult result) {
-        if (result != ConnectResult::kConnected) return;
+       was_closed = end == HttpCallEnd::kComplete](UpstreamState state) {
+        if (state != UpstreamState::kRuns) return;
         const auto now = MonotonicNow();
         if (was_closed) return streams->OnCut(writer, now);
         streams->OnReset(writer, now);
@@ -132,26 +131,25 @@
 }
 
 void UpstreamAttempt::ProbeUpstream() {
-  ProbeConnect(
-      plan_.upstream.endpoint, kProbeTimeout,
+  AskUpstream(
+      context_, plan_.upstream, kProbeTimeout,
       [this, weak = std::weak_ptr(alive_),
-       closed_at = MonotonicNow()](ConnectResult result) {
+       closed_at = MonotonicNow()](UpstreamState state) {
         if (weak.expired()) return;
-        LogUnmarkedEnd(NameOf(result), MonotonicNow() - closed_at);
-        is_alive_ = result == ConnectResult::kConnected && !IsLeaving();
+        state_at_end_ = state;
+        LogUnmarkedEnd(MonotonicNow() - closed_at);
         // One that leaves may exit behind its last response.
-        const bool has_died = result == ConnectResult::kRefused && !IsLeaving();
+        const bool has_died = state == UpstreamState::kGone && !IsLeaving();
         End(has_died ? HttpCallEnd::kTruncated : HttpCallEnd::kComplete);
       });
 }
 
-void UpstreamAttempt::LogUnmarkedEnd(std::string_view probe,
-                                     Duration probe_time) const {
+void UpstreamAttempt::LogUnmarkedEnd(Duration probe_time) const {
   context_->environment.log->Write(
       "unmarked-end", {{"request", Text(request_.id)},
                        {"upstream", Text(plan_.upstream.id)},
                        {"born_ms", static_cast<qint64>(plan_.upstream.born_ms)},
-                       {"probe", Text(probe)},
+                       {"probe", Text(NameOf(state_at_end_))},
                        {"probe_ms", static_cast<qint64>(probe_time.count())},
                        {"leaving", IsLeaving()},
                        {"stream", is_event_stream_},
@@ -326,11 +324,14 @@
   const auto now = MonotonicNow();
   auto& streams = *context_->close_delimited_streams;
   if (!HasNothingMore()) {
+    // No process stands by the end: it may have exited amid the stream.
+    if (state_at_end_ != UpstreamState::kRuns) {
+      return EndCredibility::kSuspicious;
+    }
     const auto credibility = streams.Judge(writer(), now);
     const bool is_trusted = credibility == EndCredibility::kTrusted ||
                             credibility == EndCredibility::kDue;
-    // One that exits may do so amid a stream.
-    return is_trusted && !is_alive_ ? EndCredibility::kUnproven : credibility;
+    return is_trusted && IsLeaving() ? EndCredibility::kUnproven : credibility;
   }
   // Two responses that end behind the same event, unless the software marks
   // the ends of others: a cut before the first event looks alike.
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "details/gateway_context.h"
+#include "details/upstream_probe.h"
 #include "gateway/event_relay.h"
 #include "quarantine/suspect.h"
 #include "serving/attempt_policy.h"
@@ -117,7 +118,8 @@
   /// Whether the end of the response is marked, or its upstream is known to run
   /// and to stay.
   [[nodiscard]] bool IsEndCredible() const {
-    return !EndsWithConnection() || is_alive_;
+    return !EndsWithConnection() ||
+           (state_at_end_ == UpstreamState::kRuns && !IsLeaving());
   }
   /// The software that writes the response.
   [[nodiscard]] CloseDelimitedStreams::Writer writer() const {
@@ -174,13 +176,13 @@
   /// is not read.
   void TakeMemory();
   void OnCallEnd(HttpCallEnd end);
-  /// Finds out whether the upstream lives whose response ended with its
-  /// connection, before the attempt ends.
+  /// Asks the upstream whose response ended with its connection whether it
+  /// runs, before the attempt ends.
   void ProbeUpstream();
   /// Tells what the probe found out about a response without a marked end.
-  void LogUnmarkedEnd(std::string_view probe, Duration probe_time) const;
+  void LogUnmarkedEnd(Duration probe_time) const;
   /// Records that a stream which only its close ends was cut, if its upstream
-  /// lives.
+  /// runs.
   void ObserveCut(HttpCallEnd end) const;
   [[nodiscard]] EndCredibility JudgeEnd() const;
   bool MaySend();
@@ -212,7 +214,8 @@
   bool is_event_stream_ = false;
   bool is_silent_ = false;
   bool is_paused_ = false;
-  bool is_alive_ = false;       ///< At the end of the response.
+  /// Of the upstream, if the response has ended with its connection.
+  UpstreamState state_at_end_ = UpstreamState::kUnknown;
   bool is_mismatched_ = false;  ///< The response is to another request.
   /// Not sent, since the key or the upstream was no longer usable.
   bool send_cancelled_ = false;
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -67,11 +67,16 @@
   [[nodiscard]] HttpRequest EncodeReportRequest() const override {
     return {"GET", "/report", {}, ""};
   }
-  /// Body "TIME_TO_SHUTDOWN_MS" or "RUNNING/WAITING"; anything else is no
-  /// report.
+  /// Body "TIME_TO_SHUTDOWN_MS", "RUNNING/WAITING" or "born UNIX_MS"; anything
+  /// else is no report.
   [[nodiscard]] EngineReport DecodeReport(
       const HttpResponse& answer) const override {
+    constexpr std::string_view kBorn = "born ";
     EngineReport report;
+    if (answer.body.starts_with(kBorn)) {
+      report.born_ms = std::stoll(answer.body.substr(kBorn.size()));
+      return report;
+    }
     if (answer.body.empty() || std::isdigit(answer.body.front()) == 0) {
       return report;
     }
@@ -91,6 +96,7 @@
     head.request_id = std::string(HeaderValue(headers, "Id"));
     head.declared_not_run = !HeaderValue(headers, "Not-Run").empty();
     head.leaving = !HeaderValue(headers, "Leaving").empty();
+    head.wrong_upstream = status == 421;
     const std::string closed(HeaderValue(headers, "Closed-Ms"));
     if (!closed.empty()) head.retry_after = Duration(std::stoi(closed));
     const std::string limit(HeaderValue(headers, "Limit"));
@@ -143,6 +149,14 @@
   };
 }
 
+/// Lets an upstream answer when it is asked for its report.
+inline void AnswerReports(RawUpstream* upstream,
+                          const std::string& body = "born 1000") {
+  upstream->Serve("GET /report", [body](auto& connection) {
+    SendResponse(connection, "200 OK", body);
+  });
+}
+
 /// Whether a request with this text came on the connection.
 inline bool HasReceived(const RawUpstream::Connection& connection,
                         std::string_view text) {
@@ -246,7 +260,8 @@
     AddUpstream(id, upstream.Address(), leaving, version);
   }
   void AddUpstream(const std::string& id, const Endpoint& endpoint,
-                   bool leaving = false, const std::string& version = "") {
+                   bool leaving = false, const std::string& version = "",
+                   std::int64_t born_ms = 0) {
     UpstreamEntry entry;
     entry.id = id;
     entry.service = "s";
@@ -254,6 +269,7 @@
     entry.slots = 4;
     entry.leaving = leaving;
     entry.software_version = version;
+    entry.born_ms = born_ms;
     gateway.ApplyUpstream(entry);
   }
   /// The requests that the usage ledger counts.
--- a/libs/gateway/tests/gateway_stream_end_test.cc
+++ b/libs/gateway/tests/gateway_stream_end_test.cc
@@ -25,6 +25,14 @@
          received.find("Content-Length") != std::string::npos;
 }
 
+/// An upstream that runs, as it tells when it is asked.
+class RunningUpstream : public RawUpstream {
+ public:
+  explicit RunningUpstream(Script script) : RawUpstream(std::move(script)) {
+    AnswerReports(this);
+  }
+};
+
 RawUpstream::Script CloseAfterEvents(int events) {
   return [events](auto& connection) {
     std::string body;
@@ -73,7 +81,7 @@
 // ends a stream that has no marked end (incident ORDER).
 TEST_CASE("a stream that ends with the connection of an upstream that lives") {
   GatewayFixture fixture;
-  RawUpstream closing(CloseAfterEvents(2));
+  RunningUpstream closing(CloseAfterEvents(2));
   fixture.AddUpstream("a", closing);
   const auto add_other = [&](const RawUpstream& other) {
     fixture.AddUpstream("b", other);
@@ -138,7 +146,7 @@
       CHECK(rest.Requests() == 1);
     }
     SUBCASE("and ends with its connection as well") {
-      RawUpstream rest(CloseAfterEvents(0));
+      RunningUpstream rest(CloseAfterEvents(0));
       add_other(rest);
       REQUIRE(caller->WaitFor(kEnd));
       CHECK(rest.Requests() == 1);
@@ -154,7 +162,7 @@
       CHECK_FALSE(ClaimsEnd(caller->Received()));
     };
     SUBCASE("as it only sent events that the caller has") {
-      RawUpstream other(CloseAfterEvents(1));
+      RunningUpstream other(CloseAfterEvents(1));
       add_other(other);
       check(other);
     }
@@ -184,7 +192,7 @@
 // not pay for the verification of each (incident ORDER).
 TEST_CASE("streams of an upstream that always ends them by its connection") {
   GatewayFixture fixture;
-  RawUpstream upstream([](auto& connection) {
+  RunningUpstream upstream([](auto& connection) {
     const bool is_resumed = HasReceived(connection, "From: 2");
     StartUntilClose(connection, is_resumed ? "" : MakeEvent(1) + MakeEvent(2));
     connection.socket->disconnectFromHost();
@@ -232,7 +240,7 @@
            ++i) {
         CHECK(is_complete());
       }
-      RawUpstream three(CloseAfterEvents(3));
+      RunningUpstream three(CloseAfterEvents(3));
       fixture.AddUpstream("a", upstream, true);
       fixture.AddUpstream("b", three);
       auto caller = fixture.SendRequest("resumable");
@@ -245,7 +253,7 @@
     }
     SUBCASE("until one of them is cut, though its upstream lives") {
       bool cut_next = true;
-      RawUpstream cutting([&](auto& connection) {
+      RunningUpstream cutting([&](auto& connection) {
         if (!std::exchange(cut_next, false)) return;
         StartUntilClose(connection, MakeEvent(1) + "id: 2\nda");
         connection.socket->disconnectFromHost();
@@ -263,6 +271,99 @@
   }
 }
 
+// Guards against a stream that ends as complete though its upstream is gone,
+// since a proxy accepts connections in its place (incident ORDER).
+TEST_CASE("a stream that ends as its upstream dies behind a proxy") {
+  GatewayFixture fixture;
+  RunningUpstream whole([](auto& connection) {
+    const bool is_resumed = HasReceived(connection, "From: 2");
+    StartUntilClose(connection, is_resumed ? "" : MakeEvent(1) + MakeEvent(2));
+    connection.socket->disconnectFromHost();
+  });
+  RawUpstream proxied(CloseAfterEvents(2));
+  proxied.Serve("GET /report", [](auto& connection) {
+    connection.socket->disconnectFromHost();
+  });
+
+  SUBCASE("is broken off if nobody may resume it") {
+    SUBCASE("as the proxy closes all connections") {}
+    SUBCASE("as the proxy resets all connections") {
+      proxied.Serve("GET /report",
+                    [](auto& connection) { connection.socket->abort(); });
+    }
+    SUBCASE("as the proxy answers for it") {
+      proxied.Serve("GET /report", [](auto& connection) {
+        SendResponse(connection, "502 Bad Gateway", "");
+      });
+    }
+    SUBCASE("as a part of its report arrives") {
+      proxied.Serve("GET /report", [](auto& connection) {
+        StartUntilClose(connection, "born 1000");
+        connection.socket->disconnectFromHost();
+      });
+    }
+    SUBCASE("as another upstream has its address") {
+      proxied.Serve("GET /report", [](auto& connection) {
+        SendResponse(connection, "421 Misdirected Request", "");
+      });
+    }
+    SUBCASE("as the proxy leaves all connections open") {
+      proxied.Serve("GET /report", [](auto&) {});
+    }
+    fixture.AddUpstream("a", proxied);
+    auto caller = fixture.SendRequest("stream");
+    REQUIRE(caller->WaitClosed());
+    CHECK(EventIds(caller->Received()) == std::vector{1, 2});
+    CHECK_FALSE(ClaimsEnd(caller->Received()));
+  }
+  SUBCASE("is broken off if another instance runs in its place") {
+    AnswerReports(&proxied, "born 2000");
+    fixture.AddUpstream("a", proxied.Address(), false, "", 1'000);
+    auto caller = fixture.SendRequest("stream");
+    REQUIRE(caller->WaitClosed());
+    CHECK_FALSE(ClaimsEnd(caller->Received()));
+  }
+  SUBCASE("is complete if the instance that was meant still runs") {
+    AnswerReports(&proxied, "born 1000");
+    fixture.AddUpstream("a", proxied.Address(), false, "", 1'000);
+    auto caller = fixture.SendRequest("stream");
+    REQUIRE(caller->WaitFor(kEnd));
+  }
+  SUBCASE("goes on elsewhere if it is resumable") {
+    fixture.AddUpstream("a", proxied);
+    auto caller = fixture.SendRequest("resumable");
+    REQUIRE(caller->WaitFor("id: 2"));
+    RawUpstream rest([](auto& connection) {
+      SendResponse(connection, "200 OK",
+                   HasReceived(connection, "From: 2") ? MakeEvent(3) : "wrong");
+    });
+    fixture.AddUpstream("b", rest);
+    REQUIRE(caller->WaitFor(kEnd));
+    CHECK(EventIds(caller->Received()) == std::vector{1, 2, 3});
+  }
+  SUBCASE("is broken off though its software is believed") {
+    fixture.AddUpstream("b", whole);
+    REQUIRE(fixture.SendRequest("resumable")->WaitFor("id: 2"));
+    for (std::uint32_t i = 0; i < CloseDelimitedStreams::kMinWhole; ++i) {
+      auto caller = fixture.SendRequest("resumable",
+                                        "Seen: 2\r\nStream-Id: r1\r\n", "r2");
+      REQUIRE(caller->WaitFor(kEnd));
+    }
+    fixture.AddUpstream("b", whole, true);
+    fixture.AddUpstream("a", proxied);
+    auto caller = fixture.SendRequest("resumable");
+    REQUIRE(caller->WaitClosed());
+    CHECK_FALSE(ClaimsEnd(caller->Received()));
+
+    SUBCASE("which says nothing against the software") {
+      fixture.AddUpstream("a", proxied, true);
+      fixture.AddUpstream("c", whole);
+      auto next = fixture.SendRequest("resumable");
+      REQUIRE(next->WaitFor(kEnd));
+    }
+  }
+}
+
 // Guards against two runs that are joined at the wrong place (incident ORDER).
 TEST_CASE("a stream that breaks off and goes on at another upstream") {
   GatewayFixture fixture;
@@ -318,7 +419,7 @@
 // Guards against a part of an answer that is passed on with a length.
 TEST_CASE("an answer that ends with its connection") {
   GatewayFixture fixture;
-  RawUpstream closing([](auto& connection) {
+  RunningUpstream closing([](auto& connection) {
     StartUntilClose(connection, "an answer");
     connection.socket->disconnectFromHost();
   });
@@ -341,6 +442,15 @@
     REQUIRE(caller->WaitFor("HTTP/1.1 "));
     CHECK(caller->Received().starts_with("HTTP/1.1 502"));
   }
+  SUBCASE("of one that died behind a proxy has an unknown outcome") {
+    closing.Serve("GET /report", [](auto& connection) {
+      connection.socket->disconnectFromHost();
+    });
+    fixture.AddUpstream("a", closing);
+    auto caller = fixture.SendRequest("once");
+    REQUIRE(caller->WaitFor("HTTP/1.1 "));
+    CHECK(caller->Received().starts_with("HTTP/1.1 502"));
+  }
   SUBCASE("of one that died is replaced if the request may be repeated") {
     fixture.AddUpstream("a", dying);
     auto caller = fixture.SendRequest("idempotent");
--- a/libs/routing/include/routing/engine_report.h
+++ b/libs/routing/include/routing/engine_report.h
@@ -21,6 +21,8 @@
   std::optional<EngineLoad> load;  ///< Empty if not reported.
   /// Remaining time before a known shutdown.
   std::optional<Duration> time_to_shutdown;
+  /// When the instance was born, Unix time in ms; empty if not reported.
+  std::optional<std::int64_t> born_ms;
 
   bool operator==(const EngineReport&) const = default;
 };
--- a/tests/support/include/support/raw_socket.h
+++ b/tests/support/include/support/raw_socket.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http/message.h"
@@ -97,9 +98,17 @@
   [[nodiscard]] Endpoint Address() const {
     return {"127.0.0.1", listener_.serverPort()};
   }
+  /// Runs `script` instead on connections that begin with `prefix`. Their
+  /// requests are not counted.
+  void Serve(std::string prefix, Script script) {
+    served_prefix_ = std::move(prefix);
+    served_script_ = std::move(script);
+  }
   [[nodiscard]] int Requests() const {
     int total = 0;
-    for (const auto& connection : connections_) total += connection->requests;
+    for (const auto& connection : connections_) {
+      if (!IsServed(*connection)) total += connection->requests;
+    }
     return total;
   }
   [[nodiscard]] std::size_t Connections() const { return connections_.size(); }
@@ -123,6 +132,9 @@
                        [this, connection] { Read(*connection); });
     }
   }
+  [[nodiscard]] bool IsServed(const Connection& connection) const {
+    return served_script_ && connection.received.starts_with(served_prefix_);
+  }
   void Read(Connection& connection) {
     connection.received += connection.socket->readAll().toStdString();
     int heads = 0;
@@ -133,12 +145,14 @@
     }
     while (connection.requests < heads) {
       ++connection.requests;
-      script_(connection);
+      (IsServed(connection) ? served_script_ : script_)(connection);
     }
   }
 
   QTcpServer listener_;
   Script script_;
+  std::string served_prefix_;
+  Script served_script_;
   std::vector<std::unique_ptr<Connection>> connections_;
 };
 
