Judge the instance that served by its report, and wait for busy ones

- An upstream that marks no end of any answer, its reports included, would never have counted as running, so that its sound streams were broken off: a report that decodes is whole without a mark.
- Registrations lag: the instance that serves may be younger than the one that is registered.
It counted as another one.
Now only one that may have been born after the request does.
- 300 ms are short for a busy upstream, and without its answer a sound stream that nobody may resume is broken off: a second, as the caller has all events.
- Plain services have no reports: behind their collected answers the upstream is probed as before, by whether anything listens, and is sent no request.

--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -10,6 +10,8 @@
 
 // An upstream answers within a round trip and a step of its engine.
 constexpr Duration kProbeTimeout{300};
+// A busy one takes longer. The caller has all events that there may be.
+constexpr Duration kStreamProbeTimeout{1'000};
 
 }  // namespace
 
@@ -44,8 +46,6 @@
 bool MayHaveReachedOtherVersion(const GatewayContext& context,
                                 const UpstreamEntry& upstream,
                                 TimePoint sent_at) {
-  // Clocks of upstreams and daemons may differ by this much.
-  constexpr std::int64_t kClockToleranceMs = 1'000;
   const auto* entry = context.catalog.Find(upstream.id);
   const bool was_replaced =
       entry != nullptr && entry->born_ms != upstream.born_ms &&
@@ -120,7 +120,7 @@
   // One that leaves may exit amid a response.
   if (IsLeaving()) return;
   AskUpstream(
-      context_, plan_.upstream, kProbeTimeout,
+      context_, plan_.upstream, sent_at_, kStreamProbeTimeout,
       [streams = context_->close_delimited_streams, writer = writer(),
        was_closed = end == HttpCallEnd::kComplete](UpstreamState state) {
         if (state != UpstreamState::kRuns) return;
@@ -131,17 +131,24 @@
 }
 
 void UpstreamAttempt::ProbeUpstream() {
-  AskUpstream(
-      context_, plan_.upstream, kProbeTimeout,
-      [this, weak = std::weak_ptr(alive_),
-       closed_at = MonotonicNow()](UpstreamState state) {
-        if (weak.expired()) return;
-        state_at_end_ = state;
-        LogUnmarkedEnd(MonotonicNow() - closed_at);
-        // One that leaves may exit behind its last response.
-        const bool has_died = state == UpstreamState::kGone && !IsLeaving();
-        End(has_died ? HttpCallEnd::kTruncated : HttpCallEnd::kComplete);
-      });
+  const auto done = [this, weak = std::weak_ptr(alive_),
+                     closed_at = MonotonicNow()](UpstreamState state) {
+    if (weak.expired()) return;
+    state_at_end_ = state;
+    LogUnmarkedEnd(MonotonicNow() - closed_at);
+    // One that leaves may exit behind its last response.
+    const bool has_died = state == UpstreamState::kGone && !IsLeaving();
+    End(has_died ? HttpCallEnd::kTruncated : HttpCallEnd::kComplete);
+  };
+  const auto& upstream = plan_.upstream;
+  if (is_event_stream_) {
+    AskUpstream(context_, upstream, sent_at_, kStreamProbeTimeout, done);
+  } else if (plan_.call.to_engine) {
+    AskUpstream(context_, upstream, sent_at_, kProbeTimeout, done);
+  } else {
+    // Only upstreams that generate have reports.
+    ProbeListener(context_, upstream, kProbeTimeout, done);
+  }
 }
 
 void UpstreamAttempt::LogUnmarkedEnd(Duration probe_time) const {
--- a/libs/gateway/src/details/upstream_probe.cc
+++ b/libs/gateway/src/details/upstream_probe.cc
@@ -8,6 +8,19 @@
 #include "http/connect_probe.h"
 
 namespace firmoor::details {
+namespace {
+
+/// Whether the reporting instance may have been born after the request was sent
+/// to the one that served it.
+bool IsBornLater(const EngineReport& report, const ServingInstance& instance) {
+  if (!report.born_ms || *report.born_ms == instance.born_ms) return false;
+  // A registration may be older than the instance that served.
+  return instance.born_ms == 0
+             ? *report.born_ms > instance.sent_ms + kClockToleranceMs
+             : *report.born_ms > instance.sent_ms - kClockToleranceMs;
+}
+
+}  // namespace
 
 std::string_view NameOf(UpstreamState state) {
   constexpr std::string_view kNames[] = {"runs", "gone", "unknown"};
@@ -15,7 +28,7 @@
 }
 
 UpstreamState JudgeReport(const HttpFetchResult& result, const Dialect& dialect,
-                          std::int64_t born_ms) {
+                          const ServingInstance& instance) {
   // A proxy that cannot reach its upstream answers with one of these.
   constexpr int kFirstServerError = 500;
   switch (result.end) {
@@ -30,38 +43,48 @@
   const auto& answer = result.answer;
   const auto head = dialect.DecodeResponseHead(answer.status, answer.headers);
   if (head.wrong_upstream) return UpstreamState::kGone;
-  if (!result.IsEndMarked() || answer.status >= kFirstServerError) {
+  const auto report = dialect.DecodeReport(answer);
+  const bool is_whole =
+      result.IsEndMarked() || report.born_ms || report.load.has_value();
+  if (!is_whole || answer.status >= kFirstServerError) {
     return UpstreamState::kUnknown;
   }
-  const auto born = dialect.DecodeReport(answer).born_ms;
-  const bool is_other = born && born_ms != 0 && *born != born_ms;
-  return is_other ? UpstreamState::kGone : UpstreamState::kRuns;
+  return IsBornLater(report, instance) ? UpstreamState::kGone
+                                       : UpstreamState::kRuns;
+}
+
+void ProbeListener(GatewayContext* context, const UpstreamEntry& upstream,
+                   Duration timeout, std::function<void(UpstreamState)> done) {
+  ProbeConnect(upstream.endpoint, timeout,
+               [alive = QPointer<QObject>(&context->event_context),
+                done = std::move(done)](ConnectResult result) {
+                 if (!alive) return;
+                 done(result == ConnectResult::kRefused
+                          ? UpstreamState::kGone
+                          : UpstreamState::kUnknown);
+               });
 }
 
 void AskUpstream(GatewayContext* context, const UpstreamEntry& upstream,
-                 Duration timeout, std::function<void(UpstreamState)> done) {
+                 TimePoint sent_at, Duration timeout,
+                 std::function<void(UpstreamState)> done) {
   if (!context->TakePermit(upstream)) return done(UpstreamState::kUnknown);
+  const ServingInstance instance{upstream.born_ms,
+                                 context->environment.true_time->At(sent_at)};
   // The callback owns the call until it ends.
   const auto call = std::make_shared<std::unique_ptr<HttpCall>>();
   *call = HttpFetch(
       upstream.endpoint, context->environment.dialect->EncodeReportRequest(),
       {timeout, timeout, timeout}, nullptr,
-      [context, upstream, timeout, call,
+      [context, upstream, instance, timeout, call,
        alive = QPointer<QObject>(&context->event_context),
        done = std::move(done)](const HttpFetchResult& result) {
         const auto ended = std::move(*call);
         if (!alive) return;
-        if (result.end != HttpCallEnd::kNotConnected) {
-          return done(JudgeReport(result, *context->environment.dialect,
-                                  upstream.born_ms));
+        if (result.end == HttpCallEnd::kNotConnected) {
+          return ProbeListener(context, upstream, timeout, done);
         }
-        ProbeConnect(upstream.endpoint, timeout,
-                     [alive, done](ConnectResult connected) {
-                       if (!alive) return;
-                       done(connected == ConnectResult::kRefused
-                                ? UpstreamState::kGone
-                                : UpstreamState::kUnknown);
-                     });
+        done(JudgeReport(result, *context->environment.dialect, instance));
       });
 }
 
--- a/libs/gateway/src/details/upstream_probe.h
+++ b/libs/gateway/src/details/upstream_probe.h
@@ -13,6 +13,9 @@
 
 struct GatewayContext;
 
+/// Clocks of upstreams and daemons may differ by this much.
+constexpr std::int64_t kClockToleranceMs = 1'000;
+
 /// What is known of an upstream that was asked for its report.
 enum class UpstreamState {
   kRuns,     ///< The instance that was meant has answered.
@@ -23,19 +26,32 @@
 /// "runs", "gone" or "unknown", for logs.
 std::string_view NameOf(UpstreamState state);
 
-/// Judges the response to a request for the report of the instance that was
-/// born at `born_ms`, 0 if that is not known. An attempt that found no
-/// connection shows neither. Pure.
+/// The instance of an upstream that served a request.
+struct ServingInstance {
+  std::int64_t born_ms = 0;  ///< As it is registered; 0 if that is not known.
+  std::int64_t sent_ms = 0;  ///< When the request was sent to it, Unix time.
+
+  bool operator==(const ServingInstance&) const = default;
+};
+
+/// Judges the response to a request for the report of an upstream, sent after
+/// `instance` has closed a connection in order. Pure.
 ///
-/// A connection shows nothing: a proxy accepts it, and closes it in order,
-/// whether or not its upstream runs.
+/// A connection alone shows nothing: a proxy accepts it, and closes it in
+/// order, whether or not its upstream runs.
 UpstreamState JudgeReport(const HttpFetchResult& result, const Dialect& dialect,
-                          std::int64_t born_ms);
+                          const ServingInstance& instance);
+
+/// Finds out whether anything listens at the address of `upstream`: `kGone` if
+/// not, else `kUnknown`. Calls `done` once, unless `context` ends before.
+void ProbeListener(GatewayContext* context, const UpstreamEntry& upstream,
+                   Duration timeout, std::function<void(UpstreamState)> done);
 
-/// Asks `upstream` on a connection of its own, and calls `done` once, unless
-/// `context` ends before.
+/// Asks `upstream`, to which a request was sent at `sent_at`, on a connection
+/// of its own. Calls `done` once, unless `context` ends before.
 void AskUpstream(GatewayContext* context, const UpstreamEntry& upstream,
-                 Duration timeout, std::function<void(UpstreamState)> done);
+                 TimePoint sent_at, Duration timeout,
+                 std::function<void(UpstreamState)> done);
 
 }  // namespace firmoor::details
 
--- a/libs/gateway/tests/gateway_stream_end_test.cc
+++ b/libs/gateway/tests/gateway_stream_end_test.cc
@@ -298,7 +298,7 @@
     }
     SUBCASE("as a part of its report arrives") {
       proxied.Serve("GET /report", [](auto& connection) {
-        StartUntilClose(connection, "born 1000");
+        StartUntilClose(connection, "a part");
         connection.socket->disconnectFromHost();
       });
     }
@@ -317,14 +317,25 @@
     CHECK_FALSE(ClaimsEnd(caller->Received()));
   }
   SUBCASE("is broken off if another instance runs in its place") {
-    AnswerReports(&proxied, "born 2000");
+    AnswerReports(&proxied, "born " + std::to_string(WallClockMs() + 2'000));
     fixture.AddUpstream("a", proxied.Address(), false, "", 1'000);
     auto caller = fixture.SendRequest("stream");
     REQUIRE(caller->WaitClosed());
     CHECK_FALSE(ClaimsEnd(caller->Received()));
   }
   SUBCASE("is complete if the instance that was meant still runs") {
-    AnswerReports(&proxied, "born 1000");
+    SUBCASE("and says so") { AnswerReports(&proxied, "born 1000"); }
+    SUBCASE("and marks no end of its report either") {
+      proxied.Serve("GET /report", [](auto& connection) {
+        StartUntilClose(connection, "born 1000");
+        connection.socket->disconnectFromHost();
+      });
+    }
+    SUBCASE("and sends no reports") {
+      proxied.Serve("GET /report", [](auto& connection) {
+        SendResponse(connection, "404 Not Found", "");
+      });
+    }
     fixture.AddUpstream("a", proxied.Address(), false, "", 1'000);
     auto caller = fixture.SendRequest("stream");
     REQUIRE(caller->WaitFor(kEnd));
