Truncate a success without length whose request was not written whole

Cause: a response without length or chunks ends with its connection, and each orderly close was taken for its end, also when the upstream had not read the upload that it answers. The caller got 200 with a part of the body.

Rejections are read as before.

--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -20,6 +20,7 @@
 #include "details/head_scanner.h"
 #include "details/idle_connections.h"
 #include "details/reset_detector.h"
+#include "details/unsent_limit.h"
 
 namespace firmoor {
 namespace {
@@ -102,6 +103,7 @@
   std::optional<http::response_parser<details::GrowingStringBody>> parser;
   std::optional<std::uint64_t> max_body_bytes;
   std::uint64_t body_bytes = 0;
+  qint64 unsent_bytes = 0;  ///< Of the request, not passed to the kernel yet.
   bool reused = false;
   bool may_have_been_sent = false;
   bool head_delivered = false;
@@ -128,6 +130,8 @@
   void Parse();
   void DeliverHead();
   void DeliverBody();
+  /// Whether the response ended before its upstream could have the request.
+  [[nodiscard]] bool IsCutUpload() const;
   void OnClosed();
   void End(HttpCallEnd end);
 };
@@ -183,8 +187,12 @@
                    [this] { Run(&Impl::Read); });
   QObject::connect(socket.get(), &QTcpSocket::disconnected, &timer,
                    [this] { Run(&Impl::OnClosed); });
+  QObject::connect(socket.get(), &QTcpSocket::bytesWritten, &timer,
+                   [this](qint64 bytes) { unsent_bytes -= bytes; });
   details::EnableDeadPeerDetection(socket->socketDescriptor(),
                                    timeouts.host_silent);
+  // So that what the upstream leaves unread stays here, where it counts.
+  details::LimitUnsentBytes(socket->socketDescriptor());
   socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   socket->setReadBufferSize(kReadBytes);
   const std::string text = Serialize(host.empty() ? endpoint.ToString() : host,
@@ -192,7 +200,8 @@
   may_have_been_sent = true;
   timer.start(timeouts.first_byte);
   if (timeouts.total) total_timer.start(*timeouts.total);
-  socket->write(text.data(), static_cast<qint64>(text.size()));
+  unsent_bytes = static_cast<qint64>(text.size());
+  socket->write(text.data(), unsent_bytes);
 }
 
 void HttpCall::Builder::Impl::OnTimeout() {
@@ -296,6 +305,14 @@
   }
 }
 
+bool HttpCall::Builder::Impl::IsCutUpload() const {
+  constexpr int kSuccessClass = 2;
+  // An upstream that succeeds has read the request. One that rejects it may do
+  // so by its head.
+  return delimited_by_close && unsent_bytes > 0 &&
+         parser->get().result_int() / 100 == kSuccessClass;
+}
+
 void HttpCall::Builder::Impl::OnClosed() {
   if (ended) return;
   const auto self = shared_from_this();
@@ -303,7 +320,9 @@
   Read();
   if (ended) return;
   if (!head_delivered) return End(HttpCallEnd::kNoResponse);
-  if (reset_detector.WasReset()) return End(HttpCallEnd::kTruncated);
+  if (reset_detector.WasReset() || IsCutUpload()) {
+    return End(HttpCallEnd::kTruncated);
+  }
   beast::error_code error;
   parser->put_eof(error);
   End(error ? HttpCallEnd::kTruncated : HttpCallEnd::kComplete);
