Follow roll-out orders with a share that each daemon keeps by itself

Orders to move a service to a software version were not read, so a bad version got its part of all requests. Daemons now learn of orders, keep what the target gets within the allowed share of their own requests, compare it with the other versions, and stop by their own evidence. The coordinator merges the evidence and writes the status.

Not yet tested.

--- a/libs/gateway/include/gateway/coordination.h
+++ b/libs/gateway/include/gateway/coordination.h
@@ -18,6 +18,7 @@
 #include "limits/upstream_limit_divider.h"
 #include "limits/usage_ledger.h"
 #include "quarantine/quarantine_authority.h"
+#include "rollout/rollout_messages.h"
 
 namespace firmoor {
 
@@ -34,6 +35,7 @@
   std::map<std::string, ServiceLoad> loads;  ///< By service.
   UpstreamLimitReports upstream_limits;
   QuarantineReport quarantine;
+  RolloutReports rollouts;
   /// Since its start; empty in reports of builds that neither take over a lease
   /// which is handed to them nor follow `CoordinatorReply::moved_to`.
   std::optional<Duration> uptime;
@@ -58,6 +60,7 @@
   SharedLimits limits;
   UpstreamLimitReply upstream_limits;
   QuarantineReply quarantine;
+  RolloutReplies rollouts;
   /// The coordinator's configuration version, and how long ago it confirmed in
   /// the store that it is the newest; negative when it has not.
   std::int64_t config_version = -1;
--- a/libs/gateway/include/gateway/coordinator_service.h
+++ b/libs/gateway/include/gateway/coordinator_service.h
@@ -11,6 +11,7 @@
 #include "gateway/cloud_api.h"
 #include "gateway/coordination.h"
 #include "gateway/gateway.h"
+#include "gateway/rollout_status_store.h"
 #include "peer/peer_node.h"
 #include "platform/object_store.h"
 #include "platform/store_era.h"
@@ -51,6 +52,7 @@
     ObjectStore* store = nullptr;
     StoreEra* store_era = nullptr;
     CloudApi* cloud = nullptr;
+    RolloutStatusStore* rollouts = nullptr;  ///< Null if none are served.
     TrueTime* true_time = nullptr;
     EventLog* log = nullptr;
     /// Called when the coordinator has another configuration version.
--- a/libs/gateway/include/gateway/daemon_settings.h
+++ b/libs/gateway/include/gateway/daemon_settings.h
@@ -9,6 +9,7 @@
 #include "base/time.h"
 #include "gateway/strategies.h"
 #include "http/message.h"
+#include "rollout/rollout_guard.h"
 
 namespace firmoor {
 
@@ -49,6 +50,7 @@
   Duration quota_window{8'000};  ///< Period over which a quota is enforced.
   /// Tokens by which all daemons together may exceed a workspace's quota.
   double quota_slack = 0;
+  RolloutSettings rollouts;  ///< Enabled if the file has the section.
   Strategies strategies;
 
   bool operator==(const GatewayDaemonSettings&) const = default;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "limits/usage_ledger.h"
 #include "metrics/service_metrics.h"
 #include "quarantine/quarantine_messages.h"
+#include "rollout/rollout_guard.h"
 #include "routing/config_freshness.h"
 #include "routing/route_table.h"
 #include "routing/upstream_catalog.h"
@@ -47,6 +48,7 @@
   /// their entries may have expired.
   Duration reregistration_time{2'200};
   std::int64_t usage_window_ms = 5'000;
+  RolloutSettings rollouts;
   Strategies strategies;
 
   bool operator==(const GatewaySettings&) const = default;
@@ -135,6 +137,17 @@
   /// Counters of the quarantine, in the Prometheus text format.
   [[nodiscard]] std::string QuarantineMetrics() const;
 
+  /// Replaces the operators' roll-out orders.
+  void SetRolloutOrders(const std::vector<RolloutOrder>& orders);
+  void ApplyRolloutOrder(const RolloutOrder& order);
+  void RemoveRolloutOrder(const std::string& service);
+  [[nodiscard]] std::vector<RolloutOrder> RolloutOrders() const;
+  [[nodiscard]] RolloutReports ReportRollouts() const;
+  /// Applies the coordinator's reply. Returns whether a stage has changed.
+  bool ApplyRollouts(const RolloutReplies& replies);
+  /// State of roll-outs, in the Prometheus text format.
+  [[nodiscard]] std::string RolloutMetrics() const;
+
   /// Sets how other daemons are called.
   void SetPeerCall(PeerCall call);
   /// Serves another daemon's call; empty if the gateway does not serve `kind`.
--- a/libs/gateway/include/gateway/gateway_daemon.h
+++ b/libs/gateway/include/gateway/gateway_daemon.h
@@ -9,6 +9,7 @@
 #include "gateway/cloud_api.h"
 #include "gateway/daemon_settings.h"
 #include "gateway/dialect.h"
+#include "gateway/rollout_status_store.h"
 #include "platform/kind_store.h"
 #include "platform/object_store.h"
 #include "platform/store_era.h"
@@ -29,12 +30,16 @@
     ObjectStore* objects = nullptr;
     StoreEra* store_era = nullptr;  ///< Of `kinds` and `objects`.
     CloudApi* cloud = nullptr;
+    RolloutStatusStore* rollouts = nullptr;
     std::string configuration_kind;  ///< Kind of the configuration's object.
     std::string configuration_name;
     std::string upstream_kind;  ///< Kind of the upstream entries.
+    std::string rollout_kind;   ///< Kind of the roll-out orders.
     Result<RouteTableContent> (*decode_configuration)(const QJsonObject&);
     Result<UpstreamEntry> (*decode_upstream)(const std::string& id,
                                              const QJsonObject&);
+    Result<RolloutOrder> (*decode_rollout)(const std::string& name,
+                                           const QJsonObject&) = nullptr;
   };
 
   GatewayDaemon(GatewayDaemonSettings settings, PlatformPorts ports,
--- a/libs/gateway/include/gateway/strategies.h
+++ b/libs/gateway/include/gateway/strategies.h
@@ -21,6 +21,8 @@
   bool engines_for_slots = true;
   /// Keeps on-demand engines in reserve for the next reclaim of a zone.
   bool reclaim_reserve = true;
+  /// Follows operators' orders to move a service to another software version.
+  bool rollouts = true;
 
   bool operator==(const Strategies&) const = default;
 };
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -7,6 +7,7 @@
 #include "base/text.h"
 #include "details/quarantine_encoding.h"
 #include "details/quota_encoding.h"
+#include "details/rollout_encoding.h"
 #include "gateway/coordination.h"
 #include "peer/peer_message.h"
 
@@ -20,10 +21,14 @@
 using details::DecodeQuarantineReport;
 using details::DecodeQuotaGrants;
 using details::DecodeQuotaUses;
+using details::DecodeRolloutReplies;
+using details::DecodeRolloutReports;
 using details::EncodeQuarantineReply;
 using details::EncodeQuarantineReport;
 using details::EncodeQuotaGrants;
 using details::EncodeQuotaUses;
+using details::EncodeRolloutReplies;
+using details::EncodeRolloutReports;
 
 QCborValue EncodeOptional(const std::optional<double>& value) {
   return value ? QCborValue(*value) : QCborValue(nullptr);
@@ -314,7 +319,8 @@
                  {"quotas", EncodeQuotaUses(quotas)},
                  {"loads", load_map},
                  {"upstream_limits", EncodeLimitReports(upstream_limits)},
-                 {"quarantine", EncodeQuarantineReport(quarantine)}})
+                 {"quarantine", EncodeQuarantineReport(quarantine)},
+                 {"rollouts", EncodeRolloutReports(rollouts)}})
       .toCbor();
 }
 
@@ -353,6 +359,7 @@
                     DecodeLimitReports(map[QLatin1String("upstream_limits")]));
   BOOST_LEAF_ASSIGN(report.quarantine,
                     DecodeQuarantineReport(map[QLatin1String("quarantine")]));
+  report.rollouts = DecodeRolloutReports(map[QLatin1String("rollouts")]);
   if (report.daemon.empty() || report.instance_id.empty()) {
     return Fail(ResultCode::kBadMessage,
                 "The daemon report lacks the daemon's name or instance id");
@@ -426,6 +433,7 @@
                       {"grants", EncodeQuotaGrants(limits.quota_grants)},
                       {"upstream_limits", EncodeLimitReply(upstream_limits)},
                       {"quarantine", EncodeQuarantineReply(quarantine)},
+                      {"rollouts", EncodeRolloutReplies(rollouts)},
                       {"moved_to", Text(moved_to)},
                       {"moved_fencing", static_cast<qint64>(moved_fencing)},
                       {"daemons", static_cast<qint64>(limits.daemons)}})
@@ -454,6 +462,7 @@
                     DecodeLimitReply(map[QLatin1String("upstream_limits")]));
   BOOST_LEAF_ASSIGN(reply.quarantine,
                     DecodeQuarantineReply(map[QLatin1String("quarantine")]));
+  reply.rollouts = DecodeRolloutReplies(map[QLatin1String("rollouts")]);
   if (reply.true_ms <= 0) {
     return Fail(ResultCode::kBadMessage,
                 "The coordinator's reply lacks the time");
--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -28,6 +28,15 @@
 constexpr Duration kReportTimeout{700};
 // Shortest interval between reports while a quota allowance is nearly used up.
 constexpr Duration kMinReportInterval{100};
+// While requests move to another software version.
+constexpr Duration kMovingReportPeriod{300};
+
+bool IsMoving(const RolloutReplies& replies) {
+  return std::any_of(replies.begin(), replies.end(), [](const auto& entry) {
+    const auto stage = entry.second.stage;
+    return stage == RolloutStage::kHalf || stage == RolloutStage::kAll;
+  });
+}
 
 }  // namespace
 
@@ -52,6 +61,7 @@
   report.loads = env.gateway->Loads();
   report.upstream_limits = env.gateway->ReportUpstreamLimits();
   report.quarantine = env.gateway->ReportQuarantine();
+  report.rollouts = env.gateway->ReportRollouts();
   return report;
 }
 
@@ -138,6 +148,11 @@
   env.true_time->SetTime(reply.true_ms, MonotonicNow());
   env.gateway->ApplyUpstreamLimits(reply.upstream_limits, sent.at);
   env.gateway->ApplyQuarantine(reply.quarantine);
+  // The coordinator completes a roll-out once it knows that all have moved.
+  if (env.gateway->ApplyRollouts(reply.rollouts)) ReportEarly();
+  if (IsMoving(reply.rollouts) && !early_report_timer.isActive()) {
+    early_report_timer.start(kMovingReportPeriod);
+  }
   if (!reply.limits_ready) return AwaitGrants();
   env.gateway->SetSharedLimits(reply.limits, sent.number);
   env.gateway->ApplyDaemonDirectory(reply.directory);
@@ -161,10 +176,14 @@
     const DaemonReport& report) {
   const auto now = MonotonicNow();
   env.true_time->AddClockReading(report.daemon, report.wall_ms, now);
-  return coordinator->OnReport(
+  auto reply = coordinator->OnReport(
       report,
       [this](const std::string& name) { return env.gateway->QuotaOf(name); },
       env.true_time->At(now), now);
+  rollouts->OnReport(report.instance_id, report.rollouts, now);
+  if (rollouts->HasFault()) AdvanceRollouts();
+  reply.rollouts = rollouts->Replies();
+  return reply;
 }
 
 std::optional<DaemonReport> CoordinatorService::Impl::DecodeReport(
@@ -209,6 +228,7 @@
   if (coordinator) {
     ReportUsage();
     OrderUpstreams();
+    RunRollouts();
   }
   if (!call) return;
   const std::weak_ptr weak = alive;
@@ -306,6 +326,7 @@
       UsageReporter::Term{lease.fencing(), lease.TookOverAfterReturn(),
                           lease.IsFirstTerm()});
   autoscaler.emplace(holder_since, settings.strategies);
+  rollouts.emplace();
   lease_timer.start(kPollPeriod);
   LogLease("lease-taken");
 }
@@ -332,6 +353,7 @@
   coordinator.reset();
   usage_reporter.reset();
   autoscaler.reset();
+  rollouts.reset();
   env.log->Write("lease-lost", {{"holder", Text(lease.seen_holder())}});
 }
 
@@ -411,6 +433,7 @@
   // Whoever started since may have held a lease that is lost.
   impl_->lease.SetFirstStart(false);
   impl_->lease.ObserveEra(era, MonotonicNow());
+  if (impl_->rollouts) impl_->rollouts->OnStoreReturned();
   // A coordinator does not act again before it holds the lease in this era.
   if (impl_->coordinator) impl_->PollLease();
 }
--- a/libs/gateway/src/daemon_settings.cc
+++ b/libs/gateway/src/daemon_settings.cc
@@ -12,6 +12,7 @@
 
 constexpr double kMaxRetries = 1e6;
 constexpr double kMaxTokens = 1e12;
+constexpr double kMaxRequests = 1e9;
 constexpr double kMinCores = 0.01;
 constexpr double kMaxCores = 1'024;
 
@@ -51,6 +52,13 @@
   reader->Decimal("slack", &out->quota_slack, 0, kMaxTokens);
 }
 
+void ReadRollouts(TableReader* reader, GatewayDaemonSettings* out) {
+  auto& rollouts = out->rollouts;
+  reader->Decimal("expose_share", &rollouts.expose_share, 0, 1);
+  reader->Decimal("expose_slack", &rollouts.expose_slack, 0, kMaxRequests);
+  reader->Milliseconds("rollback_ms", &rollouts.rollback, 100);
+}
+
 void ReadStrategies(TableReader* reader, GatewayDaemonSettings* out) {
   auto& strategies = out->strategies;
   reader->Flag("prefix_homes", &strategies.prefix_homes);
@@ -60,6 +68,7 @@
   reader->Flag("move_runs", &strategies.move_runs);
   reader->Flag("engines_for_slots", &strategies.engines_for_slots);
   reader->Flag("reclaim_reserve", &strategies.reclaim_reserve);
+  reader->Flag("rollouts", &strategies.rollouts);
 }
 
 struct Section {
@@ -71,7 +80,7 @@
     {"listen", ReadListen},        {"vm", ReadVm},
     {"platform", ReadPlatform},    {"times", ReadTimes},
     {"retries", ReadRetries},      {"quotas", ReadQuotas},
-    {"strategies", ReadStrategies}};
+    {"rollouts", ReadRollouts},    {"strategies", ReadStrategies}};
 
 void ReadRegions(const toml::table* table, GatewayDaemonSettings* out) {
   if (table == nullptr) return;
@@ -93,6 +102,7 @@
   top.Text("availability_zone", &settings.availability_zone, true);
   top.MarkKnown("regions");
   ReadRegions(root["regions"].as_table(), &settings);
+  settings.rollouts.enabled = root["rollouts"].is_table();
   for (const auto& section : kSections) {
     top.MarkKnown(section.name);
     TableReader reader(root[section.name].as_table(),
--- a/libs/gateway/src/details/coordinator_service_impl.h
+++ b/libs/gateway/src/details/coordinator_service_impl.h
@@ -3,6 +3,8 @@
 
 #include <QByteArray>
 #include <QTimer>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,6 +18,7 @@
 #include "metrics/duration_histogram.h"
 #include "peer/peer_node.h"
 #include "placement/lease_elector.h"
+#include "rollout/rollout_coordinator.h"
 
 namespace firmoor {
 namespace details {
@@ -38,7 +41,8 @@
 
 /// State of the service. The lease and the reports are handled in
 /// coordinator_service.cc, the coordinator's calls to the cloud in
-/// coordinator_duties.cc, a hand-over of the lease in coordinator_hand_over.cc.
+/// coordinator_duties.cc, a hand-over of the lease in coordinator_hand_over.cc,
+/// roll-outs in coordinator_rollouts.cc.
 struct CoordinatorService::Impl {
   /// A report to the coordinator that was sent.
   struct SentReport {
@@ -66,6 +70,8 @@
   CoordinatorHandoverState previous_state;  ///< Of the last coordinator.
   std::optional<UsageReporter> usage_reporter;
   std::optional<Autoscaler> autoscaler;
+  std::optional<RolloutCoordinator> rollouts;
+  std::map<std::string, StoreVersion> rollout_versions;  ///< By service.
   TimePoint holder_since;
   std::int64_t used_number = 0;  ///< Fencing number that the coordinator uses.
   /// True time, as estimated when the term began, of that moment and of when
@@ -172,6 +178,14 @@
   [[nodiscard]] LeaseHolder HolderIdentity() const {
     return {settings.daemon, lease.fencing()};
   }
+  /// Moves roll-outs to their next stages, and logs it.
+  void AdvanceRollouts();
+  /// Does the same, and makes the calls to the store that are due.
+  void RunRollouts();
+  void ReadRollout(const RolloutCoordinator::StoreCall& call);
+  void WriteRollout(const RolloutCoordinator::StoreCall& call);
+  /// Whether the coordinator is still the one that made a call.
+  [[nodiscard]] std::function<bool()> IsSameTerm() const;
   void ReportUsage();
   void OrderUpstreams();
   void LogOrder(const UpstreamOrder& order, CloudStatus status) const;
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -107,6 +107,10 @@
   plan.call.to_engine = profile != nullptr && profile->engine.has_value();
   plan.call.last_event_id = last_event_id_;
   plan.call.copy = copy;
+  plan.route = admission_.route->name;
+  context_->rollouts.OnSend(
+      service_, upstream.software_version,
+      !origin_ && !std::exchange(counted_for_rollout_, true), now);
   tried_.Add(upstream.id);
   if (!copy) RecordStart();
   const auto attempt = std::make_shared<UpstreamAttempt>(context_, request_,
@@ -116,7 +120,10 @@
 }
 
 bool Exchange::MaySend(const UpstreamAttempt& attempt) {
-  return !finished_ && CanVerifyKey() && !(version_ && attempt.WasReplaced());
+  return !finished_ && CanVerifyKey() && !(version_ && attempt.WasReplaced()) &&
+         context_->rollouts.MaySend(service_,
+                                    attempt.upstream().software_version,
+                                    version_.has_value(), MonotonicNow());
 }
 
 void Exchange::OnByte(const UpstreamAttempt& attempt) {
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -314,6 +314,9 @@
   /// Better upstreams that were passed over for want of a permit, in the last
   /// choice.
   std::vector<UpstreamEntry> without_permit_;
+  /// Whether its attempt is to go to the target of the service's roll-out.
+  bool to_target_ = false;
+  bool counted_for_rollout_ = false;
   std::size_t probes_sent_ = 0;
   std::size_t probes_pending_ = 0;
   Duration expected_wait_{0};  ///< For an engine slot, when it was sent.
--- a/libs/gateway/src/details/exchange_choice.cc
+++ b/libs/gateway/src/details/exchange_choice.cc
@@ -30,6 +30,14 @@
   pick.output_tokens = request_.max_output_tokens;
   pick.exclude = tried_.excluded();
   pick.version = version_;
+  const auto& rollouts = context_->rollouts;
+  if (!rollouts.IsActive()) return pick;
+  const auto now = MonotonicNow();
+  if (!version_) {
+    pick.versions = rollouts.FilterFor(service_, to_target_, now);
+  } else if (!rollouts.MaySend(service_, *version_, true, now)) {
+    pick.versions.avoid = *version_;
+  }
   return pick;
 }
 
@@ -46,6 +54,8 @@
   const auto now = MonotonicNow();
   context_->SyncPicker(now);
   if (LeaveToPeer(now)) return;
+  to_target_ = context_->rollouts.ChoosesTarget(service_,
+                                                race_.attempts() == 0, now);
   // An attempt beside a silent one is late already.
   const auto engines =
       context_->settings.strategies.ask_engines && race_.in_flight() == 0
@@ -80,6 +90,10 @@
   without_permit_.clear();
   auto upstream =
       context_->picker.Pick(MakePickRequest(), now, &without_permit_);
+  if (!upstream && std::exchange(to_target_, false)) {
+    without_permit_.clear();
+    upstream = context_->picker.Pick(MakePickRequest(), now, &without_permit_);
+  }
   if (!upstream && race_.in_flight() == 0 && tried_.ReadmitOvertaken()) {
     without_permit_.clear();
     upstream = context_->picker.Pick(MakePickRequest(), now, &without_permit_);
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -49,6 +49,7 @@
                  [this] {
                    if (on_grant_needed) on_grant_needed();
                  }),
+      rollouts(settings.rollouts, settings.daemon),
       stream_versions(settings.daemon, environment.log, MonotonicNow(),
                       [this](TimePoint now) { return freshness.Age(now); }),
       links({environment.log, &catalog,
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -26,6 +26,7 @@
 #include "limits/rate_meter.h"
 #include "limits/retry_schedule.h"
 #include "limits/upstream_permits.h"
+#include "rollout/rollout_guard.h"
 #include "routing/upstream_picker.h"
 #include "serving/caller_flow.h"
 #include "serving/close_delimited_streams.h"
@@ -76,6 +77,7 @@
   UpstreamPermits permits;
   UpstreamPicker picker;
   RequestQuarantine quarantine;
+  RolloutGuard rollouts;
   StreamVersions stream_versions;
   LinkMonitor links;
   Delegations delegations;
--- a/libs/gateway/src/details/gateway_settings.cc
+++ b/libs/gateway/src/details/gateway_settings.cc
@@ -25,6 +25,8 @@
   gateway.quota_window = settings.quota_window;
   gateway.quota_slack = settings.quota_slack;
   gateway.usage_window_ms = settings.usage_window.count();
+  gateway.rollouts = settings.rollouts;
+  gateway.rollouts.enabled &= settings.strategies.rollouts;
   gateway.strategies = settings.strategies;
   return gateway;
 }
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -12,6 +12,12 @@
 constexpr Duration kProbeTimeout{300};
 // A busy one takes longer. The caller has all events that there may be.
 constexpr Duration kStreamProbeTimeout{1'000};
+// Scale of the paces by which software versions are compared; both versions are
+// measured by the same.
+constexpr double kUsualAnswerMs = 25;
+constexpr double kUsualPrefillTokensPerMs = 50;
+// Events after which the time between them is known well enough.
+constexpr std::size_t kEventsOfGap = 5;
 
 }  // namespace
 
@@ -83,6 +89,7 @@
       .Timeouts(plan_.timeouts)
       .EndIfSilent([this] {
         is_silent_ = true;
+        RecordFirstPart(MonotonicNow());
         owner_->OnSilent(*this);
         return false;
       })
@@ -191,6 +198,54 @@
     context_->permits.Return(plan_.upstream.id, plan_.upstream.born_ms);
   }
   context_->EndAttempt(plan_.upstream, &ticket_, outcome, rejected, now);
+  RecordForRollout(now);
+}
+
+void UpstreamAttempt::RecordFirstPart(TimePoint now) {
+  const bool is_known = first_part_at_ || !context_->rollouts.IsActive() ||
+                        is_mismatched_ || (head_ && !head_->IsSuccess());
+  if (is_known) return;
+  first_part_at_ = now;
+  const double expected =
+      kUsualAnswerMs + prefill_tokens_ / kUsualPrefillTokensPerMs;
+  context_->rollouts.OnPace(
+      plan_.upstream, plan_.route,
+      PaceBucket(static_cast<double>((now - sent_at_).count()), expected), now);
+}
+
+void UpstreamAttempt::RecordGap(TimePoint now) {
+  const auto events = relay_.events();
+  const bool is_due = !gap_recorded_ && first_part_at_ &&
+                      events >= kEventsOfGap && context_->rollouts.IsActive();
+  if (!is_due) return;
+  gap_recorded_ = true;
+  const double gap = static_cast<double>((now - *first_part_at_).count()) /
+                     static_cast<double>(events - 1);
+  context_->rollouts.OnPace(plan_.upstream, plan_.route + kGapSuffix,
+                            PaceBucket(gap, kUsualAnswerMs), now);
+}
+
+void UpstreamAttempt::RecordForRollout(TimePoint now) {
+  const bool is_known = context_->rollouts.IsActive() && end_ &&
+                        MayHaveBeenSent() && !is_mismatched_ && Counts();
+  if (!is_known) return;
+  const bool is_cut = *end_ == HttpCallEnd::kTruncated ||
+                      *end_ == HttpCallEnd::kNoResponse;
+  const bool is_answered = *end_ == HttpCallEnd::kComplete && head_ &&
+                           !head_->declared_not_run && !head_->wrong_upstream;
+  if (!is_cut && !is_answered) return;
+  const bool is_bad = is_cut || head_->IsFailure();
+  if (!context_->rollouts.OnEnd(plan_.upstream, plan_.route, is_bad, now)) {
+    return;
+  }
+  context_->environment.log->Write(
+      "rollout-local-stop",
+      {{"service", Text(plan_.upstream.service)},
+       {"target", Text(plan_.upstream.software_version)},
+       {"upstream", Text(plan_.upstream.id)},
+       {"request", Text(request_.id)}});
+  // The coordinator should hear of it.
+  if (context_->on_grant_needed) context_->on_grant_needed();
 }
 
 bool UpstreamAttempt::MayHaveBeenSent() const {
@@ -253,6 +308,7 @@
   }
   is_event_stream_ = !is_mismatched_ && plan_.is_stream && head_->IsSuccess();
   if (!is_event_stream_) call_->LimitBody(kMaxCollectedBodyBytes);
+  if (!plan_.is_stream) RecordFirstPart(MonotonicNow());
   is_silent_ = false;
   owner_->OnByte(*this);
 }
@@ -277,6 +333,8 @@
   }
   if (events.count > 0) {
     context_->picker.OnFirstEvent(&ticket_, last_byte_at_);
+    RecordFirstPart(last_byte_at_);
+    RecordGap(last_byte_at_);
   }
   owner_->OnEvents(*this, events);
 }
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -61,6 +61,7 @@
     UpstreamEntry upstream;
     PickRequest pick;
     UpstreamCall call;
+    std::string route;  ///< Its name.
     HttpCallTimeouts timeouts;
     bool is_stream = false;
     bool may_repeat = false;
@@ -168,6 +169,12 @@
   void RecordLinkEvidence(const AttemptEnd& end) const;
 
  private:
+  /// Records the time to the first part of the response, or between events,
+  /// once each, for the comparison of software versions.
+  void RecordFirstPart(TimePoint now);
+  void RecordGap(TimePoint now);
+  /// Records how the attempt ended, for the same.
+  void RecordForRollout(TimePoint now);
   void OnHead(int status, const HttpHeaders& headers);
   void OnBody(std::string_view bytes);
   /// Collects a response that is no event stream.
@@ -214,6 +221,8 @@
   bool is_event_stream_ = false;
   bool is_silent_ = false;
   bool is_paused_ = false;
+  std::optional<TimePoint> first_part_at_;
+  bool gap_recorded_ = false;
   /// Of the upstream, if the response has ended with its connection.
   UpstreamState state_at_end_ = UpstreamState::kUnknown;
   bool is_mismatched_ = false;  ///< The response is to another request.
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -78,6 +78,7 @@
   std::unique_ptr<KindRelay> relay;
   KindWatcher configuration;
   KindWatcher upstreams;
+  std::optional<KindWatcher> rollouts;  ///< If the settings ask for them.
   CoordinatorService coordinator;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> ready_server;
@@ -104,6 +105,13 @@
   CoordinatorService::Environment CoordinatorEnvironment();
   KindWatcher::Hooks ConfigurationHooks();
   KindWatcher::Hooks UpstreamHooks();
+  KindWatcher::Hooks RolloutHooks();
+  [[nodiscard]] bool ServesRollouts() const {
+    return settings.rollouts.enabled && settings.strategies.rollouts &&
+           ports.rollouts != nullptr;
+  }
+  [[nodiscard]] std::optional<RolloutOrder> DecodeRollout(
+      const KindObject& object) const;
   void LogDependency(const char* name, bool recovered) const;
   void ApplyConfiguration(const KindObject& object);
   void DecodeUpstream(const KindObject& object,
@@ -153,6 +161,10 @@
                                    PeerStream::Handlers handlers) {
     return coordinator.OpenPeerStream(peer, kind, message, std::move(handlers));
   });
+  if (ServesRollouts()) {
+    rollouts.emplace(relay.get(), ports.rollout_kind, kPollTimeout, Duration(0),
+                     RolloutHooks());
+  }
   BuildServers();
   BuildTree();
   ports.store_era->AddHandler([this](std::int64_t from, std::int64_t to) {
@@ -163,6 +175,7 @@
     gateway.RecordStoreReturn();
     configuration.OnStoreEra(to);
     upstreams.OnStoreEra(to);
+    if (rollouts) rollouts->OnStoreEra(to);
   });
   QObject::connect(&confirmation_timer, &QTimer::timeout, &confirmation_timer,
                    [this] { RenewConfirmation(); });
@@ -174,11 +187,12 @@
 }
 
 std::unique_ptr<KindRelay> GatewayDaemon::Impl::BuildRelay() {
-  return KindRelay::Builder(ports.kinds)
-      .Kind({ports.configuration_kind, std::nullopt})
-      .Kind({ports.upstream_kind,
-             settings.upstream_drain_time / kMaxStalenessDivisor})
-      .Peers([this](const Endpoint& peer, const QByteArray& request,
+  const auto staleness = settings.upstream_drain_time / kMaxStalenessDivisor;
+  KindRelay::Builder builder(ports.kinds);
+  builder.Kind({ports.configuration_kind, std::nullopt})
+      .Kind({ports.upstream_kind, staleness});
+  if (ServesRollouts()) builder.Kind({ports.rollout_kind, staleness});
+  return builder.Peers([this](const Endpoint& peer, const QByteArray& request,
                     Duration timeout, PeerNode::Done done) {
         coordinator.CallRelay(peer, request, timeout, std::move(done));
       })
@@ -193,6 +207,7 @@
   environment.store = ports.objects;
   environment.store_era = ports.store_era;
   environment.cloud = ports.cloud;
+  if (ServesRollouts()) environment.rollouts = ports.rollouts;
   environment.true_time = &true_time;
   environment.log = log;
   environment.check_configuration = [this] {
@@ -302,6 +317,46 @@
   out->push_back(std::move(std::get<UpstreamEntry>(decoded)));
 }
 
+KindWatcher::Hooks GatewayDaemon::Impl::RolloutHooks() {
+  KindWatcher::Hooks hooks;
+  hooks.on_list = [this](const std::vector<KindObject>& objects, TimePoint) {
+    std::vector<RolloutOrder> orders;
+    for (const auto& object : objects) {
+      if (auto order = DecodeRollout(object)) {
+        orders.push_back(*std::move(order));
+      }
+    }
+    gateway.SetRolloutOrders(orders);
+  };
+  hooks.on_changes = [this](const std::vector<KindChange>& changes,
+                            std::optional<TimePoint>) {
+    for (const auto& change : changes) {
+      const auto order =
+          change.removed ? std::nullopt : DecodeRollout(change.object);
+      if (order) {
+        gateway.ApplyRolloutOrder(*order);
+      } else {
+        gateway.RemoveRolloutOrder(change.object.name);
+      }
+    }
+  };
+  hooks.on_outage = [] {};
+  hooks.on_recovered = [this] { LogDependency("rollouts", true); };
+  return hooks;
+}
+
+std::optional<RolloutOrder> GatewayDaemon::Impl::DecodeRollout(
+    const KindObject& object) const {
+  auto decoded = Capture(
+      [&] { return ports.decode_rollout(object.name, object.content); });
+  if (const auto* error = std::get_if<Error>(&decoded)) {
+    log->Write("rollout-order-bad", {{"name", Text(object.name)},
+                                     {"reason", Text(error->message)}});
+    return std::nullopt;
+  }
+  return std::get<RolloutOrder>(decoded);
+}
+
 void GatewayDaemon::Impl::BuildServers() {
   caller_server =
       HttpServer::Builder()
@@ -338,10 +393,11 @@
 void GatewayDaemon::Impl::BuildTree() {
   using details::FollowerPart;
   using details::ServerPart;
-  root = Supervisor::Builder("gateway")
-             .Part(FollowerPart("configuration", &configuration))
-             .Part(FollowerPart("upstreams", &upstreams))
-             .Part({"proofs",
+  Supervisor::Builder builder("gateway");
+  builder.Part(FollowerPart("configuration", &configuration))
+      .Part(FollowerPart("upstreams", &upstreams));
+  if (rollouts) builder.Part(FollowerPart("rollouts", &*rollouts));
+  root = builder.Part({"proofs",
                     [this] {
                       confirmation_timer.start(kConfirmationCheckInterval);
                       return true;
@@ -405,7 +461,7 @@
   const auto* routes = gateway.routes();
   return metrics.PrometheusText() + loop_monitor.PrometheusText() +
          gateway.UpstreamLimitMetrics() + gateway.QuarantineMetrics() +
-         gateway.StreamMetrics() + gateway.LinkMetrics() +
+         gateway.RolloutMetrics() + gateway.StreamMetrics() + gateway.LinkMetrics() +
          coordinator.MetricsText() +
          details::ConnectionCutMetrics(*caller_server) +
          fmt::format(
--- /dev/null
+++ b/libs/rollout/include/rollout/rollout_guard.h
@@ -0,0 +1,133 @@
+#ifndef FIRMOOR_ROLLOUT_ROLLOUT_GUARD_H_
+#define FIRMOOR_ROLLOUT_ROLLOUT_GUARD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "rollout/rollout_messages.h"
+#include "rollout/version_comparison.h"
+#include "routing/upstream_catalog.h"
+#include "routing/version_filter.h"
+
+namespace firmoor {
+
+/// Limits of what a version that may be bad gets, over all daemons.
+struct RolloutSettings {
+  bool enabled = false;
+  /// Share of a service's requests from the order to its deadline.
+  double expose_share = 0.1;
+  double expose_slack = 0;  ///< Requests beyond the share.
+  /// Time within which a bad version gets no more requests.
+  Duration rollback{5'000};
+
+  bool operator==(const RolloutSettings&) const = default;
+};
+
+/// A daemon's part in roll-outs: decides which requests may go to the target
+/// version, and collects what became of them.
+///
+/// Each daemon keeps its own requests to the target within the allowed share of
+/// its own requests, so the sum over all daemons is within the share of all
+/// requests whatever messages are lost. It stops by its own evidence, and when
+/// it has not heard the coordinator for a while. Performs no I/O.
+class RolloutGuard {
+ public:
+  /// `daemon`: name of this daemon.
+  RolloutGuard(RolloutSettings settings, std::string daemon)
+      : settings_(settings), daemon_(std::move(daemon)) {}
+
+  /// Replaces all orders. Those that have not changed keep their counts.
+  void SetOrders(const std::vector<RolloutOrder>& orders, TimePoint now);
+  [[nodiscard]] std::vector<RolloutOrder> orders() const;
+  void ApplyOrder(const RolloutOrder& order, TimePoint now);
+  void RemoveOrder(const std::string& service) { states_.erase(service); }
+  void SetUpstreams(const std::map<std::string, UpstreamEntry>& entries);
+  [[nodiscard]] bool IsActive() const { return !states_.empty(); }
+
+  /// Whether the next attempt at `service` is to go to the target. `is_first`:
+  /// of its request; the others leave a target that may be bad.
+  [[nodiscard]] bool ChoosesTarget(const std::string& service, bool is_first,
+                                   TimePoint now) const;
+  /// Upstreams for a request; `to_target`: it was chosen to go to the target.
+  [[nodiscard]] VersionFilter FilterFor(const std::string& service,
+                                        bool to_target, TimePoint now) const;
+  /// Whether a request to `version` may be sent now. `is_bound`: it goes on
+  /// with a stream of that version.
+  [[nodiscard]] bool MaySend(const std::string& service,
+                             const std::string& version, bool is_bound,
+                             TimePoint now) const;
+
+  /// Records an attempt. `is_first`: of its request, at this daemon.
+  void OnSend(const std::string& service, const std::string& version,
+              bool is_first, TimePoint now);
+  /// Records that the first part of a response took `bucket`, or the time
+  /// between its events if `route` ends with `kGapSuffix`.
+  void OnPace(const UpstreamEntry& upstream, const std::string& route,
+              std::size_t bucket, TimePoint now);
+  /// Records a response that has ended. Returns whether the daemon stops
+  /// sending requests to the target because of it.
+  bool OnEnd(const UpstreamEntry& upstream, const std::string& route, bool bad,
+             TimePoint now);
+
+  /// `in_flight` returns this daemon's requests at an upstream.
+  [[nodiscard]] RolloutReports Report(
+      const std::function<std::int64_t(const std::string&)>& in_flight,
+      TimePoint now) const;
+  /// Applies the coordinator's reply. Returns the services whose stage changed.
+  std::vector<std::string> Apply(const RolloutReplies& replies, TimePoint now);
+
+  [[nodiscard]] std::string MetricsText() const;
+
+ private:
+  struct State {
+    RolloutOrder order;
+    TimePoint known_since;
+    RolloutStage stage = RolloutStage::kWaiting;
+    /// Of the coordinator's last word.
+    std::optional<TimePoint> heard_at;
+    std::optional<TimePoint> stopped_at;
+    std::int64_t requests = 0;
+    std::int64_t sent = 0;
+    std::int64_t since_target = 0;  ///< Requests since the last to the target.
+    EvidenceByRoute evidence;
+    std::map<std::string, UpstreamCounts> target_counts;  ///< By id.
+    std::map<std::string, TimePoint> first_used;          ///< Targets, by id.
+    VersionComparison comparison{kLocalFalseAlarm};
+    std::vector<std::string> targets;  ///< Ids, canaries first.
+    std::set<std::string> baseline;    ///< Ids.
+    bool has_seen_baseline = false;
+  };
+
+  /// A daemon stops by itself rather too early: the coordinator lets it go on.
+  static constexpr double kLocalFalseAlarm = 0.01;
+
+  /// Null if the service has no order, or nothing but the target.
+  [[nodiscard]] const State* Find(const std::string& service) const;
+  /// Null if the upstream's service has no order.
+  State* Find(const std::string& service);
+  /// Whether the target gets requests from here at all.
+  [[nodiscard]] bool IsOpen(const State& state, TimePoint now) const;
+  [[nodiscard]] bool HasAllowance(const State& state) const;
+  void UpdateUpstreams(State* state) const;
+  [[nodiscard]] std::set<std::string> CanariesOf(const State& state,
+                                                 TimePoint now) const;
+  /// Only the target is left, and it is known to be sound or nothing is known.
+  [[nodiscard]] static bool IsLeftToTarget(const State& state);
+
+  RolloutSettings settings_;
+  std::string daemon_;
+  std::int64_t local_stops_ = 0;
+  std::map<std::string, State> states_;  ///< By service.
+  std::map<std::string, UpstreamEntry> upstreams_;
+};
+
+}  // namespace firmoor
+
+#endif  // FIRMOOR_ROLLOUT_ROLLOUT_GUARD_H_
--- a/libs/routing/include/routing/upstream_picker.h
+++ b/libs/routing/include/routing/upstream_picker.h
@@ -16,6 +16,7 @@
 #include "routing/engine_loads.h"
 #include "routing/route_table.h"
 #include "routing/upstream_catalog.h"
+#include "routing/version_filter.h"
 
 namespace firmoor {
 
@@ -34,6 +35,7 @@
   double prompt_tokens = 0;
   double output_tokens = 0;       ///< Upper limit.
   std::set<std::string> exclude;  ///< Upstreams already tried.
+  VersionFilter versions;         ///< While versions change.
   /// Software version that wrote the stream so far; others cannot resume it.
   /// Streams that go on may exceed the slots, which new requests have taken.
   std::optional<std::string> version;
--- a/libs/routing/src/upstream_picker.cc
+++ b/libs/routing/src/upstream_picker.cc
@@ -156,6 +156,7 @@
         !request.exclude.contains(id) && !PausedUntil(upstream.entry, now) &&
         (!request.version ||
          *request.version == upstream.entry.software_version) &&
+        request.versions.Passes(id, upstream.entry.software_version) &&
         (request.version || HasCapacity(upstream));
     if (!is_eligible) continue;
     (now < upstream.ejected_until ? ejected : healthy).push_back(&upstream);
