--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -31,7 +31,7 @@
   const auto now = MonotonicNow();
   context.SyncPicker(now);
   context.links.OnCatalog();
-  context.rollouts.SetUpstreams(context.catalog.all());
+  context.rollouts.SetUpstreams(context.catalog.all(), now);
   context.stream_versions.OnCatalog(context.catalog, now);
 }
 
--- a/libs/rollout/include/rollout/rollout_coordinator.h
+++ b/libs/rollout/include/rollout/rollout_coordinator.h
@@ -94,6 +94,10 @@
     VersionComparison comparison{kFalseAlarm};
     std::map<std::string, Instance> instances;
     std::optional<TimePoint> fault_since;
+    /// Responses of the target in this term, and in its last seconds.
+    double observed = 0;
+    double recent = 0;
+    TimePoint recent_at;
     std::optional<StoredRollout> stored;
     bool is_calling = false;
     TimePoint next_call;
@@ -104,10 +108,12 @@
 
   static void AddEvidence(Rollout* rollout, const RolloutReport& before,
                           const RolloutReport& report, TimePoint now);
+  static void Observe(Rollout* rollout, const RolloutReport& before,
+                      const RolloutReport& report, TimePoint now);
   [[nodiscard]] static std::map<std::string, UpstreamCounts> SumsOfTargets(
       const Rollout& rollout);
-  /// Responses of the target.
-  [[nodiscard]] static std::int64_t EndedOf(const Rollout& rollout);
+  /// Whether enough was seen of the target lately, in this term.
+  [[nodiscard]] static bool IsObserved(const Rollout& rollout, TimePoint now);
   /// Whether the fault is that of one upstream: others of the target are sound.
   [[nodiscard]] static bool IsOneUpstream(
       const std::map<std::string, UpstreamCounts>& sums, VersionFault fault);
--- a/libs/rollout/include/rollout/rollout_guard.h
+++ b/libs/rollout/include/rollout/rollout_guard.h
@@ -48,7 +48,8 @@
   [[nodiscard]] std::vector<RolloutOrder> orders() const;
   void ApplyOrder(const RolloutOrder& order, TimePoint now);
   void RemoveOrder(const std::string& service) { states_.erase(service); }
-  void SetUpstreams(const std::map<std::string, UpstreamEntry>& entries);
+  void SetUpstreams(const std::map<std::string, UpstreamEntry>& entries,
+                    TimePoint now);
   [[nodiscard]] bool IsActive() const { return !states_.empty(); }
 
   /// Whether the next attempt at `service` is to go to the target. `is_first`:
@@ -98,7 +99,7 @@
     std::int64_t since_target = 0;  ///< Requests since the last to the target.
     EvidenceByRoute evidence;
     std::map<std::string, UpstreamCounts> target_counts;  ///< By id.
-    std::map<std::string, TimePoint> first_used;          ///< Targets, by id.
+    std::map<std::string, TimePoint> listed_since;        ///< Targets, by id.
     VersionComparison comparison{kLocalFalseAlarm};
     std::vector<std::string> targets;  ///< Ids, canaries first.
     std::set<std::string> baseline;    ///< Ids.
@@ -115,7 +116,7 @@
   /// Whether the target gets requests from here at all.
   [[nodiscard]] bool IsOpen(const State& state, TimePoint now) const;
   [[nodiscard]] bool HasAllowance(const State& state) const;
-  void UpdateUpstreams(State* state) const;
+  void UpdateUpstreams(State* state, TimePoint now) const;
   [[nodiscard]] std::set<std::string> CanariesOf(const State& state,
                                                  TimePoint now) const;
   /// Only the target is left, and it is known to be sound or nothing is known.
--- a/libs/rollout/src/rollout_coordinator.cc
+++ b/libs/rollout/src/rollout_coordinator.cc
@@ -1,6 +1,7 @@
 #include "rollout/rollout_coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace firmoor {
@@ -15,8 +16,11 @@
 // Before the deadline: a few streams that still run are given up then.
 constexpr Duration kLastMoment{600};
 constexpr std::int64_t kMaxLeftBehind = 5;
-// Responses of the target without which nothing is known of it.
-constexpr std::int64_t kMinEnded = 20;
+// Responses of the target without which nothing is known of it: in all, and
+// lately, since a version may turn bad.
+constexpr double kMinObserved = 20;
+constexpr double kMinRecent = 10;
+constexpr Duration kRecentTime{2'500};
 // Daemons that have not reported for longer may have exited.
 constexpr Duration kReportingWithin{2'500};
 constexpr Duration kCallRetryDelay{250};
@@ -42,6 +46,10 @@
   return added;
 }
 
+double Decay(Duration age) {
+  return std::exp(-SecondsOf(age) / SecondsOf(kRecentTime));
+}
+
 bool IsTerminal(RolloutStage stage) {
   return stage == RolloutStage::kComplete || stage == RolloutStage::kReverted;
 }
@@ -104,10 +112,13 @@
                          report->second.target == rollout.order.target &&
                          report->second.over == rollout.order.over;
     if (!is_same) continue;
+    const bool is_known = rollout.instances.contains(instance);
     auto& known = rollout.instances[instance];
     // An early report and a regular one may arrive in the other order.
     if (report->second.age < known.report.age) continue;
     AddEvidence(&rollout, known.report, report->second, now);
+    // The first report of an instance tells of the time before this term.
+    if (is_known) Observe(&rollout, known.report, report->second, now);
     known = {report->second, now};
     rollout.started_at =
         std::min(rollout.started_at, now - report->second.age);
@@ -128,6 +139,22 @@
   }
 }
 
+void RolloutCoordinator::Observe(Rollout* rollout, const RolloutReport& before,
+                                 const RolloutReport& report, TimePoint now) {
+  const auto ended = [](const RolloutReport& of) {
+    double sum = 0;
+    for (const auto& [id, counts] : of.targets) {
+      sum += static_cast<double>(counts.ended);
+    }
+    return sum;
+  };
+  const double added = std::max(0.0, ended(report) - ended(before));
+  rollout->observed += added;
+  rollout->recent =
+      rollout->recent * Decay(now - rollout->recent_at) + added;
+  rollout->recent_at = now;
+}
+
 std::map<std::string, UpstreamCounts> RolloutCoordinator::SumsOfTargets(
     const Rollout& rollout) {
   std::map<std::string, UpstreamCounts> sums;
@@ -216,12 +243,10 @@
          (now >= deadline - kLastMoment && left <= kMaxLeftBehind);
 }
 
-std::int64_t RolloutCoordinator::EndedOf(const Rollout& rollout) {
-  std::int64_t ended = 0;
-  for (const auto& [instance, known] : rollout.instances) {
-    for (const auto& [id, counts] : known.report.targets) ended += counts.ended;
-  }
-  return ended;
+bool RolloutCoordinator::IsObserved(const Rollout& rollout, TimePoint now) {
+  const double kept = Decay(now - rollout.recent_at);
+  return rollout.observed >= kMinObserved &&
+         rollout.recent * kept >= kMinRecent;
 }
 
 std::optional<RolloutCoordinator::Step> RolloutCoordinator::NextStep(
@@ -241,7 +266,7 @@
       if (rollout->stored) return Step{RolloutStage::kCanary, "ordered"};
       break;
     case RolloutStage::kCanary:
-      if (now >= deadline - move_time && EndedOf(*rollout) >= kMinEnded) {
+      if (now >= deadline - move_time && IsObserved(*rollout, now)) {
         return Step{RolloutStage::kHalf, "sound"};
       }
       break;
--- a/libs/rollout/src/rollout_guard.cc
+++ b/libs/rollout/src/rollout_guard.cc
@@ -52,24 +52,25 @@
   State state;
   state.order = order;
   state.known_since = now;
-  UpdateUpstreams(&state);
+  UpdateUpstreams(&state, now);
   states_.insert_or_assign(order.service, std::move(state));
 }
 
 void RolloutGuard::SetUpstreams(
-    const std::map<std::string, UpstreamEntry>& entries) {
+    const std::map<std::string, UpstreamEntry>& entries, TimePoint now) {
   if (!settings_.enabled) return;
   upstreams_ = entries;
-  for (auto& [service, state] : states_) UpdateUpstreams(&state);
+  for (auto& [service, state] : states_) UpdateUpstreams(&state, now);
 }
 
-void RolloutGuard::UpdateUpstreams(State* state) const {
+void RolloutGuard::UpdateUpstreams(State* state, TimePoint now) const {
   state->targets.clear();
   state->baseline.clear();
   for (const auto& [id, entry] : upstreams_) {
     if (entry.service != state->order.service || entry.leaving) continue;
     if (entry.software_version == state->order.target) {
       state->targets.push_back(id);
+      state->listed_since.emplace(id, now);
     } else {
       state->baseline.insert(id);
     }
@@ -230,8 +231,10 @@
     ++arms.baseline.pace.at(bucket);
     ++added.baseline.pace.at(bucket);
   } else {
-    const auto used = state->first_used.emplace(upstream.id, now).first;
-    if (now - used->second < kWarmUp) return;
+    const auto listed = state->listed_since.find(upstream.id);
+    const bool is_warm = listed != state->listed_since.end() &&
+                         now - listed->second >= kWarmUp;
+    if (!is_warm) return;
     auto& counts = state->target_counts[upstream.id];
     ++counts.timed;
     counts.pace_sum += static_cast<std::int64_t>(bucket);
--- a/libs/rollout/src/version_comparison.cc
+++ b/libs/rollout/src/version_comparison.cc
@@ -15,6 +15,7 @@
 constexpr double kSoundFailures = 0.03;
 constexpr double kBaselineFactor = 2;
 constexpr double kMinDifference = 0.2;
+constexpr double kPriorFailures = 0.5;
 constexpr double kMaxSoundFailures = 0.7;
 // A response is slow that takes about three times the baseline's median.
 constexpr std::size_t kSlowBuckets = 3;
@@ -110,7 +111,9 @@
 }
 
 void VersionComparison::AddTarget(Test* test, const ArmCounts& ended) {
-  const double failing = test->ended > 0 ? test->bad / test->ended : 0;
+  // Few requests to the baseline do not show that it hardly fails.
+  const double failing =
+      (test->bad + kPriorFailures) / (test->ended + 2 * kPriorFailures);
   const double sound = std::min(kMaxSoundFailures,
                                 kSoundFailures + kBaselineFactor * failing);
   test->fails = std::max(
