--- a/libs/gateway/include/gateway/coordinator_service.h
+++ b/libs/gateway/include/gateway/coordinator_service.h
@@ -52,7 +52,6 @@
     ObjectStore* store = nullptr;
     StoreEra* store_era = nullptr;
     CloudApi* cloud = nullptr;
-    RolloutStatusStore* rollouts = nullptr;  ///< Null if none are served.
     TrueTime* true_time = nullptr;
     EventLog* log = nullptr;
     /// Called when the coordinator has another configuration version.
@@ -62,6 +61,7 @@
     std::function<void(const std::vector<Endpoint>&)> set_sources;
     /// Serves another daemon's request for the store's content.
     std::function<void(const QByteArray&, const PeerNode::Reply&)> serve_relay;
+    RolloutStatusStore* rollouts = nullptr;  ///< Null if none are served.
   };
 
   CoordinatorService(Settings settings, Environment environment);
