--- a/libs/gateway/src/coordinator_rollouts.cc
+++ b/libs/gateway/src/coordinator_rollouts.cc
@@ -9,19 +9,18 @@
 void CoordinatorService::Impl::AdvanceRollouts() {
   const auto now = MonotonicNow();
   for (const auto& change : rollouts->Advance(now)) {
-    env.log->Write(
-        "rollout-stage",
-        {{"service", Text(change.service)},
-         {"target", Text(change.target)},
-         {"from", Text(NameOf(change.from))},
-         {"to", Text(NameOf(change.to))},
-         {"reason", Text(change.reason)},
-         {"route", Text(change.route)},
-         {"requests", static_cast<qint64>(change.requests)},
-         {"sent", static_cast<qint64>(change.sent)},
-         {"ended", static_cast<qint64>(change.ended)},
-         {"bad", static_cast<qint64>(change.bad)},
-         {"fencing", static_cast<qint64>(lease.fencing())}});
+    env.log->Write("rollout-stage",
+                   {{"service", Text(change.service)},
+                    {"target", Text(change.target)},
+                    {"from", Text(NameOf(change.from))},
+                    {"to", Text(NameOf(change.to))},
+                    {"reason", Text(change.reason)},
+                    {"route", Text(change.route)},
+                    {"requests", static_cast<qint64>(change.requests)},
+                    {"sent", static_cast<qint64>(change.sent)},
+                    {"ended", static_cast<qint64>(change.ended)},
+                    {"bad", static_cast<qint64>(change.bad)},
+                    {"fencing", static_cast<qint64>(lease.fencing())}});
   }
 }
 
@@ -54,11 +53,10 @@
                         const StoredRollout& stored) {
         if (!is_same_term()) return;
         rollout_versions[call.service] = version;
-        rollouts->OnRead(call.service,
-                         status == StoreStatus::kOk
-                             ? std::optional(stored)
-                             : std::nullopt,
-                         MonotonicNow());
+        rollouts->OnRead(
+            call.service,
+            status == StoreStatus::kOk ? std::optional(stored) : std::nullopt,
+            MonotonicNow());
       });
 }
 
--- a/libs/gateway/src/daemon_settings.cc
+++ b/libs/gateway/src/daemon_settings.cc
@@ -77,10 +77,10 @@
 };
 
 constexpr Section kSections[] = {
-    {"listen", ReadListen},        {"vm", ReadVm},
-    {"platform", ReadPlatform},    {"times", ReadTimes},
-    {"retries", ReadRetries},      {"quotas", ReadQuotas},
-    {"rollouts", ReadRollouts},    {"strategies", ReadStrategies}};
+    {"listen", ReadListen},     {"vm", ReadVm},
+    {"platform", ReadPlatform}, {"times", ReadTimes},
+    {"retries", ReadRetries},   {"quotas", ReadQuotas},
+    {"rollouts", ReadRollouts}, {"strategies", ReadStrategies}};
 
 void ReadRegions(const toml::table* table, GatewayDaemonSettings* out) {
   if (table == nullptr) return;
--- a/libs/gateway/src/details/exchange_choice.cc
+++ b/libs/gateway/src/details/exchange_choice.cc
@@ -54,8 +54,8 @@
   const auto now = MonotonicNow();
   context_->SyncPicker(now);
   if (LeaveToPeer(now)) return;
-  to_target_ = context_->rollouts.ChoosesTarget(service_,
-                                                race_.attempts() == 0, now);
+  to_target_ =
+      context_->rollouts.ChoosesTarget(service_, race_.attempts() == 0, now);
   // An attempt beside a silent one is late already.
   const auto engines =
       context_->settings.strategies.ask_engines && race_.in_flight() == 0
--- a/libs/gateway/src/details/rollout_encoding.cc
+++ b/libs/gateway/src/details/rollout_encoding.cc
@@ -57,10 +57,10 @@
   }
   QCborMap targets;
   for (const auto& [id, counts] : report.targets) {
-    targets[Text(id)] = QCborArray{
-        static_cast<qint64>(counts.ended), static_cast<qint64>(counts.bad),
-        static_cast<qint64>(counts.timed),
-        static_cast<qint64>(counts.pace_sum)};
+    targets[Text(id)] = QCborArray{static_cast<qint64>(counts.ended),
+                                   static_cast<qint64>(counts.bad),
+                                   static_cast<qint64>(counts.timed),
+                                   static_cast<qint64>(counts.pace_sum)};
   }
   return {{"target", Text(report.target)},
           {"age_ms", static_cast<qint64>(report.age.count())},
@@ -80,8 +80,8 @@
   const auto over = map[QLatin1String("over_ms")].toInteger(-1);
   const auto evidence = map[QLatin1String("evidence")].toMap();
   const auto targets = map[QLatin1String("targets")].toMap();
-  const bool is_valid = stage && age >= 0 && over >= 0 &&
-                        evidence.size() <= kMaxEntries;
+  const bool is_valid =
+      stage && age >= 0 && over >= 0 && evidence.size() <= kMaxEntries;
   if (!is_valid) return std::nullopt;
   RolloutReport report;
   report.target = map[QLatin1String("target")].toString().toStdString();
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -229,8 +229,8 @@
   const bool is_known = context_->rollouts.IsActive() && end_ &&
                         MayHaveBeenSent() && !is_mismatched_ && Counts();
   if (!is_known) return;
-  const bool is_cut = *end_ == HttpCallEnd::kTruncated ||
-                      *end_ == HttpCallEnd::kNoResponse;
+  const bool is_cut =
+      *end_ == HttpCallEnd::kTruncated || *end_ == HttpCallEnd::kNoResponse;
   const bool is_answered = *end_ == HttpCallEnd::kComplete && head_ &&
                            !head_->declared_not_run && !head_->wrong_upstream;
   if (!is_cut && !is_answered) return;
@@ -239,11 +239,10 @@
     return;
   }
   context_->environment.log->Write(
-      "rollout-local-stop",
-      {{"service", Text(plan_.upstream.service)},
-       {"target", Text(plan_.upstream.software_version)},
-       {"upstream", Text(plan_.upstream.id)},
-       {"request", Text(request_.id)}});
+      "rollout-local-stop", {{"service", Text(plan_.upstream.service)},
+                             {"target", Text(plan_.upstream.software_version)},
+                             {"upstream", Text(plan_.upstream.id)},
+                             {"request", Text(request_.id)}});
   // The coordinator should hear of it.
   if (context_->on_grant_needed) context_->on_grant_needed();
 }
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -31,7 +31,9 @@
   const auto now = MonotonicNow();
   context.SyncPicker(now);
   context.links.OnCatalog();
-  context.rollouts.SetUpstreams(context.catalog.all(), now);
+  if (context.rollouts.IsActive()) {
+    context.rollouts.SetUpstreams(context.catalog.all(), now);
+  }
   context.stream_versions.OnCatalog(context.catalog, now);
 }
 
@@ -261,7 +263,7 @@
   auto& context = impl_->context;
   const auto before = context.rollouts.orders();
   if (std::find(before.begin(), before.end(), order) != before.end()) return;
-  context.rollouts.ApplyOrder(order, MonotonicNow());
+  context.rollouts.ApplyOrder(order, context.catalog.all(), MonotonicNow());
   context.environment.log->Write(
       "rollout-order", {{"service", Text(order.service)},
                         {"target", Text(order.target)},
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -192,7 +192,8 @@
   builder.Kind({ports.configuration_kind, std::nullopt})
       .Kind({ports.upstream_kind, staleness});
   if (ServesRollouts()) builder.Kind({ports.rollout_kind, staleness});
-  return builder.Peers([this](const Endpoint& peer, const QByteArray& request,
+  return builder
+      .Peers([this](const Endpoint& peer, const QByteArray& request,
                     Duration timeout, PeerNode::Done done) {
         coordinator.CallRelay(peer, request, timeout, std::move(done));
       })
@@ -350,8 +351,8 @@
   auto decoded = Capture(
       [&] { return ports.decode_rollout(object.name, object.content); });
   if (const auto* error = std::get_if<Error>(&decoded)) {
-    log->Write("rollout-order-bad", {{"name", Text(object.name)},
-                                     {"reason", Text(error->message)}});
+    log->Write("rollout-order-bad",
+               {{"name", Text(object.name)}, {"reason", Text(error->message)}});
     return std::nullopt;
   }
   return std::get<RolloutOrder>(decoded);
@@ -397,7 +398,8 @@
   builder.Part(FollowerPart("configuration", &configuration))
       .Part(FollowerPart("upstreams", &upstreams));
   if (rollouts) builder.Part(FollowerPart("rollouts", &*rollouts));
-  root = builder.Part({"proofs",
+  root = builder
+             .Part({"proofs",
                     [this] {
                       confirmation_timer.start(kConfirmationCheckInterval);
                       return true;
@@ -461,8 +463,8 @@
   const auto* routes = gateway.routes();
   return metrics.PrometheusText() + loop_monitor.PrometheusText() +
          gateway.UpstreamLimitMetrics() + gateway.QuarantineMetrics() +
-         gateway.RolloutMetrics() + gateway.StreamMetrics() + gateway.LinkMetrics() +
-         coordinator.MetricsText() +
+         gateway.RolloutMetrics() + gateway.StreamMetrics() +
+         gateway.LinkMetrics() + coordinator.MetricsText() +
          details::ConnectionCutMetrics(*caller_server) +
          fmt::format(
              "firmoor_config_version {}\nfirmoor_config_age_ms {}\n"
--- a/libs/rollout/include/rollout/rollout_guard.h
+++ b/libs/rollout/include/rollout/rollout_guard.h
@@ -43,10 +43,11 @@
   RolloutGuard(RolloutSettings settings, std::string daemon)
       : settings_(settings), daemon_(std::move(daemon)) {}
 
-  /// Replaces all orders. Those that have not changed keep their counts.
-  void SetOrders(const std::vector<RolloutOrder>& orders, TimePoint now);
   [[nodiscard]] std::vector<RolloutOrder> orders() const;
-  void ApplyOrder(const RolloutOrder& order, TimePoint now);
+  /// An order that has not changed keeps its counts. `upstreams`: all of them.
+  void ApplyOrder(const RolloutOrder& order,
+                  const std::map<std::string, UpstreamEntry>& upstreams,
+                  TimePoint now);
   void RemoveOrder(const std::string& service) { states_.erase(service); }
   void SetUpstreams(const std::map<std::string, UpstreamEntry>& entries,
                     TimePoint now);
@@ -111,12 +112,16 @@
 
   /// Null if the service has no order, or nothing but the target.
   [[nodiscard]] const State* Find(const std::string& service) const;
-  /// Null if the upstream's service has no order.
-  State* Find(const std::string& service);
+  /// Null if the service has no order that is in progress.
+  State* FindRunning(const std::string& service);
   /// Whether the target gets requests from here at all.
   [[nodiscard]] bool IsOpen(const State& state, TimePoint now) const;
   [[nodiscard]] bool HasAllowance(const State& state) const;
-  void UpdateUpstreams(State* state, TimePoint now) const;
+  static void UpdateUpstreams(
+      State* state, const std::map<std::string, UpstreamEntry>& entries,
+      TimePoint now);
+  /// Counts of a target upstream; of all the others beyond a bound together.
+  static UpstreamCounts& CountsOf(State* state, const std::string& upstream);
   [[nodiscard]] std::set<std::string> CanariesOf(const State& state,
                                                  TimePoint now) const;
   /// Only the target is left, and it is known to be sound or nothing is known.
@@ -126,7 +131,6 @@
   std::string daemon_;
   std::int64_t local_stops_ = 0;
   std::map<std::string, State> states_;  ///< By service.
-  std::map<std::string, UpstreamEntry> upstreams_;
 };
 
 }  // namespace firmoor
--- a/libs/rollout/src/rollout_coordinator.cc
+++ b/libs/rollout/src/rollout_coordinator.cc
@@ -92,11 +92,10 @@
 }
 
 bool RolloutCoordinator::HasFault() const {
-  return std::any_of(
-      rollouts_.begin(), rollouts_.end(), [](const auto& entry) {
-        return entry.second.comparison.fault() != VersionFault::kNone &&
-               !IsTerminal(entry.second.stage);
-      });
+  return std::any_of(rollouts_.begin(), rollouts_.end(), [](const auto& entry) {
+    return entry.second.comparison.fault() != VersionFault::kNone &&
+           !IsTerminal(entry.second.stage);
+  });
 }
 
 void RolloutCoordinator::OnReport(const std::string& instance,
@@ -120,8 +119,7 @@
     // The first report of an instance tells of the time before this term.
     if (is_known) Observe(&rollout, known.report, report->second, now);
     known = {report->second, now};
-    rollout.started_at =
-        std::min(rollout.started_at, now - report->second.age);
+    rollout.started_at = std::min(rollout.started_at, now - report->second.age);
   }
 }
 
@@ -131,7 +129,8 @@
                                      TimePoint now) {
   for (const auto& [route, arms] : report.evidence) {
     const auto found = before.evidence.find(route);
-    const auto last = found == before.evidence.end() ? ArmPair() : found->second;
+    const auto last =
+        found == before.evidence.end() ? ArmPair() : found->second;
     rollout->comparison.Add(route,
                             {Difference(arms.baseline, last.baseline),
                              Difference(arms.target, last.target)},
@@ -150,8 +149,7 @@
   };
   const double added = std::max(0.0, ended(report) - ended(before));
   rollout->observed += added;
-  rollout->recent =
-      rollout->recent * Decay(now - rollout->recent_at) + added;
+  rollout->recent = rollout->recent * Decay(now - rollout->recent_at) + added;
   rollout->recent_at = now;
 }
 
@@ -239,8 +237,7 @@
     left += known.report.baseline_in_flight;
   }
   const auto deadline = rollout.started_at + rollout.order.over;
-  return left == 0 ||
-         (now >= deadline - kLastMoment && left <= kMaxLeftBehind);
+  return left == 0 || (now >= deadline - kLastMoment && left <= kMaxLeftBehind);
 }
 
 bool RolloutCoordinator::IsObserved(const Rollout& rollout, TimePoint now) {
--- a/libs/rollout/src/rollout_guard.cc
+++ b/libs/rollout/src/rollout_guard.cc
@@ -24,26 +24,24 @@
 constexpr Duration kLocalStop{1'500};
 // An upstream that has just started reads its prompts for the first time.
 constexpr Duration kWarmUp{1'000};
+// More than there are canaries, so that reports do not grow with the service.
+constexpr std::size_t kMaxCountedUpstreams = 16;
 
-}  // namespace
-
-void RolloutGuard::SetOrders(const std::vector<RolloutOrder>& orders,
-                             TimePoint now) {
-  std::erase_if(states_, [&](const auto& entry) {
-    return std::none_of(
-        orders.begin(), orders.end(),
-        [&](const auto& order) { return order.service == entry.first; });
-  });
-  for (const auto& order : orders) ApplyOrder(order, now);
+bool IsFinal(RolloutStage stage) {
+  return stage == RolloutStage::kComplete || stage == RolloutStage::kReverted;
 }
 
+}  // namespace
+
 std::vector<RolloutOrder> RolloutGuard::orders() const {
   std::vector<RolloutOrder> orders;
   for (const auto& [service, state] : states_) orders.push_back(state.order);
   return orders;
 }
 
-void RolloutGuard::ApplyOrder(const RolloutOrder& order, TimePoint now) {
+void RolloutGuard::ApplyOrder(
+    const RolloutOrder& order,
+    const std::map<std::string, UpstreamEntry>& upstreams, TimePoint now) {
   if (!settings_.enabled || order.service.empty() || order.target.empty()) {
     return;
   }
@@ -52,21 +50,21 @@
   State state;
   state.order = order;
   state.known_since = now;
-  UpdateUpstreams(&state, now);
+  UpdateUpstreams(&state, upstreams, now);
   states_.insert_or_assign(order.service, std::move(state));
 }
 
 void RolloutGuard::SetUpstreams(
     const std::map<std::string, UpstreamEntry>& entries, TimePoint now) {
-  if (!settings_.enabled) return;
-  upstreams_ = entries;
-  for (auto& [service, state] : states_) UpdateUpstreams(&state, now);
+  for (auto& [service, state] : states_) UpdateUpstreams(&state, entries, now);
 }
 
-void RolloutGuard::UpdateUpstreams(State* state, TimePoint now) const {
+void RolloutGuard::UpdateUpstreams(
+    State* state, const std::map<std::string, UpstreamEntry>& entries,
+    TimePoint now) {
   state->targets.clear();
   state->baseline.clear();
-  for (const auto& [id, entry] : upstreams_) {
+  for (const auto& [id, entry] : entries) {
     if (entry.service != state->order.service || entry.leaving) continue;
     if (entry.software_version == state->order.target) {
       state->targets.push_back(id);
@@ -92,9 +90,17 @@
   return applies ? &found->second : nullptr;
 }
 
-RolloutGuard::State* RolloutGuard::Find(const std::string& service) {
+RolloutGuard::State* RolloutGuard::FindRunning(const std::string& service) {
   const auto found = states_.find(service);
-  return found == states_.end() ? nullptr : &found->second;
+  if (found == states_.end() || IsFinal(found->second.stage)) return nullptr;
+  return &found->second;
+}
+
+UpstreamCounts& RolloutGuard::CountsOf(State* state,
+                                       const std::string& upstream) {
+  const bool is_counted = state->target_counts.contains(upstream) ||
+                          state->target_counts.size() < kMaxCountedUpstreams;
+  return state->target_counts[is_counted ? upstream : std::string()];
 }
 
 bool RolloutGuard::IsOpen(const State& state, TimePoint now) const {
@@ -123,8 +129,7 @@
       static_cast<double>(Hash64(daemon_, 0) %
                           static_cast<std::uint64_t>(kHashRange)) /
       kHashRange;
-  const double allowed =
-      share * static_cast<double>(state.requests) + offset;
+  const double allowed = share * static_cast<double>(state.requests) + offset;
   const bool is_spaced =
       static_cast<double>(state.since_target) * share * kMaxCatchUp >= 1;
   return static_cast<double>(state.sent) + 1 <= allowed &&
@@ -159,14 +164,15 @@
   const double usual = settings_.expose_share * kCanaryFraction *
                        static_cast<double>(state.baseline.size());
   const auto& targets = state.targets;
-  const auto count = std::min(
-      targets.size(), std::max<std::size_t>(1, static_cast<std::size_t>(usual)));
-  const auto turn = static_cast<std::size_t>(
-      (now - state.known_since) / kCanaryTurn);
+  const auto count =
+      std::min(targets.size(),
+               std::max<std::size_t>(1, static_cast<std::size_t>(usual)));
+  const auto turn =
+      static_cast<std::size_t>((now - state.known_since) / kCanaryTurn);
   const auto groups =
       std::min(kCanaryGroups, targets.size() / std::max<std::size_t>(1, count));
-  const auto first = targets.begin() +
-                     static_cast<std::ptrdiff_t>((turn % groups) * count);
+  const auto first =
+      targets.begin() + static_cast<std::ptrdiff_t>((turn % groups) * count);
   return {first, first + static_cast<std::ptrdiff_t>(count)};
 }
 
@@ -209,7 +215,7 @@
 void RolloutGuard::OnSend(const std::string& service,
                           const std::string& version, bool is_first,
                           TimePoint) {
-  auto* state = Find(service);
+  auto* state = FindRunning(service);
   if (state == nullptr) return;
   if (is_first) {
     ++state->requests;
@@ -223,7 +229,7 @@
 void RolloutGuard::OnPace(const UpstreamEntry& upstream,
                           const std::string& route, std::size_t bucket,
                           TimePoint now) {
-  auto* state = Find(upstream.service);
+  auto* state = FindRunning(upstream.service);
   if (state == nullptr || bucket >= kPaceBuckets) return;
   auto& arms = state->evidence[route];
   ArmPair added;
@@ -232,10 +238,10 @@
     ++added.baseline.pace.at(bucket);
   } else {
     const auto listed = state->listed_since.find(upstream.id);
-    const bool is_warm = listed != state->listed_since.end() &&
-                         now - listed->second >= kWarmUp;
+    const bool is_warm =
+        listed != state->listed_since.end() && now - listed->second >= kWarmUp;
     if (!is_warm) return;
-    auto& counts = state->target_counts[upstream.id];
+    auto& counts = CountsOf(state, upstream.id);
     ++counts.timed;
     counts.pace_sum += static_cast<std::int64_t>(bucket);
     ++arms.target.pace.at(bucket);
@@ -246,7 +252,7 @@
 
 bool RolloutGuard::OnEnd(const UpstreamEntry& upstream,
                          const std::string& route, bool bad, TimePoint now) {
-  auto* state = Find(upstream.service);
+  auto* state = FindRunning(upstream.service);
   if (state == nullptr) return false;
   auto& arms = state->evidence[route];
   const bool is_target = upstream.software_version == state->order.target;
@@ -258,7 +264,7 @@
   total.bad += bad ? 1 : 0;
   part.bad += bad ? 1 : 0;
   if (is_target) {
-    auto& counts = state->target_counts[upstream.id];
+    auto& counts = CountsOf(state, upstream.id);
     ++counts.ended;
     counts.bad += bad ? 1 : 0;
   }
@@ -282,6 +288,7 @@
     report.age = now - state.known_since;
     report.over = state.order.over;
     report.stage = state.stage;
+    if (IsFinal(state.stage)) continue;
     report.requests = state.requests;
     report.sent = state.sent;
     report.is_stopped = state.stopped_at.has_value();
@@ -298,7 +305,8 @@
                                              TimePoint now) {
   std::vector<std::string> changed;
   for (const auto& [service, reply] : replies) {
-    auto* state = Find(service);
+    const auto found = states_.find(service);
+    auto* state = found == states_.end() ? nullptr : &found->second;
     if (state == nullptr || reply.target != state->order.target) continue;
     // Whoever took over may not know yet what was decided.
     const bool is_decided = state->stage == RolloutStage::kReverted &&
@@ -320,8 +328,8 @@
 
 std::string RolloutGuard::MetricsText() const {
   if (!settings_.enabled) return {};
-  std::string text = fmt::format("firmoor_rollout_local_stops_total {}\n",
-                                 local_stops_);
+  std::string text =
+      fmt::format("firmoor_rollout_local_stops_total {}\n", local_stops_);
   for (const auto& [service, state] : states_) {
     std::int64_t ended = 0;
     std::int64_t bad = 0;
--- a/libs/rollout/src/version_comparison.cc
+++ b/libs/rollout/src/version_comparison.cc
@@ -33,10 +33,9 @@
 
 template <typename Counts>
 double Sum(const Counts& counts, std::size_t from = 0) {
-  return std::accumulate(
-      counts.begin() +
-          static_cast<std::ptrdiff_t>(std::min(from, counts.size())),
-      counts.end(), 0.0);
+  return std::accumulate(counts.begin() + static_cast<std::ptrdiff_t>(
+                                              std::min(from, counts.size())),
+                         counts.end(), 0.0);
 }
 
 std::size_t MedianBucket(const std::array<double, kPaceBuckets>& counts) {
@@ -52,8 +51,7 @@
 }  // namespace
 
 std::size_t PaceBucket(double time_ms, double expected_ms) {
-  const double ratio =
-      std::max(time_ms, 0.5) / std::max(expected_ms, 0.5);
+  const double ratio = std::max(time_ms, 0.5) / std::max(expected_ms, 0.5);
   const double bucket =
       std::round(kBucketsPerOctave * std::log2(ratio)) + kMiddleBucket;
   return static_cast<std::size_t>(
@@ -114,17 +112,17 @@
   // Few requests to the baseline do not show that it hardly fails.
   const double failing =
       (test->bad + kPriorFailures) / (test->ended + 2 * kPriorFailures);
-  const double sound = std::min(kMaxSoundFailures,
-                                kSoundFailures + kBaselineFactor * failing);
-  test->fails = std::max(
-      0.0, test->fails + LogRatio(static_cast<double>(ended.bad),
-                                  static_cast<double>(ended.ended), sound,
-                                  sound + kMinDifference));
+  const double sound =
+      std::min(kMaxSoundFailures, kSoundFailures + kBaselineFactor * failing);
+  test->fails =
+      std::max(0.0, test->fails + LogRatio(static_cast<double>(ended.bad),
+                                           static_cast<double>(ended.ended),
+                                           sound, sound + kMinDifference));
   const double known = Sum(test->pace);
   if (known < kMinBaselineSamples) return;
   const auto slow_from = MedianBucket(test->pace) + kSlowBuckets;
-  const double sound_slow = std::min(
-      kMaxSoundSlow, kSoundSlow + Sum(test->pace, slow_from) / known);
+  const double sound_slow =
+      std::min(kMaxSoundSlow, kSoundSlow + Sum(test->pace, slow_from) / known);
   test->slow = std::max(
       0.0, test->slow + LogRatio(Sum(ended.pace, slow_from), Sum(ended.pace),
                                  sound_slow, kBadSlow));
--- a/libs/rollout/tests/rollout_fleet_model.cc
+++ b/libs/rollout/tests/rollout_fleet_model.cc
@@ -44,8 +44,7 @@
     AddUpstreams("v1", config.baseline);
     order_ = {kService, "v2", config.over};
     for (auto& daemon : daemons_) {
-      daemon.guard.SetUpstreams(entries_, At(now_));
-      daemon.guard.ApplyOrder(order_, At(0));
+      daemon.guard.ApplyOrder(order_, entries_, At(0));
     }
     coordinator_.emplace();
     stored_.target = "v2";
@@ -77,7 +76,8 @@
   void Prepare() {
     if (now_ == config_.targets_ready_ms) {
       AddUpstreams("v2", config_.targets);
-      for (auto& daemon : daemons_) daemon.guard.SetUpstreams(entries_, At(now_));
+      for (auto& daemon : daemons_)
+        daemon.guard.SetUpstreams(entries_, At(now_));
     }
     if (!config_.change_at_ms) return;
     if (now_ == *config_.change_at_ms) coordinator_.reset();
@@ -117,8 +117,8 @@
   UpstreamEntry Choose(const VersionFilter& filter) {
     std::vector<const UpstreamEntry*> eligible;
     for (const auto& [id, entry] : entries_) {
-      const bool is_gone = stored_.state == kRolloutComplete &&
-                           entry.software_version == "v1";
+      const bool is_gone =
+          stored_.state == kRolloutComplete && entry.software_version == "v1";
       if (!is_gone && filter.Passes(id, entry.software_version)) {
         eligible.push_back(&entry);
       }
@@ -129,8 +129,7 @@
 
   void SendRequest(std::size_t number) {
     auto& daemon = daemons_[number];
-    const bool to_target =
-        daemon.guard.ChoosesTarget(kService, true, At(now_));
+    const bool to_target = daemon.guard.ChoosesTarget(kService, true, At(now_));
     auto upstream =
         Choose(daemon.guard.FilterFor(kService, to_target, At(now_)));
     if (upstream.id.empty()) return;
@@ -146,17 +145,16 @@
     while (recent.front() < now_ - 1'000) recent.pop_front();
     const auto route = "r" + std::to_string(random_() % 4);
     const double random = static_cast<double>(random_() % 10'000) / 10'000;
-    const auto answer =
-        config_.answer({is_target, upstream.id, route, now_,
-                        static_cast<double>(recent.size())},
-                       random);
+    const auto answer = config_.answer({is_target, upstream.id, route, now_,
+                                        static_cast<double>(recent.size())},
+                                       random);
     daemon.guard.OnPace(upstream, route, PaceBucket(answer.time_ms, 25),
                         At(now_));
     ++daemon.in_flight[upstream.id];
     const auto length =
         route == "r0" && !answer.bad ? config_.stream_ms : config_.answer_ms;
-    answers_.push_back({now_ + length, static_cast<int>(number), upstream,
-                        route, answer.bad});
+    answers_.push_back(
+        {now_ + length, static_cast<int>(number), upstream, route, answer.bad});
     std::push_heap(answers_.begin(), answers_.end(), std::greater<>());
   }
 
@@ -196,9 +194,9 @@
                          now_ < config_.store_down_until_ms;
     for (const auto& call : coordinator_->NextCalls(At(now_))) {
       if (call.state.empty()) {
-        coordinator_->OnRead(
-            call.service, is_down ? std::nullopt : std::optional(stored_),
-            At(now_));
+        coordinator_->OnRead(call.service,
+                             is_down ? std::nullopt : std::optional(stored_),
+                             At(now_));
         continue;
       }
       if (!is_down) Store(call);
--- a/libs/rollout/tests/rollout_fleet_model.h
+++ b/libs/rollout/tests/rollout_fleet_model.h
@@ -40,7 +40,7 @@
     int targets = 24;
     std::int64_t targets_ready_ms = 3'000;
     Duration over{14'000};
-    std::int64_t answer_ms = 100;   ///< Until an answer ends.
+    std::int64_t answer_ms = 100;    ///< Until an answer ends.
     std::int64_t stream_ms = 2'000;  ///< For one answer in four.
     double lost_messages = 0;
     int cut_off = 0;  ///< Daemons that hear nothing from `cut_at_ms` on.
@@ -58,7 +58,7 @@
     std::int64_t bad = 0;
     std::optional<std::int64_t> fiftieth_bad_ms;
     std::optional<std::int64_t> last_target_ms;
-    std::string state;  ///< As stored last.
+    std::string state;                     ///< As stored last.
     std::optional<std::int64_t> ended_ms;  ///< When that was stored.
     std::int64_t cut_streams = 0;  ///< At the baseline, when it stopped.
 
--- a/libs/rollout/tests/rollout_fleet_test.cc
+++ b/libs/rollout/tests/rollout_fleet_test.cc
@@ -30,10 +30,8 @@
 }
 
 constexpr Fault kFaults[] = {
-    {"errors",
-     [](const ModelRequest& request, double random) {
-       return FailsIf(true, request, random);
-     }},
+    {"errors", [](const ModelRequest& request,
+                  double random) { return FailsIf(true, request, random); }},
     {"late",
      [](const ModelRequest& request, double random) {
        return FailsIf(request.ms > 6'500, request, random);
--- a/libs/rollout/tests/rollout_guard_test.cc
+++ b/libs/rollout/tests/rollout_guard_test.cc
@@ -47,8 +47,7 @@
 
 TEST_CASE("A daemon keeps what the target of a roll-out gets") {
   RolloutGuard guard(Settings(), "d1");
-  guard.SetUpstreams(Upstreams(20, 20), At(0));
-  guard.ApplyOrder({"s", "v2", Duration(12'000)}, At(0));
+  guard.ApplyOrder({"s", "v2", Duration(12'000)}, Upstreams(20, 20), At(0));
   const RolloutReplies canary{{"s", {"v2", RolloutStage::kCanary}}};
   const RolloutReplies all{{"s", {"v2", RolloutStage::kAll}}};
   const RolloutReplies reverted{{"s", {"v2", RolloutStage::kReverted}}};
@@ -124,26 +123,23 @@
         CHECK(Send(&guard, 100, At(210)) == 0);
       }
       THEN("an order for another version starts anew") {
-        guard.ApplyOrder({"s", "v3", Duration(12'000)}, At(300));
+        guard.ApplyOrder({"s", "v3", Duration(12'000)}, Upstreams(20, 20),
+                         At(300));
         guard.Apply({{"s", {"v3", RolloutStage::kCanary}}}, At(300));
         CHECK(guard.FilterFor("s", false, At(310)).avoid == "v3");
       }
     }
   }
   GIVEN("an order for the version that all upstreams have") {
-    guard.ApplyOrder({"s", "v1", Duration(12'000)}, At(0));
-    guard.SetUpstreams(Upstreams(20, 0), At(0));
     RolloutGuard other(Settings(), "d2");
-    other.SetUpstreams(Upstreams(20, 0), At(0));
-    other.ApplyOrder({"s", "v1", Duration(12'000)}, At(0));
+    other.ApplyOrder({"s", "v1", Duration(12'000)}, Upstreams(20, 0), At(0));
     other.Apply({{"s", {"v1", RolloutStage::kCanary}}}, At(0));
     CHECK(other.FilterFor("s", false, At(10)) == VersionFilter());
     CHECK(other.MaySend("s", "v1", false, At(10)));
   }
   GIVEN("settings that do not ask for roll-outs") {
     RolloutGuard off(RolloutSettings(), "d1");
-    off.SetUpstreams(Upstreams(2, 2), At(0));
-    off.ApplyOrder({"s", "v2", Duration(12'000)}, At(0));
+    off.ApplyOrder({"s", "v2", Duration(12'000)}, Upstreams(2, 2), At(0));
     CHECK_FALSE(off.IsActive());
     CHECK(off.FilterFor("s", false, At(10)) == VersionFilter());
   }
