--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -142,6 +142,8 @@
   void ApplyRolloutOrder(const RolloutOrder& order);
   void RemoveRolloutOrder(const std::string& service);
   [[nodiscard]] std::vector<RolloutOrder> RolloutOrders() const;
+  /// The upstreams that may take the load of their services.
+  [[nodiscard]] std::map<std::string, UpstreamEntry> Capacity() const;
   [[nodiscard]] RolloutReports ReportRollouts() const;
   /// Applies the coordinator's reply. Returns whether a stage has changed.
   bool ApplyRollouts(const RolloutReplies& replies);
--- a/libs/gateway/src/coordinator_duties.cc
+++ b/libs/gateway/src/coordinator_duties.cc
@@ -33,10 +33,10 @@
       !MayCallCloud()) {
     return;
   }
-  const auto order = autoscaler->Next(
-      {routes->content().services, env.gateway->upstreams().all(),
-       coordinator->Loads(now)},
-      now);
+  const auto order =
+      autoscaler->Next({routes->content().services, env.gateway->Capacity(),
+                        coordinator->Loads(now)},
+                       now);
   if (!order) return;
   const std::weak_ptr weak = alive;
   const auto since = holder_since;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -280,6 +280,16 @@
   return impl_->context.rollouts.orders();
 }
 
+std::map<std::string, UpstreamEntry> Gateway::Capacity() const {
+  const auto& context = impl_->context;
+  auto upstreams = context.catalog.all();
+  if (!context.rollouts.IsActive()) return upstreams;
+  std::erase_if(upstreams, [&](const auto& entry) {
+    return !context.rollouts.IsCapacity(entry.second);
+  });
+  return upstreams;
+}
+
 RolloutReports Gateway::ReportRollouts() const {
   const auto& context = impl_->context;
   return context.rollouts.Report(
--- a/libs/gateway/tests/daemon_settings_test.cc
+++ b/libs/gateway/tests/daemon_settings_test.cc
@@ -28,6 +28,24 @@
 
 }  // namespace
 
+TEST_CASE("[rollouts] settings") {
+  SUBCASE("are off without the section") {
+    const auto parsed = Parse("");
+    CHECK_FALSE(std::get<GatewayDaemonSettings>(parsed).rollouts.enabled);
+  }
+  SUBCASE("are read from the section") {
+    const auto parsed = Parse(
+        "[rollouts]\nexpose_share = 0.2\nexpose_slack = 30\n"
+        "rollback_ms = 4000\n");
+    CHECK(std::get<GatewayDaemonSettings>(parsed).rollouts ==
+          RolloutSettings{true, 0.2, 30, Duration(4'000)});
+  }
+  SUBCASE("are rejected out of range") {
+    CHECK(std::holds_alternative<Error>(
+        Parse("[rollouts]\nexpose_share = 1.5\n")));
+  }
+}
+
 TEST_CASE("[strategies] settings") {
   SUBCASE("are all on by default") {
     const auto parsed = Parse("");
--- /dev/null
+++ b/libs/gateway/tests/rollout_encoding_test.cc
@@ -0,0 +1,72 @@
+#include "details/rollout_encoding.h"
+
+#include <doctest/doctest.h>
+
+#include <QCborArray>
+
+#include "gateway/coordination.h"
+
+namespace firmoor {
+namespace {
+
+RolloutReport Report() {
+  RolloutReport report;
+  report.target = "v2";
+  report.age = Duration(4'000);
+  report.over = Duration(12'000);
+  report.stage = RolloutStage::kCanary;
+  report.requests = 100;
+  report.sent = 7;
+  report.baseline_in_flight = 3;
+  report.is_stopped = true;
+  report.evidence["r"].baseline.ended = 90;
+  report.evidence["r"].target.bad = 2;
+  report.evidence["r"].target.pace[13] = 5;
+  report.targets["i-1"] = {6, 2, 5, 65};
+  return report;
+}
+
+TEST_CASE("Roll-outs in the messages between daemons") {
+  GIVEN("a report and a reply") {
+    DaemonReport report;
+    report.daemon = "d";
+    report.instance_id = "d/1";
+    report.rollouts["s"] = Report();
+    CoordinatorReply reply;
+    reply.true_ms = 1;
+    reply.rollouts["s"] = {"v2", RolloutStage::kReverted};
+    THEN("they are read as they were written") {
+      const auto read =
+          Capture([&] { return DaemonReport::Decode(report.Encode()); });
+      CHECK(std::get<DaemonReport>(read).rollouts == report.rollouts);
+      const auto answered =
+          Capture([&] { return CoordinatorReply::Decode(reply.Encode()); });
+      CHECK(std::get<CoordinatorReply>(answered).rollouts == reply.rollouts);
+    }
+  }
+  GIVEN("messages of a build without roll-outs") {
+    CHECK(details::DecodeRolloutReports(QCborValue()).empty());
+    CHECK(details::DecodeRolloutReplies(QCborValue()).empty());
+  }
+  GIVEN("malformed entries") {
+    // Guards against a stage that no build knows, and against counts whose sums
+    // overflow.
+    auto map = details::EncodeRolloutReports({{"s", Report()}});
+    auto report = map[QLatin1String("s")].toMap();
+    SUBCASE("an unknown stage") {
+      report[QLatin1String("stage")] = 17;
+      map[QLatin1String("s")] = report;
+      CHECK(details::DecodeRolloutReports(map).empty());
+      CHECK(details::DecodeRolloutReplies(QCborMap{{"s", QCborArray{"v2", 17}}})
+                .empty());
+    }
+    SUBCASE("a negative count") {
+      report[QLatin1String("sent")] = -5;
+      map[QLatin1String("s")] = report;
+      CHECK(details::DecodeRolloutReports(map).at("s").sent == 0);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace firmoor
--- a/libs/rollout/include/rollout/rollout_guard.h
+++ b/libs/rollout/include/rollout/rollout_guard.h
@@ -66,6 +66,11 @@
                              const std::string& version, bool is_bound,
                              TimePoint now) const;
 
+  /// Whether the service's load may go to the upstream, so that it is part of
+  /// the capacity to order. The target's is not until all requests go there,
+  /// and the others' is no more from then on.
+  [[nodiscard]] bool IsCapacity(const UpstreamEntry& upstream) const;
+
   /// Records an attempt. `is_first`: of its request, at this daemon.
   void OnSend(const std::string& service, const std::string& version,
               bool is_first, TimePoint now);
--- a/libs/rollout/src/rollout_guard.cc
+++ b/libs/rollout/src/rollout_guard.cc
@@ -212,6 +212,14 @@
   return IsLeftToTarget(*state) || IsOpen(*state, now);
 }
 
+bool RolloutGuard::IsCapacity(const UpstreamEntry& upstream) const {
+  const auto* state = Find(upstream.service);
+  if (state == nullptr || IsLeftToTarget(*state)) return true;
+  const bool has_moved = state->stage == RolloutStage::kAll ||
+                         state->stage == RolloutStage::kComplete;
+  return (upstream.software_version == state->order.target) == has_moved;
+}
+
 void RolloutGuard::OnSend(const std::string& service,
                           const std::string& version, bool is_first,
                           TimePoint) {
--- a/libs/rollout/tests/rollout_guard_test.cc
+++ b/libs/rollout/tests/rollout_guard_test.cc
@@ -88,6 +88,15 @@
       guard.SetUpstreams(Upstreams(0, 20), At(0));
       CHECK(guard.FilterFor("s", false, At(10)).avoid == "v2");
     }
+    THEN("its upstreams are not taken for capacity") {
+      // Guards against orders that give back the old engines since as many of
+      // the target stand beside them.
+      CHECK(guard.IsCapacity(Upstream("old1", "v1")));
+      CHECK_FALSE(guard.IsCapacity(Upstream("new1", "v2")));
+      guard.Apply(all, At(20));
+      CHECK_FALSE(guard.IsCapacity(Upstream("old1", "v1")));
+      CHECK(guard.IsCapacity(Upstream("new1", "v2")));
+    }
     WHEN("a few requests to it fail here") {
       int ended = 0;
       bool stopped = false;
--- a/libs/routing/tests/upstream_picker_test.cc
+++ b/libs/routing/tests/upstream_picker_test.cc
@@ -95,6 +95,32 @@
   }
 }
 
+TEST_CASE("a service that moves to another software version") {
+  Fixture fixture;
+  auto entry = Entry("old", "engine", "east");
+  entry.software_version = "v1";
+  fixture.Add(entry);
+  entry = Entry("new", "engine", "far");
+  entry.software_version = "v2";
+  fixture.Add(entry);
+  auto request = Prompt(1, 2);
+
+  SUBCASE("avoids a version") {
+    request.versions.avoid = "v1";
+    CHECK(fixture.Pick(request) == "new");
+  }
+  SUBCASE("uses one version only") {
+    request.versions.only = "v2";
+    CHECK(fixture.Pick(request) == "new");
+    request.exclude = {"new"};
+    CHECK(fixture.Pick(request) == "none");
+  }
+  SUBCASE("uses some upstreams only") {
+    request.versions.among = {"new"};
+    CHECK(fixture.Pick(request) == "new");
+  }
+}
+
 TEST_CASE("a stream that a software version began") {
   Fixture fixture;
   auto entry = Entry("old", "engine", "far");
