--- a/libs/gateway/include/gateway/coordinator_service.h
+++ b/libs/gateway/include/gateway/coordinator_service.h
@@ -11,6 +11,7 @@
 #include "gateway/cloud_api.h"
 #include "gateway/coordination.h"
 #include "gateway/gateway.h"
+#include "gateway/rollout_status_store.h"
 #include "peer/peer_node.h"
 #include "platform/object_store.h"
 #include "platform/store_era.h"
@@ -60,6 +61,7 @@
     std::function<void(const std::vector<Endpoint>&)> set_sources;
     /// Serves another daemon's request for the store's content.
     std::function<void(const QByteArray&, const PeerNode::Reply&)> serve_relay;
+    RolloutStatusStore* rollouts = nullptr;  ///< Null if none are served.
   };
 
   CoordinatorService(Settings settings, Environment environment);
