--- a/tests/support/include/support/slow_client.h
+++ b/tests/support/include/support/slow_client.h
@@ -46,6 +46,10 @@
   void Send(std::string_view bytes) const {
     ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
+  /// Sends what the kernel takes at once. Returns how many bytes, or -1.
+  [[nodiscard]] ssize_t SendSome(std::string_view bytes) const {
+    return ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
   /// Reads what has arrived, up to `most` bytes.
   std::string Read(std::size_t most) {
     std::string received;
