Share one memory budget among all requests that callers send

Cause: requests were bounded for each connection only. `ReadMore` read 64 KiB more for each request that was sent ahead; bodies were collected before a route was known, also at the addresses for readiness and metrics, up to 8 MiB for each of 12,000 connections.

Change: - Uploads take from a `BodyBudget` of a daemon's listeners, an eighth of `[vm] memory_mb` (default 160), beyond 8 KiB each, until their requests have ended. Where it is used, reading pauses; uploads that get less than 4 KiB in a second give way, the longest and largest first, with 503 (not run). One upload at a time may go beyond the budget. - A request of which a part has yet to arrive is rejected by its head if no route has its path. The address for readiness takes no body, the one for metrics 16 KiB. - Nothing is read from a socket while a request that was sent ahead waits. - Connections are bounded by memory and by the descriptor limit; there a caller that has sent no whole request gives way to a new connection. - A head has 512 fields at most.

--- a/libs/gateway/include/gateway/daemon_settings.h
+++ b/libs/gateway/include/gateway/daemon_settings.h
@@ -26,6 +26,8 @@
   /// CPU cores of this VM; daemons with more cores are preferred as the
   /// coordinator.
   double cores = 1;
+  /// Memory of this VM, in MB. Bounds what callers may make the daemon hold.
+  double memory_mb = 160;
 
   Endpoint object_api;  ///< The platform's store.
   Endpoint cloud_api;   ///< The platform's cloud API; port 0 when unused.
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -173,6 +173,11 @@
   /// are fixed at construction.
   void ApplySettings(const GatewaySettings& settings);
 
+  /// The rejection of a request by its head alone, before its body has arrived:
+  /// no route of a fresh configuration has its path.
+  [[nodiscard]] std::optional<HttpResponse> RejectByHead(
+      const HttpRequest& head) const;
+
   /// Serves one caller's request.
   void Handle(HttpRequest request,
               const std::shared_ptr<ResponseWriter>& responder);
--- a/libs/gateway/src/daemon_settings.cc
+++ b/libs/gateway/src/daemon_settings.cc
@@ -14,6 +14,8 @@
 constexpr double kMaxTokens = 1e12;
 constexpr double kMinCores = 0.01;
 constexpr double kMaxCores = 1'024;
+constexpr double kMinMemoryMb = 16;
+constexpr double kMaxMemoryMb = 1e7;
 
 void ReadListen(TableReader* reader, GatewayDaemonSettings* out) {
   reader->Address("callers", &out->callers, true);
@@ -24,6 +26,7 @@
 
 void ReadVm(TableReader* reader, GatewayDaemonSettings* out) {
   reader->Decimal("cores", &out->cores, kMinCores, kMaxCores);
+  reader->Decimal("memory_mb", &out->memory_mb, kMinMemoryMb, kMaxMemoryMb);
 }
 
 void ReadPlatform(TableReader* reader, GatewayDaemonSettings* out) {
--- a/libs/gateway/src/details/connection_metrics.cc
+++ b/libs/gateway/src/details/connection_metrics.cc
@@ -9,7 +9,8 @@
   for (const auto reason :
        {ConnectionCut::kIdle, ConnectionCut::kConnections, ConnectionCut::kStop,
         ConnectionCut::kAborted, ConnectionCut::kPipelined,
-        ConnectionCut::kFailed, ConnectionCut::kStalled}) {
+        ConnectionCut::kFailed, ConnectionCut::kStalled, ConnectionCut::kUpload,
+        ConnectionCut::kGaveWay}) {
     text += fmt::format("firmoor_connections_cut_total{{reason=\"{}\"}} {}\n",
                         NameOf(reason), server.CutCount(reason));
   }
--- a/libs/gateway/src/details/gateway_settings.cc
+++ b/libs/gateway/src/details/gateway_settings.cc
@@ -30,12 +30,14 @@
 }
 
 HttpServerLimits ServerLimitsOf(const CallerLimits& limits,
-                                Duration idle_timeout) {
+                                Duration idle_timeout,
+                                std::size_t connections) {
   HttpServerLimits server;
   server.header_bytes = limits.header_bytes;
   server.body_bytes = limits.body_bytes;
   server.request_timeout = std::max(limits.header_time, kMinRequestTimeout);
   server.idle_timeout = idle_timeout;
+  server.connections = connections;
   return server;
 }
 
--- a/libs/gateway/src/details/gateway_settings.h
+++ b/libs/gateway/src/details/gateway_settings.h
@@ -15,7 +15,7 @@
 
 /// What the server for callers needs of the configuration's limits.
 HttpServerLimits ServerLimitsOf(const CallerLimits& limits,
-                                Duration idle_timeout);
+                                Duration idle_timeout, std::size_t connections);
 
 /// Copies the times and limits that a running daemon may change.
 void CopyReloadableSettings(const GatewayDaemonSettings& from,
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -337,6 +337,25 @@
   impl_->context.ApplySettings(settings);
 }
 
+std::optional<HttpResponse> Gateway::RejectByHead(
+    const HttpRequest& head) const {
+  const auto& context = impl_->context;
+  const auto now = MonotonicNow();
+  if (!context.table || !context.freshness.IsFresh(now)) return std::nullopt;
+  if (context.table->Match(HeaderValue(head.headers, "Host"), head.Path())) {
+    return std::nullopt;
+  }
+  const auto read = context.environment.dialect->DecodeRequest(head);
+  const auto* forward = std::get_if<ForwardRequest>(&read);
+  if (forward == nullptr) return std::nullopt;
+  const auto decided =
+      AdmitRequest(*forward, context.table.get(), context.freshness, now);
+  const auto* failure = std::get_if<Failure>(&decided);
+  if (failure == nullptr) return std::nullopt;
+  impl_->LogRejection(forward->id, *failure);
+  return MakeGatewayRefusal(*failure, forward->id);
+}
+
 void Gateway::Handle(HttpRequest request,
                      const std::shared_ptr<ResponseWriter>& responder) {
   const bool waits = impl_->queues_early_requests && !impl_->context.table;
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -14,6 +14,8 @@
 #include "details/connection_metrics.h"
 #include "details/drain_steps.h"
 #include "details/gateway_settings.h"
+#include "details/listener_limits.h"
+#include "details/listeners.h"
 #include "details/quarantine_endpoint.h"
 #include "details/supervised_parts.h"
 #include "dissemination/kind_relay.h"
@@ -22,7 +24,6 @@
 #include "http/http_server.h"
 #include "metrics/event_loop_monitor.h"
 #include "platform/kind_watcher.h"
-#include "serving/error_answer.h"
 
 namespace firmoor {
 namespace {
@@ -58,6 +59,8 @@
 // Callers measure idle time from when they sent, and may still use an earlier
 // configuration's limit.
 constexpr Duration kIdleTimeoutMargin{2'000};
+// Operators' requests name one verdict at most.
+constexpr std::uint64_t kMaxOperatorBodyBytes = 16 * 1024;
 
 HttpResponse PlainText(int status, std::string body) {
   return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
@@ -79,6 +82,7 @@
   KindWatcher configuration;
   KindWatcher upstreams;
   CoordinatorService coordinator;
+  details::Listeners listeners;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> ready_server;
   std::unique_ptr<HttpServer> metrics_server;
@@ -141,7 +145,10 @@
            settings.quota_window, settings.usage_window.count(), settings.cores,
            settings.reports_usage, settings.orders_upstreams,
            settings.is_first_start, settings.strategies},
-          CoordinatorEnvironment()) {
+          CoordinatorEnvironment()),
+      listeners(details::ListenerLimitsFor(settings.memory_mb,
+                                           details::DescriptorLimit()),
+                log) {
   gateway.SetPeerCall([this](const Endpoint& peer, const std::string& kind,
                              const QByteArray& message, Duration timeout,
                              PeerNode::Done done) {
@@ -260,7 +267,8 @@
   const auto& limits = gateway.routes()->content().limits;
   max_idle_time =
       std::max(max_idle_time, limits.idle_timeout + kIdleTimeoutMargin);
-  caller_server->SetLimits(details::ServerLimitsOf(limits, max_idle_time));
+  caller_server->SetLimits(details::ServerLimitsOf(
+      limits, max_idle_time, listeners.limits().caller_connections));
 }
 
 KindWatcher::Hooks GatewayDaemon::Impl::UpstreamHooks() {
@@ -304,16 +312,16 @@
 
 void GatewayDaemon::Impl::BuildServers() {
   caller_server =
-      HttpServer::Builder()
-          .Listen(settings.callers)
-          .ErrorResponse(MakeInputErrorResponse)
-          .Handler([this](const HttpRequest& request, const auto& responder) {
-            gateway.Handle(request, responder);
+      listeners.ForCallers(settings.callers)
+          .HeadCheck([this](const HttpRequest& head) {
+            return gateway.RejectByHead(head);
+          })
+          .Handler([this](HttpRequest request, const auto& responder) {
+            gateway.Handle(std::move(request), responder);
           })
           .Build();
   ready_server =
-      HttpServer::Builder()
-          .Listen(settings.ready)
+      listeners.ForOperators("ready", settings.ready, 0)
           .Handler([this](const HttpRequest&, const auto& responder) {
             LogReadinessChange();
             responder->Send(IsReady() ? PlainText(200, "ready\n")
@@ -321,8 +329,7 @@
           })
           .Build();
   metrics_server =
-      HttpServer::Builder()
-          .Listen(settings.metrics)
+      listeners.ForOperators("metrics", settings.metrics, kMaxOperatorBodyBytes)
           .Handler([this](const HttpRequest& request, const auto& responder) {
             const bool lists =
                 request.Path().starts_with(details::kQuarantinePath);
@@ -407,7 +414,7 @@
          gateway.UpstreamLimitMetrics() + gateway.QuarantineMetrics() +
          gateway.StreamMetrics() + gateway.LinkMetrics() +
          coordinator.MetricsText() +
-         details::ConnectionCutMetrics(*caller_server) +
+         details::ConnectionCutMetrics(*caller_server) + listeners.Metrics() +
          fmt::format(
              "firmoor_config_version {}\nfirmoor_config_age_ms {}\n"
              "firmoor_upstreams {}\nfirmoor_requests_in_work {}\n"
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,7 +23,10 @@
 /// handler.
 class HttpResponder final : public ResponseWriter {
  public:
-  explicit HttpResponder(std::weak_ptr<details::ServerConnection> connection);
+  /// Keeps `request`, what the request takes of the memory, as long as the
+  /// handler may hold it; may be null.
+  HttpResponder(std::weak_ptr<details::ServerConnection> connection,
+                std::shared_ptr<BodyBudget::Share> request);
 
   void HoldUntilTaken(std::shared_ptr<BodyBudget::Share> share) override;
   /// The connection then reads its next request.
@@ -49,6 +53,7 @@
 
  private:
   std::weak_ptr<details::ServerConnection> connection_;
+  std::shared_ptr<BodyBudget::Share> request_;
 };
 
 /// Why a server closed a connection without a response to a request that the
@@ -61,6 +66,8 @@
   kPipelined,    ///< Bytes followed the last request of the connection.
   kFailed,       ///< An exception left a handler of the connection.
   kStalled,      ///< The caller took no bytes of a response.
+  kUpload,       ///< Its request hardly arrived while memory was short.
+  kGaveWay,      ///< No whole request, and a new connection needed its place.
 };
 
 /// "idle", "connections" and so on, for logs and metrics.
@@ -69,6 +76,7 @@
 /// Limits on connections and requests of callers.
 struct HttpServerLimits {
   std::uint32_t header_bytes = 16 * 1024;
+  std::size_t header_fields = 512;
   std::uint64_t body_bytes = 8 * 1024 * 1024;
   std::size_t connections = 12'000;
   Duration request_timeout{10'000};  ///< From the first byte to the last.
@@ -95,19 +103,34 @@
  public:
   using Handler =
       std::function<void(HttpRequest request, std::shared_ptr<HttpResponder>)>;
-  /// Makes the response to invalid input, for status 400, 408 or 413.
+  /// Makes the response to invalid input, for status 400, 408 or 413, and to a
+  /// request that got no memory, for status 503.
   using ErrorResponse = std::function<HttpResponse(int status)>;
+  /// The response to a request that is rejected by its head, before its body
+  /// has arrived; none to read on. The body of `head` is empty.
+  using HeadCheck =
+      std::function<std::optional<HttpResponse>(const HttpRequest& head)>;
+
+  /// Called for each caller that had to give way to others, with the reason.
+  using GaveWay = std::function<void(ConnectionCut reason)>;
 
   /// Configures a server.
   class Builder {
    public:
     Builder();
+    Builder(Builder&&) noexcept;
     ~Builder();
     /// Port 0 selects a free port; see `HttpServer::Port`.
     Builder& Listen(Endpoint endpoint);
     Builder& Limits(HttpServerLimits limits);
     Builder& Handler(HttpServer::Handler handler);
     Builder& ErrorResponse(HttpServer::ErrorResponse make);
+    /// Without one, requests are read to their end.
+    Builder& HeadCheck(HttpServer::HeadCheck check);
+    /// What requests take of the memory, until their responses are sent.
+    /// Several servers may share it. Without one there is no limit.
+    Builder& Uploads(std::shared_ptr<BodyBudget> budget);
+    Builder& OnGaveWay(HttpServer::GaveWay handler);
     std::unique_ptr<HttpServer> Build();
 
    private:
--- a/libs/http/src/details/growing_string_body.h
+++ b/libs/http/src/details/growing_string_body.h
@@ -1,6 +1,7 @@
 #ifndef FIRMOOR_HTTP_DETAILS_GROWING_STRING_BODY_H_
 #define FIRMOOR_HTTP_DETAILS_GROWING_STRING_BODY_H_
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/message.hpp>
@@ -32,6 +33,7 @@
       error = {};
       std::size_t taken = 0;
       for (const auto& buffer : boost::beast::buffers_range_ref(buffers)) {
+        Reserve(body_.size() + buffer.size());
         body_.append(static_cast<const char*>(buffer.data()), buffer.size());
         taken += buffer.size();
       }
@@ -40,6 +42,18 @@
     void finish(boost::beast::error_code& error) { error = {}; }
 
    private:
+    /// Grows by less than the string itself would, which doubles.
+    void Reserve(std::size_t bytes) {
+      constexpr std::size_t kGrowthDivisor = 4;
+      if (bytes <= body_.capacity()) return;
+      const auto least = body_.size() + body_.size() / kGrowthDivisor;
+      // `reserve` may double as well where it copies.
+      std::string larger;
+      larger.reserve(std::max(bytes, least));
+      larger.append(body_);
+      body_.swap(larger);
+    }
+
     value_type& body_;
   };
 };
--- a/libs/http/src/details/head_scanner.cc
+++ b/libs/http/src/details/head_scanner.cc
@@ -94,6 +94,7 @@
 }
 
 bool HeadScanner::ScanField(std::string_view line) {
+  ++fields_;
   const auto colon = line.find(':');
   if (colon == std::string_view::npos) return false;
   const auto name = line.substr(0, colon);
--- a/libs/http/src/details/head_scanner.h
+++ b/libs/http/src/details/head_scanner.h
@@ -32,6 +32,8 @@
 
   /// Bytes of the scanned lines: of the whole head once it is complete.
   [[nodiscard]] std::size_t size() const { return line_start_; }
+  /// Fields scanned so far.
+  [[nodiscard]] std::size_t fields() const { return fields_; }
   /// Valid when the head is complete.
   [[nodiscard]] BodyFraming framing() const { return framing_; }
 
@@ -47,6 +49,7 @@
   BodyFraming framing_ = BodyFraming::kNone;
   std::size_t line_start_ = 0;
   std::size_t scanned_ = 0;
+  std::size_t fields_ = 0;
   bool has_start_line_ = false;
   bool is_http_1_0_ = false;
 };
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/exception_barrier.h"
+#include "details/request_head.h"
 #include "details/reset_on_close.h"
 #include "details/unsent_limit.h"
 
@@ -19,13 +20,15 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr qint64 kReadBytes = 64 * 1024;
+// Also what the socket reads ahead of this connection.
+constexpr qint64 kReadBytes = 16 * 1024;
 // The next request of a connection waits while more of the last response has
 // not been taken.
-constexpr qint64 kMaxUnsentBytes = 64 * 1024;
+constexpr qint64 kMaxUnsentBytes = 16 * 1024;
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
+constexpr int kServiceUnavailable = 503;
 
 int StatusOf(const beast::error_code& error) {
   const bool too_large =
@@ -34,13 +37,7 @@
 }
 
 HttpRequest ToRequest(http::request<GrowingStringBody> message) {
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
+  HttpRequest request = HeadOf(message);
   request.body = std::move(message.body());
   return request;
 }
@@ -54,6 +51,7 @@
       context_(std::move(context)),
       on_closed_(std::move(on_closed)) {
   timer_.setSingleShot(true);
+  memory_timer_.setSingleShot(true);
 }
 
 ServerConnection::~ServerConnection() {
@@ -73,6 +71,8 @@
                    [this] { Run(&ServerConnection::OnBytesWritten); });
   QObject::connect(&timer_, &QTimer::timeout, socket_,
                    [this] { Run(&ServerConnection::OnTimeout); });
+  QObject::connect(&memory_timer_, &QTimer::timeout, socket_,
+                   [this] { Run(&ServerConnection::ReadMore); });
   ResetParser();
   Run(&ServerConnection::ReadMore);
 }
@@ -89,7 +89,10 @@
   parser_.emplace();
   parser_->eager(true);
   expect_handled_ = false;
+  is_head_checked_ = false;
   is_reading_request_ = false;
+  upload_.reset();
+  if (buffer_.size() == 0) buffer_ = {};
   phase_ = Phase::kReading;
   StartTimeout(context_->limits.idle_timeout);
 }
@@ -122,8 +125,9 @@
   if (IsHeldBack()) {
     return socket_->flush() ? StartTimeout(timeout_) : CutStalled();
   }
-  const bool is_incomplete = phase_ == Phase::kReading && !closed_;
-  if (is_incomplete && had_input) RejectInput(kRequestTimeout);
+  if (phase_ != Phase::kReading || closed_) return;
+  if (memory_timer_.isActive()) return RejectInput(kServiceUnavailable);
+  if (had_input) RejectInput(kRequestTimeout);
 }
 
 void ServerConnection::OnBytesWritten() {
@@ -157,11 +161,17 @@
 
 void ServerConnection::ReadMore() {
   if (phase_ != Phase::kReading || closed_ || IsHeldBack()) return;
-  const QByteArray bytes = socket_->read(kReadBytes);
-  const auto space = buffer_.prepare(bytes.size());
-  boost::asio::buffer_copy(space,
-                           boost::asio::buffer(bytes.data(), bytes.size()));
-  buffer_.commit(bytes.size());
+  // What was read behind the last request comes first.
+  const bool is_ahead = !is_reading_request_ && buffer_.size() > 0;
+  const auto more = std::min(kReadBytes, socket_->bytesAvailable());
+  if (!TakeMemory(is_ahead ? buffer_.size() : more)) return;
+  if (!is_ahead) {
+    const QByteArray bytes = socket_->read(more);
+    const auto space = buffer_.prepare(bytes.size());
+    boost::asio::buffer_copy(space,
+                             boost::asio::buffer(bytes.data(), bytes.size()));
+    buffer_.commit(bytes.size());
+  }
   if (!is_reading_request_ && buffer_.size() > 0) {
     is_reading_request_ = true;
     header_bytes_ = context_->limits.header_bytes;
@@ -170,6 +180,7 @@
     StartTimeout(context_->limits.request_timeout);
   }
   ParseBuffered();
+  ReturnMemory();
 }
 
 void ServerConnection::ParseBuffered() {
@@ -184,7 +195,10 @@
   if (parser_->is_done()) return DispatchRequest();
   // What is left is a part of the line that frames a chunk, or of the trailer.
   if (buffer_.size() > header_bytes_) return RejectInput(kPayloadTooLarge);
-  if (parser_->is_header_done()) HandleExpect();
+  if (parser_->is_header_done()) {
+    if (RejectByHead()) return;
+    HandleExpect();
+  }
   if (socket_->bytesAvailable() > 0) QueueRead();
 }
 
@@ -194,7 +208,8 @@
       {static_cast<const char*>(bytes.data()), bytes.size()});
   if (result == HeadScanner::Result::kInvalid) {
     RejectInput(kBadRequest);
-  } else if (head_scanner_->size() > header_bytes_ ||
+  } else if (head_scanner_->fields() > context_->limits.header_fields ||
+             head_scanner_->size() > header_bytes_ ||
              (result == HeadScanner::Result::kIncomplete &&
               buffer_.size() > header_bytes_)) {
     RejectInput(kPayloadTooLarge);
@@ -224,23 +239,38 @@
 void ServerConnection::DispatchRequest() {
   timer_.stop();
   phase_ = Phase::kHandling;
+  was_served_ = true;
+  if (upload_) upload_->EndUpload();
   auto message = parser_->release();
   keep_alive_ = message.keep_alive();
   is_chunked_ = message.version() >= 11;
   is_head_request_ = message.method() == http::verb::head;
   const auto self = shared_from_this();
   context_->handler(ToRequest(std::move(message)),
-                    std::make_shared<HttpResponder>(self));
+                    std::make_shared<HttpResponder>(self, std::move(upload_)));
 }
 
 void ServerConnection::RejectInput(int status) {
+  Reject(context_->error_response ? context_->error_response(status)
+                                  : HttpResponse{status, {}, {}});
+}
+
+void ServerConnection::Reject(const HttpResponse& response) {
   timer_.stop();
+  memory_timer_.stop();
   phase_ = Phase::kHandling;
   keep_alive_ = false;
   is_head_request_ = false;
-  buffer_.clear();
-  Send(context_->error_response ? context_->error_response(status)
-                                : HttpResponse{status, {}, {}});
+  buffer_ = {};
+  // The parser may be on the call stack.
+  QMetaObject::invokeMethod(
+      &timer_, [this] { DropInput(); }, Qt::QueuedConnection);
+  upload_.reset();
+  Send(response);
+}
+
+void ServerConnection::DropInput() {
+  if (closed_) parser_.emplace();
 }
 
 void ServerConnection::WriteHead(int status, const HttpHeaders& headers,
@@ -334,7 +364,8 @@
     // No response may follow one that carried `Connection: close`.
     phase_ = Phase::kReading;
     closed_ = true;
-    buffer_.clear();
+    buffer_ = {};
+    upload_.reset();
     lingering_close_.emplace(socket_, [this] { CutStalled(); });
     lingering_close_->Start();
     if (socket_->state() == QAbstractSocket::UnconnectedState) {
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -24,12 +24,18 @@
   HttpServerLimits limits;
   HttpServer::Handler handler;
   HttpServer::ErrorResponse error_response;
+  HttpServer::HeadCheck head_check;
+  HttpServer::GaveWay on_gave_way;
+  std::shared_ptr<BodyBudget> uploads;  ///< May be null: no limit.
   bool closing = false;  ///< Connections close after their next response.
   bool stopped = false;  ///< Connections close as soon as they are idle.
-  std::array<std::uint64_t, 7> cuts{};  ///< By `ConnectionCut`.
+  std::array<std::uint64_t, 9> cuts{};  ///< By `ConnectionCut`.
 
   void CountCut(ConnectionCut reason) {
     ++cuts.at(static_cast<std::size_t>(reason));
+    const bool gave_way =
+        reason == ConnectionCut::kUpload || reason == ConnectionCut::kGaveWay;
+    if (gave_way && on_gave_way) on_gave_way(reason);
   }
 };
 
@@ -62,6 +68,10 @@
   void SetCallerDisconnectedHandler(std::function<void()> handler);
   void SetSentHandler(std::function<void()> handler);
   [[nodiscard]] std::string CallerAddress() const;
+  /// Since when its caller owes a whole request, if it may give way to a new
+  /// connection: nothing of its request or only a part has arrived, and no
+  /// request before.
+  [[nodiscard]] std::optional<TimePoint> OwesRequestSince() const;
 
  private:
   using Handler = void (ServerConnection::*)();
@@ -75,6 +85,16 @@
   void StartTimeout(Duration timeout);
   void OnTimeout();
   void OnBytesWritten();
+  /// Ends an incomplete request, since memory is short and the caller sends
+  /// hardly anything. Returns false if more has arrived meanwhile.
+  bool GiveUpUpload();
+  /// Whether the memory for `bytes` more of the request is there. Reads on
+  /// later if it is not.
+  bool TakeMemory(std::size_t bytes);
+  /// Gives back what the request does not hold any more.
+  void ReturnMemory();
+  /// Rejects a request of which the rest has yet to arrive, by its head.
+  bool RejectByHead();
   /// Closes the connection, since memory is short and the caller has taken
   /// nothing for a while. Returns false if it has taken bytes meanwhile.
   bool GiveWay();
@@ -98,6 +118,10 @@
   void HandleExpect();
   void DispatchRequest();
   void RejectInput(int status);
+  /// Answers instead of the handler, and closes behind the response.
+  void Reject(const HttpResponse& response);
+  /// Frees what was read of a request that was rejected.
+  void DropInput();
   void WriteHead(int status, const HttpHeaders& headers,
                  std::string_view framing);
   void FinishResponse();
@@ -115,6 +139,9 @@
   std::optional<Parser> parser_;
   std::optional<LingeringClose> lingering_close_;
   std::shared_ptr<BodyBudget::Share> held_share_;
+  /// Of the request that is read or handled.
+  std::shared_ptr<BodyBudget::Share> upload_;
+  QTimer memory_timer_;  ///< Runs while the request waits for memory.
   QTimer timer_;
   TimePoint waiting_since_;
   Duration timeout_{0};  ///< From `waiting_since_`.
@@ -125,6 +152,8 @@
   bool is_head_request_ = false;
   bool is_chunked_ = true;
   bool expect_handled_ = false;
+  bool is_head_checked_ = false;
+  bool was_served_ = false;  ///< A whole request has arrived before.
   bool closed_ = false;
 };
 
--- /dev/null
+++ b/libs/http/src/details/server_connection_memory.cc
@@ -0,0 +1,74 @@
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "details/request_head.h"
+#include "details/server_connection.h"
+
+namespace firmoor::details {
+namespace {
+
+constexpr int kServiceUnavailable = 503;
+// Of requests that wait for memory.
+constexpr Duration kMemoryRetryInterval{50};
+
+/// Whether the kernel holds input. Emits no signal.
+bool HasUnread(const QTcpSocket* socket) {
+  char byte = 0;
+  return ::recv(static_cast<int>(socket->socketDescriptor()), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+}  // namespace
+
+bool ServerConnection::TakeMemory(std::size_t bytes) {
+  if (!context_->uploads || bytes == 0) return true;
+  const auto now = MonotonicNow();
+  if (!upload_) {
+    upload_ = std::make_shared<BodyBudget::Share>(context_->uploads);
+    upload_->StartUpload(
+        [weak = weak_from_this()] {
+          const auto self = weak.lock();
+          return !self || self->GiveUpUpload();
+        },
+        now);
+  }
+  const bool has_memory = upload_->Grow(bytes, now);
+  if (!has_memory && !memory_timer_.isActive()) {
+    memory_timer_.start(kMemoryRetryInterval);
+  }
+  return has_memory;
+}
+
+void ServerConnection::ReturnMemory() {
+  if (!upload_ || phase_ != Phase::kReading || closed_) return;
+  const auto body =
+      parser_->is_header_done() ? parser_->get().body().capacity() : 0;
+  upload_->ShrinkTo(buffer_.size() + body);
+}
+
+bool ServerConnection::GiveUpUpload() {
+  if (phase_ != Phase::kReading || closed_) return true;
+  // After a standstill of the process, bytes may have arrived unnoticed.
+  if (socket_->bytesAvailable() > 0 || HasUnread(socket_)) return false;
+  const auto self = shared_from_this();
+  context_->CountCut(ConnectionCut::kUpload);
+  RejectInput(kServiceUnavailable);
+  return true;
+}
+
+std::optional<TimePoint> ServerConnection::OwesRequestSince() const {
+  const bool owes = phase_ == Phase::kReading && !closed_ && !was_served_;
+  return owes ? std::optional(waiting_since_) : std::nullopt;
+}
+
+bool ServerConnection::RejectByHead() {
+  if (std::exchange(is_head_checked_, true) || !context_->head_check) {
+    return false;
+  }
+  const auto response = context_->head_check(HeadOf(parser_->get()));
+  if (response) Reject(*response);
+  return response.has_value();
+}
+
+}  // namespace firmoor::details
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -38,8 +38,12 @@
 constexpr Duration kIdleTimeout{4'000};
 constexpr double kAnnouncedTimeoutFraction = 0.6;
 
-std::string Serialize(const std::string& host, const HttpRequest& request,
-                      bool keep) {
+// Larger bodies are handed over without a copy beside the head.
+constexpr std::size_t kMaxInlineBodyBytes = 16 * 1024;
+
+/// The request up to its body.
+std::string SerializeHead(const std::string& host, const HttpRequest& request,
+                          bool keep) {
   std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n",
                                  request.method, request.target, host);
   for (const auto& header : request.headers) {
@@ -52,7 +56,6 @@
     text += fmt::format("Content-Length: {}\r\n", request.body.size());
   }
   text += keep ? "\r\n" : "Connection: close\r\n\r\n";
-  text += request.body;
   return text;
 }
 
@@ -187,12 +190,17 @@
                                    timeouts.host_silent);
   socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   socket->setReadBufferSize(kReadBytes);
-  const std::string text = Serialize(host.empty() ? endpoint.ToString() : host,
-                                     request, pool != nullptr);
+  std::string text = SerializeHead(host.empty() ? endpoint.ToString() : host,
+                                   request, pool != nullptr);
+  const auto body = std::exchange(request.body, {});
+  const bool is_inline = body.size() <= kMaxInlineBodyBytes;
+  if (is_inline) text += body;
   may_have_been_sent = true;
   timer.start(timeouts.first_byte);
   if (timeouts.total) total_timer.start(*timeouts.total);
   socket->write(text.data(), static_cast<qint64>(text.size()));
+  // The socket shares the bytes and does not copy them.
+  if (!is_inline) socket->write(QByteArray::fromStdString(body));
 }
 
 void HttpCall::Builder::Impl::OnTimeout() {
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -16,19 +16,22 @@
 
 constexpr Logger kLog("http");
 constexpr int kListenBacklog = 1'024;
+// For which a connection that has sent no whole request keeps its place.
+constexpr Duration kMinRequestTime{200};
 
 }  // namespace
 
 std::string_view NameOf(ConnectionCut reason) {
   constexpr std::string_view kNames[] = {"idle",    "connections", "stop",
                                          "aborted", "pipelined",   "failed",
-                                         "stalled"};
+                                         "stalled", "upload",      "gave-way"};
   return kNames[static_cast<int>(reason)];
 }
 
 HttpResponder::HttpResponder(
-    std::weak_ptr<details::ServerConnection> connection)
-    : connection_(std::move(connection)) {}
+    std::weak_ptr<details::ServerConnection> connection,
+    std::shared_ptr<BodyBudget::Share> request)
+    : connection_(std::move(connection)), request_(std::move(request)) {}
 
 void HttpResponder::HoldUntilTaken(std::shared_ptr<BodyBudget::Share> share) {
   if (const auto connection = connection_.lock()) {
@@ -110,13 +113,15 @@
       connections;
 
   void Accept();
+  /// Closes a connection for a new one. Returns false if none gives way.
+  bool MakePlace();
   void RemoveConnection(details::ServerConnection* connection);
 };
 
 void HttpServer::Builder::Impl::Accept() {
   while (QTcpSocket* socket = listener.nextPendingConnection()) {
     socket->setParent(nullptr);
-    if (connections.size() >= context->limits.connections) {
+    if (connections.size() >= context->limits.connections && !MakePlace()) {
       context->CountCut(ConnectionCut::kConnections);
       socket->abort();
       socket->deleteLater();
@@ -131,6 +136,20 @@
   }
 }
 
+bool HttpServer::Builder::Impl::MakePlace() {
+  std::shared_ptr<details::ServerConnection> oldest;
+  // Requests that have just begun to arrive are most likely ordinary ones.
+  auto since = MonotonicNow() - kMinRequestTime;
+  for (const auto& [key, connection] : connections) {
+    const auto owes_since = connection->OwesRequestSince();
+    if (!owes_since || *owes_since > since) continue;
+    since = *owes_since;
+    oldest = connection;
+  }
+  if (oldest) oldest->Abort(ConnectionCut::kGaveWay);
+  return oldest != nullptr;
+}
+
 void HttpServer::Builder::Impl::RemoveConnection(
     details::ServerConnection* connection) {
   const auto found = connections.find(connection);
@@ -143,6 +162,7 @@
 }
 
 HttpServer::Builder::Builder() : impl_(std::make_unique<Impl>()) {}
+HttpServer::Builder::Builder(Builder&&) noexcept = default;
 HttpServer::Builder::~Builder() = default;
 
 HttpServer::Builder& HttpServer::Builder::Listen(Endpoint endpoint) {
@@ -160,6 +180,24 @@
   return *this;
 }
 
+HttpServer::Builder& HttpServer::Builder::HeadCheck(
+    HttpServer::HeadCheck check) {
+  impl_->context->head_check = std::move(check);
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::Uploads(
+    std::shared_ptr<BodyBudget> budget) {
+  impl_->context->uploads = std::move(budget);
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::OnGaveWay(
+    HttpServer::GaveWay handler) {
+  impl_->context->on_gave_way = std::move(handler);
+  return *this;
+}
+
 HttpServer::Builder& HttpServer::Builder::ErrorResponse(
     HttpServer::ErrorResponse make) {
   impl_->context->error_response = std::move(make);
--- a/libs/serving/src/error_answer.cc
+++ b/libs/serving/src/error_answer.cc
@@ -11,6 +11,9 @@
 constexpr std::int64_t kMsPerSecond = 1'000;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
+// Uploads that stand still give way within this time.
+constexpr Duration kMemoryRetryDelay{1'000};
 
 }  // namespace
 
@@ -53,6 +56,11 @@
   if (status == kRequestTimeout) {
     failure.error.code = ResultCode::kRequestTimeout;
   }
+  if (status == kServiceUnavailable) {
+    failure.error = {ResultCode::kOverloaded,
+                     "The memory for requests is used"};
+    failure.retry_after = kMemoryRetryDelay;
+  }
   return MakeErrorAnswer(failure, "");
 }
 
