--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -14,7 +14,10 @@
 #include "details/connection_metrics.h"
 #include "details/drain_steps.h"
 #include "details/gateway_settings.h"
+#include "details/listener_limits.h"
+#include "details/listeners.h"
 #include "details/quarantine_endpoint.h"
+#include "details/rollout_hooks.h"
 #include "details/supervised_parts.h"
 #include "dissemination/kind_relay.h"
 #include "gateway/coordinator_service.h"
@@ -22,7 +25,6 @@
 #include "http/http_server.h"
 #include "metrics/event_loop_monitor.h"
 #include "platform/kind_watcher.h"
-#include "serving/error_answer.h"
 
 namespace firmoor {
 namespace {
@@ -58,6 +60,8 @@
 // Callers measure idle time from when they sent, and may still use an earlier
 // configuration's limit.
 constexpr Duration kIdleTimeoutMargin{2'000};
+// Operators' requests name one verdict at most.
+constexpr std::uint64_t kMaxOperatorBodyBytes = 16 * 1024;
 
 HttpResponse PlainText(int status, std::string body) {
   return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
@@ -80,6 +84,7 @@
   KindWatcher upstreams;
   std::optional<KindWatcher> rollouts;  ///< If the settings ask for them.
   CoordinatorService coordinator;
+  details::Listeners listeners;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> ready_server;
   std::unique_ptr<HttpServer> metrics_server;
@@ -105,13 +110,10 @@
   CoordinatorService::Environment CoordinatorEnvironment();
   KindWatcher::Hooks ConfigurationHooks();
   KindWatcher::Hooks UpstreamHooks();
-  KindWatcher::Hooks RolloutHooks();
   [[nodiscard]] bool ServesRollouts() const {
     return settings.rollouts.enabled && settings.strategies.rollouts &&
            ports.rollouts != nullptr;
   }
-  [[nodiscard]] std::optional<RolloutOrder> DecodeRollout(
-      const KindObject& object) const;
   void LogDependency(const char* name, bool recovered) const;
   void ApplyConfiguration(const KindObject& object);
   void DecodeUpstream(const KindObject& object,
@@ -149,7 +151,10 @@
            settings.quota_window, settings.usage_window.count(), settings.cores,
            settings.reports_usage, settings.orders_upstreams,
            settings.is_first_start, settings.strategies},
-          CoordinatorEnvironment()) {
+          CoordinatorEnvironment()),
+      listeners(details::ListenerLimitsFor(settings.memory_mb,
+                                           details::DescriptorLimit()),
+                log) {
   gateway.SetPeerCall([this](const Endpoint& peer, const std::string& kind,
                              const QByteArray& message, Duration timeout,
                              PeerNode::Done done) {
@@ -162,8 +167,9 @@
     return coordinator.OpenPeerStream(peer, kind, message, std::move(handlers));
   });
   if (ServesRollouts()) {
-    rollouts.emplace(relay.get(), ports.rollout_kind, kPollTimeout, Duration(0),
-                     RolloutHooks());
+    rollouts.emplace(
+        relay.get(), ports.rollout_kind, kPollTimeout, Duration(0),
+        details::RolloutHooks(&gateway, ports.decode_rollout, log));
   }
   BuildServers();
   BuildTree();
@@ -276,7 +282,8 @@
   const auto& limits = gateway.routes()->content().limits;
   max_idle_time =
       std::max(max_idle_time, limits.idle_timeout + kIdleTimeoutMargin);
-  caller_server->SetLimits(details::ServerLimitsOf(limits, max_idle_time));
+  caller_server->SetLimits(details::ServerLimitsOf(
+      limits, max_idle_time, listeners.limits().caller_connections));
 }
 
 KindWatcher::Hooks GatewayDaemon::Impl::UpstreamHooks() {
@@ -318,58 +325,18 @@
   out->push_back(std::move(std::get<UpstreamEntry>(decoded)));
 }
 
-KindWatcher::Hooks GatewayDaemon::Impl::RolloutHooks() {
-  KindWatcher::Hooks hooks;
-  hooks.on_list = [this](const std::vector<KindObject>& objects, TimePoint) {
-    std::vector<RolloutOrder> orders;
-    for (const auto& object : objects) {
-      if (auto order = DecodeRollout(object)) {
-        orders.push_back(*std::move(order));
-      }
-    }
-    gateway.SetRolloutOrders(orders);
-  };
-  hooks.on_changes = [this](const std::vector<KindChange>& changes,
-                            std::optional<TimePoint>) {
-    for (const auto& change : changes) {
-      const auto order =
-          change.removed ? std::nullopt : DecodeRollout(change.object);
-      if (order) {
-        gateway.ApplyRolloutOrder(*order);
-      } else {
-        gateway.RemoveRolloutOrder(change.object.name);
-      }
-    }
-  };
-  hooks.on_outage = [] {};
-  hooks.on_recovered = [this] { LogDependency("rollouts", true); };
-  return hooks;
-}
-
-std::optional<RolloutOrder> GatewayDaemon::Impl::DecodeRollout(
-    const KindObject& object) const {
-  auto decoded = Capture(
-      [&] { return ports.decode_rollout(object.name, object.content); });
-  if (const auto* error = std::get_if<Error>(&decoded)) {
-    log->Write("rollout-order-bad",
-               {{"name", Text(object.name)}, {"reason", Text(error->message)}});
-    return std::nullopt;
-  }
-  return std::get<RolloutOrder>(decoded);
-}
-
 void GatewayDaemon::Impl::BuildServers() {
   caller_server =
-      HttpServer::Builder()
-          .Listen(settings.callers)
-          .ErrorResponse(MakeInputErrorResponse)
-          .Handler([this](const HttpRequest& request, const auto& responder) {
-            gateway.Handle(request, responder);
+      listeners.ForCallers(settings.callers)
+          .HeadCheck([this](const HttpRequest& head) {
+            return gateway.RejectByHead(head);
+          })
+          .Handler([this](HttpRequest request, const auto& responder) {
+            gateway.Handle(std::move(request), responder);
           })
           .Build();
   ready_server =
-      HttpServer::Builder()
-          .Listen(settings.ready)
+      listeners.ForOperators("ready", settings.ready, 0)
           .Handler([this](const HttpRequest&, const auto& responder) {
             LogReadinessChange();
             responder->Send(IsReady() ? PlainText(200, "ready\n")
@@ -377,8 +344,7 @@
           })
           .Build();
   metrics_server =
-      HttpServer::Builder()
-          .Listen(settings.metrics)
+      listeners.ForOperators("metrics", settings.metrics, kMaxOperatorBodyBytes)
           .Handler([this](const HttpRequest& request, const auto& responder) {
             const bool lists =
                 request.Path().starts_with(details::kQuarantinePath);
@@ -465,7 +431,7 @@
          gateway.UpstreamLimitMetrics() + gateway.QuarantineMetrics() +
          gateway.RolloutMetrics() + gateway.StreamMetrics() +
          gateway.LinkMetrics() + coordinator.MetricsText() +
-         details::ConnectionCutMetrics(*caller_server) +
+         details::ConnectionCutMetrics(*caller_server) + listeners.Metrics() +
          fmt::format(
              "firmoor_config_version {}\nfirmoor_config_age_ms {}\n"
              "firmoor_upstreams {}\nfirmoor_requests_in_work {}\n"
