--- a/libs/rollout/src/rollout_coordinator.cc
+++ b/libs/rollout/src/rollout_coordinator.cc
@@ -251,7 +251,7 @@
   const auto stored = StoredStage(*rollout);
   if (stored && *stored != rollout->stage) return Step{*stored, "stored"};
   if (IsTerminal(rollout->stage)) return std::nullopt;
-  if (const auto step = StepOfReports(*rollout)) return step;
+  if (auto step = StepOfReports(*rollout)) return step;
   if (rollout->comparison.fault() != VersionFault::kNone) {
     return StepAfterFault(rollout, now);
   }
@@ -310,11 +310,13 @@
     if (const auto step = NextStep(&rollout, now)) {
       changes.push_back(Enter(&rollout, *step, now));
     }
-    const bool all_know = std::all_of(
-        reported_at_.begin(), reported_at_.end(), [&](const auto& entry) {
-          return now - entry.second > kReportingWithin ||
-                 rollout.instances.contains(entry.first);
-        });
+    const auto& instances = rollout.instances;
+    const bool all_know =
+        std::all_of(reported_at_.begin(), reported_at_.end(),
+                    [now, &instances = instances](const auto& entry) {
+                      return now - entry.second > kReportingWithin ||
+                             instances.contains(entry.first);
+                    });
     rollout.is_moved |= rollout.stage == RolloutStage::kAll && all_know &&
                         HasMoved(rollout, now);
   }
