--- a/libs/gateway/src/details/gateway_impl.h
+++ b/libs/gateway/src/details/gateway_impl.h
@@ -14,7 +14,8 @@
 namespace firmoor {
 
 /// State of the gateway. Requests and changes of the configuration are handled
-/// in gateway.cc, upstreams that shut down in gateway_evacuation.cc.
+/// in gateway.cc, upstreams that shut down in gateway_evacuation.cc, roll-outs
+/// in gateway_rollouts.cc.
 struct Gateway::Impl {
   struct EarlyRequest {
     HttpRequest request;
