Print each figure of a daemon under its own name

Cause: the text of the metrics had ten places for eleven figures, so from firmoor_requests_in_work on each name showed the figure of the one before: firmoor_coordinator told the number of connections.

The number of rate-limited upstreams was the surplus one; its own metric stays.

--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -1,7 +1,5 @@
 #include "gateway/gateway_daemon.h"
 
-#include <fmt/format.h>
-
 #include <QTimer>
 #include <algorithm>
 #include <utility>
@@ -12,6 +10,7 @@
 #include "base/supervisor.h"
 #include "base/text.h"
 #include "details/connection_metrics.h"
+#include "details/daemon_metrics.h"
 #include "details/drain_steps.h"
 #include "details/gateway_settings.h"
 #include "details/listener_limits.h"
@@ -427,24 +426,23 @@
 std::string GatewayDaemon::Impl::MetricsText() const {
   const auto age = gateway.freshness().Age(MonotonicNow());
   const auto* routes = gateway.routes();
+  details::DaemonFigures figures;
+  if (routes != nullptr) figures.config_version = routes->version();
+  if (age) figures.config_age_ms = age->count();
+  figures.upstreams = gateway.upstreams().all().size();
+  figures.requests_in_work = gateway.ActiveRequestCount();
+  figures.connections = caller_server->ConnectionCount();
+  figures.is_coordinator = coordinator.IsHolder();
+  figures.log_dropped = log->dropped();
+  figures.store_era = ports.store_era->current();
+  figures.store_returns = store_returns;
+  figures.caught_exceptions = CaughtExceptionCount();
   return metrics.PrometheusText() + loop_monitor.PrometheusText() +
          gateway.UpstreamLimitMetrics() + gateway.QuarantineMetrics() +
          gateway.RolloutMetrics() + gateway.StreamMetrics() +
          gateway.LinkMetrics() + coordinator.MetricsText() +
          details::ConnectionCutMetrics(*caller_server) + listeners.Metrics() +
-         fmt::format(
-             "firmoor_config_version {}\nfirmoor_config_age_ms {}\n"
-             "firmoor_upstreams {}\nfirmoor_requests_in_work {}\n"
-             "firmoor_connections {}\nfirmoor_coordinator {}\n"
-             "firmoor_log_dropped_total {}\nfirmoor_store_era {}\n"
-             "firmoor_store_returns_total {}\n"
-             "firmoor_caught_exceptions_total {}\n",
-             routes == nullptr ? -1 : routes->version(),
-             age ? age->count() : -1, gateway.upstreams().all().size(),
-             gateway.RateLimitedUpstreamCount(), gateway.ActiveRequestCount(),
-             caller_server->ConnectionCount(), coordinator.IsHolder() ? 1 : 0,
-             log->dropped(), ports.store_era->current(), store_returns,
-             CaughtExceptionCount());
+         details::MetricsText(figures);
 }
 
 void GatewayDaemon::Impl::CheckDrain() {
