Judge by the last seconds whether one upstream is the fault

Upstreams that were used before it failed counted as sound, so the fault was taken for that of one upstream. Only requests of the last seconds count now, and the worst upstream must have most of the failures. Also, a sound plain service was reverted as slow: its only canary stood in another region, and the others were near; 40 ms are added to both times.

--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -15,6 +15,9 @@
 // Scale of the paces by which software versions are compared; both versions are
 // measured by the same.
 constexpr double kUsualAnswerMs = 25;
+// Canaries may be farther away than the upstreams that requests usually go to:
+// added to both times, so that two ways between regions are no fault.
+constexpr double kDistanceMs = 40;
 constexpr double kUsualPrefillTokensPerMs = 50;
 // Events after which the time between them is known well enough.
 constexpr std::size_t kEventsOfGap = 5;
@@ -207,10 +210,12 @@
   if (is_known) return;
   first_part_at_ = now;
   const double expected =
-      kUsualAnswerMs + prefill_tokens_ / kUsualPrefillTokensPerMs;
+      kDistanceMs + kUsualAnswerMs + prefill_tokens_ / kUsualPrefillTokensPerMs;
   context_->rollouts.OnPace(
       plan_.upstream, plan_.route,
-      PaceBucket(static_cast<double>((now - sent_at_).count()), expected), now);
+      PaceBucket(kDistanceMs + static_cast<double>((now - sent_at_).count()),
+                 expected),
+      now);
 }
 
 void UpstreamAttempt::RecordGap(TimePoint now) {
--- a/libs/rollout/include/rollout/rollout_coordinator.h
+++ b/libs/rollout/include/rollout/rollout_coordinator.h
@@ -85,6 +85,19 @@
     RolloutReport report;
     TimePoint reported_at;
   };
+  /// Requests to an upstream of the target, those of the last seconds.
+  struct RecentCounts {
+    double ended = 0;
+    double bad = 0;
+    double timed = 0;
+    double pace_sum = 0;
+
+    void Scale(double factor);
+    void Add(const UpstreamCounts& counts, const UpstreamCounts& before);
+    /// Share of failures, or the mean pace bucket.
+    [[nodiscard]] double Badness(VersionFault fault) const;
+    [[nodiscard]] double Samples(VersionFault fault) const;
+  };
   struct Rollout {
     RolloutOrder order;
     TimePoint started_at;  ///< When the first daemon knew of the order.
@@ -94,9 +107,10 @@
     VersionComparison comparison{kFalseAlarm};
     std::map<std::string, Instance> instances;
     std::optional<TimePoint> fault_since;
-    /// Responses of the target in this term, and in its last seconds.
+    /// Responses of the target in this term, and those of its last seconds.
     double observed = 0;
-    double recent = 0;
+    /// By upstream; empty: those that are counted together.
+    std::map<std::string, RecentCounts> recent;
     TimePoint recent_at;
     std::optional<StoredRollout> stored;
     bool is_calling = false;
@@ -110,13 +124,12 @@
                           const RolloutReport& report, TimePoint now);
   static void Observe(Rollout* rollout, const RolloutReport& before,
                       const RolloutReport& report, TimePoint now);
-  [[nodiscard]] static std::map<std::string, UpstreamCounts> SumsOfTargets(
-      const Rollout& rollout);
   /// Whether enough was seen of the target lately, in this term.
   [[nodiscard]] static bool IsObserved(const Rollout& rollout, TimePoint now);
-  /// Whether the fault is that of one upstream: others of the target are sound.
-  [[nodiscard]] static bool IsOneUpstream(
-      const std::map<std::string, UpstreamCounts>& sums, VersionFault fault);
+  /// Whether the fault is that of one upstream: lately, the others of the
+  /// target were sound.
+  [[nodiscard]] static bool IsOneUpstream(const Rollout& rollout,
+                                          VersionFault fault);
   /// The stage that follows and why; empty to stay.
   struct Step {
     RolloutStage to;
--- a/libs/rollout/src/rollout_coordinator.cc
+++ b/libs/rollout/src/rollout_coordinator.cc
@@ -25,15 +25,15 @@
 constexpr Duration kReportingWithin{2'500};
 constexpr Duration kCallRetryDelay{250};
 // Responses of an upstream that say something about it.
-constexpr std::int64_t kMinOfUpstream = 8;
+constexpr double kMinOfUpstream = 8;
 // A sound one fails a quarter as often as the worst at most, and is three half
 // octaves faster.
-constexpr std::int64_t kMuchBetter = 4;
+constexpr double kMuchBetter = 4;
 constexpr double kMuchFaster = 3;
 // While only one upstream was used, the fault may be its own. Others are used
 // within this time, unless too many responses were bad already.
 constexpr Duration kSecondOpinion{2'500};
-constexpr std::int64_t kMaxBadOfOneUpstream = 20;
+constexpr double kMaxBadOfOneUpstream = 20;
 
 ArmCounts Difference(const ArmCounts& now, const ArmCounts& before) {
   ArmCounts added{std::max<std::int64_t>(0, now.ended - before.ended),
@@ -54,16 +54,6 @@
   return stage == RolloutStage::kComplete || stage == RolloutStage::kReverted;
 }
 
-double BadShare(const UpstreamCounts& counts) {
-  return static_cast<double>(counts.bad) /
-         static_cast<double>(std::max<std::int64_t>(1, counts.ended));
-}
-
-double MeanPace(const UpstreamCounts& counts) {
-  return static_cast<double>(counts.pace_sum) /
-         static_cast<double>(std::max<std::int64_t>(1, counts.timed));
-}
-
 }  // namespace
 
 void RolloutCoordinator::SetOrders(const std::vector<RolloutOrder>& orders,
@@ -140,70 +130,91 @@
 
 void RolloutCoordinator::Observe(Rollout* rollout, const RolloutReport& before,
                                  const RolloutReport& report, TimePoint now) {
-  const auto ended = [](const RolloutReport& of) {
-    double sum = 0;
-    for (const auto& [id, counts] : of.targets) {
-      sum += static_cast<double>(counts.ended);
-    }
-    return sum;
+  const double kept = Decay(now - std::exchange(rollout->recent_at, now));
+  for (auto& [id, recent] : rollout->recent) recent.Scale(kept);
+  for (const auto& [id, counts] : report.targets) {
+    const auto found = before.targets.find(id);
+    const auto last =
+        found == before.targets.end() ? UpstreamCounts() : found->second;
+    rollout->recent[id].Add(counts, last);
+    rollout->observed += static_cast<double>(
+        std::max<std::int64_t>(0, counts.ended - last.ended));
+  }
+}
+
+void RolloutCoordinator::RecentCounts::Scale(double factor) {
+  ended *= factor;
+  bad *= factor;
+  timed *= factor;
+  pace_sum *= factor;
+}
+
+void RolloutCoordinator::RecentCounts::Add(const UpstreamCounts& counts,
+                                           const UpstreamCounts& before) {
+  const auto added = [](std::int64_t now, std::int64_t last) {
+    return static_cast<double>(std::max<std::int64_t>(0, now - last));
   };
-  const double added = std::max(0.0, ended(report) - ended(before));
-  rollout->observed += added;
-  rollout->recent = rollout->recent * Decay(now - rollout->recent_at) + added;
-  rollout->recent_at = now;
+  ended += added(counts.ended, before.ended);
+  bad += added(counts.bad, before.bad);
+  timed += added(counts.timed, before.timed);
+  pace_sum += added(counts.pace_sum, before.pace_sum);
 }
 
-std::map<std::string, UpstreamCounts> RolloutCoordinator::SumsOfTargets(
-    const Rollout& rollout) {
-  std::map<std::string, UpstreamCounts> sums;
-  for (const auto& [instance, known] : rollout.instances) {
-    for (const auto& [id, counts] : known.report.targets) {
-      auto& sum = sums[id];
-      sum.ended += counts.ended;
-      sum.bad += counts.bad;
-      sum.timed += counts.timed;
-      sum.pace_sum += counts.pace_sum;
-    }
-  }
-  return sums;
+double RolloutCoordinator::RecentCounts::Badness(VersionFault fault) const {
+  return fault == VersionFault::kFails ? bad / std::max(1.0, ended)
+                                       : pace_sum / std::max(1.0, timed);
+}
+
+double RolloutCoordinator::RecentCounts::Samples(VersionFault fault) const {
+  return fault == VersionFault::kFails ? ended : timed;
 }
 
 std::optional<RolloutCoordinator::Step> RolloutCoordinator::StepAfterFault(
     Rollout* rollout, TimePoint now) {
   const auto fault = rollout->comparison.fault();
-  const auto sums = SumsOfTargets(*rollout);
-  if (IsOneUpstream(sums, fault)) {
+  if (IsOneUpstream(*rollout, fault)) {
     rollout->comparison.Clear();
     rollout->fault_since.reset();
     return std::nullopt;
   }
   if (!rollout->fault_since) rollout->fault_since = now;
-  std::int64_t bad = 0;
-  std::int64_t used = 0;
-  for (const auto& [id, sum] : sums) {
-    bad += sum.bad;
-    if (sum.ended >= kMinOfUpstream || sum.timed >= kMinOfUpstream) ++used;
+  double bad = 0;
+  int used = 0;
+  for (const auto& [id, recent] : rollout->recent) {
+    bad += recent.bad;
+    if (recent.Samples(fault) >= kMinOfUpstream) ++used;
   }
-  const bool may_be_one_upstream = used < 2 && bad < kMaxBadOfOneUpstream &&
+  const bool may_be_one_upstream = used < 2 && rollout->recent.size() <= 2 &&
+                                   bad < kMaxBadOfOneUpstream &&
                                    now - *rollout->fault_since < kSecondOpinion;
   if (may_be_one_upstream) return std::nullopt;
   return Step{RolloutStage::kReverted, std::string(NameOf(fault))};
 }
 
-bool RolloutCoordinator::IsOneUpstream(
-    const std::map<std::string, UpstreamCounts>& sums, VersionFault fault) {
-  const bool fails = fault == VersionFault::kFails;
-  double worst = 0;
-  for (const auto& [id, sum] : sums) {
-    worst = std::max(worst, fails ? BadShare(sum) : MeanPace(sum));
+bool RolloutCoordinator::IsOneUpstream(const Rollout& rollout,
+                                       VersionFault fault) {
+  RecentCounts worst;
+  RecentCounts all;
+  for (const auto& [id, recent] : rollout.recent) {
+    all.ended += recent.ended;
+    all.bad += recent.bad;
+    all.timed += recent.timed;
+    all.pace_sum += recent.pace_sum;
+    // Upstreams that are counted together have no name.
+    const bool is_worst = !id.empty() &&
+                          recent.Samples(fault) >= kMinOfUpstream &&
+                          recent.Badness(fault) > worst.Badness(fault);
+    if (is_worst) worst = recent;
   }
-  return std::any_of(sums.begin(), sums.end(), [&](const auto& entry) {
-    const auto& sum = entry.second;
-    if (fails) {
-      return sum.ended >= kMinOfUpstream && BadShare(sum) * kMuchBetter < worst;
-    }
-    return sum.timed >= kMinOfUpstream && MeanPace(sum) + kMuchFaster < worst;
-  });
+  const RecentCounts others{all.ended - worst.ended, all.bad - worst.bad,
+                            all.timed - worst.timed,
+                            all.pace_sum - worst.pace_sum};
+  if (others.Samples(fault) < kMinOfUpstream) return false;
+  if (fault == VersionFault::kFails) {
+    return worst.bad > others.bad &&
+           others.Badness(fault) * kMuchBetter < worst.Badness(fault);
+  }
+  return others.Badness(fault) + kMuchFaster < worst.Badness(fault);
 }
 
 std::optional<RolloutStage> RolloutCoordinator::StoredStage(
@@ -241,9 +252,10 @@
 }
 
 bool RolloutCoordinator::IsObserved(const Rollout& rollout, TimePoint now) {
-  const double kept = Decay(now - rollout.recent_at);
+  double recent = 0;
+  for (const auto& [id, counts] : rollout.recent) recent += counts.ended;
   return rollout.observed >= kMinObserved &&
-         rollout.recent * kept >= kMinRecent;
+         recent * Decay(now - rollout.recent_at) >= kMinRecent;
 }
 
 std::optional<RolloutCoordinator::Step> RolloutCoordinator::NextStep(
--- a/libs/rollout/tests/rollout_fleet_test.cc
+++ b/libs/rollout/tests/rollout_fleet_test.cc
@@ -90,6 +90,18 @@
   }
 }
 
+TEST_CASE("A version that fails late shows at a service of many upstreams") {
+  // Guards against a fault that is taken for that of one upstream, since others
+  // were used before the version failed.
+  Model::Config config;
+  config.daemons = 74;
+  config.baseline = 300;
+  config.targets = 300;
+  config.requests_per_s = 700;
+  config.answer = kFaults[1].answer;
+  CheckReverted(Model::Play(config));
+}
+
 TEST_CASE("Exposure holds whatever is lost") {
   Model::Config config;
   config.daemons = 74;
