--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -316,7 +316,8 @@
           .HeadCheck([this](const HttpRequest& head) {
             return gateway.RejectByHead(head);
           })
-          .Handler([this](HttpRequest request, const auto& responder) {
+          .Handler([this](HttpRequest request,
+                          const std::shared_ptr<HttpResponder>& responder) {
             gateway.Handle(std::move(request), responder);
           })
           .Build();
