--- a/libs/gateway/tests/daemon_settings_test.cc
+++ b/libs/gateway/tests/daemon_settings_test.cc
@@ -48,4 +48,22 @@
   }
 }
 
+// Guards against a daemon that sizes its limits for another VM.
+TEST_CASE("[vm] memory_mb") {
+  SUBCASE("is that of the smallest VM by default") {
+    const auto parsed = Parse("");
+    REQUIRE(std::holds_alternative<GatewayDaemonSettings>(parsed));
+    CHECK(std::get<GatewayDaemonSettings>(parsed).memory_mb == 160);
+  }
+  SUBCASE("is read") {
+    const auto parsed = Parse("[vm]\nmemory_mb = 512\n");
+    REQUIRE(std::holds_alternative<GatewayDaemonSettings>(parsed));
+    CHECK(std::get<GatewayDaemonSettings>(parsed).memory_mb == 512);
+  }
+  SUBCASE("is rejected if it is nothing or no number") {
+    CHECK(std::holds_alternative<Error>(Parse("[vm]\nmemory_mb = 0\n")));
+    CHECK(std::holds_alternative<Error>(Parse("[vm]\nmemory_mb = \"a\"\n")));
+  }
+}
+
 }  // namespace firmoor
