Bound the uploads of firmoord's listeners

Change: the listeners for callers and operators share a budget of 20 MB beyond 8 KiB of each request.

No test sends a crowd to firmoord yet.

--- a/apps/firmoord/src/daemon.cc
+++ b/apps/firmoord/src/daemon.cc
@@ -6,6 +6,7 @@
 #include <QCborValue>
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <limits>
 #include <utility>
 
 #include "base/hash.h"
@@ -18,6 +19,9 @@
 namespace {
 
 constexpr Logger kLog("daemon");
+// Of requests at all listeners, each beyond its free part.
+constexpr BodyBudget::Limits kUploads{std::numeric_limits<std::size_t>::max(),
+                                      20 * 1024 * 1024, 8 * 1024};
 
 Supervisor::Part MakePart(std::string name, std::function<bool()> start,
                           std::function<void()> stop) {
@@ -124,9 +128,11 @@
 }
 
 void Daemon::BuildEndpoints() {
+  const auto uploads = std::make_shared<BodyBudget>(kUploads);
   callers_ =
       HttpServer::Builder()
           .Listen(settings_.callers)
+          .Uploads(uploads)
           .ErrorResponse(MakeInputErrorResponse)
           .Handler([this](const HttpRequest& request, const auto& responder) {
             dispatcher_->Handle(request, responder);
@@ -141,9 +147,10 @@
                                 on_stopped_();
                               });
   operators_ = std::make_unique<OperatorEndpoint>(
-      settings_, OperatorEndpoint::Hooks{
-                     config_.get(), [this] { return Status(); },
-                     [this] { return Report(); }, [this] { RequestStop(); }});
+      settings_, uploads,
+      OperatorEndpoint::Hooks{config_.get(), [this] { return Status(); },
+                              [this] { return Report(); },
+                              [this] { RequestStop(); }});
   observe_ = std::make_unique<ObserveEndpoint>(
       settings_.observe,
       ObserveEndpoint::Hooks{[this] { return IsReady(); },
--- a/apps/firmoord/src/operator_endpoint.cc
+++ b/apps/firmoord/src/operator_endpoint.cc
@@ -41,10 +41,13 @@
 
 }  // namespace
 
-OperatorEndpoint::OperatorEndpoint(const Settings& settings, Hooks hooks)
+OperatorEndpoint::OperatorEndpoint(const Settings& settings,
+                                   std::shared_ptr<BodyBudget> uploads,
+                                   Hooks hooks)
     : settings_(settings), hooks_(std::move(hooks)) {
   server_ = HttpServer::Builder()
                 .Listen(settings.operators)
+                .Uploads(std::move(uploads))
                 .ErrorResponse(MakeInputErrorResponse)
                 .Handler([this](const HttpRequest& request,
                                 const Responder& responder) {
--- a/apps/firmoord/src/operator_endpoint.h
+++ b/apps/firmoord/src/operator_endpoint.h
@@ -22,7 +22,9 @@
     std::function<void()> drain;
   };
 
-  OperatorEndpoint(const Settings& settings, Hooks hooks);
+  /// `uploads`: what requests take of the memory.
+  OperatorEndpoint(const Settings& settings,
+                   std::shared_ptr<BodyBudget> uploads, Hooks hooks);
 
   bool Start();
   void Stop();
