Have daemons admit by urgency where priorities share engines

Exchange asks ShortageGate once it has chosen an upstream; reports and replies of the coordinator carry demand and admission levels, which earlier builds ignore. Services with one priority or without engines, and daemons with [strategies] urgency = false, decide as before. Each refusal is logged with level, expected wait and time left; metrics count decisions by priority.

--- a/libs/gateway/include/gateway/coordination.h
+++ b/libs/gateway/include/gateway/coordination.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/fleet_shortage.h"
 #include "base/error.h"
 #include "base/time.h"
 #include "dissemination/distribution_tree.h"
@@ -34,6 +35,7 @@
   std::map<std::string, ServiceLoad> loads;  ///< By service.
   UpstreamLimitReports upstream_limits;
   QuarantineReport quarantine;
+  ShortageReport shortage;  ///< Empty in reports of earlier builds.
   /// Since its start; empty in reports of builds that neither take over a lease
   /// which is handed to them nor follow `CoordinatorReply::moved_to`.
   std::optional<Duration> uptime;
@@ -58,6 +60,7 @@
   SharedLimits limits;
   UpstreamLimitReply upstream_limits;
   QuarantineReply quarantine;
+  ShortageReply shortage;
   /// The coordinator's configuration version, and how long ago it confirmed in
   /// the store that it is the newest; negative when it has not.
   std::int64_t config_version = -1;
@@ -203,6 +206,7 @@
   std::map<std::string, QuotaPool> quotas_;  ///< By workspace.
   UpstreamLimitDivider upstream_limits_;
   QuarantineAuthority quarantine_;
+  FleetShortage shortage_;
   UsageTotals usage_;
   std::map<std::string, DaemonState> daemons_;
   DistributionTree tree_;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "admission/shortage_messages.h"
 #include "base/event_log.h"
 #include "base/time.h"
 #include "gateway/dialect.h"
@@ -135,6 +136,14 @@
   /// Counters of the quarantine, in the Prometheus text format.
   [[nodiscard]] std::string QuarantineMetrics() const;
 
+  /// Demand since the last report, for the admission level of services whose
+  /// requests have several priorities.
+  ShortageReport ReportShortage();
+  /// Applies the coordinator's admission levels.
+  void ApplyShortage(const ShortageReply& reply);
+  /// Admission levels and decisions, in the Prometheus text format.
+  [[nodiscard]] std::string ShortageMetrics() const;
+
   /// Sets how other daemons are called.
   void SetPeerCall(PeerCall call);
   /// Serves another daemon's call; empty if the gateway does not serve `kind`.
--- a/libs/gateway/src/coordination.cc
+++ b/libs/gateway/src/coordination.cc
@@ -42,6 +42,7 @@
       previous_until_(previous_until),
       upstream_limits_(fencing_token, started_at),
       quarantine_(fencing_token),
+      shortage_(started_at),
       directory_(fencing_token),
       refreshed_at_(started_at) {}
 
@@ -96,6 +97,9 @@
       report.daemon, report.upstream_limits, ReportingFraction(now), now);
   reply.upstream_limits.grants_permits &= reply.limits_ready;
   reply.quarantine = quarantine_.OnReport(report.quarantine, now);
+  reply.shortage = shortage_.OnReport(
+      report.shortage,
+      [&](const std::string& name) { return limit_of(name).rate_per_s; }, now);
   if (reply.limits_ready && report.directory) {
     reply.directory = directory_.UpdateSince(*report.directory);
   }
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -7,6 +7,7 @@
 #include "base/text.h"
 #include "details/quarantine_encoding.h"
 #include "details/quota_encoding.h"
+#include "details/urgency.h"
 #include "gateway/coordination.h"
 #include "peer/peer_message.h"
 
@@ -313,6 +314,7 @@
                  {"usage", EncodeUsage(usage)},
                  {"quotas", EncodeQuotaUses(quotas)},
                  {"loads", load_map},
+                 {"shortage", details::EncodeShortageReport(shortage)},
                  {"upstream_limits", EncodeLimitReports(upstream_limits)},
                  {"quarantine", EncodeQuarantineReport(quarantine)}})
       .toCbor();
@@ -343,6 +345,8 @@
   }
   report.usage = DecodeUsage(map[QLatin1String("usage")]);
   report.quotas = DecodeQuotaUses(map[QLatin1String("quotas")]);
+  report.shortage =
+      details::DecodeShortageReport(map[QLatin1String("shortage")]);
   for (const auto& entry : map[QLatin1String("loads")].toMap()) {
     const auto load = entry.second.toMap();
     report.loads[entry.first.toString().toStdString()] = {
@@ -426,6 +430,7 @@
                       {"grants", EncodeQuotaGrants(limits.quota_grants)},
                       {"upstream_limits", EncodeLimitReply(upstream_limits)},
                       {"quarantine", EncodeQuarantineReply(quarantine)},
+                      {"shortage", details::EncodeShortageReply(shortage)},
                       {"moved_to", Text(moved_to)},
                       {"moved_fencing", static_cast<qint64>(moved_fencing)},
                       {"daemons", static_cast<qint64>(limits.daemons)}})
@@ -447,6 +452,7 @@
   reply.moved_fencing = map[QLatin1String("moved_fencing")].toInteger();
   reply.sources = DecodeEndpoints(map[QLatin1String("sources")]);
   reply.directory = DecodeDirectoryUpdate(map[QLatin1String("directory")]);
+  reply.shortage = details::DecodeShortageReply(map[QLatin1String("shortage")]);
   reply.limits.quota_grants = DecodeQuotaGrants(map[QLatin1String("grants")]);
   reply.limits.daemons =
       static_cast<std::size_t>(map[QLatin1String("daemons")].toInteger(1));
--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -52,6 +52,7 @@
   report.loads = env.gateway->Loads();
   report.upstream_limits = env.gateway->ReportUpstreamLimits();
   report.quarantine = env.gateway->ReportQuarantine();
+  report.shortage = env.gateway->ReportShortage();
   return report;
 }
 
@@ -138,6 +139,7 @@
   env.true_time->SetTime(reply.true_ms, MonotonicNow());
   env.gateway->ApplyUpstreamLimits(reply.upstream_limits, sent.at);
   env.gateway->ApplyQuarantine(reply.quarantine);
+  env.gateway->ApplyShortage(reply.shortage);
   if (!reply.limits_ready) return AwaitGrants();
   env.gateway->SetSharedLimits(reply.limits, sent.number);
   env.gateway->ApplyDaemonDirectory(reply.directory);
--- a/libs/gateway/src/daemon_settings.cc
+++ b/libs/gateway/src/daemon_settings.cc
@@ -56,6 +56,7 @@
   reader->Flag("prefix_homes", &strategies.prefix_homes);
   reader->Flag("ask_engines", &strategies.ask_engines);
   reader->Flag("refuse_by_wait", &strategies.refuse_by_wait);
+  reader->Flag("urgency", &strategies.urgency);
   reader->Flag("ejection", &strategies.ejection);
   reader->Flag("move_runs", &strategies.move_runs);
   reader->Flag("engines_for_slots", &strategies.engines_for_slots);
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -116,6 +116,16 @@
   void TryNextUpstream();
   void OnProbeResult();
   void SendToBestUpstream();
+  /// Decides whether the request is refused, as `upstream`, the best one, has
+  /// too little room for it. Returns the time after which the caller may come
+  /// back; empty if it is sent.
+  std::optional<Duration> RefusalForShortage(const UpstreamEntry& upstream,
+                                             TimePoint now);
+  /// The same where requests of several priorities compete.
+  std::optional<Duration> RefusalByUrgency(const UpstreamEntry& upstream,
+                                           TimePoint now);
+  void LogShortage(const ShortageRequest& asked,
+                   const ShortageDecision& decision) const;
   /// Waits for the coordinator to grant a permit for one of `upstreams`, if it
   /// may; returns false if the request is not to wait.
   bool AwaitPermit(const std::vector<UpstreamEntry>& upstreams, TimePoint now);
@@ -316,7 +326,10 @@
   std::vector<UpstreamEntry> without_permit_;
   std::size_t probes_sent_ = 0;
   std::size_t probes_pending_ = 0;
-  Duration expected_wait_{0};  ///< For an engine slot, when it was sent.
+  Duration expected_wait_{0};       ///< For an engine slot, when it was sent.
+  bool counted_as_demand_ = false;  ///< In the admission level.
+  /// Priority at upstreams, if a shortage changes it.
+  std::optional<int> shortage_priority_;
   bool finished_ = false;
 };
 
--- a/libs/gateway/src/details/exchange_choice.cc
+++ b/libs/gateway/src/details/exchange_choice.cc
@@ -93,14 +93,14 @@
   expected_wait_ = context_->picker.ExpectedWait(upstream->id, now);
   // A request that may have started to run, or a stream that the caller has a
   // part of, is not rejected.
-  const bool refused = context_->settings.strategies.refuse_by_wait &&
-                       OutcomeSoFar() == RequestOutcome::kNotRun &&
-                       !answer_started_ && !version_ &&
-                       IsSlotWaitTooLong(*admission_.route, expected_wait_);
-  if (!refused) return Send(*upstream);
-  Refuse(
-      ResultCode::kOverloaded, "All engines are busy", RequestOutcome::kNotRun,
-      std::max(RetryDelay(), JitteredRetryDelay(expected_wait_, request_.id)));
+  const bool may_refuse = context_->settings.strategies.refuse_by_wait &&
+                          OutcomeSoFar() == RequestOutcome::kNotRun &&
+                          !answer_started_ && !version_;
+  const auto retry_after =
+      may_refuse ? RefusalForShortage(*upstream, now) : std::nullopt;
+  if (!retry_after) return Send(*upstream);
+  Refuse(ResultCode::kOverloaded, "All engines are busy",
+         RequestOutcome::kNotRun, retry_after);
 }
 
 void Exchange::RefuseFurtherAttempt(ResultCode code, std::string message,
--- a/libs/gateway/src/details/exchange_resume.cc
+++ b/libs/gateway/src/details/exchange_resume.cc
@@ -102,7 +102,8 @@
 int Exchange::PriorityOfAttempt() const {
   // A caller that has a part of a stream has waited already.
   const bool goes_on = request_.IsResumed() || answer_started_;
-  return std::max(0, admission_.Priority() - (goes_on ? 1 : 0));
+  const int priority = shortage_priority_.value_or(admission_.Priority());
+  return std::max(0, priority - (goes_on ? 1 : 0));
 }
 
 }  // namespace firmoor::details
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/shortage_gate.h"
 #include "details/delegations.h"
 #include "details/link_monitor.h"
 #include "details/request_quarantine.h"
@@ -75,6 +76,7 @@
   UpstreamCatalog catalog;
   UpstreamPermits permits;
   UpstreamPicker picker;
+  ShortageGate shortage;
   RequestQuarantine quarantine;
   StreamVersions stream_versions;
   LinkMonitor links;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -11,6 +11,7 @@
 #include "details/delegation_server.h"
 #include "details/exchange.h"
 #include "details/gateway_impl.h"
+#include "details/urgency.h"
 #include "gateway/refusal.h"
 
 namespace firmoor {
@@ -104,6 +105,8 @@
        {"routes", static_cast<qint64>(table->content().routes.size())},
        {"workspaces",
         static_cast<qint64>(table->content().workspaces.size())}});
+  context.shortage.SetKinds(details::KindsOf(table->content()));
+  context.shortage.SetWeights(details::WeightsOf(table->content()));
   context.table = std::move(table);
   // Reports the quotas to the coordinator before the first request needs one.
   for (const auto& workspace : context.table->content().workspaces) {
@@ -245,6 +248,18 @@
   impl_->context.quarantine.Apply(reply);
 }
 
+ShortageReport Gateway::ReportShortage() {
+  return impl_->context.shortage.Report(MonotonicNow());
+}
+
+void Gateway::ApplyShortage(const ShortageReply& reply) {
+  impl_->context.shortage.OnReply(reply, MonotonicNow());
+}
+
+std::string Gateway::ShortageMetrics() const {
+  return details::ShortageMetrics(impl_->context.shortage, MonotonicNow());
+}
+
 const std::vector<Verdict>& Gateway::Verdicts() const {
   return impl_->context.quarantine.verdicts();
 }
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -405,8 +405,8 @@
   const auto* routes = gateway.routes();
   return metrics.PrometheusText() + loop_monitor.PrometheusText() +
          gateway.UpstreamLimitMetrics() + gateway.QuarantineMetrics() +
-         gateway.StreamMetrics() + gateway.LinkMetrics() +
-         coordinator.MetricsText() +
+         gateway.ShortageMetrics() + gateway.StreamMetrics() +
+         gateway.LinkMetrics() + coordinator.MetricsText() +
          details::ConnectionCutMetrics(*caller_server) +
          fmt::format(
              "firmoor_config_version {}\nfirmoor_config_age_ms {}\n"
--- a/libs/routing/include/routing/upstream_picker.h
+++ b/libs/routing/include/routing/upstream_picker.h
@@ -144,6 +144,9 @@
   [[nodiscard]] Duration ExpectedWait(const std::string& id,
                                       TimePoint now) const;
 
+  /// Estimated part of an engine's slots that is taken; 0 for plain upstreams.
+  [[nodiscard]] double Occupancy(const std::string& id, TimePoint now) const;
+
   /// Records that the request is sent. Keep the ticket until `OnEnd`.
   PickTicket OnSend(const std::string& id, const PickRequest& request);
   /// Records the first event, which shows that prefill has finished.
--- a/libs/routing/src/upstream_picker.cc
+++ b/libs/routing/src/upstream_picker.cc
@@ -377,6 +377,16 @@
   return loads_.Wait(LoadViewOf(found->second), now);
 }
 
+double UpstreamPicker::Occupancy(const std::string& id, TimePoint now) const {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end() || !IsEngine(found->second.entry.service)) {
+    return 0;
+  }
+  const auto engine = LoadViewOf(found->second);
+  return loads_.Requests(engine, now) /
+         static_cast<double>(std::max<std::int64_t>(1, engine.slots));
+}
+
 PickTicket UpstreamPicker::OnSend(const std::string& id,
                                   const PickRequest& request) {
   const auto found = upstreams_.find(id);
