--- a/libs/gateway/include/gateway/coordination.h
+++ b/libs/gateway/include/gateway/coordination.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/fleet_shortage.h"
 #include "base/error.h"
 #include "base/time.h"
 #include "dissemination/distribution_tree.h"
@@ -36,6 +37,7 @@
   UpstreamLimitReports upstream_limits;
   QuarantineReport quarantine;
   RolloutReports rollouts;
+  ShortageReport shortage;  ///< Empty in reports of earlier builds.
   /// Since its start; empty in reports of builds that neither take over a lease
   /// which is handed to them nor follow `CoordinatorReply::moved_to`.
   std::optional<Duration> uptime;
@@ -61,6 +63,7 @@
   UpstreamLimitReply upstream_limits;
   QuarantineReply quarantine;
   RolloutReplies rollouts;
+  ShortageReply shortage;
   /// The coordinator's configuration version, and how long ago it confirmed in
   /// the store that it is the newest; negative when it has not.
   std::int64_t config_version = -1;
@@ -206,6 +209,7 @@
   std::map<std::string, QuotaPool> quotas_;  ///< By workspace.
   UpstreamLimitDivider upstream_limits_;
   QuarantineAuthority quarantine_;
+  FleetShortage shortage_;
   UsageTotals usage_;
   std::map<std::string, DaemonState> daemons_;
   DistributionTree tree_;
--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -62,6 +62,7 @@
   report.upstream_limits = env.gateway->ReportUpstreamLimits();
   report.quarantine = env.gateway->ReportQuarantine();
   report.rollouts = env.gateway->ReportRollouts();
+  report.shortage = env.gateway->ReportShortage();
   return report;
 }
 
@@ -153,6 +154,7 @@
   if (IsMoving(reply.rollouts) && !early_report_timer.isActive()) {
     early_report_timer.start(kMovingReportPeriod);
   }
+  env.gateway->ApplyShortage(reply.shortage);
   if (!reply.limits_ready) return AwaitGrants();
   env.gateway->SetSharedLimits(reply.limits, sent.number);
   env.gateway->ApplyDaemonDirectory(reply.directory);
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/shortage_gate.h"
 #include "details/delegations.h"
 #include "details/link_monitor.h"
 #include "details/request_quarantine.h"
@@ -76,6 +77,7 @@
   UpstreamCatalog catalog;
   UpstreamPermits permits;
   UpstreamPicker picker;
+  ShortageGate shortage;
   RequestQuarantine quarantine;
   RolloutGuard rollouts;
   StreamVersions stream_versions;
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -440,8 +440,9 @@
   figures.caught_exceptions = CaughtExceptionCount();
   return metrics.PrometheusText() + loop_monitor.PrometheusText() +
          gateway.UpstreamLimitMetrics() + gateway.QuarantineMetrics() +
-         gateway.RolloutMetrics() + gateway.StreamMetrics() +
-         gateway.LinkMetrics() + coordinator.MetricsText() +
+         gateway.RolloutMetrics() + gateway.ShortageMetrics() +
+         gateway.StreamMetrics() + gateway.LinkMetrics() +
+         coordinator.MetricsText() +
          details::ConnectionCutMetrics(*caller_server) + listeners.Metrics() +
          details::MetricsText(figures);
 }
