Learn how much each upstream takes well, and choose by it

Upstreams of one service differ in speed, some slow down long before their slots are in use, and some are slow for a moment; the picker took all for equal, and all engines for reading 50,000 tokens a second.

libs/capacity compares the times of a daemon's own requests to those that the service needs for such requests, and tells upstreams that are slow for good, for the moment, or since they are full. Expected time in the picker takes it into account; without a difference the choices are those of before. The limit by AIMD is the one of firmoord's router, which now gives it the bound in time instead of the target (unchanged value).

--- a/libs/serving/src/concurrency_limit.cc
+++ b/libs/capacity/src/concurrency_limit.cc
@@ -1,4 +1,4 @@
-#include "serving/concurrency_limit.h"
+#include "capacity/concurrency_limit.h"
 
 #include <algorithm>
 
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr double kDecreaseFactor = 0.8;
-// The rest of the target is left for queueing before the request is sent.
-constexpr double kUpstreamShareOfTarget = 0.35;
 // Many requests observe the same slow batch; it must count once.
 constexpr Duration kDecreaseInterval{200};
 
@@ -21,11 +19,9 @@
   FIRMOOR_PRECONDITION(ceiling >= 1, "the ceiling is at least one");
 }
 
-void ConcurrencyLimit::OnSample(Duration first_byte, Duration target,
-                                bool was_full, TimePoint now) {
-  const auto bound = Duration(static_cast<std::int64_t>(
-      static_cast<double>(target.count()) * kUpstreamShareOfTarget));
-  if (first_byte > bound) {
+void ConcurrencyLimit::OnSample(Duration time, Duration bound, bool was_full,
+                                TimePoint now) {
+  if (time > bound) {
     if (now - last_decrease_ < kDecreaseInterval) return;
     last_decrease_ = now;
     value_ = std::max(1.0, value_ * kDecreaseFactor);
--- a/libs/gateway/include/gateway/strategies.h
+++ b/libs/gateway/include/gateway/strategies.h
@@ -21,6 +21,9 @@
   bool engines_for_slots = true;
   /// Keeps on-demand engines in reserve for the next reclaim of a zone.
   bool reclaim_reserve = true;
+  /// Prefers upstreams that answer faster than others of their service, learns
+  /// what each takes well, and how fast engines read prompts.
+  bool learned_capacity = true;
 
   bool operator==(const Strategies&) const = default;
 };
--- a/libs/gateway/src/daemon_settings.cc
+++ b/libs/gateway/src/daemon_settings.cc
@@ -60,6 +60,7 @@
   reader->Flag("move_runs", &strategies.move_runs);
   reader->Flag("engines_for_slots", &strategies.engines_for_slots);
   reader->Flag("reclaim_reserve", &strategies.reclaim_reserve);
+  reader->Flag("learned_capacity", &strategies.learned_capacity);
 }
 
 struct Section {
--- a/libs/gateway/src/details/exchange_choice.cc
+++ b/libs/gateway/src/details/exchange_choice.cc
@@ -25,6 +25,7 @@
 PickRequest Exchange::MakePickRequest() const {
   PickRequest pick;
   pick.service = service_;
+  pick.kind = admission_.route->name;
   pick.chunks = request_.prompt_chunks;
   pick.prompt_tokens = request_.prompt_tokens.value_or(0);
   pick.output_tokens = request_.max_output_tokens;
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -44,7 +44,8 @@
       freshness(settings.freshness_bound),
       catalog(settings.reregistration_time),
       picker(settings.location,
-             {settings.strategies.prefix_homes, settings.strategies.ejection}),
+             {settings.strategies.prefix_homes, settings.strategies.ejection,
+              settings.strategies.learned_capacity}),
       quarantine(environment.log,
                  [this] {
                    if (on_grant_needed) on_grant_needed();
@@ -259,7 +260,7 @@
 PickTicket GatewayContext::StartAttempt(const UpstreamEntry& upstream,
                                         const PickRequest& pick,
                                         TimePoint now) {
-  auto ticket = picker.OnSend(upstream.id, pick);
+  auto ticket = picker.OnSend(upstream.id, pick, now);
   if (ticket.upstream.empty()) return ticket;
   permits.slots().OnSend(
       {upstream.id, upstream.born_ms, upstream.service, upstream.slots}, now);
@@ -274,6 +275,7 @@
                                 bool rejected, TimePoint now) {
   const bool was_sent = !ticket->upstream.empty();
   picker.OnEnd(ticket, outcome, now);
+  RecordCapacity(&picker, environment.log, &time_ratios);
   if (!was_sent) return;
   auto& slots = permits.slots();
   slots.OnEnd(upstream.id, rejected, now);
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -17,6 +17,7 @@
 #include "details/request_quarantine.h"
 #include "details/stream_ends.h"
 #include "details/stream_versions.h"
+#include "details/upstream_capacity_record.h"
 #include "gateway/gateway.h"
 #include "gateway/request_admission.h"
 #include "http/body_budget.h"
@@ -99,6 +100,7 @@
   RetrySchedule retry_schedule;
   UpstreamLimitCounters limit_counters;
   SlotCounters slot_counters;
+  DurationRatios time_ratios;
   BesideCounters beside_counters;
   StreamEndCounters stream_ends;
   /// Shared with probes that outlast this.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -300,7 +300,8 @@
       "firmoor_answers_held_bytes {}\nfirmoor_answers_gave_way_total {}\n",
       context.answer_budget->shared_bytes_in_use(),
       context.answer_budget->gave_way());
-  return text + context.stream_ends.Metrics() + context.caller_flows.Metrics();
+  return text + context.stream_ends.Metrics() + context.time_ratios.Metrics() +
+         context.caller_flows.Metrics();
 }
 
 void Gateway::SetSharedLimits(const SharedLimits& limits,
--- a/libs/routing/include/routing/upstream_picker.h
+++ b/libs/routing/include/routing/upstream_picker.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "capacity/upstream_capacity.h"
 #include "limits/upstream_permits.h"
 #include "routing/engine_loads.h"
 #include "routing/route_table.h"
@@ -30,6 +31,8 @@
 /// The properties of a request that the choice of an upstream depends on.
 struct PickRequest {
   std::string service;
+  /// Requests of one kind are of similar size, such as those of one route.
+  std::string kind;
   std::vector<PromptChunk> chunks;  ///< The last one is unique to the request.
   double prompt_tokens = 0;
   double output_tokens = 0;       ///< Upper limit.
@@ -49,6 +52,9 @@
   std::string upstream;  ///< Empty when not dispatched.
   double prefill_tokens = 0;
   std::optional<TimePoint> started_at;  ///< Arrival of the first event.
+  /// What the time of this request tells of the upstream; empty for nothing.
+  std::optional<CapacitySample> sample;
+  TimePoint sent_at;  ///< Valid with `sample`.
 
   bool operator==(const PickTicket&) const = default;
 };
@@ -68,7 +74,8 @@
 /// hashing assigns each prompt prefix a home engine, so that all daemons send
 /// requests with that prefix to the same engine without coordination. When
 /// engine slots are scarce, some engines are probed for their load first.
-/// Plain upstreams are chosen by distance and load.
+/// Plain upstreams are chosen by distance and load. Upstreams that answers show
+/// to be slower than others, or slow before they are full, cost more.
 ///
 /// Health checks are not relied on: upstreams that fail requests are ejected
 /// with exponential backoff, unless all are ejected. Performs no I/O.
@@ -86,6 +93,7 @@
   struct Options {
     bool prefix_homes = true;
     bool ejection = true;
+    bool learned_capacity = true;
 
     bool operator==(const Options&) const = default;
   };
@@ -144,8 +152,10 @@
   [[nodiscard]] Duration ExpectedWait(const std::string& id,
                                       TimePoint now) const;
 
-  /// Records that the request is sent. Keep the ticket until `OnEnd`.
-  PickTicket OnSend(const std::string& id, const PickRequest& request);
+  /// Records that the request is sent. Keep the ticket until `OnEnd`. Without
+  /// `now` the times of the request are not learned from.
+  PickTicket OnSend(const std::string& id, const PickRequest& request,
+                    std::optional<TimePoint> now = std::nullopt);
   /// Records the first event, which shows that prefill has finished.
   void OnFirstEvent(PickTicket* ticket, TimePoint now);
   /// Records the end of the request and clears the ticket.
@@ -155,6 +165,18 @@
   [[nodiscard]] bool HasVersion(const std::string& service,
                                 const std::string& version) const;
 
+  /// Observed by expected time to the first event or answer, of the requests
+  /// that showed it since the last call; at most some hundred.
+  [[nodiscard]] std::vector<double> TakeTimeRatios();
+  /// Prompt tokens that an engine of `service` is expected to read per second.
+  [[nodiscard]] double TokensPerS(const std::string& service) const {
+    return capacity_.TokensPerS(service);
+  }
+  /// Changes of what is believed of upstreams since the last call.
+  [[nodiscard]] std::vector<CapacityChange> TakeCapacityChanges() {
+    return capacity_.TakeChanges();
+  }
+
   [[nodiscard]] std::int64_t InFlight(const std::string& id) const;
   /// In-flight requests of this daemon at upstreams of `service`.
   [[nodiscard]] std::int64_t ServiceInFlight(const std::string& service) const;
@@ -191,6 +213,8 @@
   [[nodiscard]] bool IsRemote(const UpstreamEntry& entry) const;
   [[nodiscard]] std::vector<const Upstream*> EligibleUpstreams(
       const PickRequest& request, TimePoint now) const;
+  /// Limit of this daemon's requests there.
+  [[nodiscard]] std::int64_t CeilingOf(const UpstreamEntry& entry) const;
   [[nodiscard]] bool HasCapacity(const Upstream& upstream) const;
   [[nodiscard]] bool IsRateLimited(const UpstreamEntry& entry) const;
   /// Whether this daemon may send the upstream a request if it is brittle.
@@ -203,6 +227,26 @@
   [[nodiscard]] std::optional<TimePoint> PausedUntil(const UpstreamEntry& entry,
                                                      TimePoint now) const;
   [[nodiscard]] std::uint64_t HomeHashKey(const PickRequest& request) const;
+  /// Cost of a plain upstream without distance.
+  [[nodiscard]] double PlainCost(const Upstream& upstream,
+                                 const PickRequest& request,
+                                 TimePoint now) const;
+  /// Expected time at the upstream by that at a usual one.
+  [[nodiscard]] double Slowness(const Upstream& upstream, TimePoint now) const;
+  /// Expected time that a request of the kind takes longer here than at a usual
+  /// upstream, in seconds.
+  [[nodiscard]] double ExtraTime(const Upstream& upstream,
+                                 const std::string& kind,
+                                 double slowness) const;
+  [[nodiscard]] CapacityWork WorkOf(const Upstream& upstream,
+                                    const PickRequest& request,
+                                    double uncached) const;
+  /// What the time of a request that is sent now will tell.
+  [[nodiscard]] CapacitySample SampleOf(const Upstream& upstream,
+                                        const PickRequest& request,
+                                        double uncached, TimePoint now) const;
+  /// Learns from a request that got its first event or answer, or was given up.
+  void LearnFrom(PickTicket* ticket, bool is_lower_bound, TimePoint now);
   [[nodiscard]] static double UncachedTokens(const Upstream& upstream,
                                              const PickRequest& request,
                                              bool is_home);
@@ -232,6 +276,8 @@
   std::map<std::string, Upstream> upstreams_;
   std::map<std::string, ServiceProfile> services_;
   EngineLoads loads_;
+  UpstreamCapacity capacity_;
+  std::vector<double> time_ratios_;
   UpstreamPermits* permits_ = nullptr;
   std::map<std::string, PauseState> pauses_;  ///< By id; outlives the entries.
   std::uint64_t pick_count_ = 0;
--- a/libs/routing/src/upstream_picker.cc
+++ b/libs/routing/src/upstream_picker.cc
@@ -10,20 +10,6 @@
 namespace firmoor {
 namespace {
 
-// Prefill rate in tokens per second, of the order of the deployments' engines
-// (54.6 tokens per ms).
-constexpr double kPrefillTokensPerS = 50'000;
-// Recomputing shared chunks also delays the streams that run beside it, so it
-// counts more than its own time (see docs/PLATFORM.md).
-constexpr double kRecomputeFactor = 2.0;
-// Delay of the first event per request in the same batch: each one lengthens a
-// step by 0.12 ms, and the first event takes about 60 steps.
-constexpr double kInterferencePerRequestS = 0.007;
-// Penalties for crossing zones and regions, from their latency and price.
-constexpr double kOtherZoneS = 0.002;
-constexpr double kOtherRegionS = 0.08;
-// Service time of a plain request, to weigh load against distance.
-constexpr double kPlainRequestTimeS = 0.03;
 // Engines compared per request. Two random choices balance most of the load
 // (Mitzenmacher) and a third one the rest; each costs a probe.
 constexpr std::size_t kEngineCandidates = 3;
@@ -74,12 +60,16 @@
     const std::map<std::string, UpstreamEntry>& entries) {
   std::erase_if(upstreams_, [&](const auto& held) {
     const bool gone = !entries.contains(held.first);
-    if (gone) loads_.Remove(held.first);
+    if (gone) {
+      loads_.Remove(held.first);
+      capacity_.Remove(held.second.entry.service, held.first);
+    }
     return gone;
   });
   for (const auto& [id, entry] : entries) {
     auto& upstream = upstreams_[id];
     if (upstream.entry.born_ms != entry.born_ms) {
+      capacity_.Remove(upstream.entry.service, id);
       upstream = {};
       loads_.Remove(id);
     }
@@ -101,11 +91,13 @@
   return own->second != other->second;
 }
 
+std::int64_t UpstreamPicker::CeilingOf(const UpstreamEntry& entry) const {
+  const auto slots = std::max<std::int64_t>(1, entry.slots);
+  return IsEngine(entry.service) ? slots : slots * kPlainOvercommitFactor;
+}
+
 bool UpstreamPicker::HasCapacity(const Upstream& upstream) const {
-  const auto slots = std::max<std::int64_t>(1, upstream.entry.slots);
-  return upstream.in_flight < (IsEngine(upstream.entry.service)
-                                   ? slots
-                                   : slots * kPlainOvercommitFactor);
+  return upstream.in_flight < CeilingOf(upstream.entry);
 }
 
 void UpstreamPicker::Pause(const std::string& id, std::int64_t born_ms,
@@ -193,39 +185,6 @@
           upstream.in_flight};
 }
 
-double UpstreamPicker::Cost(const Upstream& upstream,
-                            const PickRequest& request, bool is_home,
-                            TimePoint now) const {
-  const double distance =
-      IsRemote(upstream.entry) ? kOtherRegionS
-      : upstream.entry.availability_zone == location_.availability_zone
-          ? 0
-          : kOtherZoneS;
-  if (IsEngine(request.service)) {
-    return distance + EngineCost(upstream, request, is_home, now);
-  }
-  const auto running = static_cast<double>(upstream.in_flight);
-  const auto slots =
-      static_cast<double>(std::max<std::int64_t>(1, upstream.entry.slots));
-  return distance + kPlainRequestTimeS * running / slots;
-}
-
-double UpstreamPicker::EngineCost(const Upstream& upstream,
-                                  const PickRequest& request, bool is_home,
-                                  TimePoint now) const {
-  constexpr double kMsPerSecond = 1'000;
-  const auto engine = LoadViewOf(upstream);
-  const double running =
-      std::min(loads_.Requests(engine, now),
-               static_cast<double>(std::max<std::int64_t>(1, engine.slots)));
-  const double uncached = UncachedTokens(upstream, request, is_home);
-  const auto wait = static_cast<double>(loads_.Wait(engine, now).count());
-  return wait / kMsPerSecond +
-         (upstream.queued_tokens + kRecomputeFactor * uncached) /
-             kPrefillTokensPerS +
-         kInterferencePerRequestS * running;
-}
-
 std::vector<UpstreamPicker::Candidate> UpstreamPicker::RankCandidates(
     const std::vector<const Upstream*>& eligible, const PickRequest& request,
     TimePoint now) const {
@@ -378,7 +337,8 @@
 }
 
 PickTicket UpstreamPicker::OnSend(const std::string& id,
-                                  const PickRequest& request) {
+                                  const PickRequest& request,
+                                  std::optional<TimePoint> now) {
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) return {};
   auto& upstream = found->second;
@@ -387,6 +347,13 @@
   PickTicket ticket;
   ticket.upstream = id;
   ticket.prefill_tokens = UncachedTokens(upstream, request, false);
+  // What a stream that goes on still needs is not known here.
+  const bool is_learned_from = options_.learned_capacity && now &&
+                               !request.version && !request.is_continuation;
+  if (is_learned_from) {
+    ticket.sample = SampleOf(upstream, request, ticket.prefill_tokens, *now);
+    ticket.sent_at = *now;
+  }
   ++upstream.in_flight;
   upstream.queued_tokens += ticket.prefill_tokens;
   for (const auto& chunk : request.chunks) upstream.chunks.Touch(chunk.id);
@@ -404,11 +371,20 @@
   if (ticket->started_at) return;
   FinishPrefill(*ticket);
   ticket->started_at = now;
+  LearnFrom(ticket, false, now);
 }
 
 void UpstreamPicker::OnEnd(PickTicket* ticket, UpstreamOutcome outcome,
                            TimePoint now) {
   FinishPrefill(*ticket);
+  const bool is_given_up = outcome == UpstreamOutcome::kNeutral;
+  // The first event tells more than the end of a generation.
+  const bool has_answered = outcome == UpstreamOutcome::kSuccess &&
+                            ticket->sample &&
+                            !IsEngine(ticket->sample->work.service);
+  if (is_given_up || has_answered) {
+    LearnFrom(ticket, is_given_up, now);
+  }
   const auto ended = std::exchange(*ticket, {});
   const auto found = upstreams_.find(ended.upstream);
   if (found == upstreams_.end()) return;
--- a/libs/serving/include/serving/router.h
+++ b/libs/serving/include/serving/router.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "serving/concurrency_limit.h"
+#include "capacity/concurrency_limit.h"
 #include "serving/prefix_index.h"
 
 namespace firmoor {
--- a/libs/serving/src/router.cc
+++ b/libs/serving/src/router.cc
@@ -19,6 +19,8 @@
 // With fewer tokens, the time reflects the network more than the prefill.
 constexpr double kMinSampleTokens = 256;
 constexpr double kMsPerSecond = 1'000;
+// The rest of the target is left for queueing before the request is sent.
+constexpr double kUpstreamShareOfTarget = 0.35;
 constexpr Duration kInitialEjection{500};
 constexpr int kMaxEjectionDoublings = 6;
 // Waiting is worthwhile when it saves at least 1/divisor of the chunks.
@@ -200,7 +202,9 @@
   // The prefill of the request itself does not indicate queueing.
   const Duration own_prefill(static_cast<std::int64_t>(
       ticket->uncached_tokens * kMsPerSecond / replica.prefill_tokens_per_s));
-  replica.limit.OnSample(std::max(after - own_prefill, Duration(0)), target,
+  const Duration bound(static_cast<std::int64_t>(
+      static_cast<double>(target.count()) * kUpstreamShareOfTarget));
+  replica.limit.OnSample(std::max(after - own_prefill, Duration(0)), bound,
                          was_full, now);
   if (after <= Duration(0) ||
       ticket->prefill_backlog_tokens < kMinSampleTokens) {
