--- a/libs/capacity/include/capacity/time_model.h
+++ b/libs/capacity/include/capacity/time_model.h
@@ -34,6 +34,7 @@
   double time_s_ = 0;
   double tokens_squared_ = 0;
   double tokens_by_time_ = 0;
+  double time_squared_ = 0;
 };
 
 }  // namespace firmoor
--- a/libs/capacity/src/time_model.cc
+++ b/libs/capacity/src/time_model.cc
@@ -16,10 +16,8 @@
 constexpr double kOutlierFactor = 3;
 // Disturbances of the network that are not worth telling apart.
 constexpr double kOutlierSlackS = 0.005;
-// The prior counts as much as this many requests whose sizes differ by this
-// number of tokens.
-constexpr double kPriorSamples = 8;
-constexpr double kPriorSpreadTokens = 1'000;
+// Standard deviation of the prior time per token, as a share of it.
+constexpr double kPriorDeviation = 0.5;
 // Bounds of the speed, as a multiple of the prior.
 constexpr double kMaxSpeedFactor = 10;
 
@@ -46,16 +44,24 @@
   update(&time_s_, time_s);
   update(&tokens_squared_, tokens * tokens);
   update(&tokens_by_time_, tokens * time_s);
+  update(&time_squared_, time_s * time_s);
 }
 
 double TimeModel::SecondsPerToken() const {
-  constexpr double kPriorWeight =
-      kPriorSamples * kPriorSpreadTokens * kPriorSpreadTokens;
-  const double variance =
-      count_ * std::max(0.0, tokens_squared_ - tokens_ * tokens_);
-  const double covariance = count_ * (tokens_by_time_ - tokens_ * time_s_);
-  const double slope = (covariance + kPriorWeight * prior_s_per_token_) /
-                       (variance + kPriorWeight);
+  // Ridge regression: the more the times scatter around what the prior
+  // explains, the more samples it takes to outweigh it.
+  const double variance = std::max(0.0, tokens_squared_ - tokens_ * tokens_);
+  const double covariance = tokens_by_time_ - tokens_ * time_s_;
+  const double scatter =
+      std::max(0.0, time_squared_ - time_s_ * time_s_ -
+                        2 * prior_s_per_token_ * covariance +
+                        prior_s_per_token_ * prior_s_per_token_ * variance);
+  const double deviation = kPriorDeviation * prior_s_per_token_;
+  const double prior_weight = scatter / (deviation * deviation);
+  const double weight = count_ * variance + prior_weight;
+  if (weight <= 0) return prior_s_per_token_;
+  const double slope =
+      (count_ * covariance + prior_weight * prior_s_per_token_) / weight;
   return std::clamp(slope, prior_s_per_token_ / kMaxSpeedFactor,
                     prior_s_per_token_ * kMaxSpeedFactor);
 }
--- a/libs/capacity/tests/time_model_test.cc
+++ b/libs/capacity/tests/time_model_test.cc
@@ -14,6 +14,16 @@
     CHECK(model.TokensPerS() == doctest::Approx(kPrior));
     CHECK(model.Expected(1'000) == doctest::Approx(0.1));
   }
+  // Guards against engines that are taken to read at any speed, so that prompts
+  // leave the engine that has read their shared part.
+  SUBCASE("stays near the prior while the load hides the reading time") {
+    for (int i = 0; i < 256; ++i) {
+      const double tokens = 500.0 * (i % 8);
+      model.OnSample(tokens, 0.08 + tokens / 157'000 + 0.05 * (i * 37 % 11));
+    }
+    CHECK(model.TokensPerS() > kPrior / 2);
+    CHECK(model.TokensPerS() < 157'000);
+  }
   SUBCASE("finds the speed of engines that read three times as fast") {
     for (int i = 0; i < 200; ++i) {
       const double tokens = 500.0 * (i % 20);
