Merge learned capacity, and split the daemon by job

Change: both sides of the picker's interface; requests and the daemon's parts in files of their own.

--- a/libs/gateway/include/gateway/strategies.h
+++ b/libs/gateway/include/gateway/strategies.h
@@ -25,6 +25,13 @@
   bool reclaim_reserve = true;
   /// Follows operators' orders to move a service to another software version.
   bool rollouts = true;
+  /// Prefers plain upstreams that answer faster than others of their service,
+  /// and learns what each takes well.
+  bool learned_capacity = true;
+  /// The same for engines, and learns how fast they read prompts. Off: engines
+  /// that are left for faster ones read shared chunks again (see
+  /// docs/DECISIONS.md).
+  bool learned_engines = false;
 
   bool operator==(const Strategies&) const = default;
 };
--- a/libs/gateway/src/daemon_settings.cc
+++ b/libs/gateway/src/daemon_settings.cc
@@ -73,6 +73,8 @@
   reader->Flag("engines_for_slots", &strategies.engines_for_slots);
   reader->Flag("reclaim_reserve", &strategies.reclaim_reserve);
   reader->Flag("rollouts", &strategies.rollouts);
+  reader->Flag("learned_capacity", &strategies.learned_capacity);
+  reader->Flag("learned_engines", &strategies.learned_engines);
 }
 
 struct Section {
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -18,6 +18,7 @@
 #include "details/request_quarantine.h"
 #include "details/stream_ends.h"
 #include "details/stream_versions.h"
+#include "details/upstream_capacity_record.h"
 #include "gateway/gateway.h"
 #include "gateway/request_admission.h"
 #include "http/body_budget.h"
@@ -103,6 +104,7 @@
   RetrySchedule retry_schedule;
   UpstreamLimitCounters limit_counters;
   SlotCounters slot_counters;
+  DurationRatios time_ratios;
   BesideCounters beside_counters;
   StreamEndCounters stream_ends;
   /// Shared with probes that outlast this.
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -7,28 +7,20 @@
 #include "base/event_log.h"
 #include "base/exception_barrier.h"
 #include "base/random_id.h"
-#include "base/supervisor.h"
 #include "base/text.h"
 #include "details/connection_metrics.h"
 #include "details/daemon_metrics.h"
 #include "details/drain_steps.h"
+#include "details/gateway_daemon_impl.h"
 #include "details/gateway_settings.h"
 #include "details/listener_limits.h"
-#include "details/listeners.h"
-#include "details/quarantine_endpoint.h"
 #include "details/rollout_hooks.h"
-#include "details/supervised_parts.h"
-#include "dissemination/kind_relay.h"
-#include "gateway/coordinator_service.h"
-#include "gateway/gateway.h"
-#include "http/http_server.h"
-#include "metrics/event_loop_monitor.h"
-#include "platform/kind_watcher.h"
 
 namespace firmoor {
 namespace {
 
 using details::GatewaySettingsOf;
+using details::kConfirmationCheckInterval;
 using details::RegionOf;
 
 // Timeouts of long polls for changes. They may be long since keep-alive probes
@@ -43,90 +35,16 @@
 // fraction of the freshness bound, e.g. because the coordinator does not reply.
 constexpr Duration kConfirmationPeriod{500};
 constexpr double kStaleConfirmationFraction = 0.55;
-constexpr Duration kConfirmationCheckInterval{300};
 // Limit of the exponential backoff between queries that the store does not
 // answer, so that an unavailable store is not overloaded.
 constexpr Duration kMaxConfirmationBackoff{1'200};
-// A daemon without contact to the store for the upstreams' drain time divided
-// by this is no longer used as a source. The rest of the drain time is left for
-// switching to another source.
-constexpr int kMaxStalenessDivisor = 2;
-// Delay before a version announced by the coordinator is requested: a daemon
-// that reads from other daemons receives it a little later.
-constexpr Duration kVersionCheckDelay{400};
 // For the last responses to reach the kernel.
 constexpr Duration kLastResponseTime{50};
 // Callers measure idle time from when they sent, and may still use an earlier
 // configuration's limit.
 constexpr Duration kIdleTimeoutMargin{2'000};
-// Operators' requests name one verdict at most.
-constexpr std::uint64_t kMaxOperatorBodyBytes = 16 * 1024;
-
-HttpResponse PlainText(int status, std::string body) {
-  return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
-}
-
 }  // namespace
 
-struct GatewayDaemon::Impl {
-  GatewayDaemonSettings settings;
-  PlatformPorts ports;
-  EventLog* log;
-  std::function<void()> on_stopped;
-  std::string instance_id;
-  ServiceMetrics metrics;
-  EventLoopMonitor loop_monitor;
-  TrueTime true_time;
-  Gateway gateway;
-  std::unique_ptr<KindRelay> relay;
-  KindWatcher configuration;
-  KindWatcher upstreams;
-  std::optional<KindWatcher> rollouts;  ///< If the settings ask for them.
-  CoordinatorService coordinator;
-  details::Listeners listeners;
-  std::unique_ptr<HttpServer> caller_server;
-  std::unique_ptr<HttpServer> ready_server;
-  std::unique_ptr<HttpServer> metrics_server;
-  std::unique_ptr<Supervisor> root;
-  QTimer drain_timer;
-  QTimer confirmation_timer;
-  QTimer version_timer;
-  TimePoint confirmation_requested_at;
-  Duration confirmation_backoff{0};
-  bool configuration_valid = false;
-  bool upstreams_listed = false;
-  bool was_ready = false;
-  Duration max_idle_time{0};
-  std::int64_t store_returns = 0;  ///< From an older copy, as heard of.
-  TimePoint drain_started;
-  bool draining = false;
-  bool is_listener_closed = false;  ///< For callers.
-
-  Impl(GatewayDaemonSettings daemon_settings, PlatformPorts platform_ports,
-       EventLog* event_log, std::function<void()> stopped);
-
-  std::unique_ptr<KindRelay> BuildRelay();
-  CoordinatorService::Environment CoordinatorEnvironment();
-  KindWatcher::Hooks ConfigurationHooks();
-  KindWatcher::Hooks UpstreamHooks();
-  [[nodiscard]] bool ServesRollouts() const {
-    return settings.rollouts.enabled && settings.strategies.rollouts &&
-           ports.rollouts != nullptr;
-  }
-  void LogDependency(const char* name, bool recovered) const;
-  void ApplyConfiguration(const KindObject& object);
-  void DecodeUpstream(const KindObject& object,
-                      std::vector<UpstreamEntry>* out);
-  void ApplyLimits();
-  void BuildServers();
-  void BuildTree();
-  void RenewConfirmation();
-  void LogReadinessChange();
-  void CheckDrain();
-  [[nodiscard]] bool IsReady() const;
-  [[nodiscard]] std::string MetricsText() const;
-};
-
 GatewayDaemon::Impl::Impl(GatewayDaemonSettings daemon_settings,
                           PlatformPorts platform_ports, EventLog* event_log,
                           std::function<void()> stopped)
@@ -191,44 +109,6 @@
                    [this] { CheckDrain(); });
 }
 
-std::unique_ptr<KindRelay> GatewayDaemon::Impl::BuildRelay() {
-  const auto staleness = settings.upstream_drain_time / kMaxStalenessDivisor;
-  KindRelay::Builder builder(ports.kinds);
-  builder.Kind({ports.configuration_kind, std::nullopt})
-      .Kind({ports.upstream_kind, staleness});
-  if (ServesRollouts()) builder.Kind({ports.rollout_kind, staleness});
-  return builder
-      .Peers([this](const Endpoint& peer, const QByteArray& request,
-                    Duration timeout, PeerNode::Done done) {
-        coordinator.CallRelay(peer, request, timeout, std::move(done));
-      })
-      .Log(log)
-      .Era(ports.store_era)
-      .Build();
-}
-
-CoordinatorService::Environment GatewayDaemon::Impl::CoordinatorEnvironment() {
-  CoordinatorService::Environment environment;
-  environment.gateway = &gateway;
-  environment.store = ports.objects;
-  environment.store_era = ports.store_era;
-  environment.cloud = ports.cloud;
-  if (ServesRollouts()) environment.rollouts = ports.rollouts;
-  environment.true_time = &true_time;
-  environment.log = log;
-  environment.check_configuration = [this] {
-    if (!version_timer.isActive()) version_timer.start(kVersionCheckDelay);
-  };
-  environment.set_sources = [this](const std::vector<Endpoint>& sources) {
-    relay->SetSources(sources);
-  };
-  environment.serve_relay = [this](const QByteArray& request,
-                                   const PeerNode::Reply& reply) {
-    relay->Serve(request, reply);
-  };
-  return environment;
-}
-
 void GatewayDaemon::Impl::LogDependency(const char* name,
                                         bool recovered) const {
   log->Write(recovered ? "dependency-regained" : "dependency-lost",
@@ -324,69 +204,6 @@
   out->push_back(std::move(std::get<UpstreamEntry>(decoded)));
 }
 
-void GatewayDaemon::Impl::BuildServers() {
-  caller_server =
-      listeners.ForCallers(settings.callers)
-          .HeadCheck([this](const HttpRequest& head) {
-            return gateway.RejectByHead(head);
-          })
-          .Handler([this](HttpRequest request,
-                          const std::shared_ptr<HttpResponder>& responder) {
-            gateway.Handle(std::move(request), responder);
-          })
-          .Build();
-  ready_server =
-      listeners.ForOperators("ready", settings.ready, 0)
-          .Handler([this](const HttpRequest&, const auto& responder) {
-            LogReadinessChange();
-            responder->Send(IsReady() ? PlainText(200, "ready\n")
-                                      : PlainText(503, "not ready\n"));
-          })
-          .Build();
-  metrics_server =
-      listeners.ForOperators("metrics", settings.metrics, kMaxOperatorBodyBytes)
-          .Handler([this](const HttpRequest& request, const auto& responder) {
-            const bool lists =
-                request.Path().starts_with(details::kQuarantinePath);
-            responder->Send(
-                lists ? details::AnswerQuarantine(&gateway, request,
-                                                  responder->CallerAddress(),
-                                                  settings.metrics.address)
-                      : PlainText(200, MetricsText()));
-          })
-          .Build();
-}
-
-void GatewayDaemon::Impl::BuildTree() {
-  using details::FollowerPart;
-  using details::ServerPart;
-  Supervisor::Builder builder("gateway");
-  builder.Part(FollowerPart("configuration", &configuration))
-      .Part(FollowerPart("upstreams", &upstreams));
-  if (rollouts) builder.Part(FollowerPart("rollouts", &*rollouts));
-  root = builder
-             .Part({"proofs",
-                    [this] {
-                      confirmation_timer.start(kConfirmationCheckInterval);
-                      return true;
-                    },
-                    [this] { confirmation_timer.stop(); }})
-             .Part({"duties", [this] { return coordinator.Start(); },
-                    [this] { coordinator.Stop(); },
-                    [this] { return coordinator.IsAddressInUse(); }})
-             .Part(ServerPart("callers", caller_server.get()))
-             .Part(ServerPart("ready", ready_server.get()))
-             .Part(ServerPart("metrics", metrics_server.get()))
-             .OnRetry([this](const Supervisor::Retry& retry) {
-               log->Write(
-                   "start-delayed",
-                   {{"part", Text(retry.part)},
-                    {"attempts", retry.attempts},
-                    {"retry_ms", static_cast<qint64>(retry.delay.count())}});
-             })
-             .Build();
-}
-
 bool GatewayDaemon::Impl::IsReady() const {
   return !draining && upstreams_listed &&
          gateway.freshness().IsFresh(MonotonicNow());
