--- a/libs/gateway/src/details/gateway_impl.h
+++ b/libs/gateway/src/details/gateway_impl.h
@@ -14,8 +14,8 @@
 namespace firmoor {
 
 /// State of the gateway. Changes of what it knows are handled in gateway.cc,
-/// requests in gateway_requests.cc, upstreams that shut down in gateway_evacuation.cc, roll-outs
-/// in gateway_rollouts.cc.
+/// requests in gateway_requests.cc, upstreams that shut down in
+/// gateway_evacuation.cc, roll-outs in gateway_rollouts.cc.
 struct Gateway::Impl {
   struct EarlyRequest {
     HttpRequest request;
