Let served connections give way to new ones

Callers that were served once and stayed held all places up to the idle time-out, so that others were cut off.

MakePlace ranks what a connection keeps its place for: it has its last answer; it owes its first request; it is idle after an answer; it owes a further one. The least claim gives way, the one first that has waited longest, 200 ms at least. Connections whose request is handled, or whose answer is not taken yet, keep their places.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -67,7 +67,7 @@
   kFailed,       ///< An exception left a handler of the connection.
   kStalled,      ///< The caller took no bytes of a response.
   kUpload,       ///< Its request hardly arrived while memory was short.
-  kGaveWay,      ///< No whole request, and a new connection needed its place.
+  kGaveWay,      ///< No request in work, and a new one needed its place.
 };
 
 /// "idle", "connections" and so on, for logs and metrics.
--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -364,6 +364,7 @@
     // No response may follow one that carried `Connection: close`.
     phase_ = Phase::kReading;
     closed_ = true;
+    waiting_since_ = MonotonicNow();
     buffer_ = {};
     upload_.reset();
     lingering_close_.emplace(socket_, [this] { CutStalled(); });
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -15,6 +15,7 @@
 #include "details/growing_string_body.h"
 #include "details/head_scanner.h"
 #include "details/lingering_close.h"
+#include "details/place_claim.h"
 #include "http/http_server.h"
 
 namespace firmoor::details {
@@ -68,10 +69,11 @@
   void SetCallerDisconnectedHandler(std::function<void()> handler);
   void SetSentHandler(std::function<void()> handler);
   [[nodiscard]] std::string CallerAddress() const;
-  /// Since when its caller owes a whole request, if it may give way to a new
-  /// connection: nothing of its request or only a part has arrived, and no
-  /// request before.
-  [[nodiscard]] std::optional<TimePoint> OwesRequestSince() const;
+  /// None if it is not to give way to a new connection, since its request is
+  /// handled or answered.
+  [[nodiscard]] std::optional<PlaceClaim> Claim() const;
+  /// Closes the connection for a new one.
+  void LeavePlace();
 
  private:
   using Handler = void (ServerConnection::*)();
--- a/libs/http/src/details/server_connection_memory.cc
+++ b/libs/http/src/details/server_connection_memory.cc
@@ -57,11 +57,6 @@
   return true;
 }
 
-std::optional<TimePoint> ServerConnection::OwesRequestSince() const {
-  const bool owes = phase_ == Phase::kReading && !closed_ && !was_served_;
-  return owes ? std::optional(waiting_since_) : std::nullopt;
-}
-
 bool ServerConnection::RejectByHead() {
   if (std::exchange(is_head_checked_, true) || !context_->head_check) {
     return false;
--- /dev/null
+++ b/libs/http/src/details/server_connection_place.cc
@@ -0,0 +1,25 @@
+#include "details/server_connection.h"
+
+namespace firmoor::details {
+
+std::optional<PlaceClaim> ServerConnection::Claim() const {
+  using Kind = PlaceClaim::Kind;
+  const bool is_sent = socket_->bytesToWrite() == 0;
+  if (closed_) {
+    return is_sent ? std::optional(PlaceClaim{Kind::kAnswered, waiting_since_})
+                   : std::nullopt;
+  }
+  if (phase_ != Phase::kReading) return std::nullopt;
+  if (!was_served_) return PlaceClaim{Kind::kOwesFirst, waiting_since_};
+  if (!is_sent) return std::nullopt;
+  return PlaceClaim{is_reading_request_ ? Kind::kOwesFurther : Kind::kIdle,
+                    waiting_since_};
+}
+
+void ServerConnection::LeavePlace() {
+  // Nothing is lost with one that has its last answer.
+  if (closed_) return socket_->abort();
+  Abort(ConnectionCut::kGaveWay);
+}
+
+}  // namespace firmoor::details
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -3,6 +3,7 @@
 #include <QHostAddress>
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -16,8 +17,8 @@
 
 constexpr Logger kLog("http");
 constexpr int kListenBacklog = 1'024;
-// For which a connection that has sent no whole request keeps its place.
-constexpr Duration kMinRequestTime{200};
+// For which a connection keeps its place that waits for its caller.
+constexpr Duration kMinPlaceTime{200};
 
 }  // namespace
 
@@ -137,17 +138,20 @@
 }
 
 bool HttpServer::Builder::Impl::MakePlace() {
-  std::shared_ptr<details::ServerConnection> oldest;
-  // Requests that have just begun to arrive are most likely ordinary ones.
-  auto since = MonotonicNow() - kMinRequestTime;
+  // What has just begun is most likely an ordinary caller's.
+  const auto latest = MonotonicNow() - kMinPlaceTime;
+  std::optional<details::PlaceClaim> least;
+  std::shared_ptr<details::ServerConnection> leaving;
   for (const auto& [key, connection] : connections) {
-    const auto owes_since = connection->OwesRequestSince();
-    if (!owes_since || *owes_since > since) continue;
-    since = *owes_since;
-    oldest = connection;
+    const auto claim = connection->Claim();
+    if (!claim || claim->since > latest || (least && *least <= *claim)) {
+      continue;
+    }
+    least = claim;
+    leaving = connection;
   }
-  if (oldest) oldest->Abort(ConnectionCut::kGaveWay);
-  return oldest != nullptr;
+  if (leaving) leaving->LeavePlace();
+  return leaving != nullptr;
 }
 
 void HttpServer::Builder::Impl::RemoveConnection(
