Close connections behind each answer about readiness

64 callers that were served and stayed kept every place at the address for readiness: the balancer got no answer and would take the VM out.

--- a/libs/gateway/src/gateway_daemon_parts.cc
+++ b/libs/gateway/src/gateway_daemon_parts.cc
@@ -87,6 +87,8 @@
                                       : PlainText(503, "not ready\n"));
           })
           .Build();
+  // Kept connections would take the few places of those that ask next.
+  ready_server->CloseAfterResponses();
   metrics_server =
       listeners.ForOperators("metrics", settings.metrics, kMaxOperatorBodyBytes)
           .Handler([this](const HttpRequest& request, const auto& responder) {
