Count the parsed heads of requests

A parsed field takes about 100 bytes beside its characters, and the head was counted only until it was parsed.

The fields beyond 32 are charged before the head is parsed, which waits for memory as bodies do; the head stays charged while the request is read and handled. An ordinary request still needs nothing of what all share, up to 8 KiB.

--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -90,6 +90,7 @@
   parser_->eager(true);
   expect_handled_ = false;
   is_head_checked_ = false;
+  is_head_waiting_ = false;
   is_reading_request_ = false;
   upload_.reset();
   if (buffer_.size() == 0) buffer_ = {};
@@ -163,7 +164,8 @@
   if (phase_ != Phase::kReading || closed_ || IsHeldBack()) return;
   // What was read behind the last request comes first.
   const bool is_ahead = !is_reading_request_ && buffer_.size() > 0;
-  const auto more = std::min(kReadBytes, socket_->bytesAvailable());
+  const auto more =
+      is_head_waiting_ ? 0 : std::min(kReadBytes, socket_->bytesAvailable());
   if (!TakeMemory(is_ahead ? buffer_.size() : more)) return;
   if (!is_ahead) {
     const QByteArray bytes = socket_->read(more);
@@ -216,7 +218,7 @@
   } else if (result == HeadScanner::Result::kIncomplete) {
     if (socket_->bytesAvailable() > 0) QueueRead();
   } else {
-    return true;
+    return TakeFieldMemory();
   }
   return false;
 }
@@ -241,6 +243,7 @@
   phase_ = Phase::kHandling;
   was_served_ = true;
   if (upload_) upload_->EndUpload();
+  if (buffer_.size() == 0) buffer_ = {};
   auto message = parser_->release();
   keep_alive_ = message.keep_alive();
   is_chunked_ = message.version() >= 11;
--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -93,6 +93,11 @@
   /// Whether the memory for `bytes` more of the request is there. Reads on
   /// later if it is not.
   bool TakeMemory(std::size_t bytes);
+  /// Whether the memory for the fields of a whole head is there, which take
+  /// several times their bytes once parsed. Parses on later if it is not.
+  bool TakeFieldMemory();
+  /// Memory of the parsed fields beyond those of an ordinary request, in bytes.
+  [[nodiscard]] std::size_t FieldBytes() const;
   /// Gives back what the request does not hold any more.
   void ReturnMemory();
   /// Rejects a request of which the rest has yet to arrive, by its head.
@@ -155,7 +160,8 @@
   bool is_chunked_ = true;
   bool expect_handled_ = false;
   bool is_head_checked_ = false;
-  bool was_served_ = false;  ///< A whole request has arrived before.
+  bool is_head_waiting_ = false;  ///< For memory, before it is parsed.
+  bool was_served_ = false;       ///< A whole request has arrived before.
   bool closed_ = false;
 };
 
--- a/libs/http/src/details/server_connection_memory.cc
+++ b/libs/http/src/details/server_connection_memory.cc
@@ -11,6 +11,10 @@
 constexpr int kServiceUnavailable = 503;
 // Of requests that wait for memory.
 constexpr Duration kMemoryRetryInterval{50};
+// Of a parsed field, beside its characters.
+constexpr std::size_t kFieldBytes = 100;
+// Not counted, so that ordinary requests need nothing of what all share.
+constexpr std::size_t kOrdinaryFields = 32;
 
 /// Whether the kernel holds input. Emits no signal.
 bool HasUnread(const QTcpSocket* socket) {
@@ -40,11 +44,25 @@
   return has_memory;
 }
 
+bool ServerConnection::TakeFieldMemory() {
+  is_head_waiting_ = !TakeMemory(FieldBytes());
+  return !is_head_waiting_;
+}
+
+std::size_t ServerConnection::FieldBytes() const {
+  const auto fields = head_scanner_->fields();
+  return fields > kOrdinaryFields ? (fields - kOrdinaryFields) * kFieldBytes
+                                  : 0;
+}
+
 void ServerConnection::ReturnMemory() {
   if (!upload_ || phase_ != Phase::kReading || closed_) return;
-  const auto body =
-      parser_->is_header_done() ? parser_->get().body().capacity() : 0;
-  upload_->ShrinkTo(buffer_.size() + body);
+  if (buffer_.size() == 0) buffer_ = {};
+  const auto parsed = parser_->is_header_done()
+                          ? head_scanner_->size() + FieldBytes() +
+                                parser_->get().body().capacity()
+                          : 0;
+  upload_->ShrinkTo(buffer_.capacity() + parsed);
 }
 
 bool ServerConnection::GiveUpUpload() {
--- a/libs/http/tests/http_server_crowd_test.cc
+++ b/libs/http/tests/http_server_crowd_test.cc
@@ -115,6 +115,35 @@
   CHECK(caller->WaitClosed());
 }
 
+// Guards against parsed heads that take several times the memory of their
+// bytes and are not counted.
+TEST_CASE("a head of many fields is counted") {
+  Server server;
+  std::string head = "Host: x\r\nContent-Length: 9\r\n";
+  for (int i = 0; i < 490; ++i) head += "a:\r\n";
+  const auto caller = server.Connect();
+  const std::string post = "POST / HTTP/1.1\r\n" + head + "\r\n1";
+  SUBCASE("while its body arrives") {
+    caller->Send(post);
+    CHECK(WaitUntil([&] {
+      return server.uploads->shared_bytes_in_use() > post.size() + 40'000;
+    }));
+    caller->Send("23456789");
+    CHECK(caller->WaitFor("\r\n\r\n9"));
+  }
+  SUBCASE("and waits for memory, as bodies do") {
+    BodyBudget::Share all(server.uploads);
+    REQUIRE(all.Grow(101'000, MonotonicNow()));
+    auto exempt = std::make_unique<BodyBudget::Share>(server.uploads);
+    REQUIRE(exempt->Grow(50'000, MonotonicNow()));
+    caller->Send(post + "23456789");
+    RunFor(300);
+    CHECK(server.requests == 0);
+    exempt.reset();
+    CHECK(caller->WaitFor("\r\n\r\n9"));
+  }
+}
+
 // Guards against heads whose many short fields take time and memory.
 TEST_CASE("a head with too many fields is rejected") {
   Server server;
