Keep the place of a request that arrived unnoticed

After a standstill of the process, a whole request in the kernel's buffer was cut, since its connection seemed to owe it for long.

A connection with input that was not read keeps its place, unless the server does not read it for want of memory.

http_test, standstill of 300 ms: the request was lost and one connection gave way before; it is handled after, and none gives way.

--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -72,6 +72,9 @@
   /// None if it is not to give way to a new connection, since its request is
   /// handled or answered.
   [[nodiscard]] std::optional<PlaceClaim> Claim() const;
+  /// Whether a part of a request has arrived that was not read, as after a
+  /// standstill of the process. None if the request waits for memory.
+  [[nodiscard]] bool HasUnnoticedInput() const;
   /// Closes the connection for a new one.
   void LeavePlace();
 
@@ -98,6 +101,8 @@
   bool TakeFieldMemory();
   /// Memory of the parsed fields beyond those of an ordinary request, in bytes.
   [[nodiscard]] std::size_t FieldBytes() const;
+  /// Whether the kernel holds input. Emits no signal.
+  [[nodiscard]] bool HasUnread() const;
   /// Gives back what the request does not hold any more.
   void ReturnMemory();
   /// Rejects a request of which the rest has yet to arrive, by its head.
--- a/libs/http/src/details/server_connection_memory.cc
+++ b/libs/http/src/details/server_connection_memory.cc
@@ -16,13 +16,6 @@
 // Not counted, so that ordinary requests need nothing of what all share.
 constexpr std::size_t kOrdinaryFields = 32;
 
-/// Whether the kernel holds input. Emits no signal.
-bool HasUnread(const QTcpSocket* socket) {
-  char byte = 0;
-  return ::recv(static_cast<int>(socket->socketDescriptor()), &byte, 1,
-                MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 }  // namespace
 
 bool ServerConnection::TakeMemory(std::size_t bytes) {
@@ -65,10 +58,16 @@
   upload_->ShrinkTo(buffer_.capacity() + parsed);
 }
 
+bool ServerConnection::HasUnread() const {
+  char byte = 0;
+  return ::recv(static_cast<int>(socket_->socketDescriptor()), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool ServerConnection::GiveUpUpload() {
   if (phase_ != Phase::kReading || closed_) return true;
   // After a standstill of the process, bytes may have arrived unnoticed.
-  if (socket_->bytesAvailable() > 0 || HasUnread(socket_)) return false;
+  if (socket_->bytesAvailable() > 0 || HasUnread()) return false;
   const auto self = shared_from_this();
   context_->CountCut(ConnectionCut::kUpload);
   RejectInput(kServiceUnavailable);
--- a/libs/http/src/details/server_connection_place.cc
+++ b/libs/http/src/details/server_connection_place.cc
@@ -16,6 +16,12 @@
                     waiting_since_};
 }
 
+bool ServerConnection::HasUnnoticedInput() const {
+  if (closed_ || memory_timer_.isActive()) return false;
+  const bool is_ahead = !is_reading_request_ && buffer_.size() > 0;
+  return is_ahead || socket_->bytesAvailable() > 0 || HasUnread();
+}
+
 void ServerConnection::LeavePlace() {
   // Nothing is lost with one that has its last answer.
   if (closed_) return socket_->abort();
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -147,6 +147,7 @@
     if (!claim || claim->since > latest || (least && *least <= *claim)) {
       continue;
     }
+    if (connection->HasUnnoticedInput()) continue;
     least = claim;
     leaving = connection;
   }
--- a/libs/http/tests/http_server_place_test.cc
+++ b/libs/http/tests/http_server_place_test.cc
@@ -1,7 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -119,4 +121,27 @@
   for (const auto& caller : crowd) CHECK(caller->WaitFor("late"));
 }
 
+// Guards against requests that are lost since the process stood still while
+// they arrived.
+TEST_CASE("a request that has arrived unnoticed keeps its place") {
+  Server server(1);
+  const auto first = server.Connect();
+  REQUIRE(WaitUntil([&] { return server.server->ConnectionCount() == 1; }));
+  SUBCASE("the first one of its connection") {}
+  SUBCASE("a later one") {
+    first->Send(kGet);
+    REQUIRE(first->WaitFor("done"));
+    first->Received();
+  }
+  const int before = server.requests;
+  RunFor(250);
+  first->Send(kHeldGet);
+  const auto second = server.Connect();
+  second->Send(kGet);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK(WaitUntil([&] { return server.held.size() == 1; }));
+  CHECK(server.requests == before + 1);
+  CHECK(server.server->CutCount(ConnectionCut::kGaveWay) == 0);
+}
+
 }  // namespace firmoor
