Answer an upload that gives its place while it waits for memory

Its connection was closed without an answer though the server itself did not read it.

Connections answered so go beyond the limit by a sixteenth at most until their callers have the answer; beyond that they are closed.

http_test: no answer before, 503 after.

--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -75,8 +75,9 @@
   /// Whether a part of a request has arrived that was not read, as after a
   /// standstill of the process. None if the request waits for memory.
   [[nodiscard]] bool HasUnnoticedInput() const;
-  /// Closes the connection for a new one.
-  void LeavePlace();
+  /// Closes the connection for a new one. With `may_answer`, one that waits for
+  /// memory is answered first, and stays open until its caller has the answer.
+  void LeavePlace(bool may_answer);
 
  private:
   using Handler = void (ServerConnection::*)();
--- a/libs/http/src/details/server_connection_place.cc
+++ b/libs/http/src/details/server_connection_place.cc
@@ -1,6 +1,11 @@
 #include "details/server_connection.h"
 
 namespace firmoor::details {
+namespace {
+
+constexpr int kServiceUnavailable = 503;
+
+}  // namespace
 
 std::optional<PlaceClaim> ServerConnection::Claim() const {
   using Kind = PlaceClaim::Kind;
@@ -22,9 +27,13 @@
   return is_ahead || socket_->bytesAvailable() > 0 || HasUnread();
 }
 
-void ServerConnection::LeavePlace() {
+void ServerConnection::LeavePlace(bool may_answer) {
   // Nothing is lost with one that has its last answer.
   if (closed_) return socket_->abort();
+  if (memory_timer_.isActive() && may_answer) {
+    context_->CountCut(ConnectionCut::kGaveWay);
+    return RejectInput(kServiceUnavailable);
+  }
   Abort(ConnectionCut::kGaveWay);
 }
 
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -19,6 +19,9 @@
 constexpr int kListenBacklog = 1'024;
 // For which a connection keeps its place that waits for its caller.
 constexpr Duration kMinPlaceTime{200};
+// Connections that are answered as they give way go beyond the limit by a part
+// of it at most.
+constexpr std::size_t kAnsweredPart = 16;
 
 }  // namespace
 
@@ -151,7 +154,10 @@
     least = claim;
     leaving = connection;
   }
-  if (leaving) leaving->LeavePlace();
+  const auto& limit = context->limits.connections;
+  if (leaving) {
+    leaving->LeavePlace(connections.size() <= limit + limit / kAnsweredPart);
+  }
   return leaving != nullptr;
 }
 
--- a/libs/http/tests/http_server_place_test.cc
+++ b/libs/http/tests/http_server_place_test.cc
@@ -144,4 +144,25 @@
   CHECK(server.server->CutCount(ConnectionCut::kGaveWay) == 0);
 }
 
+// Guards against uploads that are cut without an answer though the server
+// itself does not read them.
+TEST_CASE("an upload that waits for memory gives way by a 503") {
+  Server server(2);
+  BodyBudget::Share all(server.uploads);
+  REQUIRE(all.Grow(108'192, MonotonicNow()));
+  BodyBudget::Share exempt(server.uploads);
+  REQUIRE(exempt.Grow(50'000, MonotonicNow()));
+  const auto upload = server.Connect();
+  upload->Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 40000\r\n\r\n" +
+               std::string(40'000, 'x'));
+  RunFor(400);
+  const auto idle = server.Connect();
+  RunFor(250);
+  const auto next = server.Connect();
+  next->Send(kGet);
+  CHECK(next->WaitFor("done"));
+  CHECK(upload->WaitFor("HTTP/1.1 503"));
+  CHECK(server.server->CutCount(ConnectionCut::kGaveWay) == 1);
+}
+
 }  // namespace firmoor
