Measure an upload from when it goes on after it waited

Grow cleared the mark that it waits before Add read it, so that the time it waited counted as a standstill: it gave way 10 ms after it got memory.

http_test, "an upload that waited is measured from when it goes on": cut before, kept after.

--- a/libs/http/src/body_budget.cc
+++ b/libs/http/src/body_budget.cc
@@ -19,7 +19,7 @@
   const auto more =
       budget_->SharedPart(bytes_ + bytes) - budget_->SharedPart(bytes_);
   // Its own sender waits for this process and is not to give way meanwhile.
-  is_waiting_ = is_upload_ && !budget_->HasRoom(more);
+  is_waiting_ |= is_upload_ && !budget_->HasRoom(more);
   if (!budget_->MakeRoom(more, now)) {
     if (!budget_->MayExceed(this)) return false;
     budget_->exempt_ = this;
--- a/libs/http/tests/upload_budget_test.cc
+++ b/libs/http/tests/upload_budget_test.cc
@@ -98,6 +98,25 @@
   }
 }
 
+// Guards against uploads that are cut as too slow right after they waited.
+TEST_CASE("an upload that waited is measured from when it goes on") {
+  Uploads uploads;
+  auto& first = uploads.Add("first", At(0));
+  REQUIRE(first.Grow(4 * kBlock, At(0)));
+  auto exempt = std::make_unique<BodyBudget::Share>(uploads.budget);
+  first.EndUpload();
+  REQUIRE(exempt->Grow(9 * kBlock, At(0)));
+  auto& waiting = uploads.Add("waiting", At(0));
+  REQUIRE(waiting.Grow(kBlock, At(0)));
+  CHECK_FALSE(waiting.Grow(100, At(100)));
+  exempt.reset();
+  uploads.held.erase("first");
+  CHECK(waiting.Grow(100, At(5'000)));
+  auto& other = uploads.Add("other", At(5'000));
+  CHECK_FALSE(other.Grow(6 * kBlock, At(5'010)));
+  CHECK(uploads.held.contains("waiting"));
+}
+
 // Guards against large uploads that keep ordinary requests out.
 TEST_CASE("small requests need nothing of what uploads share") {
   Uploads uploads;
