--- a/libs/http/src/details/server_connection.cc
+++ b/libs/http/src/details/server_connection.cc
@@ -254,6 +254,7 @@
 }
 
 void ServerConnection::RejectInput(int status) {
+  is_head_request_ = false;
   Reject(context_->error_response ? context_->error_response(status)
                                   : HttpResponse{status, {}, {}});
 }
@@ -263,7 +264,6 @@
   memory_timer_.stop();
   phase_ = Phase::kHandling;
   keep_alive_ = false;
-  is_head_request_ = false;
   buffer_ = {};
   // The parser may be on the call stack.
   QMetaObject::invokeMethod(
--- a/libs/http/src/details/server_connection_memory.cc
+++ b/libs/http/src/details/server_connection_memory.cc
@@ -78,7 +78,9 @@
   if (std::exchange(is_head_checked_, true) || !context_->head_check) {
     return false;
   }
-  const auto response = context_->head_check(HeadOf(parser_->get()));
+  const auto& head = parser_->get();
+  is_head_request_ = head.method() == boost::beast::http::verb::head;
+  const auto response = context_->head_check(HeadOf(head));
   if (response) Reject(*response);
   return response.has_value();
 }
--- a/libs/http/tests/http_server_crowd_test.cc
+++ b/libs/http/tests/http_server_crowd_test.cc
@@ -115,6 +115,20 @@
   CHECK(caller->WaitClosed());
 }
 
+// Guards against a body behind an answer that has none.
+TEST_CASE("a HEAD request that is rejected by its head gets no body") {
+  Server server({}, [](const HttpRequest&) {
+    return std::optional(HttpResponse{404, {}, "no such path"});
+  });
+  const auto caller = server.Connect();
+  caller->Send("HEAD / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n1");
+  CHECK(caller->WaitFor("\r\n\r\n"));
+  CHECK(caller->WaitClosed());
+  const auto answer = caller->Received();
+  CHECK(answer.find("404") != std::string::npos);
+  CHECK(answer.find("no such path") == std::string::npos);
+}
+
 // Guards against parsed heads that take several times the memory of their
 // bytes and are not counted.
 TEST_CASE("a head of many fields is counted") {
