--- a/libs/http/src/details/server_connection.h
+++ b/libs/http/src/details/server_connection.h
@@ -15,6 +15,7 @@
 #include "details/growing_string_body.h"
 #include "details/head_scanner.h"
 #include "details/lingering_close.h"
+#include "details/place_claim.h"
 #include "http/http_server.h"
 
 namespace firmoor::details {
@@ -68,10 +69,15 @@
   void SetCallerDisconnectedHandler(std::function<void()> handler);
   void SetSentHandler(std::function<void()> handler);
   [[nodiscard]] std::string CallerAddress() const;
-  /// Since when its caller owes a whole request, if it may give way to a new
-  /// connection: nothing of its request or only a part has arrived, and no
-  /// request before.
-  [[nodiscard]] std::optional<TimePoint> OwesRequestSince() const;
+  /// None if it is not to give way to a new connection, since its request is
+  /// handled or answered.
+  [[nodiscard]] std::optional<PlaceClaim> Claim() const;
+  /// Whether a part of a request has arrived that was not read, as after a
+  /// standstill of the process. None if the request waits for memory.
+  [[nodiscard]] bool HasUnnoticedInput() const;
+  /// Closes the connection for a new one. With `may_answer`, one that waits for
+  /// memory is answered first, and stays open until its caller has the answer.
+  void LeavePlace(bool may_answer);
 
  private:
   using Handler = void (ServerConnection::*)();
@@ -91,6 +97,13 @@
   /// Whether the memory for `bytes` more of the request is there. Reads on
   /// later if it is not.
   bool TakeMemory(std::size_t bytes);
+  /// Whether the memory for the fields of a whole head is there, which take
+  /// several times their bytes once parsed. Parses on later if it is not.
+  bool TakeFieldMemory();
+  /// Memory of the parsed fields beyond those of an ordinary request, in bytes.
+  [[nodiscard]] std::size_t FieldBytes() const;
+  /// Whether the kernel holds input. Emits no signal.
+  [[nodiscard]] bool HasUnread() const;
   /// Gives back what the request does not hold any more.
   void ReturnMemory();
   /// Rejects a request of which the rest has yet to arrive, by its head.
@@ -153,7 +166,8 @@
   bool is_chunked_ = true;
   bool expect_handled_ = false;
   bool is_head_checked_ = false;
-  bool was_served_ = false;  ///< A whole request has arrived before.
+  bool is_head_waiting_ = false;  ///< For memory, before it is parsed.
+  bool was_served_ = false;       ///< A whole request has arrived before.
   bool closed_ = false;
 };
 
