Complete a roll-out only after all daemons were heard in this term

Cause: a new coordinator wrote complete after the first report at stage all, 20 ms into its term; once seen, "moved" was kept though requests came back to the old upstreams; daemons that had fallen silent were not waited for.

Change: "moved" is judged anew each time, not before 2.5 s of the term, and silent daemons hold it up until 0.6 s before the deadline. The model's test of bad versions fails if one was neither reverted nor stopped by the deadline.

--- a/libs/rollout/include/rollout/rollout_coordinator.h
+++ b/libs/rollout/include/rollout/rollout_coordinator.h
@@ -100,7 +100,8 @@
   };
   struct Rollout {
     RolloutOrder order;
-    TimePoint started_at;  ///< When the first daemon knew of the order.
+    TimePoint started_at;   ///< When the first daemon knew of the order.
+    TimePoint known_since;  ///< In this term.
     RolloutStage stage = RolloutStage::kWaiting;
     TimePoint stage_since;
     bool is_moved = false;  ///< Nothing runs at the baseline any more.
--- a/libs/rollout/src/rollout_coordinator.cc
+++ b/libs/rollout/src/rollout_coordinator.cc
@@ -67,6 +67,7 @@
     Rollout rollout;
     rollout.order = order;
     rollout.started_at = now;
+    rollout.known_since = now;
     rollout.stage_since = now;
     rollout.next_call = now;
     rollouts_.emplace(order.service, std::move(rollout));
@@ -239,16 +240,21 @@
 }
 
 bool RolloutCoordinator::HasMoved(const Rollout& rollout, TimePoint now) {
+  const auto deadline = rollout.started_at + rollout.order.over;
+  const bool is_last_moment = now >= deadline - kLastMoment;
   std::int64_t left = 0;
   for (const auto& [instance, known] : rollout.instances) {
-    if (now - known.reported_at > kReportingWithin) continue;
+    // A daemon that is cut off may use the old upstreams still.
+    if (now - known.reported_at > kReportingWithin) {
+      if (is_last_moment) continue;
+      return false;
+    }
     if (known.report.stage < RolloutStage::kAll || known.report.is_stopped) {
       return false;
     }
     left += known.report.baseline_in_flight;
   }
-  const auto deadline = rollout.started_at + rollout.order.over;
-  return left == 0 || (now >= deadline - kLastMoment && left <= kMaxLeftBehind);
+  return left == 0 || (is_last_moment && left <= kMaxLeftBehind);
 }
 
 bool RolloutCoordinator::IsObserved(const Rollout& rollout, TimePoint now) {
@@ -329,8 +335,10 @@
                       return now - entry.second > kReportingWithin ||
                              instances.contains(entry.first);
                     });
-    rollout.is_moved |= rollout.stage == RolloutStage::kAll && all_know &&
-                        HasMoved(rollout, now);
+    // All daemons have reported in a term of this length.
+    rollout.is_moved = rollout.stage == RolloutStage::kAll && all_know &&
+                       now - rollout.known_since >= kReportingWithin &&
+                       HasMoved(rollout, now);
   }
   return changes;
 }
--- a/libs/rollout/tests/rollout_fleet_test.cc
+++ b/libs/rollout/tests/rollout_fleet_test.cc
@@ -52,8 +52,13 @@
      }},
 };
 
-void CheckReverted(const Model::Result& result) {
+void CheckReverted(const Model::Result& result, const Model::Config& config) {
   CHECK(result.state == kRolloutReverted);
+  const auto deadline = config.over.count();
+  const bool is_reverted = result.ended_ms && *result.ended_ms <= deadline;
+  const bool is_stopped =
+      !result.last_target_ms || *result.last_target_ms <= deadline;
+  CHECK((is_reverted || is_stopped));
   CHECK(static_cast<double>(result.exposed) <=
         kExposeShare * static_cast<double>(result.requests) + kExposeSlack);
   if (!result.fiftieth_bad_ms || !result.last_target_ms) return;
@@ -79,7 +84,7 @@
       MESSAGE(daemons << " daemons, " << std::string(fault.name) << ": share "
                       << result.Share() << ", bad " << result.bad
                       << ", ended ms " << result.ended_ms.value_or(-1));
-      CheckReverted(result);
+      CheckReverted(result, config);
     }
     config.answer = Sound;
     const auto result = Model::Play(config);
@@ -99,7 +104,7 @@
   config.targets = 300;
   config.requests_per_s = 700;
   config.answer = kFaults[1].answer;
-  CheckReverted(Model::Play(config));
+  CheckReverted(Model::Play(config), config);
 }
 
 TEST_CASE("Exposure holds whatever is lost") {
@@ -119,7 +124,7 @@
     config.store_down_from_ms = 4'000;
     config.store_down_until_ms = 16'000;
   }
-  CheckReverted(Model::Play(config));
+  CheckReverted(Model::Play(config), config);
 }
 
 TEST_CASE("A sound version is completed whatever else happens") {
