Keep what is known of a roll-out when the coordinator changes

Cause: a new coordinator that has not read the order says "waiting". That replaced "complete" at daemons whose old upstreams were gone: the only version left was avoided, all requests refused and the capacity to order was none.

Change: a final stage is replaced by a final one only, and no stage by "waiting".

--- a/libs/rollout/src/rollout_guard.cc
+++ b/libs/rollout/src/rollout_guard.cc
@@ -31,6 +31,12 @@
   return stage == RolloutStage::kComplete || stage == RolloutStage::kReverted;
 }
 
+/// Whether whoever took over has not heard yet what came of a roll-out.
+bool KnowsLess(RolloutStage said, RolloutStage known) {
+  if (IsFinal(known)) return !IsFinal(said);
+  return said == RolloutStage::kWaiting && known != RolloutStage::kWaiting;
+}
+
 }  // namespace
 
 std::vector<RolloutOrder> RolloutGuard::orders() const {
@@ -316,10 +322,7 @@
     const auto found = states_.find(service);
     auto* state = found == states_.end() ? nullptr : &found->second;
     if (state == nullptr || reply.target != state->order.target) continue;
-    // Whoever took over may not know yet what was decided.
-    const bool is_decided = state->stage == RolloutStage::kReverted &&
-                            reply.stage != RolloutStage::kComplete;
-    if (is_decided) continue;
+    if (KnowsLess(reply.stage, state->stage)) continue;
     state->heard_at = now;
     const bool goes_on =
         state->stopped_at && now - *state->stopped_at >= kLocalStop;
