End a complete roll-out, and remember versions that were reverted

Cause: the limits of a complete roll-out never ended: with a later version released, all requests chose the old target and the new upstreams were no capacity. A reverted version was forgotten with its order: its upstreams got requests again when another version was ordered or the order was removed.

Change: a daemon's limits are over once the baseline that it knew when it heard of the completion is gone. Reverted versions, 16 a service at most, get nothing while their upstreams are listed, unless they are ordered again or no other version is left.

--- a/libs/rollout/include/rollout/rollout_guard.h
+++ b/libs/rollout/include/rollout/rollout_guard.h
@@ -48,10 +48,14 @@
   void ApplyOrder(const RolloutOrder& order,
                   const std::map<std::string, UpstreamEntry>& upstreams,
                   TimePoint now);
-  void RemoveOrder(const std::string& service) { states_.erase(service); }
+  /// A version that was reverted gets nothing while its upstreams are listed,
+  /// unless it is ordered again or no other is left.
+  void RemoveOrder(const std::string& service);
   void SetUpstreams(const std::map<std::string, UpstreamEntry>& entries,
                     TimePoint now);
-  [[nodiscard]] bool IsActive() const { return !states_.empty(); }
+  [[nodiscard]] bool IsActive() const {
+    return !states_.empty() || !reverted_.empty();
+  }
 
   /// Whether the next attempt at `service` is to go to the target. `is_first`:
   /// of its request; the others leave a target that may be bad.
@@ -110,21 +114,43 @@
     std::vector<std::string> targets;  ///< Ids, canaries first.
     std::set<std::string> baseline;    ///< Ids.
     bool has_seen_baseline = false;
+    /// Ids of the baseline that the complete roll-out has yet to stop.
+    std::set<std::string> stopping;
+    bool is_over = false;  ///< Complete, and nothing of the baseline is left.
+  };
+
+  using Versions = std::set<std::string, std::less<>>;
+  /// What is left of earlier orders of a service.
+  struct Reverted {
+    Versions versions;
+    bool has_others = false;  ///< Upstreams of other versions are listed.
   };
 
   /// A daemon stops by itself rather too early: the coordinator lets it go on.
   static constexpr double kLocalFalseAlarm = 0.01;
 
-  /// Null if the service has no order, or nothing but the target.
+  /// Null if the service has no order, nothing but the target, or an order that
+  /// is over.
   [[nodiscard]] const State* Find(const std::string& service) const;
   /// Null if the service has no order that is in progress.
   State* FindRunning(const std::string& service);
   /// Whether the target gets requests from here at all.
   [[nodiscard]] bool IsOpen(const State& state, TimePoint now) const;
   [[nodiscard]] bool HasAllowance(const State& state) const;
-  static void UpdateUpstreams(
-      State* state, const std::map<std::string, UpstreamEntry>& entries,
-      TimePoint now);
+  void UpdateUpstreams(State* state,
+                       const std::map<std::string, UpstreamEntry>& entries,
+                       TimePoint now);
+  /// Looks whether the baseline of a complete roll-out is gone.
+  static void UpdateStopping(State* state);
+  /// Remembers the target of an order that ends if it was reverted.
+  void Remember(const State& state);
+  void UpdateReverted(const std::map<std::string, UpstreamEntry>& entries);
+  /// Versions of a service that get nothing, whatever its present order says.
+  [[nodiscard]] Versions RevertedOf(const std::string& service) const;
+  [[nodiscard]] bool IsReverted(const std::string& service,
+                                const std::string& version) const;
+  [[nodiscard]] VersionFilter FilterOfOrder(const State& state, bool to_target,
+                                            TimePoint now) const;
   /// Counts of a target upstream; of all the others beyond a bound together.
   static UpstreamCounts& CountsOf(State* state, const std::string& upstream);
   [[nodiscard]] std::set<std::string> CanariesOf(const State& state,
@@ -135,7 +161,8 @@
   RolloutSettings settings_;
   std::string daemon_;
   std::int64_t local_stops_ = 0;
-  std::map<std::string, State> states_;  ///< By service.
+  std::map<std::string, State> states_;       ///< By service.
+  std::map<std::string, Reverted> reverted_;  ///< By service.
 };
 
 }  // namespace firmoor
--- a/libs/rollout/src/rollout_guard.cc
+++ b/libs/rollout/src/rollout_guard.cc
@@ -26,6 +26,8 @@
 constexpr Duration kWarmUp{1'000};
 // More than there are canaries, so that reports do not grow with the service.
 constexpr std::size_t kMaxCountedUpstreams = 16;
+// Of a service; more orders in a row than operators give.
+constexpr std::size_t kMaxReverted = 16;
 
 bool IsFinal(RolloutStage stage) {
   return stage == RolloutStage::kComplete || stage == RolloutStage::kReverted;
@@ -52,16 +54,70 @@
     return;
   }
   const auto found = states_.find(order.service);
-  if (found != states_.end() && found->second.order == order) return;
+  if (found != states_.end()) {
+    if (found->second.order == order) return;
+    Remember(found->second);
+  }
   State state;
   state.order = order;
   state.known_since = now;
+  UpdateReverted(upstreams);
   UpdateUpstreams(&state, upstreams, now);
   states_.insert_or_assign(order.service, std::move(state));
 }
 
+void RolloutGuard::RemoveOrder(const std::string& service) {
+  const auto found = states_.find(service);
+  if (found == states_.end()) return;
+  Remember(found->second);
+  states_.erase(found);
+}
+
+void RolloutGuard::Remember(const State& state) {
+  if (state.stage != RolloutStage::kReverted) return;
+  auto& reverted = reverted_[state.order.service];
+  if (reverted.versions.size() >= kMaxReverted) return;
+  reverted.versions.insert(state.order.target);
+  reverted.has_others = !state.baseline.empty();
+}
+
+void RolloutGuard::UpdateReverted(
+    const std::map<std::string, UpstreamEntry>& entries) {
+  if (reverted_.empty()) return;
+  std::map<std::string, Reverted> left;
+  for (const auto& [id, entry] : entries) {
+    const auto found = reverted_.find(entry.service);
+    if (found == reverted_.end()) continue;
+    auto& reverted = left[entry.service];
+    if (found->second.versions.contains(entry.software_version)) {
+      reverted.versions.insert(entry.software_version);
+    } else {
+      reverted.has_others |= !entry.leaving;
+    }
+  }
+  std::erase_if(
+      left, [](const auto& entry) { return entry.second.versions.empty(); });
+  reverted_ = std::move(left);
+}
+
+RolloutGuard::Versions RolloutGuard::RevertedOf(
+    const std::string& service) const {
+  const auto found = reverted_.find(service);
+  if (found == reverted_.end() || !found->second.has_others) return {};
+  auto versions = found->second.versions;
+  const auto state = states_.find(service);
+  if (state != states_.end()) versions.erase(state->second.order.target);
+  return versions;
+}
+
+bool RolloutGuard::IsReverted(const std::string& service,
+                              const std::string& version) const {
+  return !reverted_.empty() && RevertedOf(service).contains(version);
+}
+
 void RolloutGuard::SetUpstreams(
     const std::map<std::string, UpstreamEntry>& entries, TimePoint now) {
+  UpdateReverted(entries);
   for (auto& [service, state] : states_) UpdateUpstreams(&state, entries, now);
 }
 
@@ -70,12 +126,13 @@
     TimePoint now) {
   state->targets.clear();
   state->baseline.clear();
+  const auto reverted = RevertedOf(state->order.service);
   for (const auto& [id, entry] : entries) {
     if (entry.service != state->order.service || entry.leaving) continue;
     if (entry.software_version == state->order.target) {
       state->targets.push_back(id);
       state->listed_since.emplace(id, now);
-    } else {
+    } else if (!reverted.contains(entry.software_version)) {
       state->baseline.insert(id);
     }
   }
@@ -86,13 +143,21 @@
               return Hash64(left) < Hash64(right);
             });
   state->has_seen_baseline |= !state->baseline.empty();
+  if (state->stage == RolloutStage::kComplete) UpdateStopping(state);
+}
+
+void RolloutGuard::UpdateStopping(State* state) {
+  std::erase_if(state->stopping,
+                [&](const auto& id) { return !state->baseline.contains(id); });
+  state->is_over |= state->stopping.empty();
 }
 
 const RolloutGuard::State* RolloutGuard::Find(
     const std::string& service) const {
   const auto found = states_.find(service);
-  const bool applies =
-      found != states_.end() && found->second.has_seen_baseline;
+  const bool applies = found != states_.end() &&
+                       found->second.has_seen_baseline &&
+                       !found->second.is_over;
   return applies ? &found->second : nullptr;
 }
 
@@ -192,26 +257,36 @@
 VersionFilter RolloutGuard::FilterFor(const std::string& service,
                                       bool to_target, TimePoint now) const {
   const auto* state = Find(service);
-  if (state == nullptr || IsLeftToTarget(*state)) return {};
   VersionFilter filter;
-  const bool is_open = IsOpen(*state, now);
+  if (state != nullptr && !IsLeftToTarget(*state)) {
+    filter = FilterOfOrder(*state, to_target, now);
+  }
+  if (!reverted_.empty()) filter.reverted = RevertedOf(service);
+  return filter;
+}
+
+VersionFilter RolloutGuard::FilterOfOrder(const State& state, bool to_target,
+                                          TimePoint now) const {
+  VersionFilter filter;
+  const bool is_open = IsOpen(state, now);
   if (is_open && to_target) {
-    if (state->stage == RolloutStage::kCanary && !state->targets.empty()) {
-      filter.among = CanariesOf(*state, now);
+    if (state.stage == RolloutStage::kCanary && !state.targets.empty()) {
+      filter.among = CanariesOf(state, now);
     } else {
-      filter.only = state->order.target;
+      filter.only = state.order.target;
     }
     return filter;
   }
-  const bool may_be_any = is_open && (state->stage == RolloutStage::kAll ||
-                                      state->stage == RolloutStage::kComplete);
-  if (!may_be_any) filter.avoid = state->order.target;
+  const bool may_be_any = is_open && (state.stage == RolloutStage::kAll ||
+                                      state.stage == RolloutStage::kComplete);
+  if (!may_be_any) filter.avoid = state.order.target;
   return filter;
 }
 
 bool RolloutGuard::MaySend(const std::string& service,
                            const std::string& version, bool is_bound,
                            TimePoint now) const {
+  if (IsReverted(service, version)) return false;
   const auto* state = Find(service);
   if (state == nullptr || version != state->order.target) return true;
   if (is_bound) return state->stage != RolloutStage::kReverted;
@@ -219,6 +294,7 @@
 }
 
 bool RolloutGuard::IsCapacity(const UpstreamEntry& upstream) const {
+  if (IsReverted(upstream.service, upstream.software_version)) return false;
   const auto* state = Find(upstream.service);
   if (state == nullptr || IsLeftToTarget(*state)) return true;
   const bool has_moved = state->stage == RolloutStage::kAll ||
@@ -332,6 +408,16 @@
     }
     if (state->stage == reply.stage) continue;
     state->stage = reply.stage;
+    if (state->stage == RolloutStage::kComplete) {
+      state->stopping = state->baseline;
+      UpdateStopping(state);
+      // It may have been reverted by an earlier order.
+      const auto reverted = reverted_.find(service);
+      if (reverted != reverted_.end()) {
+        reverted->second.versions.erase(reply.target);
+        if (reverted->second.versions.empty()) reverted_.erase(reverted);
+      }
+    }
     changed.push_back(service);
   }
   return changed;
--- a/libs/rollout/tests/rollout_lasting_test.cc
+++ b/libs/rollout/tests/rollout_lasting_test.cc
@@ -69,12 +69,77 @@
         CHECK(guard.IsCapacity(upstreams["b"]));
       }
     }
+    WHEN("a later version is released") {
+      // Guards against requests that keep to the target of a roll-out that is
+      // long over, and upstreams that are never capacity.
+      Add(&upstreams, "c", "v3");
+      guard.SetUpstreams(upstreams, At(40));
+      CHECK_FALSE(guard.ChoosesTarget(kService, true, At(50)));
+      CHECK(fleet.Passes("b"));
+      CHECK(fleet.Passes("c"));
+      CHECK(guard.IsCapacity(upstreams["b"]));
+      CHECK(guard.IsCapacity(upstreams["c"]));
+    }
+  }
+  GIVEN("a complete one whose old upstreams still stop") {
+    guard.Apply(Reply("v2", RolloutStage::kComplete), At(10));
+    Add(&upstreams, "c", "v2");
+    guard.SetUpstreams(upstreams, At(20));
+    CHECK(guard.ChoosesTarget(kService, true, At(30)));
+    CHECK_FALSE(guard.IsCapacity(upstreams["a"]));
   }
   GIVEN("one that moves as another coordinator takes over") {
     guard.Apply(Reply("v2", RolloutStage::kAll), At(10));
     guard.Apply(Reply("v2", RolloutStage::kWaiting), At(20));
     CHECK(guard.ChoosesTarget(kService, true, At(30)));
   }
+  GIVEN("a reverted one") {
+    // Guards against a bad version that gets requests again, because the
+    // operator orders another one or takes the order back.
+    guard.Apply(Reply("v2", RolloutStage::kReverted), At(10));
+    const auto is_refused = [&] {
+      return !fleet.Passes("b") && !fleet.MaySend("v2") &&
+             !guard.IsCapacity(upstreams["b"]) && fleet.Passes("a");
+    };
+    CHECK(is_refused());
+    WHEN("the next version is ordered") {
+      Add(&upstreams, "c", "v3");
+      guard.ApplyOrder({kService, "v3", kOver}, upstreams, At(20));
+      CHECK(is_refused());
+      CHECK_FALSE(fleet.Passes("c"));
+      guard.Apply(Reply("v3", RolloutStage::kAll), At(30));
+      CHECK(is_refused());
+      CHECK(fleet.Passes("c"));
+    }
+    WHEN("the order is removed") {
+      guard.RemoveOrder(kService);
+      CHECK(guard.IsActive());
+      CHECK(is_refused());
+      THEN("it is forgotten once its upstreams are gone") {
+        upstreams.erase("b");
+        guard.SetUpstreams(upstreams, At(30));
+        CHECK_FALSE(guard.IsActive());
+        Add(&upstreams, "b", "v2");
+        guard.SetUpstreams(upstreams, At(40));
+        CHECK(fleet.Passes("b"));
+      }
+      THEN("it serves if nothing else is left") {
+        upstreams.erase("a");
+        guard.SetUpstreams(upstreams, At(30));
+        CHECK(fleet.Passes("b"));
+        CHECK(fleet.MaySend("v2"));
+      }
+      THEN("an order for it decides again") {
+        guard.ApplyOrder({kService, "v2", Duration(9'000)}, upstreams, At(30));
+        CHECK(is_refused());
+        guard.Apply(Reply("v2", RolloutStage::kComplete), At(40));
+        upstreams.erase("a");
+        Add(&upstreams, "c", "v3");
+        guard.SetUpstreams(upstreams, At(50));
+        CHECK(fleet.Passes("b"));
+      }
+    }
+  }
 }
 
 }  // namespace
--- a/libs/routing/include/routing/version_filter.h
+++ b/libs/routing/include/routing/version_filter.h
@@ -1,6 +1,7 @@
 #ifndef FIRMOOR_ROUTING_VERSION_FILTER_H_
 #define FIRMOOR_ROUTING_VERSION_FILTER_H_
 
+#include <functional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -13,12 +14,15 @@
   std::string avoid;            ///< Version that gets nothing; empty: none.
   std::string only;             ///< Version that gets all; empty: any.
   std::set<std::string> among;  ///< Ids of the only upstreams; empty: any.
+  /// Versions that get nothing since they were reverted earlier.
+  std::set<std::string, std::less<>> reverted;
 
   [[nodiscard]] bool Passes(const std::string& upstream,
                             std::string_view version) const {
     return (avoid.empty() || avoid != version) &&
            (only.empty() || only == version) &&
-           (among.empty() || among.contains(upstream));
+           (among.empty() || among.contains(upstream)) &&
+           !reverted.contains(version);
   }
 
   bool operator==(const VersionFilter&) const = default;
