Bound the roll-outs in reports at the sender, and leave them out if empty

Cause: a report with evidence of over 256 routes was dropped as a whole by whoever read it; the age of an order had no bound above; both messages bore an empty field in deployments without roll-outs.

Change: a report tells the 256 routes with most of the target's answers, and what is readable of a larger one is kept; the coordinator keeps the counts of routes that a report leaves out; times are clamped; an empty field is left out.

--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -300,30 +300,30 @@
     load_map[Text(service)] =
         QCborMap{{"in_flight", load.in_flight}, {"tokens", load.tokens_per_s}};
   }
-  return QCborValue(
-             QCborMap{
-                 {"daemon", Text(daemon)},
-                 {"life", Text(instance_id)},
-                 {"wall_ms", static_cast<qint64>(wall_ms)},
-                 {"store_era", EncodeEra(store_era)},
-                 {"leaves", is_draining},
-                 {"region", Text(location.region)},
-                 {"peers", Text(location.peer_endpoint.ToString())},
-                 {"zone", Text(location.availability_zone)},
-                 {"uptime_ms",
-                  uptime ? QCborValue(static_cast<qint64>(uptime->count()))
-                         : QCborValue(nullptr)},
-                 {"cores", cores},
-                 {"directory", directory ? EncodeDirectoryPosition(*directory)
-                                         : QCborValue(nullptr)},
-                 {"usage", EncodeUsage(usage)},
-                 {"quotas", EncodeQuotaUses(quotas)},
-                 {"loads", load_map},
-                 {"shortage", details::EncodeShortageReport(shortage)},
-                 {"upstream_limits", EncodeLimitReports(upstream_limits)},
-                 {"quarantine", EncodeQuarantineReport(quarantine)},
-                 {"rollouts", EncodeRolloutReports(rollouts)}})
-      .toCbor();
+  QCborMap map{
+      {"daemon", Text(daemon)},
+      {"life", Text(instance_id)},
+      {"wall_ms", static_cast<qint64>(wall_ms)},
+      {"store_era", EncodeEra(store_era)},
+      {"leaves", is_draining},
+      {"region", Text(location.region)},
+      {"peers", Text(location.peer_endpoint.ToString())},
+      {"zone", Text(location.availability_zone)},
+      {"uptime_ms", uptime ? QCborValue(static_cast<qint64>(uptime->count()))
+                           : QCborValue(nullptr)},
+      {"cores", cores},
+      {"directory",
+       directory ? EncodeDirectoryPosition(*directory) : QCborValue(nullptr)},
+      {"usage", EncodeUsage(usage)},
+      {"quotas", EncodeQuotaUses(quotas)},
+      {"loads", load_map},
+      {"shortage", details::EncodeShortageReport(shortage)},
+      {"upstream_limits", EncodeLimitReports(upstream_limits)},
+      {"quarantine", EncodeQuarantineReport(quarantine)}};
+  if (!rollouts.empty()) {
+    map[QLatin1String("rollouts")] = EncodeRolloutReports(rollouts);
+  }
+  return QCborValue(map).toCbor();
 }
 
 Result<DaemonReport> DaemonReport::Decode(const QByteArray& bytes) {
@@ -424,25 +424,26 @@
 }
 
 QByteArray CoordinatorReply::Encode() const {
-  return QCborValue(
-             QCborMap{{"true_ms", static_cast<qint64>(true_ms)},
-                      {"store_era", EncodeEra(store_era)},
-                      {"divides", limits_ready},
-                      {"version", static_cast<qint64>(config_version)},
-                      {"age_ms", static_cast<qint64>(config_age_ms)},
-                      {"lease", static_cast<qint64>(lease_fencing_token)},
-                      {"lease_ms", static_cast<qint64>(lease_clock_ms)},
-                      {"sources", EncodeEndpoints(sources)},
-                      {"directory", EncodeDirectoryUpdate(directory)},
-                      {"grants", EncodeQuotaGrants(limits.quota_grants)},
-                      {"upstream_limits", EncodeLimitReply(upstream_limits)},
-                      {"quarantine", EncodeQuarantineReply(quarantine)},
-                      {"rollouts", EncodeRolloutReplies(rollouts)},
-                      {"shortage", details::EncodeShortageReply(shortage)},
-                      {"moved_to", Text(moved_to)},
-                      {"moved_fencing", static_cast<qint64>(moved_fencing)},
-                      {"daemons", static_cast<qint64>(limits.daemons)}})
-      .toCbor();
+  QCborMap map{{"true_ms", static_cast<qint64>(true_ms)},
+               {"store_era", EncodeEra(store_era)},
+               {"divides", limits_ready},
+               {"version", static_cast<qint64>(config_version)},
+               {"age_ms", static_cast<qint64>(config_age_ms)},
+               {"lease", static_cast<qint64>(lease_fencing_token)},
+               {"lease_ms", static_cast<qint64>(lease_clock_ms)},
+               {"sources", EncodeEndpoints(sources)},
+               {"directory", EncodeDirectoryUpdate(directory)},
+               {"grants", EncodeQuotaGrants(limits.quota_grants)},
+               {"upstream_limits", EncodeLimitReply(upstream_limits)},
+               {"quarantine", EncodeQuarantineReply(quarantine)},
+               {"shortage", details::EncodeShortageReply(shortage)},
+               {"moved_to", Text(moved_to)},
+               {"moved_fencing", static_cast<qint64>(moved_fencing)},
+               {"daemons", static_cast<qint64>(limits.daemons)}};
+  if (!rollouts.empty()) {
+    map[QLatin1String("rollouts")] = EncodeRolloutReplies(rollouts);
+  }
+  return QCborValue(map).toCbor();
 }
 
 Result<CoordinatorReply> CoordinatorReply::Decode(const QByteArray& bytes) {
--- a/libs/gateway/src/details/rollout_encoding.cc
+++ b/libs/gateway/src/details/rollout_encoding.cc
@@ -3,6 +3,7 @@
 #include <QCborArray>
 #include <algorithm>
 #include <optional>
+#include <vector>
 
 #include "base/text.h"
 
@@ -11,8 +12,10 @@
 
 // Larger counts are errors; their sums must not overflow.
 constexpr std::int64_t kMaxCount = 1'000'000'000;
-// Entries beyond are not those of a configuration.
-constexpr qsizetype kMaxEntries = 256;
+// Routes of a report.
+constexpr std::size_t kMaxEntries = 256;
+// Longer times are errors; sums with them must not overflow.
+constexpr std::int64_t kMaxTimeMs = 100'000'000'000;
 
 std::int64_t DecodeCount(const QCborValue& value) {
   return std::clamp<std::int64_t>(value.toInteger(), 0, kMaxCount);
@@ -49,9 +52,26 @@
   return arm;
 }
 
+/// The routes that tell most of the target.
+std::vector<EvidenceByRoute::const_iterator> ToldRoutes(
+    const EvidenceByRoute& evidence) {
+  std::vector<EvidenceByRoute::const_iterator> routes;
+  routes.reserve(evidence.size());
+  for (auto it = evidence.begin(); it != evidence.end(); ++it) {
+    routes.push_back(it);
+  }
+  if (routes.size() <= kMaxEntries) return routes;
+  std::stable_sort(routes.begin(), routes.end(), [](auto left, auto right) {
+    return left->second.target.ended > right->second.target.ended;
+  });
+  routes.resize(kMaxEntries);
+  return routes;
+}
+
 QCborMap EncodeReport(const RolloutReport& report) {
   QCborMap evidence;
-  for (const auto& [route, arms] : report.evidence) {
+  for (const auto& told : ToldRoutes(report.evidence)) {
+    const auto& [route, arms] = *told;
     evidence[Text(route)] =
         QCborArray{EncodeArm(arms.baseline), EncodeArm(arms.target)};
   }
@@ -80,19 +100,19 @@
   const auto over = map[QLatin1String("over_ms")].toInteger(-1);
   const auto evidence = map[QLatin1String("evidence")].toMap();
   const auto targets = map[QLatin1String("targets")].toMap();
-  const bool is_valid =
-      stage && age >= 0 && over >= 0 && evidence.size() <= kMaxEntries;
+  const bool is_valid = stage && age >= 0 && over >= 0;
   if (!is_valid) return std::nullopt;
   RolloutReport report;
   report.target = map[QLatin1String("target")].toString().toStdString();
-  report.age = Duration(age);
-  report.over = Duration(over);
+  report.age = Duration(std::min<std::int64_t>(age, kMaxTimeMs));
+  report.over = Duration(std::min<std::int64_t>(over, kMaxTimeMs));
   report.stage = *stage;
   report.requests = DecodeCount(map[QLatin1String("requests")]);
   report.sent = DecodeCount(map[QLatin1String("sent")]);
   report.baseline_in_flight = DecodeCount(map[QLatin1String("left")]);
   report.is_stopped = map[QLatin1String("stopped")].toBool();
   for (const auto& entry : evidence) {
+    if (report.evidence.size() >= kMaxEntries) break;
     const auto arms = entry.second.toArray();
     report.evidence[entry.first.toString().toStdString()] = {
         DecodeArm(arms.at(0).toArray()), DecodeArm(arms.at(1).toArray())};
--- a/libs/gateway/tests/rollout_encoding_test.cc
+++ b/libs/gateway/tests/rollout_encoding_test.cc
@@ -3,6 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <QCborArray>
+#include <cstdint>
+#include <limits>
+#include <string>
 
 #include "gateway/coordination.h"
 
@@ -48,6 +51,58 @@
       CHECK(Reread(reply).rollouts == reply.rollouts);
     }
   }
+  GIVEN("no roll-outs") {
+    // Guards against messages that change for deployments without them.
+    CHECK_FALSE(DaemonReport().Encode().contains("rollouts"));
+    CHECK_FALSE(CoordinatorReply().Encode().contains("rollouts"));
+  }
+  GIVEN("evidence of more routes than a message holds") {
+    // Guards against a daemon of which nothing is heard, since it has a route
+    // too many.
+    auto report = Report();
+    report.evidence.clear();
+    for (int i = 0; i < 300; ++i) {
+      auto& arms = report.evidence["r" + std::to_string(i)];
+      arms.baseline.ended = 1'000 - i;
+      arms.target.ended = i;
+    }
+    const auto read = details::DecodeRolloutReports(
+        details::EncodeRolloutReports({{"s", report}}));
+    THEN("those with most of the target's answers are told") {
+      REQUIRE(read.contains("s"));
+      const auto& evidence = read.at("s").evidence;
+      CHECK(evidence.size() == 256);
+      CHECK(evidence.contains("r299"));
+      CHECK(evidence.contains("r44"));
+      CHECK_FALSE(evidence.contains("r43"));
+      CHECK(read.at("s").sent == 7);
+    }
+    THEN("what a message has beyond is left out") {
+      auto map = details::EncodeRolloutReports({{"s", report}});
+      auto entry = map[QLatin1String("s")].toMap();
+      auto evidence = entry[QLatin1String("evidence")].toMap();
+      for (int i = 0; i < 300; ++i) {
+        evidence[QString("x%1").arg(i)] = QCborArray{};
+      }
+      entry[QLatin1String("evidence")] = evidence;
+      map[QLatin1String("s")] = entry;
+      const auto kept = details::DecodeRolloutReports(map);
+      REQUIRE(kept.contains("s"));
+      CHECK(kept.at("s").evidence.size() == 256);
+      CHECK(kept.at("s").sent == 7);
+    }
+  }
+  GIVEN("an age that no order has") {
+    // Guards against times that overflow.
+    auto report = Report();
+    report.age = Duration(std::numeric_limits<std::int64_t>::max());
+    report.over = report.age;
+    const auto read = details::DecodeRolloutReports(
+        details::EncodeRolloutReports({{"s", report}}));
+    REQUIRE(read.contains("s"));
+    CHECK(read.at("s").age < Duration(1'000'000'000'000));
+    CHECK(read.at("s").over < Duration(1'000'000'000'000));
+  }
   GIVEN("messages of a build without roll-outs") {
     CHECK(details::DecodeRolloutReports(QCborValue()).empty());
     CHECK(details::DecodeRolloutReplies(QCborValue()).empty());
--- a/libs/rollout/src/rollout_coordinator.cc
+++ b/libs/rollout/src/rollout_coordinator.cc
@@ -109,7 +109,10 @@
     AddEvidence(&rollout, known.report, report->second, now);
     // The first report of an instance tells of the time before this term.
     if (is_known) Observe(&rollout, known.report, report->second, now);
+    auto evidence = std::move(known.report.evidence);
     known = {report->second, now};
+    // A report holds a bounded number of routes, not always the same.
+    known.report.evidence.merge(evidence);
     rollout.started_at = std::min(rollout.started_at, now - report->second.age);
   }
 }
