Let orders of roll-outs travel without a proof of their age

Cause: readers of a kind with a bound on its age ask the store at least every 0.7 s. Stages come from the coordinator, so that an old order does no harm.

Change: orders are relayed like the configuration, with no such bound.

--- a/libs/gateway/src/gateway_daemon_parts.cc
+++ b/libs/gateway/src/gateway_daemon_parts.cc
@@ -1,5 +1,6 @@
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,7 +36,8 @@
   KindRelay::Builder builder(ports.kinds);
   builder.Kind({ports.configuration_kind, std::nullopt})
       .Kind({ports.upstream_kind, staleness});
-  if (ServesRollouts()) builder.Kind({ports.rollout_kind, staleness});
+  // The coordinator tells the stages, so that old orders do no harm.
+  if (ServesRollouts()) builder.Kind({ports.rollout_kind, std::nullopt});
   return builder
       .Peers([this](const Endpoint& peer, const QByteArray& request,
                     Duration timeout, PeerNode::Done done) {
