--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -206,8 +206,8 @@
   may_have_been_sent = true;
   timer.start(timeouts.first_byte);
   if (timeouts.total) total_timer.start(*timeouts.total);
-  unsent_bytes =
-      static_cast<qint64>(text.size() + (is_inline ? 0 : body.size()));
+  unsent_bytes = static_cast<qint64>(text.size());
+  if (!is_inline) unsent_bytes += static_cast<qint64>(body.size());
   socket->write(text.data(), static_cast<qint64>(text.size()));
   // The socket shares the bytes and does not copy them.
   if (!is_inline) socket->write(QByteArray::fromStdString(body));
