--- a/libs/rollout/tests/rollout_fleet_model.cc
+++ b/libs/rollout/tests/rollout_fleet_model.cc
@@ -76,8 +76,9 @@
   void Prepare() {
     if (now_ == config_.targets_ready_ms) {
       AddUpstreams("v2", config_.targets);
-      for (auto& daemon : daemons_)
+      for (auto& daemon : daemons_) {
         daemon.guard.SetUpstreams(entries_, At(now_));
+      }
     }
     if (!config_.change_at_ms) return;
     if (now_ == *config_.change_at_ms) coordinator_.reset();
--- a/libs/routing/tests/uneven_upstreams_test.cc
+++ b/libs/routing/tests/uneven_upstreams_test.cc
@@ -214,8 +214,10 @@
     }
     now += Duration(50);
   }
+  constexpr int kLate = 6;
   std::vector<PickTicket> late;
-  for (int i = 0; i < 6; ++i) {
+  late.reserve(kLate);
+  for (int i = 0; i < kLate; ++i) {
     late.push_back(picker.OnSend("a", request, now));
   }
   entries.at("a").born_ms = 2;
