Stop and accept without free descriptors

What callers saw: "spin: a process did not wait for anything" (FAULT), one process; suspected to be this, not shown, since no logs exist.

Cause: HttpServer::StopAccepting accepted for as long as waitForNewConnection said that somebody waits. Without a free descriptor accept(2) fails, so that somebody waits for ever, and the loop never returns to the event loop, where descriptors would be freed. QTcpServer also pauses for good at the first error of accept(2), so that a process that once had no descriptor took no further connection of callers, operators or other daemons.

Change: the loop ends once a wait brought no connection. AcceptRecovery lets a listener accept again 100 ms after an error, and counts the errors.

--- a/libs/gateway/src/details/connection_metrics.cc
+++ b/libs/gateway/src/details/connection_metrics.cc
@@ -14,6 +14,8 @@
     text += fmt::format("firmoor_connections_cut_total{{reason=\"{}\"}} {}\n",
                         NameOf(reason), server.CutCount(reason));
   }
+  text += fmt::format("firmoor_accept_failures_total {}\n",
+                      server.AcceptFailures());
   return text;
 }
 
--- a/libs/gateway/src/details/connection_metrics.h
+++ b/libs/gateway/src/details/connection_metrics.h
@@ -7,8 +7,8 @@
 
 namespace firmoor::details {
 
-/// Connections that `server` closed without a response, by reason, in the
-/// Prometheus text format.
+/// Connections that `server` closed without a response, by reason, and those
+/// that it could not accept, in the Prometheus text format.
 std::string ConnectionCutMetrics(const HttpServer& server);
 
 }  // namespace firmoor::details
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -171,6 +171,10 @@
   /// Connections closed for `reason` since the start.
   [[nodiscard]] std::uint64_t CutCount(ConnectionCut reason) const;
 
+  /// Failed calls of accept(2) since the start, e.g. for want of a descriptor.
+  /// Connections then wait until one succeeds.
+  [[nodiscard]] std::uint64_t AcceptFailures() const;
+
   /// Number of open connections, including those that are about to close behind
   /// their last response.
   [[nodiscard]] std::size_t ConnectionCount() const;
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -11,6 +11,7 @@
 #include "base/invariant.h"
 #include "base/log.h"
 #include "details/server_connection.h"
+#include "http/accept_recovery.h"
 
 namespace firmoor {
 namespace {
@@ -112,6 +113,8 @@
   std::shared_ptr<details::ServerConnectionContext> context =
       std::make_shared<details::ServerConnectionContext>();
   QTcpServer listener;
+  AcceptRecovery accept_recovery{&listener};
+  std::uint64_t accepted = 0;  ///< Connections since the start.
   std::unordered_map<details::ServerConnection*,
                      std::shared_ptr<details::ServerConnection>>
       connections;
@@ -125,6 +128,7 @@
 void HttpServer::Builder::Impl::Accept() {
   while (QTcpSocket* socket = listener.nextPendingConnection()) {
     socket->setParent(nullptr);
+    ++accepted;
     if (connections.size() >= context->limits.connections && !MakePlace()) {
       context->CountCut(ConnectionCut::kConnections);
       socket->abort();
@@ -260,8 +264,13 @@
 void HttpServer::CloseAfterResponses() { impl_->context->closing = true; }
 
 void HttpServer::StopAccepting() {
-  // Connections that wait when the listener closes are reset.
-  while (impl_->listener.waitForNewConnection(0)) impl_->Accept();
+  // Connections that wait when the listener closes are reset. A wait that was
+  // followed by no connection would be followed by none again.
+  auto before = impl_->accepted;
+  do {
+    before = impl_->accepted;
+    if (impl_->listener.waitForNewConnection(0)) impl_->Accept();
+  } while (impl_->accepted > before);
   impl_->listener.close();
   CloseAfterResponses();
 }
@@ -280,6 +289,10 @@
   return impl_->context->cuts.at(static_cast<std::size_t>(reason));
 }
 
+std::uint64_t HttpServer::AcceptFailures() const {
+  return impl_->accept_recovery.failures();
+}
+
 std::size_t HttpServer::ConnectionCount() const {
   return impl_->connections.size();
 }
--- a/libs/peer/src/peer_node.cc
+++ b/libs/peer/src/peer_node.cc
@@ -14,6 +14,7 @@
 #include "details/http2_connection.h"
 #include "details/peer_stream_impl.h"
 #include "details/retired_connections.h"
+#include "http/accept_recovery.h"
 
 namespace firmoor {
 namespace {
@@ -53,6 +54,7 @@
   PeerNode::Handler handler;
   PeerNode::StreamHandler stream_handler;
   QTcpServer listener;
+  AcceptRecovery accept_recovery{&listener};
   QTimer idle_timer;
   Traffic traffic;
   std::map<Endpoint, Client> clients;
