Pause a watch that is answered at once without news

Cause: KindWatcher went on at once after every answer but a failure. A history that is gone again behind each list, an era that no list is of, and answers that were not waited for (a source without a list of its own) were repeated without a pause.

Change: from the third time in a row on, such answers are followed by the back-off that failures have. Answers with news, and the first lists after a history is gone, are followed at once as before.

--- a/libs/platform/src/kind_watcher.cc
+++ b/libs/platform/src/kind_watcher.cc
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <utility>
 
+#include "base/handler_timer.h"
+
 namespace firmoor {
 namespace {
 
@@ -16,6 +18,13 @@
 // Range of the backoff's random factor around 1, so that daemons that lost the
 // store at the same time do not retry at the same time.
 constexpr double kJitter = 0.5;
+// An answer without news within this time to a call that waits for longer was
+// not waited for, e.g. of a daemon that has not listed the kind itself.
+constexpr Duration kEarlyAnswer{200};
+// Early answers, and lists that no changes followed, in a row after which the
+// next call is delayed.
+constexpr int kMaxEarlyAnswers = 2;
+constexpr int kMaxVainLists = 2;
 // How long the first call after a failure waits for changes: it returns at once
 // to find out whether the store is available again.
 constexpr Duration kProbeWait{1};
@@ -33,11 +42,14 @@
   bool running = false;
   bool listed = false;
   bool failed = false;
+  int vain_lists = 0;     ///< Lists in a row that no changes followed.
+  int early_answers = 0;  ///< Answers in a row that were not waited for.
   StoreVersion version;
   std::int64_t latest_era = 0;     ///< Of the store, as heard of.
   std::uint64_t wait_number = 0;   ///< Of the waiting call that counts.
   std::uint64_t check_number = 0;  ///< Of the check that counts.
   Duration backoff = kInitialBackoff;
+  Duration early_pause = kInitialBackoff;  ///< After the next early answer.
 
   void StartNextCall();
   void List();
@@ -47,15 +59,20 @@
   void Wait(Duration wait_time);
   void RestartWait();
   void OnList(const KindListing& listing, TimePoint requested_at);
-  void OnChanges(const KindChanges& changes, TimePoint requested_at);
+  void OnChanges(const KindChanges& changes, Duration wait_time,
+                 TimePoint requested_at);
+  void OnHistoryGone();
   void Check();
   void OnCheck(const KindChanges& changes, TimePoint requested_at);
   void OnSuccess();
   void OnFailure();
+  /// Starts the next call after `*delay`, with jitter, and doubles it.
+  void StartLater(Duration* delay);
 };
 
 void KindWatcher::Impl::StartNextCall() {
   if (!running) return;
+  const HandlerTimer handler_timer("a watch of the store");
   if (listed) {
     Wait(failed ? kProbeWait : wait);
   } else {
@@ -91,11 +108,11 @@
   const auto requested_at = MonotonicNow();
   store->WaitForChanges(
       kind, version, wait_time,
-      [weak = weak_from_this(), requested_at,
+      [weak = weak_from_this(), requested_at, wait_time,
        number = ++wait_number](const KindChanges& changes) {
         const auto self = weak.lock();
         if (!self || !self->running || self->wait_number != number) return;
-        self->OnChanges(changes, requested_at);
+        self->OnChanges(changes, wait_time, requested_at);
       });
 }
 
@@ -110,32 +127,47 @@
   const bool is_obsolete = listing.version.era < latest_era;
   if (listing.status != StoreStatus::kOk || is_obsolete) return OnFailure();
   listed = true;
+  ++vain_lists;
   version = listing.version;
   latest_era = version.era;
-  OnSuccess();
+  if (vain_lists <= kMaxVainLists) backoff = kInitialBackoff;
+  if (std::exchange(failed, false) && hooks.on_recovered) hooks.on_recovered();
   hooks.on_list(listing.objects, requested_at);
   StartNextCall();
 }
 
 void KindWatcher::Impl::OnChanges(const KindChanges& changes,
-                                  TimePoint requested_at) {
+                                  Duration wait_time, TimePoint requested_at) {
   const bool is_ok = changes.status == StoreStatus::kOk;
   const bool is_next_era = is_ok && changes.version.era > version.era;
   if (changes.status == StoreStatus::kHistoryGone || is_next_era) {
-    return ListAnew();
+    return OnHistoryGone();
   }
   if (!is_ok || changes.version.era < version.era) return OnFailure();
+  const bool has_news = !changes.changes.empty() && changes.version > version;
+  const bool is_early = !has_news && wait_time > kEarlyAnswer &&
+                        MonotonicNow() - requested_at < kEarlyAnswer;
   version = std::max(version, changes.version);
+  vain_lists = 0;
+  early_answers = is_early ? early_answers + 1 : 0;
   OnSuccess();
   hooks.on_changes(changes.changes, changes.is_direct
                                         ? std::optional(requested_at)
                                         : std::nullopt);
+  if (early_answers > kMaxEarlyAnswers) return StartLater(&early_pause);
+  early_pause = kInitialBackoff;
   if (changes.changes.empty() || batch_delay == Duration(0)) {
     return StartNextCall();
   }
   timer.start(batch_delay);
 }
 
+void KindWatcher::Impl::OnHistoryGone() {
+  if (vain_lists <= kMaxVainLists) return ListAnew();
+  listed = false;
+  StartLater(&backoff);
+}
+
 void KindWatcher::Impl::Check() {
   if (!running || !listed || std::exchange(check_pending, true)) return;
   const auto requested_at = MonotonicNow();
@@ -175,11 +207,15 @@
 void KindWatcher::Impl::OnFailure() {
   failed = true;
   if (hooks.on_outage) hooks.on_outage();
+  StartLater(&backoff);
+}
+
+void KindWatcher::Impl::StartLater(Duration* delay) {
   const double jitter_factor =
       1.0 + kJitter * (QRandomGenerator::global()->generateDouble() - 0.5);
   timer.start(Duration(static_cast<std::int64_t>(
-      static_cast<double>(backoff.count()) * jitter_factor)));
-  backoff = std::min(kMaxBackoff, backoff * 2);
+      static_cast<double>(delay->count()) * jitter_factor)));
+  *delay = std::min(kMaxBackoff, *delay * 2);
 }
 
 KindWatcher::KindWatcher(KindStore* store, std::string kind, Duration wait,
