Perform pending removals of upstreams in time despite further outages

What callers saw: requests reached a back end that had said it was leaving (DRAIN); suspected to be one way to it, not shown, since no logs exist.

Cause: UpstreamCatalog keeps an entry that was removed shortly after an outage until its upstream had time to register again. Each further failed call of the store set that time anew, so that a daemon that loses its store again and again went on sending to an upstream that is gone.

Change: the removal is performed at the latest the drain time less 0.5 s (2.2 s at least) after it was seen, if another upstream of its service is registered: an outage that expires entries does not spare one. If none is, the entry stays for as long as outages go on, as before.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -48,6 +48,9 @@
   /// Time that upstreams get to re-register after a store outage, during which
   /// their entries may have expired.
   Duration reregistration_time{2'200};
+  /// Longest time for which an upstream is used after its entry was removed,
+  /// however often the store fails meanwhile.
+  Duration max_removal_delay{2'200};
   std::int64_t usage_window_ms = 5'000;
   RolloutSettings rollouts;
   Strategies strategies;
--- a/libs/gateway/src/details/gateway_settings.cc
+++ b/libs/gateway/src/details/gateway_settings.cc
@@ -8,6 +8,8 @@
 // A watch of the store may miss changes for a second before it is disconnected,
 // and a request takes some time to reach its upstream.
 constexpr Duration kFreshnessMargin{1'300};
+// Time that a request may take from the choice of its upstream to its arrival.
+constexpr Duration kSendMargin{500};
 // Lower limit of the time for receiving a request, since callers may send a
 // long body over a slow link.
 constexpr Duration kMinRequestTimeout{10'000};
@@ -24,6 +26,7 @@
   gateway.retry_burst = settings.retry_burst;
   gateway.quota_window = settings.quota_window;
   gateway.quota_slack = settings.quota_slack;
+  gateway.max_removal_delay = settings.upstream_drain_time - kSendMargin;
   gateway.usage_window_ms = settings.usage_window.count();
   gateway.rollouts = settings.rollouts;
   gateway.rollouts.enabled &= settings.strategies.rollouts;
--- a/libs/routing/include/routing/upstream_catalog.h
+++ b/libs/routing/include/routing/upstream_catalog.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,8 +46,9 @@
 class UpstreamCatalog {
  public:
   /// `reregistration_time`: time that upstreams may take to register again
-  /// after a store outage.
-  explicit UpstreamCatalog(Duration reregistration_time);
+  /// after a store outage. `max_removal_delay`: from a removal, at least the
+  /// former; an upstream that left serves no longer than this.
+  UpstreamCatalog(Duration reregistration_time, Duration max_removal_delay);
 
   /// Applies a complete list; entries that are not in it are removed.
   void ApplyAll(const std::vector<UpstreamEntry>& entries, TimePoint now);
@@ -91,14 +93,27 @@
     bool is_final = false;
   };
 
+  /// A removal that waits in case the upstream registers again.
+  struct PendingRemoval {
+    TimePoint seen_at;
+    TimePoint due;  ///< Extended by outages.
+  };
+
+  /// Services with an upstream that is registered and not leaving.
+  [[nodiscard]] std::set<std::string> RegisteredServices() const;
+  /// When a removal is performed if nothing changes until then.
+  [[nodiscard]] TimePoint DueTime(
+      const std::string& id, const PendingRemoval& removal,
+      const std::set<std::string>& registered_services) const;
   void Erase(const std::string& id, TimePoint now);
   void RecordDeparture(const std::string& id, DepartedInstance departed);
 
   Duration reregistration_time_;
+  Duration max_removal_delay_;
   std::map<std::string, UpstreamEntry> entries_;
   std::map<std::string, DepartedInstance>
       departed_;  ///< By id; outlives the entries.
-  std::map<std::string, TimePoint> pending_removals_;
+  std::map<std::string, PendingRemoval> pending_removals_;
   std::optional<TimePoint> last_outage_;  ///< Last failed store call.
   std::optional<TimePoint> last_return_;  ///< Of the store from a copy.
   bool listed_since_return_ = true;
--- a/libs/routing/src/upstream_catalog.cc
+++ b/libs/routing/src/upstream_catalog.cc
@@ -13,8 +13,10 @@
 
 }  // namespace
 
-UpstreamCatalog::UpstreamCatalog(Duration reregistration_time)
-    : reregistration_time_(reregistration_time) {}
+UpstreamCatalog::UpstreamCatalog(Duration reregistration_time,
+                                 Duration max_removal_delay)
+    : reregistration_time_(reregistration_time),
+      max_removal_delay_(std::max(max_removal_delay, reregistration_time)) {}
 
 void UpstreamCatalog::ApplyAll(const std::vector<UpstreamEntry>& entries,
                                TimePoint now) {
@@ -51,13 +53,14 @@
   const bool may_return =
       last_outage_ && now - *last_outage_ < reregistration_time_;
   if (!may_return) return Erase(id, now);
-  pending_removals_.try_emplace(id, *last_outage_ + reregistration_time_);
+  pending_removals_.try_emplace(
+      id, PendingRemoval{now, *last_outage_ + reregistration_time_});
 }
 
 void UpstreamCatalog::OnStoreOutage(TimePoint now) {
   last_outage_ = now;
-  for (auto& [id, due] : pending_removals_) {
-    due = std::max(due, now + reregistration_time_);
+  for (auto& [id, removal] : pending_removals_) {
+    removal.due = std::max(removal.due, now + reregistration_time_);
   }
 }
 
@@ -105,17 +108,40 @@
   return found != entries_.end() && !std::exchange(found->second.leaving, true);
 }
 
+std::set<std::string> UpstreamCatalog::RegisteredServices() const {
+  std::set<std::string> services;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.leaving && !pending_removals_.contains(id)) {
+      services.insert(entry.service);
+    }
+  }
+  return services;
+}
+
+TimePoint UpstreamCatalog::DueTime(
+    const std::string& id, const PendingRemoval& removal,
+    const std::set<std::string>& registered_services) const {
+  const bool is_bounded = registered_services.contains(entries_.at(id).service);
+  return is_bounded
+             ? std::min(removal.due, removal.seen_at + max_removal_delay_)
+             : removal.due;
+}
+
 void UpstreamCatalog::ApplyDueRemovals(TimePoint now) {
+  if (pending_removals_.empty()) return;
+  const auto services = RegisteredServices();
   std::vector<std::string> due;
-  for (const auto& [id, at] : pending_removals_) {
-    if (at <= now) due.push_back(id);
+  for (const auto& [id, removal] : pending_removals_) {
+    if (DueTime(id, removal, services) <= now) due.push_back(id);
   }
   for (const auto& id : due) Erase(id, now);
 }
 
 std::optional<TimePoint> UpstreamCatalog::NextRemoval() const {
+  const auto services = RegisteredServices();
   std::optional<TimePoint> next;
-  for (const auto& [id, due] : pending_removals_) {
+  for (const auto& [id, removal] : pending_removals_) {
+    const auto due = DueTime(id, removal, services);
     if (!next || due < *next) next = due;
   }
   return next;
--- a/libs/routing/tests/upstream_catalog_test.cc
+++ b/libs/routing/tests/upstream_catalog_test.cc
@@ -2,10 +2,13 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
+
 namespace firmoor {
 namespace {
 
 constexpr Duration kReregistrationTime{2'000};
+constexpr Duration kMaxRemovalDelay{3'500};
 
 UpstreamEntry Entry(std::string id, std::int64_t born_ms = 1) {
   UpstreamEntry entry;
@@ -25,7 +28,7 @@
 }  // namespace
 
 TEST_CASE("an upstream that leaves") {
-  UpstreamCatalog catalog(kReregistrationTime);
+  UpstreamCatalog catalog(kReregistrationTime, kMaxRemovalDelay);
   catalog.Apply(Entry("a"));
   catalog.Apply(Leaving("a"));
 
@@ -40,7 +43,7 @@
 }
 
 TEST_CASE("an upstream announces in a response that it is leaving") {
-  UpstreamCatalog catalog(kReregistrationTime);
+  UpstreamCatalog catalog(kReregistrationTime, kMaxRemovalDelay);
   const TimePoint now{Duration(10'000)};
   catalog.Apply(Entry("a"));
   CHECK(catalog.MarkLeaving("a", 1, now));
@@ -70,7 +73,7 @@
 }
 
 TEST_CASE("an entry is removed") {
-  UpstreamCatalog catalog(kReregistrationTime);
+  UpstreamCatalog catalog(kReregistrationTime, kMaxRemovalDelay);
   const TimePoint start{Duration(10'000)};
   catalog.Apply(Entry("a"));
 
@@ -110,11 +113,69 @@
   }
 }
 
+// Guards against requests to upstreams that are gone (DRAIN): each further
+// failed call put the removal off, for as long as a daemon lost its store again
+// and again.
+TEST_CASE("an entry is removed while the store fails again and again") {
+  UpstreamCatalog catalog(kReregistrationTime, kMaxRemovalDelay);
+  const TimePoint start{Duration(10'000)};
+  constexpr Duration kOutagePeriod{1'500};
+  const auto removed_at = start + Duration(500);
+  /// The time at which "a" is first not listed, with an outage each period.
+  const auto gone_at = [&]() -> std::optional<TimePoint> {
+    for (auto now = removed_at; now < start + Duration(30'000);
+         now += Duration(100)) {
+      if ((now - start) % kOutagePeriod == Duration(0)) {
+        catalog.OnStoreOutage(now);
+      }
+      catalog.ApplyDueRemovals(now);
+      if (catalog.Find("a") == nullptr) return now;
+    }
+    return std::nullopt;
+  };
+  catalog.ApplyAll({Entry("a"), Entry("b")}, TimePoint{Duration(1)});
+  catalog.OnStoreOutage(start);
+
+  SUBCASE("and is gone in time, as others of its service are registered") {
+    catalog.Remove("a", removed_at);
+    CHECK(catalog.NextRemoval() == start + kReregistrationTime);
+    CHECK(gone_at() == removed_at + kMaxRemovalDelay);
+    CHECK(catalog.Find("b") != nullptr);
+    SUBCASE("and returns once it registers again") {
+      catalog.Apply(Entry("a"));
+      CHECK(catalog.Find("a") != nullptr);
+    }
+  }
+  SUBCASE("and is gone in time when it is seen missing again and again") {
+    catalog.Remove("a", removed_at);
+    catalog.OnStoreOutage(start + Duration(600));
+    catalog.Remove("a", start + Duration(700));
+    CHECK(gone_at() == removed_at + kMaxRemovalDelay);
+  }
+  SUBCASE("and stays while no upstream of its service is registered") {
+    catalog.Remove("a", removed_at);
+    catalog.Remove("b", removed_at);
+    CHECK(gone_at() == std::nullopt);
+    CHECK(catalog.Find("b") != nullptr);
+  }
+  SUBCASE("and is gone in time once another one has registered again") {
+    catalog.Remove("a", removed_at);
+    catalog.Remove("b", removed_at);
+    catalog.Apply(Entry("b"));
+    CHECK(gone_at() == removed_at + kMaxRemovalDelay);
+  }
+  SUBCASE("and one that leaves does not count as registered") {
+    catalog.Apply(Leaving("b"));
+    catalog.Remove("a", removed_at);
+    CHECK(gone_at() == std::nullopt);
+  }
+}
+
 // Guards against new work for upstreams that left: the store returned from a
 // copy of some seconds ago, which shows them as ready again, and the catalog
 // remembered only what they had announced themselves.
 TEST_CASE("the store returns from a copy that shows an upstream as ready") {
-  UpstreamCatalog catalog(kReregistrationTime);
+  UpstreamCatalog catalog(kReregistrationTime, kMaxRemovalDelay);
   const TimePoint left{Duration(10'000)};
   const auto returned = left + Duration(3'000);
   const auto listed = returned + Duration(300);
@@ -195,7 +256,7 @@
 // Guards against requests refused for want of upstreams that work: those whose
 // entries are newer than the copy were dropped at once.
 TEST_CASE("the store returns from a copy that lacks an upstream") {
-  UpstreamCatalog catalog(kReregistrationTime);
+  UpstreamCatalog catalog(kReregistrationTime, kMaxRemovalDelay);
   const TimePoint returned{Duration(10'000)};
   catalog.ApplyAll({Entry("a"), Entry("b")}, TimePoint{Duration(1)});
   catalog.OnStoreReturn(returned);
@@ -220,7 +281,7 @@
 // Guards against an entry that a returned store has lost being dropped because
 // of the rules for a return on days without one.
 TEST_CASE("without a return of the store") {
-  UpstreamCatalog catalog(kReregistrationTime);
+  UpstreamCatalog catalog(kReregistrationTime, kMaxRemovalDelay);
   const TimePoint now{Duration(10'000)};
   catalog.Apply(Entry("a", 100));
   SUBCASE("an upstream that lapsed is listed again") {
