Write a request only to an upstream that is still listed

What callers saw: requests reached a back end that had said it was leaving (DRAIN); suspected to be one way to it, not shown, since no logs exist.

Cause: right before a request is written, UpstreamAttempt looks whether the chosen upstream leaves.

Change: the upstream must be listed and not leave; otherwise the request, of which nothing was written, goes to another one. Streams that go on with copied memory are sent as before.

--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -108,7 +108,7 @@
 
 bool UpstreamAttempt::MaySend() {
   const bool is_continuation = plan_.call.copy.has_value();
-  send_cancelled_ = end_ || (!is_continuation && IsLeaving()) ||
+  send_cancelled_ = end_ || (!is_continuation && !Counts()) ||
                     !owner_->MaySend(*this) || !EnsurePermit();
   return !send_cancelled_;
 }
--- a/libs/gateway/tests/gateway_availability_test.cc
+++ b/libs/gateway/tests/gateway_availability_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <string>
 
 #include "gateway/refusal.h"
@@ -81,6 +82,52 @@
   CHECK(leaving.Requests() == 1);
 }
 
+// Guards against requests to upstreams that are gone (DRAIN): a removed entry
+// did not stop a request whose connection was still opening.
+TEST_CASE("an upstream leaves while the connection to it opens") {
+  GatewayFixture fixture;
+  const RawUpstream::Script answer = [](auto& connection) {
+    SendResponse(connection, "200 OK\r\nId: r1", MakeEvent(1));
+  };
+  RawUpstream leaving(answer);
+  AnswerReports(&leaving);
+  RawUpstream staying(answer);
+  std::function<void(const std::string& id)> leave;
+  std::string chosen;
+  // Handles a request, and then the change before the event loop goes on.
+  auto server =
+      HttpServer::Builder()
+          .Listen({"127.0.0.1", 0})
+          .Handler([&](const HttpRequest& request, const auto& responder) {
+            fixture.gateway.Handle(request, responder);
+            fixture.AddUpstream("b", staying);
+            leave(chosen);
+          })
+          .Build();
+  REQUIRE(server->Start());
+
+  SUBCASE("and says so") {
+    leave = [&](const std::string& id) {
+      fixture.AddUpstream(id, leaving, true);
+    };
+  }
+  SUBCASE("and its entry is removed") {
+    leave = [&](const std::string& id) { fixture.gateway.RemoveUpstream(id); };
+  }
+  for (const std::string route : {"once", "idempotent", "stream"}) {
+    fixture.gateway.RemoveUpstream("b");
+    chosen = "a-" + route;
+    fixture.AddUpstream(chosen, leaving);
+    RawClient caller(server->Port());
+    caller.Send("POST /" + route +
+                "/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 4"
+                "\r\n\r\nbody");
+    CHECK(caller.WaitFor("id: 1"));
+  }
+  CHECK(leaving.Requests() == 0);
+  CHECK(staying.Requests() == 3);
+}
+
 TEST_CASE("an upstream rejects requests with a retry delay") {
   GatewayFixture fixture;
   RawUpstream closed([](auto& connection) {
