Ask each source once before the store

What callers saw: requests reached a back end that had said it was leaving (DRAIN); suspected to be one way to it, not shown, since no logs exist.

Cause: a daemon that reads from others asks one source after the other, 0.9 s each if they are silent, and then the store. A source that failed is left out for 1 s. With two silent sources 100 ms are between that and asking the first one again; a little delay, or a third source, and the round begins anew before the store was asked.

Change: a wait remembers which sources it has tried in vain.

Evidence: kind_relay_test with three silent sources: no answer within 3 s before, one of the store now. Found while a test of the bound was written.

--- a/libs/dissemination/include/dissemination/source_selector.h
+++ b/libs/dissemination/include/dissemination/source_selector.h
@@ -2,7 +2,7 @@
 #define FIRMOOR_DISSEMINATION_SOURCE_SELECTOR_H_
 
 #include <map>
-#include <optional>
+#include <set>
 #include <vector>
 
 #include "base/time.h"
@@ -27,7 +27,9 @@
   /// reads the store.
   void SetSources(const std::vector<Endpoint>& sources);
 
-  [[nodiscard]] Choice Next(TimePoint now) const;
+  /// `tried`: daemons that have failed the same request.
+  [[nodiscard]] Choice Next(TimePoint now,
+                            const std::set<Endpoint>& tried = {}) const;
 
   void OnDaemonResult(const Endpoint& daemon, bool succeeded, TimePoint now);
   void OnStoreResult(bool succeeded, TimePoint now);
--- a/libs/dissemination/src/kind_relay.cc
+++ b/libs/dissemination/src/kind_relay.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <list>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "base/text.h"
@@ -62,6 +63,7 @@
     StoreVersion version;
     Duration wait{0};
     Done done;
+    std::set<Endpoint> tried = {};  ///< Sources that were asked in vain.
   };
 
   KindStore* store = nullptr;
@@ -139,8 +141,8 @@
 void KindRelay::Builder::Impl::QueryNextSource(const LocalWait& wait) {
   auto* state = Find(wait.kind);
   const auto now = MonotonicNow();
-  const auto choice =
-      state == nullptr ? SourceSelector::Choice{} : state->selector.Next(now);
+  const auto choice = state == nullptr ? SourceSelector::Choice{}
+                                       : state->selector.Next(now, wait.tried);
   switch (choice.target) {
     case SourceSelector::Target::kDaemon:
       return QueryDaemon(choice.daemon, wait);
@@ -226,7 +228,9 @@
   state->selector.OnDaemonResult(daemon, response.has_value(), MonotonicNow());
   if (!response) {
     LogSourceEvent(daemon, wait.kind, "source-lost");
-    return QueryNextSource(wait);
+    auto next = wait;
+    next.tried.insert(daemon);
+    return QueryNextSource(next);
   }
   const auto told = response->version.Within(wait.version.era).era;
   if (era != nullptr) era->Observe(told);
--- a/libs/dissemination/src/source_selector.cc
+++ b/libs/dissemination/src/source_selector.cc
@@ -33,8 +33,10 @@
   });
 }
 
-SourceSelector::Choice SourceSelector::Next(TimePoint now) const {
+SourceSelector::Choice SourceSelector::Next(
+    TimePoint now, const std::set<Endpoint>& tried) const {
   for (const auto& source : sources_) {
+    if (tried.contains(source)) continue;
     const auto backoff = backoffs_.find(source);
     if (backoff == backoffs_.end() || now >= backoff->second.until) {
       return {Target::kDaemon, source};
--- a/libs/dissemination/tests/kind_relay_test.cc
+++ b/libs/dissemination/tests/kind_relay_test.cc
@@ -14,6 +14,7 @@
 constexpr Duration kMaxStaleness{1'250};
 const Endpoint kReader{"10.0.0.1", 80};
 const Endpoint kSilentDaemon{"10.0.0.2", 80};
+const Endpoint kOtherSilentDaemon{"10.0.0.3", 80};
 
 /// In-memory store with one kind, which can be made unavailable.
 class MemoryKindStore : public KindStore {
@@ -228,6 +229,19 @@
   CHECK(MonotonicNow() - started < kMaxStaleness + Duration(1'900));
 }
 
+// Guards against requests to upstreams that left (DRAIN): sources whose backoff
+// ended while the next ones were silent were asked again before the store.
+TEST_CASE("a relay asks each of its sources once before the store") {
+  Fixture fixture;
+  fixture.relay->SetSources({kReader, kSilentDaemon, kOtherSilentDaemon});
+  fixture.network.relays.clear();
+  fixture.Put(1);
+  // Three times the longest poll and the margin for its response.
+  const auto result = Watch(fixture.relay.get(), 10);
+  REQUIRE(WaitForResult(result, 3'000));
+  CHECK(result->last.is_direct);
+}
+
 TEST_CASE(
     "a store reader refreshes its contact with the store when it is polled") {
   Fixture fixture;
