Ask the store for changes of upstreams when the sources are late

What callers saw: requests reached a back end that had said it was leaving (DRAIN); suspected to be one way to it, not shown, since no logs exist.

Cause: each step on the way of a change has a bound (half of the drain time for the staleness of a source, 0.9 s for a silent one, 0.4 s for a batch), but nothing bounded their sum. With 4 s of drain time two silent sources behind a stale one add up to 4.2 s by the constants.

Change: a daemon that reads from others asks the store itself, beside its waiting call, once its last contact with the store, through them, is older than half of the drain time and one poll: 2.5 s of 4 s.

Sources that respond cause no call in 4 s.

--- a/libs/dissemination/include/dissemination/kind_relay.h
+++ b/libs/dissemination/include/dissemination/kind_relay.h
@@ -63,6 +63,21 @@
   /// reads the store.
   void SetSources(const std::vector<Endpoint>& sources);
 
+  /// Age of the last contact with the store about `kind`, directly or through
+  /// other daemons: all earlier changes are known. None before the first.
+  [[nodiscard]] std::optional<Duration> StoreContactAge(
+      const std::string& kind) const;
+
+  /// Longest long poll at another daemon. Each level of the distribution tree
+  /// adds at most this much to the age of what is known of the store.
+  static constexpr Duration kMaxWait{500};
+
+  /// Longest age of a contact while the sources respond: what they may have,
+  /// and the time until their next response.
+  static constexpr Duration MaxContactAge(Duration max_staleness) {
+    return max_staleness + kMaxWait;
+  }
+
   /// Handles an encoded `RelayRequest` of another daemon. `reply` runs when
   /// there are changes or the wait has ended, possibly within this call; it
   /// gets an empty message when the request is refused.
--- a/libs/dissemination/src/kind_relay.cc
+++ b/libs/dissemination/src/kind_relay.cc
@@ -18,9 +18,6 @@
 
 using Done = std::function<void(KindChanges)>;
 
-// Longest long poll at another daemon. Each level of the distribution tree adds
-// at most this much to the age of what is known of the store.
-constexpr Duration kMaxWait{500};
 // Added to the long poll for the response: a round trip between availability
 // zones and the delay of a busy daemon.
 constexpr Duration kResponseMargin{400};
@@ -417,6 +414,13 @@
        {"other", Text(sources.size() > 1 ? sources[1].ToString() : "")}});
 }
 
+std::optional<Duration> KindRelay::StoreContactAge(
+    const std::string& kind) const {
+  const auto* state = impl_->Find(kind);
+  if (state == nullptr || !state->store_contact_at) return std::nullopt;
+  return MonotonicNow() - *state->store_contact_at;
+}
+
 void KindRelay::Serve(const QByteArray& request, const PeerNode::Reply& reply) {
   const auto decoded = Capture([&] { return RelayRequest::Decode(request); });
   const auto* error = std::get_if<Error>(&decoded);
--- a/libs/dissemination/tests/kind_relay_test.cc
+++ b/libs/dissemination/tests/kind_relay_test.cc
@@ -5,6 +5,8 @@
 #include <QTimer>
 #include <map>
 
+#include "dissemination/staleness_monitor.h"
+#include "platform/kind_watcher.h"
 #include "support/raw_socket.h"
 
 namespace firmoor {
@@ -12,6 +14,7 @@
 
 constexpr Duration kWait{10'000};
 constexpr Duration kMaxStaleness{1'250};
+constexpr Duration kCheckPeriod{300};
 const Endpoint kReader{"10.0.0.1", 80};
 const Endpoint kSilentDaemon{"10.0.0.2", 80};
 const Endpoint kOtherSilentDaemon{"10.0.0.3", 80};
@@ -242,6 +245,54 @@
   CHECK(result->last.is_direct);
 }
 
+// Guards against requests to upstreams that left (DRAIN): one source after the
+// other was late, and nothing bounded the time that this took together.
+TEST_CASE("a daemon whose sources are late hears of a change in time") {
+  Fixture fixture;
+  fixture.relay->SetSources({kReader, kSilentDaemon, kOtherSilentDaemon});
+  KindWatcher::Hooks hooks;
+  bool has_changed = false;
+  hooks.on_list = [](const auto&, TimePoint) {};
+  hooks.on_changes = [&](const auto& changes, std::optional<TimePoint>) {
+    has_changed = has_changed || !changes.empty();
+  };
+  KindWatcher watcher(fixture.relay.get(), "kind", kWait, Duration(0), hooks);
+  watcher.Start();
+  StalenessMonitor monitor(KindRelay::MaxContactAge(kMaxStaleness));
+  QTimer check;
+  QObject::connect(&check, &QTimer::timeout, &check, [&] {
+    const auto age = fixture.relay->StoreContactAge("kind");
+    if (monitor.TakeDue(age, MonotonicNow())) watcher.CheckNow();
+  });
+  check.start(kCheckPeriod);
+  RunFor(700);
+  fixture.relay_store.calls = 0;
+
+  SUBCASE("beside a source that has lost the store and silent ones") {
+    fixture.reader_store.is_unavailable = true;
+  }
+  SUBCASE("beside silent ones only") { fixture.network.relays.clear(); }
+  fixture.Put(1);
+  const auto started = MonotonicNow();
+  REQUIRE(WaitUntil([&] { return has_changed; }));
+  CHECK(MonotonicNow() - started <
+        KindRelay::MaxContactAge(kMaxStaleness) + 2 * kCheckPeriod);
+  CHECK(fixture.relay_store.calls <= 4);
+}
+
+TEST_CASE("a daemon whose sources respond leaves the store alone") {
+  Fixture fixture;
+  const auto reader_result = Watch(fixture.reader.get(), 10);
+  StalenessMonitor monitor(KindRelay::MaxContactAge(kMaxStaleness));
+  const auto end = MonotonicNow() + Duration(4'000);
+  while (MonotonicNow() < end) {
+    const auto result = Watch(fixture.relay.get(), 10);
+    REQUIRE(WaitForResult(result, 1'000));
+    const auto age = fixture.relay->StoreContactAge("kind");
+    CHECK_FALSE(monitor.TakeDue(age, MonotonicNow()));
+  }
+}
+
 TEST_CASE(
     "a store reader refreshes its contact with the store when it is polled") {
   Fixture fixture;
--- a/libs/gateway/src/details/gateway_daemon_impl.h
+++ b/libs/gateway/src/details/gateway_daemon_impl.h
@@ -12,10 +12,12 @@
 #include "base/supervisor.h"
 #include "details/listeners.h"
 #include "dissemination/kind_relay.h"
+#include "dissemination/staleness_monitor.h"
 #include "gateway/coordinator_service.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_daemon.h"
 #include "http/http_server.h"
+#include "metrics/duration_histogram.h"
 #include "metrics/event_loop_monitor.h"
 #include "platform/kind_watcher.h"
 
@@ -40,6 +42,8 @@
   TrueTime true_time;
   Gateway gateway;
   std::unique_ptr<KindRelay> relay;
+  StalenessMonitor upstream_staleness;
+  DurationHistogram departure_ages;
   KindWatcher configuration;
   KindWatcher upstreams;
   std::optional<KindWatcher> rollouts;  ///< If the settings ask for them.
@@ -53,9 +57,11 @@
   QTimer confirmation_timer;
   QTimer version_timer;
   TimePoint confirmation_requested_at;
+  TimePoint upstreams_known_at;  ///< All earlier changes have been applied.
   Duration confirmation_backoff{0};
   bool configuration_valid = false;
   bool upstreams_listed = false;
+  bool reads_from_daemons = false;  ///< Instead of the store.
   bool was_ready = false;
   Duration max_idle_time{0};
   std::int64_t store_returns = 0;  ///< From an older copy, as heard of.
@@ -82,6 +88,11 @@
   void BuildServers();
   void BuildTree();
   void RenewConfirmation();
+  /// Asks the store for changes of upstreams if the sources are late.
+  void RenewUpstreams();
+  /// Tells of upstreams that left, once the store's changes are applied, and
+  /// how long that may have been unknown here.
+  void RecordUpstreamContact(std::size_t departed, bool is_direct);
   void LogReadinessChange();
   void CheckDrain();
   [[nodiscard]] bool IsReady() const;
--- a/libs/gateway/src/details/gateway_settings.cc
+++ b/libs/gateway/src/details/gateway_settings.cc
@@ -46,6 +46,12 @@
   return server;
 }
 
+Duration MaxSourceStaleness(const GatewayDaemonSettings& settings) {
+  // The rest of the drain time is left for switching to another source.
+  constexpr int kDrainTimeDivisor = 2;
+  return settings.upstream_drain_time / kDrainTimeDivisor;
+}
+
 void CopyReloadableSettings(const GatewayDaemonSettings& from,
                             GatewayDaemonSettings* to) {
   to->drain_time = from.drain_time;
--- a/libs/gateway/src/details/gateway_settings.h
+++ b/libs/gateway/src/details/gateway_settings.h
@@ -17,6 +17,10 @@
 HttpServerLimits ServerLimitsOf(const CallerLimits& limits,
                                 Duration idle_timeout, std::size_t connections);
 
+/// Longest time since its last contact with the store for which a daemon is
+/// used as a source of changes of upstreams.
+Duration MaxSourceStaleness(const GatewayDaemonSettings& settings);
+
 /// Copies the times and limits that a running daemon may change.
 void CopyReloadableSettings(const GatewayDaemonSettings& from,
                             GatewayDaemonSettings* to);
--- a/libs/gateway/src/gateway_daemon.cc
+++ b/libs/gateway/src/gateway_daemon.cc
@@ -43,6 +43,20 @@
 // Callers measure idle time from when they sent, and may still use an earlier
 // configuration's limit.
 constexpr Duration kIdleTimeoutMargin{2'000};
+
+bool IsAvailable(const UpstreamCatalog& catalog, const std::string& id) {
+  const auto* entry = catalog.Find(id);
+  return entry != nullptr && !entry->leaving;
+}
+
+std::vector<std::string> AvailableIds(const UpstreamCatalog& catalog) {
+  std::vector<std::string> ids;
+  for (const auto& [id, entry] : catalog.all()) {
+    if (!entry.leaving) ids.push_back(id);
+  }
+  return ids;
+}
+
 }  // namespace
 
 GatewayDaemon::Impl::Impl(GatewayDaemonSettings daemon_settings,
@@ -58,6 +72,10 @@
       gateway(GatewaySettingsOf(settings),
               {ports.dialect, log, &metrics, &true_time}),
       relay(BuildRelay()),
+      upstream_staleness(
+          KindRelay::MaxContactAge(details::MaxSourceStaleness(settings))),
+      departure_ages("firmoor_upstream_departure_age_seconds",
+                     {0.0, 0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 8.0}),
       configuration(relay.get(), ports.configuration_kind, kPollTimeout,
                     Duration(0), ConfigurationHooks()),
       upstreams(relay.get(), ports.upstream_kind, kPollTimeout,
@@ -101,7 +119,10 @@
     if (rollouts) rollouts->OnStoreEra(to);
   });
   QObject::connect(&confirmation_timer, &QTimer::timeout, &confirmation_timer,
-                   [this] { RenewConfirmation(); });
+                   [this] {
+                     RenewConfirmation();
+                     RenewUpstreams();
+                   });
   version_timer.setSingleShot(true);
   QObject::connect(&version_timer, &QTimer::timeout, &version_timer,
                    [this] { configuration.CheckNow(); });
@@ -170,22 +191,34 @@
   hooks.on_list = [this](const std::vector<KindObject>& objects, TimePoint) {
     std::vector<UpstreamEntry> entries;
     for (const auto& object : objects) DecodeUpstream(object, &entries);
+    const auto before = AvailableIds(gateway.upstreams());
     gateway.ApplyUpstreams(entries);
     gateway.ConfirmUpstreams();
+    const auto departed =
+        std::count_if(before.begin(), before.end(), [this](const auto& id) {
+          return !IsAvailable(gateway.upstreams(), id);
+        });
+    RecordUpstreamContact(static_cast<std::size_t>(departed), true);
     upstreams_listed = true;
   };
   hooks.on_changes = [this](const std::vector<KindChange>& changes,
-                            std::optional<TimePoint>) {
+                            std::optional<TimePoint> confirmed_at) {
+    std::size_t departed = 0;
     for (const auto& change : changes) {
       std::vector<UpstreamEntry> entries;
       if (!change.removed) DecodeUpstream(change.object, &entries);
+      const auto& id = change.object.name;
+      const bool was_available = IsAvailable(gateway.upstreams(), id);
       if (entries.empty()) {
-        gateway.RemoveUpstream(change.object.name);
+        gateway.RemoveUpstream(id);
       } else {
         gateway.ApplyUpstream(entries.front());
       }
+      const bool has_left = entries.empty() || entries.front().leaving;
+      if (was_available && has_left) ++departed;
     }
     gateway.ConfirmUpstreams();
+    RecordUpstreamContact(departed, confirmed_at.has_value());
   };
   hooks.on_outage = [this] { gateway.RecordStoreOutage(); };
   hooks.on_recovered = [this] { LogDependency("upstreams", true); };
@@ -233,6 +266,31 @@
   configuration.CheckNow();
 }
 
+void GatewayDaemon::Impl::RenewUpstreams() {
+  // The store answers the waiting call of a daemon without sources itself.
+  if (!reads_from_daemons) return;
+  const auto age = relay->StoreContactAge(ports.upstream_kind);
+  if (!upstream_staleness.TakeDue(age, MonotonicNow())) return;
+  log->Write("upstreams-late",
+             {{"contact_age_ms", static_cast<qint64>(age->count())}});
+  upstreams.CheckNow();
+}
+
+void GatewayDaemon::Impl::RecordUpstreamContact(std::size_t departed,
+                                                bool is_direct) {
+  const auto now = MonotonicNow();
+  const auto age = relay->StoreContactAge(ports.upstream_kind);
+  const auto known_before =
+      std::exchange(upstreams_known_at, now - age.value_or(Duration(0)));
+  if (departed == 0 || !upstreams_listed) return;
+  const auto unknown_for = now - known_before;
+  departure_ages.Record(unknown_for);
+  log->Write("upstreams-departed",
+             {{"count", static_cast<qint64>(departed)},
+              {"unknown_for_ms", static_cast<qint64>(unknown_for.count())},
+              {"direct", is_direct}});
+}
+
 void GatewayDaemon::Impl::LogReadinessChange() {
   const bool now_ready = IsReady();
   if (std::exchange(was_ready, now_ready) == now_ready) return;
@@ -256,10 +314,10 @@
   figures.store_returns = store_returns;
   figures.caught_exceptions = CaughtExceptionCount();
   return metrics.PrometheusText() + loop_monitor.PrometheusText() +
-         gateway.UpstreamLimitMetrics() + gateway.QuarantineMetrics() +
-         gateway.RolloutMetrics() + gateway.ShortageMetrics() +
-         gateway.StreamMetrics() + gateway.LinkMetrics() +
-         coordinator.MetricsText() +
+         departure_ages.PrometheusText() + gateway.UpstreamLimitMetrics() +
+         gateway.QuarantineMetrics() + gateway.RolloutMetrics() +
+         gateway.ShortageMetrics() + gateway.StreamMetrics() +
+         gateway.LinkMetrics() + coordinator.MetricsText() +
          details::ConnectionCutMetrics(*caller_server) + listeners.Metrics() +
          details::MetricsText(figures);
 }
--- a/libs/gateway/src/gateway_daemon_parts.cc
+++ b/libs/gateway/src/gateway_daemon_parts.cc
@@ -7,6 +7,7 @@
 
 #include "base/text.h"
 #include "details/gateway_daemon_impl.h"
+#include "details/gateway_settings.h"
 #include "details/quarantine_endpoint.h"
 #include "details/supervised_parts.h"
 
@@ -15,10 +16,6 @@
 
 using details::kConfirmationCheckInterval;
 
-// A daemon without contact to the store for the upstreams' drain time divided
-// by this is no longer used as a source. The rest of the drain time is left for
-// switching to another source.
-constexpr int kMaxStalenessDivisor = 2;
 // Delay before a version announced by the coordinator is requested: a daemon
 // that reads from other daemons receives it a little later.
 constexpr Duration kVersionCheckDelay{400};
@@ -32,7 +29,7 @@
 }  // namespace
 
 std::unique_ptr<KindRelay> GatewayDaemon::Impl::BuildRelay() {
-  const auto staleness = settings.upstream_drain_time / kMaxStalenessDivisor;
+  const auto staleness = details::MaxSourceStaleness(settings);
   KindRelay::Builder builder(ports.kinds);
   builder.Kind({ports.configuration_kind, std::nullopt})
       .Kind({ports.upstream_kind, staleness});
@@ -62,6 +59,7 @@
   };
   environment.set_sources = [this](const std::vector<Endpoint>& sources) {
     relay->SetSources(sources);
+    reads_from_daemons = !sources.empty();
   };
   environment.serve_relay = [this](const QByteArray& request,
                                    const PeerNode::Reply& reply) {
