Tell of an event loop that waits for nothing, and of late writes

A loop of events without a wait runs its timers in time, so that event-loop-delay says nothing; no line said how long a request took from the choice of its upstream to the write.

Change: EventLoopMonitor counts the turns of the loop; event-loop-spin tells of 5,000 within 100 ms, or while the clock stands still, with the handler that ran most often (HandlerTimer counts runs by name, and self-starting timers have names). Lines request and attempt-failed have write_ms.

Evidence: event_loop_monitor_test: a timer of 0 ms and a queued call that queues itself are told with their handler, a loop with a turn each millisecond is not.

--- a/libs/base/include/base/handler_timer.h
+++ b/libs/base/include/base/handler_timer.h
@@ -1,6 +1,7 @@
 #ifndef FIRMOOR_BASE_HANDLER_TIMER_H_
 #define FIRMOOR_BASE_HANDLER_TIMER_H_
 
+#include <cstdint>
 #include <string_view>
 
 #include "base/time.h"
@@ -15,13 +16,20 @@
   bool operator==(const HandlerTime&) const = default;
 };
 
-/// Measures a handler of the event loop for as long as this object lives. Used
-/// from the event loop's thread only.
+/// A handler of the event loop and how often it ran.
+struct HandlerRuns {
+  std::string_view name;  ///< Empty: none ran.
+  std::uint64_t runs = 0;
+
+  bool operator==(const HandlerRuns&) const = default;
+};
+
+/// Measures and counts a handler of the event loop for as long as this object
+/// lives. Used from the event loop's thread only.
 class HandlerTimer {
  public:
   /// `name` must outlive the process's use of it; a string literal is expected.
-  explicit HandlerTimer(std::string_view name)
-      : name_(name), started_at_(MonotonicNow()) {}
+  explicit HandlerTimer(std::string_view name);
   ~HandlerTimer();
   HandlerTimer(const HandlerTimer&) = delete;
   HandlerTimer& operator=(const HandlerTimer&) = delete;
@@ -30,6 +38,9 @@
   /// as long the inner one.
   static HandlerTime TakeLongest();
 
+  /// The handler that ran most often since the last call.
+  static HandlerRuns TakeMostFrequent();
+
  private:
   std::string_view name_;
   TimePoint started_at_;
--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/handler_timer.h"
 #include "base/text.h"
 #include "details/coordinator_service_impl.h"
 #include "placement/fencing_number.h"
@@ -68,6 +69,7 @@
 
 void CoordinatorService::Impl::Report(QuotaReportScope quotas) {
   if (!running) return;
+  const HandlerTimer timer("a report to the coordinator");
   reported_at = MonotonicNow();
   if (coordinator && HoldsLease()) {
     EndGap();
@@ -219,6 +221,7 @@
 
 void CoordinatorService::Impl::PollLease() {
   if (!running) return;
+  const HandlerTimer timer("a poll of the lease");
   if (coordinator) lease.SetHandoverState(MakeHandoverState().Encode());
   const auto daemons = env.gateway->SharingDaemonCount();
   const bool drains = env.gateway->IsDraining();
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -8,6 +8,12 @@
 
 qint64 Milliseconds(Duration time) { return time.count(); }
 
+/// From the choice of the upstream to the first byte; -1: none was written.
+qint64 WriteMilliseconds(const UpstreamAttempt* attempt) {
+  const auto time = attempt == nullptr ? std::nullopt : attempt->TimeToWrite();
+  return time ? Milliseconds(*time) : -1;
+}
+
 }  // namespace
 
 void Exchange::LogAttempt(const UpstreamAttempt& attempt, const AttemptEnd& end,
@@ -22,6 +28,7 @@
        {"may_have_left", end.may_have_been_sent},
        {"declared_not_run", end.declared_not_run},
        {"attempt_ms", Milliseconds(now - attempt.sent_at())},
+       {"write_ms", WriteMilliseconds(&attempt)},
        {"silent_ms", Milliseconds(now - attempt.last_byte_at())},
        {"budget", context_->BudgetOf(service_).available()},
        {"born_ms", static_cast<qint64>(attempt.upstream().born_ms)},
@@ -78,6 +85,7 @@
                          attempt == nullptr ? 0 : attempt->requests_before())},
        {"asked", static_cast<qint64>(probes_sent_)},
        {"wait_ms", static_cast<qint64>(expected_wait_.count())},
+       {"write_ms", WriteMilliseconds(attempt)},
        {"prefill_tokens", attempt == nullptr ? 0 : attempt->prefill_tokens()},
        {"upstream_limit", attempt == nullptr ? 0 : attempt->rate_limit()},
        {"without_permit", static_cast<qint64>(without_permit_.size())},
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/handler_timer.h"
 #include "base/text.h"
 #include "details/exchange.h"
 #include "gateway/refusal.h"
@@ -309,6 +310,7 @@
 }
 
 void GatewayContext::ResumeSlotWaiter(const std::string& service) {
+  const HandlerTimer timer("a request that waits for a slot");
   const auto found = slot_waiters.find(service);
   if (found == slot_waiters.end()) return;
   while (!found->second.empty()) {
--- a/libs/gateway/src/details/link_monitor.cc
+++ b/libs/gateway/src/details/link_monitor.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <utility>
 
+#include "base/handler_timer.h"
 #include "base/text.h"
 #include "http/connect_probe.h"
 
@@ -68,6 +69,7 @@
 }
 
 void LinkMonitor::Update() {
+  const HandlerTimer timer("probes of links");
   const auto now = MonotonicNow();
   for (const auto& upstream : reachability_.TakeDueProbes(now)) {
     Probe(upstream);
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -110,9 +110,14 @@
   const bool is_continuation = plan_.call.copy.has_value();
   send_cancelled_ = end_ || (!is_continuation && !Counts()) ||
                     !owner_->MaySend(*this) || !EnsurePermit();
+  if (!send_cancelled_) written_at_ = MonotonicNow();
   return !send_cancelled_;
 }
 
+std::optional<Duration> UpstreamAttempt::TimeToWrite() const {
+  return written_at_ ? std::optional(*written_at_ - sent_at_) : std::nullopt;
+}
+
 void UpstreamAttempt::OnCallEnd(HttpCallEnd end) {
   const bool is_unverified = end == HttpCallEnd::kComplete && !end_ && head_ &&
                              head_->IsSuccess() && !is_mismatched_ &&
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -91,6 +91,9 @@
   [[nodiscard]] int number() const { return number_; }
   [[nodiscard]] const UpstreamEntry& upstream() const { return plan_.upstream; }
   [[nodiscard]] TimePoint sent_at() const { return sent_at_; }
+  /// From `sent_at`, the choice of the upstream, to when a connection took the
+  /// request; none before.
+  [[nodiscard]] std::optional<Duration> TimeToWrite() const;
   /// Of the response; `sent_at` before the first.
   [[nodiscard]] TimePoint last_byte_at() const { return last_byte_at_; }
   /// Unset while the attempt runs.
@@ -209,6 +212,7 @@
   double rate_limit_ = 0;
   bool has_permit_ = false;  ///< For this limit.
   TimePoint sent_at_;
+  std::optional<TimePoint> written_at_;
   TimePoint last_byte_at_;
   std::optional<TimePoint> head_at_;
   std::optional<UpstreamResponseHead> head_;
--- a/libs/metrics/include/metrics/event_loop_monitor.h
+++ b/libs/metrics/include/metrics/event_loop_monitor.h
@@ -2,6 +2,7 @@
 #define FIRMOOR_METRICS_EVENT_LOOP_MONITOR_H_
 
 #include <QTimer>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -28,7 +29,9 @@
                        Duration cpu);
 
 /// Measures how late the event loop runs a timer, and logs delays with their
-/// cause, so that a process that stood still is told from a lost link.
+/// cause, so that a process that stood still is told from a lost link. Counts
+/// the turns of the loop, and logs when there are so many that it cannot have
+/// waited for anything, also while the clock stands still.
 class EventLoopMonitor {
  public:
   /// `log` must outlive the monitor.
@@ -36,19 +39,21 @@
 
   void Start();
 
-  /// A histogram of the delays, in the Prometheus text format.
-  [[nodiscard]] std::string PrometheusText() const {
-    return delays_.PrometheusText();
-  }
+  /// A histogram of the delays, and the turns, in the Prometheus text format.
+  [[nodiscard]] std::string PrometheusText() const;
 
  private:
   void OnTimer();
+  void OnTurn();
 
   EventLog* log_;
   QTimer timer_;
   TimePoint due_;
   Duration cpu_{0};  ///< Of the process, at the last tick.
   DurationHistogram delays_;
+  std::uint64_t turns_ = 0;
+  std::uint64_t spins_ = 0;          ///< Lines about turns without a wait.
+  std::uint64_t counted_turns_ = 0;  ///< At the last tick or such line.
 };
 
 }  // namespace firmoor
--- a/libs/metrics/src/event_loop_monitor.cc
+++ b/libs/metrics/src/event_loop_monitor.cc
@@ -1,7 +1,9 @@
 #include "metrics/event_loop_monitor.h"
 
+#include <fmt/format.h>
 #include <time.h>
 
+#include <QAbstractEventDispatcher>
 #include <algorithm>
 #include <utility>
 
@@ -14,6 +16,9 @@
 constexpr Duration kPeriod{100};
 // Well below the shortest time-outs of requests and links.
 constexpr Duration kMinLoggedDelay{250};
+// Turns within a period of a loop that waits for nothing. A turn that reads and
+// answers takes more than 20 us.
+constexpr std::uint64_t kSpinningTurns = 5'000;
 
 Duration ProcessorTime() {
   timespec used{};
@@ -47,9 +52,34 @@
 
 void EventLoopMonitor::Start() {
   HandlerTimer::TakeLongest();
+  HandlerTimer::TakeMostFrequent();
   cpu_ = ProcessorTime();
   due_ = MonotonicNow() + kPeriod;
   timer_.start(kPeriod);
+  QObject::connect(QAbstractEventDispatcher::instance(),
+                   &QAbstractEventDispatcher::awake, &timer_,
+                   [this] { OnTurn(); });
+}
+
+std::string EventLoopMonitor::PrometheusText() const {
+  return delays_.PrometheusText() + fmt::format(
+                                        "firmoor_event_loop_turns_total {}\n"
+                                        "firmoor_event_loop_spins_total {}\n",
+                                        turns_, spins_);
+}
+
+void EventLoopMonitor::OnTurn() {
+  ++turns_;
+  if (turns_ - counted_turns_ < kSpinningTurns) return;
+  ++spins_;
+  const auto turns = turns_ - std::exchange(counted_turns_, turns_);
+  const auto frequent = HandlerTimer::TakeMostFrequent();
+  const auto since_tick = MonotonicNow() - (due_ - kPeriod);
+  log_->Write("event-loop-spin",
+              {{"turns", static_cast<qint64>(turns)},
+               {"since_tick_ms", static_cast<qint64>(since_tick.count())},
+               {"handler", Text(frequent.name)},
+               {"handler_runs", static_cast<qint64>(frequent.runs)}});
 }
 
 void EventLoopMonitor::OnTimer() {
@@ -58,6 +88,8 @@
   const auto used = ProcessorTime();
   const auto cpu = used - std::exchange(cpu_, used);
   const auto longest = HandlerTimer::TakeLongest();
+  HandlerTimer::TakeMostFrequent();
+  counted_turns_ = turns_;
   due_ = now + kPeriod;
   timer_.start(kPeriod);
   delays_.Record(delay);
--- a/libs/metrics/tests/event_loop_monitor_test.cc
+++ b/libs/metrics/tests/event_loop_monitor_test.cc
@@ -2,7 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <QCoreApplication>
+#include <QMetaObject>
+#include <QObject>
+#include <QTimer>
 #include <chrono>
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -71,4 +76,50 @@
         std::string::npos);
 }
 
+// Guards against a process that spins without a trace (FAULT): its timers run
+// in time, so that no delay is told.
+TEST_CASE("an event loop that waits for nothing is told with its handler") {
+  LogPipe pipe;
+  EventLog log(pipe.input());
+  EventLoopMonitor monitor(&log);
+  monitor.Start();
+  std::function<void()> run_again;
+  QTimer timer;
+  QObject context;
+
+  SUBCASE("a timer that starts itself again") {
+    QObject::connect(&timer, &QTimer::timeout, &timer, [] {
+      const HandlerTimer handler("a timer without a delay");
+    });
+    timer.start(0);
+  }
+  SUBCASE("a queued call that queues itself again") {
+    run_again = [&] {
+      const HandlerTimer handler("a timer without a delay");
+      QMetaObject::invokeMethod(&context, run_again, Qt::QueuedConnection);
+    };
+    run_again();
+  }
+  for (int i = 0; i < 20'000; ++i) QCoreApplication::processEvents();
+  const auto lines = pipe.Lines("event-loop-spin");
+  REQUIRE_FALSE(lines.empty());
+  CHECK(lines.front()["turns"].toInt() >= 5'000);
+  CHECK(lines.front()["handler"].toString() == "a timer without a delay");
+  CHECK(lines.front()["handler_runs"].toInt() >= 1'000);
+  CHECK(monitor.PrometheusText().find("firmoor_event_loop_spins_total 0") ==
+        std::string::npos);
+}
+
+TEST_CASE("an event loop that waits is not told") {
+  LogPipe pipe;
+  EventLog log(pipe.input());
+  EventLoopMonitor monitor(&log);
+  monitor.Start();
+  // Turns with a millisecond between them.
+  RunFor(500);
+  CHECK(pipe.Lines("event-loop-spin").empty());
+  CHECK(monitor.PrometheusText().find("firmoor_event_loop_spins_total 0") !=
+        std::string::npos);
+}
+
 }  // namespace firmoor
