--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -220,6 +220,9 @@
   const auto removed = attempts_.Remove(attempt.number());
   if (!removed) return;
   const auto attempt_end = attempt.DescribeEnd(end, answer_started_, events_);
+  const bool seems_complete = end == HttpCallEnd::kComplete &&
+                              attempt_end.credibility != EndCredibility::kShown;
+  doubt_ = seems_complete ? attempt.DoubtOfEnd() : EndDoubt::kNone;
   removed->Release(attempt.OutcomeFor(attempt_end),
                    attempt.WasRejected(attempt_end), now);
   if (attempt.RecordEvidence(attempt_end, suspects_)) ++crashed_attempts_;
@@ -344,6 +347,7 @@
   if (is_trusted) return FinishStream(StreamEndBasis::kEarlierStreams);
   LogCut("daemon", InfoOf(code).name);
   RecordStreamEnd(StreamEndForm::kReset, StreamEndBasis::kNothing);
+  context_->stream_ends.CountDoubt(doubt_);
   // Finish first: the closed connection is otherwise taken for a caller that
   // disconnected.
   Finish(code, "broken-off");
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -303,6 +303,8 @@
     StreamEndBasis basis;
   };
   std::optional<StreamEnd> stream_end_;  ///< Unset before it has ended.
+  /// Why the end of the last attempt is not believed, if it has ended.
+  EndDoubt doubt_ = EndDoubt::kNone;
   bool answer_started_ = false;
   /// The end of a stream of which only its close shows that it is complete.
   struct UnverifiedEnd {
--- a/libs/gateway/src/details/exchange_log.cc
+++ b/libs/gateway/src/details/exchange_log.cc
@@ -19,6 +19,7 @@
 void Exchange::LogAttempt(const UpstreamAttempt& attempt, const AttemptEnd& end,
                           const AttemptRace::Decision& decision) const {
   const auto now = MonotonicNow();
+  const auto evidence = attempt.EvidenceOfEnd();
   context_->environment.log->Write(
       "attempt-failed",
       {{"request", Text(request_.id)},
@@ -33,6 +34,13 @@
        {"budget", context_->BudgetOf(service_).available()},
        {"born_ms", static_cast<qint64>(attempt.upstream().born_ms)},
        {"suspects", Text(HashList(suspects_))},
+       {"credibility", Text(NameOf(end.credibility))},
+       {"doubt", Text(NameOf(attempt.DoubtOfEnd()))},
+       {"ends_whole", static_cast<qint64>(evidence.whole)},
+       {"ends_required", static_cast<qint64>(evidence.required)},
+       {"ends_cut", static_cast<qint64>(evidence.cuts)},
+       {"marks_ends", evidence.marks_ends},
+       {"evidence_age_ms", Milliseconds(evidence.age)},
        {"in_flight", Text(attempts_.Describe(now))},
        {"next", Text(AttemptRace::NameOfNext(decision))},
        {"outcome", Text(NameOf(decision.attempt.outcome))}});
@@ -131,6 +139,8 @@
        {"started", answer_started_},
        {"left_silent", Text(left_silent_)},
        {"moving", move_.has_value()},
+       {"draining", context_->drain.has_value()},
+       {"doubt", Text(NameOf(doubt_))},
        {"events", static_cast<qint64>(events_)},
        {"last_event", Text(last_event_id_)},
        {"silent_ms", Milliseconds(now - silent_since)},
--- a/libs/gateway/src/details/stream_ends.cc
+++ b/libs/gateway/src/details/stream_ends.cc
@@ -21,8 +21,17 @@
         .at(static_cast<std::size_t>(basis));
 }
 
+void StreamEndCounters::CountDoubt(EndDoubt doubt) {
+  ++doubts_.at(static_cast<std::size_t>(doubt));
+}
+
 std::string StreamEndCounters::Metrics() const {
   std::string text;
+  for (std::size_t doubt = 1; doubt < kDoubts; ++doubt) {
+    text +=
+        fmt::format("firmoor_stream_end_doubts_total{{doubt=\"{}\"}} {}\n",
+                    NameOf(static_cast<EndDoubt>(doubt)), doubts_.at(doubt));
+  }
   for (std::size_t form = 0; form < kForms; ++form) {
     for (std::size_t basis = 0; basis < kBases; ++basis) {
       text += fmt::format(
--- a/libs/gateway/src/details/stream_ends.h
+++ b/libs/gateway/src/details/stream_ends.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "serving/close_delimited_streams.h"
+
 namespace firmoor::details {
 
 /// How a stream ended towards its caller.
@@ -33,6 +35,8 @@
 class StreamEndCounters {
  public:
   void Count(StreamEndForm form, StreamEndBasis basis);
+  /// Counts a stream that was broken off since its end was not believed.
+  void CountDoubt(EndDoubt doubt);
   /// Prometheus text.
   [[nodiscard]] std::string Metrics() const;
 
@@ -40,7 +44,10 @@
   static constexpr std::size_t kForms = 2;
   static constexpr std::size_t kBases = 6;
 
+  static constexpr std::size_t kDoubts = 6;
+
   std::array<std::array<std::uint64_t, kBases>, kForms> counts_{};
+  std::array<std::uint64_t, kDoubts> doubts_{};
 };
 
 }  // namespace firmoor::details
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -125,6 +125,10 @@
     return !EndsWithConnection() ||
            (state_at_end_ == UpstreamState::kRuns && !IsLeaving());
   }
+  /// Why the end of the response is not believed, for logs and metrics.
+  [[nodiscard]] EndDoubt DoubtOfEnd() const;
+  /// What is known of ends like that of the response.
+  [[nodiscard]] CloseDelimitedStreams::Evidence EvidenceOfEnd() const;
   /// The software that writes the response.
   [[nodiscard]] CloseDelimitedStreams::Writer writer() const {
     return {plan_.upstream.service, plan_.upstream.software_version};
--- a/libs/serving/include/serving/close_delimited_streams.h
+++ b/libs/serving/include/serving/close_delimited_streams.h
@@ -24,6 +24,19 @@
 /// "shown", "trusted" and so on, for logs.
 std::string_view NameOf(EndCredibility credibility);
 
+/// Why the end of a response is not believed, the strongest reason.
+enum class EndDoubt {
+  kNone,         ///< It is believed.
+  kNoProcess,    ///< Its upstream is gone, or not known to run.
+  kLeaving,      ///< Its upstream runs, but leaves.
+  kCuts,         ///< Streams of the software were cut.
+  kOtherMarks,   ///< The software marks the ends of other streams.
+  kFewVerified,  ///< Too few such streams were verified as complete.
+};
+
+/// "none", "no-process" and so on, for logs and metrics.
+std::string_view NameOf(EndDoubt doubt);
+
 /// What is known of event streams whose end is marked by nothing but the close
 /// of their connection (close-delimited, RFC 9112 section 6.3), by the software
 /// that writes them.
@@ -48,6 +61,8 @@
     std::uint32_t required = 0;  ///< `whole` from which on it is believed.
     std::uint32_t cuts = 0;      ///< Recently.
     bool marks_ends = false;     ///< Of other streams, recently.
+    /// Since the last observation of any kind; 0 without one.
+    Duration age{0};
 
     bool operator==(const Evidence&) const = default;
   };
@@ -75,6 +90,8 @@
   [[nodiscard]] EndCredibility Judge(const Writer& writer, TimePoint now);
 
   [[nodiscard]] Evidence EvidenceOf(const Writer& writer, TimePoint now) const;
+  /// What `evidence` holds against an end that only a close shows.
+  [[nodiscard]] static EndDoubt DoubtOf(const Evidence& evidence);
   [[nodiscard]] std::size_t size() const { return records_.size(); }
 
  private:
--- a/libs/serving/src/close_delimited_streams.cc
+++ b/libs/serving/src/close_delimited_streams.cc
@@ -17,6 +17,18 @@
   return kNames[static_cast<int>(credibility)];
 }
 
+std::string_view NameOf(EndDoubt doubt) {
+  constexpr std::string_view kNames[] = {"none", "no-process",  "leaving",
+                                         "cuts", "other-marks", "few-verified"};
+  return kNames[static_cast<int>(doubt)];
+}
+
+EndDoubt CloseDelimitedStreams::DoubtOf(const Evidence& evidence) {
+  if (evidence.whole >= evidence.required) return EndDoubt::kNone;
+  if (evidence.cuts > 0) return EndDoubt::kCuts;
+  return evidence.marks_ends ? EndDoubt::kOtherMarks : EndDoubt::kFewVerified;
+}
+
 CloseDelimitedStreams::Evidence CloseDelimitedStreams::Assess(
     const Record& record, TimePoint now) {
   Evidence evidence;
@@ -29,6 +41,7 @@
       std::min(evidence.cuts + (evidence.marks_ends ? kDoublingsIfMarked : 0),
                kMaxDoublings);
   evidence.required = kMinWhole << doublings;
+  evidence.age = now - record.observed_at;
   return evidence;
 }
 
--- a/libs/serving/tests/close_delimited_streams_test.cc
+++ b/libs/serving/tests/close_delimited_streams_test.cc
@@ -107,6 +107,30 @@
   CHECK(fixture.Judge() == EndCredibility::kUnproven);
 }
 
+// Guards against streams that are broken off for a reason that no log tells
+// (incident LOST).
+TEST_CASE("the strongest reason against an end is told") {
+  Fixture fixture;
+  const auto doubt = [&] {
+    return Streams::DoubtOf(fixture.streams.EvidenceOf(kWriter, fixture.now));
+  };
+  CHECK(doubt() == EndDoubt::kFewVerified);
+  SUBCASE("which is none once enough streams were whole") {
+    fixture.SeeWhole(Streams::kMinWhole);
+    CHECK(doubt() == EndDoubt::kNone);
+  }
+  SUBCASE("which is a cut beside whole streams") {
+    fixture.streams.OnCut(kWriter, fixture.now);
+    fixture.SeeWhole(1);
+    CHECK(doubt() == EndDoubt::kCuts);
+  }
+  SUBCASE("with the age of what is known") {
+    fixture.SeeWhole(1);
+    fixture.now += kInstant;
+    CHECK(fixture.streams.EvidenceOf(kWriter, fixture.now).age == kInstant);
+  }
+}
+
 TEST_CASE("the number of remembered writers is bounded") {
   Fixture fixture;
   fixture.SeeWhole(Streams::kMinWhole);
