Do not take marked ends of other streams for evidence

Callers of streams that nobody may resume got every event and then a closed connection, each time, where the software marks the ends of its other streams: Judge called such an end suspicious for ten minutes after any marked one, and StepAfterEnd fails what is suspicious and may not be asked again. Marks count only where a cut looks like the answer: an answer that should go on behind an event and is closed before the first one (JudgeEmpty).

--- a/libs/gateway/src/details/upstream_attempt_end.cc
+++ b/libs/gateway/src/details/upstream_attempt_end.cc
@@ -44,11 +44,7 @@
                             credibility == EndCredibility::kDue;
     return is_trusted && IsLeaving() ? EndCredibility::kUnproven : credibility;
   }
-  // Two responses that end behind the same event, unless the software marks
-  // the ends of others: a cut before the first event looks alike.
-  return streams.EvidenceOf(writer(), now).marks_ends
-             ? EndCredibility::kSuspicious
-             : EndCredibility::kShown;
+  return streams.JudgeEmpty(writer(), now);
 }
 
 CloseDelimitedStreams::Evidence UpstreamAttempt::EvidenceOfEnd() const {
@@ -59,7 +55,11 @@
 EndDoubt UpstreamAttempt::DoubtOfEnd() const {
   if (!is_event_stream_ || !EndsWithConnection()) return EndDoubt::kNone;
   if (state_at_end_ != UpstreamState::kRuns) return EndDoubt::kNoProcess;
-  const auto doubt = CloseDelimitedStreams::DoubtOf(EvidenceOfEnd());
+  const auto evidence = EvidenceOfEnd();
+  const auto doubt = CloseDelimitedStreams::DoubtOf(evidence);
+  if (HasNothingMore() && evidence.marks_ends && doubt != EndDoubt::kNone) {
+    return EndDoubt::kEmpty;
+  }
   return doubt == EndDoubt::kNone && IsLeaving() ? EndDoubt::kLeaving : doubt;
 }
 
--- a/libs/serving/include/serving/close_delimited_streams.h
+++ b/libs/serving/include/serving/close_delimited_streams.h
@@ -30,7 +30,7 @@
   kNoProcess,    ///< Its upstream is gone, or not known to run.
   kLeaving,      ///< Its upstream runs, but leaves.
   kCuts,         ///< Streams of the software were cut.
-  kOtherMarks,   ///< The software marks the ends of other streams.
+  kEmpty,        ///< Nothing followed, of software that marks other ends.
   kFewVerified,  ///< Too few such streams were verified as complete.
 };
 
@@ -44,8 +44,8 @@
 /// An orderly close is an upstream's own statement that its response is
 /// complete, but also what is seen when a process or a proxy gives up. Software
 /// is believed once enough of its streams were verified as complete since the
-/// last one that was not. Software that marks the ends of other streams needs
-/// more of them, and each cut stream doubles their number. Performs no I/O.
+/// last one that was not; each cut stream doubles their number. That it marks
+/// the ends of other streams says nothing of these. Performs no I/O.
 class CloseDelimitedStreams {
  public:
   /// Writer of streams.
@@ -88,6 +88,11 @@
   void OnReset(const Writer& writer, TimePoint now);
   /// Judges a stream whose connection was closed in order between two events.
   [[nodiscard]] EndCredibility Judge(const Writer& writer, TimePoint now);
+  /// Judges a stream that should go on behind an event, and was closed in order
+  /// before the next one. It shows that the first response was complete, unless
+  /// the software marks such ends: a cut before the first event looks alike.
+  [[nodiscard]] EndCredibility JudgeEmpty(const Writer& writer,
+                                          TimePoint now) const;
 
   [[nodiscard]] Evidence EvidenceOf(const Writer& writer, TimePoint now) const;
   /// What `evidence` holds against an end that only a close shows.
--- a/libs/serving/src/close_delimited_streams.cc
+++ b/libs/serving/src/close_delimited_streams.cc
@@ -6,7 +6,6 @@
 namespace {
 
 // Doublings of the streams that are required of software.
-constexpr std::uint32_t kDoublingsIfMarked = 2;
 constexpr std::uint32_t kMaxDoublings = 8;
 
 }  // namespace
@@ -18,15 +17,14 @@
 }
 
 std::string_view NameOf(EndDoubt doubt) {
-  constexpr std::string_view kNames[] = {"none", "no-process",  "leaving",
-                                         "cuts", "other-marks", "few-verified"};
+  constexpr std::string_view kNames[] = {"none", "no-process", "leaving",
+                                         "cuts", "empty",      "few-verified"};
   return kNames[static_cast<int>(doubt)];
 }
 
 EndDoubt CloseDelimitedStreams::DoubtOf(const Evidence& evidence) {
   if (evidence.whole >= evidence.required) return EndDoubt::kNone;
-  if (evidence.cuts > 0) return EndDoubt::kCuts;
-  return evidence.marks_ends ? EndDoubt::kOtherMarks : EndDoubt::kFewVerified;
+  return evidence.cuts > 0 ? EndDoubt::kCuts : EndDoubt::kFewVerified;
 }
 
 CloseDelimitedStreams::Evidence CloseDelimitedStreams::Assess(
@@ -37,10 +35,7 @@
   evidence.cuts = was_cut ? record.cuts : 0;
   const bool is_known = now - record.observed_at < kMemory;
   evidence.whole = is_known ? record.whole : 0;
-  const auto doublings =
-      std::min(evidence.cuts + (evidence.marks_ends ? kDoublingsIfMarked : 0),
-               kMaxDoublings);
-  evidence.required = kMinWhole << doublings;
+  evidence.required = kMinWhole << std::min(evidence.cuts, kMaxDoublings);
   evidence.age = now - record.observed_at;
   return evidence;
 }
@@ -108,8 +103,16 @@
     record.believed = 0;
     return EndCredibility::kDue;
   }
-  return evidence.cuts > 0 || evidence.marks_ends ? EndCredibility::kSuspicious
-                                                  : EndCredibility::kUnproven;
+  return evidence.cuts > 0 ? EndCredibility::kSuspicious
+                           : EndCredibility::kUnproven;
+}
+
+EndCredibility CloseDelimitedStreams::JudgeEmpty(const Writer& writer,
+                                                 TimePoint now) const {
+  const auto evidence = EvidenceOf(writer, now);
+  const bool may_be_cut =
+      evidence.marks_ends && evidence.whole < evidence.required;
+  return may_be_cut ? EndCredibility::kSuspicious : EndCredibility::kShown;
 }
 
 }  // namespace firmoor
