Do not count a reset stream against streams that are closed in order

One stream that was reset while its upstream ran, also by the network, made every following end of its software suspicious for ten minutes: OnReset counted as a cut and dropped what had been verified. It is kept, told by attempt-failed as was_reset, and decides nothing any more.

--- a/libs/serving/include/serving/close_delimited_streams.h
+++ b/libs/serving/include/serving/close_delimited_streams.h
@@ -61,6 +61,7 @@
     std::uint32_t required = 0;  ///< `whole` from which on it is believed.
     std::uint32_t cuts = 0;      ///< Recently.
     bool marks_ends = false;     ///< Of other streams, recently.
+    bool was_reset = false;      ///< One of its streams, recently.
     /// Since the last observation of any kind; 0 without one.
     Duration age{0};
 
@@ -83,8 +84,8 @@
   void OnWhole(const Writer& writer, TimePoint now);
   /// Events are missing behind a close although the upstream runs.
   void OnCut(const Writer& writer, TimePoint now);
-  /// A stream was reset although the upstream runs. That is no statement, and
-  /// may be the network's doing, so further ones ask for no further streams.
+  /// A stream was reset although the upstream runs, perhaps by the network. A
+  /// reset says itself that the stream is incomplete, and nothing of a close.
   void OnReset(const Writer& writer, TimePoint now);
   /// Judges a stream whose connection was closed in order between two events.
   [[nodiscard]] EndCredibility Judge(const Writer& writer, TimePoint now);
@@ -104,10 +105,12 @@
     std::uint32_t whole = 0;
     std::uint32_t cuts = 0;
     std::uint32_t believed = 0;  ///< Ends since the last that was due.
-    TimePoint cut_at;
-    TimePoint marked_at;
+    TimePoint cut_at{};
+    TimePoint marked_at{};
     bool has_marked = false;
-    TimePoint observed_at;
+    TimePoint reset_at{};
+    bool has_reset = false;
+    TimePoint observed_at{};
   };
 
   [[nodiscard]] static Evidence Assess(const Record& record, TimePoint now);
--- a/libs/serving/src/close_delimited_streams.cc
+++ b/libs/serving/src/close_delimited_streams.cc
@@ -35,6 +35,7 @@
   evidence.cuts = was_cut ? record.cuts : 0;
   const bool is_known = now - record.observed_at < kMemory;
   evidence.whole = is_known ? record.whole : 0;
+  evidence.was_reset = record.has_reset && now - record.reset_at < kMemory;
   evidence.required = kMinWhole << std::min(evidence.cuts, kMaxDoublings);
   evidence.age = now - record.observed_at;
   return evidence;
@@ -43,9 +44,9 @@
 CloseDelimitedStreams::Evidence CloseDelimitedStreams::EvidenceOf(
     const Writer& writer, TimePoint now) const {
   const auto found = records_.find(writer);
-  return Assess(found == records_.end() ? Record{0, 0, 0, now, now, false, now}
-                                        : found->second,
-                now);
+  return Assess(
+      found == records_.end() ? Record{.observed_at = now} : found->second,
+      now);
 }
 
 CloseDelimitedStreams::Record& CloseDelimitedStreams::Observe(
@@ -58,13 +59,14 @@
             return a.second.observed_at < b.second.observed_at;
           }));
     }
-    return records_[writer] = Record{0, 0, 0, now, now, false, now};
+    return records_[writer] = Record{.observed_at = now};
   }
   auto& record = found->second;
   const auto evidence = Assess(record, now);
   record.whole = evidence.whole;
   record.cuts = evidence.cuts;
   record.has_marked = evidence.marks_ends;
+  record.has_reset = evidence.was_reset;
   record.observed_at = now;
   return record;
 }
@@ -89,9 +91,8 @@
 
 void CloseDelimitedStreams::OnReset(const Writer& writer, TimePoint now) {
   auto& record = Observe(writer, now);
-  record.whole = 0;
-  record.cuts = std::max(record.cuts, 1U);
-  record.cut_at = now;
+  record.has_reset = true;
+  record.reset_at = now;
 }
 
 EndCredibility CloseDelimitedStreams::Judge(const Writer& writer,
