Share what daemons know of streams that only a close ends

Callers who may resume a stream got all of its events and a closed connection: each daemon had to verify 32 streams of a software version by itself, at most as many as the retry budget pays for, and again after each start, so that a rolling restart broke off sound streams around every planned stop.

Daemons now report what they observed, and the coordinator adds it up (StreamEndAuthority, pure): a daemon that starts knows it with its first reply, a further coordinator learns it from the daemons, each observation counts once however often it is reported, and a cut that one daemon sees ends the belief of all. An end is believed from 4 verified ones on while no stream of the software was cut or reset, as an orderly close is the upstream's own statement; up to 32 it is still verified whenever another attempt may start. After a cut 64 and more are needed as before. Reports bear nothing where no such stream was seen, and messages of builds without the field are read as empty.

--- a/libs/gateway/include/gateway/coordination.h
+++ b/libs/gateway/include/gateway/coordination.h
@@ -20,6 +20,8 @@
 #include "limits/usage_ledger.h"
 #include "quarantine/quarantine_authority.h"
 #include "rollout/rollout_messages.h"
+#include "serving/stream_end_authority.h"
+#include "serving/stream_end_messages.h"
 
 namespace firmoor {
 
@@ -38,6 +40,7 @@
   QuarantineReport quarantine;
   RolloutReports rollouts;
   ShortageReport shortage;  ///< Empty in reports of earlier builds.
+  StreamEndReports stream_ends;
   /// Since its start; empty in reports of builds that neither take over a lease
   /// which is handed to them nor follow `CoordinatorReply::moved_to`.
   std::optional<Duration> uptime;
@@ -64,6 +67,7 @@
   QuarantineReply quarantine;
   RolloutReplies rollouts;
   ShortageReply shortage;
+  StreamEndReplies stream_ends;  ///< Empty in replies of earlier builds.
   /// The coordinator's configuration version, and how long ago it confirmed in
   /// the store that it is the newest; negative when it has not.
   std::int64_t config_version = -1;
@@ -210,6 +214,7 @@
   UpstreamLimitDivider upstream_limits_;
   QuarantineAuthority quarantine_;
   FleetShortage shortage_;
+  StreamEndAuthority stream_ends_;
   UsageTotals usage_;
   std::map<std::string, DaemonState> daemons_;
   DistributionTree tree_;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -29,6 +29,7 @@
 #include "routing/config_freshness.h"
 #include "routing/route_table.h"
 #include "routing/upstream_catalog.h"
+#include "serving/stream_end_messages.h"
 
 namespace firmoor {
 
@@ -158,6 +159,10 @@
   ShortageReport ReportShortage();
   /// Applies the coordinator's admission levels.
   void ApplyShortage(const ShortageReply& reply);
+  /// What this daemon knows of streams that only a close ends.
+  [[nodiscard]] StreamEndReports ReportStreamEnds() const;
+  /// Applies what all daemons know of them.
+  void ApplyStreamEnds(const StreamEndReplies& replies);
   /// Admission levels and decisions, in the Prometheus text format.
   [[nodiscard]] std::string ShortageMetrics() const;
 
--- a/libs/gateway/src/coordination.cc
+++ b/libs/gateway/src/coordination.cc
@@ -100,6 +100,8 @@
   reply.shortage = shortage_.OnReport(
       report.shortage,
       [&](const std::string& name) { return limit_of(name).rate_per_s; }, now);
+  reply.stream_ends =
+      stream_ends_.OnReport(report.instance_id, report.stream_ends, now);
   if (reply.limits_ready && report.directory) {
     reply.directory = directory_.UpdateSince(*report.directory);
   }
--- a/libs/gateway/src/coordination_messages.cc
+++ b/libs/gateway/src/coordination_messages.cc
@@ -8,6 +8,7 @@
 #include "details/quarantine_encoding.h"
 #include "details/quota_encoding.h"
 #include "details/rollout_encoding.h"
+#include "details/stream_end_encoding.h"
 #include "details/urgency.h"
 #include "gateway/coordination.h"
 #include "peer/peer_message.h"
@@ -323,6 +324,10 @@
   if (!rollouts.empty()) {
     map[QLatin1String("rollouts")] = EncodeRolloutReports(rollouts);
   }
+  if (!stream_ends.empty()) {
+    map[QLatin1String("stream_ends")] =
+        details::EncodeStreamEndReports(stream_ends);
+  }
   return QCborValue(map).toCbor();
 }
 
@@ -364,6 +369,8 @@
   BOOST_LEAF_ASSIGN(report.quarantine,
                     DecodeQuarantineReport(map[QLatin1String("quarantine")]));
   report.rollouts = DecodeRolloutReports(map[QLatin1String("rollouts")]);
+  report.stream_ends =
+      details::DecodeStreamEndReports(map[QLatin1String("stream_ends")]);
   if (report.daemon.empty() || report.instance_id.empty()) {
     return Fail(ResultCode::kBadMessage,
                 "The daemon report lacks the daemon's name or instance id");
@@ -443,6 +450,10 @@
   if (!rollouts.empty()) {
     map[QLatin1String("rollouts")] = EncodeRolloutReplies(rollouts);
   }
+  if (!stream_ends.empty()) {
+    map[QLatin1String("stream_ends")] =
+        details::EncodeStreamEndReplies(stream_ends);
+  }
   return QCborValue(map).toCbor();
 }
 
@@ -470,6 +481,8 @@
   BOOST_LEAF_ASSIGN(reply.quarantine,
                     DecodeQuarantineReply(map[QLatin1String("quarantine")]));
   reply.rollouts = DecodeRolloutReplies(map[QLatin1String("rollouts")]);
+  reply.stream_ends =
+      details::DecodeStreamEndReplies(map[QLatin1String("stream_ends")]);
   if (reply.true_ms <= 0) {
     return Fail(ResultCode::kBadMessage,
                 "The coordinator's reply lacks the time");
--- a/libs/gateway/src/coordinator_service.cc
+++ b/libs/gateway/src/coordinator_service.cc
@@ -64,6 +64,7 @@
   report.quarantine = env.gateway->ReportQuarantine();
   report.rollouts = env.gateway->ReportRollouts();
   report.shortage = env.gateway->ReportShortage();
+  report.stream_ends = env.gateway->ReportStreamEnds();
   return report;
 }
 
@@ -157,6 +158,7 @@
     early_report_timer.start(kMovingReportPeriod);
   }
   env.gateway->ApplyShortage(reply.shortage);
+  env.gateway->ApplyStreamEnds(reply.stream_ends);
   if (!reply.limits_ready) return AwaitGrants();
   env.gateway->SetSharedLimits(reply.limits, sent.number);
   env.gateway->ApplyDaemonDirectory(reply.directory);
--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -289,14 +289,16 @@
 
 void Exchange::OnNothingMore(TimePoint now) {
   if (!unverified_end_) return;
-  context_->close_delimited_streams->OnWhole(unverified_end_->writer, now);
+  context_->ObserveStreamEnd(&CloseDelimitedStreams::OnWhole,
+                             unverified_end_->writer, now);
   unverified_end_.reset();
 }
 
 void Exchange::OnMoreFollows(TimePoint now) {
   if (!unverified_end_) return;
   if (unverified_end_->is_alive) {
-    context_->close_delimited_streams->OnCut(unverified_end_->writer, now);
+    context_->ObserveStreamEnd(&CloseDelimitedStreams::OnCut,
+                               unverified_end_->writer, now);
   }
   unverified_end_.reset();
 }
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -68,6 +68,37 @@
                    [this] { CheckSilence(); });
 }
 
+void GatewayContext::LogStreamEndBelief(
+    const CloseDelimitedStreams::Writer& writer, std::string_view source,
+    TimePoint now) const {
+  const auto evidence = close_delimited_streams->EvidenceOf(writer, now);
+  environment.log->Write(
+      "stream-end-belief",
+      {{"service", Text(writer.service)},
+       {"version", Text(writer.software_version)},
+       {"source", Text(source)},
+       {"doubt", Text(NameOf(CloseDelimitedStreams::DoubtOf(evidence)))},
+       {"ends_whole", static_cast<qint64>(evidence.whole)},
+       {"ends_required", static_cast<qint64>(evidence.required)},
+       {"ends_cut", static_cast<qint64>(evidence.cuts)}});
+}
+
+void GatewayContext::ObserveStreamEnd(
+    void (CloseDelimitedStreams::*observe)(
+        const CloseDelimitedStreams::Writer& writer, TimePoint now),
+    const CloseDelimitedStreams::Writer& writer, TimePoint now) const {
+  auto& streams = *close_delimited_streams;
+  const auto doubt = [&] {
+    return CloseDelimitedStreams::DoubtOf(streams.EvidenceOf(writer, now));
+  };
+  const auto before = doubt();
+  (streams.*observe)(writer, now);
+  const auto after = doubt();
+  if (after != before) LogStreamEndBelief(writer, "own", now);
+  const bool is_awaited = before == EndDoubt::kFewVerified || after != before;
+  if (is_awaited && on_grant_needed) on_grant_needed();
+}
+
 RetryBudget& GatewayContext::BudgetOf(const std::string& service) {
   const auto found = budgets.find(service);
   if (found != budgets.end()) return found->second;
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -107,7 +107,6 @@
   DurationRatios time_ratios;
   BesideCounters beside_counters;
   StreamEndCounters stream_ends;
-  /// Shared with probes that outlast this.
   std::shared_ptr<CloseDelimitedStreams> close_delimited_streams =
       std::make_shared<CloseDelimitedStreams>();
   /// Requests that wait for a slot of a brittle upstream, by service; may hold
@@ -126,6 +125,17 @@
 
   /// The retry budget of `service`.
   RetryBudget& BudgetOf(const std::string& service);
+  /// Logs what is known of ends of streams of `writer`, which has changed by
+  /// news of `source`.
+  void LogStreamEndBelief(const CloseDelimitedStreams::Writer& writer,
+                          std::string_view source, TimePoint now) const;
+  /// Records an own observation; `observe` tells which. Asks for an early
+  /// report if the other daemons wait for it, or may believe what was cut.
+  void ObserveStreamEnd(void (CloseDelimitedStreams::*observe)(
+                            const CloseDelimitedStreams::Writer& writer,
+                            TimePoint now),
+                        const CloseDelimitedStreams::Writer& writer,
+                        TimePoint now) const;
   void ApplySettings(const GatewaySettings& changed);
   /// Applies this daemon's new share of the limits, the reply to `report`.
   void SetSharedLimits(const SharedLimits& limits,
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -134,14 +134,14 @@
 void UpstreamAttempt::ObserveCut(HttpCallEnd end) const {
   // One that leaves may exit amid a response.
   if (IsLeaving()) return;
+  const auto observe = end == HttpCallEnd::kComplete
+                           ? &CloseDelimitedStreams::OnCut
+                           : &CloseDelimitedStreams::OnReset;
   AskUpstream(
       context_, plan_.upstream, sent_at_, kStreamProbeTimeout,
-      [streams = context_->close_delimited_streams, writer = writer(),
-       was_closed = end == HttpCallEnd::kComplete](UpstreamState state) {
+      [context = context_, writer = writer(), observe](UpstreamState state) {
         if (state != UpstreamState::kRuns) return;
-        const auto now = MonotonicNow();
-        if (was_closed) return streams->OnCut(writer, now);
-        streams->OnReset(writer, now);
+        context->ObserveStreamEnd(observe, writer, MonotonicNow());
       });
 }
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -239,6 +239,19 @@
   impl_->context.shortage.OnReply(reply, MonotonicNow());
 }
 
+StreamEndReports Gateway::ReportStreamEnds() const {
+  return impl_->context.close_delimited_streams->Report(MonotonicNow());
+}
+
+void Gateway::ApplyStreamEnds(const StreamEndReplies& replies) {
+  auto& context = impl_->context;
+  const auto now = MonotonicNow();
+  for (const auto& writer :
+       context.close_delimited_streams->Apply(replies, now)) {
+    context.LogStreamEndBelief(writer, "coordinator", now);
+  }
+}
+
 std::string Gateway::ShortageMetrics() const {
   return details::ShortageMetrics(impl_->context.shortage, MonotonicNow());
 }
--- a/libs/gateway/tests/coordination_test.cc
+++ b/libs/gateway/tests/coordination_test.cc
@@ -41,6 +41,8 @@
   SUBCASE("are decoded as they were encoded") {
     auto report = Report("a", 5);
     report.directory = DirectoryPosition{3, 17};
+    report.stream_ends[{"s", "v1"}] = {{12, 1, Duration(300), Duration(20)},
+                                       {40, 2, 3}};
     CHECK(std::get<DaemonReport>(Capture([&] {
             return DaemonReport::Decode(report.Encode());
           })) == report);
@@ -55,6 +57,8 @@
     reply.lease_fencing_token = 12;
     reply.lease_clock_ms = 40;
     reply.sources = {{"10.0.0.1", 80}, {"10.0.0.2", 80}};
+    reply.stream_ends[{"s", "v1"}] = {{12, 1, Duration(300), Duration(20)},
+                                      {40, 2, 3}};
     reply.directory = {
         {3, 18}, true, {{"b", "east-1", {"10.0.0.2", 80}}}, {"c"}};
     CHECK(std::get<CoordinatorReply>(Capture([&] {
--- a/libs/serving/include/serving/close_delimited_streams.h
+++ b/libs/serving/include/serving/close_delimited_streams.h
@@ -1,14 +1,14 @@
 #ifndef FIRMOOR_SERVING_CLOSE_DELIMITED_STREAMS_H_
 #define FIRMOOR_SERVING_CLOSE_DELIMITED_STREAMS_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/time.h"
+#include "serving/stream_end_messages.h"
 
 namespace firmoor {
 
@@ -44,17 +44,12 @@
 /// An orderly close is an upstream's own statement that its response is
 /// complete, but also what is seen when a process or a proxy gives up. Software
 /// is believed once enough of its streams were verified as complete since the
-/// last one that was not; each cut stream doubles their number. That it marks
-/// the ends of other streams says nothing of these. Performs no I/O.
+/// last one that was not, by any daemon; each cut stream doubles their number.
+/// That it marks the ends of other streams says nothing of these. Performs no
+/// I/O.
 class CloseDelimitedStreams {
  public:
-  /// Writer of streams.
-  struct Writer {
-    std::string service;
-    std::string software_version;  ///< Empty: none is announced.
-
-    auto operator<=>(const Writer&) const = default;
-  };
+  using Writer = StreamWriterId;
   /// What was observed of a writer, for decisions and logs.
   struct Evidence {
     std::uint32_t whole = 0;     ///< Verified as complete since the last cut.
@@ -69,8 +64,16 @@
   };
 
   /// Verified streams that are required of software of which nothing else is
-  /// known: with none of 32 cut, fewer than one of ten is, at 95 %.
-  static constexpr std::uint32_t kMinWhole = 32;
+  /// known. An orderly close is its own statement that a stream is complete, so
+  /// few are needed; further ones are verified if another attempt may start.
+  static constexpr std::uint32_t kMinWhole = 4;
+  /// The same, doubled for each cut, of software whose streams break off, and
+  /// those after which ends are verified by sample: with none of 32 cut, fewer
+  /// than one of ten is, at 95 %.
+  static constexpr std::uint32_t kMinWholeIfBroken = 32;
+  /// Bounds of what is counted.
+  static constexpr std::uint32_t kMaxCuts = 8;
+  static constexpr std::uint32_t kMaxWhole = kMinWholeIfBroken << kMaxCuts;
   /// Observations that are not renewed are forgotten after this time.
   static constexpr Duration kMemory{10 * 60 * 1'000};
   /// One of this many believed ends is due to be verified.
@@ -100,12 +103,21 @@
   [[nodiscard]] static EndDoubt DoubtOf(const Evidence& evidence);
   [[nodiscard]] std::size_t size() const { return records_.size(); }
 
+  /// What the coordinator is told.
+  [[nodiscard]] StreamEndReports Report(TimePoint now) const;
+  /// Takes what all daemons know. Returns the writers that are believed since
+  /// then and were not before, or the reverse.
+  std::vector<Writer> Apply(const StreamEndReplies& replies, TimePoint now);
+
  private:
   struct Record {
-    std::uint32_t whole = 0;
-    std::uint32_t cuts = 0;
+    StreamEndTotals own{};
+    TimePoint own_cut_at{};
+    /// Contains `counted` of `own`.
+    StreamEndState fleet{};
+    TimePoint fleet_cut_at{};
+    StreamEndTotals counted{};
     std::uint32_t believed = 0;  ///< Ends since the last that was due.
-    TimePoint cut_at{};
     TimePoint marked_at{};
     bool has_marked = false;
     TimePoint reset_at{};
@@ -114,7 +126,11 @@
   };
 
   [[nodiscard]] static Evidence Assess(const Record& record, TimePoint now);
+  /// When the last cut was seen.
+  [[nodiscard]] static TimePoint CutAt(const Record& record);
   /// The record of `writer`, without what is too old; makes room for it.
+  Record& Find(const Writer& writer, TimePoint now);
+  /// The same, renewed.
   Record& Observe(const Writer& writer, TimePoint now);
 
   std::map<Writer, Record> records_;
--- a/libs/serving/src/close_delimited_streams.cc
+++ b/libs/serving/src/close_delimited_streams.cc
@@ -1,14 +1,10 @@
 #include "serving/close_delimited_streams.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace firmoor {
-namespace {
-
-// Doublings of the streams that are required of software.
-constexpr std::uint32_t kMaxDoublings = 8;
-
-}  // namespace
+namespace {}  // namespace
 
 std::string_view NameOf(EndCredibility credibility) {
   constexpr std::string_view kNames[] = {"shown", "trusted", "due", "unproven",
@@ -27,17 +23,35 @@
   return evidence.cuts > 0 ? EndDoubt::kCuts : EndDoubt::kFewVerified;
 }
 
+TimePoint CloseDelimitedStreams::CutAt(const Record& record) {
+  const bool is_own = record.own.cuts > record.counted.cuts;
+  return is_own ? std::max(record.own_cut_at, record.fleet_cut_at)
+                : record.fleet_cut_at;
+}
+
 CloseDelimitedStreams::Evidence CloseDelimitedStreams::Assess(
     const Record& record, TimePoint now) {
   Evidence evidence;
   evidence.marks_ends = record.has_marked && now - record.marked_at < kMemory;
-  const bool was_cut = record.cuts > 0 && now - record.cut_at < kMemory;
-  evidence.cuts = was_cut ? record.cuts : 0;
-  const bool is_known = now - record.observed_at < kMemory;
-  evidence.whole = is_known ? record.whole : 0;
   evidence.was_reset = record.has_reset && now - record.reset_at < kMemory;
-  evidence.required = kMinWhole << std::min(evidence.cuts, kMaxDoublings);
   evidence.age = now - record.observed_at;
+  const auto& [own, counted] = std::tie(record.own, record.counted);
+  const auto own_cuts = own.cuts - std::min(own.cuts, counted.cuts);
+  const auto own_whole = own.whole - std::min(own.whole, counted.whole);
+  const auto cuts = record.fleet.cuts + own_cuts;
+  const auto whole = own_cuts > 0 ? std::uint64_t{own.whole_since_cut}
+                                  : record.fleet.whole + own_whole;
+  if (now - CutAt(record) < kMemory) {
+    evidence.cuts =
+        static_cast<std::uint32_t>(std::min<std::uint64_t>(cuts, kMaxCuts));
+  }
+  if (evidence.age < kMemory) {
+    evidence.whole =
+        static_cast<std::uint32_t>(std::min<std::uint64_t>(whole, kMaxWhole));
+  }
+  const bool is_broken = evidence.cuts > 0 || evidence.was_reset;
+  evidence.required =
+      is_broken ? kMinWholeIfBroken << evidence.cuts : kMinWhole;
   return evidence;
 }
 
@@ -49,8 +63,8 @@
       now);
 }
 
-CloseDelimitedStreams::Record& CloseDelimitedStreams::Observe(
-    const Writer& writer, TimePoint now) {
+CloseDelimitedStreams::Record& CloseDelimitedStreams::Find(const Writer& writer,
+                                                           TimePoint now) {
   const auto found = records_.find(writer);
   if (found == records_.end()) {
     if (records_.size() >= kMaxWriters) {
@@ -63,10 +77,19 @@
   }
   auto& record = found->second;
   const auto evidence = Assess(record, now);
-  record.whole = evidence.whole;
-  record.cuts = evidence.cuts;
   record.has_marked = evidence.marks_ends;
   record.has_reset = evidence.was_reset;
+  if (evidence.age >= kMemory) {
+    record.own = {};
+    record.counted = {};
+    record.fleet = {};
+  }
+  return record;
+}
+
+CloseDelimitedStreams::Record& CloseDelimitedStreams::Observe(
+    const Writer& writer, TimePoint now) {
+  auto& record = Find(writer, now);
   record.observed_at = now;
   return record;
 }
@@ -78,15 +101,16 @@
 }
 
 void CloseDelimitedStreams::OnWhole(const Writer& writer, TimePoint now) {
-  auto& record = Observe(writer, now);
-  record.whole = std::min(record.whole + 1, kMinWhole << kMaxDoublings);
+  auto& own = Observe(writer, now).own;
+  ++own.whole;
+  own.whole_since_cut = std::min(own.whole_since_cut + 1, kMaxWhole);
 }
 
 void CloseDelimitedStreams::OnCut(const Writer& writer, TimePoint now) {
   auto& record = Observe(writer, now);
-  record.whole = 0;
-  record.cuts = std::min(record.cuts + 1, kMaxDoublings);
-  record.cut_at = now;
+  ++record.own.cuts;
+  record.own.whole_since_cut = 0;
+  record.own_cut_at = now;
 }
 
 void CloseDelimitedStreams::OnReset(const Writer& writer, TimePoint now) {
@@ -95,12 +119,44 @@
   record.reset_at = now;
 }
 
+StreamEndReports CloseDelimitedStreams::Report(TimePoint now) const {
+  StreamEndReports reports;
+  for (const auto& [writer, record] : records_) {
+    const auto evidence = Assess(record, now);
+    const bool is_known = evidence.whole > 0 || evidence.cuts > 0;
+    if (!is_known || evidence.age >= kMemory) continue;
+    const auto cut_age = evidence.cuts > 0 ? now - CutAt(record) : Duration(0);
+    reports[writer] = {{evidence.whole, evidence.cuts, cut_age, evidence.age},
+                       record.own};
+  }
+  return reports;
+}
+
+std::vector<CloseDelimitedStreams::Writer> CloseDelimitedStreams::Apply(
+    const StreamEndReplies& replies, TimePoint now) {
+  std::vector<Writer> changed;
+  for (const auto& [writer, reply] : replies) {
+    const auto before = DoubtOf(EvidenceOf(writer, now));
+    auto& record = Find(writer, now);
+    record.fleet = reply.fleet;
+    record.fleet_cut_at =
+        reply.fleet.cuts > 0 ? now - reply.fleet.cut_age : TimePoint{};
+    record.counted = reply.counted;
+    record.observed_at = std::max(record.observed_at, now - reply.fleet.age);
+    if (DoubtOf(Assess(record, now)) != before) changed.push_back(writer);
+  }
+  return changed;
+}
+
 EndCredibility CloseDelimitedStreams::Judge(const Writer& writer,
                                             TimePoint now) {
   const auto evidence = EvidenceOf(writer, now);
   if (evidence.whole >= evidence.required) {
     auto& record = Observe(writer, now);
-    if (++record.believed < kDuePeriod) return EndCredibility::kTrusted;
+    const bool is_sampled = evidence.whole >= kMinWholeIfBroken;
+    if (is_sampled && ++record.believed < kDuePeriod) {
+      return EndCredibility::kTrusted;
+    }
     record.believed = 0;
     return EndCredibility::kDue;
   }
