Await the end of a stream that others of its software will show

When many callers of software that is not known yet reached the end of their streams together, all were broken off but those that the retry budget verified: 21 of the first 24 in the row of upstreams that mark no end. The end of such a stream now stays open for a second at most, while its upstream runs, nothing was cut and its caller has all events, and is decided on as soon as the daemon or the coordinator knows more: complete once enough were verified, broken off at once after a cut, or when nothing was learned. A stop or time-out ends the wait.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -263,46 +263,6 @@
   }
 }
 
-void Exchange::RecordCompletion(const UpstreamAttempt& attempt,
-                                const AttemptEnd& end, TimePoint now) {
-  const bool is_complete = end.end == HttpCallEnd::kComplete &&
-                           end.stream_complete && !end.failed &&
-                           attempt.is_event_stream();
-  if (attempt.HasPartialEvent()) OnMoreFollows(now);
-  // Its events could not be placed, so nothing is known of what follows.
-  const bool is_misplaced = end.end == HttpCallEnd::kMalformed;
-  if (is_misplaced && unverified_end_) unverified_end_->is_trusted = false;
-  if (!is_complete) return;
-  if (end.credibility != EndCredibility::kShown) {
-    const bool is_trusted = end.credibility == EndCredibility::kTrusted ||
-                            end.credibility == EndCredibility::kDue;
-    unverified_end_ =
-        UnverifiedEnd{attempt.writer(), is_trusted, attempt.IsEndCredible()};
-  } else if (attempt.HasNothingMore()) {
-    // A caller that resumes a stream at its end verifies it as well.
-    if (!unverified_end_) {
-      unverified_end_ = UnverifiedEnd{attempt.writer(), false, true};
-    }
-    OnNothingMore(now);
-  }
-}
-
-void Exchange::OnNothingMore(TimePoint now) {
-  if (!unverified_end_) return;
-  context_->ObserveStreamEnd(&CloseDelimitedStreams::OnWhole,
-                             unverified_end_->writer, now);
-  unverified_end_.reset();
-}
-
-void Exchange::OnMoreFollows(TimePoint now) {
-  if (!unverified_end_) return;
-  if (unverified_end_->is_alive) {
-    context_->ObserveStreamEnd(&CloseDelimitedStreams::OnCut,
-                               unverified_end_->writer, now);
-  }
-  unverified_end_.reset();
-}
-
 void Exchange::ForwardAnswer(const UpstreamAttempt& attempt,
                              const AttemptEnd& end) {
   const auto& head = *attempt.head();
@@ -332,30 +292,6 @@
   return context_->RetryDelay(service_, request_.id, MonotonicNow());
 }
 
-void Exchange::RecordStreamEnd(StreamEndForm form, StreamEndBasis basis) {
-  stream_end_ = StreamEnd{form, basis};
-  context_->stream_ends.Count(form, basis);
-}
-
-void Exchange::FinishStream(StreamEndBasis basis) {
-  RecordStreamEnd(StreamEndForm::kMarked, basis);
-  responder_->FinishStream();
-  Finish(ResultCode::kOk, "answered");
-}
-
-void Exchange::AbortStream(ResultCode code) {
-  const bool is_trusted = unverified_end_ && unverified_end_->is_trusted &&
-                          !attempts_.HasBegunEvent();
-  if (is_trusted) return FinishStream(StreamEndBasis::kEarlierStreams);
-  LogCut("daemon", InfoOf(code).name);
-  RecordStreamEnd(StreamEndForm::kReset, StreamEndBasis::kNothing);
-  context_->stream_ends.CountDoubt(doubt_);
-  // Finish first: the closed connection is otherwise taken for a caller that
-  // disconnected.
-  Finish(code, "broken-off");
-  responder_->Abort();
-}
-
 void Exchange::Refuse(ResultCode code, std::string message,
                       RequestOutcome outcome,
                       std::optional<Duration> retry_after) {
@@ -383,6 +319,7 @@
   if (answer_started_ && remaining > Duration(0)) {
     return timer_.start(remaining);
   }
+  may_await_end_ = false;
   GiveUp(ResultCode::kUpstreamTimeout, ResultCode::kNoUpstream,
          "The time of the request is over");
 }
@@ -390,6 +327,7 @@
 void Exchange::OnStop() {
   const auto self = shared_from_this();
   if (finished_) return;
+  may_await_end_ = false;
   GiveUp(ResultCode::kUpstreamOutcomeUnknown, ResultCode::kDraining,
          "The daemon stops");
 }
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -235,6 +235,18 @@
   void RecordStreamEnd(StreamEndForm form, StreamEndBasis basis);
   /// Ends a stream as complete.
   void FinishStream(StreamEndBasis basis);
+  /// Why an end like that of the stream is not believed now.
+  [[nodiscard]] EndDoubt DoubtOfWriter() const;
+  /// Whether all that is missing is what other streams may show shortly. If
+  /// not, the caller is counted as one that may return.
+  [[nodiscard]] bool MayAwaitEnd();
+  /// Leaves the stream open until its end is believed or doubted, for a second
+  /// at most; it is then broken off for `code`.
+  void AwaitEnd(ResultCode code);
+  void AddEndWaiter();
+  /// More is known of ends like that of the stream.
+  void OnEndEvidence();
+  void EndWait();
   void ForwardEvents(const NewEvents& events, TimePoint now);
   /// Pauses the upstreams of a caller that takes the stream more slowly than
   /// they send, or lets them go on.
@@ -314,6 +326,8 @@
   };
   /// Set while the events that the caller has may be all.
   std::optional<UnverifiedEnd> unverified_end_;
+  bool may_await_end_ = true;
+  std::optional<ResultCode> awaited_end_;  ///< Set while it is awaited.
   bool caller_disconnected_ = false;
   double quota_tokens_ = 0;  ///< Charged to the workspace's quota.
   bool waiting_for_quota_ = false;
--- /dev/null
+++ b/libs/gateway/src/details/exchange_end.cc
@@ -0,0 +1,129 @@
+// How streams end, and what their ends tell of those before them.
+
+#include <utility>
+
+#include "details/exchange.h"
+
+namespace firmoor::details {
+namespace {
+
+// Within a period of reports this daemon hears what all others know. Callers
+// wait for two seconds at least.
+constexpr Duration kLongestEndWait{1'000};
+
+}  // namespace
+
+void Exchange::RecordCompletion(const UpstreamAttempt& attempt,
+                                const AttemptEnd& end, TimePoint now) {
+  const bool is_complete = end.end == HttpCallEnd::kComplete &&
+                           end.stream_complete && !end.failed &&
+                           attempt.is_event_stream();
+  if (attempt.HasPartialEvent()) OnMoreFollows(now);
+  // Its events could not be placed, so nothing is known of what follows.
+  const bool is_misplaced = end.end == HttpCallEnd::kMalformed;
+  if (is_misplaced && unverified_end_) unverified_end_->is_trusted = false;
+  if (!is_complete) return;
+  if (end.credibility != EndCredibility::kShown) {
+    const bool is_trusted = end.credibility == EndCredibility::kTrusted ||
+                            end.credibility == EndCredibility::kDue;
+    unverified_end_ =
+        UnverifiedEnd{attempt.writer(), is_trusted, attempt.IsEndCredible()};
+  } else if (attempt.HasNothingMore()) {
+    // A caller that resumes a stream at its end verifies it as well.
+    if (!unverified_end_) {
+      unverified_end_ = UnverifiedEnd{attempt.writer(), false, true};
+    }
+    OnNothingMore(now);
+  }
+}
+
+void Exchange::OnNothingMore(TimePoint now) {
+  if (!unverified_end_) return;
+  context_->ObserveStreamEnd(&CloseDelimitedStreams::OnWhole,
+                             unverified_end_->writer, now);
+  unverified_end_.reset();
+}
+
+void Exchange::OnMoreFollows(TimePoint now) {
+  if (!unverified_end_) return;
+  if (unverified_end_->is_alive) {
+    context_->ObserveStreamEnd(&CloseDelimitedStreams::OnCut,
+                               unverified_end_->writer, now);
+  }
+  unverified_end_.reset();
+}
+
+void Exchange::RecordStreamEnd(StreamEndForm form, StreamEndBasis basis) {
+  stream_end_ = StreamEnd{form, basis};
+  context_->stream_ends.Count(form, basis);
+}
+
+void Exchange::FinishStream(StreamEndBasis basis) {
+  RecordStreamEnd(StreamEndForm::kMarked, basis);
+  responder_->FinishStream();
+  Finish(ResultCode::kOk, "answered");
+}
+
+void Exchange::AbortStream(ResultCode code) {
+  const bool is_trusted = unverified_end_ && unverified_end_->is_trusted &&
+                          !attempts_.HasBegunEvent();
+  if (is_trusted) return FinishStream(StreamEndBasis::kEarlierStreams);
+  if (MayAwaitEnd()) return AwaitEnd(code);
+  LogCut("daemon", InfoOf(code).name);
+  RecordStreamEnd(StreamEndForm::kReset, StreamEndBasis::kNothing);
+  context_->stream_ends.CountDoubt(doubt_);
+  // Finish first: the closed connection is otherwise taken for a caller that
+  // disconnected.
+  Finish(code, "broken-off");
+  responder_->Abort();
+}
+
+EndDoubt Exchange::DoubtOfWriter() const {
+  return CloseDelimitedStreams::DoubtOf(
+      context_->close_delimited_streams->EvidenceOf(unverified_end_->writer,
+                                                    MonotonicNow()));
+}
+
+bool Exchange::MayAwaitEnd() {
+  return may_await_end_ && unverified_end_ && unverified_end_->is_alive &&
+         !attempts_.HasBegunEvent() &&
+         DoubtOfWriter() == EndDoubt::kFewVerified &&
+         !context_->close_delimited_streams->TakeReturn(unverified_end_->writer,
+                                                        MonotonicNow());
+}
+
+void Exchange::AwaitEnd(ResultCode code) {
+  may_await_end_ = false;
+  awaited_end_ = code;
+  context_->stream_ends.CountAwaited();
+  AddEndWaiter();
+  if (context_->on_grant_needed) context_->on_grant_needed();
+  QTimer::singleShot(kLongestEndWait, &timer_, [this] {
+    const auto self = shared_from_this();
+    EndWait();
+  });
+}
+
+void Exchange::AddEndWaiter() {
+  context_->end_waiters.Add([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->OnEndEvidence();
+  });
+}
+
+void Exchange::OnEndEvidence() {
+  if (finished_ || !awaited_end_) return;
+  if (DoubtOfWriter() == EndDoubt::kFewVerified) return AddEndWaiter();
+  EndWait();
+}
+
+void Exchange::EndWait() {
+  if (finished_ || !awaited_end_) return;
+  const auto code = *std::exchange(awaited_end_, std::nullopt);
+  if (DoubtOfWriter() != EndDoubt::kNone) {
+    context_->close_delimited_streams->ForgetReturns(unverified_end_->writer);
+    return AbortStream(code);
+  }
+  FinishStream(StreamEndBasis::kEarlierStreams);
+}
+
+}  // namespace firmoor::details
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -83,10 +83,17 @@
        {"ends_cut", static_cast<qint64>(evidence.cuts)}});
 }
 
+void GatewayContext::ResumeEndWaiters() {
+  // Later, since the request that learned it is still being decided on.
+  QMetaObject::invokeMethod(
+      &event_context, [this] { end_waiters.ResumeAll(); },
+      Qt::QueuedConnection);
+}
+
 void GatewayContext::ObserveStreamEnd(
     void (CloseDelimitedStreams::*observe)(
         const CloseDelimitedStreams::Writer& writer, TimePoint now),
-    const CloseDelimitedStreams::Writer& writer, TimePoint now) const {
+    const CloseDelimitedStreams::Writer& writer, TimePoint now) {
   auto& streams = *close_delimited_streams;
   const auto doubt = [&] {
     return CloseDelimitedStreams::DoubtOf(streams.EvidenceOf(writer, now));
@@ -94,7 +101,10 @@
   const auto before = doubt();
   (streams.*observe)(writer, now);
   const auto after = doubt();
-  if (after != before) LogStreamEndBelief(writer, "own", now);
+  if (after != before) {
+    LogStreamEndBelief(writer, "own", now);
+    ResumeEndWaiters();
+  }
   const bool is_awaited = before == EndDoubt::kFewVerified || after != before;
   if (is_awaited && on_grant_needed) on_grant_needed();
 }
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -101,6 +101,8 @@
   std::optional<DrainState> drain;
   /// Requests that wait for the coordinator's grant, of a quota or of permits.
   GrantWaitList grant_waiters;
+  /// Streams whose end waits for what others show.
+  GrantWaitList end_waiters;
   RetrySchedule retry_schedule;
   UpstreamLimitCounters limit_counters;
   SlotCounters slot_counters;
@@ -129,13 +131,15 @@
   /// news of `source`.
   void LogStreamEndBelief(const CloseDelimitedStreams::Writer& writer,
                           std::string_view source, TimePoint now) const;
+  /// Decides anew on streams whose end is awaited.
+  void ResumeEndWaiters();
   /// Records an own observation; `observe` tells which. Asks for an early
   /// report if the other daemons wait for it, or may believe what was cut.
   void ObserveStreamEnd(void (CloseDelimitedStreams::*observe)(
                             const CloseDelimitedStreams::Writer& writer,
                             TimePoint now),
                         const CloseDelimitedStreams::Writer& writer,
-                        TimePoint now) const;
+                        TimePoint now);
   void ApplySettings(const GatewaySettings& changed);
   /// Applies this daemon's new share of the limits, the reply to `report`.
   void SetSharedLimits(const SharedLimits& limits,
--- a/libs/gateway/src/details/stream_ends.cc
+++ b/libs/gateway/src/details/stream_ends.cc
@@ -26,7 +26,7 @@
 }
 
 std::string StreamEndCounters::Metrics() const {
-  std::string text;
+  auto text = fmt::format("firmoor_stream_ends_awaited_total {}\n", awaited_);
   for (std::size_t doubt = 1; doubt < kDoubts; ++doubt) {
     text +=
         fmt::format("firmoor_stream_end_doubts_total{{doubt=\"{}\"}} {}\n",
--- a/libs/gateway/src/details/stream_ends.h
+++ b/libs/gateway/src/details/stream_ends.h
@@ -37,6 +37,8 @@
   void Count(StreamEndForm form, StreamEndBasis basis);
   /// Counts a stream that was broken off since its end was not believed.
   void CountDoubt(EndDoubt doubt);
+  /// Counts a stream whose end waits for what others show.
+  void CountAwaited() { ++awaited_; }
   /// Prometheus text.
   [[nodiscard]] std::string Metrics() const;
 
@@ -48,6 +50,7 @@
 
   std::array<std::array<std::uint64_t, kBases>, kForms> counts_{};
   std::array<std::uint64_t, kDoubts> doubts_{};
+  std::uint64_t awaited_ = 0;
 };
 
 }  // namespace firmoor::details
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -246,10 +246,11 @@
 void Gateway::ApplyStreamEnds(const StreamEndReplies& replies) {
   auto& context = impl_->context;
   const auto now = MonotonicNow();
-  for (const auto& writer :
-       context.close_delimited_streams->Apply(replies, now)) {
+  const auto changed = context.close_delimited_streams->Apply(replies, now);
+  for (const auto& writer : changed) {
     context.LogStreamEndBelief(writer, "coordinator", now);
   }
+  if (!changed.empty()) context.ResumeEndWaiters();
 }
 
 std::string Gateway::ShortageMetrics() const {
--- a/libs/serving/include/serving/close_delimited_streams.h
+++ b/libs/serving/include/serving/close_delimited_streams.h
@@ -98,6 +98,13 @@
   [[nodiscard]] EndCredibility JudgeEmpty(const Writer& writer,
                                           TimePoint now) const;
 
+  /// Whether the caller of a stream whose end is not known well enough is to
+  /// ask again: its return verifies the end. Only as many are sent back as have
+  /// to be verified; others can wait for what these show. Counts the caller.
+  bool TakeReturn(const Writer& writer, TimePoint now);
+  /// Nothing was learned from the callers that were sent back.
+  void ForgetReturns(const Writer& writer);
+
   [[nodiscard]] Evidence EvidenceOf(const Writer& writer, TimePoint now) const;
   /// What `evidence` holds against an end that only a close shows.
   [[nodiscard]] static EndDoubt DoubtOf(const Evidence& evidence);
@@ -118,6 +125,7 @@
     TimePoint fleet_cut_at{};
     StreamEndTotals counted{};
     std::uint32_t believed = 0;  ///< Ends since the last that was due.
+    std::uint32_t returns = 0;   ///< Callers sent back that may return.
     TimePoint marked_at{};
     bool has_marked = false;
     TimePoint reset_at{};
--- a/libs/serving/src/close_delimited_streams.cc
+++ b/libs/serving/src/close_delimited_streams.cc
@@ -101,7 +101,9 @@
 }
 
 void CloseDelimitedStreams::OnWhole(const Writer& writer, TimePoint now) {
-  auto& own = Observe(writer, now).own;
+  auto& record = Observe(writer, now);
+  record.returns -= std::min(record.returns, 1U);
+  auto& own = record.own;
   ++own.whole;
   own.whole_since_cut = std::min(own.whole_since_cut + 1, kMaxWhole);
 }
@@ -119,6 +121,19 @@
   record.reset_at = now;
 }
 
+bool CloseDelimitedStreams::TakeReturn(const Writer& writer, TimePoint now) {
+  auto& record = Find(writer, now);
+  const auto evidence = Assess(record, now);
+  if (evidence.whole + record.returns >= evidence.required) return false;
+  ++record.returns;
+  return true;
+}
+
+void CloseDelimitedStreams::ForgetReturns(const Writer& writer) {
+  const auto found = records_.find(writer);
+  if (found != records_.end()) found->second.returns = 0;
+}
+
 StreamEndReports CloseDelimitedStreams::Report(TimePoint now) const {
   StreamEndReports reports;
   for (const auto& [writer, record] : records_) {
--- a/libs/serving/tests/close_delimited_streams_test.cc
+++ b/libs/serving/tests/close_delimited_streams_test.cc
@@ -178,6 +178,28 @@
   }
 }
 
+// Guards against all streams of a crowd that end together being broken off,
+// and against none of them being verified (incident LOST).
+TEST_CASE("only as many callers are sent back as have to verify an end") {
+  Fixture fixture;
+  const auto take = [&] {
+    return fixture.streams.TakeReturn(kWriter, fixture.now);
+  };
+  fixture.SeeWhole(1);
+  for (std::uint32_t i = 1; i < Streams::kMinWhole; ++i) CHECK(take());
+  CHECK_FALSE(take());
+
+  SUBCASE("and no more when they return") {
+    fixture.SeeWhole(Streams::kMinWhole - 1);
+    CHECK(fixture.IsBelieved());
+    CHECK_FALSE(take());
+  }
+  SUBCASE("and others if none returns") {
+    fixture.streams.ForgetReturns(kWriter);
+    CHECK(take());
+  }
+}
+
 TEST_CASE("the number of remembered writers is bounded") {
   Fixture fixture;
   fixture.SeeWhole(Streams::kMinWhole);
