--- a/libs/serving/tests/stream_end_authority_test.cc
+++ b/libs/serving/tests/stream_end_authority_test.cc
@@ -136,6 +136,7 @@
     constexpr int kSteps = 60;
     Fleet fleet;
     std::vector<std::string> names;
+    names.reserve(kDaemons);
     for (int i = 0; i < kDaemons; ++i) names.push_back(std::to_string(i));
     for (const auto& name : names) fleet.Report(name);
     std::uint32_t whole = 0;
