Refuse by its head what a stopping daemon cannot serve any more

RejectByHead looked at paths without a route only. It now makes the decision that is made for a whole request (AcceptsWhileDraining) at the head; time only passes, so nothing is refused that would have been accepted later.

New sections in gateway_stop_test; RejectByHead returned nothing there before, as its path has a route.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -205,7 +205,8 @@
   void ApplySettings(const GatewaySettings& settings);
 
   /// The rejection of a request by its head alone, before its body has arrived:
-  /// no route of a fresh configuration has its path.
+  /// no route of a fresh configuration has its path, or the daemon stops too
+  /// soon to serve it.
   [[nodiscard]] std::optional<HttpResponse> RejectByHead(
       const HttpRequest& head) const;
 
--- a/libs/gateway/src/details/gateway_impl.h
+++ b/libs/gateway/src/details/gateway_impl.h
@@ -40,6 +40,9 @@
               const std::shared_ptr<ResponseWriter>& responder,
               TimePoint arrived_at);
   void ApplySeededUsage();
+  /// Set if the daemon stops too soon to serve the request.
+  [[nodiscard]] std::optional<Failure> RefusalWhileDraining(
+      const RequestAdmission& admission, TimePoint now) const;
   void LogRejection(const std::string& id, const Failure& failure) const;
   void ScheduleShutdownQuery(const UpstreamEntry& entry);
   void QueryTimeToShutdown(const UpstreamEntry& entry);
--- a/libs/gateway/src/gateway_requests.cc
+++ b/libs/gateway/src/gateway_requests.cc
@@ -42,20 +42,36 @@
   const auto& context = impl_->context;
   const auto now = MonotonicNow();
   if (!context.table || !context.freshness.IsFresh(now)) return std::nullopt;
-  if (context.table->Match(HeaderValue(head.headers, "Host"), head.Path())) {
-    return std::nullopt;
-  }
+  const bool has_route = context.table->Match(HeaderValue(head.headers, "Host"),
+                                              head.Path()) != nullptr;
+  if (has_route && !context.drain) return std::nullopt;
   const auto read = context.environment.dialect->DecodeRequest(head);
   const auto* forward = std::get_if<ForwardRequest>(&read);
   if (forward == nullptr) return std::nullopt;
   const auto decided =
       AdmitRequest(*forward, context.table.get(), context.freshness, now);
-  const auto* failure = std::get_if<Failure>(&decided);
-  if (failure == nullptr) return std::nullopt;
+  std::optional<Failure> failure;
+  if (const auto* admission = std::get_if<RequestAdmission>(&decided)) {
+    // It will not be accepted either when its body is whole.
+    failure = impl_->RefusalWhileDraining(*admission, now);
+  } else if (!has_route) {
+    failure = std::get<Failure>(decided);
+  }
+  if (!failure) return std::nullopt;
   impl_->LogRejection(forward->id, *failure);
   return MakeGatewayRefusal(*failure, forward->id);
 }
 
+std::optional<Failure> Gateway::Impl::RefusalWhileDraining(
+    const RequestAdmission& admission, TimePoint now) const {
+  const bool accepts =
+      !context.drain ||
+      AcceptsWhileDraining(*admission.route, *context.drain, now);
+  if (accepts) return std::nullopt;
+  return Failure{
+      {ResultCode::kDraining, ""}, RequestOutcome::kNotRun, kDrainRetryDelay};
+}
+
 void Gateway::Handle(HttpRequest request,
                      const std::shared_ptr<ResponseWriter>& responder) {
   const bool waits = impl_->queues_early_requests && !impl_->context.table;
@@ -102,12 +118,9 @@
     return responder->Send(MakeGatewayRefusal(*failure, forward.id));
   }
   const auto& admission = std::get<RequestAdmission>(decided);
-  if (context.drain &&
-      !AcceptsWhileDraining(*admission.route, *context.drain, MonotonicNow())) {
-    const Failure failure{
-        {ResultCode::kDraining, ""}, RequestOutcome::kNotRun, kDrainRetryDelay};
-    LogRejection(forward.id, failure);
-    return responder->Send(MakeGatewayRefusal(failure, forward.id));
+  if (const auto failure = RefusalWhileDraining(admission, MonotonicNow())) {
+    LogRejection(forward.id, *failure);
+    return responder->Send(MakeGatewayRefusal(*failure, forward.id));
   }
   const auto exchange = std::make_shared<Exchange>(&context, std::move(forward),
                                                    admission, responder);
--- a/libs/gateway/tests/gateway_stop_test.cc
+++ b/libs/gateway/tests/gateway_stop_test.cc
@@ -69,4 +69,33 @@
   CHECK(good.Requests() == 1);
 }
 
+// Guards against a body that a stopping daemon takes in, only to refuse the
+// request, or to exit before the body is whole (incident LOST).
+TEST_CASE("a request whose body still arrives while the daemon stops") {
+  GatewayFixture fixture;
+  const auto reject = [&](const std::string& route) {
+    return fixture.gateway.RejectByHead(
+        {"POST", "/" + route + "/", {{"Host", "h"}, {"Id", "r1"}}, ""});
+  };
+  CHECK_FALSE(reject("once"));
+
+  SUBCASE("is refused by its head if there is no time left for it") {
+    fixture.gateway.StartDrain(MonotonicNow() + Duration(100));
+    const auto response = reject("once");
+    REQUIRE(response);
+    CHECK(response->status == 503);
+    CHECK_FALSE(HeaderValue(response->headers, "Retry-After").empty());
+  }
+  SUBCASE("is taken if there is") {
+    fixture.gateway.StartDrain(MonotonicNow() + Duration(60'000));
+    CHECK_FALSE(reject("once"));
+  }
+  SUBCASE("is refused as before if no route has its path") {
+    fixture.gateway.StartDrain(MonotonicNow() + Duration(60'000));
+    const auto response = reject("unknown");
+    REQUIRE(response);
+    CHECK(response->status == 404);
+  }
+}
+
 }  // namespace firmoor
