Keep what daemons know of ends when the coordinator has forgotten it

Found by a review, by reading: daemons renew a record with each observation, the coordinator only with each verified end. After ten minutes it forgot the writer, and the next verified end made a state of one that replaced what all daemons knew. A report now renews the state by its own age, and a writer without a state takes what the report knows. Of two states with as many cuts the one with the later cut counts, so that a cut that a daemon saw while it was away is not lost.

New sections of stream_end_authority_test; all of serving_test passes.

--- a/libs/serving/src/stream_end_authority.cc
+++ b/libs/serving/src/stream_end_authority.cc
@@ -15,8 +15,9 @@
 void StreamEndAuthority::Join(const StreamWriterId& writer,
                               const StreamEndState& known, TimePoint now) {
   auto& state = writers_[writer];
-  const auto observed_at = now - known.age;
-  if (known.cuts > state.cuts) {
+  const bool is_later_cut =
+      known.cuts > 0 && now - known.cut_age > state.cut_at;
+  if (known.cuts > state.cuts || (known.cuts == state.cuts && is_later_cut)) {
     state.whole = known.whole;
   } else if (known.cuts == state.cuts) {
     state.whole = std::max(state.whole, known.whole);
@@ -26,7 +27,6 @@
                                   : now - known.cut_age;
   }
   state.cuts = std::max(state.cuts, known.cuts);
-  state.observed_at = std::max(state.observed_at, observed_at);
 }
 
 void StreamEndAuthority::Add(const StreamWriterId& writer,
@@ -46,10 +46,7 @@
         own.whole - counted.whole, CloseDelimitedStreams::kMaxWhole);
     state.whole = std::min(state.whole + static_cast<std::uint32_t>(added),
                            CloseDelimitedStreams::kMaxWhole);
-  } else {
-    return;
   }
-  state.observed_at = now;
 }
 
 void StreamEndAuthority::Prune(TimePoint now) {
@@ -80,12 +77,15 @@
   known.reported_at = now;
   for (const auto& [writer, report] : reports) {
     auto& counted = known.counted[writer];
-    if (is_new) {
+    // Without a state, it was forgotten here sooner than there.
+    if (is_new || !writers_.contains(writer)) {
       Join(writer, report.known, now);
     } else {
       Add(writer, report, counted, now);
     }
     counted = report.own;
+    auto& observed_at = writers_[writer].observed_at;
+    observed_at = std::max(observed_at, now - report.known.age);
   }
   std::erase_if(known.counted, [&](const auto& entry) {
     return !reports.contains(entry.first);
--- a/libs/serving/tests/stream_end_authority_test.cc
+++ b/libs/serving/tests/stream_end_authority_test.cc
@@ -103,6 +103,36 @@
       fleet.ReportAll();
       CHECK(fleet.At("b").whole == 1);
     }
+    // Guards against belief that falls to what was verified last, since the
+    // coordinator forgets sooner than daemons whose streams go on.
+    SUBCASE("also if the coordinator has forgotten it") {
+      fleet.now += Streams::kMemory / 2;
+      fleet.daemons["a"].OnMarked(kWriter, fleet.now);
+      fleet.now += Streams::kMemory / 2;
+      fleet.daemons["a"].OnMarked(kWriter, fleet.now);
+      fleet.daemons["e"];
+      fleet.Report("e");
+      CHECK(fleet.At("e").whole == 0);
+      fleet.SeeWhole("a", 1);
+      fleet.ReportAll();
+      fleet.ReportAll();
+      CHECK(fleet.At("a").whole == 3 * (Streams::kMinWhole / 2) + 1);
+      CHECK(fleet.IsBelieved("b"));
+    }
+    // Guards against a cut that counts as known, as another daemon saw one.
+    SUBCASE("until one sees a cut that was away for long") {
+      fleet.daemons["a"].OnCut(kWriter, fleet.now);
+      fleet.ReportAll();
+      fleet.ReportAll();
+      fleet.SeeWhole("a", 2 * Streams::kMinWholeAfterCut);
+      fleet.Report("a");
+      CHECK(fleet.IsBelieved("a"));
+      Streams away;
+      away.OnCut(kWriter, fleet.now);
+      fleet.authority.OnReport("d", away.Report(fleet.now), fleet.now);
+      fleet.ReportAll();
+      CHECK_FALSE(fleet.IsBelieved("a"));
+    }
     SUBCASE("until one of them sees a cut") {
       fleet.daemons["b"].OnCut(kWriter, fleet.now);
       CHECK(fleet.IsBelieved("a"));
