--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -202,7 +202,7 @@
   const auto self = shared_from_this();
   const bool may_be_stopped = end == HttpCallEnd::kComplete &&
                               attempt.EndsWithConnection() &&
-                              attempt.number() == ordered_attempt_;
+                              IsOrderedToStop(attempt);
   if (move_ && move_->attempt == attempt.number()) {
     // Moving a request ends its stream; the response to the move decides
     // whether this is a failure.
@@ -219,7 +219,9 @@
   const auto now = MonotonicNow();
   const auto removed = attempts_.Remove(attempt.number());
   if (!removed) return;
-  const auto attempt_end = attempt.DescribeEnd(end, answer_started_, events_);
+  const bool is_second_end = unverified_end_ && unverified_end_->is_alive;
+  const auto attempt_end =
+      attempt.DescribeEnd(end, answer_started_, events_, is_second_end);
   const bool seems_complete = end == HttpCallEnd::kComplete &&
                               attempt_end.credibility != EndCredibility::kShown;
   doubt_ = seems_complete ? attempt.DoubtOfEnd() : EndDoubt::kNone;
@@ -358,6 +360,7 @@
   const auto now = MonotonicNow();
   timer_.stop();
   stall_timer_.stop();
+  context_->end_waiters.erase(this);
   flow_.End();
   move_.reset();
   LogRequest(code, outcome, now);
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -48,6 +48,8 @@
   void OnUpstreamEnding(const std::string& upstream, TimePoint ends_at,
                         std::int64_t tokens_per_event);
 
+  /// More is known of ends like the one that is awaited.
+  void OnEndEvidence();
   [[nodiscard]] const std::string& service() const { return service_; }
   /// Whether the request waits for a slot of a brittle upstream.
   [[nodiscard]] bool IsWaitingForSlot() const {
@@ -166,6 +168,10 @@
   void OnEvents(const UpstreamAttempt& attempt,
                 const NewEvents& events) override;
   void OnEnd(const UpstreamAttempt& attempt, HttpCallEnd end) override;
+  [[nodiscard]] bool IsOrderedToStop(
+      const UpstreamAttempt& attempt) const override {
+    return attempt.number() == ordered_attempt_;
+  }
   void HandleEnd(const UpstreamAttempt& attempt, HttpCallEnd end);
   /// What decisions on attempts depend on.
   [[nodiscard]] AttemptRace::Conditions MakeConditions() const;
@@ -243,9 +249,6 @@
   /// Leaves the stream open until its end is believed or doubted, for a second
   /// at most; it is then broken off for `code`.
   void AwaitEnd(ResultCode code);
-  void AddEndWaiter();
-  /// More is known of ends like that of the stream.
-  void OnEndEvidence();
   void EndWait();
   void ForwardEvents(const NewEvents& events, TimePoint now);
   /// Pauses the upstreams of a caller that takes the stream more slowly than
--- a/libs/gateway/src/details/exchange_delegation.cc
+++ b/libs/gateway/src/details/exchange_delegation.cc
@@ -217,7 +217,8 @@
 void Exchange::FinishDelegatedStream(int number) {
   if (!attempts_.FindDelegated(number)->head) return OnDelegationBroken(number);
   AdoptDelegation(number);
-  OnNothingMore(MonotonicNow());
+  // The peer, which was asked what follows, has counted it.
+  unverified_end_.reset();
   FinishStream(StreamEndBasis::kOtherDaemon);
 }
 
--- a/libs/gateway/src/details/exchange_end.cc
+++ b/libs/gateway/src/details/exchange_end.cc
@@ -39,8 +39,11 @@
 
 void Exchange::OnNothingMore(TimePoint now) {
   if (!unverified_end_) return;
-  context_->ObserveStreamEnd(&CloseDelimitedStreams::OnWhole,
-                             unverified_end_->writer, now);
+  // Nothing is learned of a close that no process stood by.
+  if (unverified_end_->is_alive) {
+    context_->ObserveStreamEnd(&CloseDelimitedStreams::OnWhole,
+                               unverified_end_->writer, now);
+  }
   unverified_end_.reset();
 }
 
@@ -85,8 +88,9 @@
 }
 
 bool Exchange::MayAwaitEnd() {
-  return may_await_end_ && unverified_end_ && unverified_end_->is_alive &&
-         !attempts_.HasBegunEvent() &&
+  const bool is_idle = race_.in_flight() == 0 && !attempts_.AnyDelegated();
+  return may_await_end_ && is_idle && unverified_end_ &&
+         unverified_end_->is_alive &&
          DoubtOfWriter() == EndDoubt::kFewVerified &&
          !context_->close_delimited_streams->TakeReturn(unverified_end_->writer,
                                                         MonotonicNow());
@@ -96,7 +100,7 @@
   may_await_end_ = false;
   awaited_end_ = code;
   context_->stream_ends.CountAwaited();
-  AddEndWaiter();
+  context_->end_waiters[this] = weak_from_this();
   if (context_->on_grant_needed) context_->on_grant_needed();
   QTimer::singleShot(kLongestEndWait, &timer_, [this] {
     const auto self = shared_from_this();
@@ -104,20 +108,14 @@
   });
 }
 
-void Exchange::AddEndWaiter() {
-  context_->end_waiters.Add([weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->OnEndEvidence();
-  });
-}
-
 void Exchange::OnEndEvidence() {
-  if (finished_ || !awaited_end_) return;
-  if (DoubtOfWriter() == EndDoubt::kFewVerified) return AddEndWaiter();
-  EndWait();
+  const auto self = shared_from_this();
+  if (awaited_end_ && DoubtOfWriter() != EndDoubt::kFewVerified) EndWait();
 }
 
 void Exchange::EndWait() {
-  if (finished_ || !awaited_end_) return;
+  context_->end_waiters.erase(this);
+  if (finished_ || !awaited_end_ || !unverified_end_) return;
   const auto code = *std::exchange(awaited_end_, std::nullopt);
   if (DoubtOfWriter() != EndDoubt::kNone) {
     context_->close_delimited_streams->ForgetReturns(unverified_end_->writer);
--- a/libs/gateway/src/details/gateway_context.cc
+++ b/libs/gateway/src/details/gateway_context.cc
@@ -86,7 +86,15 @@
 void GatewayContext::ResumeEndWaiters() {
   // Later, since the request that learned it is still being decided on.
   QMetaObject::invokeMethod(
-      &event_context, [this] { end_waiters.ResumeAll(); },
+      &event_context,
+      [this] {
+        const auto waiters = end_waiters;
+        for (const auto& entry : waiters) {
+          if (const auto exchange = entry.second.lock()) {
+            exchange->OnEndEvidence();
+          }
+        }
+      },
       Qt::QueuedConnection);
 }
 
--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -102,7 +102,7 @@
   /// Requests that wait for the coordinator's grant, of a quota or of permits.
   GrantWaitList grant_waiters;
   /// Streams whose end waits for what others show.
-  GrantWaitList end_waiters;
+  std::map<const Exchange*, std::weak_ptr<Exchange>> end_waiters;
   RetrySchedule retry_schedule;
   UpstreamLimitCounters limit_counters;
   SlotCounters slot_counters;
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -133,7 +133,7 @@
 
 void UpstreamAttempt::ObserveCut(HttpCallEnd end) const {
   // One that leaves may exit amid a response.
-  if (IsLeaving()) return;
+  if (IsLeaving() || owner_->IsOrderedToStop(*this)) return;
   const auto observe = end == HttpCallEnd::kComplete
                            ? &CloseDelimitedStreams::OnCut
                            : &CloseDelimitedStreams::OnReset;
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -56,6 +56,10 @@
     virtual void OnEvents(const UpstreamAttempt& attempt,
                           const NewEvents& events) = 0;
     virtual void OnEnd(const UpstreamAttempt& attempt, HttpCallEnd end) = 0;
+    /// Whether the upstream was ordered to stop the attempt, so that its close
+    /// says nothing of how it ends others.
+    [[nodiscard]] virtual bool IsOrderedToStop(
+        const UpstreamAttempt& attempt) const = 0;
   };
   struct Plan {
     UpstreamEntry upstream;
@@ -163,8 +167,11 @@
   [[nodiscard]] bool IsSilentFor(Duration time, TimePoint now) const;
 
   /// `forwarded_events`: of the whole response, by all attempts.
+  /// `is_second_end`: the attempt before was closed in order behind the same
+  /// event, by an upstream that runs.
   [[nodiscard]] AttemptEnd DescribeEnd(HttpCallEnd end, bool answer_started,
-                                       std::size_t forwarded_events) const;
+                                       std::size_t forwarded_events,
+                                       bool is_second_end) const;
   [[nodiscard]] UpstreamOutcome OutcomeFor(const AttemptEnd& end) const;
   /// Whether the upstream had no room for the request.
   [[nodiscard]] bool WasRejected(const AttemptEnd& end) const;
@@ -198,7 +205,7 @@
   /// Records that a stream which only its close ends was cut, if its upstream
   /// runs.
   void ObserveCut(HttpCallEnd end) const;
-  [[nodiscard]] EndCredibility JudgeEnd() const;
+  [[nodiscard]] EndCredibility JudgeEnd(bool is_second_end) const;
   bool MaySend();
   [[nodiscard]] bool IsLeaving() const;
   /// Whether the request may be sent under the rate limit of the upstream,
--- a/libs/gateway/src/details/upstream_attempt_end.cc
+++ b/libs/gateway/src/details/upstream_attempt_end.cc
@@ -5,7 +5,8 @@
 namespace firmoor::details {
 
 AttemptEnd UpstreamAttempt::DescribeEnd(HttpCallEnd end, bool answer_started,
-                                        std::size_t forwarded_events) const {
+                                        std::size_t forwarded_events,
+                                        bool is_second_end) const {
   AttemptEnd described;
   described.end = is_mismatched_ ? HttpCallEnd::kMalformed : end;
   described.may_have_been_sent = MayHaveBeenSent();
@@ -22,11 +23,11 @@
       !is_event_stream_ || !(relay_.HasPartialEvent() || may_be_cut);
   const bool seems_complete =
       end == HttpCallEnd::kComplete && described.stream_complete;
-  if (seems_complete) described.credibility = JudgeEnd();
+  if (seems_complete) described.credibility = JudgeEnd(is_second_end);
   return described;
 }
 
-EndCredibility UpstreamAttempt::JudgeEnd() const {
+EndCredibility UpstreamAttempt::JudgeEnd(bool is_second_end) const {
   // A collected response is passed on as the platform's contract has it: its
   // request may have run, and nothing else tells what it returned.
   const bool needs_mark =
@@ -44,7 +45,7 @@
                             credibility == EndCredibility::kDue;
     return is_trusted && IsLeaving() ? EndCredibility::kUnproven : credibility;
   }
-  return streams.JudgeEmpty(writer(), now);
+  return streams.JudgeEmpty(writer(), is_second_end, now);
 }
 
 CloseDelimitedStreams::Evidence UpstreamAttempt::EvidenceOfEnd() const {
@@ -57,9 +58,7 @@
   if (state_at_end_ != UpstreamState::kRuns) return EndDoubt::kNoProcess;
   const auto evidence = EvidenceOfEnd();
   const auto doubt = CloseDelimitedStreams::DoubtOf(evidence);
-  if (HasNothingMore() && evidence.marks_ends && doubt != EndDoubt::kNone) {
-    return EndDoubt::kEmpty;
-  }
+  if (HasNothingMore() && evidence.marks_ends) return EndDoubt::kEmpty;
   return doubt == EndDoubt::kNone && IsLeaving() ? EndDoubt::kLeaving : doubt;
 }
 
--- a/libs/gateway/tests/gateway_stream_end_wait_test.cc
+++ b/libs/gateway/tests/gateway_stream_end_wait_test.cc
@@ -62,6 +62,19 @@
     CHECK(caller->WaitClosed(500));
     CHECK(caller->Received().find(kEnd) == std::string::npos);
   }
+  SUBCASE("is broken off at once if the daemon stops") {
+    fixture.gateway.EndRequests();
+    CHECK(caller->WaitClosed(500));
+    CHECK(caller->Received().find(kEnd) == std::string::npos);
+    CHECK(fixture.gateway.ActiveRequestCount() == 0);
+  }
+  SUBCASE("is forgotten if its caller leaves") {
+    caller.reset();
+    CHECK(WaitUntil([&] { return fixture.gateway.ActiveRequestCount() == 0; }));
+    for (std::uint32_t i = 0; i < CloseDelimitedStreams::kMinWhole; ++i) {
+      verify();
+    }
+  }
   SUBCASE("is broken off if nothing is learned") {
     CHECK(caller->WaitClosed(2'000));
     CHECK(caller->Received().find(kEnd) == std::string::npos);
--- a/libs/serving/include/serving/close_delimited_streams.h
+++ b/libs/serving/include/serving/close_delimited_streams.h
@@ -67,13 +67,13 @@
   /// known. An orderly close is its own statement that a stream is complete, so
   /// few are needed; further ones are verified if another attempt may start.
   static constexpr std::uint32_t kMinWhole = 4;
-  /// The same, doubled for each cut, of software whose streams break off, and
+  /// The same, doubled for each cut, of software whose streams were cut, and
   /// those after which ends are verified by sample: with none of 32 cut, fewer
   /// than one of ten is, at 95 %.
-  static constexpr std::uint32_t kMinWholeIfBroken = 32;
+  static constexpr std::uint32_t kMinWholeAfterCut = 32;
   /// Bounds of what is counted.
   static constexpr std::uint32_t kMaxCuts = 8;
-  static constexpr std::uint32_t kMaxWhole = kMinWholeIfBroken << kMaxCuts;
+  static constexpr std::uint32_t kMaxWhole = kMinWholeAfterCut << kMaxCuts;
   /// Observations that are not renewed are forgotten after this time.
   static constexpr Duration kMemory{10 * 60 * 1'000};
   /// One of this many believed ends is due to be verified.
@@ -95,7 +95,10 @@
   /// Judges a stream that should go on behind an event, and was closed in order
   /// before the next one. It shows that the first response was complete, unless
   /// the software marks such ends: a cut before the first event looks alike.
+  /// `is_second_end`: the first response was closed in order as well, by an
+  /// upstream that runs.
   [[nodiscard]] EndCredibility JudgeEmpty(const Writer& writer,
+                                          bool is_second_end,
                                           TimePoint now) const;
 
   /// Whether the caller of a stream whose end is not known well enough is to
--- a/libs/serving/src/close_delimited_streams.cc
+++ b/libs/serving/src/close_delimited_streams.cc
@@ -49,9 +49,8 @@
     evidence.whole =
         static_cast<std::uint32_t>(std::min<std::uint64_t>(whole, kMaxWhole));
   }
-  const bool is_broken = evidence.cuts > 0 || evidence.was_reset;
   evidence.required =
-      is_broken ? kMinWholeIfBroken << evidence.cuts : kMinWhole;
+      evidence.cuts > 0 ? kMinWholeAfterCut << evidence.cuts : kMinWhole;
   return evidence;
 }
 
@@ -168,7 +167,7 @@
   const auto evidence = EvidenceOf(writer, now);
   if (evidence.whole >= evidence.required) {
     auto& record = Observe(writer, now);
-    const bool is_sampled = evidence.whole >= kMinWholeIfBroken;
+    const bool is_sampled = evidence.whole >= kMinWholeAfterCut;
     if (is_sampled && ++record.believed < kDuePeriod) {
       return EndCredibility::kTrusted;
     }
@@ -180,11 +179,13 @@
 }
 
 EndCredibility CloseDelimitedStreams::JudgeEmpty(const Writer& writer,
+                                                 bool is_second_end,
                                                  TimePoint now) const {
   const auto evidence = EvidenceOf(writer, now);
-  const bool may_be_cut =
-      evidence.marks_ends && evidence.whole < evidence.required;
-  return may_be_cut ? EndCredibility::kSuspicious : EndCredibility::kShown;
+  const bool is_believed =
+      is_second_end && DoubtOf(evidence) == EndDoubt::kNone;
+  return evidence.marks_ends && !is_believed ? EndCredibility::kSuspicious
+                                             : EndCredibility::kShown;
 }
 
 }  // namespace firmoor
