Name the doubt of a stream whose upstream was found gone

The end of such an attempt is called truncated, so that answer-cut and firmoor_stream_end_doubts_total had "none" for it (by reading of a review): only the line unmarked-end told the reason. It is no-process now. A wait whose end is gone is passed over before anything is read of it; no sequence is known that leads there. Decisions are as before.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -224,7 +224,8 @@
       attempt.DescribeEnd(end, answer_started_, events_, is_second_end);
   const bool seems_complete = end == HttpCallEnd::kComplete &&
                               attempt_end.credibility != EndCredibility::kShown;
-  doubt_ = seems_complete ? attempt.DoubtOfEnd() : EndDoubt::kNone;
+  const bool is_doubted = seems_complete || attempt.WasFoundGone();
+  doubt_ = is_doubted ? attempt.DoubtOfEnd() : EndDoubt::kNone;
   removed->Release(attempt.OutcomeFor(attempt_end),
                    attempt.WasRejected(attempt_end), now);
   if (attempt.RecordEvidence(attempt_end, suspects_)) ++crashed_attempts_;
--- a/libs/gateway/src/details/exchange_end.cc
+++ b/libs/gateway/src/details/exchange_end.cc
@@ -110,7 +110,8 @@
 
 void Exchange::OnEndEvidence() {
   const auto self = shared_from_this();
-  if (awaited_end_ && DoubtOfWriter() != EndDoubt::kFewVerified) EndWait();
+  const bool is_awaited = awaited_end_ && unverified_end_;
+  if (is_awaited && DoubtOfWriter() != EndDoubt::kFewVerified) EndWait();
 }
 
 void Exchange::EndWait() {
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -129,6 +129,10 @@
     return !EndsWithConnection() ||
            (state_at_end_ == UpstreamState::kRuns && !IsLeaving());
   }
+  /// Whether its upstream was gone when it was asked behind the close.
+  [[nodiscard]] bool WasFoundGone() const {
+    return state_at_end_ == UpstreamState::kGone;
+  }
   /// Why the end of the response is not believed, for logs and metrics.
   [[nodiscard]] EndDoubt DoubtOfEnd() const;
   /// What is known of ends like that of the response.
