--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -25,15 +25,26 @@
       std::chrono::duration<double>(seconds));
 }
 
+/// The same in microseconds, to tell what follows within a millisecond.
+using PreciseDuration = std::chrono::microseconds;
+using PreciseTimePoint =
+    std::chrono::time_point<std::chrono::steady_clock, PreciseDuration>;
+
 /// Reads CLOCK_BOOTTIME, because leases and the ages of cached state must
 /// advance while the VM is suspended. Called by adapters only; decision modules
 /// get the time as an argument.
-inline TimePoint MonotonicNow() {
+inline PreciseTimePoint PreciseNow() {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
   const auto since_boot =
       std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
-  return TimePoint(std::chrono::duration_cast<Duration>(since_boot));
+  return PreciseTimePoint(
+      std::chrono::duration_cast<PreciseDuration>(since_boot));
+}
+
+/// The same in milliseconds.
+inline TimePoint MonotonicNow() {
+  return std::chrono::time_point_cast<Duration>(PreciseNow());
 }
 
 /// Milliseconds since the Unix epoch, for records that outlive a process.
--- a/libs/http/include/http/http_call.h
+++ b/libs/http/include/http/http_call.h
@@ -64,6 +64,7 @@
 
  private:
   friend class HttpCall;
+  friend class ReservedConnection;
   std::unique_ptr<Impl> impl_;
 };
 
