Tell the end of a stream from the exit of an upstream that leaves

Callers got all events and then a reset, 4 of 12 at a daemon that was told to stop.

Cause: behind such a close the upstream is asked for its report. A refused connection was taken for the exit of its process, but says only that nobody listens. The end was suspicious, and a stream that nobody may resume was broken off; one of an upstream that had only removed its entry always was.

Evidence: of the streams that broke off, unmarked-end has probe "gone" and leaving true, attempt-failed has end complete, credibility "suspicious", doubt "no-process", next "fail". Ruled out: the stop itself (also without a SIGTERM) and software that is not known yet (doubt "few-verified").

Now ProcessLiveness decides who closed the connection, by what a process cannot do once it has exited: another stream of the instance goes on, or a connection that was held in reserve is answered on or stays open. Streams that end together, some of them between two events, are an exit. Where nothing of this tells, an end right behind an event counts if the reserve outlived it a little, or if upstreams of the software were seen to end streams as they left and none exited amid them. Belief in each close of one that leaves would end all streams early that an exit cuts. closed_by of unmarked-end, the line upstream-reserve and the metric firmoor_departure_closes_total tell which it was.

--- a/libs/gateway/src/details/gateway_context.h
+++ b/libs/gateway/src/details/gateway_context.h
@@ -19,6 +19,7 @@
 #include "details/stream_ends.h"
 #include "details/stream_versions.h"
 #include "details/upstream_capacity_record.h"
+#include "details/upstream_watch.h"
 #include "gateway/gateway.h"
 #include "gateway/request_admission.h"
 #include "http/body_budget.h"
@@ -109,6 +110,7 @@
   DurationRatios time_ratios;
   BesideCounters beside_counters;
   StreamEndCounters stream_ends;
+  UpstreamWatches watches;
   std::shared_ptr<CloseDelimitedStreams> close_delimited_streams =
       std::make_shared<CloseDelimitedStreams>();
   /// Requests that wait for a slot of a brittle upstream, by service; may hold
--- a/libs/gateway/src/details/stream_ends.h
+++ b/libs/gateway/src/details/stream_ends.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "serving/close_delimited_streams.h"
+#include "serving/process_liveness.h"
 
 namespace firmoor::details {
 
@@ -37,6 +38,8 @@
   void Count(StreamEndForm form, StreamEndBasis basis);
   /// Counts a stream that was broken off since its end was not believed.
   void CountDoubt(EndDoubt doubt);
+  /// Counts a close by an upstream that leaves and could not be asked.
+  void CountClose(CloseOrigin origin);
   /// Counts a stream whose end waits for what others show.
   void CountAwaited() { ++awaited_; }
   /// Prometheus text.
@@ -50,6 +53,8 @@
 
   std::array<std::array<std::uint64_t, kBases>, kForms> counts_{};
   std::array<std::uint64_t, kDoubts> doubts_{};
+  static constexpr std::size_t kOrigins = 7;
+  std::array<std::uint64_t, kOrigins> closes_{};
   std::uint64_t awaited_ = 0;
 };
 
--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -125,6 +125,7 @@
   if (is_unverified) return ProbeUpstream();
   const bool has_ended =
       end == HttpCallEnd::kComplete || end == HttpCallEnd::kTruncated;
+  if (watch_ && has_ended && !end_) watch_->OnClosed(false, PreciseNow());
   const bool is_cut =
       has_ended && !end_ && is_event_stream_ && EndsWithConnection();
   if (is_cut) ObserveCut(end);
@@ -133,7 +134,7 @@
 
 void UpstreamAttempt::ObserveCut(HttpCallEnd end) const {
   // One that leaves may exit amid a response.
-  if (IsLeaving() || owner_->IsOrderedToStop(*this)) return;
+  if (IsDeparting() || owner_->IsOrderedToStop(*this)) return;
   const auto observe = end == HttpCallEnd::kComplete
                            ? &CloseDelimitedStreams::OnCut
                            : &CloseDelimitedStreams::OnReset;
@@ -146,14 +147,13 @@
 }
 
 void UpstreamAttempt::ProbeUpstream() {
+  const auto now = PreciseNow();
+  // A close that was ordered tells nothing of other closes.
+  if (owner_->IsOrderedToStop(*this)) watch_.reset();
+  if (watch_) watch_->OnClosed(rhythm_.IsRightBehindEvent(now), now);
   const auto done = [this, weak = std::weak_ptr(alive_),
-                     closed_at = MonotonicNow()](UpstreamState state) {
-    if (weak.expired()) return;
-    state_at_end_ = state;
-    LogUnmarkedEnd(MonotonicNow() - closed_at);
-    // One that leaves may exit behind its last response.
-    const bool has_died = state == UpstreamState::kGone && !IsLeaving();
-    End(has_died ? HttpCallEnd::kTruncated : HttpCallEnd::kComplete);
+                     now](UpstreamState state) {
+    if (!weak.expired()) OnProbed(state, now);
   };
   const auto& upstream = plan_.upstream;
   if (is_event_stream_) {
@@ -166,16 +166,57 @@
   }
 }
 
-void UpstreamAttempt::LogUnmarkedEnd(Duration probe_time) const {
+void UpstreamAttempt::OnProbed(UpstreamState state,
+                               PreciseTimePoint closed_at) {
+  state_at_end_ = state;
+  if (state == UpstreamState::kRuns && watch_) watch_->OnAnswer(closed_at);
+  if (!watch_ || !IsDeparting()) return EndUnmarked(closed_at);
+  if (state == UpstreamState::kRuns) {
+    return OnDeparture(CloseOrigin::kProcess, closed_at);
+  }
+  // One that leaves has closed its listener, whether or not it still runs.
+  watch_->Decide([this, closed_at](CloseOrigin origin) {
+    OnDeparture(origin, closed_at);
+  });
+}
+
+void UpstreamAttempt::OnDeparture(CloseOrigin origin,
+                                  PreciseTimePoint closed_at) {
+  close_origin_ = origin;
+  context_->stream_ends.CountClose(origin);
+  context_->close_delimited_streams->OnDeparture(writer(), origin,
+                                                 MonotonicNow());
+  EndUnmarked(closed_at);
+}
+
+void UpstreamAttempt::EndUnmarked(PreciseTimePoint closed_at) {
+  LogUnmarkedEnd(closed_at);
+  // One that leaves may exit behind its last response. Without other evidence,
+  // only one that has announced it counts.
+  const bool may_have_left = watch_ ? IsDeparting() : IsLeaving();
+  const bool has_died = WasFoundGone() && !may_have_left;
+  End(has_died ? HttpCallEnd::kTruncated : HttpCallEnd::kComplete);
+}
+
+void UpstreamAttempt::LogUnmarkedEnd(PreciseTimePoint closed_at) const {
+  const auto milliseconds = [](PreciseDuration time) {
+    return static_cast<double>(time.count()) / 1'000;
+  };
   context_->environment.log->Write(
-      "unmarked-end", {{"request", Text(request_.id)},
-                       {"upstream", Text(plan_.upstream.id)},
-                       {"born_ms", static_cast<qint64>(plan_.upstream.born_ms)},
-                       {"probe", Text(NameOf(state_at_end_))},
-                       {"probe_ms", static_cast<qint64>(probe_time.count())},
-                       {"leaving", IsLeaving()},
-                       {"stream", is_event_stream_},
-                       {"events", static_cast<qint64>(relay_.events())}});
+      "unmarked-end",
+      {{"request", Text(request_.id)},
+       {"upstream", Text(plan_.upstream.id)},
+       {"born_ms", static_cast<qint64>(plan_.upstream.born_ms)},
+       {"probe", Text(NameOf(state_at_end_))},
+       {"probe_ms", milliseconds(PreciseNow() - closed_at)},
+       {"leaving", IsDeparting()},
+       {"closed_by", Text(NameOf(close_origin_))},
+       {"silent_ms", milliseconds(rhythm_.SilenceAt(closed_at))},
+       {"gap_ms", milliseconds(rhythm_.MeanGap().value_or(PreciseDuration(0)))},
+       {"open_streams",
+        watch_ ? static_cast<qint64>(watch_->watch().open_streams()) : 0},
+       {"stream", is_event_stream_},
+       {"events", static_cast<qint64>(relay_.events())}});
 }
 
 void UpstreamAttempt::End(HttpCallEnd end) {
@@ -195,7 +236,11 @@
   if (end_ || is_paused_ == paused) return;
   is_paused_ = paused;
   // Silence counts from the moment at which the upstream is read again.
-  if (!paused) last_byte_at_ = MonotonicNow();
+  if (!paused) {
+    last_byte_at_ = MonotonicNow();
+    rhythm_.OnResumed(PreciseNow());
+  }
+  if (watch_) watch_->OnPaused();
   call_->SetPaused(paused);
 }
 
@@ -266,6 +311,12 @@
   return entry != nullptr && entry->leaving;
 }
 
+bool UpstreamAttempt::IsDeparting() const {
+  const auto* entry = context_->catalog.Find(plan_.upstream.id);
+  if (entry == nullptr) return true;
+  return entry->born_ms == plan_.upstream.born_ms && entry->leaving;
+}
+
 bool UpstreamAttempt::Counts() const {
   const auto* entry = context_->catalog.Find(plan_.upstream.id);
   return entry != nullptr && !entry->leaving;
@@ -340,6 +391,7 @@
   if (is_first && !EndsWithConnection()) {
     context_->close_delimited_streams->OnMarked(writer(), last_byte_at_);
   }
+  if (EndsWithConnection()) WatchUnmarked(events.count > 0);
   if (events.count > 0) {
     context_->picker.OnFirstEvent(&ticket_, last_byte_at_);
     RecordFirstPart(last_byte_at_);
@@ -348,6 +400,18 @@
   owner_->OnEvents(*this, events);
 }
 
+void UpstreamAttempt::WatchUnmarked(bool has_events) {
+  if (!watch_) {
+    watch_ = context_->watches.Add(context_, plan_.upstream, sent_at_);
+  }
+  if (has_events) {
+    const auto now = PreciseNow();
+    rhythm_.OnEvent(now);
+    watch_->OnEvent(now);
+  }
+  if (IsDeparting()) watch_->watch().Reserve(last_byte_at_);
+}
+
 void UpstreamAttempt::Collect(std::string_view bytes) {
   body_ += bytes;
   unshared_bytes_ += bytes.size();
--- a/libs/gateway/src/details/upstream_attempt.h
+++ b/libs/gateway/src/details/upstream_attempt.h
@@ -11,6 +11,7 @@
 
 #include "details/gateway_context.h"
 #include "details/upstream_probe.h"
+#include "details/upstream_watch.h"
 #include "gateway/event_relay.h"
 #include "quarantine/suspect.h"
 #include "serving/attempt_policy.h"
@@ -126,12 +127,16 @@
   /// Whether the end of the response is marked, or its upstream is known to run
   /// and to stay.
   [[nodiscard]] bool IsEndCredible() const {
-    return !EndsWithConnection() ||
-           (state_at_end_ == UpstreamState::kRuns && !IsLeaving());
+    return !EndsWithConnection() || (RanAtEnd() && !IsLeaving());
+  }
+  /// Whether the process of the upstream is known to have run behind the close.
+  [[nodiscard]] bool RanAtEnd() const {
+    return state_at_end_ == UpstreamState::kRuns ||
+           close_origin_ == CloseOrigin::kProcess;
   }
   /// Whether its upstream was gone when it was asked behind the close.
   [[nodiscard]] bool WasFoundGone() const {
-    return state_at_end_ == UpstreamState::kGone;
+    return state_at_end_ == UpstreamState::kGone && !RanAtEnd();
   }
   /// Why the end of the response is not believed, for logs and metrics.
   [[nodiscard]] EndDoubt DoubtOfEnd() const;
@@ -204,14 +209,26 @@
   /// Asks the upstream whose response ended with its connection whether it
   /// runs, before the attempt ends.
   void ProbeUpstream();
-  /// Tells what the probe found out about a response without a marked end.
-  void LogUnmarkedEnd(Duration probe_time) const;
+  /// Ends a response that its close ended, and whose upstream is now in
+  /// `state`.
+  void OnProbed(UpstreamState state, PreciseTimePoint closed_at);
+  /// Its upstream leaves; `origin` tells who closed the connection.
+  void OnDeparture(CloseOrigin origin, PreciseTimePoint closed_at);
+  /// The same, once it is known what the close shows.
+  void EndUnmarked(PreciseTimePoint closed_at);
+  /// Tells what is known of a response without a marked end.
+  void LogUnmarkedEnd(PreciseTimePoint closed_at) const;
+  /// Lets the events of a stream without a marked end tell whether its upstream
+  /// runs.
+  void WatchUnmarked(bool has_events);
   /// Records that a stream which only its close ends was cut, if its upstream
   /// runs.
   void ObserveCut(HttpCallEnd end) const;
   [[nodiscard]] EndCredibility JudgeEnd(bool is_second_end) const;
   bool MaySend();
   [[nodiscard]] bool IsLeaving() const;
+  /// Whether the instance leaves, or is no longer registered.
+  [[nodiscard]] bool IsDeparting() const;
   /// Whether the request may be sent under the rate limit of the upstream,
   /// which may have become known after it was chosen.
   bool EnsurePermit();
@@ -242,8 +259,14 @@
   bool is_paused_ = false;
   std::optional<TimePoint> first_part_at_;
   bool gap_recorded_ = false;
-  /// Of the upstream, if the response has ended with its connection.
+  /// Of the upstream when it was asked, if the response has ended with its
+  /// connection.
   UpstreamState state_at_end_ = UpstreamState::kUnknown;
+  /// Of a stream whose upstream leaves.
+  CloseOrigin close_origin_ = CloseOrigin::kUndecided;
+  EventRhythm rhythm_;  ///< Of a stream without a marked end.
+  /// Of a stream without a marked end, from its first bytes on.
+  std::unique_ptr<UpstreamWatch::Stream> watch_;
   bool is_mismatched_ = false;  ///< The response is to another request.
   /// Not sent, since the key or the upstream was no longer usable.
   bool send_cancelled_ = false;
--- a/libs/gateway/src/details/upstream_attempt_end.cc
+++ b/libs/gateway/src/details/upstream_attempt_end.cc
@@ -36,9 +36,9 @@
   const auto now = MonotonicNow();
   auto& streams = *context_->close_delimited_streams;
   if (!HasNothingMore()) {
-    // No process stands by the end: it may have exited amid the stream.
-    if (state_at_end_ != UpstreamState::kRuns) {
-      return EndCredibility::kSuspicious;
+    if (!RanAtEnd()) {
+      // No process stands by the end: it may have exited amid the stream.
+      return streams.JudgeUnattended(writer(), close_origin_, now);
     }
     const auto credibility = streams.Judge(writer(), now);
     const bool is_trusted = credibility == EndCredibility::kTrusted ||
@@ -55,7 +55,7 @@
 
 EndDoubt UpstreamAttempt::DoubtOfEnd() const {
   if (!is_event_stream_ || !EndsWithConnection()) return EndDoubt::kNone;
-  if (state_at_end_ != UpstreamState::kRuns) return EndDoubt::kNoProcess;
+  if (!RanAtEnd()) return EndDoubt::kNoProcess;
   const auto evidence = EvidenceOfEnd();
   const auto doubt = CloseDelimitedStreams::DoubtOf(evidence);
   if (HasNothingMore() && evidence.marks_ends) return EndDoubt::kEmpty;
@@ -95,8 +95,8 @@
   if (!ran) return false;
   const bool is_complete = end.end == HttpCallEnd::kComplete;
   // One that runs after its close has not crashed.
-  const bool may_be_cut = is_complete && call_->IsDelimitedByClose() &&
-                          state_at_end_ != UpstreamState::kRuns;
+  const bool may_be_cut =
+      is_complete && call_->IsDelimitedByClose() && !RanAtEnd();
   if (is_complete && !may_be_cut) {
     context_->quarantine.OnResponse(plan_.upstream);
     const bool succeeded = head_->IsSuccess() && end.stream_complete;
--- a/libs/serving/include/serving/close_delimited_streams.h
+++ b/libs/serving/include/serving/close_delimited_streams.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "serving/process_liveness.h"
 #include "serving/stream_end_messages.h"
 
 namespace firmoor {
@@ -87,11 +88,18 @@
   void OnWhole(const Writer& writer, TimePoint now);
   /// Events are missing behind a close although the upstream runs.
   void OnCut(const Writer& writer, TimePoint now);
+  /// An upstream that leaves closed a stream, as `origin` tells. Whether its
+  /// process waits for streams before it exits is known of this daemon only.
+  void OnDeparture(const Writer& writer, CloseOrigin origin, TimePoint now);
   /// A stream was reset although the upstream runs, perhaps by the network. A
   /// reset says itself that the stream is incomplete, and nothing of a close.
   void OnReset(const Writer& writer, TimePoint now);
   /// Judges a stream whose connection was closed in order between two events.
   [[nodiscard]] EndCredibility Judge(const Writer& writer, TimePoint now);
+  /// Judges a stream that was closed in order by a process that is gone.
+  [[nodiscard]] EndCredibility JudgeUnattended(const Writer& writer,
+                                               CloseOrigin origin,
+                                               TimePoint now) const;
   /// Judges a stream that should go on behind an event, and was closed in order
   /// before the next one. It shows that the first response was complete, unless
   /// the software marks such ends: a cut before the first event looks alike.
@@ -133,6 +141,11 @@
     bool has_marked = false;
     TimePoint reset_at{};
     bool has_reset = false;
+    /// Streams that processes closed as they left, since one exited amid them.
+    std::uint32_t ended_by_leaving = 0;
+    TimePoint ended_by_leaving_at{};
+    TimePoint exited_at{};
+    bool has_exited = false;
     TimePoint observed_at{};
   };
 
--- a/libs/serving/src/close_delimited_streams.cc
+++ b/libs/serving/src/close_delimited_streams.cc
@@ -120,6 +120,21 @@
   record.reset_at = now;
 }
 
+void CloseDelimitedStreams::OnDeparture(const Writer& writer,
+                                        CloseOrigin origin, TimePoint now) {
+  // Says nothing of streams of upstreams that stay, and renews nothing of them.
+  auto& record = Find(writer, now);
+  if (origin == CloseOrigin::kExit) {
+    record.has_exited = true;
+    record.exited_at = now;
+    record.ended_by_leaving = 0;
+  } else if (origin == CloseOrigin::kProcess ||
+             origin == CloseOrigin::kBehindEvent) {
+    record.ended_by_leaving = std::min(record.ended_by_leaving + 1, kMinWhole);
+    record.ended_by_leaving_at = now;
+  }
+}
+
 bool CloseDelimitedStreams::TakeReturn(const Writer& writer, TimePoint now) {
   auto& record = Find(writer, now);
   const auto evidence = Assess(record, now);
@@ -178,6 +193,22 @@
                            : EndCredibility::kUnproven;
 }
 
+EndCredibility CloseDelimitedStreams::JudgeUnattended(const Writer& writer,
+                                                      CloseOrigin origin,
+                                                      TimePoint now) const {
+  const auto found = records_.find(writer);
+  const auto record = found == records_.end() ? Record{} : found->second;
+  const bool has_exited = record.has_exited && now - record.exited_at < kMemory;
+  const bool has_cuts = found != records_.end() && Assess(record, now).cuts > 0;
+  const bool ends_streams = record.ended_by_leaving >= kMinWhole &&
+                            now - record.ended_by_leaving_at < kMemory;
+  const bool is_likely =
+      origin == CloseOrigin::kBehindEvent ||
+      (origin == CloseOrigin::kEitherOne && ends_streams && !has_exited);
+  return is_likely && !has_cuts ? EndCredibility::kUnproven
+                                : EndCredibility::kSuspicious;
+}
+
 EndCredibility CloseDelimitedStreams::JudgeEmpty(const Writer& writer,
                                                  bool is_second_end,
                                                  TimePoint now) const {
--- a/libs/serving/tests/close_delimited_streams_test.cc
+++ b/libs/serving/tests/close_delimited_streams_test.cc
@@ -215,4 +215,55 @@
   CHECK(fixture.Judge() == EndCredibility::kUnproven);
 }
 
+// Guards against belief in closes by processes that exited amid their streams
+// (incident ORDER).
+TEST_CASE("the close of a stream by a process that is gone") {
+  Fixture fixture;
+  auto& streams = fixture.streams;
+  const auto judge = [&](CloseOrigin origin) {
+    return streams.JudgeUnattended(kWriter, origin, fixture.now);
+  };
+  const auto see = [&](CloseOrigin origin, std::uint32_t count) {
+    for (std::uint32_t i = 0; i < count; ++i) {
+      streams.OnDeparture(kWriter, origin, fixture.now);
+    }
+  };
+
+  SUBCASE("is believed if something outlived it") {
+    CHECK(judge(CloseOrigin::kBehindEvent) == EndCredibility::kUnproven);
+    SUBCASE("unless streams of the software were cut") {
+      streams.OnCut(kWriter, fixture.now);
+      CHECK(judge(CloseOrigin::kBehindEvent) == EndCredibility::kSuspicious);
+    }
+  }
+  SUBCASE("is not believed if it did not follow an event") {
+    see(CloseOrigin::kProcess, Streams::kMinWhole);
+    CHECK(judge(CloseOrigin::kUnclear) == EndCredibility::kSuspicious);
+    CHECK(judge(CloseOrigin::kExit) == EndCredibility::kSuspicious);
+  }
+  SUBCASE("is believed else of software that ends streams as it leaves") {
+    see(CloseOrigin::kProcess, Streams::kMinWhole - 1);
+    CHECK(judge(CloseOrigin::kEitherOne) == EndCredibility::kSuspicious);
+    see(CloseOrigin::kProcess, 1);
+    CHECK(judge(CloseOrigin::kEitherOne) == EndCredibility::kUnproven);
+    CHECK(fixture.Judge() == EndCredibility::kUnproven);
+
+    SUBCASE("until a process exits amid its streams") {
+      see(CloseOrigin::kExit, 1);
+      see(CloseOrigin::kProcess, Streams::kMinWhole);
+      CHECK(judge(CloseOrigin::kEitherOne) == EndCredibility::kSuspicious);
+      CHECK(judge(CloseOrigin::kBehindEvent) == EndCredibility::kUnproven);
+      SUBCASE("which is forgotten") {
+        fixture.now += Streams::kMemory;
+        see(CloseOrigin::kProcess, Streams::kMinWhole);
+        CHECK(judge(CloseOrigin::kEitherOne) == EndCredibility::kUnproven);
+      }
+    }
+    SUBCASE("which is forgotten") {
+      fixture.now += Streams::kMemory;
+      CHECK(judge(CloseOrigin::kEitherOne) == EndCredibility::kSuspicious);
+    }
+  }
+}
+
 }  // namespace firmoor
