Keep an attempt from being told who closed its stream once it is gone

UpstreamWatch tells all attempts whose streams it decided on in one turn. What the first does may delete another, whose callback was called nevertheless, and the watch itself while its timer or its call is on the stack. Callbacks now look whether their attempt is alive, and the watch outlives the turn. A connection that was answered on and kept counts as a reserve as well, so that its end is timed too.

--- a/libs/gateway/src/details/upstream_attempt.cc
+++ b/libs/gateway/src/details/upstream_attempt.cc
@@ -175,9 +175,10 @@
     return OnDeparture(CloseOrigin::kProcess, closed_at);
   }
   // One that leaves has closed its listener, whether or not it still runs.
-  watch_->Decide([this, closed_at](CloseOrigin origin) {
-    OnDeparture(origin, closed_at);
-  });
+  watch_->Decide(
+      [this, weak = std::weak_ptr(alive_), closed_at](CloseOrigin origin) {
+        if (!weak.expired()) OnDeparture(origin, closed_at);
+      });
 }
 
 void UpstreamAttempt::OnDeparture(CloseOrigin origin,
--- a/libs/gateway/src/details/upstream_watch.cc
+++ b/libs/gateway/src/details/upstream_watch.cc
@@ -91,27 +91,32 @@
   }
   if (undecided_.empty()) timer_.stop();
   if (is_answer_needed && !is_asking_) AskOnReserve();
-  // May delete streams.
+  if (decided.empty()) return;
+  // May delete all streams, and with them this object, whose timer or call is
+  // on the stack.
   for (const auto& [done, origin] : decided) done(origin);
+  QMetaObject::invokeMethod(
+      &context_->event_context, [self] {}, Qt::QueuedConnection);
 }
 
 void UpstreamWatch::AskOnReserve() {
   const auto now = PreciseNow();
-  const bool is_reserve = reserve_ && reserve_->MoveTo(&pool_);
+  // The pool may still hold it from the last time.
+  if (reserve_) reserve_->MoveTo(&pool_);
   reserve_.reset();
   if (!context_->TakePermit(upstream_)) return liveness_.OnNoAnswer(now);
   // The call may end before it is returned.
   is_asking_ = true;
-  call_ = HttpFetch(upstream_.endpoint,
-                    context_->environment.dialect->EncodeReportRequest(),
-                    {kAnswerTimeout, kAnswerTimeout, kAnswerTimeout}, &pool_,
-                    [this, now, is_reserve](const HttpFetchResult& result) {
-                      const auto self = shared_from_this();
-                      const auto ended = std::move(call_);
-                      is_asking_ = false;
-                      OnAnswerOnReserve(result, now, is_reserve);
-                      Update();
-                    });
+  call_ = HttpFetch(
+      upstream_.endpoint, context_->environment.dialect->EncodeReportRequest(),
+      {kAnswerTimeout, kAnswerTimeout, kAnswerTimeout}, &pool_,
+      [this, now](const HttpFetchResult& result) {
+        const auto kept = shared_from_this();
+        const auto ended = std::move(call_);
+        is_asking_ = false;
+        OnAnswerOnReserve(result, now, ended && ended->IsOnReusedConnection());
+        Update();
+      });
 }
 
 void UpstreamWatch::OnAnswerOnReserve(const HttpFetchResult& result,
