Log what the version of a resumed stream was decided by

Cause: the line stream-version tells neither how old the stream was taken to be nor the time that the caller states, which that is taken from, nor which versions were seen; the request line doesn't tell the start of the upstream that wrote, nor which daemons were told; records that don't arrive are counted only.

--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -324,6 +324,8 @@
   /// Software version that wrote the stream so far; empty before its first
   /// event.
   std::optional<std::string> version_;
+  /// Daemons that were told of it, for the log.
+  std::string record_holders_;
   std::optional<TimePoint> first_event_;
   TimePoint last_event_;
   Duration longest_pause_{0};  ///< Between two events.
--- a/libs/gateway/src/details/exchange_resume.cc
+++ b/libs/gateway/src/details/exchange_resume.cc
@@ -61,7 +61,7 @@
                              admission_.route->timeout);
   context_->stream_versions.ExtendMaxStreamTime(time);
   const auto time_left = started_at_ + time - MonotonicNow();
-  context_->stream_versions.Record(
+  record_holders_ = context_->stream_versions.Record(
       {KeyOfStream(), service_, *version_,
        std::max(time_left, Duration(0)) + kRecordMargin});
 }
--- a/libs/gateway/src/details/stream_versions.cc
+++ b/libs/gateway/src/details/stream_versions.cc
@@ -1,8 +1,10 @@
 #include "details/stream_versions.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <memory>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -18,11 +20,28 @@
 // time of a busy daemon.
 constexpr Duration kLookupTimeout{200};
 
+std::string_view NameOf(PeerStatus status) {
+  switch (status) {
+    case PeerStatus::kOk:
+      return "ok";
+    case PeerStatus::kNotSent:
+      return "not-sent";
+    case PeerStatus::kNoResponse:
+      return "no-response";
+  }
+  return "";
+}
+
+std::string Join(const std::set<std::string>& names) {
+  return fmt::format("{}", fmt::join(names, " "));
+}
+
 }  // namespace
 
 /// A question to the holders of a record, until enough have replied.
 struct StreamVersions::Lookup {
   VersionLookup state;
+  Duration stated{0};
   std::size_t pending = 0;
   Done done;  ///< Empty once it has run.
 };
@@ -50,22 +69,41 @@
   Send(book_.OnCatalog(listed, now));
 }
 
-void StreamVersions::Record(const StreamRecord& record) {
-  Send(book_.Record(record, MonotonicNow()));
+std::string StreamVersions::Record(const StreamRecord& record) {
+  const auto deliveries = book_.Record(record, MonotonicNow());
+  std::set<std::string> holders;
+  for (const auto& delivery : deliveries) {
+    holders.insert(delivery.holder.daemon);
+  }
+  Send(deliveries);
+  return Join(holders);
 }
 
 void StreamVersions::Send(const StreamVersionBook::Deliveries& deliveries) {
   if (!call_peer_) return;
-  for (const auto& [holder, batch] : deliveries) {
-    const auto count = batch.records.size();
+  for (const auto& delivery : deliveries) {
+    const auto count = delivery.batch.records.size();
     records_sent_ += count;
-    call_peer_(holder.endpoint, kRecordsKind, batch.Encode(), kRecordTimeout,
-               [this, count](PeerStatus status, const QByteArray&) {
-                 if (status != PeerStatus::kOk) records_undelivered_ += count;
+    call_peer_(delivery.holder.endpoint, kRecordsKind, delivery.batch.Encode(),
+               kRecordTimeout,
+               [this, delivery](PeerStatus status, const QByteArray&) {
+                 if (status == PeerStatus::kOk) return;
+                 records_undelivered_ += delivery.batch.records.size();
+                 LogUndelivered(delivery, status);
                });
   }
 }
 
+void StreamVersions::LogUndelivered(const RecordDelivery& delivery,
+                                    PeerStatus status) const {
+  const auto& records = delivery.batch.records;
+  log_->Write("stream-records-undelivered",
+              {{"to", Text(delivery.holder.daemon)},
+               {"status", Text(NameOf(status))},
+               {"records", static_cast<qint64>(records.size())},
+               {"first_key", Text(records.empty() ? "" : records[0].key)}});
+}
+
 void StreamVersions::StartHandOver() {
   Send(book_.StartHandOver(MonotonicNow()));
 }
@@ -75,6 +113,7 @@
   const auto lookup = std::make_shared<Lookup>();
   lookup->state =
       book_.StartLookup(key, service, time_left, SyncStoreContact());
+  lookup->stated = time_left;
   lookup->done = std::move(done);
   AskHolders(lookup);
   if (lookup->pending == 0) Finish(lookup);
@@ -122,6 +161,12 @@
   resolution.decision = book_.Decide(state, now);
   resolution.record_age = state.record_age;
   resolution.duration = now - state.started_at;
+  resolution.key = state.query.key;
+  resolution.stated = lookup->stated;
+  resolution.horizon = state.query.horizon;
+  std::set<std::string> holders;
+  for (const auto& holder : state.asked) holders.insert(holder.daemon);
+  resolution.holders = Join(holders);
   ++resolved_[resolution.decision.source];
   done(resolution);
 }
@@ -204,6 +249,18 @@
        {"replied", static_cast<qint64>(lookup.replied)},
        {"without_record", static_cast<qint64>(lookup.confident_misses)},
        {"versions", static_cast<qint64>(resolution.view.recent.size())},
+       {"key", Text(resolution.key)},
+       {"stated_ms", static_cast<qint64>(resolution.stated.count())},
+       {"horizon_ms", static_cast<qint64>(resolution.horizon.count())},
+       {"holders", Text(resolution.holders)},
+       {"recent", Text(Join(resolution.view.recent))},
+       {"earlier", Text(Join(resolution.view.earlier))},
+       {"complete", resolution.view.is_complete},
+       {"in_records", Text(Join(lookup.versions))},
+       {"ambiguous", lookup.is_ambiguous},
+       {"others_only", Text(Join(lookup.only_versions))},
+       {"others_earlier", Text(Join(lookup.earlier_versions))},
+       {"others_see_several", lookup.others_see_several},
        {"catalog_age_ms",
         static_cast<qint64>(resolution.view.catalog_age.count())}});
 }
--- a/libs/gateway/src/details/stream_versions.h
+++ b/libs/gateway/src/details/stream_versions.h
@@ -34,6 +34,11 @@
     LookupResult lookup;
     Duration record_age{0};
     Duration duration{0};  ///< Of the lookup.
+    std::string key;       ///< Of the stream; see `StreamKey`.
+    Duration stated{0};    ///< Time for which the caller says it still waits.
+    /// The stream was taken to have begun no earlier than this long ago.
+    Duration horizon{0};
+    std::string holders;  ///< Daemons that were asked.
   };
   using Done = std::function<void(const Resolution&)>;
 
@@ -51,8 +56,8 @@
   void OnCatalogOutage() { book_.OnCatalogOutage(); }
 
   /// Records the version that began a stream. Call before its first event is
-  /// forwarded.
-  void Record(const StreamRecord& record);
+  /// forwarded. Returns the daemons that are told, for the log.
+  std::string Record(const StreamRecord& record);
   /// Finds the version of a stream that another daemon may have begun; see
   /// `StreamVersionBook::StartLookup`. `done` may run within this call.
   void Resolve(const std::string& key, const std::string& service,
@@ -91,6 +96,7 @@
   void OnReply(const std::shared_ptr<Lookup>& lookup, PeerStatus status,
                const QByteArray& bytes);
   void Finish(const std::shared_ptr<Lookup>& lookup);
+  void LogUndelivered(const RecordDelivery& delivery, PeerStatus status) const;
   QByteArray ServeQuery(const QByteArray& message);
   void StoreRecords(const QByteArray& message);
   void LogBadMessage(const Error& error) const;
