Bound the age of a resumed stream by what all daemons know

Cause: a claim about one thing is taken for a fact about another. A caller that resumes a stream states how long it waits, and the daemon took the longest time of a stream less that for the stream's age. Callers may state their whole time with each request, as the contract has it; their streams were then at most a second old. What was listed before a release of that service counted for nothing, no daemon was expected to have a record, and the new version passed for the only one there can have been. Records ended with the time of the first request, and one that was found was not renewed, so that a second return could miss it.

Change: the horizon is the longest time of a route, a third of it, within which callers return, and a second. What callers state neither shortens nor lengthens it: with a longer one, which only some daemons would have, the lack of a record that has expired would be taken for proof. Records last for the horizon at least, and each request that resumes a stream renews them. The test of the horizon that followed the stated time claimed the fault; it is replaced by one of the opposite, and the tests wait for the longer horizon.

--- a/libs/gateway/src/details/exchange_resume.cc
+++ b/libs/gateway/src/details/exchange_resume.cc
@@ -6,8 +6,6 @@
 namespace firmoor::details {
 namespace {
 
-// Callers may resume a stream a little later than their own time allows.
-constexpr Duration kRecordMargin{1'000};
 // Another daemon may reach one that holds the record.
 constexpr Duration kOtherDaemonRetryDelay{20};
 
@@ -35,7 +33,8 @@
         others_may_know ? std::optional(kOtherDaemonRetryDelay) : std::nullopt);
   }
   version_ = decision.version;
-  if (decision.source != VersionSource::kRecord) RecordVersion();
+  // Also renews the record, as the caller's time may begin anew.
+  RecordVersion();
   if (!context_->picker.HasVersion(service_, *version_)) {
     return RefuseWithoutUpstream(false);
   }
@@ -56,14 +55,12 @@
 }
 
 void Exchange::RecordVersion() {
-  // The caller may wait beyond the end of this response.
   const auto time = std::max(request_.caller_timeout.value_or(Duration(0)),
                              admission_.route->timeout);
-  context_->stream_versions.ExtendMaxStreamTime(time);
-  const auto time_left = started_at_ + time - MonotonicNow();
-  record_holders_ = context_->stream_versions.Record(
+  auto& versions = context_->stream_versions;
+  record_holders_ = versions.Record(
       {KeyOfStream(), service_, *version_,
-       std::max(time_left, Duration(0)) + kRecordMargin});
+       versions.RecordLifetime(time, MonotonicNow() - started_at_)});
 }
 
 void Exchange::OnUpstreamReplaced(const std::string& upstream) {
--- a/libs/gateway/src/details/stream_versions.cc
+++ b/libs/gateway/src/details/stream_versions.cc
@@ -109,11 +109,10 @@
 }
 
 void StreamVersions::Resolve(const std::string& key, const std::string& service,
-                             Duration time_left, Done done) {
+                             Duration stated_time, Done done) {
   const auto lookup = std::make_shared<Lookup>();
-  lookup->state =
-      book_.StartLookup(key, service, time_left, SyncStoreContact());
-  lookup->stated = time_left;
+  lookup->state = book_.StartLookup(key, service, SyncStoreContact());
+  lookup->stated = stated_time;
   lookup->done = std::move(done);
   AskHolders(lookup);
   if (lookup->pending == 0) Finish(lookup);
--- a/libs/gateway/src/details/stream_versions.h
+++ b/libs/gateway/src/details/stream_versions.h
@@ -58,10 +58,14 @@
   /// Records the version that began a stream. Call before its first event is
   /// forwarded. Returns the daemons that are told, for the log.
   std::string Record(const StreamRecord& record);
+  /// See `StreamVersionBook::RecordLifetime`.
+  [[nodiscard]] Duration RecordLifetime(Duration time, Duration elapsed) const {
+    return book_.RecordLifetime(time, elapsed);
+  }
   /// Finds the version of a stream that another daemon may have begun; see
   /// `StreamVersionBook::StartLookup`. `done` may run within this call.
   void Resolve(const std::string& key, const std::string& service,
-               Duration time_left, Done done);
+               Duration stated_time, Done done);
 
   /// Logs what was found out about `stream`, which `request` resumes.
   void LogResolution(const std::string& request, const std::string& stream,
--- a/libs/resumption/include/resumption/stream_version_book.h
+++ b/libs/resumption/include/resumption/stream_version_book.h
@@ -34,7 +34,9 @@
 
   StreamVersionBook(std::string daemon, TimePoint started_at);
 
-  /// Streams may last for this long, resumed ones included. Only increases.
+  /// One request for a stream may last for this long. Only increases. All
+  /// daemons have to know the same bound, as one may conclude from the lack of
+  /// a record how another one treated it.
   void ExtendMaxStreamTime(Duration time);
 
   /// The list of upstreams has changed. The first sight of a second version
@@ -52,8 +54,11 @@
   [[nodiscard]] VersionView ViewOf(const std::string& service, Duration horizon,
                                    TimePoint now) const;
 
-  /// A stream begins here.
+  /// A stream begins or goes on here.
   Deliveries Record(const StreamRecord& record, TimePoint now);
+  /// How long a record has to be kept: `time` bounds the request that it is
+  /// made in, which has run for `elapsed`.
+  [[nodiscard]] Duration RecordLifetime(Duration time, Duration elapsed) const;
   /// Another daemon gives records.
   Deliveries Store(const RecordBatch& batch, TimePoint now);
   /// The daemon is about to stop: others get what it holds, and all that it
@@ -62,11 +67,9 @@
 
   [[nodiscard]] RecordReply Answer(const RecordQuery& query,
                                    TimePoint now) const;
-  /// `key` is empty if the caller does not name the stream. `time_left`: how
-  /// long the caller still waits.
+  /// `key` is empty if the caller does not name the stream.
   [[nodiscard]] VersionLookup StartLookup(const std::string& key,
                                           const std::string& service,
-                                          Duration time_left,
                                           TimePoint now) const;
   [[nodiscard]] VersionDecision Decide(const VersionLookup& lookup,
                                        TimePoint now) const;
@@ -78,7 +81,6 @@
  private:
   /// Streams that can be resumed began no earlier than this long ago.
   [[nodiscard]] Duration Horizon() const;
-  [[nodiscard]] Duration HorizonOf(Duration time_left) const;
   [[nodiscard]] bool IsRecordNeeded(const std::string& service,
                                     TimePoint now) const;
   Deliveries SendUnsent(TimePoint now);
--- a/libs/resumption/src/stream_version_book.cc
+++ b/libs/resumption/src/stream_version_book.cc
@@ -21,8 +21,17 @@
 // Bounds what callers can claim: a long time keeps records of others out, and
 // daemons from being sure that there is none.
 constexpr Duration kMaxStreamTime{60'000};
-// Callers may resume a little later than their time allows.
-constexpr Duration kResumeMargin{1'000};
+constexpr Duration kMaxReturnBound{61'000};
+// Callers that are told to come back later do so within this part of the time
+// that they still have, and a little later if they lose connections.
+constexpr int kPartToReturn = 3;
+constexpr Duration kReturnMargin{1'000};
+
+/// From the begin of a request that lasts for `time` at most, until its caller
+/// has come back.
+Duration ReturnBound(Duration time) {
+  return std::min(time + time / kPartToReturn + kReturnMargin, kMaxReturnBound);
+}
 
 /// Collects the records of each daemon in one batch.
 class DeliveryBuilder {
@@ -46,7 +55,7 @@
 };
 
 StreamRecord Bounded(StreamRecord record) {
-  record.lifetime = std::min(record.lifetime, kMaxStreamTime + kResumeMargin);
+  record.lifetime = std::min(record.lifetime, kMaxReturnBound);
   return record;
 }
 
@@ -70,14 +79,13 @@
 
 Duration StreamVersionBook::Horizon() const {
   const bool is_known = max_stream_time_ > Duration(0);
-  return (is_known ? max_stream_time_ : kDefaultMaxStreamTime) + kResumeMargin;
+  return ReturnBound(is_known ? max_stream_time_ : kDefaultMaxStreamTime);
 }
 
-Duration StreamVersionBook::HorizonOf(Duration time_left) const {
-  // The caller has waited at least since the first event. The stream of one
-  // that waits for longer than any seen so far may have begun at any time.
-  return time_left > Horizon() ? kMaxStreamTime
-                               : std::max(Horizon() - time_left, kResumeMargin);
+Duration StreamVersionBook::RecordLifetime(Duration time,
+                                           Duration elapsed) const {
+  // While daemons draw conclusions from its absence, it must not be dropped.
+  return std::max(ReturnBound(time) - elapsed, Horizon());
 }
 
 void StreamVersionBook::OnCatalogConfirmed(TimePoint now) {
@@ -211,10 +219,9 @@
 
 VersionLookup StreamVersionBook::StartLookup(const std::string& key,
                                              const std::string& service,
-                                             Duration time_left,
                                              TimePoint now) const {
   VersionLookup lookup;
-  lookup.query = {key, service, HorizonOf(time_left)};
+  lookup.query = {key, service, Horizon()};
   lookup.started_at = now;
   // Without the stream's id, the lack of a record says nothing.
   if (key.empty()) return lookup;
--- a/libs/resumption/tests/stream_fleet_streams.cc
+++ b/libs/resumption/tests/stream_fleet_streams.cc
@@ -159,8 +159,8 @@
   const auto question = std::make_shared<Question>();
   question->stream = stream;
   question->daemon = daemon;
-  question->lookup = daemons_[daemon].book->StartLookup(stream->key, kService,
-                                                        Duration(0), now_);
+  question->lookup =
+      daemons_[daemon].book->StartLookup(stream->key, kService, now_);
   question->pending = question->lookup.asked.size();
   if (question->pending == 0) return Decide(question);
   for (const auto& asked : question->lookup.asked) {
--- a/libs/resumption/tests/version_book_test.cc
+++ b/libs/resumption/tests/version_book_test.cc
@@ -93,8 +93,8 @@
   SUBCASE("and until streams of that time are over") {
     book.OnCatalog({{"s", {"one", "two"}}}, kNow);
     book.OnCatalog({{"s", {"two"}}}, kNow);
-    CHECK(book.Record(kRecord, kNow + Duration(31'000)).size() == 4);
-    CHECK(book.Record(kRecord, kNow + Duration(31'001)).empty());
+    CHECK(book.Record(kRecord, kNow + Duration(41'000)).size() == 4);
+    CHECK(book.Record(kRecord, kNow + Duration(41'001)).empty());
   }
   SUBCASE("three others when it is a holder itself") {
     auto holder = BookOf(Daemon(true));
@@ -110,9 +110,9 @@
     for (std::size_t i = 0; i < 10; ++i) young.directory().Add(Peer(i));
     CHECK(RecordsIn(young.OnDirectory(kNow)) >= 3);
     CHECK(young.OnDirectory(kNow).empty());
-    CHECK(young.Record({"b", "s", "one", kLong}, kNow + Duration(30'999))
+    CHECK(young.Record({"b", "s", "one", kLong}, kNow + Duration(40'999))
               .size() >= 3);
-    CHECK(young.Record({"c", "s", "one", kLong}, kNow + Duration(31'000))
+    CHECK(young.Record({"c", "s", "one", kLong}, kNow + Duration(41'000))
               .empty());
   }
 }
@@ -210,26 +210,35 @@
   CHECK(book.records().dropped() == 1);
 }
 
+// Guards against streams that hold events of two software versions, since the
+// time that a caller states again passed for the age of its stream (incident
+// ORDER).
 TEST_CASE("how long ago a resumed stream can have begun") {
   auto book = BookOf(Daemon(false));
-  const auto horizon = [&](int time_left_ms) {
-    return book.StartLookup("key", "s", Duration(time_left_ms), kNow)
-        .query.horizon;
+  const auto horizon = [&] {
+    return book.StartLookup("key", "s", kNow).query.horizon;
   };
 
-  SUBCASE("follows from the time that its caller has left") {
-    CHECK(horizon(0) == Duration(31'000));
+  SUBCASE("follows from the longest time of a request, and until a return") {
+    CHECK(horizon() == Duration(41'000));
     book.ExtendMaxStreamTime(Duration(15'000));
     book.ExtendMaxStreamTime(Duration(12'000));
-    CHECK(horizon(0) == Duration(16'000));
-    CHECK(horizon(11'000) == Duration(5'000));
-    CHECK(horizon(15'500) == Duration(1'000));
+    CHECK(horizon() == Duration(21'000));
   }
-  SUBCASE("is not known if the caller waits longer than any before") {
-    book.ExtendMaxStreamTime(Duration(15'000));
-    CHECK(horizon(16'001) == Duration(60'000));
+  SUBCASE("is bounded") {
     book.ExtendMaxStreamTime(Duration(1'000'000));
-    CHECK(horizon(0) == Duration(61'000));
+    CHECK(horizon() == Duration(61'000));
+  }
+  SUBCASE("is covered by the record of the request before") {
+    book.ExtendMaxStreamTime(Duration(15'000));
+    CHECK(book.RecordLifetime(Duration(15'000), Duration(0)) ==
+          Duration(21'000));
+    CHECK(book.RecordLifetime(Duration(4'000), Duration(0)) ==
+          Duration(21'000));
+    CHECK(book.RecordLifetime(Duration(15'000), Duration(14'000)) ==
+          Duration(21'000));
+    CHECK(book.RecordLifetime(Duration(30'000), Duration(1'000)) ==
+          Duration(40'000));
   }
 }
 
@@ -246,7 +255,7 @@
 
 TEST_CASE("a caller that does not name its stream") {
   auto book = BookOf(Daemon(true));
-  const auto lookup = book.StartLookup("", "s", Duration(0), kNow);
+  const auto lookup = book.StartLookup("", "s", kNow);
   CHECK(lookup.asked.empty());
 
   SUBCASE("goes on while there is one version only") {
@@ -272,7 +281,7 @@
 
 TEST_CASE("a daemon asks others for the record of a stream") {
   auto book = BookOf(Daemon(false));
-  auto lookup = book.StartLookup("key", "s", Duration(0), kNow);
+  auto lookup = book.StartLookup("key", "s", kNow);
   RecordReply reply;
 
   SUBCASE("four holders and two that may have been") {
@@ -287,7 +296,7 @@
   }
   SUBCASE("nobody when it has it") {
     book.Store({{kRecord}}, kNow);
-    lookup = book.StartLookup("key", "s", Duration(0), kNow);
+    lookup = book.StartLookup("key", "s", kNow);
     CHECK(lookup.asked.empty());
     CHECK(book.Decide(lookup, kNow) ==
           VersionDecision{VersionSource::kRecord, "one"});
