Forward the first event of a stream once others know its version

What callers saw: streams with pieces of two upstreams of two software versions (ORDER).

Cause: a record that never arrived is taken for one that was never made. Records of streams that begin in a release were sent and not awaited. A daemon that reaches callers and upstreams but no other daemon lost all of them at once; when it ended, two daemons without a record passed for proof that the stream is older than the release, and it went on at the version of before. A reply that was late counted as none.

Change: the first event is kept back (HeldResponseWriter) until all holders but one have the record, since two that lack it make the wrong proof; after 0.2 s one holder is enough, and if none has it the two others that are asked get it; after 1 s without any the caller gets a failure in place of the first event (RecordConfirmation). Streams of a version that was listed for the whole horizon do not wait, as others infer it or refuse; a daemon whose record was lost begins streams at that version alone until another one takes a record. A daemon that knows one version, but not for the whole horizon, waits for one holder and 0.2 s at most. Deliveries are repeated. Replies are awaited for 0.4 s instead of 0.2 s.

--- a/libs/gateway/src/details/exchange.cc
+++ b/libs/gateway/src/details/exchange.cc
@@ -38,7 +38,7 @@
            admission.workspace == nullptr ? "" : admission.workspace->name,
            request_.method, request_.target, request_.body,
            request_.shared_chunk_digests})),
-      responder_(std::move(responder)),
+      responder_(std::make_shared<HeldResponseWriter>(std::move(responder))),
       started_at_(MonotonicNow()),
       ends_at_(started_at_ +
                EffectiveCallerTimeout(request_, *admission.route)),
--- a/libs/gateway/src/details/exchange.h
+++ b/libs/gateway/src/details/exchange.h
@@ -12,6 +12,7 @@
 #include "details/attempts_in_flight.h"
 #include "details/delegated_response_writer.h"
 #include "details/gateway_context.h"
+#include "details/held_response_writer.h"
 #include "details/request_timeouts.h"
 #include "gateway/event_relay.h"
 #include "gateway/event_sequence.h"
@@ -95,7 +96,10 @@
   /// Binds the stream to the version of the upstream that wrote its first
   /// event, before the event is forwarded.
   void BindVersion();
-  void RecordVersion();
+  /// Tells other daemons of the version. `done`: see `StreamVersions::Record`.
+  void RecordVersion(StreamVersions::Recorded done = nullptr);
+  /// Nobody could be told of the version of a stream that is kept back.
+  void OnRecordLost();
   [[nodiscard]] std::string KeyOfStream() const;
   /// Whether the upstream was replaced under the same id by one of another
   /// version that may have written the events.
@@ -111,6 +115,9 @@
   void OnQuotaGrant(bool may_wait);
   void Forward();
   [[nodiscard]] PickRequest MakePickRequest() const;
+  /// The only version at which the stream may begin, while this daemon can tell
+  /// no other of its version; empty if any will do.
+  [[nodiscard]] std::optional<std::string> VersionToBegin() const;
   /// Whether the configuration is recent enough for the key to be accepted.
   [[nodiscard]] bool CanVerifyKey() const;
   /// Sends the request to the best remaining upstream, after probing the load
@@ -296,7 +303,7 @@
   RequestAdmission admission_;
   std::string service_;
   std::vector<Suspect> suspects_;  ///< What in it may crash upstreams.
-  std::shared_ptr<ResponseWriter> responder_;
+  std::shared_ptr<HeldResponseWriter> responder_;
   TimePoint started_at_;
   TimePoint ends_at_;
   QTimer timer_;
--- a/libs/gateway/src/details/exchange_choice.cc
+++ b/libs/gateway/src/details/exchange_choice.cc
@@ -22,6 +22,14 @@
 
 }  // namespace
 
+std::optional<std::string> Exchange::VersionToBegin() const {
+  if (!admission_.route->is_resumable) return std::nullopt;
+  const auto version = context_->stream_versions.VersionToBegin(service_);
+  const bool is_usable =
+      !version.empty() && context_->picker.HasVersion(service_, version);
+  return is_usable ? std::optional(version) : std::nullopt;
+}
+
 PickRequest Exchange::MakePickRequest() const {
   PickRequest pick;
   pick.service = service_;
@@ -30,7 +38,7 @@
   pick.prompt_tokens = request_.prompt_tokens.value_or(0);
   pick.output_tokens = request_.max_output_tokens;
   pick.exclude = tried_.excluded();
-  pick.version = version_;
+  pick.version = version_ ? version_ : VersionToBegin();
   const auto& rollouts = context_->rollouts;
   if (!rollouts.IsActive()) return pick;
   const auto now = MonotonicNow();
--- a/libs/gateway/src/details/exchange_resume.cc
+++ b/libs/gateway/src/details/exchange_resume.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "details/exchange.h"
+#include "gateway/refusal.h"
 
 namespace firmoor::details {
 namespace {
@@ -50,17 +51,36 @@
 void Exchange::BindVersion() {
   version_ = writer_->upstream.software_version;
   if (!admission_.route->is_resumable) return;
-  RecordVersion();
+  responder_->Hold();
+  RecordVersion([weak = weak_from_this(), responder = responder_,
+                 id = request_.id](RecordConfirmation::State state) {
+    if (state == RecordConfirmation::State::kMade) return responder->Release();
+    if (const auto self = weak.lock()) self->OnRecordLost();
+    responder->Replace(
+        MakeGatewayRefusal({{ResultCode::kUpstreamOutcomeUnknown,
+                             "No other daemon could be told of the stream"},
+                            RequestOutcome::kUnknown,
+                            std::nullopt},
+                           id));
+  });
   RecordDoubt();
 }
 
-void Exchange::RecordVersion() {
+void Exchange::OnRecordLost() {
+  if (finished_) return;
+  const auto self = shared_from_this();
+  LogCut("daemon", "stream-record-lost");
+  Finish(ResultCode::kUpstreamOutcomeUnknown, NameOf(RequestOutcome::kUnknown));
+}
+
+void Exchange::RecordVersion(StreamVersions::Recorded done) {
   const auto time = std::max(request_.caller_timeout.value_or(Duration(0)),
                              admission_.route->timeout);
   auto& versions = context_->stream_versions;
   record_holders_ = versions.Record(
       {KeyOfStream(), service_, *version_,
-       versions.RecordLifetime(time, MonotonicNow() - started_at_)});
+       versions.RecordLifetime(time, MonotonicNow() - started_at_)},
+      std::move(done));
 }
 
 void Exchange::OnUpstreamReplaced(const std::string& upstream) {
--- a/libs/gateway/src/details/stream_versions.cc
+++ b/libs/gateway/src/details/stream_versions.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include <QTimer>
 #include <memory>
 #include <set>
 #include <utility>
@@ -16,9 +17,17 @@
 constexpr const char* kRecordsKind = "stream-records";
 constexpr const char* kQueryKind = "stream-version";
 constexpr Duration kRecordTimeout{1'000};
+// A link that is lost for a few seconds keeps no record from arriving.
+constexpr int kRecordRepeats = 3;
+constexpr Duration kRecordRepeatPeriod{500};
+// A timer must not run before the time at which something is decided.
+constexpr Duration kTimerMargin{2};
+// Beyond what two round trips between regions take.
+constexpr Duration kSlowPlacement{100};
 // Two round trips between regions, for the connection and the call, and the
-// time of a busy daemon.
-constexpr Duration kLookupTimeout{200};
+// time of a busy daemon. The lack of a record is taken from all that reply, so
+// that a reply that is late must not be given up for a daemon that is lost.
+constexpr Duration kLookupTimeout{400};
 
 std::string_view NameOf(PeerStatus status) {
   switch (status) {
@@ -46,6 +55,15 @@
   Done done;  ///< Empty once it has run.
 };
 
+/// A record on its way to its holders.
+struct StreamVersions::Placement {
+  StreamRecord record;
+  RecordConfirmation confirmation;
+  Recorded done;  ///< Empty once it has run.
+  bool has_spares = false;
+  bool is_checked_again = false;
+};
+
 StreamVersions::StreamVersions(
     std::string daemon, EventLog* log, TimePoint started_at,
     std::function<std::optional<Duration>(TimePoint)> store_contact_age)
@@ -69,31 +87,120 @@
   Send(book_.OnCatalog(listed, now));
 }
 
-std::string StreamVersions::Record(const StreamRecord& record) {
-  const auto deliveries = book_.Record(record, MonotonicNow());
+std::string StreamVersions::Record(const StreamRecord& record, Recorded done) {
+  const auto now = MonotonicNow();
+  const auto deliveries = book_.Record(record, now);
   std::set<std::string> holders;
   for (const auto& delivery : deliveries) {
     holders.insert(delivery.holder.daemon);
   }
-  Send(deliveries);
+  const auto placement = std::make_shared<Placement>(
+      Placement{record,
+                {book_.NeedOfRecord(record.service, record.version, now), now},
+                std::move(done)});
+  Place(placement, deliveries);
+  CheckPlacement(placement);
   return Join(holders);
 }
 
-void StreamVersions::Send(const StreamVersionBook::Deliveries& deliveries) {
+std::string StreamVersions::VersionToBegin(const std::string& service) const {
+  if (!is_cut_off_) return {};
+  return book_.VersionWithoutRecord(service, MonotonicNow());
+}
+
+void StreamVersions::Place(const std::shared_ptr<Placement>& placement,
+                           const StreamVersionBook::Deliveries& deliveries) {
+  if (!call_peer_) return;
+  placement->confirmation.OnSent(deliveries.size());
+  Send(deliveries, [this, placement](bool is_taken) {
+    if (is_taken) {
+      placement->confirmation.OnTaken();
+    } else {
+      placement->confirmation.OnFailed();
+    }
+    CheckPlacement(placement);
+  });
+}
+
+void StreamVersions::CheckPlacement(
+    const std::shared_ptr<Placement>& placement) {
+  using State = RecordConfirmation::State;
+  if (!placement->done) return;
+  const auto now = MonotonicNow();
+  const auto& confirmation = placement->confirmation;
+  if (confirmation.NeedsSpares(now) && !placement->has_spares) {
+    placement->has_spares = true;
+    Place(placement, book_.ToSpares(placement->record));
+    if (!placement->done) return;
+  }
+  const auto state = confirmation.StateAt(now);
+  if (state == State::kPending) {
+    if (placement->is_checked_again) return;
+    placement->is_checked_again = true;
+    for (const auto delay :
+         {RecordConfirmation::kPatience, RecordConfirmation::kLimit}) {
+      QTimer::singleShot(delay + kTimerMargin, Qt::PreciseTimer,
+                         &timer_context_,
+                         [this, placement] { CheckPlacement(placement); });
+    }
+    return;
+  }
+  if (state == State::kLost) {
+    ++records_lost_;
+    is_cut_off_ = true;
+  }
+  if (confirmation.AgeAt(now) >= kSlowPlacement) LogPlacement(*placement, now);
+  const auto done = std::exchange(placement->done, nullptr);
+  done(state);
+}
+
+void StreamVersions::LogPlacement(const Placement& placement,
+                                  TimePoint now) const {
+  const auto& confirmation = placement.confirmation;
+  const bool is_lost =
+      confirmation.StateAt(now) == RecordConfirmation::State::kLost;
+  log_->Write(
+      "stream-record-slow",
+      {{"key", Text(placement.record.key)},
+       {"service", Text(placement.record.service)},
+       {"version", Text(placement.record.version)},
+       {"sent", static_cast<qint64>(confirmation.sent())},
+       {"taken", static_cast<qint64>(confirmation.taken())},
+       {"waited_ms", static_cast<qint64>(confirmation.AgeAt(now).count())},
+       {"lost", is_lost}});
+}
+
+void StreamVersions::Send(const StreamVersionBook::Deliveries& deliveries,
+                          const std::function<void(bool is_taken)>& on_result) {
   if (!call_peer_) return;
   for (const auto& delivery : deliveries) {
-    const auto count = delivery.batch.records.size();
-    records_sent_ += count;
-    call_peer_(delivery.holder.endpoint, kRecordsKind, delivery.batch.Encode(),
-               kRecordTimeout,
-               [this, delivery](PeerStatus status, const QByteArray&) {
-                 if (status == PeerStatus::kOk) return;
-                 records_undelivered_ += delivery.batch.records.size();
-                 LogUndelivered(delivery, status);
-               });
+    records_sent_ += delivery.batch.records.size();
+    Send(delivery, kRecordRepeats, on_result);
   }
 }
 
+void StreamVersions::Send(const RecordDelivery& delivery, int repeats,
+                          const std::function<void(bool is_taken)>& on_result) {
+  call_peer_(delivery.holder.endpoint, kRecordsKind, delivery.batch.Encode(),
+             kRecordTimeout,
+             [this, delivery, repeats, on_result](PeerStatus status,
+                                                  const QByteArray&) {
+               const bool is_taken = status == PeerStatus::kOk;
+               if (is_taken) is_cut_off_ = false;
+               if (on_result) on_result(is_taken);
+               if (is_taken) return;
+               records_undelivered_ += delivery.batch.records.size();
+               LogUndelivered(delivery, status);
+               const bool is_present =
+                   book_.directory().Contains(delivery.holder.daemon);
+               if (repeats == 0 || !is_present) return;
+               QTimer::singleShot(kRecordRepeatPeriod, &timer_context_,
+                                  [this, delivery, repeats] {
+                                    Send(delivery, repeats - 1, nullptr);
+                                  });
+             });
+}
+
 void StreamVersions::LogUndelivered(const RecordDelivery& delivery,
                                     PeerStatus status) const {
   const auto& records = delivery.batch.records;
@@ -219,9 +326,11 @@
       "firmoor_stream_records_undelivered_total {}\n"
       "firmoor_stream_records_received_total {}\n"
       "firmoor_stream_records_dropped_total {}\n"
+      "firmoor_stream_records_lost_total {}\n"
       "firmoor_known_daemons {}\n",
       book_.records().size(), records_sent_, records_undelivered_,
-      records_received_, book_.records().dropped(), book_.directory().size());
+      records_received_, book_.records().dropped(), records_lost_,
+      book_.directory().size());
   for (const auto& [source, count] : resolved_) {
     text += fmt::format("firmoor_streams_resumed_total{{source=\"{}\"}} {}\n",
                         NameOf(source), count);
--- a/libs/gateway/src/details/stream_versions.h
+++ b/libs/gateway/src/details/stream_versions.h
@@ -2,6 +2,7 @@
 #define FIRMOOR_GATEWAY_DETAILS_STREAM_VERSIONS_H_
 
 #include <QByteArray>
+#include <QObject>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -13,6 +14,7 @@
 #include "base/event_log.h"
 #include "base/time.h"
 #include "gateway/peer_directory_messages.h"
+#include "resumption/record_confirmation.h"
 #include "resumption/stream_version_book.h"
 #include "routing/upstream_catalog.h"
 
@@ -55,9 +57,17 @@
   void OnCatalogConfirmed(TimePoint now) { book_.OnCatalogConfirmed(now); }
   void OnCatalogOutage() { book_.OnCatalogOutage(); }
 
-  /// Records the version that began a stream. Call before its first event is
-  /// forwarded. Returns the daemons that are told, for the log.
-  std::string Record(const StreamRecord& record);
+  /// What became of the record of a stream that begins; see
+  /// `RecordConfirmation`.
+  using Recorded = std::function<void(RecordConfirmation::State)>;
+  /// Records the version that began a stream, or with which it goes on. The
+  /// first event may be forwarded once `done`, which may be empty, has run with
+  /// `kMade`, also within this call. Returns the daemons that are told, for the
+  /// log.
+  std::string Record(const StreamRecord& record, Recorded done);
+  /// The version at which streams are to begin while no other daemon takes
+  /// records; empty if any will do.
+  [[nodiscard]] std::string VersionToBegin(const std::string& service) const;
   /// See `StreamVersionBook::RecordLifetime`.
   [[nodiscard]] Duration RecordLifetime(Duration time, Duration elapsed) const {
     return book_.RecordLifetime(time, elapsed);
@@ -92,10 +102,20 @@
 
  private:
   struct Lookup;
+  struct Placement;
 
   /// The present time, up to which the contact to the store is recorded.
   TimePoint SyncStoreContact();
-  void Send(const StreamVersionBook::Deliveries& deliveries);
+  void Send(const StreamVersionBook::Deliveries& deliveries,
+            const std::function<void(bool is_taken)>& on_result = nullptr);
+  /// Repeats the delivery if it fails, up to `repeats` times.
+  void Send(const RecordDelivery& delivery, int repeats,
+            const std::function<void(bool is_taken)>& on_result);
+  void Place(const std::shared_ptr<Placement>& placement,
+             const StreamVersionBook::Deliveries& deliveries);
+  /// Ends the wait for the holders of a record, or has others hold it.
+  void CheckPlacement(const std::shared_ptr<Placement>& placement);
+  void LogPlacement(const Placement& placement, TimePoint now) const;
   void AskHolders(const std::shared_ptr<Lookup>& lookup);
   void OnReply(const std::shared_ptr<Lookup>& lookup, PeerStatus status,
                const QByteArray& bytes);
@@ -113,7 +133,11 @@
   std::uint64_t records_sent_ = 0;
   std::uint64_t records_undelivered_ = 0;
   std::uint64_t records_received_ = 0;
+  std::uint64_t records_lost_ = 0;
+  /// A record was lost, and no other daemon has taken one since.
+  bool is_cut_off_ = false;
   std::map<VersionSource, std::uint64_t> resolved_;
+  QObject timer_context_;
 };
 
 }  // namespace firmoor::details
--- a/libs/resumption/include/resumption/stream_version_book.h
+++ b/libs/resumption/include/resumption/stream_version_book.h
@@ -8,6 +8,7 @@
 
 #include "base/time.h"
 #include "resumption/peer_directory.h"
+#include "resumption/record_confirmation.h"
 #include "resumption/record_messages.h"
 #include "resumption/stream_records.h"
 #include "resumption/version_decision.h"
@@ -56,9 +57,20 @@
 
   /// A stream begins or goes on here.
   Deliveries Record(const StreamRecord& record, TimePoint now);
+  /// The record for daemons that follow its holders in rank, for when none of
+  /// those takes it.
+  [[nodiscard]] Deliveries ToSpares(const StreamRecord& record) const;
   /// How long a record has to be kept: `time` bounds the request that it is
   /// made in, which has run for `elapsed`.
   [[nodiscard]] Duration RecordLifetime(Duration time, Duration elapsed) const;
+  /// How much depends on the record of a stream that begins now.
+  [[nodiscard]] RecordConfirmation::Need NeedOfRecord(
+      const std::string& service, const std::string& version,
+      TimePoint now) const;
+  /// The version whose streams other daemons resume correctly or refuse
+  /// without a record; empty if there is none or more than one.
+  [[nodiscard]] std::string VersionWithoutRecord(const std::string& service,
+                                                 TimePoint now) const;
   /// Another daemon gives records.
   Deliveries Store(const RecordBatch& batch, TimePoint now);
   /// The daemon is about to stop: others get what it holds, and all that it
@@ -81,6 +93,9 @@
  private:
   /// Streams that can be resumed began no earlier than this long ago.
   [[nodiscard]] Duration Horizon() const;
+  /// Versions that have been listed for longer than any stream may last.
+  [[nodiscard]] std::set<std::string> SettledVersions(
+      const std::string& service, TimePoint now) const;
   [[nodiscard]] bool IsRecordNeeded(const std::string& service,
                                     TimePoint now) const;
   Deliveries SendUnsent(TimePoint now);
--- a/libs/resumption/include/resumption/version_decision.h
+++ b/libs/resumption/include/resumption/version_decision.h
@@ -22,6 +22,10 @@
   bool operator==(const VersionView&) const = default;
 };
 
+/// Whether a list of upstreams that was confirmed this long ago has news of
+/// versions that have begun streams elsewhere.
+bool IsUpToDate(Duration catalog_age);
+
 /// The view on a service at `now` for a stream that began no earlier than
 /// `horizon` ago.
 VersionView MakeVersionView(const VersionHistory& history, Duration horizon,
--- a/libs/resumption/include/resumption/version_history.h
+++ b/libs/resumption/include/resumption/version_history.h
@@ -26,6 +26,8 @@
   /// Versions that were listed at `at`; empty if `at` is before the first
   /// update.
   [[nodiscard]] std::set<std::string> ListedAt(TimePoint at) const;
+  /// Versions that have been listed without a gap from `since` until now.
+  [[nodiscard]] std::set<std::string> ListedThroughout(TimePoint since) const;
 
  private:
   /// Time for which a version was listed without a gap.
--- a/libs/resumption/src/stream_version_book.cc
+++ b/libs/resumption/src/stream_version_book.cc
@@ -88,6 +88,31 @@
   return std::max(ReturnBound(time) - elapsed, Horizon());
 }
 
+std::set<std::string> StreamVersionBook::SettledVersions(
+    const std::string& service, TimePoint now) const {
+  const auto found = histories_.find(service);
+  const bool is_known =
+      found != histories_.end() && IsUpToDate(now - catalog_confirmed_at_);
+  if (!is_known) return {};
+  return found->second.ListedThroughout(now - Horizon());
+}
+
+RecordConfirmation::Need StreamVersionBook::NeedOfRecord(
+    const std::string& service, const std::string& version,
+    TimePoint now) const {
+  using Need = RecordConfirmation::Need;
+  // It is among those that other daemons see at the begin of their horizon.
+  if (SettledVersions(service, now).contains(version)) return Need::kNone;
+  const auto view = ViewOf(service, Horizon(), now);
+  return view.recent.size() > 1 ? Need::kRequired : Need::kBrief;
+}
+
+std::string StreamVersionBook::VersionWithoutRecord(const std::string& service,
+                                                    TimePoint now) const {
+  const auto settled = SettledVersions(service, now);
+  return settled.size() == 1 ? *settled.begin() : std::string();
+}
+
 void StreamVersionBook::OnCatalogConfirmed(TimePoint now) {
   catalog_confirmed_at_ = now;
   catalog_has_failed_ = false;
@@ -179,6 +204,18 @@
   return std::move(builder).Build();
 }
 
+StreamVersionBook::Deliveries StreamVersionBook::ToSpares(
+    const StreamRecord& record) const {
+  DeliveryBuilder builder;
+  // Only those that are asked: others could not keep a lookup from being wrong.
+  const auto asked = directory_.HoldersOf(record.key, kAskedHolders,
+                                          hands_over_ ? daemon_ : "");
+  for (std::size_t i = kHolders; i < asked.size(); ++i) {
+    if (asked[i].daemon != daemon_) builder.Add(asked[i], record);
+  }
+  return std::move(builder).Build();
+}
+
 StreamVersionBook::Deliveries StreamVersionBook::PassOn(
     const std::vector<StreamRecord>& records) const {
   DeliveryBuilder builder;
--- a/libs/resumption/src/version_decision.cc
+++ b/libs/resumption/src/version_decision.cc
@@ -25,8 +25,8 @@
   const auto& version = *view.recent.begin();
   // A list that lags shows one version only while others see two; a daemon that
   // reaches nobody could not notice.
-  const bool is_fresh = view.catalog_age <= kMaxCatalogAge &&
-                        (lookup.replied > 0 || lookup.asked == 0);
+  const bool is_fresh =
+      IsUpToDate(view.catalog_age) && (lookup.replied > 0 || lookup.asked == 0);
   const bool knows_itself = view.is_complete && is_fresh;
   const bool heard_from_others =
       lookup.confident_misses > 0 && !lookup.only_versions.empty();
@@ -57,6 +57,8 @@
 
 }  // namespace
 
+bool IsUpToDate(Duration catalog_age) { return catalog_age <= kMaxCatalogAge; }
+
 VersionView MakeVersionView(const VersionHistory& history, Duration horizon,
                             Duration catalog_age, TimePoint now) {
   const auto since = now - horizon;
@@ -66,7 +68,7 @@
 
 std::string OnlyVersion(const VersionView& view) {
   const bool is_only = view.is_complete && view.recent.size() == 1 &&
-                       view.catalog_age <= kMaxCatalogAge;
+                       IsUpToDate(view.catalog_age);
   return is_only ? *view.recent.begin() : std::string();
 }
 
--- a/libs/resumption/src/version_history.cc
+++ b/libs/resumption/src/version_history.cc
@@ -44,6 +44,15 @@
   return versions;
 }
 
+std::set<std::string> VersionHistory::ListedThroughout(TimePoint since) const {
+  std::set<std::string> versions;
+  for (const auto& [version, spans] : spans_) {
+    const auto& span = spans.back();
+    if (span.is_listed && span.first <= since) versions.insert(version);
+  }
+  return versions;
+}
+
 std::set<std::string> VersionHistory::ListedAt(TimePoint at) const {
   std::set<std::string> versions;
   for (const auto& [version, spans] : spans_) {
--- a/libs/resumption/tests/version_book_test.cc
+++ b/libs/resumption/tests/version_book_test.cc
@@ -242,6 +242,64 @@
   }
 }
 
+TEST_CASE("how much depends on the record of a stream") {
+  using Need = RecordConfirmation::Need;
+  auto book = BookOf(Daemon(false));
+  const auto need = [&](const std::string& version, TimePoint now) {
+    return book.NeedOfRecord("s", version, now);
+  };
+
+  SUBCASE("nothing while there is one version") {
+    CHECK(need("one", kNow) == Need::kNone);
+    CHECK(book.VersionWithoutRecord("s", kNow) == "one");
+  }
+  SUBCASE("another version in a release, but for the version before") {
+    book.OnCatalog({{"s", {"one", "two"}}}, kNow);
+    CHECK(need("one", kNow) == Need::kNone);
+    CHECK(need("two", kNow) == Need::kRequired);
+    CHECK(need("two", kNow + Duration(40'999)) == Need::kRequired);
+    CHECK(book.VersionWithoutRecord("s", kNow) == "one");
+
+    SUBCASE("until both have been there for as long as streams last") {
+      book.OnCatalogConfirmed(kNow + Duration(41'000));
+      CHECK(need("two", kNow + Duration(41'000)) == Need::kNone);
+      CHECK(book.VersionWithoutRecord("s", kNow + Duration(41'000)).empty());
+    }
+    SUBCASE("but for any while the list is not up to date") {
+      const auto later = kNow + Duration(2'501);
+      CHECK(need("one", later) == Need::kRequired);
+      CHECK(book.VersionWithoutRecord("s", later).empty());
+    }
+    SUBCASE("and for one that has returned") {
+      book.OnCatalog({{"s", {"two"}}}, kNow + Duration(10));
+      book.OnCatalog({{"s", {"one", "two"}}}, kNow + Duration(20));
+      CHECK(need("one", kNow + Duration(20)) == Need::kRequired);
+      CHECK(book.VersionWithoutRecord("s", kNow + Duration(20)).empty());
+    }
+  }
+  SUBCASE("perhaps another version at a daemon that has just started") {
+    StreamVersionBook young("daemon0", kNow);
+    young.OnCatalog({{"s", {"one"}}}, kNow);
+    CHECK(young.NeedOfRecord("s", "one", kNow) == Need::kBrief);
+  }
+}
+
+// Guards against streams that hold events of two software versions, since none
+// of a record's holders took it (incident ORDER).
+TEST_CASE("a record that none of its holders takes goes to others") {
+  auto book = BookOf(Daemon(false));
+  const auto spares = Receivers(book.ToSpares(kRecord));
+  const auto asked = book.directory().HoldersOf("key", 6);
+  const std::size_t own =
+      asked[4].daemon == Daemon(false) || asked[5].daemon == Daemon(false) ? 1
+                                                                           : 0;
+  CHECK(spares.size() == 2 - own);
+  for (const auto& holder : HoldersWithout(book, "")) {
+    CHECK_FALSE(spares.contains(holder));
+  }
+  CHECK_FALSE(spares.contains(Daemon(false)));
+}
+
 // Guards against records that one caller keeps for so long that those of others
 // are dropped.
 TEST_CASE("a record is held for a minute at most") {
