Ask others which versions they see of a stream that is not named

Cause: a list that lags shows one version while others see two. A caller that does not name its stream was let go on at that version by the daemon's own list, which may be 2.5 s behind; for a named stream others are asked.

Change: the holders of the service's name are asked; one that sees several versions refuses the stream, their lack of a record says nothing. A daemon whose others are all lost refuses such streams, as it does those that are named. The test said that nobody is asked; it has the same cases with replies, and two more, which fail on the code before by its first line.

--- a/libs/resumption/include/resumption/version_lookup.h
+++ b/libs/resumption/include/resumption/version_lookup.h
@@ -14,6 +14,9 @@
 /// Question for the record of a stream, and what has come in reply.
 struct VersionLookup {
   RecordQuery query;
+  /// The caller named its stream; otherwise others are only asked which
+  /// versions they see.
+  bool is_named = true;
   TimePoint started_at;
   std::vector<PeerAddress> asked;  ///< Whom the question goes to.
   LookupResult result;
--- a/libs/resumption/src/stream_version_book.cc
+++ b/libs/resumption/src/stream_version_book.cc
@@ -258,13 +258,17 @@
                                              const std::string& service,
                                              TimePoint now) const {
   VersionLookup lookup;
-  lookup.query = {key, service, Horizon()};
+  lookup.is_named = !key.empty();
+  // Without the stream's id, the lack of a record says nothing. Others may have
+  // heard of a version of which this daemon's list has no news yet.
+  const auto place = lookup.is_named ? key : StreamKey("", service);
+  lookup.query = {place, service, Horizon()};
   lookup.started_at = now;
-  // Without the stream's id, the lack of a record says nothing.
-  if (key.empty()) return lookup;
-  lookup.Add(Answer(lookup.query, now));
+  if (lookup.is_named) lookup.Add(Answer(lookup.query, now));
   if (lookup.IsKnown()) return lookup;
-  for (const auto& holder : directory_.HoldersOf(key, kAskedHolders)) {
+  const auto count = lookup.is_named ? kAskedHolders : kHolders;
+  const auto asked = directory_.HoldersOf(place, count);
+  for (const auto& holder : asked) {
     if (holder.daemon != daemon_) lookup.asked.push_back(holder);
   }
   lookup.result.asked = lookup.asked.size();
--- a/libs/resumption/src/version_lookup.cc
+++ b/libs/resumption/src/version_lookup.cc
@@ -23,6 +23,10 @@
 }
 
 void VersionLookup::Add(const RecordReply& reply) {
+  if (!is_named) {
+    result.others_see_several |= reply.sees_several;
+    return;
+  }
   if (!reply.is_found) return AddMiss(reply, &result);
   if (reply.is_ambiguous || reply.service != query.service) {
     result.is_ambiguous = true;
--- a/libs/resumption/tests/version_book_test.cc
+++ b/libs/resumption/tests/version_book_test.cc
@@ -311,28 +311,56 @@
   CHECK_FALSE(book.records().Find("key", kNow + Duration(61'000)));
 }
 
+// Guards against streams that hold events of two software versions, since a
+// daemon whose list lags asks nobody about a stream that is not named (incident
+// ORDER).
 TEST_CASE("a caller that does not name its stream") {
   auto book = BookOf(Daemon(true));
-  const auto lookup = book.StartLookup("", "s", kNow);
-  CHECK(lookup.asked.empty());
+  auto lookup = book.StartLookup("", "s", kNow);
+  CHECK(lookup.asked.size() >= 3);
+  RecordReply reply;
 
-  SUBCASE("goes on while there is one version only") {
+  SUBCASE("is refused while nobody else tells which versions there are") {
+    CHECK(book.Decide(lookup, kNow).source == VersionSource::kUnknown);
+  }
+  SUBCASE("goes on while others see no second version") {
+    lookup.AddReply(reply);
     CHECK(book.Decide(lookup, kNow) ==
           VersionDecision{VersionSource::kOnlyVersion, "one"});
+
+    SUBCASE("but not if the list of upstreams is not up to date") {
+      const auto later = kNow + Duration(2'501);
+      CHECK(book.Decide(lookup, later).source == VersionSource::kUnknown);
+      // A call that waits for changes has nothing to report.
+      book.OnStoreContact(later);
+      CHECK(book.Decide(lookup, later).source == VersionSource::kOnlyVersion);
+      book.OnCatalogOutage();
+      book.OnStoreContact(later + Duration(3'000));
+      CHECK(book.Decide(lookup, later + Duration(3'000)).source ==
+            VersionSource::kUnknown);
+    }
+    SUBCASE("but not once there is a second one") {
+      book.OnCatalog({{"s", {"one", "two"}}}, kNow);
+      CHECK(book.Decide(lookup, kNow).source == VersionSource::kUnknown);
+    }
+    SUBCASE("but not if another daemon has heard of a second one") {
+      reply.sees_several = true;
+      lookup.AddReply(reply);
+      CHECK(book.Decide(lookup, kNow).source == VersionSource::kUnknown);
+    }
   }
-  SUBCASE("is refused if the list of upstreams is not up to date") {
-    const auto later = kNow + Duration(2'501);
-    CHECK(book.Decide(lookup, later).source == VersionSource::kUnknown);
-    // A call that waits for changes has nothing to report.
-    book.OnStoreContact(later);
-    CHECK(book.Decide(lookup, later).source == VersionSource::kOnlyVersion);
-    book.OnCatalogOutage();
-    book.OnStoreContact(later + Duration(3'000));
-    CHECK(book.Decide(lookup, later + Duration(3'000)).source ==
-          VersionSource::kUnknown);
-  }
-  SUBCASE("is refused once there is a second one") {
-    book.OnCatalog({{"s", {"one", "two"}}}, kNow);
+  SUBCASE("does not go on by the record of another stream") {
+    reply.is_found = true;
+    reply.service = "s";
+    reply.version = "two";
+    lookup.AddReply(reply);
+    CHECK(book.Decide(lookup, kNow).version != "two");
+  }
+  SUBCASE("is not taken for older than a release for want of a record") {
+    reply.sees_several = true;
+    reply.is_confident = true;
+    reply.earlier_version = "one";
+    for (int i = 0; i < 3; ++i) lookup.AddReply(reply);
     CHECK(book.Decide(lookup, kNow).source == VersionSource::kUnknown);
   }
 }
