Let a daemon that has dropped records not vouch for their lack

Cause: a holder keeps 20,000 records and drops those that expire first beyond that; its reply then said with confidence that there is no record, which passes for proof that the stream is older than a release.

Change: its replies count for nothing until the horizon has passed since it dropped one. Test: version_book_test, "a daemon that has dropped records".

--- a/libs/resumption/include/resumption/stream_records.h
+++ b/libs/resumption/include/resumption/stream_records.h
@@ -63,6 +63,10 @@
   [[nodiscard]] std::vector<StreamRecord> Remaining(TimePoint now) const;
 
   [[nodiscard]] std::size_t size() const { return records_.size(); }
+  /// Whether no record was dropped before it expired, since `since`.
+  [[nodiscard]] bool KeptAllSince(TimePoint since) const {
+    return !dropped_at_ || *dropped_at_ < since;
+  }
   /// Records dropped before they expired, since the start.
   [[nodiscard]] std::size_t dropped() const { return dropped_; }
 
@@ -84,6 +88,7 @@
   std::multimap<TimePoint, std::string> by_expiry_;
   std::set<std::string> unsent_;  ///< Keys of records.
   std::size_t dropped_ = 0;
+  std::optional<TimePoint> dropped_at_;  ///< The last of them.
 };
 
 }  // namespace firmoor
--- a/libs/resumption/src/stream_records.cc
+++ b/libs/resumption/src/stream_records.cc
@@ -57,6 +57,7 @@
   if (records_.size() <= capacity_) return;
   DropFirst();
   ++dropped_;
+  dropped_at_ = now;
 }
 
 void StreamRecords::PutUnsent(const StreamRecord& record, TimePoint now) {
--- a/libs/resumption/src/stream_version_book.cc
+++ b/libs/resumption/src/stream_version_book.cc
@@ -240,6 +240,7 @@
   RecordReply reply;
   reply.is_confident =
       now - started_at_ >= query.horizon &&
+      records_.KeptAllSince(now - query.horizon) &&
       directory_.HeldBySince(query.key, kHolders, daemon_, now - query.horizon);
   reply.sees_several = view.recent.size() > 1;
   reply.only_version = OnlyVersion(view);
--- a/libs/resumption/tests/version_book_test.cc
+++ b/libs/resumption/tests/version_book_test.cc
@@ -210,6 +210,22 @@
   CHECK(book.records().dropped() == 1);
 }
 
+// Guards against streams that hold events of two software versions, since a
+// record that a holder had to drop passed for one that was never made (incident
+// ORDER).
+TEST_CASE("a daemon that has dropped records does not vouch for their lack") {
+  auto book = BookOf(Daemon(true));
+  RecordBatch batch;
+  for (std::size_t i = 0; i < 20'001; ++i) {
+    batch.records.push_back({fmt::format("k{}", i), "s", "one", kLong});
+  }
+  const RecordQuery query{"key", "s", Duration(31'000)};
+  CHECK(book.Answer(query, kNow).is_confident);
+  book.Store(batch, kNow);
+  CHECK_FALSE(book.Answer(query, kNow + Duration(31'000)).is_confident);
+  CHECK(book.Answer(query, kNow + Duration(31'001)).is_confident);
+}
+
 // Guards against streams that hold events of two software versions, since the
 // time that a caller states again passed for the age of its stream (incident
 // ORDER).
